Route by expected first-token time with own sends counted

The first router took the least of lagged reports, on which gateways herd, and knew neither roles, models, affinity nor failures.

Now: candidates by rendezvous hashing with bounded load and a window of near and far targets; expected time from the report plus what was sent since; two random choices among near-equals; half-open back-off; slow start; phases split over prefill and decode engines.

--- a/routing/routing.go
+++ b/routing/routing.go
@@ -3,10 +3,13 @@
 package routing
 
 import (
+	"math/rand/v2"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"zinniapin/control"
-	"zinniapin/platform"
+	"zinniapin/invariant"
 	"zinniapin/target"
 	"zinniapin/zone"
 )
@@ -31,6 +34,7 @@
 	ReasonAffinity Reason = "affinity" // the prefix's own target
 	ReasonLoad     Reason = "load"     // the least expected wait
 	ReasonOnly     Reason = "only"     // no other candidate
+	ReasonProbe    Reason = "probe"    // a target coming back from failures
 )
 
 // Choice is where a request goes. It must be given back to Done.
@@ -43,76 +47,184 @@
 	Expected   time.Duration
 	Reason     Reason
 	Candidates int // number of targets that came into question
+	// Batch and BatchLimit are the estimated requests at the target and the
+	// number up to which tokens come in time.
+	Batch, BatchLimit int
+	// ReportAge is the age of the target's report, 0 when it has none.
+	ReportAge time.Duration
+	// Runner-up: the expected time to the first token of the other target
+	// that was compared, 0 when there was none.
+	OtherExpected time.Duration
 
-	promptTokens int
+	engine  *engine
+	prefill *engine // nil once the prefill phase is over
+	sentAt  int64   // Unix time, nanoseconds
 }
 
 // Router chooses targets for one gateway. It is not safe for concurrent use.
 type Router struct {
-	home     zone.Zone
-	view     []control.TargetState
-	inflight map[target.ID]int
+	home    zone.Zone
+	random  *rand.Rand
+	engines map[target.ID]*engine
+	pools   map[string]*pool
+	started bool
 }
 
 // New returns a router for a gateway in the home zone. The seed breaks ties.
 func New(home zone.Zone, seed uint64) *Router {
-	_ = seed
-	return &Router{home: home, inflight: map[target.ID]int{}}
+	return &Router{
+		home:    home,
+		random:  rand.New(rand.NewPCG(seed, xxhash.Sum64String(string(home.Name)))),
+		engines: map[target.ID]*engine{},
+		pools:   map[string]*pool{},
+	}
 }
 
 // Observe replaces the view of targets. The zones map tells regions.
 func (r *Router) Observe(now time.Time, view []control.TargetState, zones func(zone.Name) (zone.Zone, bool)) {
-	_, _ = now, zones
-	r.view = view
+	for _, e := range r.engines {
+		e.listed = false
+	}
+	for _, p := range r.pools {
+		p.reset()
+	}
+	for i := range view {
+		e := r.engine(now, &view[i], zones)
+		e.observe(&view[i])
+		e.listed = true
+		r.pool(view[i].Target.Pool).add(e)
+	}
+	for id, e := range r.engines {
+		if !e.listed && e.inflight == 0 {
+			delete(r.engines, id)
+		}
+	}
+	for name, p := range r.pools {
+		if len(p.engines) == 0 {
+			delete(r.pools, name)
+			continue
+		}
+		p.index()
+		p.estimateOthers()
+	}
+	r.started = r.started || len(view) > 0
+}
+
+// engine returns the record of a target. One that joins a running fleet
+// starts slowly.
+func (r *Router) engine(now time.Time, s *control.TargetState, zones func(zone.Name) (zone.Zone, bool)) *engine {
+	e := r.engines[s.Target.ID]
+	if e == nil {
+		e = newEngine(s.Target.ID)
+		if r.started {
+			e.joined = now.UnixNano()
+		}
+		r.engines[s.Target.ID] = e
+	}
+	e.distance = r.distance(s.Target.Zone, zones)
+	return e
+}
+
+// distance returns how far a zone is from home.
+func (r *Router) distance(name zone.Name, zones func(zone.Name) (zone.Zone, bool)) zone.Distance {
+	if name == r.home.Name {
+		return zone.SameZone
+	}
+	if zones != nil {
+		if z, ok := zones(name); ok {
+			return zone.Between(r.home, z)
+		}
+	}
+	return zone.OtherRegion
+}
+
+// pool returns the index of a pool.
+func (r *Router) pool(name string) *pool {
+	p := r.pools[name]
+	if p == nil {
+		p = &pool{models: map[string]uint64{}}
+		r.pools[name] = p
+	}
+	return p
 }
 
 // Choose picks the targets of a request and counts it as in flight there. It
 // returns false when no target comes into question.
 func (r *Router) Choose(now time.Time, q *Request) (Choice, bool) {
-	_ = now
-	best := -1
-	for i := range r.view {
-		if !r.eligible(&r.view[i], q) {
-			continue
-		}
-		if best < 0 || r.load(i) < r.load(best) {
-			best = i
+	p := r.pools[q.Pool]
+	if p == nil {
+		return Choice{}, false
+	}
+	at := now.UnixNano()
+	for _, need := range tiers {
+		if c, ok := p.choose(at, q, need, r.random); ok {
+			p.sent(at, q.PromptTokens)
+			c.start(q)
+			return c, true
 		}
 	}
-	if best < 0 {
-		return Choice{}, false
+	return Choice{}, false
+}
+
+// start counts the choice as in flight.
+func (c *Choice) start(q *Request) {
+	e := c.engine
+	if e.failures > 0 {
+		e.probing = true
+		c.Reason = ReasonProbe
+	}
+	if c.prefill == nil {
+		e.sent(c.sentAt, q.PromptTokens)
+		return
 	}
-	t := r.view[best].Target
-	r.inflight[t.ID]++
-	return Choice{Target: t, Reason: ReasonLoad, Candidates: len(r.view), promptTokens: q.PromptTokens}, true
+	e.sent(c.sentAt, 0)
+	c.prefill.sent(c.sentAt, q.PromptTokens)
 }
 
 // Prefilled tells that the prefill phase of a choice is over.
 func (r *Router) Prefilled(now time.Time, c *Choice) {
-	_, _ = now, c
+	if c.prefill == nil {
+		return
+	}
+	c.prefill.ended(c.sentAt)
+	c.prefill.succeeded(now.UnixNano() - c.sentAt)
+	c.prefill = nil
 }
 
-// Done tells that a choice has ended, and whether its target failed it.
+// Done tells that a choice has ended, and whether its target failed it. When
+// the prefill phase is not over, a failure is the prefill engine's.
 func (r *Router) Done(now time.Time, c *Choice, failed bool) {
-	_, _ = now, failed
-	r.inflight[c.Target.ID]--
-}
-
-// load is the number of requests at a target.
-func (r *Router) load(i int) int {
-	s := &r.view[i]
-	return s.Report.Running + s.Report.Waiting + r.inflight[s.Target.ID]
-}
-
-// eligible tells whether a target comes into question.
-func (r *Router) eligible(s *control.TargetState, q *Request) bool {
-	if s.State != platform.Live || s.Cordoned || s.Target.Pool != q.Pool {
-		return false
+	e := c.engine
+	if e == nil {
+		return
 	}
-	for _, id := range q.Exclude {
-		if id == s.Target.ID {
-			return false
+	if e.inflight <= 0 {
+		invariant.Check(false, "routing_inflight", "target %s: more requests ended than began", e.target.ID)
+		return
+	}
+	c.engine = nil
+	e.ended(c.sentAt)
+	e.probing = false
+	if c.prefill != nil {
+		c.prefill.ended(c.sentAt)
+		c.prefill.probing = false
+		if failed {
+			c.prefill.failed(now.UnixNano())
 		}
+		c.prefill = nil
+		return
+	}
+	if failed {
+		e.failed(now.UnixNano())
+		return
+	}
+	e.succeeded(now.UnixNano() - c.sentAt)
+}
+
+// InFlight returns the number of this gateway's requests on a target.
+func (r *Router) InFlight(id target.ID) int {
+	if e := r.engines[id]; e != nil {
+		return e.inflight
 	}
-	return !q.StableOnly || s.Target.Class != target.Reclaimable
+	return 0
 }
