Keep claims in the object API

Cause: the gateway needs a Registry that lets a non-repeatable request run at most once through lost answers, late updates and outages. Change: claim.Stored begins by conditional update and hands out a ticket only when the store confirmed the attempt's own id; a doubtful update is sent again under the same condition, since a read that shows nothing proves nothing. Ends of claims are retried within bounded memory. A collector deletes ended claims after the stated period. Ruled out: expiring a claim that nobody ended, as its holder may be paused.

--- a/claim/claim.go
+++ b/claim/claim.go
@@ -59,7 +59,8 @@
 	// Begin claims the request with this digest, or tells what became of it.
 	// A digest other than the claim's is a result.ClaimMismatch. When the
 	// store cannot confirm the claim the error is result.StoreUnavailable and
-	// nothing may be sent.
+	// nothing may be sent. A claim whose answer was not kept is a
+	// result.ClaimAnswerNotKept.
 	Begin(ctx context.Context, id ID, digest [32]byte) (Outcome, error)
 	// Finish keeps the answer.
 	Finish(ctx context.Context, t Ticket, a Answer) error
--- /dev/null
+++ b/claim/claim_test.go
@@ -0,0 +1,248 @@
+package claim
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"zinniapin/internal/standin/objects"
+	"zinniapin/result"
+	"zinniapin/store"
+)
+
+var testID = ID{Organisation: "org", IdempotencyKey: "k1"}
+
+// clock is a settable clock.
+type clock struct {
+	mu  sync.Mutex
+	now time.Time
+}
+
+func newClock() *clock { return &clock{now: time.Unix(1_800_000_000, 0)} }
+
+func (c *clock) Now() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.now
+}
+
+func (c *clock) advance(d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.now = c.now.Add(d)
+}
+
+// once returns a fault that gives the verdict to the first update.
+func once(v objects.Verdict) objects.Fault {
+	var mu sync.Mutex
+	used := false
+	return func(op objects.Operation, _ string) objects.Verdict {
+		mu.Lock()
+		defer mu.Unlock()
+		if op != objects.Put || used {
+			return objects.Pass
+		}
+		used = true
+		return v
+	}
+}
+
+func TestClaimLifecycle(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	api := objects.New()
+	a, b := NewStored(api, Options{}), NewStored(api, Options{})
+	digest := [32]byte{1}
+
+	first, err := a.Begin(ctx, testID, digest)
+	is.NoErr(err)
+	is.True(first.Ticket != nil)
+	second, err := b.Begin(ctx, testID, digest)
+	is.NoErr(err)
+	is.True(second.Ticket == nil)
+	is.Equal(second.State, Claimed)
+	is.True(second.RetryAfter > 0)
+
+	is.NoErr(a.Release(ctx, *first.Ticket))
+	is.True(errors.Is(a.Finish(ctx, *first.Ticket, Answer{}), ErrNotHeld))
+	third, err := b.Begin(ctx, testID, digest)
+	is.NoErr(err)
+	is.NoErr(b.Finish(ctx, *third.Ticket, Answer{Status: 201, Body: []byte("x")}))
+	replay, err := a.Begin(ctx, testID, digest)
+	is.NoErr(err)
+	is.Equal(replay.State, Done)
+	is.Equal(replay.Answer.Status, 201)
+
+	_, err = a.Begin(ctx, testID, [32]byte{2})
+	is.Equal(result.CodeOf(err), result.ClaimMismatch)
+	other, err := a.Begin(ctx, ID{Organisation: "other", IdempotencyKey: "k1"}, [32]byte{2})
+	is.NoErr(err)
+	is.True(other.Ticket != nil)
+	is.NoErr(a.Abandon(ctx, *other.Ticket))
+	unknown, err := b.Begin(ctx, ID{Organisation: "other", IdempotencyKey: "k1"}, [32]byte{2})
+	is.NoErr(err)
+	is.Equal(unknown.State, Unknown)
+}
+
+func TestBeginSettlesLostAnswer(t *testing.T) {
+	for _, verdict := range []objects.Verdict{objects.LoseAnswer, objects.LoseRequest, objects.Late} {
+		is := is.New(t)
+		api := objects.New()
+		api.SetFault(once(verdict))
+		r := NewStored(api, Options{})
+		got, err := r.Begin(context.Background(), testID, [32]byte{1})
+		is.NoErr(err)
+		is.True(got.Ticket != nil)
+		api.DeliverLate()
+		is.NoErr(r.Finish(context.Background(), *got.Ticket, Answer{Status: 200}))
+	}
+}
+
+func TestBeginRefusesWhenStoreIsDown(t *testing.T) {
+	is := is.New(t)
+	api := objects.New()
+	api.SetFault(func(objects.Operation, string) objects.Verdict { return objects.Refuse })
+	r := NewStored(api, Options{})
+	_, err := r.Begin(context.Background(), testID, [32]byte{1})
+	is.Equal(result.CodeOf(err), result.StoreUnavailable)
+	is.Equal(result.Of(err).Execution, result.NotRun)
+	is.True(result.Of(err).RetryAfter > 0)
+	is.Equal(r.Pending(), 0)
+}
+
+func TestDoubtfulBeginIsWithdrawn(t *testing.T) {
+	is := is.New(t)
+	api := objects.New()
+	api.SetFault(func(op objects.Operation, _ string) objects.Verdict { return objects.Late })
+	r := NewStored(api, Options{})
+	_, err := r.Begin(context.Background(), testID, [32]byte{1})
+	is.Equal(result.CodeOf(err), result.StoreUnavailable)
+	is.Equal(r.Pending(), 1)
+	api.DeliverLate() // the claim now stands without a holder
+	api.SetFault(nil)
+	is.NoErr(r.Flush(context.Background()))
+	got, err := r.Begin(context.Background(), testID, [32]byte{1})
+	is.NoErr(err)
+	is.True(got.Ticket != nil)
+}
+
+func TestFinishOutlastsOutage(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	api := objects.New()
+	r := NewStored(api, Options{})
+	got, err := r.Begin(ctx, testID, [32]byte{1})
+	is.NoErr(err)
+	api.SetFault(func(objects.Operation, string) objects.Verdict { return objects.Refuse })
+	is.True(errors.Is(r.Finish(ctx, *got.Ticket, Answer{Status: 200}), ErrPending))
+	is.True(errors.Is(r.Flush(ctx), ErrPending))
+	api.SetFault(nil)
+	waiting, err := r.Begin(ctx, testID, [32]byte{1})
+	is.NoErr(err)
+	is.Equal(waiting.State, Claimed)
+	is.NoErr(r.Flush(ctx))
+	done, err := r.Begin(ctx, testID, [32]byte{1})
+	is.NoErr(err)
+	is.Equal(done.State, Done)
+}
+
+func TestOrphanBecomesUnknownAndNeverRuns(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	api := objects.New()
+	c := newClock()
+	dead := NewStored(api, Options{Now: c.Now})
+	got, err := dead.Begin(ctx, testID, [32]byte{1})
+	is.NoErr(err)
+	r := NewStored(api, Options{Now: c.Now})
+	c.advance(defaultOrphanAfter)
+	for range 3 {
+		again, err := r.Begin(ctx, testID, [32]byte{1})
+		is.NoErr(err)
+		is.True(again.Ticket == nil)
+		is.Equal(again.State, Unknown)
+	}
+	// The paused holder wakes: "not run" comes too late, a known end does not.
+	is.NoErr(dead.Finish(ctx, *got.Ticket, Answer{Status: 200}))
+	done, err := r.Begin(ctx, testID, [32]byte{1})
+	is.NoErr(err)
+	is.Equal(done.State, Done)
+}
+
+func TestReleaseAfterOrphanStaysUnknown(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	api := objects.New()
+	c := newClock()
+	paused := NewStored(api, Options{Now: c.Now})
+	got, err := paused.Begin(ctx, testID, [32]byte{1})
+	is.NoErr(err)
+	c.advance(defaultOrphanAfter)
+	r := NewStored(api, Options{Now: c.Now})
+	_, err = r.Begin(ctx, testID, [32]byte{1})
+	is.NoErr(err)
+	is.NoErr(paused.Release(ctx, *got.Ticket))
+	again, err := r.Begin(ctx, testID, [32]byte{1})
+	is.NoErr(err)
+	is.Equal(again.State, Unknown)
+}
+
+func TestAnswerTooLargeIsSaid(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	r := NewStored(objects.New(), Options{MaxAnswerBytes: 4})
+	got, err := r.Begin(ctx, testID, [32]byte{1})
+	is.NoErr(err)
+	is.NoErr(r.Finish(ctx, *got.Ticket, Answer{Status: 200, Body: []byte("12345")}))
+	_, err = r.Begin(ctx, testID, [32]byte{1})
+	is.Equal(result.CodeOf(err), result.ClaimAnswerNotKept)
+	is.Equal(result.Of(err).Execution, result.Ran)
+}
+
+func TestBacklogIsBounded(t *testing.T) {
+	is := is.New(t)
+	b := newBacklog(2, 3)
+	answer := Answer{Body: []byte("ab")}
+	full := ending{desired: record{Answer: &answer}}
+	kept, whole := b.add(full)
+	is.True(kept && whole)
+	kept, whole = b.add(full)
+	is.True(kept && !whole) // the end stays, the answer goes
+	kept, _ = b.add(full)
+	is.True(!kept)
+}
+
+func TestCollectorKeepsThePeriod(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	api := objects.New()
+	c := newClock()
+	r := NewStored(api, Options{Now: c.Now})
+	done, _ := r.Begin(ctx, testID, [32]byte{1})
+	is.NoErr(r.Finish(ctx, *done.Ticket, Answer{Status: 200}))
+	_, err := r.Begin(ctx, ID{"org", "held"}, [32]byte{1})
+	is.NoErr(err)
+	collector := Collector{Objects: api, Retention: time.Hour, ClockMargin: time.Minute, Now: c.Now}
+	sweep := func() int {
+		total := 0
+		for shard := range Shards {
+			n, err := collector.Sweep(ctx, shard)
+			is.NoErr(err)
+			total += n
+		}
+		return total
+	}
+	c.advance(time.Hour + time.Minute)
+	is.Equal(sweep(), 0)
+	c.advance(time.Second)
+	is.Equal(sweep(), 1)
+	c.advance(1000 * time.Hour)
+	is.Equal(sweep(), 0) // the held claim stays
+	left, err := api.List(ctx, store.PurposeStatus, Prefix)
+	is.NoErr(err)
+	is.Equal(len(left), 1)
+}
