--- /dev/null
+++ b/event/controller.go
@@ -0,0 +1,18 @@
+package event
+
+import "github.com/rs/zerolog"
+
+// Events of the controllers and of the links, 3000 to 3199.
+var (
+	LinkOpened            = define(3000, "link_opened", zerolog.DebugLevel, "A link to another process was opened.", "none")
+	LinkClosed            = define(3001, "link_closed", zerolog.DebugLevel, "A link to another process ended.", "none")
+	LinkDialFailed        = define(3002, "link_dial_failed", zerolog.DebugLevel, "A link to another process could not be opened.", "Check the process when it persists.")
+	LinkPeerRefused       = define(3003, "link_peer_refused", zerolog.WarnLevel, "A process was refused a link; the line says why.", "Compare certificates, host names and versions.")
+	ConfigurationInForce  = define(3010, "configuration_in_force", zerolog.InfoLevel, "A controller or an uplink put a new revision of the configuration in force.", "none")
+	ConfigurationBehind   = define(3011, "configuration_fetch_failed", zerolog.WarnLevel, "A newer revision is known but could not be fetched; it is tried again.", "See docs/OPERATIONS.md, platform outage.")
+	GrantorChanged        = define(3020, "grantor_waits", zerolog.DebugLevel, "A controller became grantor of an organisation and waits for earlier grants to end.", "none")
+	CordonSpread          = define(3030, "cordon_spread", zerolog.InfoLevel, "A cordon or its lift was sent to the gateways; the line names those that did not answer.", "none")
+	TargetPollFailed      = define(3040, "target_poll_failed", zerolog.DebugLevel, "A target did not answer with its report.", "none")
+	HostListFailed        = define(3041, "host_list_failed", zerolog.WarnLevel, "The list of hosts could not be read.", "See docs/OPERATIONS.md, platform outage.")
+	UplinkControllersGone = define(3050, "uplink_no_controller", zerolog.WarnLevel, "A gateway reaches no controller and serves on with its safe shares.", "Check the controllers.")
+)
--- /dev/null
+++ b/link/yamuxlink/link.go
@@ -0,0 +1,113 @@
+package yamuxlink
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/hashicorp/yamux"
+
+	"zinniapin/link"
+	"zinniapin/machine"
+	"zinniapin/wire"
+)
+
+const (
+	// callTimeout bounds a call whose context has no deadline.
+	callTimeout = 10 * time.Second
+	// serveTimeout bounds the handling of one call.
+	serveTimeout = 30 * time.Second
+	// maxServing bounds the calls of one peer that are served at once.
+	maxServing = 64
+)
+
+// session is a link over one yamux session.
+type session struct {
+	mux     *yamux.Session
+	peer    machine.Process
+	handler link.Handler
+	serving chan struct{}
+}
+
+var _ link.Link = (*session)(nil)
+
+// Peer implements link.Link.
+func (s *session) Peer() machine.Process {
+	return s.peer
+}
+
+// Done implements link.Link.
+func (s *session) Done() <-chan struct{} {
+	return s.mux.CloseChan()
+}
+
+// Close implements link.Link.
+func (s *session) Close() error {
+	return trace.Wrap(s.mux.Close())
+}
+
+// Call implements link.Link.
+func (s *session) Call(ctx context.Context, request *wire.Envelope) (*wire.Envelope, error) {
+	reply, err := s.exchange(ctx, request)
+	if err != nil {
+		return nil, link.CallError(err)
+	}
+	if err := link.ErrorOf(reply); err != nil {
+		return nil, err
+	}
+	return reply, nil
+}
+
+// exchange sends a request and reads the reply on a stream of its own.
+func (s *session) exchange(ctx context.Context, request *wire.Envelope) (*wire.Envelope, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	stream, err := s.mux.OpenStream()
+	if err != nil {
+		return nil, trace.NewAggregate(link.ErrClosed, err)
+	}
+	defer func() { _ = stream.Close() }()
+	stop := context.AfterFunc(ctx, func() { _ = stream.SetDeadline(time.Unix(1, 0)) })
+	defer stop()
+	if err := writeMessage(stream, request, link.MaxMessageBytes); err != nil {
+		return nil, err
+	}
+	reply, err := readMessage(stream, link.MaxMessageBytes)
+	if err != nil && ctx.Err() != nil {
+		return nil, trace.Wrap(ctx.Err())
+	}
+	return reply, err
+}
+
+// serve takes the peer's calls until the session ends.
+func (s *session) serve() {
+	for {
+		stream, err := s.mux.AcceptStream()
+		if err != nil {
+			return
+		}
+		s.serving <- struct{}{}
+		go s.answer(stream)
+	}
+}
+
+// answer serves one call.
+func (s *session) answer(stream net.Conn) {
+	defer func() { <-s.serving }()
+	defer func() { _ = stream.Close() }()
+	_ = stream.SetDeadline(time.Now().Add(serveTimeout))
+	request, err := readMessage(stream, link.MaxMessageBytes)
+	if err != nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), serveTimeout)
+	defer cancel()
+	reply, err := s.handler.Serve(ctx, s, request)
+	if err != nil {
+		reply = link.FailureOf(err)
+	}
+	if err := writeMessage(stream, reply, link.MaxMessageBytes); err != nil {
+		_ = writeMessage(stream, link.FailureOf(err), link.MaxMessageBytes)
+	}
+}
