--- /dev/null
+++ b/grant/grant.go
@@ -0,0 +1,264 @@
+// Package grant shares out the limits of organisations among gateways. It
+// does no I/O: time comes in.
+//
+// # Sums
+//
+// Of a limit L the part SafePart*L is set aside for safe shares: a gateway
+// without a grant in force uses SafeShare(L, gateways) instead, and a gateway
+// with one uses only the grant. The grants in force of one grantor sum to at
+// most (1-SafePart)*L, so grants and safe shares together stay within L as
+// long as there is one grantor and every gateway counts the gateways right.
+//
+// A grant runs for a term counted from the moment at which the gateway sent
+// its request, and the grantor counts the term from the later moment at which
+// it answers: a delayed or lost answer can only end earlier at the gateway. A
+// repeated request replaces a grant, but the earlier one may still be in
+// force, so the larger of the two is counted until the earlier one ends.
+//
+// A new grantor, started or taken over, grants nothing for one term and a
+// margin, in which the predecessor's grants end.
+//
+// The worst overshoot: while the mesh is split into k parts that each have a
+// grantor, each part grants as if it were alone. A grantor therefore grants
+// only the part live/known of its pool, where known counts the gateways that
+// it remembers from before the split; while the memory lasts (membership
+// forgets after 15 minutes) and each gateway asks in one part only, the sum of
+// all parts stays within (1-SafePart)*L. Gateways that count only live ones
+// use safe shares of at most SafePart*L in each part: the sum is at most
+// L + (k-1)*SafePart*L then, and k*L once the other parts are forgotten.
+//
+// Limits of concurrency are shared in whole numbers, rounded down. A safe
+// share of concurrency is at least 1, so the sum may exceed the limit by at
+// most one for each gateway when the limit is smaller than the fleet.
+package grant
+
+import (
+	"math"
+	"sort"
+	"time"
+
+	"zinniapin/contract"
+	"zinniapin/control"
+)
+
+const (
+	// Term is how long a grant is in force.
+	Term = 3 * time.Second
+	// Margin covers the difference in speed of two clocks over a term, and the
+	// spread of a change of grantor through the mesh.
+	Margin = 2 * time.Second
+	// SafePart is the part of each limit that is set aside for safe shares.
+	SafePart = 0.25
+	// floorPart is the part of the pool that is shared equally among the
+	// gateways that ask, whatever they ask for.
+	floorPart = 0.1
+	// maxIssues bounds the grants of one gateway that are counted one by one.
+	maxIssues = 8
+)
+
+// Amount is a share of an organisation's limits.
+type Amount struct {
+	RequestsPerSecond float64
+	Concurrency       int
+	TokensPerMinute   float64
+}
+
+// limitsOf returns the limits of a contract as an amount.
+func limitsOf(l contract.Limits) Amount {
+	return Amount{l.RequestsPerSecond, l.Concurrency, float64(l.TokensPerMinute)}
+}
+
+// max returns the larger of two amounts, field by field.
+func (a Amount) max(b Amount) Amount {
+	return Amount{
+		math.Max(a.RequestsPerSecond, b.RequestsPerSecond),
+		max(a.Concurrency, b.Concurrency),
+		math.Max(a.TokensPerMinute, b.TokensPerMinute),
+	}
+}
+
+// add returns the sum of two amounts.
+func (a Amount) add(b Amount) Amount {
+	return Amount{a.RequestsPerSecond + b.RequestsPerSecond, a.Concurrency + b.Concurrency, a.TokensPerMinute + b.TokensPerMinute}
+}
+
+// scale multiplies an amount; concurrency is rounded down.
+func (a Amount) scale(part float64) Amount {
+	return Amount{a.RequestsPerSecond * part, int(float64(a.Concurrency) * part), a.TokensPerMinute * part}
+}
+
+// Pool returns what a grantor may grant of the limits in all.
+func Pool(l contract.Limits) Amount {
+	limit := limitsOf(l)
+	pool := limit.scale(1 - SafePart)
+	pool.Concurrency = max(pool.Concurrency, min(limit.Concurrency, 1))
+	return pool
+}
+
+// SafeShare returns what a gateway may use without a grant when it counts
+// that many gateways.
+func SafeShare(l contract.Limits, gateways int) Amount {
+	limit := limitsOf(l)
+	share := limit.scale(SafePart / float64(max(1, gateways)))
+	share.Concurrency = max(share.Concurrency, min(limit.Concurrency, 1))
+	return share
+}
+
+// issue is one grant that may be in force.
+type issue struct {
+	amount  Amount
+	expires time.Time
+}
+
+// holder is what one gateway asked for and holds.
+type holder struct {
+	wanted Amount
+	issues []issue
+}
+
+// held returns the largest amount that may be in force.
+func (h *holder) held() Amount {
+	var most Amount
+	for _, i := range h.issues {
+		most = most.max(i.amount)
+	}
+	return most
+}
+
+// prune drops the grants that ended.
+func (h *holder) prune(now time.Time) {
+	kept := h.issues[:0]
+	for _, i := range h.issues {
+		if now.Before(i.expires) {
+			kept = append(kept, i)
+		}
+	}
+	h.issues = kept
+}
+
+// add counts a grant; beyond the bound the last two are counted as one.
+func (h *holder) add(i issue) {
+	if len(h.issues) < maxIssues {
+		h.issues = append(h.issues, i)
+		return
+	}
+	last := &h.issues[len(h.issues)-1]
+	last.amount = last.amount.max(i.amount)
+	last.expires = i.expires
+}
+
+// Organisation shares out the limits of one organisation. It is not safe for
+// concurrent use.
+type Organisation struct {
+	opens   time.Time
+	holders map[string]*holder // by machine.Process.ID of the gateway
+}
+
+// NewOrganisation returns the grantor's state for an organisation that it
+// became responsible for now.
+func NewOrganisation(now time.Time) *Organisation {
+	return &Organisation{opens: now.Add(Term + Margin), holders: map[string]*holder{}}
+}
+
+// Idle tells whether no grant is in force.
+func (o *Organisation) Idle(now time.Time) bool {
+	for name, h := range o.holders {
+		h.prune(now)
+		if len(h.issues) == 0 {
+			delete(o.holders, name)
+		}
+	}
+	return len(o.holders) == 0 && !now.Before(o.opens)
+}
+
+// Held returns the sum of the grants that may be in force.
+func (o *Organisation) Held(now time.Time) Amount {
+	var sum Amount
+	for _, h := range o.holders {
+		h.prune(now)
+		sum = sum.add(h.held())
+	}
+	return sum
+}
+
+// Ask answers a gateway's demand with its share. The presence is the part of
+// the known gateways that is live, from 0 to 1. It returns false while the
+// grantor waits for earlier grants to end.
+func (o *Organisation) Ask(now time.Time, gateway string, limits contract.Limits, presence float64, d control.Demand) (Amount, bool) {
+	h := o.holder(gateway)
+	h.wanted = Amount{d.RequestsPerSecond, d.Concurrency, d.TokensPerMinute}
+	if now.Before(o.opens) {
+		return Amount{}, false
+	}
+	o.Idle(now)
+	o.holders[gateway] = h
+	pool := Pool(limits).scale(min(1, max(0, presence)))
+	share := o.share(gateway, pool)
+	h.add(issue{share, now.Add(Term + Margin)})
+	return share, true
+}
+
+// holder returns the state of a gateway.
+func (o *Organisation) holder(gateway string) *holder {
+	h, ok := o.holders[gateway]
+	if !ok {
+		h = &holder{}
+		o.holders[gateway] = h
+	}
+	return h
+}
+
+// share returns a gateway's part of the pool: in proportion to the demands,
+// above an equal floor, and within what the others leave.
+func (o *Organisation) share(gateway string, pool Amount) Amount {
+	var wanted, others Amount
+	for name, h := range o.holders {
+		wanted = wanted.add(h.wanted)
+		if name != gateway {
+			others = others.add(h.held())
+		}
+	}
+	mine := o.holders[gateway].wanted
+	n := float64(len(o.holders))
+	return Amount{
+		RequestsPerSecond: within(pool.RequestsPerSecond, others.RequestsPerSecond, part(mine.RequestsPerSecond, wanted.RequestsPerSecond, n)),
+		Concurrency:       o.whole(gateway, pool.Concurrency, others.Concurrency, wanted.Concurrency),
+		TokensPerMinute:   within(pool.TokensPerMinute, others.TokensPerMinute, part(mine.TokensPerMinute, wanted.TokensPerMinute, n)),
+	}
+}
+
+// part returns a gateway's part, from 0 to 1.
+func part(mine, wanted, n float64) float64 {
+	if wanted <= 0 {
+		return 1 / n
+	}
+	return floorPart/n + (1-floorPart)*mine/wanted
+}
+
+// within returns a part of the pool, at most what the others leave of it.
+func within(pool, others, part float64) float64 {
+	return max(0, min(pool*part, pool-others))
+}
+
+// whole returns a gateway's part of a pool of whole numbers. What rounding
+// leaves over goes to gateways in order of name, one each.
+func (o *Organisation) whole(gateway string, pool, others, wanted int) int {
+	names := make([]string, 0, len(o.holders))
+	for name := range o.holders {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	n := float64(len(names))
+	left, target, rank := pool, 0, 0
+	for i, name := range names {
+		rounded := int(float64(pool) * part(float64(o.holders[name].wanted.Concurrency), float64(wanted), n))
+		left -= rounded
+		if name == gateway {
+			target, rank = rounded, i
+		}
+	}
+	if rank < left {
+		target++
+	}
+	return max(0, min(target, pool-others))
+}
--- /dev/null
+++ b/membership/member.go
@@ -0,0 +1,112 @@
+// Package membership keeps what this process knows of all processes of the
+// system. It does no I/O: time comes in. What it says proves nothing; it only
+// tells whom to try and divides work, and two processes that both believe
+// they own a key cost a retry and no error.
+//
+// # Bytes
+//
+// A member's record takes about 90 bytes in full and about 20 bytes when only
+// its beat rose (see BenchmarkRecordBytes). With n processes a process raises
+// its beat every BeatInterval(n), so that the records that change in a second
+// stay near beatsPerSecond over the whole mesh: 780 processes (390 hosts with
+// two each) raise their beats every 20 s, 39 records a second or about 800
+// bytes. A record crosses a link in one direction in most cases, since a peer
+// is not sent what it was the source of, so a process with k links sends
+// about k/2 times that: 18 links carry about 7 KB/s sent and as much received.
+package membership
+
+import (
+	"time"
+
+	"zinniapin/contract"
+	"zinniapin/machine"
+	"zinniapin/wire"
+	"zinniapin/zone"
+)
+
+// Member is the latest record of one process.
+type Member struct {
+	Process machine.Process
+	// Beat rises while the process lives.
+	Beat uint64
+	// Revision is the configuration in force at the process.
+	Revision contract.Revision
+	// Leaving processes take no new work.
+	Leaving bool
+	// StoreReachable tells whether the process reaches the object API.
+	StoreReachable bool
+	// Via holds the addresses of the controllers that a gateway is linked to.
+	Via []string
+}
+
+// ToWire returns the message of a record. A compact one holds only what
+// changes, for a reader that knows the process.
+func (m *Member) ToWire(compact bool) *wire.Member {
+	w := &wire.Member{
+		Incarnation:    m.Process.Incarnation,
+		Beat:           m.Beat,
+		ConfigRevision: uint64(m.Revision),
+		Leaving:        m.Leaving,
+		StoreReachable: m.StoreReachable,
+	}
+	if compact {
+		return w
+	}
+	w.Host = string(m.Process.Host)
+	w.Role = string(m.Process.Role)
+	w.Zone = string(m.Process.Zone.Name)
+	w.Region = string(m.Process.Zone.Region)
+	w.Address = m.Process.Address
+	w.Via = m.Via
+	return w
+}
+
+// FromWire returns the record of a message.
+func FromWire(w *wire.Member) Member {
+	return Member{
+		Process: machine.Process{
+			Host:        machine.HostID(w.Host),
+			Role:        machine.Role(w.Role),
+			Incarnation: w.Incarnation,
+			Zone:        zone.Zone{Name: zone.Name(w.Zone), Region: zone.Region(w.Region)},
+			Address:     w.Address,
+		},
+		Beat:           w.Beat,
+		Revision:       contract.Revision(w.ConfigRevision),
+		Leaving:        w.Leaving,
+		StoreReachable: w.StoreReachable,
+		Via:            w.Via,
+	}
+}
+
+const (
+	// minBeatInterval is the shortest time between two beats of a process.
+	minBeatInterval = time.Second
+	// beatsPerSecond bounds the beats of the whole mesh.
+	beatsPerSecond = 39
+	// suspectBeats is the number of missed beats after which a process is no
+	// longer taken for live.
+	suspectBeats = 4
+	// spreadAllowance is the time that a beat may take through the mesh.
+	spreadAllowance = 5 * time.Second
+	// forgetAfter is how long a silent process is remembered.
+	forgetAfter = 15 * time.Minute
+	// maxTickGap is the largest time between two ticks that passes for time
+	// in which beats could have come in.
+	maxTickGap = 3 * time.Second
+	// maxMembers bounds the table.
+	maxMembers = 4096
+)
+
+// BeatInterval returns the time between two beats of a process when the mesh
+// has n processes.
+func BeatInterval(n int) time.Duration {
+	scaled := time.Duration(n) * time.Second / beatsPerSecond
+	return max(minBeatInterval, scaled.Truncate(time.Second))
+}
+
+// SuspectAfter returns the silence after which a process is no longer taken
+// for live when the mesh has n processes.
+func SuspectAfter(n int) time.Duration {
+	return suspectBeats*BeatInterval(n) + spreadAllowance
+}
--- /dev/null
+++ b/membership/select.go
@@ -0,0 +1,196 @@
+package membership
+
+import (
+	"encoding/binary"
+	"math/bits"
+	"sort"
+
+	"github.com/cespare/xxhash/v2"
+
+	"zinniapin/machine"
+	"zinniapin/zone"
+)
+
+// Controllers returns the live controllers that take work, optionally of one
+// region only.
+func Controllers(members []Member, region zone.Region) []Member {
+	var found []Member
+	for _, m := range members {
+		if m.Process.Role != machine.Controller || m.Leaving {
+			continue
+		}
+		if region == "" || m.Process.Zone.Region == region {
+			found = append(found, m)
+		}
+	}
+	return found
+}
+
+// Owners returns up to n controllers for a key by rendezvous hashing over
+// host ids, the first owner first. A restart of a host moves nothing.
+func Owners(controllers []Member, key string, n int) []Member {
+	ranked := make([]ranking, len(controllers))
+	for i := range controllers {
+		ranked[i] = ranking{i, score(key, string(controllers[i].Process.Host))}
+	}
+	sort.Slice(ranked, func(i, j int) bool { return ranked[i].score > ranked[j].score })
+	owners := make([]Member, 0, n)
+	for _, r := range ranked[:min(n, len(ranked))] {
+		owners = append(owners, controllers[r.index])
+	}
+	return owners
+}
+
+// ranking is the score of one member for a key.
+type ranking struct {
+	index int
+	score uint64
+}
+
+// score returns the rendezvous weight of a host for a key.
+func score(key, host string) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(key) // never fails
+	_, _ = d.WriteString("\x00")
+	_, _ = d.WriteString(host)
+	return d.Sum64()
+}
+
+// Owns tells whether the process is among the n owners of a key.
+func Owns(controllers []Member, key string, n int, self machine.HostID) bool {
+	var mine uint64
+	found := false
+	for i := range controllers {
+		if controllers[i].Process.Host == self {
+			mine, found = score(key, string(self)), true
+		}
+	}
+	if !found {
+		return false
+	}
+	ahead := 0
+	for i := range controllers {
+		if score(key, string(controllers[i].Process.Host)) > mine {
+			ahead++
+		}
+	}
+	return ahead < n
+}
+
+// minPeers is the number of peers below which a process links to all.
+const minPeers = 7
+
+// minFar is the number of peers in other regions.
+const minFar = 2
+
+// PeerCount returns the number of links that a controller opens among n: about
+// log2(n), to which as many come that others open.
+func PeerCount(n int) int {
+	if n <= minPeers+1 {
+		return max(0, n-1)
+	}
+	return max(minPeers, bits.Len(uint(n)))
+}
+
+// Peers returns the controllers that self should open links to: its successor
+// in order of host, which keeps the mesh in one piece, then a share of its
+// own zone, of other zones of the region and of other regions. Linked peers
+// go first within each share, so that a change of membership breaks no good
+// link. The result is the same for the same input.
+func Peers(controllers []Member, self machine.Process, seed uint64, linked map[machine.HostID]bool) []Member {
+	others := withoutHost(controllers, self.Host)
+	want := PeerCount(len(others) + 1)
+	if want >= len(others) {
+		return others
+	}
+	chosen := newChoice(want)
+	chosen.add(successor(others, self.Host))
+	key := pairKey(seed, self.Host)
+	var near [zone.OtherRegion + 1][]Member
+	for _, m := range others {
+		d := zone.Between(self.Zone, m.Process.Zone)
+		near[d] = append(near[d], m)
+	}
+	for d := range near {
+		rank(near[d], key, linked)
+	}
+	chosen.fill(near[zone.OtherRegion], minFar)
+	chosen.fill(near[zone.SameRegion], (want-minFar)/2)
+	chosen.fill(near[zone.SameZone], want)
+	chosen.fill(near[zone.SameRegion], want)
+	chosen.fill(near[zone.OtherRegion], want)
+	return chosen.members
+}
+
+// withoutHost returns the members on other hosts, in order of host.
+func withoutHost(members []Member, host machine.HostID) []Member {
+	others := make([]Member, 0, len(members))
+	for _, m := range members {
+		if m.Process.Host != host {
+			others = append(others, m)
+		}
+	}
+	sort.Slice(others, func(i, j int) bool { return before(&others[i], &others[j]) })
+	return others
+}
+
+// successor returns the next member in order of host, around the end.
+func successor(others []Member, host machine.HostID) Member {
+	for _, m := range others {
+		if m.Process.Host > host {
+			return m
+		}
+	}
+	return others[0]
+}
+
+// pairKey returns the key by which a host ranks its peers.
+func pairKey(seed uint64, host machine.HostID) string {
+	return string(binary.BigEndian.AppendUint64(nil, seed)) + string(host)
+}
+
+// rank orders members: linked ones first, then by hash.
+func rank(members []Member, key string, linked map[machine.HostID]bool) {
+	sort.Slice(members, func(i, j int) bool {
+		a, b := members[i].Process.Host, members[j].Process.Host
+		if linked[a] != linked[b] {
+			return linked[a]
+		}
+		return score(key, string(a)) > score(key, string(b))
+	})
+}
+
+// choice gathers peers without repeats.
+type choice struct {
+	members []Member
+	taken   map[machine.HostID]bool
+	want    int
+}
+
+// newChoice returns an empty choice of at most want members.
+func newChoice(want int) *choice {
+	return &choice{taken: map[machine.HostID]bool{}, want: want}
+}
+
+// add takes a member unless it is taken or the choice is full.
+func (c *choice) add(m Member) bool {
+	if c.taken[m.Process.Host] || len(c.members) >= c.want {
+		return false
+	}
+	c.taken[m.Process.Host] = true
+	c.members = append(c.members, m)
+	return true
+}
+
+// fill takes up to n members from the front of a ranked list.
+func (c *choice) fill(ranked []Member, n int) {
+	for _, m := range ranked {
+		if n == 0 {
+			return
+		}
+		if c.add(m) {
+			n--
+		}
+	}
+}
--- /dev/null
+++ b/membership/table.go
@@ -0,0 +1,294 @@
+package membership
+
+import (
+	"sort"
+	"time"
+
+	"zinniapin/contract"
+	"zinniapin/invariant"
+	"zinniapin/machine"
+	"zinniapin/wire"
+)
+
+// Table is what one process knows of all processes, itself included. It is
+// not safe for concurrent use.
+type Table struct {
+	self     *entry
+	entries  map[uint64]*entry // by incarnation
+	version  uint64
+	ticked   time.Time
+	nextBeat time.Time
+}
+
+// entry is a record with what this process observed of it.
+type entry struct {
+	Member
+	rose       time.Time // when the beat last rose, by the local clock
+	changed    uint64    // version of the table at the last change
+	introduced uint64    // version of the table at which the static part came
+	source     uint64    // incarnation of the peer that told of the change
+	down       bool      // its last link broke and no beat came since
+}
+
+// New returns a table that knows the process itself. The incarnation of self
+// must be unique.
+func New(self Member, now time.Time) *Table {
+	t := &Table{entries: map[uint64]*entry{}, ticked: now, nextBeat: now}
+	t.self = &entry{Member: self, rose: now}
+	t.entries[self.Process.Incarnation] = t.self
+	t.touch(t.self, 0, true)
+	return t
+}
+
+// touch marks an entry as changed.
+func (t *Table) touch(e *entry, source uint64, static bool) {
+	t.version++
+	e.changed = t.version
+	e.source = source
+	if static {
+		e.introduced = t.version
+	}
+}
+
+// Update changes the own record; the change spreads at once.
+func (t *Table) Update(change func(m *Member)) {
+	before := t.self.Member
+	change(&t.self.Member)
+	after := &t.self.Member
+	invariant.Check(after.Revision >= before.Revision, "revision_rises",
+		"own revision fell from %d to %d", before.Revision, after.Revision)
+	static := !sameStrings(before.Via, after.Via)
+	if !static && before.Revision == after.Revision && before.Leaving == after.Leaving &&
+		before.StoreReachable == after.StoreReachable {
+		return
+	}
+	t.self.Beat++
+	t.touch(t.self, 0, static)
+}
+
+// sameStrings tells whether two lists are equal.
+func sameStrings(a, b []string) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		if a[i] != b[i] {
+			return false
+		}
+	}
+	return true
+}
+
+// Tick raises the own beat when it is due and forgets silent processes. A gap
+// since the last tick (a pause of this process or a jump of its clock) does
+// not count as silence of others.
+func (t *Table) Tick(now time.Time) {
+	gap := now.Sub(t.ticked)
+	if gap > maxTickGap || gap < 0 {
+		t.shift(gap)
+	}
+	t.ticked = now
+	t.self.rose = now
+	if !now.Before(t.nextBeat) {
+		t.self.Beat++
+		t.touch(t.self, 0, false)
+		t.nextBeat = now.Add(BeatInterval(len(t.entries)))
+	}
+	for incarnation, e := range t.entries {
+		if now.Sub(e.rose) > forgetAfter {
+			delete(t.entries, incarnation)
+		}
+	}
+}
+
+// shift moves all observations by a gap in this process's own time.
+func (t *Table) shift(gap time.Duration) {
+	for _, e := range t.entries {
+		e.rose = e.rose.Add(gap)
+	}
+	t.nextBeat = t.nextBeat.Add(gap)
+}
+
+// Merge takes in a record that a peer told of. It returns false when the
+// record is compact and the process is not known, so that the peer must tell
+// it in full.
+func (t *Table) Merge(now time.Time, source uint64, w *wire.Member) bool {
+	if w.Incarnation == t.self.Process.Incarnation {
+		t.refute(w.Beat)
+		return true
+	}
+	e, known := t.entries[w.Incarnation]
+	full := w.Host != ""
+	if !known {
+		return t.introduce(now, source, w, full)
+	}
+	if w.Beat <= e.Beat {
+		return true
+	}
+	m := FromWire(w)
+	static := full && !sameStrings(m.Via, e.Via)
+	if !full {
+		m.Process = e.Process
+		m.Via = e.Via
+	}
+	m.Revision = max(m.Revision, e.Revision)
+	m.Leaving = m.Leaving || e.Leaving
+	e.Member = m
+	e.rose = now
+	e.down = false
+	t.touch(e, source, static)
+	return true
+}
+
+// refute raises the own beat above one that this process never gave.
+func (t *Table) refute(beat uint64) {
+	if beat > t.self.Beat {
+		t.self.Beat = beat
+	}
+}
+
+// introduce adds a process that was not known.
+func (t *Table) introduce(now time.Time, source uint64, w *wire.Member, full bool) bool {
+	if !full {
+		return false
+	}
+	if len(t.entries) >= maxMembers {
+		return true
+	}
+	e := &entry{Member: FromWire(w), rose: now}
+	t.entries[w.Incarnation] = e
+	t.touch(e, source, true)
+	return true
+}
+
+// Broken tells that the last link to a process broke: it is not taken for
+// live until its beat rises again.
+func (t *Table) Broken(incarnation uint64) {
+	if e, ok := t.entries[incarnation]; ok && e != t.self {
+		e.down = true
+	}
+}
+
+// Since returns the records that changed after a version, oldest change
+// first and about maxBytes at most, and the version that they reach. What the
+// reader itself was the source of is left out.
+func (t *Table) Since(version, reader uint64, maxBytes int) ([]*wire.Member, uint64) {
+	var changed []*entry
+	for _, e := range t.entries {
+		if e.changed > version {
+			changed = append(changed, e)
+		}
+	}
+	sort.Slice(changed, func(i, j int) bool { return changed[i].changed < changed[j].changed })
+	var records []*wire.Member
+	reached, used := version, 0
+	for _, e := range changed {
+		if used >= maxBytes {
+			return records, reached
+		}
+		reached = e.changed
+		if e.source == reader || e.Process.Incarnation == reader {
+			continue
+		}
+		compact := e.introduced <= version
+		records = append(records, e.ToWire(compact))
+		used += recordBytes(compact)
+	}
+	return records, max(reached, t.version)
+}
+
+// Sizes of records, rounded up, in bytes.
+const (
+	compactBytes = 24
+	fullBytes    = 110
+)
+
+// recordBytes returns the rounded size of a record.
+func recordBytes(compact bool) int {
+	if compact {
+		return compactBytes
+	}
+	return fullBytes
+}
+
+// Size returns the number of processes known, silent ones included.
+func (t *Table) Size() int {
+	return len(t.entries)
+}
+
+// Self returns the own record.
+func (t *Table) Self() Member {
+	return t.self.Member
+}
+
+// Members returns every record of live processes in order of host and role.
+// Of two incarnations on a host only the one whose beat rose last counts.
+func (t *Table) Members(now time.Time) []Member {
+	newest := map[place]*entry{}
+	for _, e := range t.entries {
+		if !t.live(e, now) {
+			continue
+		}
+		p := place{e.Process.Host, e.Process.Role}
+		if other, ok := newest[p]; !ok || t.supersedes(e, other) {
+			newest[p] = e
+		}
+	}
+	members := make([]Member, 0, len(newest))
+	for _, e := range newest {
+		members = append(members, e.Member)
+	}
+	sort.Slice(members, func(i, j int) bool { return before(&members[i], &members[j]) })
+	return members
+}
+
+// place is a role on a host.
+type place struct {
+	host machine.HostID
+	role machine.Role
+}
+
+// live tells whether an entry passes for live.
+func (t *Table) live(e *entry, now time.Time) bool {
+	return e == t.self || !e.down && now.Sub(e.rose) <= SuspectAfter(len(t.entries))
+}
+
+// supersedes tells whether a takes the place of b.
+func (t *Table) supersedes(a, b *entry) bool {
+	if a == t.self || b == t.self {
+		return a == t.self
+	}
+	if !a.rose.Equal(b.rose) {
+		return a.rose.After(b.rose)
+	}
+	return a.Process.Incarnation > b.Process.Incarnation
+}
+
+// before orders records by host and role.
+func before(a, b *Member) bool {
+	if a.Process.Host != b.Process.Host {
+		return a.Process.Host < b.Process.Host
+	}
+	return a.Process.Role < b.Process.Role
+}
+
+// Known returns the number of hosts with the role that are remembered, live
+// or not.
+func (t *Table) Known(role machine.Role) int {
+	hosts := map[machine.HostID]bool{}
+	for _, e := range t.entries {
+		if e.Process.Role == role && !e.Leaving {
+			hosts[e.Process.Host] = true
+		}
+	}
+	return len(hosts)
+}
+
+// HighestRevision returns the highest revision that any live process shows.
+func (t *Table) HighestRevision(now time.Time) contract.Revision {
+	highest := t.self.Revision
+	for _, m := range t.Members(now) {
+		highest = max(highest, m.Revision)
+	}
+	return highest
+}
