--- a/membership/member.go
+++ b/membership/member.go
@@ -89,6 +89,8 @@
 	suspectBeats = 4
 	// spreadAllowance is the time that a beat may take through the mesh.
 	spreadAllowance = 5 * time.Second
+	// doubtGrace is the time in which a doubted process may raise its beat.
+	doubtGrace = 6 * time.Second
 	// forgetAfter is how long a silent process is remembered.
 	forgetAfter = 15 * time.Minute
 	// maxTickGap is the largest time between two ticks that passes for time
--- a/membership/table.go
+++ b/membership/table.go
@@ -27,7 +27,7 @@
 	changed    uint64    // version of the table at the last change
 	introduced uint64    // version of the table at which the static part came
 	source     uint64    // incarnation of the peer that told of the change
-	down       bool      // its last link broke and no beat came since
+	doubted    time.Time // when a doubt at the present beat came; zero if none
 }
 
 // New returns a table that knows the process itself. The incarnation of self
@@ -105,6 +105,9 @@
 func (t *Table) shift(gap time.Duration) {
 	for _, e := range t.entries {
 		e.rose = e.rose.Add(gap)
+		if !e.doubted.IsZero() {
+			e.doubted = e.doubted.Add(gap)
+		}
 	}
 	t.nextBeat = t.nextBeat.Add(gap)
 }
@@ -114,7 +117,7 @@
 // it in full.
 func (t *Table) Merge(now time.Time, source uint64, w *wire.Member) bool {
 	if w.Incarnation == t.self.Process.Incarnation {
-		t.refute(w.Beat)
+		t.refute(w)
 		return true
 	}
 	e, known := t.entries[w.Incarnation]
@@ -122,6 +125,9 @@
 	if !known {
 		return t.introduce(now, source, w, full)
 	}
+	if w.Beat == e.Beat && w.Doubted {
+		t.doubt(now, e, source)
+	}
 	if w.Beat <= e.Beat {
 		return true
 	}
@@ -135,15 +141,23 @@
 	m.Leaving = m.Leaving || e.Leaving
 	e.Member = m
 	e.rose = now
-	e.down = false
+	e.doubted = time.Time{}
 	t.touch(e, source, static)
+	if w.Doubted {
+		t.doubt(now, e, source)
+	}
 	return true
 }
 
-// refute raises the own beat above one that this process never gave.
-func (t *Table) refute(beat uint64) {
-	if beat > t.self.Beat {
-		t.self.Beat = beat
+// refute raises the own beat above one that this process never gave, or that
+// was doubted.
+func (t *Table) refute(w *wire.Member) {
+	if w.Beat > t.self.Beat {
+		t.self.Beat = w.Beat
+	}
+	if w.Doubted && w.Beat == t.self.Beat {
+		t.self.Beat++
+		t.touch(t.self, 0, false)
 	}
 }
 
@@ -161,12 +175,22 @@
 	return true
 }
 
-// Broken tells that the last link to a process broke: it is not taken for
-// live until its beat rises again.
-func (t *Table) Broken(incarnation uint64) {
+// Doubt tells that this process lost its link to another. The doubt spreads;
+// the other refutes it by raising its beat, or passes for dead after
+// doubtGrace.
+func (t *Table) Doubt(now time.Time, incarnation uint64) {
 	if e, ok := t.entries[incarnation]; ok && e != t.self {
-		e.down = true
+		t.doubt(now, e, 0)
+	}
+}
+
+// doubt marks an entry as doubted, once for each beat.
+func (t *Table) doubt(now time.Time, e *entry, source uint64) {
+	if !e.doubted.IsZero() {
+		return
 	}
+	e.doubted = now
+	t.touch(e, source, false)
 }
 
 // Since returns the records that changed after a version, oldest change
@@ -187,16 +211,23 @@
 			return records, reached
 		}
 		reached = e.changed
-		if e.source == reader || e.Process.Incarnation == reader {
+		if e.source == reader || e.Process.Incarnation == reader && e.doubted.IsZero() {
 			continue
 		}
 		compact := e.introduced <= version
-		records = append(records, e.ToWire(compact))
+		records = append(records, e.record(compact))
 		used += recordBytes(compact)
 	}
 	return records, max(reached, t.version)
 }
 
+// record returns the message of an entry.
+func (e *entry) record(compact bool) *wire.Member {
+	w := e.ToWire(compact)
+	w.Doubted = !e.doubted.IsZero()
+	return w
+}
+
 // Sizes of records, rounded up, in bytes.
 const (
 	compactBytes = 24
@@ -250,7 +281,13 @@
 
 // live tells whether an entry passes for live.
 func (t *Table) live(e *entry, now time.Time) bool {
-	return e == t.self || !e.down && now.Sub(e.rose) <= SuspectAfter(len(t.entries))
+	if e == t.self {
+		return true
+	}
+	if !e.doubted.IsZero() && now.Sub(e.doubted) > doubtGrace {
+		return false
+	}
+	return now.Sub(e.rose) <= SuspectAfter(len(t.entries))
 }
 
 // supersedes tells whether a takes the place of b.
--- /dev/null
+++ b/targetview/table.go
@@ -0,0 +1,311 @@
+// Package targetview keeps what is known of the targets of a region: what the
+// platform lists, what the targets report and which are cordoned. It does no
+// I/O: time comes in.
+//
+// The three parts of an entry merge on their own, each towards the newer: the
+// listed state only goes from live over leaving to gone, cordons go by epoch
+// (with equal epochs a lift wins), reports by boot and sequence.
+//
+// # Bytes
+//
+// A digest of a report takes about 35 bytes; the rest of an entry is sent
+// only when it changed. With n targets in a region a digest is sent on every
+// PublishInterval(n), so that about digestsPerSecond change in a second: 240
+// targets every 4 s, or 60 digests and about 2.1 KB a second, which crosses
+// each link in about one direction.
+package targetview
+
+import (
+	"sort"
+	"time"
+
+	"zinniapin/control"
+	"zinniapin/platform"
+	"zinniapin/target"
+	"zinniapin/wire"
+	"zinniapin/zone"
+)
+
+const (
+	// digestsPerSecond bounds the digests of a region in a second.
+	digestsPerSecond = 60
+	// absentFor is how long a target must be missing from the list before it
+	// passes for gone.
+	absentFor = 10 * time.Second
+	// forgetAfter is how long a target that is gone is remembered, so that a
+	// stale peer cannot bring it back.
+	forgetAfter = 10 * time.Minute
+	// maxTargets bounds the table.
+	maxTargets = 8192
+)
+
+// PublishInterval returns the time between two digests of a target when the
+// region has n.
+func PublishInterval(n int) time.Duration {
+	return max(time.Second, time.Duration(n)*time.Second/digestsPerSecond).Truncate(time.Second)
+}
+
+// Table is the view of one process. It is not safe for concurrent use.
+type Table struct {
+	entries map[target.ID]*entry
+	version uint64
+}
+
+// entry is what is known of one target.
+type entry struct {
+	state      control.TargetState
+	absent     time.Time // since when it is missing from the list; zero if not
+	gone       time.Time // when it passed for gone
+	published  time.Time // when its report was last published
+	changed    uint64    // version of the table at the last change
+	introduced uint64    // version at the last change of more than the load
+	source     uint64    // incarnation of the peer that told of the change
+}
+
+// New returns an empty table.
+func New() *Table {
+	return &Table{entries: map[target.ID]*entry{}}
+}
+
+// Version returns the number of changes so far.
+func (t *Table) Version() uint64 {
+	return t.version
+}
+
+// touch marks an entry as changed.
+func (t *Table) touch(e *entry, source uint64, static bool) {
+	t.version++
+	e.changed = t.version
+	e.source = source
+	if static {
+		e.introduced = t.version
+	}
+}
+
+// add returns the entry of a target, new if need be, or nil when the table is
+// full.
+func (t *Table) add(id target.ID) *entry {
+	if e, ok := t.entries[id]; ok {
+		return e
+	}
+	if len(t.entries) >= maxTargets {
+		return nil
+	}
+	e := &entry{}
+	e.state.Target.ID = id
+	t.entries[id] = e
+	return e
+}
+
+// Listed takes in the platform's list. Targets of zones that local refuses
+// are left out.
+func (t *Table) Listed(now time.Time, hosts []platform.Host, local func(zone.Name) bool) {
+	listed := map[target.ID]bool{}
+	for i := range hosts {
+		h := &hosts[i]
+		if h.Target == nil || !local(h.Zone) {
+			continue
+		}
+		listed[h.Target.ID] = true
+		t.list(now, 0, *h.Target, h.State, h.LeavesAt)
+	}
+	t.missing(now, listed)
+}
+
+// missing lets targets that are absent from the list pass for gone after a
+// while.
+func (t *Table) missing(now time.Time, listed map[target.ID]bool) {
+	for id, e := range t.entries {
+		switch {
+		case listed[id] || e.state.State == "" || e.state.State == platform.Gone:
+			e.absent = time.Time{}
+		case e.absent.IsZero():
+			e.absent = now
+		case now.Sub(e.absent) >= absentFor:
+			t.list(now, 0, e.state.Target, platform.Gone, time.Time{})
+		}
+	}
+}
+
+// rank orders the listed states; a target only moves up.
+func rank(s platform.HostState) int {
+	switch s {
+	case platform.Live:
+		return 1
+	case platform.Leaving:
+		return 2
+	case platform.Gone:
+		return 3
+	default:
+		return 0
+	}
+}
+
+// list takes in the listed part of a target.
+func (t *Table) list(now time.Time, source uint64, described target.Target, s platform.HostState, leavesAt time.Time) {
+	e := t.add(described.ID)
+	if e == nil || rank(s) < rank(e.state.State) {
+		return
+	}
+	if rank(s) == rank(e.state.State) && described == e.state.Target && leavesAt.Equal(e.state.LeavesAt) {
+		return
+	}
+	if s == platform.Gone && e.gone.IsZero() {
+		e.gone = now
+	}
+	e.state.Target = described
+	e.state.State = s
+	e.state.LeavesAt = leavesAt
+	t.touch(e, source, true)
+}
+
+// Leaving tells that a target was found to be leaving, before the list says so.
+func (t *Table) Leaving(now time.Time, id target.ID, leavesAt time.Time) {
+	if e, ok := t.entries[id]; ok {
+		t.list(now, 0, e.state.Target, platform.Leaving, leavesAt)
+	}
+}
+
+// Reported takes in a report that this process read itself. It is published
+// at once when more than the load changed, else on its interval.
+func (t *Table) Reported(now time.Time, r target.Report) {
+	e, ok := t.entries[r.Target]
+	if !ok || !newer(&r, &e.state.Report) {
+		return
+	}
+	static := differs(&r, &e.state.Report)
+	e.state.Report = r
+	if !static && now.Sub(e.published) < PublishInterval(len(t.entries)) {
+		return
+	}
+	e.published = now
+	t.touch(e, 0, static)
+}
+
+// newer tells whether report a replaces b. Boots are not ordered, so of two
+// boots the report that was taken later counts.
+func newer(a, b *target.Report) bool {
+	if a.Boot == b.Boot {
+		return a.Sequence > b.Sequence
+	}
+	return a.Taken.After(b.Taken)
+}
+
+// rateChange is the relative change of a rate that is told at once.
+const rateChange = 0.2
+
+// differs tells whether two reports differ in more than the load.
+func differs(a, b *target.Report) bool {
+	if a.Boot != b.Boot || a.Role != b.Role || a.Changing != b.Changing || a.Fence != b.Fence {
+		return true
+	}
+	if a.LastOrder != b.LastOrder || a.Capacity != b.Capacity || a.KVPiecesTotal != b.KVPiecesTotal {
+		return true
+	}
+	return far(a.PrefillRate, b.PrefillRate) || far(a.DecodeRate, b.DecodeRate) || !sameModels(a.Models, b.Models)
+}
+
+// far tells whether a rate changed much.
+func far(a, b float64) bool {
+	return a > b*(1+rateChange) || a < b*(1-rateChange)
+}
+
+// sameModels tells whether two lists of models are equal.
+func sameModels(a, b []string) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		if a[i] != b[i] {
+			return false
+		}
+	}
+	return true
+}
+
+// Cordon sets or lifts a cordon. It returns false when a higher epoch is
+// known.
+func (t *Table) Cordon(id target.ID, epoch uint64, lift bool) bool {
+	e := t.add(id)
+	if e == nil {
+		return false
+	}
+	return t.cordon(e, 0, epoch, !lift)
+}
+
+// cordon takes in the cordon part of a target.
+func (t *Table) cordon(e *entry, source, epoch uint64, cordoned bool) bool {
+	if epoch < e.state.CordonEpoch {
+		return false
+	}
+	if epoch == e.state.CordonEpoch && (cordoned || !e.state.Cordoned) {
+		return cordoned == e.state.Cordoned
+	}
+	e.state.Cordoned = cordoned
+	e.state.CordonEpoch = epoch
+	t.touch(e, source, true)
+	return true
+}
+
+// Forget drops targets that have been gone for long.
+func (t *Table) Forget(now time.Time) {
+	for id, e := range t.entries {
+		if !e.gone.IsZero() && now.Sub(e.gone) > forgetAfter {
+			delete(t.entries, id)
+		}
+	}
+}
+
+// States returns every target that is not gone, in order of id.
+func (t *Table) States() []control.TargetState {
+	states := make([]control.TargetState, 0, len(t.entries))
+	for _, e := range t.entries {
+		if e.state.State == platform.Live || e.state.State == platform.Leaving {
+			states = append(states, e.state)
+		}
+	}
+	sort.Slice(states, func(i, j int) bool { return states[i].Target.ID < states[j].Target.ID })
+	return states
+}
+
+// Since returns the states that changed after a version, oldest change first
+// and about maxBytes at most, and the version that they reach. What the reader
+// itself was the source of is left out.
+func (t *Table) Since(now time.Time, version, reader uint64, maxBytes int) ([]*wire.TargetState, uint64) {
+	var changed []*entry
+	for _, e := range t.entries {
+		if e.changed > version {
+			changed = append(changed, e)
+		}
+	}
+	sort.Slice(changed, func(i, j int) bool { return changed[i].changed < changed[j].changed })
+	var states []*wire.TargetState
+	reached, used := version, 0
+	for _, e := range changed {
+		if used >= maxBytes {
+			return states, reached
+		}
+		reached = e.changed
+		if e.source == reader {
+			continue
+		}
+		compact := e.introduced <= version
+		states = append(states, toWire(now, &e.state, compact))
+		used += stateBytes(compact)
+	}
+	return states, max(reached, t.version)
+}
+
+// Sizes of states, rounded up, in bytes.
+const (
+	compactBytes = 40
+	fullBytes    = 250
+)
+
+// stateBytes returns the rounded size of a state.
+func stateBytes(compact bool) int {
+	if compact {
+		return compactBytes
+	}
+	return fullBytes
+}
