--- /dev/null
+++ b/settings/gateway.go
@@ -0,0 +1,85 @@
+package settings
+
+import "time"
+
+// Gateway are the settings of zinnia-gateway.
+type Gateway struct {
+	Common
+	// Listen is the IP:port for callers.
+	Listen string `json:"listen"`
+	// Controllers are the IP:port of the controllers to link to, nearest
+	// first: the host's own and one in another zone.
+	Controllers []string `json:"controllers"`
+	// ResumeKeyFile holds the key that signs resume tokens, 32 bytes or more,
+	// the same on every gateway.
+	ResumeKeyFile string `json:"resume_key_file"`
+	// DrainDelayMillis is how long a gateway that stops still accepts
+	// requests, so that the balancer sees it not ready first. Default 5000.
+	DrainDelayMillis int `json:"drain_delay_ms,omitempty"`
+	// AloneMillis is how long a gateway that reaches no controller goes on
+	// serving. Default 8000.
+	AloneMillis int `json:"alone_ms,omitempty"`
+	// FirstTokenMillis is how long a request may wait for its dispatch.
+	// Default 10000.
+	FirstTokenMillis int `json:"first_token_ms,omitempty"`
+	// StallMillis is the longest silence of an engine within an answer.
+	// Default 10000.
+	StallMillis int `json:"stall_ms,omitempty"`
+	// QueueLength bounds the requests that wait for one pool. Default 2048.
+	QueueLength int `json:"queue_length,omitempty"`
+	// WithdrawnStreamMillis cuts a stream this long after its key was found
+	// withdrawn; 0 lets every admitted answer finish. Default 0.
+	WithdrawnStreamMillis int `json:"withdrawn_stream_ms,omitempty"`
+	// ResumeMillis is how long a resume token is valid. Default 600000.
+	ResumeMillis int `json:"resume_ms,omitempty"`
+	// FlushMillis bounds the handing over of usage at the end. Default 10000.
+	FlushMillis int `json:"flush_ms,omitempty"`
+}
+
+// Defaults of the gateway.
+const (
+	defaultDrainDelayMillis = 5_000
+	defaultAloneMillis      = 8_000
+	defaultFirstTokenMillis = 10_000
+	defaultStallMillis      = 10_000
+	defaultQueueLength      = 2_048
+	defaultResumeMillis     = 600_000
+	defaultFlushMillis      = 10_000
+)
+
+// Check implements the check of Load: it notes every mistake and sets the
+// defaults.
+func (g *Gateway) Check(p *Problems) {
+	g.Common.Check(p)
+	p.Address("listen", g.Listen)
+	p.Required("resume_key_file", g.ResumeKeyFile)
+	if len(g.Controllers) == 0 {
+		p.Add("controllers", "there must be at least one")
+	}
+	for _, c := range g.Controllers {
+		p.Address("controllers", c)
+	}
+	positive(p, "drain_delay_ms", &g.DrainDelayMillis, defaultDrainDelayMillis)
+	positive(p, "alone_ms", &g.AloneMillis, defaultAloneMillis)
+	positive(p, "first_token_ms", &g.FirstTokenMillis, defaultFirstTokenMillis)
+	positive(p, "stall_ms", &g.StallMillis, defaultStallMillis)
+	positive(p, "queue_length", &g.QueueLength, defaultQueueLength)
+	positive(p, "withdrawn_stream_ms", &g.WithdrawnStreamMillis, 0)
+	positive(p, "resume_ms", &g.ResumeMillis, defaultResumeMillis)
+	positive(p, "flush_ms", &g.FlushMillis, defaultFlushMillis)
+}
+
+// positive sets the default of a missing number and notes a negative one.
+func positive(p *Problems, path string, value *int, otherwise int) {
+	if *value == 0 {
+		*value = otherwise
+	}
+	if *value < 0 {
+		p.Add(path, "must not be negative")
+	}
+}
+
+// Millis converts a number of milliseconds.
+func Millis(n int) time.Duration {
+	return time.Duration(n) * time.Millisecond
+}
