Add the HTTP adapter for engines

Requests and orders over HTTP with true errors: a request counts as not sent only when its connection made no write, and the connection is sealed before that is decided.

--- /dev/null
+++ b/target/httpengine/client.go
@@ -0,0 +1,242 @@
+// Package httpengine speaks the HTTP form of the engines' interface. It is
+// the only package that knows that form.
+package httpengine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"sync"
+	"time"
+
+	"zinniapin/target"
+)
+
+// Options set up a Client. Zero values take the defaults.
+type Options struct {
+	// DialTimeout bounds a connection's set-up. Default 1 s.
+	DialTimeout time.Duration
+	// CallTimeout bounds a report or a cancel. Default 2 s.
+	CallTimeout time.Duration
+	// IdleConns is the number of idle connections kept to one engine.
+	// Default 64.
+	IdleConns int
+	// Now is the clock that stamps reports. Default time.Now.
+	Now func() time.Time
+}
+
+// Defaults of Options.
+const (
+	defaultDialTimeout = time.Second
+	defaultCallTimeout = 2 * time.Second
+	defaultIdleConns   = 64
+	idleTimeout        = 90 * time.Second
+)
+
+// Client implements target.Requests and target.Orders over HTTP. It is safe
+// for concurrent use.
+type Client struct {
+	options   Options
+	dialer    *net.Dialer
+	transport *http.Transport
+	cancels   sync.WaitGroup
+
+	mu    sync.Mutex
+	lanes map[string]chan struct{} // by address; one order at a time
+}
+
+var (
+	_ target.Requests = (*Client)(nil)
+	_ target.Orders   = (*Client)(nil)
+)
+
+// New returns a client.
+func New(o Options) *Client {
+	if o.DialTimeout == 0 {
+		o.DialTimeout = defaultDialTimeout
+	}
+	if o.CallTimeout == 0 {
+		o.CallTimeout = defaultCallTimeout
+	}
+	if o.IdleConns == 0 {
+		o.IdleConns = defaultIdleConns
+	}
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	dialer := &net.Dialer{Timeout: o.DialTimeout}
+	return &Client{
+		options: o,
+		dialer:  dialer,
+		transport: &http.Transport{
+			DialContext:         dialWatched(dialer),
+			MaxIdleConnsPerHost: o.IdleConns,
+			IdleConnTimeout:     idleTimeout,
+			DisableCompression:  true,
+		},
+		lanes: map[string]chan struct{}{},
+	}
+}
+
+// Close waits for cancels under way and drops idle connections. Streams must
+// have been closed.
+func (c *Client) Close() {
+	c.cancels.Wait()
+	c.transport.CloseIdleConnections()
+}
+
+// onceBody is a body that net/http cannot rewind, so that its Transport never
+// sends a request a second time by itself.
+type onceBody struct {
+	io.Reader
+}
+
+// Close implements io.Closer.
+func (onceBody) Close() error { return nil }
+
+// Generate implements target.Requests.
+func (c *Client) Generate(ctx context.Context, t target.Target, r target.GenerateRequest) (target.Stream, error) {
+	body, err := json.Marshal(Generate(r))
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", target.ErrNotSent, err)
+	}
+	if len(body) > MaxRequestBytes {
+		return nil, fmt.Errorf("%w: request of %d bytes is too large", target.ErrNotSent, len(body))
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	response, err := c.post(ctx, "http://"+t.Address+GeneratePath, body)
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	return newStream(c, t, r.Attempt, response.Body, cancel), nil
+}
+
+// post sends a request once. The error is one of the target package's.
+func (c *Client) post(ctx context.Context, address string, body []byte) (*http.Response, error) {
+	watch := &sendWatch{}
+	ctx = httptrace.WithClientTrace(ctx, watch.trace())
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, address, onceBody{bytes.NewReader(body)})
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", target.ErrNotSent, err)
+	}
+	request.ContentLength = int64(len(body))
+	request.Header.Set("Content-Type", "application/json")
+	response, err := c.transport.RoundTrip(request)
+	if err != nil {
+		if watch.end() {
+			return nil, fmt.Errorf("%w: %w", target.ErrBroken, err)
+		}
+		return nil, fmt.Errorf("%w: %w", target.ErrNotSent, err)
+	}
+	if response.StatusCode != http.StatusOK {
+		defer closeBody(response.Body)
+		return nil, refusal(response.StatusCode, response.Body)
+	}
+	return response, nil
+}
+
+// refusal turns a status other than 200 into an error. Only the engine's own
+// explicit word makes it a refusal.
+func refusal(status int, body io.Reader) error {
+	var said Refusal
+	data, err := io.ReadAll(io.LimitReader(body, MaxReplyBytes))
+	if err != nil {
+		return fmt.Errorf("%w: status %d: %w", target.ErrBroken, status, err)
+	}
+	if err := json.Unmarshal(data, &said); err != nil {
+		return fmt.Errorf("%w: status %d without a reason", target.ErrBroken, status)
+	}
+	switch {
+	case said.StaleFence && status == http.StatusConflict:
+		return fmt.Errorf("%w: %s", target.ErrStaleFence, said.Message)
+	case said.NotRun:
+		return fmt.Errorf("%w: %s", target.ErrRefused, said.Message)
+	default:
+		return fmt.Errorf("%w: status %d: %s", target.ErrBroken, status, said.Message)
+	}
+}
+
+// closeBody drains a little and closes, so that the connection can be reused.
+func closeBody(body io.ReadCloser) {
+	_, _ = io.CopyN(io.Discard, body, MaxReplyBytes)
+	_ = body.Close()
+}
+
+// Report implements target.Orders.
+func (c *Client) Report(ctx context.Context, t target.Target) (target.Report, error) {
+	var wire Report
+	if err := c.get(ctx, "http://"+t.Address+ReportPath, &wire); err != nil {
+		return target.Report{}, err
+	}
+	report := wire.report()
+	report.Taken = c.options.Now()
+	return report, nil
+}
+
+// CacheEvents returns the engine's cache events after a sequence number.
+func (c *Client) CacheEvents(ctx context.Context, t target.Target, after uint64) ([]CacheEvent, error) {
+	var events []CacheEvent
+	address := fmt.Sprintf("http://%s%s?after=%d", t.Address, CacheEventsPath, after)
+	err := c.get(ctx, address, &events)
+	return events, err
+}
+
+// FetchKV reads an exported KV cache.
+func (c *Client) FetchKV(ctx context.Context, source, handle string) (KVExport, error) {
+	var export KVExport
+	err := c.get(ctx, "http://"+source+KVPath+"/"+url.PathEscape(handle), &export)
+	return export, err
+}
+
+// get reads a JSON value, which changes nothing at the engine.
+func (c *Client) get(ctx context.Context, address string, into any) error {
+	ctx, cancel := context.WithTimeout(ctx, c.options.CallTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, address, nil)
+	if err != nil {
+		return fmt.Errorf("%w: %w", target.ErrNotSent, err)
+	}
+	response, err := c.transport.RoundTrip(request)
+	if err != nil {
+		return fmt.Errorf("%w: %w", target.ErrBroken, err)
+	}
+	defer closeBody(response.Body)
+	if response.StatusCode != http.StatusOK {
+		return refusal(response.StatusCode, response.Body)
+	}
+	decoder := json.NewDecoder(io.LimitReader(response.Body, MaxReplyBytes))
+	if err := decoder.Decode(into); err != nil {
+		return fmt.Errorf("%w: %w", target.ErrBroken, err)
+	}
+	return nil
+}
+
+// cancelAttempt asks the engine to drop an attempt; a lost cancel costs only
+// the engine's time.
+func (c *Client) cancelAttempt(t target.Target, attempt string) {
+	c.cancels.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), c.options.CallTimeout)
+		defer cancel()
+		address := "http://" + t.Address + GeneratePath + "/" + url.PathEscape(attempt)
+		request, err := http.NewRequestWithContext(ctx, http.MethodDelete, address, nil)
+		if err != nil {
+			return
+		}
+		response, err := c.transport.RoundTrip(request)
+		if err != nil {
+			return
+		}
+		closeBody(response.Body)
+	})
+}
+
+// errLineTooLong means that a chunk exceeds MaxLineBytes.
+var errLineTooLong = errors.New("httpengine: chunk too long")
--- /dev/null
+++ b/target/httpengine/conn.go
@@ -0,0 +1,96 @@
+package httpengine
+
+import (
+	"context"
+	"net"
+	"net/http/httptrace"
+	"sync"
+)
+
+// watchedConn counts writes, so that an adapter knows whether a byte of a
+// request can have left.
+type watchedConn struct {
+	net.Conn
+	mu     sync.Mutex
+	writes int
+	sealed bool
+}
+
+// Write counts the write before it is made, and refuses it once sealed.
+func (c *watchedConn) Write(b []byte) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.sealed {
+		return 0, net.ErrClosed
+	}
+	c.writes++
+	return c.Conn.Write(b)
+}
+
+// count returns the number of writes so far.
+func (c *watchedConn) count() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.writes
+}
+
+// seal closes the connection for good and returns the number of writes made.
+// The close comes first, because it ends a write that blocks.
+func (c *watchedConn) seal() int {
+	_ = c.Close()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sealed = true
+	return c.writes
+}
+
+// dialWatched returns a dial function whose connections count their writes.
+func dialWatched(d *net.Dialer) func(context.Context, string, string) (net.Conn, error) {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := d.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &watchedConn{Conn: conn}, nil
+	}
+}
+
+// sendWatch follows one request through the connections that it gets.
+type sendWatch struct {
+	mu     sync.Mutex
+	conn   *watchedConn
+	before int
+	sent   bool
+}
+
+// trace returns the hooks that follow the request.
+func (w *sendWatch) trace() *httptrace.ClientTrace {
+	return &httptrace.ClientTrace{GotConn: w.gotConn}
+}
+
+// gotConn notes the connection and what it had written before the request.
+func (w *sendWatch) gotConn(info httptrace.GotConnInfo) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.conn != nil && w.conn.count() != w.before {
+		w.sent = true
+	}
+	conn, ok := info.Conn.(*watchedConn)
+	if !ok {
+		w.sent = true // an unknown connection proves nothing
+		return
+	}
+	w.conn = conn
+	w.before = conn.count()
+}
+
+// end seals the connection of a failed request and tells whether a byte of
+// the request can have left. No byte leaves afterwards.
+func (w *sendWatch) end() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.conn != nil && w.conn.seal() != w.before {
+		w.sent = true
+	}
+	return w.sent
+}
