--- a/target/httpengine/conn.go
+++ b/internal/oncehttp/conn.go
@@ -1,4 +1,4 @@
-package httpengine
+package oncehttp
 
 import (
 	"context"
@@ -7,9 +7,9 @@
 	"sync"
 )
 
-// watchedConn counts writes, so that an adapter knows whether a byte of a
+// Conn is a connection that counts writes, so that an adapter knows whether a byte of a
 // request can have left.
-type watchedConn struct {
+type Conn struct {
 	net.Conn
 	mu     sync.Mutex
 	writes int
@@ -17,7 +17,7 @@
 }
 
 // Write counts the write before it is made, and refuses it once sealed.
-func (c *watchedConn) Write(b []byte) (int, error) {
+func (c *Conn) Write(b []byte) (int, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.sealed {
@@ -27,8 +27,8 @@
 	return c.Conn.Write(b)
 }
 
-// count returns the number of writes so far.
-func (c *watchedConn) count() int {
+// Writes returns the number of writes so far.
+func (c *Conn) Writes() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.writes
@@ -36,7 +36,7 @@
 
 // seal closes the connection for good and returns the number of writes made.
 // The close comes first, because it ends a write that blocks.
-func (c *watchedConn) seal() int {
+func (c *Conn) seal() int {
 	_ = c.Close()
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -44,6 +44,11 @@
 	return c.writes
 }
 
+// Watch returns a connection that counts its writes.
+func Watch(conn net.Conn) *Conn {
+	return &Conn{Conn: conn}
+}
+
 // dialWatched returns a dial function whose connections count their writes.
 func dialWatched(d *net.Dialer) func(context.Context, string, string) (net.Conn, error) {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -51,14 +56,14 @@
 		if err != nil {
 			return nil, err
 		}
-		return &watchedConn{Conn: conn}, nil
+		return Watch(conn), nil
 	}
 }
 
 // sendWatch follows one request through the connections that it gets.
 type sendWatch struct {
 	mu     sync.Mutex
-	conn   *watchedConn
+	conn   *Conn
 	before int
 	sent   bool
 }
@@ -72,16 +77,16 @@
 func (w *sendWatch) gotConn(info httptrace.GotConnInfo) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.conn != nil && w.conn.count() != w.before {
+	if w.conn != nil && w.conn.Writes() != w.before {
 		w.sent = true
 	}
-	conn, ok := info.Conn.(*watchedConn)
+	conn, ok := info.Conn.(*Conn)
 	if !ok {
 		w.sent = true // an unknown connection proves nothing
 		return
 	}
 	w.conn = conn
-	w.before = conn.count()
+	w.before = conn.Writes()
 }
 
 // end seals the connection of a failed request and tells whether a byte of
--- /dev/null
+++ b/internal/standin/engine/direct.go
@@ -0,0 +1,110 @@
+package engine
+
+import (
+	"context"
+	"fmt"
+	"sync"
+
+	"zinniapin/target"
+	"zinniapin/target/httpengine"
+)
+
+// Direct reaches engines in memory, by address, without any socket. It
+// implements target.Requests and target.Orders for virtual time.
+type Direct struct {
+	mu      sync.Mutex
+	engines map[string]*Engine
+}
+
+var (
+	_ target.Requests = (*Direct)(nil)
+	_ target.Orders   = (*Direct)(nil)
+)
+
+// NewDirect returns a Direct without engines.
+func NewDirect() *Direct {
+	return &Direct{engines: map[string]*Engine{}}
+}
+
+// Add makes an engine and reaches it by an address. Its imports go to the
+// other engines of d.
+func (d *Direct) Add(address string, o Options) *Engine {
+	o.Import = d.fetch
+	e := New(o)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.engines[address] = e
+	return e
+}
+
+// Remove takes an engine away, as when its host is gone, and ends it.
+func (d *Direct) Remove(address string) {
+	d.mu.Lock()
+	e := d.engines[address]
+	delete(d.engines, address)
+	d.mu.Unlock()
+	if e != nil {
+		e.Close()
+	}
+}
+
+// at returns the engine at an address.
+func (d *Direct) at(address string) (*Engine, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	e, ok := d.engines[address]
+	if !ok {
+		return nil, fmt.Errorf("%w: nothing at %s", target.ErrNotSent, address)
+	}
+	return e, nil
+}
+
+// fetch reads an exported KV cache.
+func (d *Direct) fetch(_ context.Context, source, handle string) (httpengine.KVExport, error) {
+	e, err := d.at(source)
+	if err != nil {
+		return httpengine.KVExport{}, err
+	}
+	return e.Export(handle)
+}
+
+// Generate implements target.Requests.
+func (d *Direct) Generate(ctx context.Context, t target.Target, r target.GenerateRequest) (target.Stream, error) {
+	e, err := d.at(t.Address)
+	if err != nil {
+		return nil, err
+	}
+	return e.Generate(ctx, r)
+}
+
+// Send implements target.Orders.
+func (d *Direct) Send(ctx context.Context, t target.Target, o target.Order) error {
+	e, err := d.at(t.Address)
+	if err != nil {
+		return err
+	}
+	return e.Send(ctx, o)
+}
+
+// Report implements target.Orders.
+func (d *Direct) Report(_ context.Context, t target.Target) (target.Report, error) {
+	e, err := d.at(t.Address)
+	if err != nil {
+		return target.Report{}, err
+	}
+	if e.Down() {
+		return target.Report{}, fmt.Errorf("%w: the engine is down", target.ErrNotSent)
+	}
+	return e.Report(), nil
+}
+
+// Export returns a KV cache that the engine keeps for others.
+func (e *Engine) Export(handle string) (httpengine.KVExport, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	kept, ok := e.exports[handle]
+	if !ok || e.down {
+		return httpengine.KVExport{}, fmt.Errorf("%w: no KV cache %q", target.ErrRefused, handle)
+	}
+	return httpengine.KVExport{Handle: handle, Scope: kept.scope, Prompt: kept.prompt, Tokens: kept.tokens}, nil
+}
--- a/target/httpengine/client.go
+++ b/target/httpengine/client.go
@@ -3,7 +3,6 @@
 package httpengine
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -11,11 +10,11 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"net/url"
 	"sync"
 	"time"
 
+	"zinniapin/internal/oncehttp"
 	"zinniapin/target"
 )
 
@@ -37,16 +36,15 @@
 	defaultDialTimeout = time.Second
 	defaultCallTimeout = 2 * time.Second
 	defaultIdleConns   = 64
-	idleTimeout        = 90 * time.Second
 )
 
 // Client implements target.Requests and target.Orders over HTTP. It is safe
 // for concurrent use.
 type Client struct {
-	options   Options
-	dialer    *net.Dialer
-	transport *http.Transport
-	cancels   sync.WaitGroup
+	options Options
+	dialer  *net.Dialer
+	http    *oncehttp.Client
+	cancels sync.WaitGroup
 
 	mu    sync.Mutex
 	lanes map[string]chan struct{} // by address; one order at a time
@@ -71,17 +69,11 @@
 	if o.Now == nil {
 		o.Now = time.Now
 	}
-	dialer := &net.Dialer{Timeout: o.DialTimeout}
 	return &Client{
 		options: o,
-		dialer:  dialer,
-		transport: &http.Transport{
-			DialContext:         dialWatched(dialer),
-			MaxIdleConnsPerHost: o.IdleConns,
-			IdleConnTimeout:     idleTimeout,
-			DisableCompression:  true,
-		},
-		lanes: map[string]chan struct{}{},
+		dialer:  &net.Dialer{Timeout: o.DialTimeout},
+		http:    oncehttp.New(o.DialTimeout, o.IdleConns),
+		lanes:   map[string]chan struct{}{},
 	}
 }
 
@@ -89,18 +81,9 @@
 // have been closed.
 func (c *Client) Close() {
 	c.cancels.Wait()
-	c.transport.CloseIdleConnections()
+	c.http.Close()
 }
 
-// onceBody is a body that net/http cannot rewind, so that its Transport never
-// sends a request a second time by itself.
-type onceBody struct {
-	io.Reader
-}
-
-// Close implements io.Closer.
-func (onceBody) Close() error { return nil }
-
 // Generate implements target.Requests.
 func (c *Client) Generate(ctx context.Context, t target.Target, r target.GenerateRequest) (target.Stream, error) {
 	body, err := json.Marshal(Generate(r))
@@ -121,20 +104,13 @@
 
 // post sends a request once. The error is one of the target package's.
 func (c *Client) post(ctx context.Context, address string, body []byte) (*http.Response, error) {
-	watch := &sendWatch{}
-	ctx = httptrace.WithClientTrace(ctx, watch.trace())
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, address, onceBody{bytes.NewReader(body)})
-	if err != nil {
+	header := http.Header{"Content-Type": {"application/json"}}
+	response, sent, err := c.http.Do(ctx, http.MethodPost, address, header, body)
+	if err != nil && !sent {
 		return nil, fmt.Errorf("%w: %w", target.ErrNotSent, err)
 	}
-	request.ContentLength = int64(len(body))
-	request.Header.Set("Content-Type", "application/json")
-	response, err := c.transport.RoundTrip(request)
 	if err != nil {
-		if watch.end() {
-			return nil, fmt.Errorf("%w: %w", target.ErrBroken, err)
-		}
-		return nil, fmt.Errorf("%w: %w", target.ErrNotSent, err)
+		return nil, fmt.Errorf("%w: %w", target.ErrBroken, err)
 	}
 	if response.StatusCode != http.StatusOK {
 		defer closeBody(response.Body)
@@ -200,11 +176,10 @@
 func (c *Client) get(ctx context.Context, address string, into any) error {
 	ctx, cancel := context.WithTimeout(ctx, c.options.CallTimeout)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, address, nil)
-	if err != nil {
+	response, sent, err := c.http.Do(ctx, http.MethodGet, address, nil, nil)
+	if err != nil && !sent {
 		return fmt.Errorf("%w: %w", target.ErrNotSent, err)
 	}
-	response, err := c.transport.RoundTrip(request)
 	if err != nil {
 		return fmt.Errorf("%w: %w", target.ErrBroken, err)
 	}
@@ -226,11 +201,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), c.options.CallTimeout)
 		defer cancel()
 		address := "http://" + t.Address + GeneratePath + "/" + url.PathEscape(attempt)
-		request, err := http.NewRequestWithContext(ctx, http.MethodDelete, address, nil)
-		if err != nil {
-			return
-		}
-		response, err := c.transport.RoundTrip(request)
+		response, _, err := c.http.Do(ctx, http.MethodDelete, address, nil, nil)
 		if err != nil {
 			return
 		}
--- a/target/httpengine/orders.go
+++ b/target/httpengine/orders.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"time"
 
+	"zinniapin/internal/oncehttp"
 	"zinniapin/target"
 )
 
@@ -60,9 +61,9 @@
 	}
 	request.Header.Set("Content-Type", "application/json")
 	request.Close = true
-	watched := &watchedConn{Conn: conn}
+	watched := oncehttp.Watch(conn)
 	if err := request.Write(watched); err != nil {
-		if watched.count() == 0 {
+		if watched.Writes() == 0 {
 			return fmt.Errorf("%w: %w", target.ErrNotSent, err)
 		}
 		return fmt.Errorf("%w: %w", target.ErrBroken, err)
