--- /dev/null
+++ b/internal/standin/platform/targets.go
@@ -0,0 +1,110 @@
+package platform
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	seam "zinniapin/platform"
+	"zinniapin/platform/httpapi"
+	"zinniapin/target"
+)
+
+// order answers POST of an order for targets.
+func (s *Server) order(w http.ResponseWriter, r *http.Request) {
+	var wire httpapi.TargetOrder
+	if !read(w, r, &wire) {
+		return
+	}
+	result := s.Order(seam.TargetOrder(wire))
+	reply(w, http.StatusOK, httpapi.TargetOrderResult(result))
+}
+
+// Order carries out an order; a repeated id has no effect.
+func (s *Server) Order(o seam.TargetOrder) seam.TargetOrderResult {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	known, repeated := s.orders[o.ID]
+	s.records.order(o, repeated)
+	if repeated {
+		return known
+	}
+	var result seam.TargetOrderResult
+	if o.Count < 0 {
+		result = s.release(o)
+	} else {
+		result = s.buy(o)
+	}
+	s.orders[o.ID] = result
+	return result
+}
+
+// release gives a target back. The lock is held.
+func (s *Server) release(o seam.TargetOrder) seam.TargetOrderResult {
+	hosts := s.hosts.present()
+	i := slices.IndexFunc(hosts, func(h seam.Host) bool {
+		return h.Target != nil && h.Target.ID == o.Release && h.State != seam.Gone
+	})
+	if i < 0 {
+		return seam.TargetOrderResult{Reason: "no such target"}
+	}
+	if hosts[i].Target.Class == target.Reserved {
+		return seam.TargetOrderResult{Reason: "reserved targets stay"}
+	}
+	s.leave(hosts[i], time.Now(), 0)
+	return seam.TargetOrderResult{Accepted: 1}
+}
+
+// buy starts targets. The lock is held.
+func (s *Server) buy(o seam.TargetOrder) seam.TargetOrderResult {
+	scarce := s.faults.Scarce && (s.faults.Class == "" || s.faults.Class == o.Class)
+	if scarce || s.options.Provider == nil {
+		return seam.TargetOrderResult{Reason: "none to be had"}
+	}
+	if o.Class == target.Reserved {
+		return seam.TargetOrderResult{Reason: "reserved targets are not for sale"}
+	}
+	for range o.Count {
+		s.bought++
+		id := target.ID(fmt.Sprintf("%s-%s-%d", o.Pool, o.Class, s.bought))
+		s.timers = append(s.timers, time.AfterFunc(s.options.ProvisionDelay, func() { s.provide(id, o) }))
+	}
+	return seam.TargetOrderResult{Accepted: o.Count}
+}
+
+// provide starts one bought target and lists its host.
+func (s *Server) provide(id target.ID, o seam.TargetOrder) {
+	address, err := s.options.Provider.Start(id, o)
+	if err != nil {
+		return
+	}
+	s.AddHost(seam.Host{
+		ID:    "host-" + string(id),
+		State: seam.Live,
+		Zone:  o.Zone,
+		Target: &target.Target{
+			ID: id, Kind: target.Engine, Class: o.Class, Pool: o.Pool,
+			Zone: o.Zone, Address: address,
+		},
+	})
+}
+
+// lookup answers GET of an order.
+func (s *Server) lookup(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	result, ok := s.orders[mux.Vars(r)["id"]]
+	s.mu.Unlock()
+	if !ok {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	reply(w, http.StatusOK, httpapi.TargetOrderResult(result))
+}
+
+// showOrders answers GET /orders.
+func (s *Server) showOrders(w http.ResponseWriter, _ *http.Request) {
+	reply(w, http.StatusOK, s.Records().Orders)
+}
--- /dev/null
+++ b/internal/standin/platform/usage.go
@@ -0,0 +1,161 @@
+package platform
+
+import (
+	"net/http"
+	"slices"
+	"time"
+
+	seam "zinniapin/platform"
+	"zinniapin/platform/httpapi"
+	"zinniapin/target"
+	"zinniapin/zone"
+)
+
+// usageKey names the window of an organisation.
+type usageKey struct {
+	organisation string
+	window       time.Time
+}
+
+// OrderRecord is an order for targets as the platform received it.
+type OrderRecord struct {
+	ID       string       `json:"id"`
+	Fence    uint64       `json:"fence"`
+	Zone     zone.Name    `json:"zone"`
+	Class    target.Class `json:"class"`
+	Pool     string       `json:"pool"`
+	Count    int          `json:"count"`
+	Release  target.ID    `json:"release,omitempty"`
+	Received time.Time    `json:"received"`
+	// Repeated is set when the id was known.
+	Repeated bool `json:"repeated,omitempty"`
+	// Superseded is set when an order for the same zone, class and pool with
+	// a higher fencing number had come before.
+	Superseded bool `json:"superseded,omitempty"`
+}
+
+// ReportRecord is one organisation's report as the platform received it.
+type ReportRecord struct {
+	Author   string              `json:"author"`
+	Fence    uint64              `json:"fence"`
+	Received time.Time           `json:"received"`
+	Report   httpapi.UsageReport `json:"report"`
+	// Repeated is set when the window was reported before, same or not.
+	Repeated bool `json:"repeated,omitempty"`
+	// Differs is set when the window was reported before with other figures.
+	Differs bool `json:"differs,omitempty"`
+	// Superseded is set when a report of this window with a higher fencing
+	// number had come before.
+	Superseded bool `json:"superseded,omitempty"`
+	// Contested is set when a report of this window with the same fencing
+	// number had come from another author.
+	Contested bool `json:"contested,omitempty"`
+}
+
+// Records are what the platform received.
+type Records struct {
+	Orders  []OrderRecord  `json:"orders"`
+	Reports []ReportRecord `json:"reports"`
+}
+
+// Records returns a copy of what the platform received.
+func (s *Server) Records() Records {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Records{Orders: slices.Clone(s.records.Orders), Reports: slices.Clone(s.records.Reports)}
+}
+
+// Violations returns the orders and reports that the platform should never
+// have received.
+func (r *Records) Violations() Records {
+	var found Records
+	for _, o := range r.Orders {
+		if o.Superseded {
+			found.Orders = append(found.Orders, o)
+		}
+	}
+	for _, u := range r.Reports {
+		if u.Differs || u.Superseded || u.Contested {
+			found.Reports = append(found.Reports, u)
+		}
+	}
+	return found
+}
+
+// order records an order. The server's lock is held.
+func (r *Records) order(o seam.TargetOrder, repeated bool) {
+	superseded := slices.ContainsFunc(r.Orders, func(before OrderRecord) bool {
+		return before.Zone == o.Zone && before.Class == o.Class && before.Pool == o.Pool && before.Fence > o.Fence
+	})
+	r.Orders = append(r.Orders, OrderRecord{
+		ID: o.ID, Fence: o.Fence, Zone: o.Zone, Class: o.Class, Pool: o.Pool,
+		Count: o.Count, Release: o.Release, Received: time.Now(),
+		Repeated: repeated, Superseded: superseded,
+	})
+}
+
+// report answers POST of usage reports. It takes all or none.
+func (s *Server) report(w http.ResponseWriter, r *http.Request) {
+	var wire httpapi.UsageReports
+	if !read(w, r, &wire) {
+		return
+	}
+	if !s.takeReports(&wire) {
+		reply(w, http.StatusConflict, httpapi.Refusal{Refused: true, Message: "a window was reported with other figures"})
+		return
+	}
+	reply(w, http.StatusOK, struct{}{})
+}
+
+// takeReports records reports and keeps them unless one contradicts an
+// earlier one.
+func (s *Server) takeReports(wire *httpapi.UsageReports) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	agreed := true
+	for _, u := range wire.Reports {
+		record := s.judge(wire, u)
+		s.records.Reports = append(s.records.Reports, record)
+		agreed = agreed && !record.Differs
+	}
+	if !agreed {
+		return false
+	}
+	for _, u := range wire.Reports {
+		report := u.UsageReport()
+		s.usage[usageKey{report.Organisation, report.Window}] = report
+	}
+	return true
+}
+
+// judge compares a report with those before it. The lock is held.
+func (s *Server) judge(wire *httpapi.UsageReports, u httpapi.UsageReport) ReportRecord {
+	report := u.UsageReport()
+	record := ReportRecord{Author: wire.Author, Fence: wire.Fence, Received: time.Now(), Report: u}
+	for _, before := range s.records.Reports {
+		if before.Report.Organisation != u.Organisation || !before.Report.Window.Equal(u.Window) {
+			continue
+		}
+		record.Repeated = true
+		record.Differs = record.Differs || before.Report.UsageReport() != report
+		record.Superseded = record.Superseded || before.Fence > wire.Fence
+		record.Contested = record.Contested || before.Fence == wire.Fence && before.Author != wire.Author
+	}
+	return record
+}
+
+// Usage returns the reports that the platform keeps.
+func (s *Server) Usage() []seam.UsageReport {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	kept := make([]seam.UsageReport, 0, len(s.usage))
+	for _, u := range s.usage {
+		kept = append(kept, u)
+	}
+	return kept
+}
+
+// showReports answers GET /reports.
+func (s *Server) showReports(w http.ResponseWriter, _ *http.Request) {
+	reply(w, http.StatusOK, s.Records().Reports)
+}
