Add zinnia-standin and its settings

One process runs a platform and any number of engines and services. Tried by hand: host list, an answer, a report, a deposit, a conditional update and a bought engine over HTTP.

--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -29,6 +29,8 @@
 type Provider interface {
 	// Start makes a target for an order and returns its address.
 	Start(id target.ID, o seam.TargetOrder) (address string, err error)
+	// ChecksFence tells whether the targets refuse an old fencing number.
+	ChecksFence() bool
 	// Stop ends a target.
 	Stop(id target.ID)
 }
--- a/internal/standin/platform/targets.go
+++ b/internal/standin/platform/targets.go
@@ -88,6 +88,7 @@
 		Target: &target.Target{
 			ID: id, Kind: target.Engine, Class: o.Class, Pool: o.Pool,
 			Zone: o.Zone, Address: address,
+			ChecksFence: s.options.Provider.ChecksFence(),
 		},
 	})
 }
--- /dev/null
+++ b/internal/standin/process/process.go
@@ -0,0 +1,202 @@
+// Package process runs the stand-ins that a settings file lists in one
+// process.
+package process
+
+import (
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/rs/zerolog"
+
+	"zinniapin/event"
+	"zinniapin/internal/standin/engine"
+	"zinniapin/internal/standin/platform"
+	"zinniapin/internal/standin/service"
+	seam "zinniapin/platform"
+	"zinniapin/result"
+	"zinniapin/settings"
+	"zinniapin/target"
+)
+
+// Process is a set of running stand-ins. It is safe for concurrent use.
+type Process struct {
+	log      *zerolog.Logger
+	settings *settings.Standin
+
+	mu sync.Mutex
+	// Platform is nil when the settings have none.
+	Platform *platform.Server
+	engines  map[target.ID]*engine.Server
+	services []*service.Server
+}
+
+// Start runs what the settings list. On an error nothing is left running.
+func Start(s *settings.Standin, log *zerolog.Logger) (*Process, error) {
+	p := &Process{log: log, settings: s, engines: map[target.ID]*engine.Server{}}
+	if err := p.start(); err != nil {
+		p.Close()
+		return nil, err
+	}
+	return p, nil
+}
+
+// start runs each stand-in in turn.
+func (p *Process) start() error {
+	for i := range p.settings.Engines {
+		e := &p.settings.Engines[i]
+		if _, err := p.startEngine(e.ID, e.Address, options(e)); err != nil {
+			return err
+		}
+	}
+	for _, s := range p.settings.Services {
+		if err := p.startService(s.Address); err != nil {
+			return err
+		}
+	}
+	if p.settings.Platform != nil {
+		return p.startPlatform(p.settings.Platform)
+	}
+	return nil
+}
+
+// started logs that a stand-in listens.
+func (p *Process) started(kind, address string) {
+	event.StandinStarted.Log(p.log).Str("kind", kind).Str("address", address).Send()
+}
+
+// startEngine runs an engine and returns its address.
+func (p *Process) startEngine(id target.ID, address string, o engine.Options) (string, error) {
+	o.ID = id
+	if o.Seed == 0 {
+		o.Seed = xxhash.Sum64String(string(id))
+	}
+	s, err := engine.Start(address, o)
+	if err != nil {
+		return "", result.Wrap(err, result.AddressInUse, "cannot start engine %s", id).At(address)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.engines[id] = s
+	p.started("engine", s.Address())
+	return s.Address(), nil
+}
+
+// startService runs a plain service.
+func (p *Process) startService(address string) error {
+	s, err := service.Start(address)
+	if err != nil {
+		return result.Wrap(err, result.AddressInUse, "cannot start the service").At(address)
+	}
+	p.services = append(p.services, s)
+	p.started("service", s.Address())
+	return nil
+}
+
+// startPlatform runs the platform.
+func (p *Process) startPlatform(s *settings.StandinPlatform) error {
+	o := platform.Options{
+		Hosts:          hosts(s.Hosts),
+		HostLag:        millis(s.HostLagMillis),
+		ProvisionDelay: millis(s.ProvisionMillis),
+		WeightReads:    s.WeightReadsPerSecond,
+	}
+	if s.Bought != nil {
+		o.Provider = (*provider)(p)
+	}
+	server, err := platform.Start(s.Address, o)
+	if err != nil {
+		return result.Wrap(err, result.AddressInUse, "cannot start the platform").At("platform.address")
+	}
+	p.Platform = server
+	p.started("platform", server.Address())
+	return nil
+}
+
+// Engine returns a running engine, or nil.
+func (p *Process) Engine(id target.ID) *engine.Server {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.engines[id]
+}
+
+// Close ends every stand-in.
+func (p *Process) Close() {
+	if p.Platform != nil {
+		p.Platform.Close()
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, e := range p.engines {
+		e.Close()
+	}
+	for _, s := range p.services {
+		s.Close()
+	}
+}
+
+// provider starts and ends bought engines in the process.
+type provider Process
+
+// Start implements platform.Provider.
+func (v *provider) Start(id target.ID, o seam.TargetOrder) (string, error) {
+	p := (*Process)(v)
+	bought := p.settings.Platform
+	address := net.JoinHostPort(bought.BoughtIP, "0")
+	listening, err := p.startEngine(id, address, options(bought.Bought))
+	if err != nil {
+		return "", err
+	}
+	event.StandinBought.Log(p.log).Str("target", string(id)).Str("pool", o.Pool).Str("zone", string(o.Zone)).Send()
+	return listening, nil
+}
+
+// ChecksFence implements platform.Provider.
+func (v *provider) ChecksFence() bool {
+	return v.settings.Platform.Bought.ChecksFence
+}
+
+// Stop implements platform.Provider.
+func (v *provider) Stop(id target.ID) {
+	p := (*Process)(v)
+	p.mu.Lock()
+	e, ok := p.engines[id]
+	delete(p.engines, id)
+	p.mu.Unlock()
+	if ok {
+		e.Close()
+		event.StandinEnded.Log(p.log).Str("target", string(id)).Send()
+	}
+}
+
+// millis returns a number of milliseconds.
+func millis(n int) time.Duration {
+	return time.Duration(n) * time.Millisecond
+}
+
+// options returns the options of an engine.
+func options(e *settings.StandinEngine) engine.Options {
+	return engine.Options{
+		Seed: e.Seed, Role: e.Role, Models: e.Models,
+		ChecksFence: e.ChecksFence, AnyRole: e.AnyRole,
+		Capacity: e.Capacity, PrefillRate: e.PrefillRate, DecodeRate: e.DecodeRate,
+		KVPieces: e.KVPieces, RoleChange: millis(e.ChangeMillis),
+		ModelChange: millis(e.ChangeMillis), ReportLag: millis(e.ReportLagMillis),
+	}
+}
+
+// hosts returns the list of hosts.
+func hosts(rows []settings.StandinHost) []seam.Host {
+	list := make([]seam.Host, len(rows))
+	for i, row := range rows {
+		list[i] = seam.Host{ID: row.ID, State: seam.Live, Zone: row.Zone}
+		if t := row.Target; t != nil {
+			list[i].Target = &target.Target{
+				ID: t.ID, Kind: t.Kind, Class: t.Class, Pool: t.Pool,
+				Zone: row.Zone, Address: t.Address, ChecksFence: t.ChecksFence,
+			}
+		}
+	}
+	return list
+}
