--- a/store/budget/budget.go
+++ b/store/budget/budget.go
@@ -105,7 +105,7 @@
 		return err
 	}
 	err = call()
-	b.leave(ctx, p, probe, err)
+	b.leave(p, probe, err, ownFailure(ctx, canProbe, err))
 	return err
 }
 
@@ -172,14 +172,24 @@
 	}
 }
 
+// ownFailure tells whether a call failed because its caller gave up, which
+// says nothing about the object API. A watch waits as long as its caller
+// likes, so the end of its time is no failure either.
+func ownFailure(ctx context.Context, canProbe bool, err error) bool {
+	if err == nil || ctx.Err() == nil {
+		return false
+	}
+	return !canProbe || errors.Is(ctx.Err(), context.Canceled)
+}
+
 // leave tells the breaker how a call ended.
-func (b *Budget) leave(ctx context.Context, p store.Purpose, probe bool, err error) {
+func (b *Budget) leave(p store.Purpose, probe bool, err error, own bool) {
 	failed := errors.Is(err, store.ErrUnavailable) || errors.Is(err, store.ErrUnknown)
 	b.count(p, outcome(err))
 	b.mu.Lock()
 	before := b.breaker.State() == Closed
 	switch {
-	case failed && errors.Is(ctx.Err(), context.Canceled):
+	case failed && own:
 		if probe {
 			b.breaker.Withdraw()
 		}
--- a/store/budget/limiter.go
+++ b/store/budget/limiter.go
@@ -1,6 +1,7 @@
 package budget
 
 import (
+	"math"
 	"time"
 
 	"zinniapin/store"
@@ -26,42 +27,43 @@
 }
 
 // Limiter is a token bucket in which each purpose leaves a reserve to higher
-// ones, so that no number of lower calls delays a claim. It does no I/O and
-// is not safe for concurrent use.
+// ones, so that no number of lower calls delays a claim. It counts in whole
+// nanoseconds, so that the wait it tells is always long enough. It does no
+// I/O and is not safe for concurrent use.
 type Limiter struct {
-	rate  float64 // tokens a second
-	burst float64
-	level float64
+	cost  time.Duration // of one call
+	full  time.Duration // what the bucket holds at most
+	level time.Duration
 	last  time.Time
 }
 
 // NewLimiter returns a full limiter of a rate in calls a second. The burst is
 // at least 1.
 func NewLimiter(now time.Time, rate float64, burst int) *Limiter {
-	size := float64(max(burst, 1))
-	return &Limiter{rate: rate, burst: size, level: size, last: now}
+	cost := time.Duration(math.Ceil(float64(time.Second) / rate))
+	full := cost * time.Duration(max(burst, 1))
+	return &Limiter{cost: cost, full: full, level: full, last: now}
 }
 
 // Take takes a call's token. When there is none, it returns false and how
 // long to wait before trying again.
 func (l *Limiter) Take(now time.Time, p store.Purpose) (wait time.Duration, ok bool) {
 	l.fill(now)
-	need := floors[index(p)]*(l.burst-1) + 1
-	if l.level >= need {
-		l.level--
-		return 0, true
+	reserve := time.Duration(floors[index(p)] * float64(l.full-l.cost))
+	need := reserve + l.cost
+	if l.level < need {
+		return need - l.level, false
 	}
-	seconds := (need - l.level) / l.rate
-	// The nanosecond covers the loss of rounding down.
-	return time.Duration(seconds*float64(time.Second)) + time.Nanosecond, false
+	l.level -= l.cost
+	return 0, true
 }
 
-// fill adds the tokens of the time that has passed.
+// fill adds what the time that has passed is worth.
 func (l *Limiter) fill(now time.Time) {
-	passed := now.Sub(l.last).Seconds()
+	passed := now.Sub(l.last)
 	if passed <= 0 {
 		return
 	}
-	l.level = min(l.level+passed*l.rate, l.burst)
+	l.level = min(l.level+min(passed, l.full), l.full)
 	l.last = now
 }
