--- /dev/null
+++ b/controller/configuration.go
@@ -0,0 +1,146 @@
+package controller
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"zinniapin/configuration"
+	"zinniapin/event"
+	"zinniapin/link"
+	"zinniapin/store"
+)
+
+const (
+	// watchers is the number of controllers of a region that watch the root.
+	watchers = 2
+	// watchKey divides the watching.
+	watchKey = "watch/" + configuration.RootKey
+	// watchTime bounds one wait; after it the root is read, which confirms the
+	// configuration. One watch and one read each watchTime and watcher: with 3
+	// regions and 2 watchers 6 waiting watches, 1.2 reads and 1.2 watches
+	// begun a second, whatever the number of hosts.
+	watchTime = 5 * time.Second
+	// storeTimeout bounds one call of the store.
+	storeTimeout = 2 * time.Second
+	// minRetry and maxRetry bound the wait after a failed call of the store.
+	minRetry = 500 * time.Millisecond
+	maxRetry = 8 * time.Second
+)
+
+// watchConfiguration reads the root once and watches it while this controller
+// is among the watchers of its region.
+func (k *Controller) watchConfiguration(ctx context.Context) error {
+	retry := minRetry
+	version := store.Absent
+	for ctx.Err() == nil {
+		if k.hasReadStore() && !k.Owns(watchKey, watchers, k.config.Self.Zone.Region) {
+			k.pause(ctx, tickInterval)
+			continue
+		}
+		read, err := k.readRoot(ctx)
+		if err != nil {
+			k.pause(ctx, retry/2+rand.N(retry))
+			retry = min(2*retry, maxRetry)
+			continue
+		}
+		retry = minRetry
+		version = max(version, read)
+		k.awaitRoot(ctx, version)
+	}
+	return nil
+}
+
+// hasReadStore tells whether the root was read since the start.
+func (k *Controller) hasReadStore() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.storeRead
+}
+
+// pause waits for d or the end of ctx.
+func (k *Controller) pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// readRoot reads the accepted configuration and puts it in force if it is
+// newer.
+func (k *Controller) readRoot(ctx context.Context) (store.Version, error) {
+	at := time.Now()
+	bundle, version, err := k.load(ctx)
+	if errors.Is(err, store.ErrNotFound) && bundle == nil {
+		k.storeState(true)
+		k.holder.Confirm(0, at)
+		return store.Absent, nil
+	}
+	k.storeState(err == nil)
+	if err != nil {
+		return store.Absent, err
+	}
+	snapshot, err := k.holder.Adopt(bundle)
+	if err != nil {
+		event.ConfigurationBehind.Log(k.config.Log).Err(err).Send()
+		return store.Absent, err
+	}
+	k.holder.Confirm(bundle.Root.Revision, at)
+	k.adopted(snapshot)
+	return version, nil
+}
+
+// load reads the root and the parts that are missing, each call with its own
+// time limit.
+func (k *Controller) load(ctx context.Context) (*configuration.Bundle, store.Version, error) {
+	timed := timedStore{k.config.Store}
+	return configuration.Load(ctx, timed, k.holder.Bundle())
+}
+
+// timedStore bounds each read.
+type timedStore struct {
+	store.Store
+}
+
+// Get implements store.Store.
+func (t timedStore) Get(ctx context.Context, p store.Purpose, key string) (store.Object, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	return t.Store.Get(ctx, p, key)
+}
+
+// awaitRoot waits for news of the root, up to watchTime.
+func (k *Controller) awaitRoot(ctx context.Context, version store.Version) {
+	waiting, cancel := context.WithTimeout(ctx, watchTime)
+	defer cancel()
+	begun := time.Now()
+	_, err := k.config.Store.Watch(waiting, store.PurposeConfiguration, configuration.RootKey, version)
+	if err != nil && time.Since(begun) < minRetry {
+		k.pause(ctx, minRetry)
+	}
+}
+
+// storeState notes whether the store answers.
+func (k *Controller) storeState(up bool) {
+	k.mu.Lock()
+	changed := k.storeUp != up
+	k.storeUp = up
+	k.storeRead = k.storeRead || up
+	k.mu.Unlock()
+	if changed {
+		event.StoreStateChanged.Log(k.config.Log).Bool("reachable", up).Send()
+	}
+}
+
+// fetchFrom takes a newer configuration over from a peer.
+func (k *Controller) fetchFrom(ctx context.Context, peer link.Link) {
+	snapshot, err := k.holder.Fetch(ctx, peer)
+	if err != nil {
+		event.ConfigurationBehind.Log(k.config.Log).Str("peer", peer.Peer().ID()).Err(err).Send()
+		return
+	}
+	k.adopted(snapshot)
+}
--- /dev/null
+++ b/controller/controller.go
@@ -0,0 +1,236 @@
+// Package controller runs a controller: it keeps the mesh of controllers,
+// relays configuration and views of targets, shares out limits, takes in usage
+// and spreads cordons. All controllers are equal; work is divided by
+// rendezvous hashing, which only saves calls: two controllers that both
+// believe they own something cost a retry and no error.
+package controller
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"zinniapin/contract"
+	"zinniapin/control"
+	"zinniapin/event"
+	"zinniapin/link"
+	"zinniapin/machine"
+	"zinniapin/membership"
+	"zinniapin/platform"
+	"zinniapin/relay"
+	"zinniapin/result"
+	"zinniapin/store"
+	"zinniapin/target"
+	"zinniapin/targetview"
+	"zinniapin/usage"
+	"zinniapin/zone"
+)
+
+// UsageSink takes the counters that gateways push.
+type UsageSink interface {
+	// Push takes in counters and returns those, up to the figures given, that
+	// are safe in the store by now; they may be of earlier pushes.
+	Push(counters []usage.Counter) (stored []usage.Counter)
+}
+
+// Config is what a controller needs.
+type Config struct {
+	// Self is this process; Address is where it listens.
+	Self machine.Process
+	// Seeds are the addresses of controllers to try when none is known.
+	Seeds []string
+	// Network makes the links.
+	Network link.Network
+	// Store is the object API.
+	Store store.Store
+	// Hosts is the platform's list of hosts.
+	Hosts platform.Hosts
+	// Orders reads the reports of targets.
+	Orders target.Orders
+	// Usage takes the counters of gateways; nil acknowledges none.
+	Usage UsageSink
+	// Seed selects peers and jitter.
+	Seed uint64
+	// Log takes the events.
+	Log *zerolog.Logger
+}
+
+// Controller is a running controller. It is safe for concurrent use.
+type Controller struct {
+	config Config
+	holder *relay.Holder
+	links  *registry
+	grants *grantor
+
+	mu            sync.Mutex
+	members       *membership.Table
+	targets       *targetview.Table
+	storeRead     bool // the root was read since the start
+	storeUp       bool // the last call of the store succeeded
+	leaving       bool
+	failedTargets map[target.ID]time.Time // when to poll again
+}
+
+// New returns a controller that does not run yet.
+func New(c Config) *Controller {
+	now := time.Now()
+	self := membership.Member{Process: c.Self}
+	k := &Controller{
+		config:        c,
+		holder:        &relay.Holder{},
+		links:         newRegistry(),
+		grants:        newGrantor(),
+		members:       membership.New(self, now),
+		targets:       targetview.New(),
+		failedTargets: map[target.ID]time.Time{},
+	}
+	return k
+}
+
+// tickInterval is the interval of heartbeats and of the upkeep of links.
+const tickInterval = time.Second
+
+// Run runs the controller until ctx ends. A graceful shutdown calls Leave
+// first.
+func (k *Controller) Run(ctx context.Context) error {
+	_, stop, err := k.config.Network.Listen(k.config.Self.Address, link.HandlerFunc(k.serve), func(l link.Link) {
+		k.accepted(ctx, l)
+	})
+	if err != nil {
+		return err
+	}
+	defer func() { _ = stop() }()
+	defer k.links.closeAll()
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return k.every(ctx, tickInterval, k.tick) })
+	group.Go(func() error { return k.watchConfiguration(ctx) })
+	group.Go(func() error { return k.every(ctx, hostListInterval, k.pollHosts) })
+	group.Go(func() error { return k.every(ctx, pollInterval, k.pollTargets) })
+	err = group.Wait()
+	if ctx.Err() != nil {
+		return nil
+	}
+	return err
+}
+
+// every calls f at once and then at an interval until ctx ends.
+func (k *Controller) every(ctx context.Context, interval time.Duration, f func(context.Context)) error {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		f(ctx)
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// confirmationAge is the age up to which word of the store through a watcher
+// counts as the store being reachable.
+const confirmationAge = 20 * time.Second
+
+// tick keeps membership and links.
+func (k *Controller) tick(ctx context.Context) {
+	now := time.Now()
+	fresh := now.Sub(k.holder.Confirmed().At) < confirmationAge
+	watches := k.Owns(watchKey, watchers, k.config.Self.Zone.Region)
+	k.mu.Lock()
+	reachable := k.storeUp && watches || fresh && !watches
+	k.members.Update(func(m *membership.Member) {
+		m.Revision = max(m.Revision, k.holder.Revision())
+		m.Leaving = k.leaving
+		m.StoreReachable = reachable
+	})
+	k.members.Tick(now)
+	k.targets.Forget(now)
+	k.mu.Unlock()
+	k.grants.prune(now)
+	k.keepPeers(ctx, now)
+}
+
+// leaveSpread is the time for which a leaving controller goes on serving, so
+// that others learn that it leaves and take over.
+const leaveSpread = 3 * time.Second
+
+// Leave tells the mesh that this controller leaves and waits until its work
+// can have moved. The owner then ends the context of Run.
+func (k *Controller) Leave(ctx context.Context) {
+	k.mu.Lock()
+	k.leaving = true
+	k.members.Update(func(m *membership.Member) { m.Leaving = true })
+	k.mu.Unlock()
+	select {
+	case <-time.After(leaveSpread):
+	case <-ctx.Done():
+	}
+}
+
+// Ready returns why the controller is not ready, or nil. It is ready with a
+// configuration that the store confirmed since the start or, while the store
+// is down, when a majority of the controllers that it should be linked to
+// have shown theirs and none is newer.
+func (k *Controller) Ready() error {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.leaving {
+		return result.New(result.ShuttingDown, "the controller is shutting down")
+	}
+	if k.holder.Snapshot() == nil {
+		return result.New(result.NoConfiguration, "no configuration is known")
+	}
+	if k.storeRead {
+		return nil
+	}
+	now := time.Now()
+	peers := len(membership.Controllers(k.members.Members(now), "")) - 1
+	wanted := membership.PeerCount(peers + 1)
+	if heard := k.links.heardControllers(); wanted == 0 || 2*heard <= wanted {
+		return result.New(result.NoConfiguration, "neither the store nor most peers confirm the configuration")
+	}
+	if k.members.HighestRevision(now) > k.holder.Revision() {
+		return result.New(result.NoConfiguration, "a newer revision is known and being fetched")
+	}
+	return nil
+}
+
+// Snapshot returns the configuration in force, or nil.
+func (k *Controller) Snapshot() *contract.Snapshot {
+	return k.holder.Snapshot()
+}
+
+// Targets returns the view of the region's targets.
+func (k *Controller) Targets() []control.TargetState {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.targets.States()
+}
+
+// Members returns the live processes.
+func (k *Controller) Members() []membership.Member {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.members.Members(time.Now())
+}
+
+// Owns tells whether this controller is among the n owners of a key in the
+// region, or in the whole fleet when the region is empty.
+func (k *Controller) Owns(key string, n int, region zone.Region) bool {
+	controllers := membership.Controllers(k.Members(), region)
+	return membership.Owns(controllers, key, n, k.config.Self.Host)
+}
+
+// adopted logs a new revision and tells the mesh.
+func (k *Controller) adopted(s *contract.Snapshot) {
+	if s == nil {
+		return
+	}
+	event.ConfigurationInForce.Log(k.config.Log).Uint64("revision", uint64(s.Revision)).Send()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.members.Update(func(m *membership.Member) { m.Revision = max(m.Revision, s.Revision) })
+}
--- /dev/null
+++ b/controller/peers.go
@@ -0,0 +1,223 @@
+package controller
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"zinniapin/contract"
+	"zinniapin/event"
+	"zinniapin/link"
+	"zinniapin/machine"
+	"zinniapin/membership"
+	"zinniapin/result"
+	"zinniapin/wire"
+)
+
+const (
+	// callTimeout bounds a heartbeat.
+	callTimeout = 2 * time.Second
+	// dialTimeout bounds a dial.
+	dialTimeout = 3 * time.Second
+	// dialPause is the mean wait after a failed dial.
+	dialPause = 2 * time.Second
+	// maxMissed is the number of heartbeats without answer after which a link
+	// is given up.
+	maxMissed = 3
+	// heartbeatBytes bounds the records of each kind in one heartbeat; only
+	// the first ones of a link come near.
+	heartbeatBytes = 32 << 10
+)
+
+// keepPeers opens the links that are missing and closes those in excess.
+func (k *Controller) keepPeers(ctx context.Context, now time.Time) {
+	linked := k.links.linked()
+	k.mu.Lock()
+	controllers := membership.Controllers(k.members.Members(now), "")
+	k.mu.Unlock()
+	peers := membership.Peers(controllers, k.config.Self, k.config.Seed, linked)
+	wanted := make(map[machine.HostID]bool, len(peers))
+	for _, p := range peers {
+		wanted[p.Process.Host] = true
+		if !linked[p.Process.Host] {
+			k.dialPeer(ctx, now, p.Process.Address)
+		}
+	}
+	if len(linked) == 0 {
+		k.dialSeeds(ctx, now)
+	}
+	for _, l := range k.links.excess(wanted) {
+		_ = l.Close()
+	}
+	k.links.closeIdle(now)
+}
+
+// dialSeeds tries the addresses of the settings.
+func (k *Controller) dialSeeds(ctx context.Context, now time.Time) {
+	for _, address := range k.config.Seeds {
+		if address != k.config.Self.Address {
+			k.dialPeer(ctx, now, address)
+		}
+	}
+}
+
+// dialPeer opens a link in the background unless it is being tried.
+func (k *Controller) dialPeer(ctx context.Context, now time.Time, address string) {
+	if address == "" || !k.links.beginDial(now, address, now.Add(dialTimeout)) {
+		return
+	}
+	go func() {
+		timed, cancel := context.WithTimeout(ctx, dialTimeout)
+		defer cancel()
+		l, err := k.config.Network.Dial(timed, address, link.HandlerFunc(k.serve))
+		again := time.Now().Add(dialPause/2 + rand.N(dialPause))
+		k.links.endDial(address, again)
+		if err != nil {
+			event.LinkDialFailed.Log(k.config.Log).Str("address", address).Err(err).Send()
+			return
+		}
+		k.keepPeer(ctx, l, true)
+	}()
+}
+
+// accepted takes a link that another process opened.
+func (k *Controller) accepted(ctx context.Context, l link.Link) {
+	event.LinkOpened.Log(k.config.Log).Str("peer", l.Peer().ID()).Send()
+	if l.Peer().Role == machine.Gateway {
+		k.links.addGateway(l)
+		go func() {
+			<-l.Done()
+			k.links.removeGateway(l)
+			event.LinkClosed.Log(k.config.Log).Str("peer", l.Peer().ID()).Send()
+		}()
+	}
+	if l.Peer().Role == machine.Controller {
+		go k.keepPeer(ctx, l, false)
+	}
+}
+
+// keepPeer exchanges heartbeats over a link until it ends.
+func (k *Controller) keepPeer(ctx context.Context, l link.Link, dialled bool) {
+	if l.Peer().Host == k.config.Self.Host {
+		_ = l.Close()
+		return
+	}
+	p := k.links.addPeer(l, dialled)
+	if p == nil {
+		if dialled {
+			_ = l.Close() // the other link serves
+		}
+		return
+	}
+	defer k.links.removePeer(p)
+	defer func() { _ = l.Close() }()
+	missed := 0
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for missed < maxMissed {
+		missed++
+		if k.heartbeat(ctx, p) == nil {
+			missed = 0
+		}
+		select {
+		case <-ticker.C:
+		case <-l.Done():
+			missed = maxMissed
+		case <-ctx.Done():
+			return
+		}
+	}
+	k.mu.Lock()
+	k.members.Doubt(time.Now(), l.Peer().Incarnation)
+	k.mu.Unlock()
+}
+
+// heartbeat asks a peer for what changed and takes it in.
+func (k *Controller) heartbeat(ctx context.Context, p *peer) error {
+	timed, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	request := k.heartbeatBase()
+	request.MembersVersion = p.members
+	request.TargetsVersion = p.targets
+	envelope, err := p.link.Call(timed, &wire.Envelope{Body: &wire.Envelope_Heartbeat{Heartbeat: request}})
+	if err != nil {
+		return err
+	}
+	reply := envelope.GetHeartbeat()
+	if reply == nil {
+		return result.New(result.UnknownMessage, "the reply is no heartbeat")
+	}
+	k.takeIn(p, reply)
+	if contract.Revision(reply.ConfigRevision) > k.holder.Revision() {
+		go k.fetchFrom(ctx, p.link)
+	}
+	return nil
+}
+
+// heartbeatBase returns what every heartbeat says.
+func (k *Controller) heartbeatBase() *wire.Heartbeat {
+	h := &wire.Heartbeat{ConfigRevision: uint64(k.holder.Revision()), ConfirmedAgeMs: -1}
+	if c := k.holder.Confirmed(); !c.At.IsZero() {
+		h.ConfirmedRevision = uint64(c.Revision)
+		h.ConfirmedAgeMs = max(0, time.Since(c.At).Milliseconds())
+	}
+	return h
+}
+
+// confirm takes in what a heartbeat says of the store's newest revision.
+func (k *Controller) confirm(h *wire.Heartbeat) {
+	if h.ConfirmedAgeMs >= 0 {
+		at := time.Now().Add(-time.Duration(h.ConfirmedAgeMs) * time.Millisecond)
+		k.holder.Confirm(contract.Revision(h.ConfirmedRevision), at)
+	}
+}
+
+// takeIn merges the answer to a heartbeat. A record that cannot be understood
+// makes the next heartbeat ask for everything.
+func (k *Controller) takeIn(p *peer, reply *wire.Heartbeat) {
+	k.confirm(reply)
+	now := time.Now()
+	source := p.link.Peer().Incarnation
+	local := p.link.Peer().Zone.Region == k.config.Self.Zone.Region
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.links.markHeard(p)
+	p.members = reply.MembersVersion
+	p.targets = reply.TargetsVersion
+	for _, m := range reply.Members {
+		if !k.members.Merge(now, source, m) {
+			p.members = 0
+		}
+	}
+	if !local {
+		return
+	}
+	for _, t := range reply.Targets {
+		if !k.targets.Merge(now, source, t) {
+			p.targets = 0
+		}
+	}
+}
+
+// markHeard notes that a peer answered.
+func (r *registry) markHeard(p *peer) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p.heard = true
+}
+
+// direct returns a link for a call to a controller, opening a temporary one
+// if need be.
+func (k *Controller) direct(ctx context.Context, p machine.Process) (link.Link, error) {
+	if l := k.links.to(time.Now(), p); l != nil {
+		return l, nil
+	}
+	timed, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	l, err := k.config.Network.Dial(timed, p.Address, link.HandlerFunc(k.serve))
+	if err != nil {
+		return nil, err
+	}
+	k.links.addDirect(time.Now(), p.Address, l)
+	return l, nil
+}
--- /dev/null
+++ b/controller/serve.go
@@ -0,0 +1,155 @@
+package controller
+
+import (
+	"context"
+	"math"
+	"time"
+
+	"zinniapin/contract"
+	"zinniapin/link"
+	"zinniapin/machine"
+	"zinniapin/membership"
+	"zinniapin/result"
+	"zinniapin/usage"
+	"zinniapin/wire"
+)
+
+// serve answers the calls of peers and gateways.
+func (k *Controller) serve(ctx context.Context, from link.Link, q *wire.Envelope) (*wire.Envelope, error) {
+	switch body := q.Body.(type) {
+	case *wire.Envelope_Heartbeat:
+		return k.serveHeartbeat(from, body.Heartbeat), nil
+	case *wire.Envelope_ConfigRequest:
+		reply := k.holder.Serve(body.ConfigRequest)
+		return &wire.Envelope{Body: &wire.Envelope_ConfigReply{ConfigReply: reply}}, nil
+	case *wire.Envelope_GrantRequest:
+		reply := k.serveGrants(ctx, from, body.GrantRequest)
+		return &wire.Envelope{Body: &wire.Envelope_GrantReply{GrantReply: reply}}, nil
+	case *wire.Envelope_UsagePush:
+		reply := k.serveUsage(body.UsagePush)
+		return &wire.Envelope{Body: &wire.Envelope_UsageAck{UsageAck: reply}}, nil
+	case *wire.Envelope_Cordon:
+		return k.relayCordon(ctx, body.Cordon)
+	case *wire.Envelope_StatusRequest:
+		return k.serveStatus(ctx, from, body.StatusRequest)
+	default:
+		return nil, result.New(result.UnknownMessage, "a controller does not serve %T", q.Body)
+	}
+}
+
+// serveHeartbeat answers a heartbeat with what changed since the versions
+// that the asker has seen.
+func (k *Controller) serveHeartbeat(from link.Link, q *wire.Heartbeat) *wire.Envelope {
+	k.confirm(q)
+	reply := k.heartbeatBase()
+	peer := from.Peer()
+	now := time.Now()
+	gateway := peer.Role == machine.Gateway
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if gateway {
+		k.noteGateway(now, peer, q)
+		k.fillGateway(now, q, reply)
+	}
+	if peer.Role == machine.Controller {
+		reply.Members, reply.MembersVersion = k.members.Since(q.MembersVersion, peer.Incarnation, heartbeatBytes)
+	}
+	reply.TargetsVersion = q.TargetsVersion
+	if peer.Zone.Region == k.config.Self.Zone.Region {
+		reply.Targets, reply.TargetsVersion = k.targets.Since(now, q.TargetsVersion, peer.Incarnation, heartbeatBytes)
+	}
+	return &wire.Envelope{Body: &wire.Envelope_Heartbeat{Heartbeat: reply}}
+}
+
+// noteGateway takes in a gateway's own record. The lock is held.
+func (k *Controller) noteGateway(now time.Time, peer machine.Process, q *wire.Heartbeat) {
+	for _, m := range q.Members {
+		if m.Incarnation == peer.Incarnation {
+			k.members.Merge(now, peer.Incarnation, m)
+		}
+	}
+}
+
+// alternatives is the number of other controllers that a gateway is told of.
+const alternatives = 8
+
+// fillGateway adds what a gateway is told of the fleet. The lock is held.
+func (k *Controller) fillGateway(now time.Time, q, reply *wire.Heartbeat) {
+	members := k.members.Members(now)
+	controllers := membership.Controllers(members, "")
+	reply.LiveControllers = uint32(len(controllers))
+	reply.LiveGateways = uint32(len(gatewaysOf(members)))
+	reply.StoreDownForMost = storeDownForMost(controllers, k.members.Known(machine.Controller))
+	if q.MembersVersion == 0 {
+		near := membership.Controllers(members, k.config.Self.Zone.Region)
+		for _, m := range membership.Owners(near, string(k.config.Self.Host), alternatives) {
+			reply.Members = append(reply.Members, m.ToWire(false))
+		}
+	}
+}
+
+// storeDownForMost tells whether most of the known controllers, the silent ones
+// included, say that the store is down. A few that are cut off with a gateway
+// are no majority.
+func storeDownForMost(controllers []membership.Member, known int) bool {
+	down := 0
+	for i := range controllers {
+		if !controllers[i].StoreReachable {
+			down++
+		}
+	}
+	return 2*down > known
+}
+
+// gatewaysOf returns the gateways among live processes.
+func gatewaysOf(members []membership.Member) []membership.Member {
+	var gateways []membership.Member
+	for _, m := range members {
+		if m.Process.Role == machine.Gateway {
+			gateways = append(gateways, m)
+		}
+	}
+	return gateways
+}
+
+// serveUsage hands counters to the sink.
+func (k *Controller) serveUsage(q *wire.UsagePush) *wire.UsageAck {
+	if k.config.Usage == nil {
+		return &wire.UsageAck{}
+	}
+	counters := make([]usage.Counter, 0, len(q.Counters))
+	for _, c := range q.Counters {
+		counters = append(counters, c.ToCounter())
+	}
+	ack := &wire.UsageAck{}
+	for _, c := range k.config.Usage.Push(counters) {
+		ack.Stored = append(ack.Stored, wire.FromCounter(c))
+	}
+	return ack
+}
+
+// presence returns the part of the known gateways that is live, from 0 to 1.
+func (k *Controller) presence(now time.Time) float64 {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	known := k.members.Known(machine.Gateway)
+	live := len(gatewaysOf(k.members.Members(now)))
+	if known == 0 {
+		return 1
+	}
+	return math.Min(1, float64(live)/float64(known))
+}
+
+// limitsOf returns the limits of an organisation, and false when it has no
+// contract.
+func (k *Controller) limitsOf(organisation string) (contract.Limits, contract.Revision, bool) {
+	s := k.holder.Snapshot()
+	if s == nil {
+		return contract.Limits{}, 0, false
+	}
+	c, ok := s.Contracts[organisation]
+	if !ok {
+		return contract.Limits{}, 0, false
+	}
+	return c.Limits, s.Revision, true
+}
--- a/targetview/table.go
+++ b/targetview/table.go
@@ -143,6 +143,7 @@
 
 // list takes in the listed part of a target.
 func (t *Table) list(now time.Time, source uint64, described target.Target, s platform.HostState, leavesAt time.Time) {
+	leavesAt = leavesAt.Truncate(time.Millisecond) // as peers tell it
 	e := t.add(described.ID)
 	if e == nil || rank(s) < rank(e.state.State) {
 		return
--- /dev/null
+++ b/wire/convert.go
@@ -0,0 +1,70 @@
+package wire
+
+import (
+	"time"
+
+	"zinniapin/contract"
+	"zinniapin/control"
+	"zinniapin/usage"
+)
+
+// FromCounter returns the message of a usage counter.
+func FromCounter(c usage.Counter) *UsageCounter {
+	return &UsageCounter{
+		Gateway:      c.Gateway,
+		Organisation: c.Organisation,
+		WindowMs:     c.Window.UnixMilli(),
+		Requests:     c.Amount.Requests,
+		PromptTokens: c.Amount.PromptTokens,
+		OutputTokens: c.Amount.OutputTokens,
+		Calls:        c.Amount.Calls,
+	}
+}
+
+// ToCounter returns the usage counter of a message.
+func (x *UsageCounter) ToCounter() usage.Counter {
+	return usage.Counter{
+		Gateway:      x.Gateway,
+		Organisation: x.Organisation,
+		Window:       time.UnixMilli(x.WindowMs).UTC(),
+		Amount: usage.Amount{
+			Requests:     x.Requests,
+			PromptTokens: x.PromptTokens,
+			OutputTokens: x.OutputTokens,
+			Calls:        x.Calls,
+		},
+	}
+}
+
+// FromDemand returns the message of a demand.
+func FromDemand(d control.Demand) *Demand {
+	return &Demand{
+		Organisation:      d.Organisation,
+		RequestsPerSecond: d.RequestsPerSecond,
+		Concurrency:       int32(d.Concurrency),
+		TokensPerMinute:   d.TokensPerMinute,
+	}
+}
+
+// ToDemand returns the demand of a message.
+func (x *Demand) ToDemand() control.Demand {
+	return control.Demand{
+		Organisation:      x.Organisation,
+		RequestsPerSecond: x.RequestsPerSecond,
+		Concurrency:       int(x.Concurrency),
+		TokensPerMinute:   x.TokensPerMinute,
+	}
+}
+
+// ToGrant returns the grant of a message that answers a request sent at the
+// given time: the term counts from there, so that a late answer ends no later.
+func (x *Grant) ToGrant(sent time.Time) control.Grant {
+	return control.Grant{
+		Organisation:      x.Organisation,
+		Revision:          contract.Revision(x.ConfigRevision),
+		RequestsPerSecond: x.RequestsPerSecond,
+		Concurrency:       int(x.Concurrency),
+		TokensPerMinute:   x.TokensPerMinute,
+		Expires:           sent.Add(time.Duration(x.TermMs) * time.Millisecond),
+	}
+}
