--- /dev/null
+++ b/controller/controller_test.go
@@ -0,0 +1,430 @@
+package controller
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"zinniapin/configuration"
+	"zinniapin/contract"
+	"zinniapin/control"
+	"zinniapin/internal/standin/objects"
+	"zinniapin/link/memlink"
+	"zinniapin/machine"
+	"zinniapin/platform"
+	"zinniapin/store"
+	"zinniapin/target"
+	"zinniapin/uplink"
+	"zinniapin/usage"
+	"zinniapin/zone"
+)
+
+// testLog shows the events of a test run with ZINNIA_TEST_LOG set.
+func testLog() *zerolog.Logger {
+	l := zerolog.Nop()
+	if os.Getenv("ZINNIA_TEST_LOG") != "" {
+		l = zerolog.New(os.Stderr)
+	}
+	return &l
+}
+
+// zones are the zones of the small fleet.
+var zones = []zone.Zone{{Name: "riga-a", Region: "baltic"}, {Name: "riga-b", Region: "baltic"}, {Name: "jelgava", Region: "baltic"}, {Name: "valmiera", Region: "baltic"}}
+
+// faultyStore gives each host its own view of one store.
+type faultyStore struct {
+	store.Store
+	mu   sync.Mutex
+	down bool
+}
+
+func (f *faultyStore) setDown(down bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.down = down
+}
+
+func (f *faultyStore) isDown() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.down
+}
+
+func (f *faultyStore) Get(ctx context.Context, p store.Purpose, key string) (store.Object, error) {
+	if f.isDown() {
+		return store.Object{}, store.ErrUnavailable
+	}
+	return f.Store.Get(ctx, p, key)
+}
+
+func (f *faultyStore) Watch(ctx context.Context, p store.Purpose, key string, after store.Version) (store.Object, error) {
+	if f.isDown() {
+		return store.Object{}, store.ErrUnavailable
+	}
+	return f.Store.Watch(ctx, p, key, after)
+}
+
+// fakeHosts is a list of hosts.
+type fakeHosts struct {
+	mu   sync.Mutex
+	list []platform.Host
+}
+
+func (f *fakeHosts) List(context.Context) ([]platform.Host, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]platform.Host(nil), f.list...), nil
+}
+
+// fakeOrders answers with rising reports.
+type fakeOrders struct {
+	mu       sync.Mutex
+	sequence uint64
+}
+
+func (f *fakeOrders) Send(context.Context, target.Target, target.Order) error { return nil }
+
+func (f *fakeOrders) Report(_ context.Context, t target.Target) (target.Report, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.sequence++
+	return target.Report{Target: t.ID, Boot: 7, Sequence: f.sequence, Role: target.Mixed, Running: 3, Capacity: 8}, nil
+}
+
+// fakeSink stores every counter at once.
+type fakeSink struct{}
+
+func (fakeSink) Push(counters []usage.Counter) []usage.Counter { return counters }
+
+// fakeGateway records what the uplink does to it.
+type fakeGateway struct {
+	mu        sync.Mutex
+	revisions []contract.Revision
+	view      []control.TargetState
+	cordons   int
+	grants    map[string]control.Grant
+	connected control.Connectivity
+	demands   []control.Demand
+	counters  []usage.Counter
+}
+
+func (g *fakeGateway) Configure(s *contract.Snapshot) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.revisions = append(g.revisions, s.Revision)
+}
+
+func (g *fakeGateway) Observe(view []control.TargetState) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.view = view
+}
+
+func (g *fakeGateway) Cordon(target.ID, uint64, bool) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.cordons++
+	return 1
+}
+
+func (g *fakeGateway) Grant(grants []control.Grant) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, granted := range grants {
+		g.grants[granted.Organisation] = granted
+	}
+}
+
+func (g *fakeGateway) Connected(c control.Connectivity) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.connected = c
+}
+
+func (g *fakeGateway) Demands() []control.Demand {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.demands
+}
+
+func (g *fakeGateway) Usage() []usage.Counter {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.counters
+}
+
+func (g *fakeGateway) UsageStored([]usage.Counter) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.counters = nil
+}
+
+func (g *fakeGateway) Explain(id string) []byte { return []byte(`{"id":"` + id + `"}`) }
+
+// revision returns the last revision that was put in force.
+func (g *fakeGateway) revision() contract.Revision {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if len(g.revisions) == 0 {
+		return 0
+	}
+	return g.revisions[len(g.revisions)-1]
+}
+
+// fleet is a small fleet in virtual time.
+type fleet struct {
+	t        *testing.T
+	ctx      context.Context
+	fabric   *memlink.Fabric
+	objects  *objects.Store
+	stores   []*faultyStore
+	hosts    *fakeHosts
+	running  []*Controller
+	stops    []context.CancelFunc
+	gateways []*fakeGateway
+	uplinks  []*uplink.Uplink
+	loops    sync.WaitGroup
+}
+
+// newFleet starts n hosts, each with a controller and a gateway.
+func newFleet(t *testing.T, n int) *fleet {
+	ctx, cancel := context.WithCancel(context.Background())
+	f := &fleet{t: t, ctx: ctx, fabric: memlink.NewFabric(), objects: objects.New(), hosts: &fakeHosts{}}
+	f.fabric.SetDelay(500 * time.Microsecond)
+	f.running = make([]*Controller, n)
+	f.stops = make([]context.CancelFunc, n)
+	for i := range n {
+		f.stores = append(f.stores, &faultyStore{Store: f.objects})
+		f.startController(i, uint64(i+1))
+		f.startGateway(i, n)
+	}
+	t.Cleanup(func() { cancel(); f.loops.Wait() })
+	return f
+}
+
+// hostOf returns the id of a host.
+func hostOf(i int) machine.HostID { return machine.HostID(fmt.Sprintf("host-%d", i)) }
+
+// addressOf returns the address of a controller.
+func addressOf(i int) string { return fmt.Sprintf("10.0.0.%d:7000", i+1) }
+
+// startController starts the controller of a host.
+func (f *fleet) startController(i int, incarnation uint64) {
+	self := machine.Process{Host: hostOf(i), Role: machine.Controller, Incarnation: incarnation, Zone: zones[i%len(zones)], Address: addressOf(i)}
+	k := New(Config{
+		Self: self, Seeds: []string{addressOf(0), addressOf(1), addressOf(2)}, Network: f.fabric.Network(self),
+		Store: f.stores[i], Hosts: f.hosts, Orders: &fakeOrders{}, Usage: fakeSink{}, Seed: 1, Log: testLog(),
+	})
+	ctx, stop := context.WithCancel(f.ctx)
+	f.running[i], f.stops[i] = k, stop
+	f.loops.Go(func() { _ = k.Run(ctx) })
+}
+
+// startGateway starts the gateway of a host.
+func (f *fleet) startGateway(i, n int) {
+	self := machine.Process{Host: hostOf(i), Role: machine.Gateway, Incarnation: uint64(1000 + i), Zone: zones[i%len(zones)]}
+	u := uplink.New(uplink.Config{Self: self, Own: addressOf(i), Seeds: []string{addressOf((i + 1) % n)}, Network: f.fabric.Network(self), Log: testLog()})
+	g := &fakeGateway{grants: map[string]control.Grant{}}
+	f.gateways = append(f.gateways, g)
+	f.uplinks = append(f.uplinks, u)
+	f.loops.Go(func() { _ = u.Run(f.ctx, g) })
+}
+
+// accept accepts a contract with a limit of requests a second.
+func (f *fleet) accept(base contract.Revision, rate float64) contract.Revision {
+	p := configuration.Proposal{ID: fmt.Sprint("change-", base), Base: base,
+		Fleet: &contract.Fleet{Zones: zones},
+		Contracts: []*contract.Contract{{Organisation: "svetki", Keys: []contract.Key{{Fingerprint: contract.Fingerprint("k")}},
+			Limits: contract.Limits{RequestsPerSecond: rate, Concurrency: 16}}}}
+	r, err := configuration.Accept(f.ctx, f.objects, p, time.Now())
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return r
+}
+
+// everywhere tells whether a revision is in force at the gateways given.
+func (f *fleet) everywhere(r contract.Revision, gateways ...int) bool {
+	for _, i := range gateways {
+		if f.gateways[i].revision() < r {
+			return false
+		}
+	}
+	return true
+}
+
+// within waits in virtual time until a condition holds.
+func (f *fleet) within(d time.Duration, what string, condition func() bool) {
+	f.t.Helper()
+	begun := time.Now()
+	for !condition() {
+		if time.Since(begun) > d {
+			f.t.Fatalf("%s: not within %v", what, d)
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	f.t.Logf("%s after %v", what, time.Since(begun))
+}
+
+// risingEverywhere fails the test when a gateway went back to an older
+// revision.
+func (f *fleet) risingEverywhere() {
+	f.t.Helper()
+	for i, g := range f.gateways {
+		g.mu.Lock()
+		for j := 1; j < len(g.revisions); j++ {
+			if g.revisions[j] <= g.revisions[j-1] {
+				f.t.Errorf("gateway %d went from revision %d to %d", i, g.revisions[j-1], g.revisions[j])
+			}
+		}
+		g.mu.Unlock()
+	}
+}
+
+var all7 = []int{0, 1, 2, 3, 4, 5, 6}
+
+// TestConfigurationReachesEveryGateway covers acceptance, hosts that cannot
+// reach the store, a cut, a restart with the store down and a stale peer.
+func TestConfigurationReachesEveryGateway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 7)
+		r1 := f.accept(0, 10)
+		f.within(14*time.Second, "first revision everywhere", func() bool { return f.everywhere(r1, all7...) })
+
+		for i := range 6 {
+			f.stores[i].setDown(true) // only host 6 reaches the store
+		}
+		f.stores[6].setDown(false)
+		r2 := f.accept(r1, 20)
+		// Whoever reaches the store must come to be a watcher.
+		f.within(14*time.Second, "revision with the store down for six of seven", func() bool { return f.everywhere(r2, all7...) })
+		for i := range 6 {
+			f.stores[i].setDown(false)
+		}
+
+		for i := range 3 {
+			for j := 3; j < 7; j++ {
+				f.fabric.SetCut(hostOf(i), hostOf(j), true)
+			}
+		}
+		r3 := f.accept(r2, 30)
+		f.within(30*time.Second, "revision on both sides of a split", func() bool { return f.everywhere(r3, all7...) })
+		for i := range 3 {
+			for j := 3; j < 7; j++ {
+				f.fabric.SetCut(hostOf(i), hostOf(j), false)
+			}
+		}
+
+		f.stops[2]()
+		for _, s := range f.stores {
+			s.setDown(true)
+		}
+		time.Sleep(time.Second)
+		f.startController(2, 99)
+		is.True(f.running[2].Ready() != nil) // a controller that knows nothing is not ready
+		f.within(20*time.Second, "a restarted controller takes the peers' revision", func() bool {
+			return f.running[2].Ready() == nil && f.running[2].holder.Revision() == r3
+		})
+		f.risingEverywhere()
+	})
+}
+
+// TestTargetsAndCordons covers the spread of the list, of reports and of a
+// cordon, and names gateways that do not answer.
+func TestTargetsAndCordons(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 7)
+		r := f.accept(0, 10)
+		f.hosts.mu.Lock()
+		for i := range 5 {
+			id := target.ID(fmt.Sprint("engine-", i))
+			f.hosts.list = append(f.hosts.list, platform.Host{ID: string(id), State: platform.Live, Zone: zones[i%4].Name,
+				Target: &target.Target{ID: id, Kind: target.Engine, Zone: zones[i%4].Name, Pool: "assistant"}})
+		}
+		f.hosts.mu.Unlock()
+		f.within(14*time.Second, "configured", func() bool { return f.everywhere(r, all7...) })
+		f.within(10*time.Second, "reports at every gateway", func() bool {
+			for _, g := range f.gateways {
+				g.mu.Lock()
+				whole := len(g.view) == 5 && g.view[4].Report.Sequence > 0
+				g.mu.Unlock()
+				if !whole {
+					return false
+				}
+			}
+			return true
+		})
+		running, missing, err := f.running[3].CordonEverywhere(f.ctx, "engine-1", 5, false)
+		is.NoErr(err)
+		is.Equal(running, 7)
+		is.Equal(len(missing), 0)
+		f.within(10*time.Second, "cordon in every view", func() bool {
+			for _, g := range f.gateways {
+				g.mu.Lock()
+				cordoned := g.view[1].Cordoned
+				g.mu.Unlock()
+				if !cordoned {
+					return false
+				}
+			}
+			return true
+		})
+		for i := range 6 {
+			f.fabric.SetCut(hostOf(i), hostOf(6), true)
+		}
+		_, missing, err = f.running[3].CordonEverywhere(f.ctx, "engine-2", 6, false)
+		is.NoErr(err)
+		is.Equal(missing, []string{"host-6/gateway/00000000000003ee"})
+		_, _, err = f.running[3].CordonEverywhere(f.ctx, "engine-1", 4, false)
+		is.True(err != nil) // a lower epoch is refused
+	})
+}
+
+// TestGrantsAndUsage covers grants to two gateways, the loss of the gateway's
+// own controller and the flush of usage.
+func TestGrantsAndUsage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 7)
+		r := f.accept(0, 100)
+		f.within(14*time.Second, "configured", func() bool { return f.everywhere(r, all7...) })
+		for _, i := range []int{0, 1} {
+			f.gateways[i].mu.Lock()
+			f.gateways[i].demands = []control.Demand{{Organisation: "svetki", RequestsPerSecond: 50, Concurrency: 8}}
+			f.gateways[i].mu.Unlock()
+		}
+		sum := func() (rate float64) {
+			for _, g := range f.gateways[:2] {
+				g.mu.Lock()
+				if held := g.grants["svetki"]; time.Now().Before(held.Expires) {
+					rate += held.RequestsPerSecond
+				}
+				g.mu.Unlock()
+			}
+			return rate
+		}
+		f.within(15*time.Second, "grants", func() bool { return sum() > 70 })
+		is.True(sum() <= 75.0001)
+		f.stops[0]()
+		f.within(30*time.Second, "another controller serves the gateway", func() bool {
+			f.gateways[0].mu.Lock()
+			defer f.gateways[0].mu.Unlock()
+			return f.gateways[0].connected.Controllers == 2
+		})
+		f.gateways[0].mu.Lock()
+		f.gateways[0].counters = []usage.Counter{{Gateway: "g", Organisation: "svetki", Window: time.Unix(0, 0)}}
+		f.gateways[0].mu.Unlock()
+		ctx, cancel := context.WithTimeout(f.ctx, 10*time.Second)
+		defer cancel()
+		is.NoErr(f.uplinks[0].Flush(ctx, f.gateways[0]))
+	})
+}
--- a/uplink/link.go
+++ b/uplink/link.go
@@ -140,8 +140,7 @@
 func (u *Uplink) request(up *upstream) *wire.Heartbeat {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.self.Beat++
-	u.self.Revision = u.holder.Revision()
+	u.beat(time.Now())
 	request := &wire.Heartbeat{
 		ConfigRevision: uint64(u.self.Revision),
 		Members:        []*wire.Member{u.self.ToWire(false)},
@@ -154,6 +153,19 @@
 	return request
 }
 
+// beat raises the beat of this gateway when it is due, or when its record
+// changed. The lock is held.
+func (u *Uplink) beat(now time.Time) {
+	revision := u.holder.Revision()
+	if revision == u.self.Revision && !u.changed && now.Before(u.nextBeat) {
+		return
+	}
+	u.self.Revision = revision
+	u.self.Beat++
+	u.changed = false
+	u.nextBeat = now.Add(membership.BeatInterval(u.fleet.processes))
+}
+
 // takeIn merges the answer to a heartbeat.
 func (u *Uplink) takeIn(up *upstream, reply *wire.Heartbeat) {
 	now := time.Now()
@@ -169,7 +181,11 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	up.told = len(named) > 1 || up.told
-	u.fleet = fleet{int(reply.LiveGateways), reply.StoreDownForMost}
+	u.fleet = fleet{
+		gateways:  int(reply.LiveGateways),
+		processes: int(reply.LiveGateways + reply.LiveControllers),
+		storeDown: reply.StoreDownForMost,
+	}
 	up.targets = reply.TargetsVersion
 	for _, t := range reply.Targets {
 		if !u.targets.Merge(now, up.link.Peer().Incarnation, t) {
--- a/uplink/push.go
+++ b/uplink/push.go
@@ -110,4 +110,5 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.self.Leaving = true
+	u.changed = true
 }
--- a/uplink/uplink.go
+++ b/uplink/uplink.go
@@ -66,6 +66,8 @@
 	mu         sync.Mutex
 	links      [linkCount]*upstream
 	self       membership.Member
+	changed    bool // the own record changed since the last beat
+	nextBeat   time.Time
 	targets    *targetview.Table
 	seen       uint64 // version of targets that the gateway has
 	configured contract.Revision
@@ -75,6 +77,7 @@
 // fleet is what the last heartbeat said of the fleet.
 type fleet struct {
 	gateways  int
+	processes int
 	storeDown bool
 }
 
@@ -131,6 +134,7 @@
 	defer u.mu.Unlock()
 	u.links[slot] = up
 	u.self.Via = nil
+	u.changed = true
 	for _, other := range u.links {
 		if other != nil {
 			u.self.Via = append(u.self.Via, other.link.Peer().Address)
