Add zinnia-controller; let more controllers read the store when watchers cannot

Cause of the failing test: with the store unreachable for both watchers of a region nobody else read it. Now the circle of readers doubles each second once the last confirmation is 7 s old, up to 16 a region, taking turns.

--- /dev/null
+++ b/cmd/zinnia-controller/main.go
@@ -0,0 +1,121 @@
+// Command zinnia-controller runs a controller: one on every entry host, all
+// equal.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/rs/zerolog"
+
+	"zinniapin/controller"
+	"zinniapin/daemon"
+	"zinniapin/event"
+	"zinniapin/invariant"
+	"zinniapin/link/yamuxlink"
+	"zinniapin/machine"
+	"zinniapin/platform/httpapi"
+	"zinniapin/result"
+	"zinniapin/settings"
+	"zinniapin/store/httpstore"
+	"zinniapin/target/httpengine"
+	"zinniapin/zone"
+)
+
+// options are the command line.
+type options struct {
+	Settings string `long:"settings" required:"true" description:"settings file, JSON"`
+	Check    bool   `long:"check" description:"check the settings and exit"`
+}
+
+func main() {
+	os.Exit(daemon.Exit(run(os.Args[1:])))
+}
+
+// run reads the command line and runs the controller.
+func run(arguments []string) error {
+	var o options
+	parser := flags.NewParser(&o, flags.Default&^flags.PrintErrors)
+	if _, err := parser.ParseArgs(arguments); err != nil {
+		var wrong *flags.Error
+		if errors.As(err, &wrong) && wrong.Type == flags.ErrHelp {
+			fmt.Println(wrong.Message)
+			return nil
+		}
+		return result.New(result.BadUsage, "%s", err)
+	}
+	s := &settings.Controller{}
+	if err := settings.Load(o.Settings, s); err != nil {
+		return err
+	}
+	config, err := configure(s)
+	if err != nil || o.Check {
+		return err
+	}
+	return serve(s, config)
+}
+
+// configure builds the controller's configuration.
+func configure(s *settings.Controller) (controller.Config, error) {
+	log := daemon.NewLogger(os.Stderr, s.Log.Level, "zinnia-controller", s.Host)
+	secured, err := yamuxlink.LoadTLS(s.TLS)
+	if err != nil {
+		return controller.Config{}, err
+	}
+	self := machine.Process{
+		Host:        machine.HostID(s.Host),
+		Role:        machine.Controller,
+		Incarnation: rand.Uint64(),
+		Zone:        zone.Zone{Name: s.Zone, Region: s.Region},
+		Address:     s.Links,
+	}
+	timeout := time.Duration(s.Platform.TimeoutMillis) * time.Millisecond
+	return controller.Config{
+		Self:    self,
+		Seeds:   s.Seeds,
+		Network: &yamuxlink.Network{Self: self, TLS: secured, Log: &log},
+		Store:   httpstore.New(s.Platform.Objects, timeout),
+		Hosts:   httpapi.NewHosts(s.Platform.Hosts, timeout),
+		Orders:  httpengine.New(httpengine.Options{}),
+		Seed:    rand.Uint64(),
+		Log:     &log,
+	}, nil
+}
+
+// serve runs the controller until a signal ends it.
+func serve(s *settings.Controller, config controller.Config) error {
+	log := config.Log
+	invariant.SetLogger(log)
+	graceful, immediate, stopSignals := daemon.Signals(context.Background())
+	defer stopSignals()
+	k := controller.New(config)
+	operators, err := daemon.NewOperators(s.Operators, daemon.NewRegistry(), k.Ready)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = operators.Close() }()
+	go func() { _ = operators.Serve() }()
+	running, stop := context.WithCancel(immediate)
+	defer stop()
+	go leave(graceful, immediate, s.Shutdown(), k, log, stop)
+	event.ProcessStarted.Log(log).Str("links", s.Links).Str("operators", operators.Address()).Send()
+	err = k.Run(running)
+	event.ProcessStopped.Log(log).Err(err).Send()
+	return err
+}
+
+// leave waits for the first signal, lets the mesh take over this controller's
+// work and ends it.
+func leave(graceful, immediate context.Context, limit time.Duration, k *controller.Controller, log *zerolog.Logger, stop func()) {
+	<-graceful.Done()
+	event.ProcessStopping.Log(log).Send()
+	bounded, cancel := context.WithTimeout(immediate, limit)
+	defer cancel()
+	k.Leave(bounded)
+	stop()
+}
--- a/controller/configuration.go
+++ b/controller/configuration.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"math/bits"
 	"math/rand/v2"
 	"time"
 
@@ -24,6 +26,15 @@
 	watchTime = 5 * time.Second
 	// storeTimeout bounds one call of the store.
 	storeTimeout = 2 * time.Second
+	// staleAfter is the age of the last confirmation after which more
+	// controllers than the watchers read the store themselves: twice as many
+	// each widenEvery, up to maxWatchers in a region. Others take their turn
+	// each turnEvery, so that one that reaches the store is found; with 3
+	// regions and the store down that makes at most 6 reads a second.
+	staleAfter  = 7 * time.Second
+	widenEvery  = time.Second
+	maxWatchers = 16
+	turnEvery   = 30 * time.Second
 	// minRetry and maxRetry bound the wait after a failed call of the store.
 	minRetry = 500 * time.Millisecond
 	maxRetry = 8 * time.Second
@@ -35,7 +46,7 @@
 	retry := minRetry
 	version := store.Absent
 	for ctx.Err() == nil {
-		if k.hasReadStore() && !k.Owns(watchKey, watchers, k.config.Self.Zone.Region) {
+		if k.hasReadStore() && !k.watches(time.Now()) {
 			k.pause(ctx, tickInterval)
 			continue
 		}
@@ -52,6 +63,29 @@
 	return nil
 }
 
+// watches tells whether this controller is among those of its region that call
+// the store for the configuration.
+func (k *Controller) watches(now time.Time) bool {
+	key, n := watchersFor(now.Sub(k.holder.Confirmed().At))
+	return k.Owns(key, n, k.config.Self.Zone.Region) ||
+		k.Owns(watchKey, watchers, k.config.Self.Zone.Region)
+}
+
+// watchersFor returns the key and the number of those that call the store when
+// the last confirmation has this age.
+func watchersFor(age time.Duration) (key string, n int) {
+	if age < staleAfter {
+		return watchKey, watchers
+	}
+	doublings := min(int((age-staleAfter)/widenEvery), bits.Len(maxWatchers))
+	n = min(watchers<<doublings, maxWatchers)
+	turn := int(age / turnEvery)
+	if turn == 0 {
+		return watchKey, n
+	}
+	return fmt.Sprint(watchKey, "/", turn), n
+}
+
 // hasReadStore tells whether the root was read since the start.
 func (k *Controller) hasReadStore() bool {
 	k.mu.Lock()
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -138,7 +138,7 @@
 func (k *Controller) tick(ctx context.Context) {
 	now := time.Now()
 	fresh := now.Sub(k.holder.Confirmed().At) < confirmationAge
-	watches := k.Owns(watchKey, watchers, k.config.Self.Zone.Region)
+	watches := k.watches(now)
 	k.mu.Lock()
 	reachable := k.storeUp && watches || fresh && !watches
 	k.members.Update(func(m *membership.Member) {
--- /dev/null
+++ b/settings/controller.go
@@ -0,0 +1,41 @@
+package settings
+
+import "time"
+
+// Controller are the settings of zinnia-controller.
+type Controller struct {
+	Common
+	// Links is the IP:port where the controller takes links from gateways and
+	// other controllers, and by which they reach it.
+	Links string `json:"links"`
+	// Seeds are the IP:port of controllers to try when none is known; those of
+	// two hosts in each zone are enough.
+	Seeds []string `json:"seeds"`
+	// ShutdownMillis bounds the graceful shutdown, in milliseconds. Default
+	// 15000.
+	ShutdownMillis int `json:"shutdown_ms,omitempty"`
+}
+
+// defaultShutdownMillis bounds the graceful shutdown of a controller.
+const defaultShutdownMillis = 15_000
+
+// Check implements the check of Load: it notes every mistake and sets the
+// defaults.
+func (c *Controller) Check(p *Problems) {
+	c.Common.Check(p)
+	p.Address("links", c.Links)
+	for _, seed := range c.Seeds {
+		p.Address("seeds", seed)
+	}
+	if c.ShutdownMillis == 0 {
+		c.ShutdownMillis = defaultShutdownMillis
+	}
+	if c.ShutdownMillis < 0 {
+		p.Add("shutdown_ms", "must not be negative")
+	}
+}
+
+// Shutdown returns the bound of the graceful shutdown.
+func (c *Controller) Shutdown() time.Duration {
+	return time.Duration(c.ShutdownMillis) * time.Millisecond
+}
