Add the gateway's data path, thin

Cause: callers need their requests answered whole, once and in time. Change: chat, models and plain services over HTTP; keys, admission, attempts with resume, claims, metering, shutdown and the daemon. The adapters of engines, claims and uplink are not wired yet.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -69,15 +69,15 @@
 
 // organisation is the state of an active organisation.
 type organisation struct {
-	requests  bucket
-	tokens    bucket
-	running   int // waiting ones included
-	grant     *control.Grant
-	arrivals  average
-	spent     average // tokens
-	wanted    int     // highest concurrency asked for since the last Demands
-	lastSeen  time.Time
-	last      limits // as of the last request
+	requests bucket
+	tokens   bucket
+	running  int // waiting ones included
+	grant    *control.Grant
+	arrivals average
+	spent    average // tokens
+	wanted   int     // highest concurrency asked for since the last Demands
+	lastSeen time.Time
+	last     limits // as of the last request
 }
 
 // pool is the state of a pool of targets.
@@ -107,6 +107,13 @@
 	}
 }
 
+// charge takes tokens from the organisation's limit, if it has one.
+func (o *organisation) charge(tokens float64) {
+	if o.last.tokens > 0 {
+		o.tokens.level -= tokens
+	}
+}
+
 // SetGateways sets the number of live gateways, which divides the limits of
 // organisations without a grant.
 func (c *Core) SetGateways(n int) {
@@ -205,7 +212,7 @@
 		return nil, err
 	}
 	o.requests.level--
-	o.tokens.level -= float64(r.PromptTokens)
+	o.charge(float64(r.PromptTokens))
 	o.running++
 	c.sequence++
 	r.Cost = math.Max(1, r.Cost)
@@ -305,7 +312,7 @@
 	o, p := c.organisation(t.request.Organisation), c.pool(t.request.Pool)
 	o.running--
 	o.lastSeen = now
-	o.tokens.level -= float64(outputTokens)
+	o.charge(float64(outputTokens))
 	o.spent.add(now, float64(outputTokens))
 	if t.state == waiting {
 		p.queue.remove(t)
--- /dev/null
+++ b/gateway/admit.go
@@ -0,0 +1,52 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"zinniapin/admission"
+	"zinniapin/result"
+)
+
+// admit takes a request through admission and waits for its dispatch. The
+// ticket must be given back to leave.
+func (g *Gateway) admit(ctx context.Context, r admission.Request) (*admission.Ticket, error) {
+	now := time.Now()
+	ticket, err := g.arrive(now, r)
+	if err != nil {
+		return nil, err
+	}
+	expired := time.NewTimer(r.Deadline.Sub(now))
+	defer expired.Stop()
+	select {
+	case <-ticket.Ready:
+		since(g.metrics.queueWait, now)
+		return ticket, nil
+	case <-ctx.Done():
+		g.leave(ticket, r.Pool, 0)
+		return nil, canceled(ctx)
+	case <-expired.C:
+		g.leave(ticket, r.Pool, 0)
+		return nil, result.New(result.CannotMakeIt, "the request waited too long").Retry(retryElsewhere)
+	}
+}
+
+// arrive decides on a request.
+func (g *Gateway) arrive(now time.Time, r admission.Request) (*admission.Ticket, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	ticket, err := g.admission.Arrive(now, r)
+	if err == nil {
+		g.dispatch(now, r.Pool)
+	}
+	return ticket, err
+}
+
+// leave gives a ticket back and dispatches what may run now.
+func (g *Gateway) leave(t *admission.Ticket, pool string, outputTokens int) {
+	now := time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.admission.Leave(now, t, outputTokens)
+	g.dispatch(now, pool)
+}
--- /dev/null
+++ b/gateway/control.go
@@ -0,0 +1,128 @@
+package gateway
+
+import (
+	"time"
+
+	"zinniapin/contract"
+	"zinniapin/control"
+	"zinniapin/event"
+	"zinniapin/target"
+	"zinniapin/usage"
+)
+
+// Configure implements control.Gateway. The revision in force only rises.
+func (g *Gateway) Configure(s *contract.Snapshot) {
+	for {
+		old := g.snapshot.Load()
+		if old != nil && old.Revision >= s.Revision {
+			return
+		}
+		if g.snapshot.CompareAndSwap(old, s) {
+			break
+		}
+	}
+	g.meter.setWindow(s.Fleet.UsageWindowSeconds)
+	g.fleet.setZones(time.Now(), s.Zone)
+	event.ConfigurationInForce.Log(&g.log).Uint64("revision", uint64(s.Revision)).Send()
+}
+
+// Observe implements control.Gateway.
+func (g *Gateway) Observe(view []control.TargetState) {
+	now := time.Now()
+	g.fleet.observe(now, view)
+	g.moveStreams(now)
+	g.setCapacities(now)
+}
+
+// Cordon implements control.Gateway.
+func (g *Gateway) Cordon(id target.ID, epoch uint64, lift bool) int {
+	now := time.Now()
+	running, changed := g.fleet.setCordon(now, id, epoch, lift)
+	if changed {
+		event.TargetCordoned.Log(&g.log).Str("target", string(id)).Uint64("epoch", epoch).Bool("lift", lift).Int("running", running).Send()
+		g.setCapacities(now)
+	}
+	return running
+}
+
+// setCapacities brings the dispatch capacities up to the view and dispatches
+// what may run now.
+func (g *Gateway) setCapacities(now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for pool, n := range g.fleet.capacities(max(1, g.connectivity.LiveGateways)) {
+		g.admission.SetCapacity(pool, n)
+		g.dispatch(now, pool)
+	}
+}
+
+// dispatch wakes the tickets of a pool that may run. The lock is held.
+func (g *Gateway) dispatch(now time.Time, pool string) {
+	for _, t := range g.admission.Dispatch(now, pool) {
+		close(t.Ready)
+	}
+}
+
+// moveStreams moves the streams off targets that are about to leave.
+func (g *Gateway) moveStreams(now time.Time) {
+	moves := g.fleet.leaving(now)
+	if len(moves) == 0 {
+		return
+	}
+	moved := 0
+	for _, move := range moves {
+		if move() {
+			moved++
+		}
+	}
+	if moved > 0 {
+		event.StreamsMoved.Log(&g.log).Int("streams", moved).Send()
+	}
+}
+
+// Grant implements control.Gateway.
+func (g *Gateway) Grant(grants []control.Grant) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.admission.Grant(time.Now(), grants)
+}
+
+// Connected implements control.Gateway.
+func (g *Gateway) Connected(c control.Connectivity) {
+	now := time.Now()
+	g.mu.Lock()
+	wasAlone := !g.aloneSince.IsZero()
+	g.connectivity = c
+	g.admission.SetGateways(c.LiveGateways)
+	switch {
+	case c.Controllers > 0:
+		g.aloneSince = time.Time{}
+	case !wasAlone:
+		g.aloneSince = now
+		event.GatewayAlone.Log(&g.log).Int("refuses_after_ms", g.options.Settings.AloneMillis).Send()
+	}
+	g.mu.Unlock()
+	g.setCapacities(now)
+}
+
+// Demands implements control.Gateway.
+func (g *Gateway) Demands() []control.Demand {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.admission.Demands(time.Now())
+}
+
+// Usage implements control.Gateway.
+func (g *Gateway) Usage() []usage.Counter {
+	return g.meter.pending()
+}
+
+// UsageStored implements control.Gateway.
+func (g *Gateway) UsageStored(counters []usage.Counter) {
+	g.meter.stored(time.Now(), counters)
+}
+
+// Explain implements control.Gateway.
+func (g *Gateway) Explain(requestID string) []byte {
+	return g.history.explain(requestID)
+}
--- /dev/null
+++ b/gateway/fleet.go
@@ -0,0 +1,242 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+
+	"zinniapin/control"
+	"zinniapin/invariant"
+	"zinniapin/platform"
+	"zinniapin/routing"
+	"zinniapin/target"
+	"zinniapin/zone"
+)
+
+// Constants of the fleet's view.
+const (
+	// moveMargin is how long before a target leaves its streams are moved.
+	moveMargin = 2 * time.Second
+	// defaultTargetCapacity is presumed of a target that reports none.
+	defaultTargetCapacity = 16
+	// dispatchFactor is how many requests are out at a pool for each that its
+	// targets run at once; the targets' own queues hold the rest.
+	dispatchFactor = 2
+	// minPoolShare is the least number of requests that one gateway may have
+	// out at a pool.
+	minPoolShare = 4
+)
+
+// cordon is the latest word on new work to a target.
+type cordon struct {
+	epoch uint64
+	on    bool
+}
+
+// fleet is the view of the targets and of this gateway's requests on them.
+// Choosing a target and counting the request there are one step under the
+// lock, so a cordon's count holds every request chosen before it.
+type fleet struct {
+	mu         sync.Mutex
+	router     *routing.Router
+	view       []control.TargetState
+	zones      func(zone.Name) (zone.Zone, bool)
+	cordons    map[target.ID]cordon
+	running    map[target.ID]int
+	placements map[*placement]struct{}
+}
+
+// newFleet returns an empty view.
+func newFleet(router *routing.Router) *fleet {
+	return &fleet{
+		router:     router,
+		zones:      func(zone.Name) (zone.Zone, bool) { return zone.Zone{}, false },
+		cordons:    map[target.ID]cordon{},
+		running:    map[target.ID]int{},
+		placements: map[*placement]struct{}{},
+	}
+}
+
+// placement is a request's place at its targets, held until done.
+type placement struct {
+	fleet   *fleet
+	choice  routing.Choice
+	prefill *target.Target // held until prefilled
+	// leave is called, again and again, while the target is about to leave;
+	// may be nil.
+	leave func() (moved bool)
+	ended bool
+}
+
+// choose picks targets and counts the request there.
+func (f *fleet) choose(now time.Time, q *routing.Request) (*placement, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	choice, ok := f.router.Choose(now, q)
+	if !ok {
+		return nil, false
+	}
+	p := &placement{fleet: f, choice: choice, prefill: choice.Prefill}
+	f.running[choice.Target.ID]++
+	if p.prefill != nil {
+		f.running[p.prefill.ID]++
+	}
+	f.placements[p] = struct{}{}
+	return p, true
+}
+
+// usable tells whether the placement's target may take another attempt.
+func (p *placement) usable() bool {
+	p.fleet.mu.Lock()
+	defer p.fleet.mu.Unlock()
+	for i := range p.fleet.view {
+		s := &p.fleet.view[i]
+		if s.Target.ID == p.choice.Target.ID {
+			return s.State == platform.Live && !s.Cordoned
+		}
+	}
+	return false
+}
+
+// onLeave sets what to do when the target is about to leave; nil clears it.
+func (p *placement) onLeave(leave func() bool) {
+	p.fleet.mu.Lock()
+	defer p.fleet.mu.Unlock()
+	p.leave = leave
+}
+
+// prefilled gives the prefill engine free.
+func (p *placement) prefilled(now time.Time) {
+	p.fleet.mu.Lock()
+	defer p.fleet.mu.Unlock()
+	p.freePrefill(now)
+}
+
+// freePrefill gives the prefill engine free. The lock is held.
+func (p *placement) freePrefill(now time.Time) {
+	if p.prefill == nil {
+		return
+	}
+	p.fleet.free(p.prefill.ID)
+	p.prefill = nil
+	p.fleet.router.Prefilled(now, &p.choice)
+}
+
+// done ends the placement.
+func (p *placement) done(now time.Time, failed bool) {
+	p.fleet.mu.Lock()
+	defer p.fleet.mu.Unlock()
+	if p.ended {
+		return
+	}
+	p.ended = true
+	p.freePrefill(now)
+	p.fleet.free(p.choice.Target.ID)
+	delete(p.fleet.placements, p)
+	p.fleet.router.Done(now, &p.choice, failed)
+}
+
+// free counts one request less at a target. The lock is held.
+func (f *fleet) free(id target.ID) {
+	f.running[id]--
+	invariant.Check(f.running[id] >= 0, "fleet_running", "%s: %d", id, f.running[id])
+	if f.running[id] == 0 {
+		delete(f.running, id)
+	}
+}
+
+// observe replaces the view. A cordon heard directly stays in force over a
+// view with a lower epoch.
+func (f *fleet) observe(now time.Time, view []control.TargetState) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.view = append([]control.TargetState(nil), view...)
+	for i := range f.view {
+		s := &f.view[i]
+		known, ok := f.cordons[s.Target.ID]
+		if ok && known.epoch > s.CordonEpoch {
+			s.CordonEpoch, s.Cordoned = known.epoch, known.on
+			continue
+		}
+		f.cordons[s.Target.ID] = cordon{s.CordonEpoch, s.Cordoned}
+	}
+	f.router.Observe(now, f.view, f.zones)
+}
+
+// setZones replaces the map of zones.
+func (f *fleet) setZones(now time.Time, zones func(zone.Name) (zone.Zone, bool)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.zones = zones
+	f.router.Observe(now, f.view, zones)
+}
+
+// setCordon stops or allows new work and returns the number of requests at
+// the target.
+func (f *fleet) setCordon(now time.Time, id target.ID, epoch uint64, lift bool) (running int, changed bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if epoch < f.cordons[id].epoch {
+		return f.running[id], false
+	}
+	f.cordons[id] = cordon{epoch, !lift}
+	for i := range f.view {
+		s := &f.view[i]
+		if s.Target.ID == id {
+			s.CordonEpoch, s.Cordoned = epoch, !lift
+		}
+	}
+	f.router.Observe(now, f.view, f.zones)
+	return f.running[id], true
+}
+
+// leaving returns what to call for the streams on targets that are about to
+// leave.
+func (f *fleet) leaving(now time.Time) []func() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	ends := map[target.ID]bool{}
+	for i := range f.view {
+		s := &f.view[i]
+		soon := s.State == platform.Leaving && !now.Before(s.LeavesAt.Add(-moveMargin))
+		if soon || s.State == platform.Gone {
+			ends[s.Target.ID] = true
+		}
+	}
+	var moves []func() bool
+	for p := range f.placements {
+		if p.leave != nil && ends[p.choice.Target.ID] {
+			moves = append(moves, p.leave)
+		}
+	}
+	return moves
+}
+
+// capacities returns how many requests this gateway may have out at each
+// pool, given the number of live gateways.
+func (f *fleet) capacities(gateways int) map[string]int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	total := map[string]int{}
+	for i := range f.view {
+		s := &f.view[i]
+		total[s.Target.Pool] += capacity(s)
+	}
+	for name, n := range total {
+		if n > 0 {
+			total[name] = max(minPoolShare, (n*dispatchFactor+gateways-1)/gateways)
+		}
+	}
+	return total
+}
+
+// capacity returns how many requests a target runs at once, 0 when it takes
+// no new work.
+func capacity(s *control.TargetState) int {
+	if s.State != platform.Live || s.Cordoned {
+		return 0
+	}
+	if s.Report.Capacity <= 0 {
+		return defaultTargetCapacity
+	}
+	return s.Report.Capacity
+}
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,166 @@
+// Package gateway is the data path: it takes callers' requests, checks keys
+// and limits, queues, routes, retries and resumes them, and counts their use.
+// It serves on through any outage of the platform or of the controllers.
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+
+	"zinniapin/admission"
+	"zinniapin/claim"
+	"zinniapin/contract"
+	"zinniapin/control"
+	"zinniapin/machine"
+	"zinniapin/result"
+	"zinniapin/routing"
+	"zinniapin/settings"
+	"zinniapin/target"
+)
+
+// Options are what a gateway is made of.
+type Options struct {
+	// Process is this incarnation.
+	Process machine.Process
+	// Settings must have been checked.
+	Settings settings.Gateway
+	// ResumeKey signs resume tokens; at least MinResumeKeyBytes, the same on
+	// every gateway.
+	ResumeKey []byte
+	// Engines sends requests to model engines.
+	Engines target.Requests
+	// Services calls plain services; nil means over HTTP.
+	Services Services
+	// Claims keeps non-repeatable requests to one run.
+	Claims claim.Registry
+	// Uplink links to the controllers; it may be nil in tests.
+	Uplink control.Uplink
+	// Log takes the log lines.
+	Log zerolog.Logger
+	// Registry takes the metrics.
+	Registry *prometheus.Registry
+	// Seed breaks ties in routing.
+	Seed uint64
+}
+
+// Gateway serves callers. It implements control.Gateway for the controllers'
+// side and http.Handler for callers.
+type Gateway struct {
+	options  Options
+	log      zerolog.Logger
+	handler  http.Handler
+	snapshot atomic.Pointer[contract.Snapshot]
+	fleet    *fleet
+	meter    *meter
+	budget   *retryBudget
+	history  *history
+	metrics  *metrics
+	bodies   *bodyBudget
+
+	mu           sync.Mutex // guards admission and connectivity
+	admission    *admission.Core
+	connectivity control.Connectivity
+	aloneSince   time.Time // zero while a controller is reached
+
+	draining atomic.Bool
+	inFlight atomic.Int64
+}
+
+var _ control.Gateway = (*Gateway)(nil)
+
+// New returns a gateway that is not ready until it has a configuration.
+func New(o Options) (*Gateway, error) {
+	if len(o.ResumeKey) < MinResumeKeyBytes {
+		return nil, result.New(result.BadSettings, "the key has %d bytes, needs %d", len(o.ResumeKey), MinResumeKeyBytes).At("resume_key_file")
+	}
+	if o.Services == nil {
+		o.Services = NewHTTPServices()
+	}
+	if o.Registry == nil {
+		o.Registry = prometheus.NewRegistry()
+	}
+	g := &Gateway{
+		options:    o,
+		log:        o.Log,
+		fleet:      newFleet(routing.New(o.Process.Zone, o.Seed)),
+		meter:      newMeter(o.Process.ID()),
+		budget:     newRetryBudget(),
+		history:    newHistory(),
+		bodies:     newBodyBudget(maxBodiesBytes),
+		admission:  admission.New(o.Settings.QueueLength),
+		aloneSince: time.Now(),
+	}
+	g.metrics = newMetrics(o.Registry, g)
+	g.handler = g.routes()
+	return g, nil
+}
+
+// Ready returns why the gateway takes no requests, or nil.
+func (g *Gateway) Ready() error {
+	if g.draining.Load() {
+		return result.New(result.ShuttingDown, "the gateway is shutting down").Retry(retryElsewhere)
+	}
+	return g.serving()
+}
+
+// serving returns why the gateway must refuse requests, or nil. A gateway
+// that stops still serves what reaches it.
+func (g *Gateway) serving() error {
+	if g.snapshot.Load() == nil {
+		return result.New(result.NotReady, "there is no configuration yet").Retry(retryElsewhere)
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.alone(time.Now()) {
+		return result.New(result.NotReady, "the configuration cannot be confirmed").Retry(retryElsewhere)
+	}
+	return nil
+}
+
+// alone tells whether the gateway has reached no controller for too long. A
+// gateway that hears from controllers that the store is down for most serves
+// on: nobody can have accepted a newer configuration that others have. Alone,
+// it may have missed the withdrawal of a key, so it refuses. What remains
+// open is the time until it notices, which the setting alone_ms bounds. The
+// lock is held.
+func (g *Gateway) alone(now time.Time) bool {
+	if g.aloneSince.IsZero() {
+		return false
+	}
+	return now.Sub(g.aloneSince) > settings.Millis(g.options.Settings.AloneMillis)
+}
+
+// attemptID returns an id that no other attempt has.
+func (g *Gateway) attemptID(requestID string, attempt int) string {
+	return fmt.Sprintf("%s-%d-%08x", requestID, attempt, rand.Uint32())
+}
+
+// requestID returns an id that no other request has.
+func requestID() string {
+	return fmt.Sprintf("%016x%016x", rand.Uint64(), rand.Uint64())
+}
+
+// maintain does what falls due with time, until ctx ends.
+func (g *Gateway) maintain(ctx context.Context) {
+	tick := time.NewTicker(maintainInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-tick.C:
+			g.moveStreams(now)
+			g.mu.Lock()
+			g.admission.Sweep(now)
+			g.mu.Unlock()
+		}
+	}
+}
--- /dev/null
+++ b/gateway/resume.go
@@ -0,0 +1,103 @@
+package gateway
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/base64"
+	"encoding/binary"
+	"hash"
+	"time"
+
+	"zinniapin/result"
+)
+
+// MinResumeKeyBytes is the least length of the key that signs resume tokens.
+const MinResumeKeyBytes = 32
+
+// Form of a resume token: version, expiry, offset, three digests, signature.
+const (
+	resumeVersion      = 1
+	resumeDigestBytes  = 16
+	resumePayloadBytes = 1 + 8 + 4 + 3*resumeDigestBytes
+	resumeTokenBytes   = resumePayloadBytes + sha256.Size
+)
+
+// resumeDigest is a truncated SHA-256.
+type resumeDigest [resumeDigestBytes]byte
+
+// resumeDigestOf returns the digest of the parts, which cannot run together.
+func resumeDigestOf(parts ...string) resumeDigest {
+	h := sha256.New()
+	var length [8]byte
+	for _, part := range parts {
+		binary.BigEndian.PutUint64(length[:], uint64(len(part)))
+		h.Write(length[:])
+		h.Write([]byte(part))
+	}
+	return truncate(h)
+}
+
+// truncate returns the truncated sum of a hash.
+func truncate(h hash.Hash) resumeDigest {
+	var d resumeDigest
+	copy(d[:], h.Sum(nil))
+	return d
+}
+
+// resumePoint is what a resume token says: how far an answer was delivered.
+// A gateway keeps no state for it; whoever holds the key can check it.
+type resumePoint struct {
+	expires      time.Time // whole seconds
+	offset       uint32    // output tokens delivered
+	organisation resumeDigest
+	request      resumeDigest
+	delivered    resumeDigest // of the text delivered so far
+}
+
+// encodeResume signs a resume point.
+func encodeResume(key []byte, p resumePoint) string {
+	token := make([]byte, 0, resumeTokenBytes)
+	token = append(token, resumeVersion)
+	token = binary.BigEndian.AppendUint64(token, uint64(p.expires.Unix()))
+	token = binary.BigEndian.AppendUint32(token, p.offset)
+	token = append(token, p.organisation[:]...)
+	token = append(token, p.request[:]...)
+	token = append(token, p.delivered[:]...)
+	token = append(token, resumeSignature(key, token)...)
+	return base64.RawURLEncoding.EncodeToString(token)
+}
+
+// resumeSignature signs the payload of a token.
+func resumeSignature(key, payload []byte) []byte {
+	mac := hmac.New(sha256.New, key)
+	mac.Write(payload)
+	return mac.Sum(nil)
+}
+
+// decodeResume checks a token's signature and expiry.
+func decodeResume(key []byte, text string, now time.Time) (resumePoint, error) {
+	var p resumePoint
+	rejected := result.New(result.ResumeRejected, "the resume token is not valid").At("header Last-Event-ID")
+	if len(text) != base64.RawURLEncoding.EncodedLen(resumeTokenBytes) {
+		return p, rejected
+	}
+	token, err := base64.RawURLEncoding.Strict().DecodeString(text)
+	if err != nil || token[0] != resumeVersion {
+		return p, rejected
+	}
+	payload, signature := token[:resumePayloadBytes], token[resumePayloadBytes:]
+	if subtle.ConstantTimeCompare(signature, resumeSignature(key, payload)) != 1 {
+		return p, rejected
+	}
+	p.expires = time.Unix(int64(binary.BigEndian.Uint64(payload[1:])), 0)
+	p.offset = binary.BigEndian.Uint32(payload[9:])
+	digests := payload[13:]
+	copy(p.organisation[:], digests)
+	copy(p.request[:], digests[resumeDigestBytes:])
+	copy(p.delivered[:], digests[2*resumeDigestBytes:])
+	if now.After(p.expires) {
+		return p, result.New(result.ResumeRejected, "the resume token has expired").At("header Last-Event-ID")
+	}
+	return p, nil
+}
--- /dev/null
+++ b/gateway/service.go
@@ -0,0 +1,254 @@
+package gateway
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/binary"
+	"net/http"
+	"net/url"
+	"slices"
+	"strings"
+	"time"
+
+	"zinniapin/admission"
+	"zinniapin/contract"
+	"zinniapin/result"
+	"zinniapin/routing"
+	"zinniapin/settings"
+	"zinniapin/usage"
+)
+
+// Headers and bounds of calls of plain services.
+const (
+	servicesPrefix       = "/v1/services/"
+	headerIdempotency    = "Idempotency-Key"
+	headerReplayed       = "Idempotent-Replayed"
+	maxIdempotencyBytes  = 255
+	defaultRouteTimeout  = 30 * time.Second
+	openRouteRate        = 200.0 // requests a second for all callers together
+	openRouteConcurrency = 256
+)
+
+// forwardedHeaders are the only headers of a caller that a service sees.
+var forwardedHeaders = []string{"Accept", "Accept-Language", "Content-Type", "If-Match", "If-None-Match", "User-Agent"}
+
+// returnedHeaders are the only headers of a service that a caller sees.
+var returnedHeaders = []string{"Cache-Control", "Content-Disposition", "Content-Language", "Content-Type", "Etag", "Last-Modified", "Location", "Retry-After"}
+
+// serviceCall is a call of a plain service under way.
+type serviceCall struct {
+	gateway   *Gateway
+	call      *call
+	contract  *contract.Contract // nil on an open route
+	service   *contract.Service
+	route     *contract.Route
+	request   ServiceRequest
+	query     routing.Request
+	execution execution
+	attempts  int
+}
+
+// organisation returns whom the call runs for; empty on an open route.
+func (s *serviceCall) organisation() string {
+	if s.contract == nil {
+		return ""
+	}
+	return s.contract.Organisation
+}
+
+// service serves /v1/services/{service}/{rest}.
+func (g *Gateway) service(w http.ResponseWriter, r *http.Request, c *call) error {
+	s, err := g.matchService(r, c)
+	if err != nil {
+		return err
+	}
+	body, free, err := g.readBody(w, r)
+	if err != nil {
+		return err
+	}
+	defer free()
+	if err := c.credential.refuseKeyIn(r.URL, body); err != nil {
+		return err
+	}
+	s.request.Body = body
+	s.request.Header = s.targetHeaders(r.Header)
+	if s.route.Repeatable || s.contract == nil {
+		answer, err := s.admitted(r.Context(), s.repeatable)
+		return s.answer(w, answer, err)
+	}
+	key, err := idempotencyKey(r.Header, c.credential)
+	if err != nil {
+		return err
+	}
+	return s.once(w, key)
+}
+
+// matchService finds the service and route of a call and checks that the
+// caller may use it.
+func (g *Gateway) matchService(r *http.Request, c *call) (*serviceCall, error) {
+	snapshot := g.snapshot.Load()
+	name, rest, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, servicesPrefix), "/")
+	path := "/" + rest
+	missing := result.New(result.NoSuchRoute, "no route %s of this service", r.Method)
+	if unclean(path) {
+		return nil, result.New(result.BadRequest, "the path has empty, '.' or '..' segments").At("path")
+	}
+	service := snapshot.Service(name)
+	if service == nil {
+		return nil, missing
+	}
+	route := matchRoute(service, r.Method, path)
+	if route == nil {
+		return nil, missing
+	}
+	s := &serviceCall{gateway: g, call: c, service: service, route: route}
+	if !route.Open {
+		k, err := authenticate(snapshot, c.credential)
+		if err != nil {
+			return nil, err
+		}
+		if !slices.Contains(k.Services, name) {
+			return nil, missing
+		}
+		s.contract = k
+	}
+	s.request = ServiceRequest{Method: r.Method, Path: path, Query: r.URL.RawQuery}
+	s.query = routing.Request{Pool: name, StableOnly: !route.Repeatable}
+	if s.contract != nil {
+		s.query.Priority = s.contract.Priority
+		s.query.StableOnly = s.query.StableOnly || s.contract.StableOnly
+	}
+	return s, nil
+}
+
+// unclean tells whether a service could read a path otherwise than the routes
+// were matched with it.
+func unclean(path string) bool {
+	for i, segment := range strings.Split(path[1:], "/") {
+		last := i == strings.Count(path[1:], "/")
+		if segment == "." || segment == ".." || segment == "" && !last {
+			return true
+		}
+	}
+	return strings.ContainsAny(path, "\\\x00")
+}
+
+// matchRoute returns the first route that matches, or nil.
+func matchRoute(s *contract.Service, method, path string) *contract.Route {
+	for i := range s.Routes {
+		route := &s.Routes[i]
+		if route.Method != method {
+			continue
+		}
+		prefix, open := strings.CutSuffix(route.Path, "*")
+		if path == route.Path || open && strings.HasPrefix(path, prefix) {
+			return route
+		}
+	}
+	return nil
+}
+
+// targetHeaders returns the headers for the target: those on the allow-list,
+// without any that holds the key.
+func (s *serviceCall) targetHeaders(from http.Header) http.Header {
+	h := http.Header{}
+	for _, name := range forwardedHeaders {
+		if values := from.Values(name); len(values) > 0 && !s.call.credential.within(values...) {
+			h[name] = slices.Clone(values)
+		}
+	}
+	h.Set(headerRequestID, s.call.id)
+	if s.contract != nil {
+		h.Set("Zinnia-Organisation", s.contract.Organisation)
+	}
+	return h
+}
+
+// idempotencyKey reads the header that a non-repeatable call needs.
+func idempotencyKey(h http.Header, c *credential) (string, error) {
+	key := h.Get(headerIdempotency)
+	if key == "" {
+		return "", result.New(result.NeedsIdempotency, "the header is missing").At("header " + headerIdempotency)
+	}
+	if len(key) > maxIdempotencyBytes {
+		return "", result.New(result.TooLarge, "more than %d bytes", maxIdempotencyBytes).At("header " + headerIdempotency)
+	}
+	if c.within(key) {
+		return "", result.New(result.KeyInContent, "the key stands in a header").At("header " + headerIdempotency)
+	}
+	return key, nil
+}
+
+// openContract bounds the callers of open routes, who have no organisation.
+var openContract = &contract.Contract{Limits: contract.Limits{RequestsPerSecond: openRouteRate, Concurrency: openRouteConcurrency}}
+
+// admitted runs a call within admission and the route's time.
+func (s *serviceCall) admitted(ctx context.Context, run func(context.Context) (ServiceAnswer, error)) (ServiceAnswer, error) {
+	k := s.contract
+	if k == nil {
+		k = openContract
+	}
+	ticket, err := s.gateway.admit(ctx, admission.Request{
+		Organisation: k.Organisation,
+		Contract:     k,
+		Pool:         s.service.Name,
+		Cost:         1,
+		Deadline:     s.call.arrived.Add(min(s.timeout(), settings.Millis(s.gateway.options.Settings.FirstTokenMillis))),
+	})
+	if err != nil {
+		return ServiceAnswer{}, err
+	}
+	defer s.gateway.leave(ticket, s.service.Name, 0)
+	ctx, cancel := context.WithTimeout(ctx, s.timeout())
+	defer cancel()
+	answer, err := run(ctx)
+	if s.execution.state == result.Ran {
+		s.gateway.meter.add(time.Now(), s.organisation(), usage.Amount{Calls: 1})
+	}
+	return answer, err
+}
+
+// timeout returns the bound on the call.
+func (s *serviceCall) timeout() time.Duration {
+	if s.route.TimeoutMillis == 0 {
+		return defaultRouteTimeout
+	}
+	return settings.Millis(s.route.TimeoutMillis)
+}
+
+// answer gives the caller the service's answer.
+func (s *serviceCall) answer(w http.ResponseWriter, a ServiceAnswer, err error) error {
+	if err != nil {
+		return s.execution.stamp(err)
+	}
+	for _, name := range returnedHeaders {
+		if values := a.Header.Values(name); len(values) > 0 {
+			w.Header()[name] = values
+		}
+	}
+	w.WriteHeader(a.Status)
+	_, _ = w.Write(a.Body) // a caller that is gone needs no answer
+	return nil
+}
+
+// digest returns what tells two calls under one idempotency key apart.
+func (s *serviceCall) digest() [32]byte {
+	h := sha256.New()
+	var length [8]byte
+	parts := []string{s.service.Name, s.request.Method, s.request.Path, canonicalQuery(s.request.Query), s.request.Header.Get("Content-Type"), string(s.request.Body)}
+	for _, part := range parts {
+		binary.BigEndian.PutUint64(length[:], uint64(len(part)))
+		h.Write(length[:])
+		h.Write([]byte(part))
+	}
+	return [32]byte(h.Sum(nil))
+}
+
+// canonicalQuery orders a query, which some clients do not.
+func canonicalQuery(raw string) string {
+	values, err := url.ParseQuery(raw)
+	if err != nil {
+		return raw
+	}
+	return values.Encode()
+}
--- /dev/null
+++ b/gateway/servicerun.go
@@ -0,0 +1,180 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"zinniapin/claim"
+	"zinniapin/event"
+	"zinniapin/result"
+	"zinniapin/target"
+)
+
+// Bounds of claims.
+const (
+	// maxKeptAnswerBytes bounds an answer that is kept for replay: the object
+	// API holds a megabyte, and the answer is encoded in it.
+	maxKeptAnswerBytes = 512 << 10
+	// claimCloseTimeout bounds the recording of an outcome.
+	claimCloseTimeout = 10 * time.Second
+)
+
+// repeatable makes attempts until one is answered, the budget is used up or
+// time is over.
+func (s *serviceCall) repeatable(ctx context.Context) (ServiceAnswer, error) {
+	s.gateway.budget.earn()
+	for {
+		answer, err := s.attempt(ctx)
+		if err == nil || !isTargetError(err) {
+			return answer, err
+		}
+		free := errors.Is(err, target.ErrNotSent)
+		if ctx.Err() != nil || s.attempts >= maxAttempts || !free && !s.gateway.budget.spend() {
+			return answer, s.final(ctx, err)
+		}
+	}
+}
+
+// guarded makes attempts at a call that may run at most once: another target
+// is tried only when no byte reached the last one, or on its own word that it
+// did not run the call.
+func (s *serviceCall) guarded(ctx context.Context) (ServiceAnswer, error) {
+	for {
+		answer, err := s.attempt(ctx)
+		if err == nil || !isTargetError(err) {
+			return answer, err
+		}
+		if s.execution.state != result.NotRun || ctx.Err() != nil || s.attempts >= maxAttempts {
+			return answer, s.final(ctx, err)
+		}
+	}
+}
+
+// attempt makes one attempt at a target not tried yet.
+func (s *serviceCall) attempt(ctx context.Context) (ServiceAnswer, error) {
+	if s.contract != nil {
+		if _, err := authenticate(s.gateway.snapshot.Load(), s.call.credential); err != nil {
+			return ServiceAnswer{}, err
+		}
+	}
+	place, ok := s.gateway.fleet.choose(time.Now(), &s.query)
+	if !ok && s.attempts > 0 {
+		return ServiceAnswer{}, result.New(result.TargetRefused, "%d targets tried", s.attempts).Retry(retryElsewhere)
+	}
+	if !ok {
+		return ServiceAnswer{}, result.New(result.NoTarget, "no live target serves %s", s.service.Name).Retry(retryElsewhere)
+	}
+	s.attempts++
+	s.gateway.routed(s.call, s.organisation(), "", &place.choice)
+	answer, err := s.gateway.options.Services.Call(ctx, place.choice.Target, s.request)
+	place.done(time.Now(), err != nil)
+	s.query.Exclude = append(s.query.Exclude, place.choice.Target.ID)
+	s.execution.record(err, false)
+	s.ended(place.choice.Target.ID, err)
+	return answer, err
+}
+
+// ended logs and counts the end of an attempt.
+func (s *serviceCall) ended(id target.ID, err error) {
+	outcome := "whole"
+	if err != nil {
+		outcome = attemptExecution(err, false).String()
+	}
+	s.gateway.metrics.attempts.WithLabelValues(outcome).Inc()
+	if err != nil {
+		event.AttemptFailed.Log(&s.gateway.log).Str("request", s.call.id).Str("target", string(id)).Str("outcome", outcome).Err(err).Send()
+	}
+}
+
+// final returns the result of a call whose last attempt failed.
+func (s *serviceCall) final(ctx context.Context, err error) error {
+	switch {
+	case s.execution.state == result.NotRun:
+		return result.Wrap(err, result.TargetRefused, "%d attempts", s.attempts).Retry(retryElsewhere)
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return result.Wrap(err, result.TargetTimeout, "%d attempts", s.attempts)
+	default:
+		return result.Wrap(err, result.AnswerCut, "%d attempts", s.attempts)
+	}
+}
+
+// once runs a call that may run at most once. The claim comes before anything
+// is sent. A caller that goes away does not end the call: its outcome would
+// then be unknown for nothing.
+func (s *serviceCall) once(w http.ResponseWriter, key string) error {
+	ctx := context.Background()
+	begin, cancel := context.WithTimeout(ctx, s.timeout())
+	defer cancel()
+	id := claim.ID{Organisation: s.organisation(), IdempotencyKey: key}
+	outcome, err := s.gateway.options.Claims.Begin(begin, id, s.digest())
+	if err != nil {
+		return s.execution.stamp(claimError(err))
+	}
+	if outcome.Ticket == nil {
+		return s.earlier(w, outcome)
+	}
+	s.request.Header.Set(headerTargetIdempotency, key)
+	answer, err := s.admitted(ctx, s.guarded)
+	closed := s.closeClaim(*outcome.Ticket, answer, err)
+	if closed != nil {
+		event.ClaimNotClosed.Log(&s.gateway.log).Str("request", s.call.id).Str("organisation", id.Organisation).
+			Str("execution", s.execution.state.String()).Err(closed).Send()
+	}
+	return s.answer(w, answer, err)
+}
+
+// claimError returns a failure of the registry as a refusal.
+func claimError(err error) error {
+	if result.Of(err) != nil {
+		return err
+	}
+	return result.Wrap(err, result.StoreUnavailable, "the claim could not be confirmed").Retry(retryElsewhere)
+}
+
+// closeClaim records what became of a claimed call, by the attempts' states
+// alone.
+func (s *serviceCall) closeClaim(t claim.Ticket, a ServiceAnswer, err error) error {
+	ctx, cancel := context.WithTimeout(context.Background(), claimCloseTimeout)
+	defer cancel()
+	claims := s.gateway.options.Claims
+	switch {
+	case err == nil && len(a.Body) <= maxKeptAnswerBytes:
+		kept := claim.Answer{Status: a.Status, ContentType: a.Header.Get("Content-Type"), Body: a.Body}
+		return trace.Wrap(claims.Finish(ctx, t, kept))
+	case err != nil && s.execution.state == result.NotRun:
+		return trace.Wrap(claims.Release(ctx, t))
+	default:
+		// Unknown, or an answer too large to keep: it never runs again.
+		return trace.Wrap(claims.Abandon(ctx, t))
+	}
+}
+
+// earlier answers a call whose key was claimed before.
+func (s *serviceCall) earlier(w http.ResponseWriter, o claim.Outcome) error {
+	switch {
+	case o.State == claim.Done && o.Answer != nil:
+		w.Header().Set(headerReplayed, "true")
+		return s.answer(w, ServiceAnswer{
+			Status: o.Answer.Status,
+			Header: http.Header{"Content-Type": {o.Answer.ContentType}},
+			Body:   o.Answer.Body,
+		}, nil)
+	case o.State == claim.Claimed:
+		retry := max(o.RetryAfter, retryElsewhere)
+		return s.known(result.Unknown, result.New(result.ClaimRunning, "the first call has not ended").Retry(retry))
+	case o.State == claim.NotRun:
+		return s.execution.stamp(result.New(result.ClaimNotRun, "the claim was given back").Retry(retryElsewhere))
+	default:
+		return s.known(result.Unknown, result.New(result.ClaimUnknown, "an earlier call under this key was cut off"))
+	}
+}
+
+// known returns err with what the claim tells of an earlier call's execution.
+func (s *serviceCall) known(earlier result.Execution, err *result.Error) error {
+	e := execution{max(s.execution.state, earlier)}
+	return e.stamp(err)
+}
