Wire the adapters into zinnia-gateway and test the form of answers

Cause: the adapters of engines, object API and claims have landed. Change: serve.go assembles them; services go through oncehttp; a prefill phase ends with its KV handle. Ran: go test ./gateway.

--- a/cmd/zinnia-gateway/serve.go
+++ b/cmd/zinnia-gateway/serve.go
@@ -10,12 +10,15 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
+	"zinniapin/claim"
 	"zinniapin/daemon"
 	"zinniapin/gateway"
 	"zinniapin/invariant"
 	"zinniapin/machine"
 	"zinniapin/result"
 	"zinniapin/settings"
+	"zinniapin/store/httpstore"
+	"zinniapin/target/httpengine"
 	"zinniapin/zone"
 )
 
@@ -26,11 +29,11 @@
 	log := daemon.NewLogger(os.Stderr, s.Log.Level, "zinnia-gateway", s.Host)
 	invariant.SetLogger(&log)
 	registry := daemon.NewRegistry()
-	options, err := assemble(s, log, registry)
+	parts, err := assemble(s, log, registry)
 	if err != nil {
 		return err
 	}
-	g, err := gateway.New(options)
+	g, err := gateway.New(parts.options)
 	if err != nil {
 		return err
 	}
@@ -43,16 +46,39 @@
 		return errors.Join(err, operators.Close())
 	}
 	go func() { _ = operators.Serve() }() // it ends with Close below
+	claims, endClaims := context.WithCancel(context.WithoutCancel(parent))
+	defer endClaims()
+	go parts.claims.Run(claims)
 	err = g.Run(graceful, immediate, listener)
-	return trace.Wrap(errors.Join(err, operators.Close()))
+	err = errors.Join(err, parts.end(immediate, s), operators.Close())
+	return trace.Wrap(err)
+}
+
+// parts are what the daemon keeps of the gateway's parts.
+type parts struct {
+	options gateway.Options
+	claims  *claim.Stored
+	engines *httpengine.Client
+	objects *httpstore.Store
+}
+
+// end records the outcomes of claims that the object API has not confirmed
+// yet and closes the adapters.
+func (p *parts) end(immediate context.Context, s settings.Gateway) error {
+	ctx, cancel := context.WithTimeout(immediate, settings.Millis(s.FlushMillis))
+	defer cancel()
+	err := p.claims.Flush(ctx)
+	p.engines.Close()
+	p.objects.Close()
+	return trace.Wrap(err)
 }
 
 // assemble makes the parts of the gateway. It is the one place that names the
 // adapters of the outside systems.
-func assemble(s settings.Gateway, log zerolog.Logger, registry *prometheus.Registry) (gateway.Options, error) {
+func assemble(s settings.Gateway, log zerolog.Logger, registry *prometheus.Registry) (*parts, error) {
 	key, err := os.ReadFile(s.ResumeKeyFile)
 	if err != nil {
-		return gateway.Options{}, result.Wrap(err, result.BadSettings, "cannot read the key").At("resume_key_file")
+		return nil, result.Wrap(err, result.BadSettings, "cannot read the key").At("resume_key_file")
 	}
 	self := machine.Process{
 		Host:        machine.HostID(s.Host),
@@ -61,12 +87,23 @@
 		Zone:        zone.Zone{Name: s.Zone, Region: s.Region},
 		Address:     s.Listen,
 	}
-	return gateway.Options{
-		Process:   self,
-		Settings:  s,
-		ResumeKey: key,
-		Log:       log,
-		Registry:  registry,
-		Seed:      rand.Uint64(),
+	timeout := settings.Millis(s.Platform.TimeoutMillis)
+	objects := httpstore.New(s.Platform.Objects, timeout)
+	claims := claim.NewStored(objects, claim.Options{})
+	engines := httpengine.New(httpengine.Options{})
+	return &parts{
+		options: gateway.Options{
+			Process:   self,
+			Settings:  s,
+			ResumeKey: key,
+			Engines:   engines,
+			Claims:    claims,
+			Log:       log,
+			Registry:  registry,
+			Seed:      rand.Uint64(),
+		},
+		claims:  claims,
+		engines: engines,
+		objects: objects,
 	}, nil
 }
--- a/gateway/generation.go
+++ b/gateway/generation.go
@@ -234,7 +234,7 @@
 		return err
 	}
 	n.finish = last.Finish
-	n.prompted = last.PromptTokens
+	n.prompted = max(n.prompted, last.PromptTokens)
 	return nil
 }
 
@@ -244,7 +244,7 @@
 	if err != nil {
 		return "", err
 	}
-	n.prompted = last.PromptTokens
+	n.prompted = max(n.prompted, last.PromptTokens)
 	n.finish = last.Finish
 	return last.KVHandle, nil
 }
@@ -318,6 +318,9 @@
 		n.gateway.metrics.dropped.Inc()
 		event.ChunkDropped.Log(&n.gateway.log).Str("request", n.call.id).Str("target", string(a.target.ID)).Int("offset", c.Offset).Send()
 	}
+	if c.Attempt == a.id && c.KVHandle != "" {
+		return true, nil // the end of a prefill phase
+	}
 	return n.assembly.whole(a.id, c)
 }
 
--- /dev/null
+++ b/gateway/rig_test.go
@@ -0,0 +1,304 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"zinniapin/claim"
+	"zinniapin/contract"
+	"zinniapin/control"
+	"zinniapin/internal/standin/engine"
+	"zinniapin/machine"
+	"zinniapin/platform"
+	"zinniapin/settings"
+	"zinniapin/target"
+	"zinniapin/zone"
+)
+
+const (
+	testKey   = "zk_test-key-of-kalnins"
+	otherKey  = "zk_test-key-of-sonar"
+	testModel = "m"
+)
+
+var home = zone.Zone{Name: "riga-a", Region: "baltic"}
+
+// rig is a gateway before in-memory engines.
+type rig struct {
+	g       *Gateway
+	engines *engine.Direct
+	claims  *memoryClaims
+	server  *httptest.Server
+	view    []control.TargetState
+}
+
+// testSettings are short spans for tests in real time.
+func testSettings() settings.Gateway {
+	return settings.Gateway{DrainDelayMillis: 50, AloneMillis: 60_000, FirstTokenMillis: 10_000,
+		StallMillis: 5_000, QueueLength: 256, ResumeMillis: 60_000, FlushMillis: 1_000}
+}
+
+// snapshot returns a configuration with two organisations.
+func snapshot(revision contract.Revision, change func(k, other *contract.Contract)) *contract.Snapshot {
+	limits := contract.Limits{RequestsPerSecond: 10_000, Concurrency: 1_000}
+	k := &contract.Contract{Organisation: "kalnins", Keys: []contract.Key{{Fingerprint: contract.Fingerprint(testKey)}},
+		Models: []string{testModel}, Services: []string{"desk"}, Limits: limits}
+	other := &contract.Contract{Organisation: "sonar", Keys: []contract.Key{{Fingerprint: contract.Fingerprint(otherKey)}},
+		Models: []string{testModel}, Services: []string{"desk"}, Limits: limits}
+	if change != nil {
+		change(k, other)
+	}
+	fleet := contract.Fleet{
+		Zones:  []zone.Zone{home},
+		Models: []contract.Model{{Name: testModel, Pool: "p"}, {Name: "secret", Pool: "p"}},
+		Pools:  []contract.Pool{{Name: "p"}},
+		Services: []contract.Service{{Name: "desk", Routes: []contract.Route{
+			{Method: "POST", Path: "/deposits"},
+			{Method: "POST", Path: "/drafts", Repeatable: true},
+			{Method: "GET", Path: "/tickets/*"},
+			{Method: "GET", Path: "/status/*", Repeatable: true, Open: true},
+		}}},
+	}
+	return contract.NewSnapshot(revision, fleet, []*contract.Contract{k, other})
+}
+
+// live returns the state of a live target.
+func live(id string, kind target.Kind, pool, address string) control.TargetState {
+	t := target.Target{ID: target.ID(id), Kind: kind, Class: target.Reserved, Pool: pool, Zone: home.Name, Address: address}
+	return control.TargetState{Target: t, State: platform.Live, Report: target.Report{
+		Target: t.ID, Boot: 1, Sequence: 1, Taken: time.Now(), Role: target.Mixed, Models: []string{testModel}, Capacity: 16}}
+}
+
+// newRig returns a gateway in front of engines with the given names.
+func newRig(t testing.TB, requests target.Requests, engines ...string) *rig {
+	r := &rig{engines: engine.NewDirect(), claims: newMemoryClaims()}
+	for i, name := range engines {
+		r.engines.Add(name, engine.Options{ID: target.ID(name), Seed: uint64(i + 1), Models: []string{testModel}, AnyRole: true, DecodeRate: 1e6, PrefillRate: 1e7})
+		r.view = append(r.view, live(name, target.Engine, "p", name))
+	}
+	if requests == nil {
+		requests = r.engines
+	}
+	g, err := New(Options{
+		Process:   machine.Process{Host: "h", Role: machine.Gateway, Incarnation: 7, Zone: home},
+		Settings:  testSettings(),
+		ResumeKey: bytes.Repeat([]byte("k"), MinResumeKeyBytes),
+		Engines:   requests,
+		Claims:    r.claims,
+		Log:       zerolog.Nop(),
+		Seed:      1,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.g = g
+	g.Configure(snapshot(1, nil))
+	g.Connected(control.Connectivity{Controllers: 1, LiveGateways: 1})
+	g.Observe(r.view)
+	r.server = httptest.NewServer(g)
+	t.Cleanup(r.server.Close)
+	return r
+}
+
+// send sends a request and returns the answer with its body.
+func (r *rig) send(method, path, key, body string, headers ...string) (*http.Response, string) {
+	request, err := http.NewRequest(method, r.server.URL+path, strings.NewReader(body))
+	if err != nil {
+		panic(err)
+	}
+	if key != "" {
+		request.Header.Set("Authorization", "Bearer "+key)
+	}
+	for i := 0; i+1 < len(headers); i += 2 {
+		request.Header.Set(headers[i], headers[i+1])
+	}
+	response, err := r.server.Client().Do(request)
+	if err != nil {
+		return &http.Response{}, err.Error()
+	}
+	defer response.Body.Close()
+	data, _ := io.ReadAll(response.Body)
+	return response, string(data)
+}
+
+// chat sends a chat request.
+func (r *rig) chat(prompt string, stream bool) (*http.Response, string) {
+	return r.send("POST", "/v1/chat/completions", testKey, chatRequest(prompt, stream))
+}
+
+// chatRequest returns the body of a chat request.
+func chatRequest(prompt string, stream bool) string {
+	return chatRequestWith(prompt, stream, nil)
+}
+
+// chatRequestWith returns the body of a request that resumes a stream.
+func chatRequestWith(prompt string, stream bool, delivered *string) string {
+	body := struct {
+		Model     string            `json:"model"`
+		Messages  []json.RawMessage `json:"messages"`
+		Stream    bool              `json:"stream"`
+		Options   any               `json:"stream_options,omitempty"`
+		MaxTokens int               `json:"max_tokens"`
+		Delivered *string           `json:"zinnia_delivered,omitempty"`
+	}{Model: testModel, Stream: stream, MaxTokens: 64, Delivered: delivered}
+	content, _ := json.Marshal(prompt)
+	body.Messages = []json.RawMessage{json.RawMessage(`{"role":"user","content":` + string(content) + `}`)}
+	if stream {
+		body.Options = map[string]bool{"include_usage": true}
+	}
+	encoded, _ := json.Marshal(body)
+	return string(encoded)
+}
+
+// wholeText returns the text that engines give to a prompt.
+func wholeText(prompt string) (string, int) {
+	b := chatBody{Messages: []chatMessage{{Role: "user", Content: chatContent(prompt)}}}
+	n, _ := engine.Length(testModel, b.prompt(), 64)
+	return engine.Text(testModel, b.prompt(), 0, n), n
+}
+
+// sse is an event of a stream.
+type sse struct {
+	id, name, data string
+}
+
+// events splits a stream into its events.
+func events(body string) []sse {
+	var all []sse
+	for block := range strings.SplitSeq(strings.TrimSpace(body), "\n\n") {
+		var e sse
+		for line := range strings.SplitSeq(block, "\n") {
+			name, value, _ := strings.Cut(line, ": ")
+			switch name {
+			case "id":
+				e.id = value
+			case "event":
+				e.name = value
+			case "data":
+				e.data = value
+			}
+		}
+		all = append(all, e)
+	}
+	return all
+}
+
+// streamText joins the text of events.
+func streamText(all []sse) string {
+	var b strings.Builder
+	for _, e := range all {
+		var c chatCompletion
+		if json.Unmarshal([]byte(e.data), &c) != nil || len(c.Choices) == 0 || c.Choices[0].Delta == nil || c.Choices[0].Delta.Content == nil {
+			continue
+		}
+		b.WriteString(*c.Choices[0].Delta.Content)
+	}
+	return b.String()
+}
+
+// failure decodes the body of an error.
+func failure(body string) errorDetail {
+	var e errorBody
+	_ = json.Unmarshal([]byte(body), &e)
+	return e.Error
+}
+
+// eventually polls until ok holds.
+func eventually(t testing.TB, ok func() bool) {
+	t.Helper()
+	for range 2000 {
+		if ok() {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	t.Fatal("never came true")
+}
+
+// memoryClaims keeps claims in memory.
+type memoryClaims struct {
+	mu     sync.Mutex
+	states map[claim.ID]claim.Outcome
+	digest map[claim.ID][32]byte
+	down   bool
+}
+
+func newMemoryClaims() *memoryClaims {
+	return &memoryClaims{states: map[claim.ID]claim.Outcome{}, digest: map[claim.ID][32]byte{}}
+}
+
+func (m *memoryClaims) Begin(_ context.Context, id claim.ID, digest [32]byte) (claim.Outcome, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.down {
+		return claim.Outcome{}, errors.New("down")
+	}
+	found, ok := m.states[id]
+	if ok && found.State != claim.NotRun {
+		return found, nil
+	}
+	m.states[id] = claim.Outcome{State: claim.Claimed}
+	m.digest[id] = digest
+	return claim.Outcome{Ticket: &claim.Ticket{ID: id, Attempt: "a"}}, nil
+}
+
+func (m *memoryClaims) set(t claim.Ticket, o claim.Outcome) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.states[t.ID] = o
+	return nil
+}
+
+func (m *memoryClaims) Finish(_ context.Context, t claim.Ticket, a claim.Answer) error {
+	return m.set(t, claim.Outcome{State: claim.Done, Answer: &a})
+}
+
+func (m *memoryClaims) Release(_ context.Context, t claim.Ticket) error {
+	return m.set(t, claim.Outcome{State: claim.NotRun})
+}
+
+func (m *memoryClaims) Abandon(_ context.Context, t claim.Ticket) error {
+	return m.set(t, claim.Outcome{State: claim.Unknown})
+}
+
+// TestChatForm checks the form of a whole and of a streamed answer.
+func TestChatForm(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, nil, "e1")
+	want, n := wholeText("hello")
+	response, body := r.chat("hello", false)
+	is.Equal(response.StatusCode, 200)
+	is.True(response.Header.Get(headerRequestID) != "")
+	var c chatCompletion
+	is.NoErr(json.Unmarshal([]byte(body), &c))
+	is.Equal(*c.Choices[0].Message.Content, want)
+	is.Equal(c.Usage.CompletionTokens, n)
+	response, body = r.chat("hello", true)
+	is.Equal(response.Header.Get("Content-Type"), "text/event-stream")
+	all := events(body)
+	is.Equal(streamText(all), want)
+	is.Equal(all[len(all)-1].data, "[DONE]")
+	is.True(strings.Contains(all[len(all)-2].data, `"usage"`))
+	response, body = r.send("GET", "/v1/models", testKey, "")
+	is.Equal(response.StatusCode, 200)
+	is.True(strings.Contains(body, `"m"`) && !strings.Contains(body, "secret"))
+	usage := r.g.Usage()
+	is.Equal(len(usage), 1)
+	is.Equal(usage[0].Amount.Requests, uint64(2))
+	is.Equal(usage[0].Amount.OutputTokens, uint64(2*n))
+	r.g.UsageStored(usage)
+	is.Equal(len(r.g.Usage()), 0)
+	is.True(strings.Contains(string(r.g.Explain(response.Header.Get(headerRequestID))), "[]"))
+}
--- a/gateway/servicerun.go
+++ b/gateway/servicerun.go
@@ -17,8 +17,8 @@
 // Bounds of claims.
 const (
 	// maxKeptAnswerBytes bounds an answer that is kept for replay: the object
-	// API holds a megabyte, and the answer is encoded in it.
-	maxKeptAnswerBytes = 512 << 10
+	// API holds a megabyte for each claim, answer included.
+	maxKeptAnswerBytes = 256 << 10
 	// claimCloseTimeout bounds the recording of an outcome.
 	claimCloseTimeout = 10 * time.Second
 )
--- a/gateway/services.go
+++ b/gateway/services.go
@@ -1,17 +1,14 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
-	"net/http/httptrace"
 	"net/url"
-	"sync/atomic"
 	"time"
 
+	"zinniapin/internal/oncehttp"
 	"zinniapin/target"
 )
 
@@ -55,42 +52,22 @@
 
 // HTTPServices calls plain services over HTTP.
 type HTTPServices struct {
-	transport *http.Transport
+	client *oncehttp.Client
 }
 
 // NewHTTPServices returns a client without proxies and redirects.
 func NewHTTPServices() *HTTPServices {
-	dialer := &net.Dialer{Timeout: serviceDialTimeout}
-	return &HTTPServices{&http.Transport{
-		DialContext:            dialer.DialContext,
-		MaxIdleConnsPerHost:    serviceIdleConns,
-		IdleConnTimeout:        idleTimeout,
-		MaxResponseHeaderBytes: maxHeaderBytes,
-		DisableCompression:     true,
-	}}
+	return &HTTPServices{oncehttp.New(serviceDialTimeout, serviceIdleConns)}
 }
 
-// onceBody is a body that cannot be rewound, so that net/http cannot send a
-// request a second time by itself: its transport does so on a reused
-// connection that dies early, for a request without a body or with one that
-// can be had again.
-type onceBody struct {
-	io.Reader
-}
-
-// Close implements io.Closer.
-func (onceBody) Close() error { return nil }
-
-// Call implements Services.
+// Call implements Services. The body is never nil, so that the transport
+// cannot rewind it: it would send a request without a body again by itself
+// when a reused connection dies early.
 func (s *HTTPServices) Call(ctx context.Context, t target.Target, r ServiceRequest) (ServiceAnswer, error) {
-	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
-	request, err := newServiceRequest(httptrace.WithClientTrace(ctx, trace), t, r)
-	if err != nil {
-		return ServiceAnswer{}, fmt.Errorf("%w: %w", target.ErrNotSent, err)
-	}
-	response, err := s.transport.RoundTrip(request)
-	if err != nil && !connected.Load() {
+	u := &url.URL{Scheme: "http", Host: t.Address, Path: r.Path, RawQuery: r.Query}
+	body := append([]byte{}, r.Body...)
+	response, sent, err := s.client.Do(ctx, r.Method, u.String(), r.Header, body)
+	if err != nil && !sent {
 		return ServiceAnswer{}, fmt.Errorf("%w: %w", target.ErrNotSent, err)
 	}
 	if err != nil {
@@ -100,25 +77,12 @@
 	if response.Header.Get(headerNotRun) == "true" {
 		return ServiceAnswer{}, fmt.Errorf("%w: status %d", target.ErrRefused, response.StatusCode)
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
+	answer, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
 	if err != nil {
 		return ServiceAnswer{}, fmt.Errorf("%w: %w", target.ErrBroken, err)
 	}
-	if len(body) > maxAnswerBytes {
+	if len(answer) > maxAnswerBytes {
 		return ServiceAnswer{}, fmt.Errorf("%w: the answer exceeds %d bytes", target.ErrBroken, maxAnswerBytes)
 	}
-	return ServiceAnswer{response.StatusCode, response.Header, body}, nil
-}
-
-// newServiceRequest builds the HTTP request of an attempt.
-func newServiceRequest(ctx context.Context, t target.Target, r ServiceRequest) (*http.Request, error) {
-	u := &url.URL{Scheme: "http", Host: t.Address, Path: r.Path, RawQuery: r.Query}
-	request, err := http.NewRequestWithContext(ctx, r.Method, u.String(), onceBody{bytes.NewReader(r.Body)})
-	if err != nil {
-		return nil, err
-	}
-	request.Header = r.Header.Clone()
-	request.ContentLength = int64(len(r.Body))
-	request.GetBody = nil
-	return request, nil
+	return ServiceAnswer{response.StatusCode, response.Header, answer}, nil
 }
