--- /dev/null
+++ b/gateway/generation_test.go
@@ -0,0 +1,407 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"zinniapin/contract"
+	"zinniapin/control"
+	"zinniapin/internal/standin/engine"
+	"zinniapin/platform"
+	"zinniapin/target"
+)
+
+// script is a target.Requests whose attempts follow a script.
+type script struct {
+	mu       sync.Mutex
+	attempts []target.GenerateRequest
+	targets  []target.ID
+	run      func(attempt int, t target.Target, r target.GenerateRequest) (chunks []target.Chunk, start, end error)
+	hold     chan struct{} // when set, streams wait for it after their chunks
+}
+
+func (s *script) Generate(ctx context.Context, t target.Target, r target.GenerateRequest) (target.Stream, error) {
+	s.mu.Lock()
+	s.attempts = append(s.attempts, r)
+	s.targets = append(s.targets, t.ID)
+	chunks, start, end := s.run(len(s.attempts)-1, t, r)
+	s.mu.Unlock()
+	if start != nil {
+		return nil, start
+	}
+	return &scriptStream{ctx: ctx, chunks: chunks, end: end, hold: s.hold}, nil
+}
+
+// count returns the number of attempts so far.
+func (s *script) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.attempts)
+}
+
+// scriptStream gives its chunks and then its error.
+type scriptStream struct {
+	ctx    context.Context
+	chunks []target.Chunk
+	end    error
+	hold   chan struct{}
+}
+
+func (s *scriptStream) Next() (target.Chunk, error) {
+	if len(s.chunks) == 1 && s.hold != nil {
+		select {
+		case <-s.hold:
+		case <-s.ctx.Done():
+			return target.Chunk{}, fmt.Errorf("%w: %w", target.ErrBroken, s.ctx.Err())
+		}
+	}
+	if len(s.chunks) == 0 {
+		if s.end == nil {
+			return target.Chunk{}, io.EOF
+		}
+		return target.Chunk{}, s.end
+	}
+	c := s.chunks[0]
+	s.chunks = s.chunks[1:]
+	return c, nil
+}
+
+func (s *scriptStream) Close() error { return nil }
+
+// pieces returns the chunks of an attempt up to a token, of n in all, and the
+// end marker when it gets there.
+func pieces(r target.GenerateRequest, upTo, n int) []target.Chunk {
+	var chunks []target.Chunk
+	for i := r.Offset; i < min(upTo, n); i++ {
+		chunks = append(chunks, target.Chunk{Attempt: r.Attempt, Offset: i, Tokens: 1, Text: fmt.Sprintf("t%d ", i)})
+	}
+	if upTo >= n {
+		chunks = append(chunks, target.Chunk{Attempt: r.Attempt, Offset: n, Done: true, Finish: "stop", PromptTokens: 5, OutputTokens: n})
+	}
+	return chunks
+}
+
+// joined returns the whole scripted answer.
+func joined(n int) string {
+	var b strings.Builder
+	for i := range n {
+		fmt.Fprintf(&b, "t%d ", i)
+	}
+	return b.String()
+}
+
+// TestCrossedAndLateChunks checks that chunks of other attempts, repeated and
+// late ones change nothing.
+func TestCrossedAndLateChunks(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, nil, "e1")
+	e := r.engines.Add("e1", engine.Options{ID: "e1", Models: []string{testModel}, DecodeRate: 1e6, PrefillRate: 1e7})
+	want, _ := wholeText("crossed")
+	for range 20 {
+		e.SetFaults(engine.Faults{Cross: 3, Duplicate: 2, LateChunks: 2})
+		response, body := r.chat("crossed", true)
+		is.Equal(response.StatusCode, 200)
+		all := events(body)
+		is.Equal(streamText(all), want)
+		is.Equal(all[len(all)-1].data, "[DONE]")
+	}
+}
+
+// TestBrokenStreamResumes checks that a stream that breaks goes on with each
+// token once.
+func TestBrokenStreamResumes(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, nil, "e1", "e2")
+	want, n := wholeText("broken")
+	for after := range 6 {
+		for _, name := range []string{"e1", "e2"} {
+			e := r.engines.Add(name, engine.Options{ID: target.ID(name), Models: []string{testModel}, DecodeRate: 1e6, PrefillRate: 1e7})
+			e.SetFaults(engine.Faults{BreakStreams: 1, BreakAfter: after})
+		}
+		response, body := r.chat("broken", false)
+		is.Equal(response.StatusCode, 200)
+		is.True(strings.Contains(body, want))
+		is.True(strings.Contains(body, fmt.Sprintf(`"completion_tokens":%d`, n)))
+	}
+}
+
+// TestGapIsNotPassedOn checks that missing tokens end the attempt.
+func TestGapIsNotPassedOn(t *testing.T) {
+	is := is.New(t)
+	s := &script{run: func(i int, _ target.Target, r target.GenerateRequest) ([]target.Chunk, error, error) {
+		chunks := pieces(r, 6, 6)
+		if i == 0 {
+			chunks = slices.Delete(chunks, 2, 3)
+		}
+		return chunks, nil, nil
+	}}
+	r := newRig(t, s, "e1", "e2")
+	_, body := r.chat("gap", true)
+	is.Equal(streamText(events(body)), joined(6))
+	is.Equal(s.attempts[1].Offset, 2)
+	is.Equal(s.attempts[1].Delivered, joined(2))
+}
+
+// TestCutAnswerIsNotWhole checks that an answer without its end marker is
+// told as cut, and that its tokens are counted.
+func TestCutAnswerIsNotWhole(t *testing.T) {
+	is := is.New(t)
+	s := &script{run: func(_ int, _ target.Target, r target.GenerateRequest) ([]target.Chunk, error, error) {
+		return pieces(r, 3, 9), nil, nil
+	}}
+	r := newRig(t, s, "e1", "e2")
+	response, body := r.chat("cut", false)
+	is.Equal(response.StatusCode, 502)
+	is.Equal(failure(body).Code, "answer_incomplete")
+	is.Equal(failure(body).Execution, "ran")
+	is.True(response.Header.Get("Retry-After") != "")
+	is.True(s.count() <= maxAttempts)
+	_, body = r.chat("cut", true)
+	all := events(body)
+	is.Equal(streamText(all), joined(3))
+	is.Equal(all[len(all)-1].name, "error")
+	is.True(!strings.Contains(body, "[DONE]"))
+	is.Equal(r.g.Usage()[0].Amount.OutputTokens, uint64(6))
+}
+
+// TestRetriesAreBounded checks that a fleet that refuses everything gets few
+// retries in all.
+func TestRetriesAreBounded(t *testing.T) {
+	is := is.New(t)
+	s := &script{run: func(int, target.Target, target.GenerateRequest) ([]target.Chunk, error, error) {
+		return nil, target.ErrRefused, nil
+	}}
+	r := newRig(t, s, "e1", "e2", "e3")
+	const requests = 200
+	for range requests {
+		response, body := r.chat("refused", false)
+		is.Equal(response.StatusCode, 503)
+		is.Equal(failure(body).Execution, "not_run")
+	}
+	is.True(s.count() <= requests+requests*2/10+retryReserve)
+}
+
+// TestNotRunIsTrue checks over scripted attempts that "not run" is said only
+// when no attempt can have run, and "unknown" only when none answered.
+func TestNotRunIsTrue(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		kinds := rapid.SliceOfN(rapid.SampledFrom([]string{"not_sent", "refused", "lost", "cut", "whole"}), maxAttempts, maxAttempts).Draw(rt, "attempts")
+		seen := []string{}
+		s := &script{run: func(i int, _ target.Target, r target.GenerateRequest) ([]target.Chunk, error, error) {
+			kind := kinds[min(i, len(kinds)-1)]
+			seen = append(seen, kind)
+			switch kind {
+			case "not_sent":
+				return nil, target.ErrNotSent, nil
+			case "refused":
+				return nil, target.ErrRefused, nil
+			case "lost":
+				return nil, target.ErrBroken, nil
+			case "cut":
+				return pieces(r, r.Offset+1, 99), nil, target.ErrBroken
+			default:
+				return pieces(r, 9, 9), nil, nil
+			}
+		}}
+		r := newRig(t, s, "e1", "e2", "e3")
+		defer r.server.Close()
+		response, body := r.chat("truth", false)
+		want := "not_run"
+		for _, kind := range seen {
+			if kind == "lost" && want == "not_run" {
+				want = "unknown"
+			}
+			if kind == "cut" || kind == "whole" {
+				want = "ran"
+			}
+		}
+		if response.StatusCode == http.StatusOK {
+			if seen[len(seen)-1] != "whole" {
+				rt.Fatalf("whole answer after %v", seen)
+			}
+			return
+		}
+		if got := failure(body).Execution; got != want {
+			rt.Fatalf("%q after %v", got, seen)
+		}
+	})
+}
+
+// TestWithdrawnKeyInQueue checks that a queued request of a withdrawn key is
+// refused unrun, and that the answer under way is finished.
+func TestWithdrawnKeyInQueue(t *testing.T) {
+	is := is.New(t)
+	s := &script{hold: make(chan struct{}), run: func(_ int, _ target.Target, r target.GenerateRequest) ([]target.Chunk, error, error) {
+		return pieces(r, 4, 4), nil, nil
+	}}
+	r := newRig(t, s, "e1")
+	const requests = 40 // more than the 32 that are out at one engine
+	answers := make(chan string, requests)
+	for range requests {
+		go func() {
+			response, body := r.chat("queued", false)
+			answers <- fmt.Sprint(response.StatusCode, failure(body).Execution)
+		}()
+	}
+	eventually(t, func() bool { return s.count() == 32 && r.g.queued("p") == requests-32 })
+	r.g.Configure(snapshot(2, func(k, _ *contract.Contract) { k.Keys[0].Withdrawn = true }))
+	r.g.Configure(snapshot(1, nil)) // an older one is ignored
+	close(s.hold)
+	counts := map[string]int{}
+	for range requests {
+		counts[<-answers]++
+	}
+	is.Equal(counts, map[string]int{"200": 32, "401not_run": requests - 32})
+	is.Equal(s.count(), 32)
+	response, _ := r.chat("later", false)
+	is.Equal(response.StatusCode, 401)
+}
+
+// queued returns the number of requests that wait for a pool.
+func (g *Gateway) queued(pool string) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.admission.Queued(pool)
+}
+
+// TestCordonIsExact checks that a cordon's count holds every request chosen
+// before it, and that none is chosen after it.
+func TestCordonIsExact(t *testing.T) {
+	is := is.New(t)
+	s := &script{hold: make(chan struct{}), run: func(_ int, _ target.Target, r target.GenerateRequest) ([]target.Chunk, error, error) {
+		return pieces(r, 4, 4), nil, nil
+	}}
+	r := newRig(t, s, "e1", "e2")
+	var callers sync.WaitGroup
+	for range 20 {
+		callers.Go(func() { r.chat("before", false) })
+	}
+	eventually(t, func() bool { return s.count() == 20 })
+	at := func(id target.ID) (n int) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		for _, chosen := range s.targets {
+			if chosen == id {
+				n++
+			}
+		}
+		return n
+	}
+	before := at("e1")
+	is.Equal(r.g.Cordon("e1", 5, false), before)
+	is.Equal(r.g.Cordon("e1", 4, true), before) // an older word is ignored
+	r.g.Observe(r.view)                         // so is an older view
+	for range 10 {
+		callers.Go(func() { r.chat("after", false) })
+	}
+	eventually(t, func() bool { return s.count() == 30 })
+	is.Equal(at("e1"), before)
+	close(s.hold)
+	callers.Wait()
+	is.Equal(r.g.Cordon("e1", 5, false), 0)
+	is.Equal(r.g.Cordon("e1", 6, true), 0)
+	is.Equal(r.g.Cordon("e2", 1, false), 0)
+	response, _ := r.chat("lifted", false)
+	is.Equal(response.StatusCode, 200)
+	is.True(at("e1") > before)
+}
+
+// TestStreamsLeaveInTime checks that streams move off a target before it
+// leaves, and stay while there is nowhere to go.
+func TestStreamsLeaveInTime(t *testing.T) {
+	is := is.New(t)
+	s := &script{hold: make(chan struct{}), run: func(_ int, _ target.Target, r target.GenerateRequest) ([]target.Chunk, error, error) {
+		return pieces(r, 6, 6), nil, nil
+	}}
+	r := newRig(t, s, "e1")
+	done := make(chan string)
+	go func() {
+		_, body := r.chat("moved", true)
+		done <- body
+	}()
+	eventually(t, func() bool { return s.count() == 1 })
+	leaving := r.view[0]
+	leaving.State = platform.Leaving
+	leaving.LeavesAt = time.Now().Add(time.Second)
+	r.g.Observe([]control.TargetState{leaving})
+	is.Equal(s.count(), 1)
+	r.g.Observe([]control.TargetState{leaving, live("e2", target.Engine, "p", "e2")})
+	eventually(t, func() bool { return s.count() == 2 })
+	close(s.hold)
+	is.Equal(streamText(events(<-done)), joined(6))
+	is.Equal(s.targets[1], target.ID("e2"))
+	eventually(t, func() bool { return r.g.Cordon("e1", 9, false) == 0 && r.g.Cordon("e2", 9, false) == 0 })
+}
+
+// TestCallerCancelReachesEngine checks that the engine stops when its caller
+// goes away.
+func TestCallerCancelReachesEngine(t *testing.T) {
+	is := is.New(t)
+	s := &script{hold: make(chan struct{}), run: func(_ int, _ target.Target, r target.GenerateRequest) ([]target.Chunk, error, error) {
+		return pieces(r, 6, 6), nil, nil
+	}}
+	r := newRig(t, s, "e1")
+	ctx, cancel := context.WithCancel(context.Background())
+	request, err := http.NewRequestWithContext(ctx, "POST", r.server.URL+"/v1/chat/completions", strings.NewReader(chatRequest("gone", true)))
+	is.NoErr(err)
+	request.Header.Set("X-Api-Key", testKey)
+	go func() {
+		eventually(t, func() bool { return s.count() == 1 })
+		cancel()
+	}()
+	if response, err := http.DefaultClient.Do(request); err == nil {
+		_, _ = io.ReadAll(response.Body)
+		response.Body.Close()
+	}
+	eventually(t, func() bool { return r.g.inFlight.Load() == 0 })
+	is.Equal(r.g.Cordon("e1", 1, false), 0)
+	is.Equal(s.count(), 1)
+}
+
+// TestPrefillThenDecode checks the two phases and the fall back to one.
+func TestPrefillThenDecode(t *testing.T) {
+	for _, broken := range []bool{false, true} {
+		is := is.New(t)
+		s := &script{}
+		s.run = func(_ int, _ target.Target, r target.GenerateRequest) ([]target.Chunk, error, error) {
+			switch {
+			case r.Phase == target.PhasePrefill:
+				c := pieces(r, 1, 5)[0]
+				c.KVHandle = "kv"
+				return []target.Chunk{c}, nil, nil
+			case r.Phase == target.PhaseDecode && broken:
+				return nil, target.ErrRefused, nil
+			default:
+				return pieces(r, 5, 5), nil, nil
+			}
+		}
+		r := newRig(t, s, "e1", "e2")
+		body := chatBody{Messages: []chatMessage{{"user", "phases"}}, Model: testModel}
+		c := &call{id: "x", arrived: time.Now(), credential: &credential{testKey, contract.Fingerprint(testKey)}}
+		n, err := r.g.newGeneration(c, r.g.snapshot.Load().Contracts["kalnins"], &body)
+		is.NoErr(err)
+		n.emit = func(string, int) error { return nil }
+		place, ok := r.g.fleet.choose(time.Now(), &n.query)
+		is.True(ok)
+		prefill := target.Target{ID: "e0", Address: "e0"}
+		place.prefill = &prefill
+		r.g.fleet.running["e0"]++
+		is.NoErr(n.attempt(context.Background(), place))
+		is.Equal(n.text.String(), joined(5))
+		place.done(time.Now(), false)
+		is.Equal(len(r.g.fleet.running), 0)
+		is.Equal(s.attempts[1].KVSource, "e0")
+		is.Equal(s.attempts[1].Offset, 1)
+		is.Equal(broken, len(s.attempts) == 3)
+	}
+}
