--- a/gateway/chat.go
+++ b/gateway/chat.go
@@ -126,7 +126,7 @@
 	err = n.run(ctx)
 	tokens := n.assembly.have - start
 	g.leave(ticket, n.query.Pool, tokens)
-	g.count(n, tokens, start > 0)
+	g.count(n, tokens, answer.resumed)
 	if err != nil {
 		return answer.fail(err)
 	}
--- a/gateway/chatanswer.go
+++ b/gateway/chatanswer.go
@@ -35,6 +35,7 @@
 	organisation resumeDigest
 	request      resumeDigest
 	echoed       *string
+	resumed      bool
 }
 
 // Wire forms of answers.
@@ -116,6 +117,7 @@
 	if int(p.offset) > a.n.limit {
 		return result.New(result.ResumeRejected, "the offset exceeds the answer's bound").At("header Last-Event-ID")
 	}
+	a.resumed = true
 	a.have = int(p.offset)
 	a.n.assembly.have = a.have
 	a.n.text.WriteString(text)
--- /dev/null
+++ b/gateway/run_test.go
@@ -0,0 +1,180 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+
+	"zinniapin/contract"
+	"zinniapin/control"
+	"zinniapin/target"
+	"zinniapin/usage"
+)
+
+// fakeUplink takes usage over when flushed.
+type fakeUplink struct {
+	flushed atomic.Int64
+}
+
+func (u *fakeUplink) Run(ctx context.Context, _ control.Gateway) error {
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+func (u *fakeUplink) Flush(_ context.Context, g control.Gateway) error {
+	for _, c := range g.Usage() {
+		u.flushed.Add(int64(c.Amount.Requests))
+	}
+	g.UsageStored(g.Usage())
+	return nil
+}
+
+// TestShutdownUnderLoad checks that a graceful shutdown cuts no request: a
+// balancer sends while the gateway is ready, and every answer is whole.
+func TestShutdownUnderLoad(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, nil, "e1", "e2")
+	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
+	uplink := &fakeUplink{}
+	r.g.options.Uplink = uplink
+	r.g.options.Settings.DrainDelayMillis = 300
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	graceful, stop := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- r.g.Run(graceful, context.Background(), listener) }()
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}}
+	var callers sync.WaitGroup
+	var whole, failed atomic.Int64
+	for range 16 {
+		callers.Go(func() {
+			for r.g.Ready() == nil {
+				if askOnce(client, "http://"+listener.Addr().String()) {
+					whole.Add(1)
+				} else {
+					failed.Add(1)
+				}
+			}
+		})
+	}
+	eventually(t, func() bool { return whole.Load() > 200 })
+	stop()
+	callers.Wait()
+	is.NoErr(<-ended)
+	is.Equal(failed.Load(), int64(0))
+	is.Equal(uplink.flushed.Load(), whole.Load())
+	client.CloseIdleConnections()
+}
+
+// askOnce sends a request and tells whether its answer was whole.
+func askOnce(client *http.Client, address string) bool {
+	request, err := http.NewRequest("POST", address+"/v1/chat/completions", strings.NewReader(chatRequest("load", true)))
+	if err != nil {
+		return false
+	}
+	request.Header.Set("Authorization", "Bearer "+testKey)
+	response, err := client.Do(request)
+	if err != nil {
+		return false
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	return err == nil && strings.HasSuffix(string(body), "data: [DONE]\n\n")
+}
+
+// TestSecondSignalSaysWhatItCuts checks that an immediate end is told.
+func TestSecondSignalSaysWhatItCuts(t *testing.T) {
+	is := is.New(t)
+	s := &script{hold: make(chan struct{}), run: func(_ int, _ target.Target, r target.GenerateRequest) ([]target.Chunk, error, error) {
+		return pieces(r, 4, 4), nil, nil
+	}}
+	r := newRig(t, s, "e1")
+	var log lockedBuffer
+	r.g.log = r.g.log.Output(&log).Level(0)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	graceful, first := context.WithCancel(context.Background())
+	immediate, second := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- r.g.Run(graceful, immediate, listener) }()
+	go askOnce(http.DefaultClient, "http://"+listener.Addr().String())
+	eventually(t, func() bool { return s.count() == 1 })
+	first()
+	second()
+	is.True(<-ended != nil)
+	is.True(strings.Contains(log.String(), `"name":"shutdown_cut_request","requests":1`))
+}
+
+// lockedBuffer is a buffer for log lines.
+type lockedBuffer struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(p)
+}
+
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
+}
+
+// TestAloneRefuses checks, in virtual time, when a gateway that cannot confirm
+// its configuration stops serving.
+func TestAloneRefuses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g, err := New(Options{Settings: testSettings(), ResumeKey: make([]byte, MinResumeKeyBytes)})
+		is.NoErr(err)
+		is.True(g.Ready() != nil) // no configuration
+		g.Configure(snapshot(3, nil))
+		g.Configure(snapshot(2, nil))
+		is.Equal(g.snapshot.Load().Revision, contract.Revision(3))
+		g.Connected(control.Connectivity{Controllers: 2})
+		is.NoErr(g.Ready())
+		g.Connected(control.Connectivity{Controllers: 1, StoreDownForMost: true})
+		time.Sleep(time.Hour)
+		is.NoErr(g.Ready()) // the store is down for most
+		g.Connected(control.Connectivity{})
+		time.Sleep(59 * time.Second)
+		is.NoErr(g.Ready())
+		g.Connected(control.Connectivity{}) // a repeated word starts no new span
+		time.Sleep(2 * time.Second)
+		is.True(g.Ready() != nil)
+		g.Connected(control.Connectivity{Controllers: 1})
+		is.NoErr(g.Ready())
+	})
+}
+
+// TestMeterGrowsOnly checks that counters only grow and are dropped only once
+// they are safe and their window is over.
+func TestMeterGrowsOnly(t *testing.T) {
+	is := is.New(t)
+	m := newMeter("g")
+	at := time.Unix(600, 0)
+	m.add(at, "a", usage.Amount{Requests: 1})
+	first := m.pending()
+	m.add(at, "a", usage.Amount{Requests: 1})
+	m.stored(at, first)
+	is.Equal(m.pending()[0].Amount.Requests, uint64(2))
+	m.stored(at, m.pending())
+	is.Equal(len(m.pending()), 0)
+	m.add(at, "a", usage.Amount{Requests: 1})
+	is.Equal(m.pending()[0].Amount.Requests, uint64(3))
+	m.stored(at.Add(10*time.Minute), m.pending())
+	is.Equal(len(m.counters), 0)
+}
--- /dev/null
+++ b/gateway/service_test.go
@@ -0,0 +1,248 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"zinniapin/control"
+	"zinniapin/internal/standin/service"
+	"zinniapin/target"
+)
+
+// withDesks returns a rig in front of services at addresses.
+func withDesks(t testing.TB, addresses ...string) *rig {
+	r := newRig(t, nil)
+	var view []control.TargetState
+	for i, address := range addresses {
+		view = append(view, live(fmt.Sprintf("desk%d", i), target.Service, "desk", address))
+	}
+	r.g.Observe(view)
+	return r
+}
+
+// desk starts a stand-in service.
+func desk(t testing.TB) *service.Server {
+	s, err := service.Start("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Close)
+	return s
+}
+
+const deposit = `{"id":"d1"}`
+
+// TestDepositRunsOnce checks the kept answer and the separation of
+// organisations.
+func TestDepositRunsOnce(t *testing.T) {
+	is := is.New(t)
+	s := desk(t)
+	r := withDesks(t, s.Address())
+	response, body := r.send("POST", "/v1/services/desk/deposits", testKey, deposit)
+	is.Equal(failure(body).Code, "needs_idempotency_key")
+	is.Equal(response.StatusCode, 400)
+	_, first := r.send("POST", "/v1/services/desk/deposits", testKey, deposit, "Idempotency-Key", "k1")
+	response, second := r.send("POST", "/v1/services/desk/deposits", testKey, deposit, "Idempotency-Key", "k1")
+	is.Equal(first, second)
+	is.Equal(response.Header.Get(headerReplayed), "true")
+	response, _ = r.send("POST", "/v1/services/desk/deposits", otherKey, deposit, "Idempotency-Key", "k1")
+	is.Equal(response.Header.Get(headerReplayed), "")
+	is.Equal(s.Runs()["d1"], 2) // one for each organisation
+}
+
+// TestLostDepositStaysUnknown checks that a deposit whose answer was lost is
+// neither sent again nor told as not run.
+func TestLostDepositStaysUnknown(t *testing.T) {
+	is := is.New(t)
+	s, other := desk(t), desk(t)
+	r := withDesks(t, s.Address(), other.Address())
+	s.SetFaults(service.Faults{LoseAnswers: 1})
+	other.SetFaults(service.Faults{LoseAnswers: 1})
+	response, body := r.send("POST", "/v1/services/desk/deposits", testKey, deposit, "Idempotency-Key", "k1")
+	is.Equal(response.StatusCode, 502)
+	is.Equal(failure(body).Execution, "unknown")
+	_, body = r.send("POST", "/v1/services/desk/deposits", testKey, deposit, "Idempotency-Key", "k1")
+	is.Equal(failure(body).Code, "claim_unknown")
+	is.Equal(failure(body).Execution, "unknown")
+	is.Equal(s.Runs()["d1"]+other.Runs()["d1"], 1)
+}
+
+// TestRefusedDepositGoesElsewhere checks that a target's own word that it did
+// not run a deposit lets another run it.
+func TestRefusedDepositGoesElsewhere(t *testing.T) {
+	is := is.New(t)
+	s, other := desk(t), desk(t)
+	r := withDesks(t, s.Address(), other.Address(), "127.0.0.1:1")
+	s.SetFaults(service.Faults{Refuse: 1})
+	other.SetFaults(service.Faults{Refuse: 1})
+	_, body := r.send("POST", "/v1/services/desk/deposits", testKey, deposit, "Idempotency-Key", "k1")
+	is.Equal(failure(body).Code, "target_refused")
+	is.Equal(failure(body).Execution, "not_run")
+	response, _ := r.send("POST", "/v1/services/desk/deposits", testKey, deposit, "Idempotency-Key", "k1")
+	is.Equal(response.StatusCode, 201)
+	is.Equal(s.Runs()["d1"]+other.Runs()["d1"], 1)
+	r.claims.down = true
+	_, body = r.send("POST", "/v1/services/desk/deposits", testKey, deposit, "Idempotency-Key", "k2")
+	is.Equal(failure(body).Code, "store_unavailable")
+	is.Equal(failure(body).Execution, "not_run")
+	is.Equal(s.Runs()["d1"]+other.Runs()["d1"], 1)
+}
+
+// TestTransportSendsOnce checks that net/http does not send a call again by
+// itself when a reused connection dies early, with and without a body.
+func TestTransportSendsOnce(t *testing.T) {
+	is := is.New(t)
+	var calls atomic.Int64
+	target1 := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.ReadAll(r.Body)
+		if calls.Add(1)%2 == 1 {
+			return // leaves the connection to be reused
+		}
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err == nil {
+			conn.Close()
+		}
+	}))
+	defer target1.Close()
+	r := withDesks(t, target1.Listener.Addr().String())
+	for i, c := range []struct{ method, path, body string }{
+		{"POST", "/deposits", deposit}, {"POST", "/deposits", ""}, {"GET", "/tickets/1", ""},
+	} {
+		calls.Store(0)
+		response, _ := r.send(c.method, "/v1/services/desk"+c.path, testKey, c.body, "Idempotency-Key", fmt.Sprintf("warm%d", i))
+		is.Equal(response.StatusCode, 200)
+		_, answer := r.send(c.method, "/v1/services/desk"+c.path, testKey, c.body, "Idempotency-Key", fmt.Sprintf("cold%d", i))
+		is.Equal(failure(answer).Execution, "unknown")
+		is.Equal(calls.Load(), int64(2))
+	}
+}
+
+// TestNoTargetSeesTheKey checks everything that reaches a service, and that a
+// call with the key in its content is refused.
+func TestNoTargetSeesTheKey(t *testing.T) {
+	is := is.New(t)
+	s := desk(t)
+	r := withDesks(t, s.Address())
+	r.send("GET", "/v1/services/desk/status/1?a=b", testKey, "", "X-Api-Key", testKey, "User-Agent", testKey, "Cookie", testKey, "X-Other", testKey, "Accept", "x")
+	received := s.Calls()
+	is.Equal(len(received), 1)
+	is.True(!strings.Contains(fmt.Sprint(received), testKey))
+	is.Equal(received[0].Header.Get("Accept"), "x")
+	for _, c := range []struct{ method, path, body string }{
+		{"GET", "/v1/services/desk/status/1?k=" + testKey, ""},
+		{"GET", "/v1/services/desk/status/1?k=zk_test%2Dkey-of-kalnins", ""},
+		{"GET", "/v1/services/desk/status/" + testKey, ""},
+		{"POST", "/v1/services/desk/drafts", "my key is " + testKey},
+		{"POST", "/v1/chat/completions", chatRequest("my key is "+testKey, false)},
+	} {
+		response, body := r.send(c.method, c.path, testKey, c.body)
+		is.Equal(failure(body).Code, "key_in_content")
+		is.Equal(response.StatusCode, 400)
+	}
+	is.Equal(len(s.Calls()), 1)
+}
+
+// TestRoutes checks who may call what.
+func TestRoutes(t *testing.T) {
+	is := is.New(t)
+	s := desk(t)
+	r := withDesks(t, s.Address())
+	r.send("POST", "/v1/services/desk/deposits", testKey, `{"id":"1"}`, "Idempotency-Key", "k")
+	for _, c := range []struct {
+		method, path, key string
+		status            int
+	}{
+		{"GET", "/v1/services/desk/status/1", "", 200},
+		{"POST", "/v1/services/desk/deposits", "", 401},
+		{"POST", "/v1/services/desk/deposits", "zk_wrong", 401},
+		{"DELETE", "/v1/services/desk/deposits", testKey, 404},
+		{"GET", "/v1/services/desk/status/../deposits", testKey, 400},
+		{"GET", "/v1/services/desk/status/%2e%2e/deposits", testKey, 400},
+		{"GET", "/v1/services/none/x", testKey, 404},
+		{"GET", "/v1/other", testKey, 404},
+		{"PUT", "/v1/models", testKey, 404},
+		{"GET", "/v1/models", "", 401},
+	} {
+		response, body := r.send(c.method, c.path, c.key, "")
+		if response.StatusCode != c.status {
+			t.Fatalf("%s %s: %d %s", c.method, c.path, response.StatusCode, body)
+		}
+		is.True(response.Header.Get(headerRequestID) != "")
+	}
+}
+
+// scriptedServices runs calls by a script.
+type scriptedServices struct {
+	kinds []string
+	sent  []string
+}
+
+func (s *scriptedServices) Call(context.Context, target.Target, ServiceRequest) (ServiceAnswer, error) {
+	kind := s.kinds[min(len(s.sent), len(s.kinds)-1)]
+	s.sent = append(s.sent, kind)
+	switch kind {
+	case "not_sent":
+		return ServiceAnswer{}, target.ErrNotSent
+	case "refused":
+		return ServiceAnswer{}, target.ErrRefused
+	case "lost":
+		return ServiceAnswer{}, target.ErrBroken
+	default:
+		return ServiceAnswer{Status: 200, Header: http.Header{}}, nil
+	}
+}
+
+// TestAtMostOnce checks over scripted attempts and repeated calls under one
+// key that at most one attempt can have run, and that "not run" is true.
+func TestAtMostOnce(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		kinds := rapid.SliceOfN(rapid.SampledFrom([]string{"not_sent", "refused", "lost", "whole"}), 12, 12).Draw(rt, "attempts")
+		s := &scriptedServices{kinds: kinds}
+		r := withDesks(t, "a", "b", "c", "d")
+		defer r.server.Close()
+		r.g.options.Services = s
+		for range 4 {
+			response, body := r.send("POST", "/v1/services/desk/deposits", testKey, deposit, "Idempotency-Key", "k")
+			mayHaveRun := strings.Contains(strings.Join(s.sent, " "), "lost") || strings.Contains(strings.Join(s.sent, " "), "whole")
+			if response.StatusCode != 200 && failure(body).Execution == "not_run" && mayHaveRun {
+				rt.Fatalf("not run after %v", s.sent)
+			}
+		}
+		ran := strings.Count(strings.Join(s.sent, " "), "lost") + strings.Count(strings.Join(s.sent, " "), "whole")
+		if ran > 1 {
+			rt.Fatalf("sent %v", s.sent)
+		}
+	})
+}
+
+// deadAddress returns an address where nothing listens.
+func deadAddress(t testing.TB) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// TestUnreachedTargetIsNotRun checks that a call that nothing took is told as
+// not run, and that its key may be used again.
+func TestUnreachedTargetIsNotRun(t *testing.T) {
+	is := is.New(t)
+	r := withDesks(t, deadAddress(t))
+	for range 2 {
+		response, body := r.send("POST", "/v1/services/desk/deposits", testKey, deposit, "Idempotency-Key", "k1")
+		is.Equal(response.StatusCode, 503)
+		is.Equal(failure(body).Execution, "not_run")
+	}
+}
