--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 GOBIN := $(shell go env GOPATH)/bin
 export PATH := $(GOBIN):$(PATH)
 
-.PHONY: all build test lint format-check docs generate tools
+.PHONY: all build test lint format-check docs generate tools bench
 
 all: build
 
@@ -34,3 +34,7 @@
 tools:
 	@golangci-lint version 2>/dev/null | grep -q "version $(GOLANGCI_VERSION:v%=%)" || \
 	go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_VERSION)
+
+# Compares the policies with simpler ones in virtual time.
+bench:
+	go run ./cmd/zinnia-bench
