--- a/contract/contract.go
+++ b/contract/contract.go
@@ -74,6 +74,8 @@
 	Services []Service `json:"services"`
 	// Pools are the pools of engines.
 	Pools []Pool `json:"pools"`
+	// Drained are the targets that get no new work.
+	Drained []target.ID `json:"drained,omitempty"`
 	// UsageWindowSeconds is the length of a usage window. Default 60.
 	UsageWindowSeconds int `json:"usage_window_seconds,omitempty"`
 }
--- /dev/null
+++ b/internal/deploy/caller.go
@@ -0,0 +1,63 @@
+package deploy
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/gravitational/trace"
+)
+
+// IssueKey issues a key for an organisation and waits until it is in force.
+func (d *Deployment) IssueKey(ctx context.Context, organisation string) (string, error) {
+	out, err := d.Operator(ctx, "--json", "key", "issue", organisation, "--wait")
+	if err != nil {
+		return "", err
+	}
+	var issued struct {
+		Key string `json:"key"`
+	}
+	return issued.Key, trace.Wrap(json.Unmarshal([]byte(out), &issued))
+}
+
+// Answer is what a caller got.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   string
+}
+
+// Call is a request of a caller.
+type Call struct {
+	Method string
+	URL    string
+	Key    string
+	Body   string
+	Header map[string]string
+}
+
+// Send sends a call and reads the whole answer.
+func (c Call) Send(ctx context.Context) (Answer, error) {
+	request, err := http.NewRequestWithContext(ctx, c.Method, c.URL, strings.NewReader(c.Body))
+	if err != nil {
+		return Answer{}, trace.Wrap(err)
+	}
+	if c.Key != "" {
+		request.Header.Set("Authorization", "Bearer "+c.Key)
+	}
+	if c.Body != "" {
+		request.Header.Set("Content-Type", "application/json")
+	}
+	for name, value := range c.Header {
+		request.Header.Set(name, value)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return Answer{}, trace.Wrap(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	return Answer{response.StatusCode, response.Header, string(body)}, trace.Wrap(err)
+}
--- /dev/null
+++ b/operator/command.go
@@ -0,0 +1,132 @@
+// Package operator is the operators' command: contracts, keys, configuration,
+// status, drain, release and explain. The command line is declared by the
+// structs of this package; cmd/zinniactl only calls Main.
+package operator
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"zinniapin/result"
+	"zinniapin/settings"
+	"zinniapin/store"
+)
+
+// StatusReader asks a controller for a status document.
+type StatusReader interface {
+	// Status returns the JSON document on a topic; see package status.
+	Status(ctx context.Context, topic, argument string) ([]byte, error)
+}
+
+// Backend is what commands act on.
+type Backend struct {
+	Store  store.Store
+	Status StatusReader
+	// Author stands in the history of accepted changes.
+	Author  string
+	Timeout time.Duration // of one command without --wait
+	Close   func()
+}
+
+// Connect makes the backend that the settings name.
+type Connect func(s *settings.Operator) (*Backend, error)
+
+// defaultSettingsFile is read when --settings is not given.
+const defaultSettingsFile = "zinniactl.json"
+
+// app is the state that all commands share.
+type app struct {
+	out     io.Writer
+	connect Connect
+	now     func() time.Time
+	options *options
+}
+
+// options are the command line as a whole.
+type options struct {
+	Settings string `long:"settings" env:"ZINNIACTL_SETTINGS" value-name:"FILE" description:"settings file"`
+	JSON     bool   `long:"json" description:"print JSON for scripts in place of tables"`
+
+	Contract contractCommands `command:"contract" description:"Show and change contracts"`
+	Key      keyCommands      `command:"key" description:"Issue, withdraw and list keys"`
+	Config   configCommands   `command:"config" description:"Check, apply and follow configurations"`
+	Status   statusCommand    `command:"status" description:"Show hosts, targets, orders and more" long-description:"Topics: members, targets, config, grants, links, orders, windows.\nExample: zinniactl status targets"`
+	Release  releaseCommand   `command:"release" description:"Give up another author's stuck open order" long-description:"Only after you have made sure that the order's author is gone for good. The release is logged.\nExample: zinniactl release engine-3 --yes"`
+	Drain    drainCommand     `command:"drain" description:"Send no new work to a target, or end that with --lift" long-description:"Example: zinniactl drain engine-3"`
+	Explain  explainCommand   `command:"explain" description:"Show why a request went where it went" long-description:"Example: zinniactl explain host-1-18f2-42"`
+}
+
+// bind gives the shared state to every command.
+func (o *options) bind(a *app) {
+	o.Contract.bind(a)
+	o.Key.bind(a)
+	o.Config.bind(a)
+	o.Status.app = a
+	o.Release.app = a
+	o.Drain.app = a
+	o.Explain.app = a
+}
+
+// Main runs a command line and returns the exit code.
+func Main(args []string, out, errOut io.Writer, connect Connect) int {
+	o := &options{Settings: defaultSettingsFile}
+	o.bind(&app{out: out, connect: connect, now: time.Now, options: o})
+	parser := flags.NewNamedParser("zinniactl", flags.HelpFlag|flags.PassDoubleDash)
+	if _, err := parser.AddGroup("Options", "", o); err != nil {
+		fmt.Fprintln(errOut, "error:", err)
+		return result.Internal.Definition().Exit
+	}
+	_, err := parser.ParseArgs(args)
+	return report(err, out, errOut)
+}
+
+// report prints how a command ended and returns its exit code.
+func report(err error, out, errOut io.Writer) int {
+	var flagError *flags.Error
+	switch {
+	case err == nil:
+		return 0
+	case errors.As(err, &flagError) && flagError.Type == flags.ErrHelp:
+		fmt.Fprintln(out, flagError.Message)
+		return 0
+	case errors.As(err, &flagError):
+		err = result.New(result.BadUsage, "%s", flagError.Message)
+	}
+	fmt.Fprintln(errOut, "error:", err)
+	return result.CodeOf(err).Definition().Exit
+}
+
+// run connects, calls f within the timeout and disconnects.
+func (a *app) run(f func(ctx context.Context, b *Backend) error) error {
+	var s settings.Operator
+	if err := settings.Load(a.options.Settings, &s); err != nil {
+		return err
+	}
+	b, err := a.connect(&s)
+	if err != nil {
+		return err
+	}
+	defer b.Close()
+	return f(context.Background(), b)
+}
+
+// readFile reads an input file; "-" is standard input.
+func readFile(path string) ([]byte, error) {
+	var data []byte
+	var err error
+	if path == "-" {
+		data, err = io.ReadAll(os.Stdin)
+	} else {
+		data, err = os.ReadFile(path)
+	}
+	if err != nil {
+		return nil, result.Wrap(err, result.NoSuchFile, "cannot read the file").At(path)
+	}
+	return data, nil
+}
--- /dev/null
+++ b/operator/config.go
@@ -0,0 +1,192 @@
+package operator
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"zinniapin/configuration"
+	"zinniapin/contract"
+	"zinniapin/result"
+	"zinniapin/strictjson"
+)
+
+// configCommands are the commands on the whole configuration.
+type configCommands struct {
+	Check   configCheck   `command:"check" description:"Check a file and name every mistake; nothing is changed" long-description:"Example: zinniactl config check deployment.json"`
+	Apply   configApply   `command:"apply" description:"Make a file the accepted configuration" long-description:"Contracts that the file lacks stay unless --prune is given.\nExample: zinniactl config apply deployment.json --wait"`
+	Show    configShow    `command:"show" description:"Print the accepted configuration as a file"`
+	History configHistory `command:"history" description:"List the latest accepted changes"`
+	Wait    configWait    `command:"wait" description:"Wait until a revision is in force on every live host" long-description:"Example: zinniactl config wait 42"`
+}
+
+// bind gives the shared state to every command.
+func (c *configCommands) bind(a *app) {
+	c.Check.app = a
+	c.Apply.app = a
+	c.Show.app = a
+	c.History.app = a
+	c.Wait.app = a
+}
+
+// Document is a whole configuration in a file.
+type Document struct {
+	// Fleet describes what serves.
+	Fleet contract.Fleet `json:"fleet"`
+	// Contracts are the contracts of all organisations.
+	Contracts []*contract.Contract `json:"contracts"`
+}
+
+// ReadDocument decodes and validates a configuration file.
+func ReadDocument(data []byte) (*Document, error) {
+	d := &Document{}
+	if err := strictjson.Decode(data, d, result.BadConfiguration); err != nil {
+		return nil, err
+	}
+	if err := contract.Validate(&d.Fleet, d.Contracts); err != nil {
+		return nil, err
+	}
+	return d, nil
+}
+
+// configCheck checks a file.
+type configCheck struct {
+	app  *app
+	Args fileArgument `positional-args:"yes"`
+}
+
+// checked is what config check prints.
+type checked struct {
+	Contracts int `json:"contracts"`
+	Models    int `json:"models"`
+	Services  int `json:"services"`
+	Zones     int `json:"zones"`
+}
+
+// Execute implements flags.Commander.
+func (c *configCheck) Execute([]string) error {
+	d, err := readDocumentFile(c.Args.File)
+	if err != nil {
+		return err
+	}
+	found := checked{len(d.Contracts), len(d.Fleet.Models), len(d.Fleet.Services), len(d.Fleet.Zones)}
+	t := &table{header: []string{"contracts", "models", "services", "zones"}}
+	t.add(found.Contracts, found.Models, found.Services, found.Zones)
+	return c.app.print(found, t)
+}
+
+// readDocumentFile reads a configuration file.
+func readDocumentFile(file string) (*Document, error) {
+	data, err := readFile(file)
+	if err != nil {
+		return nil, err
+	}
+	return ReadDocument(data)
+}
+
+// configApply applies a file.
+type configApply struct {
+	app *app
+	waitOptions
+	baseOption
+	Prune bool         `long:"prune" description:"end contracts that the file lacks"`
+	Args  fileArgument `positional-args:"yes"`
+}
+
+// Execute implements flags.Commander.
+func (c *configApply) Execute([]string) error {
+	return c.app.run(func(ctx context.Context, b *Backend) error {
+		d, err := readDocumentFile(c.Args.File)
+		if err != nil {
+			return err
+		}
+		s, err := snapshot(ctx, b)
+		if err != nil {
+			return err
+		}
+		p := configuration.Proposal{Base: c.revision(s), Fleet: &d.Fleet, Contracts: d.Contracts}
+		if c.Prune {
+			p.Remove = lacking(s, d)
+		}
+		p.Summary = fmt.Sprintf("apply a configuration of %d contracts", len(d.Contracts))
+		return c.app.accept(ctx, b, p, c.waitOptions)
+	})
+}
+
+// lacking returns the organisations of accepted contracts that a file lacks.
+func lacking(s *contract.Snapshot, d *Document) []string {
+	kept := map[string]bool{}
+	for _, c := range d.Contracts {
+		kept[c.Organisation] = true
+	}
+	var found []string
+	for _, c := range sortedContracts(s) {
+		if !kept[c.Organisation] {
+			found = append(found, c.Organisation)
+		}
+	}
+	return found
+}
+
+// configShow prints the accepted configuration.
+type configShow struct {
+	app *app
+}
+
+// Execute implements flags.Commander.
+func (c *configShow) Execute([]string) error {
+	return c.app.run(func(ctx context.Context, b *Backend) error {
+		s, err := snapshot(ctx, b)
+		if err != nil {
+			return err
+		}
+		return c.app.printJSON(Document{s.Fleet, sortedContracts(s)})
+	})
+}
+
+// configHistory lists the latest changes.
+type configHistory struct {
+	app *app
+}
+
+// Execute implements flags.Commander.
+func (c *configHistory) Execute([]string) error {
+	return c.app.run(func(ctx context.Context, b *Backend) error {
+		bundle, err := load(ctx, b)
+		if err != nil {
+			return err
+		}
+		changes := []configuration.Change{}
+		if bundle != nil {
+			changes = bundle.Root.Recent
+		}
+		t := &table{header: []string{"revision", "time", "author", "change"}}
+		for _, change := range changes {
+			at := time.UnixMilli(change.UnixMS).UTC().Format(time.RFC3339)
+			t.add(change.Revision, at, change.Author, change.Summary)
+		}
+		return c.app.print(changes, t)
+	})
+}
+
+// configWait waits until a revision is in force.
+type configWait struct {
+	app     *app
+	Timeout time.Duration `long:"timeout" default:"30s" description:"how long to wait"`
+	Args    struct {
+		Revision uint64 `positional-arg-name:"REVISION" required:"yes"`
+	} `positional-args:"yes"`
+}
+
+// Execute implements flags.Commander.
+func (c *configWait) Execute([]string) error {
+	return c.app.run(func(ctx context.Context, b *Backend) error {
+		revision := contract.Revision(c.Args.Revision)
+		if err := waitInForce(ctx, b, revision, c.Timeout); err != nil {
+			return err
+		}
+		return trace.Wrap(c.app.printAccepted(accepted{revision, "asked for", true}))
+	})
+}
--- /dev/null
+++ b/operator/key.go
@@ -0,0 +1,194 @@
+package operator
+
+import (
+	"context"
+	"fmt"
+	"strings"
+
+	"github.com/gravitational/trace"
+
+	"zinniapin/configuration"
+	"zinniapin/contract"
+	"zinniapin/result"
+)
+
+// fingerprintShown is the number of characters of a fingerprint in tables.
+const fingerprintShown = 16
+
+// minFingerprintPrefix is the shortest prefix that names a key.
+const minFingerprintPrefix = 8
+
+// keyCommands are the commands on keys.
+type keyCommands struct {
+	Issue    keyIssue    `command:"issue" description:"Issue a key; it is shown once" long-description:"Example: zinniactl key issue acme --label desk --wait"`
+	Withdraw keyWithdraw `command:"withdraw" description:"Withdraw a key" long-description:"Example: zinniactl key withdraw 3f2a9c01 --wait"`
+	List     keyList     `command:"list" description:"List keys by fingerprint" long-description:"Example: zinniactl key list acme"`
+}
+
+// bind gives the shared state to every command.
+func (c *keyCommands) bind(a *app) {
+	c.Issue.app = a
+	c.Withdraw.app = a
+	c.List.app = a
+}
+
+// keyIssue issues a key.
+type keyIssue struct {
+	app *app
+	waitOptions
+	Label string               `long:"label" description:"what the key is for"`
+	Args  organisationArgument `positional-args:"yes"`
+}
+
+// issued is what key issue prints; the key is shown here and nowhere else.
+type issued struct {
+	Key         string            `json:"key"`
+	Fingerprint string            `json:"fingerprint"`
+	Revision    contract.Revision `json:"revision"`
+	InForce     bool              `json:"in_force"`
+}
+
+// Execute implements flags.Commander.
+func (c *keyIssue) Execute([]string) error {
+	return c.app.run(func(ctx context.Context, b *Backend) error {
+		s, err := snapshot(ctx, b)
+		if err != nil {
+			return err
+		}
+		old, err := contractOf(s, c.Args.Organisation)
+		if err != nil {
+			return err
+		}
+		key := contract.NewKey()
+		entry := contract.Key{Fingerprint: contract.Fingerprint(key), Label: c.Label}
+		changed := *old
+		changed.Keys = append(append([]contract.Key(nil), old.Keys...), entry)
+		p := configuration.Proposal{Base: s.Revision, Contracts: []*contract.Contract{&changed}}
+		p.Summary = "issue key " + short(entry.Fingerprint) + " of " + old.Organisation
+		done, err := c.app.propose(ctx, b, p, c.waitOptions)
+		if done.Revision == 0 {
+			return err
+		}
+		// The key is printed even when the wait failed, since it is accepted
+		// and cannot be shown again.
+		if printErr := c.print(issued{key, entry.Fingerprint, done.Revision, done.InForce}); printErr != nil {
+			return printErr
+		}
+		return err
+	})
+}
+
+// print prints an issued key.
+func (c *keyIssue) print(k issued) error {
+	if c.app.options.JSON {
+		return c.app.printJSON(k)
+	}
+	_, err := fmt.Fprintf(c.app.out, "key %s\nfingerprint %s\nrevision %d\n", k.Key, k.Fingerprint, k.Revision)
+	return trace.Wrap(err)
+}
+
+// short returns the part of a fingerprint that tables show.
+func short(fingerprint string) string {
+	if len(fingerprint) < fingerprintShown {
+		return fingerprint
+	}
+	return fingerprint[:fingerprintShown]
+}
+
+// keyWithdraw withdraws a key.
+type keyWithdraw struct {
+	app *app
+	waitOptions
+	Args struct {
+		Fingerprint string `positional-arg-name:"FINGERPRINT" required:"yes" description:"at least the first 8 characters"`
+	} `positional-args:"yes"`
+}
+
+// Execute implements flags.Commander.
+func (c *keyWithdraw) Execute([]string) error {
+	return c.app.run(func(ctx context.Context, b *Backend) error {
+		s, err := snapshot(ctx, b)
+		if err != nil {
+			return err
+		}
+		owner, index, err := findKey(s, c.Args.Fingerprint)
+		if err != nil {
+			return err
+		}
+		changed := *owner
+		changed.Keys = append([]contract.Key(nil), owner.Keys...)
+		changed.Keys[index].Withdrawn = true
+		p := configuration.Proposal{Base: s.Revision, Contracts: []*contract.Contract{&changed}}
+		p.Summary = "withdraw key " + short(changed.Keys[index].Fingerprint) + " of " + owner.Organisation
+		return c.app.accept(ctx, b, p, c.waitOptions)
+	})
+}
+
+// findKey returns the contract and index of the only key whose fingerprint
+// begins with prefix.
+func findKey(s *contract.Snapshot, prefix string) (*contract.Contract, int, error) {
+	if len(prefix) < minFingerprintPrefix {
+		return nil, 0, result.New(result.BadUsage, "give at least %d characters of the fingerprint", minFingerprintPrefix)
+	}
+	var owner *contract.Contract
+	index := 0
+	for _, c := range s.Contracts {
+		for i, k := range c.Keys {
+			if !strings.HasPrefix(k.Fingerprint, prefix) {
+				continue
+			}
+			if owner != nil {
+				return nil, 0, result.New(result.BadUsage, "several keys begin so; give more characters").At(prefix)
+			}
+			owner, index = c, i
+		}
+	}
+	if owner == nil {
+		return nil, 0, result.New(result.NoSuchKey, "no key begins so").At(prefix)
+	}
+	return owner, index, nil
+}
+
+// keyList lists keys.
+type keyList struct {
+	app  *app
+	Args struct {
+		Organisation string `positional-arg-name:"ORGANISATION"`
+	} `positional-args:"yes"`
+}
+
+// listedKey is a row of key list.
+type listedKey struct {
+	Organisation string `json:"organisation"`
+	contract.Key
+}
+
+// Execute implements flags.Commander.
+func (c *keyList) Execute([]string) error {
+	return c.app.run(func(ctx context.Context, b *Backend) error {
+		s, err := snapshot(ctx, b)
+		if err != nil {
+			return err
+		}
+		listed := []listedKey{}
+		t := &table{header: []string{"organisation", "fingerprint", "state", "label"}}
+		for _, owner := range sortedContracts(s) {
+			if c.Args.Organisation != "" && owner.Organisation != c.Args.Organisation {
+				continue
+			}
+			for _, k := range owner.Keys {
+				listed = append(listed, listedKey{owner.Organisation, k})
+				t.add(owner.Organisation, short(k.Fingerprint), keyState(k), k.Label)
+			}
+		}
+		return c.app.print(listed, t)
+	})
+}
+
+// keyState names the state of a key.
+func keyState(k contract.Key) string {
+	if k.Withdrawn {
+		return "withdrawn"
+	}
+	return "valid"
+}
--- /dev/null
+++ b/operator/status.go
@@ -0,0 +1,252 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"zinniapin/contract"
+	"zinniapin/controller"
+	"zinniapin/machine"
+	"zinniapin/result"
+)
+
+// waitPoll is how often a waiting command asks for the state of the hosts.
+const waitPoll = 250 * time.Millisecond
+
+// read asks a controller for a status document and decodes it.
+func read[T any](ctx context.Context, b *Backend, topic, argument string) (T, error) {
+	var document T
+	call, cancel := context.WithTimeout(ctx, b.Timeout)
+	defer cancel()
+	raw, err := b.Status.Status(call, topic, argument)
+	if err != nil {
+		return document, err
+	}
+	return document, trace.Wrap(json.Unmarshal(raw, &document))
+}
+
+// waitInForce waits until every live process has the revision in force.
+func waitInForce(ctx context.Context, b *Backend, revision contract.Revision, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	behind := []string{"no controller has answered"}
+	for {
+		members, err := read[[]controller.MemberStatus](ctx, b, controller.TopicMembers, "")
+		if err == nil {
+			behind = behindOf(members, revision)
+			if len(behind) == 0 {
+				return nil
+			}
+		}
+		select {
+		case <-time.After(waitPoll):
+		case <-ctx.Done():
+			return result.New(result.NotInForce, "revision %d is accepted but not in force everywhere", revision).At(strings.Join(behind, ", "))
+		}
+	}
+}
+
+// behindOf names the processes that have an older revision in force. Leaving
+// processes take no new work and are passed over.
+func behindOf(members []controller.MemberStatus, revision contract.Revision) []string {
+	var behind []string
+	for _, m := range members {
+		if m.Leaving || contract.Revision(m.Revision) >= revision {
+			continue
+		}
+		behind = append(behind, fmt.Sprintf("%s/%s at %d", m.Host, m.Role, m.Revision))
+	}
+	if len(members) == 0 {
+		behind = append(behind, "no members")
+	}
+	return behind
+}
+
+// statusCommand shows a topic.
+type statusCommand struct {
+	app  *app
+	Args struct {
+		Topic string `positional-arg-name:"TOPIC" required:"yes" description:"members, targets, config, grants, links, orders or windows"`
+	} `positional-args:"yes"`
+}
+
+// Execute implements flags.Commander.
+func (c *statusCommand) Execute([]string) error {
+	show, ok := c.topics()[c.Args.Topic]
+	if !ok {
+		return result.New(result.BadUsage, "want members, targets, config, grants, links, orders or windows").At(c.Args.Topic)
+	}
+	return c.app.run(show)
+}
+
+// topics returns what shows each topic.
+func (c *statusCommand) topics() map[string]func(context.Context, *Backend) error {
+	return map[string]func(context.Context, *Backend) error{
+		controller.TopicMembers: c.members,
+		controller.TopicTargets: c.targets,
+		controller.TopicConfig:  c.config,
+		controller.TopicGrants:  c.grants,
+		controller.TopicLinks:   c.links,
+	}
+}
+
+// members shows the processes.
+func (c *statusCommand) members(ctx context.Context, b *Backend) error {
+	members, err := read[[]controller.MemberStatus](ctx, b, controller.TopicMembers, "")
+	if err != nil {
+		return err
+	}
+	t := &table{header: []string{"host", "role", "zone", "address", "revision", "leaving", "store"}}
+	for _, m := range members {
+		t.add(m.Host, m.Role, m.Zone, m.Address, m.Revision, m.Leaving, reachable(m.StoreReachable))
+	}
+	return c.app.print(members, t)
+}
+
+// reachable names whether the store is reached.
+func reachable(yes bool) string {
+	if yes {
+		return "reached"
+	}
+	return "not reached"
+}
+
+// targets shows the targets.
+func (c *statusCommand) targets(ctx context.Context, b *Backend) error {
+	targets, err := read[[]controller.TargetStatus](ctx, b, controller.TopicTargets, "")
+	if err != nil {
+		return err
+	}
+	t := &table{header: []string{"target", "kind", "class", "pool", "zone", "state", "role", "running", "waiting", "report age"}}
+	for _, x := range targets {
+		t.add(x.ID, x.Kind, x.Class, x.Pool, x.Zone, stateOf(x), x.Role, x.Running, x.Waiting, age(x.ReportAgeMS))
+	}
+	return c.app.print(targets, t)
+}
+
+// stateOf names the state of a target with what keeps work off it.
+func stateOf(t controller.TargetStatus) string {
+	state := t.State
+	if t.Cordoned {
+		state += ", cordoned"
+	}
+	if t.Changing {
+		state += ", changing"
+	}
+	return state
+}
+
+// age prints an age in milliseconds; -1 is none.
+func age(ms int64) string {
+	if ms < 0 {
+		return "never"
+	}
+	return (time.Duration(ms) * time.Millisecond).String()
+}
+
+// config shows the configuration at the controller that answered.
+func (c *statusCommand) config(ctx context.Context, b *Backend) error {
+	s, err := read[controller.ConfigStatus](ctx, b, controller.TopicConfig, "")
+	if err != nil {
+		return err
+	}
+	t := &table{header: []string{"revision", "confirmed", "confirmed ago", "organisations", "store"}}
+	t.add(s.Revision, s.ConfirmedRevision, age(s.ConfirmedAgeMS), s.Organisations, reachable(s.StoreReachable))
+	return c.app.print(s, t)
+}
+
+// grants shows the grants that the controller that answered handed out.
+func (c *statusCommand) grants(ctx context.Context, b *Backend) error {
+	grants, err := read[[]controller.GrantStatus](ctx, b, controller.TopicGrants, "")
+	if err != nil {
+		return err
+	}
+	t := &table{header: []string{"organisation", "held"}}
+	for _, g := range grants {
+		t.add(g.Organisation, fmt.Sprintf("%+v", g.Held))
+	}
+	return c.app.print(grants, t)
+}
+
+// links shows the links of the controller that answered.
+func (c *statusCommand) links(ctx context.Context, b *Backend) error {
+	s, err := read[controller.LinkStatus](ctx, b, controller.TopicLinks, "")
+	if err != nil {
+		return err
+	}
+	t := &table{header: []string{"gateways", "peers", "temporary", "peer hosts"}}
+	t.add(s.Gateways, s.Peers, s.Temporary, strings.Join(s.PeerHosts, " "))
+	return c.app.print(s, t)
+}
+
+// explainCommand shows the decisions about a request.
+type explainCommand struct {
+	app  *app
+	Args struct {
+		Request string `positional-arg-name:"REQUEST-ID" required:"yes" description:"the header X-Request-Id of the answer"`
+	} `positional-args:"yes"`
+}
+
+// decision is one decision about a request.
+type decision struct {
+	At           time.Time `json:"at"`
+	Gateway      string    `json:"gateway"`
+	Request      string    `json:"request"`
+	Organisation string    `json:"organisation,omitempty"`
+	Decision     string    `json:"decision"`
+	Target       string    `json:"target,omitempty"`
+	Reason       string    `json:"reason,omitempty"`
+	Candidates   int       `json:"candidates,omitempty"`
+	ExpectedMS   int64     `json:"expected_ms,omitempty"`
+	Execution    string    `json:"execution,omitempty"`
+}
+
+// Execute implements flags.Commander.
+func (c *explainCommand) Execute([]string) error {
+	return c.app.run(func(ctx context.Context, b *Backend) error {
+		found, err := explain(ctx, b, c.Args.Request)
+		if err != nil {
+			return err
+		}
+		t := &table{header: []string{"time", "gateway", "decision", "target", "reason", "candidates", "expected"}}
+		for _, d := range found {
+			t.add(d.At.UTC().Format(time.StampMilli), d.Gateway, d.Decision, d.Target, d.Reason, d.Candidates, age(d.ExpectedMS))
+		}
+		return c.app.print(found, t)
+	})
+}
+
+// explain asks every gateway for its decisions about a request, since a
+// resumed request was seen by more than one.
+func explain(ctx context.Context, b *Backend, request string) ([]decision, error) {
+	members, err := read[[]controller.MemberStatus](ctx, b, controller.TopicMembers, "")
+	if err != nil {
+		return nil, err
+	}
+	var found []decision
+	for _, m := range members {
+		if m.Role != string(machine.Gateway) {
+			continue
+		}
+		id := machine.Process{Host: machine.HostID(m.Host), Role: machine.Gateway, Incarnation: m.Incarnation}.ID()
+		decisions, err := read[[]decision](ctx, b, controller.TopicExplain, id+" "+request)
+		if err != nil {
+			continue // a gateway that just went; the others are asked all the same
+		}
+		for i := range decisions {
+			decisions[i].Gateway = m.Host
+		}
+		found = append(found, decisions...)
+	}
+	if len(found) == 0 {
+		return nil, result.New(result.NoSuchObject, "no live gateway remembers the request").At(request)
+	}
+	slices.SortFunc(found, func(a, b decision) int { return a.At.Compare(b.At) })
+	return found, nil
+}
