--- a/admission/queue.go
+++ b/admission/queue.go
@@ -5,9 +5,8 @@
 	"slices"
 )
 
-// maxEmptyFlows is the number of empty flows that a queue remembers besides
-// twice the waiting ones.
-const maxEmptyFlows = 64
+// minPurge is the least number of flows at which empty ones are looked for.
+const minPurge = 64
 
 // flow is the queue of one organisation at one pool.
 type flow struct {
@@ -29,6 +28,7 @@
 	virtual float64
 	length  int
 	weights float64 // sum over waiting flows
+	purgeAt int     // number of flows at which empty ones are looked for
 }
 
 // Len implements heap.Interface.
@@ -130,14 +130,15 @@
 }
 
 // forget drops empty flows: all of them when nothing waits, else those that
-// have no claim on the past, once they outnumber the waiting ones.
+// have no claim on the past, each time that the flows have doubled, so that
+// the cost for each ticket is constant.
 func (q *fairQueue) forget() {
 	if q.length == 0 {
 		clear(q.flows)
 		q.virtual, q.weights = 0, 0
 		return
 	}
-	if len(q.flows) < maxEmptyFlows+2*len(q.order) {
+	if len(q.flows) < max(minPurge, q.purgeAt) {
 		return
 	}
 	for name, f := range q.flows {
@@ -145,6 +146,7 @@
 			delete(q.flows, name)
 		}
 	}
+	q.purgeAt = 2 * len(q.flows)
 }
 
 // ahead estimates how many tickets are served before a new one of the
--- /dev/null
+++ b/gateway/bench_test.go
@@ -0,0 +1,111 @@
+package gateway
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"zinniapin/contract"
+	"zinniapin/target"
+	"zinniapin/target/httpengine"
+)
+
+// oneToken is an engine over HTTP that answers every request with one token.
+func oneToken() *httptest.Server {
+	return httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		from := bytes.Index(body, []byte(`"attempt":"`)) + len(`"attempt":"`)
+		attempt := body[from : from+bytes.IndexByte(body[from:], '"')]
+		_, _ = w.Write([]byte(`{"attempt":"` + string(attempt) + `","offset":0,"tokens":1,"text":"a","done":true,"finish":"stop","prompt_tokens":1,"output_tokens":1}` + "\n"))
+	}))
+}
+
+// callers is the number of callers at once in benchmarks.
+const callers = 64
+
+// measure calls do from many callers and reports requests a second and the
+// latency.
+func measure(b *testing.B, do func() bool) {
+	h := hdrhistogram.New(1, time.Minute.Microseconds(), 3)
+	var mu sync.Mutex
+	work := make(chan struct{})
+	var group sync.WaitGroup
+	for range callers {
+		group.Go(func() {
+			for range work {
+				began := time.Now()
+				ok := do()
+				taken := time.Since(began).Microseconds()
+				mu.Lock()
+				if !ok {
+					b.Error("a request failed")
+				}
+				_ = h.RecordValue(taken)
+				mu.Unlock()
+			}
+		})
+	}
+	began := time.Now()
+	for b.Loop() {
+		work <- struct{}{}
+	}
+	close(work)
+	group.Wait()
+	b.ReportMetric(float64(b.N)/time.Since(began).Seconds(), "requests/s")
+	b.ReportMetric(float64(h.ValueAtQuantile(50)), "median-us")
+	b.ReportMetric(float64(h.ValueAtQuantile(99)), "p99-us")
+}
+
+// post sends a body and tells whether the status was 200.
+func post(client *http.Client, url, key, body string) bool {
+	request, err := http.NewRequest("POST", url, bytes.NewReader([]byte(body)))
+	if err != nil {
+		return false
+	}
+	request.Header.Set("Authorization", "Bearer "+key)
+	response, err := client.Do(request)
+	if err != nil {
+		return false
+	}
+	defer response.Body.Close()
+	_, err = io.Copy(io.Discard, response.Body)
+	return err == nil && response.StatusCode == http.StatusOK
+}
+
+// BenchmarkDirect calls a trivial engine without a gateway.
+func BenchmarkDirect(b *testing.B) {
+	server := oneToken()
+	defer server.Close()
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: callers}}
+	measure(b, func() bool {
+		return post(client, server.URL+httpengine.GeneratePath, "", `{"attempt":"x"}`)
+	})
+}
+
+// BenchmarkGateway calls the same engine through a gateway.
+func BenchmarkGateway(b *testing.B) {
+	server := oneToken()
+	defer server.Close()
+	r := newRig(b, httpengine.New(httpengine.Options{IdleConns: callers}))
+	t := live("e1", target.Engine, "p", server.Listener.Addr().String())
+	t.Report.Capacity = callers
+	r.view = append(r.view[:0], t)
+	r.g.Configure(snapshot(2, wide))
+	r.g.Observe(r.view)
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: callers}}
+	body := chatRequest("hello", false)
+	measure(b, func() bool {
+		return post(client, r.server.URL+"/v1/chat/completions", testKey, body)
+	})
+}
+
+// wide lifts the limits of an organisation.
+func wide(k, _ *contract.Contract) {
+	k.Limits = contract.Limits{RequestsPerSecond: 1e6, Concurrency: 10_000}
+}
