Leave silent engines, put prefill failures down to the prefill engine

Cause: a stream whose engine fell silent was resumed at that engine, since the cancelled stream counts as broken (found by TestSilentEngineIsLeft); a failed prefill was told to the router as a success. Change: stalls and moves give the place up; the fault goes to the engine that has it; an own bound on the first chunk; the last known share is kept when a gateway is cut off; cordons of gone targets are forgotten; the path stays out of logs and messages.

--- a/gateway/control.go
+++ b/gateway/control.go
@@ -50,7 +50,7 @@
 func (g *Gateway) setCapacities(now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for pool, n := range g.fleet.capacities(max(1, g.connectivity.LiveGateways)) {
+	for pool, n := range g.fleet.capacities(g.gateways) {
 		g.admission.SetCapacity(pool, n)
 		g.dispatch(now, pool)
 	}
@@ -92,8 +92,11 @@
 	now := time.Now()
 	g.mu.Lock()
 	wasAlone := !g.aloneSince.IsZero()
-	g.connectivity = c
-	g.admission.SetGateways(c.LiveGateways)
+	if c.LiveGateways > 0 {
+		// A gateway that is cut off keeps its last share, which is safe.
+		g.gateways = c.LiveGateways
+		g.admission.SetGateways(g.gateways)
+	}
 	switch {
 	case c.Controllers > 0:
 		g.aloneSince = time.Time{}
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -24,12 +24,16 @@
 	// minPoolShare is the least number of requests that one gateway may have
 	// out at a pool.
 	minPoolShare = 4
+	// cordonMemory is how long a cordon of a target is remembered that no
+	// view lists.
+	cordonMemory = 10 * time.Minute
 )
 
 // cordon is the latest word on new work to a target.
 type cordon struct {
 	epoch uint64
 	on    bool
+	heard time.Time
 }
 
 // fleet is the view of the targets and of this gateway's requests on them.
@@ -108,11 +112,6 @@
 func (p *placement) prefilled(now time.Time) {
 	p.fleet.mu.Lock()
 	defer p.fleet.mu.Unlock()
-	p.freePrefill(now)
-}
-
-// freePrefill gives the prefill engine free. The lock is held.
-func (p *placement) freePrefill(now time.Time) {
 	if p.prefill == nil {
 		return
 	}
@@ -121,6 +120,15 @@
 	p.fleet.router.Prefilled(now, &p.choice)
 }
 
+// atFault returns the target that an attempt's failure is put down to: the
+// prefill engine while its phase is not over.
+func (p *placement) atFault() target.ID {
+	if p.prefill != nil {
+		return p.prefill.ID
+	}
+	return p.choice.Target.ID
+}
+
 // done ends the placement.
 func (p *placement) done(now time.Time, failed bool) {
 	p.fleet.mu.Lock()
@@ -129,7 +137,10 @@
 		return
 	}
 	p.ended = true
-	p.freePrefill(now)
+	if p.prefill != nil {
+		p.fleet.free(p.prefill.ID)
+		p.prefill = nil
+	}
 	p.fleet.free(p.choice.Target.ID)
 	delete(p.fleet.placements, p)
 	p.fleet.router.Done(now, &p.choice, failed)
@@ -155,13 +166,23 @@
 		known, ok := f.cordons[s.Target.ID]
 		if ok && known.epoch > s.CordonEpoch {
 			s.CordonEpoch, s.Cordoned = known.epoch, known.on
-			continue
 		}
-		f.cordons[s.Target.ID] = cordon{s.CordonEpoch, s.Cordoned}
+		f.cordons[s.Target.ID] = cordon{s.CordonEpoch, s.Cordoned, now}
 	}
+	f.forgetCordons(now)
 	f.router.Observe(now, f.view, f.zones)
 }
 
+// forgetCordons drops what was heard long ago of targets that no view lists
+// any more. The lock is held.
+func (f *fleet) forgetCordons(now time.Time) {
+	for id, c := range f.cordons {
+		if now.Sub(c.heard) > cordonMemory {
+			delete(f.cordons, id)
+		}
+	}
+}
+
 // setZones replaces the map of zones.
 func (f *fleet) setZones(now time.Time, zones func(zone.Name) (zone.Zone, bool)) {
 	f.mu.Lock()
@@ -178,7 +199,7 @@
 	if epoch < f.cordons[id].epoch {
 		return f.running[id], false
 	}
-	f.cordons[id] = cordon{epoch, !lift}
+	f.cordons[id] = cordon{epoch, !lift, now}
 	for i := range f.view {
 		s := &f.view[i]
 		if s.Target.ID == id {
@@ -223,7 +244,7 @@
 	}
 	for name, n := range total {
 		if n > 0 {
-			total[name] = max(minPoolShare, (n*dispatchFactor+gateways-1)/gateways)
+			total[name] = max(minPoolShare, (n*dispatchFactor+gateways-1)/max(1, gateways))
 		}
 	}
 	return total
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -65,10 +65,10 @@
 	metrics  *metrics
 	bodies   *bodyBudget
 
-	mu           sync.Mutex // guards admission and connectivity
-	admission    *admission.Core
-	connectivity control.Connectivity
-	aloneSince   time.Time // zero while a controller is reached
+	mu         sync.Mutex // guards what follows, up to aloneSince
+	admission  *admission.Core
+	gateways   int       // live ones, 0 until known
+	aloneSince time.Time // zero while a controller is reached
 
 	draining atomic.Bool
 	inFlight atomic.Int64
@@ -111,7 +111,8 @@
 	return g.serving()
 }
 
-// serving returns why the gateway must refuse requests, or nil. A gateway
+// serving returns why the gateway must refuse requests, or nil. Until it knows
+// how many gateways are live it cannot tell its share of any limit. One
 // that stops still serves what reaches it.
 func (g *Gateway) serving() error {
 	if g.snapshot.Load() == nil {
@@ -119,7 +120,7 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.alone(time.Now()) {
+	if g.gateways == 0 || g.alone(time.Now()) {
 		return result.New(result.NotReady, "the configuration cannot be confirmed").Retry(retryElsewhere)
 	}
 	return nil
--- a/gateway/generation.go
+++ b/gateway/generation.go
@@ -131,14 +131,16 @@
 
 // keep decides where a failed attempt leaves its place. A stream that broke
 // after progress goes on at the same engine, which still holds its cache, if
-// the engine takes new work; else the place is given up.
+// the engine takes new work; else the place is given up and the engine at
+// fault left out of the next choice.
 func (n *generation) keep(place *placement, err error, progress bool) *placement {
-	if errors.Is(err, target.ErrBroken) && progress && place.usable() {
+	ours := errors.Is(err, errStalled) || errors.Is(err, errMoved)
+	if errors.Is(err, target.ErrBroken) && !ours && progress && place.prefill == nil && place.usable() {
 		return place
 	}
+	n.query.Exclude = append(n.query.Exclude, place.atFault())
 	failed := !errors.Is(err, errMoved)
 	place.done(time.Now(), failed)
-	n.query.Exclude = append(n.query.Exclude, place.choice.Target.ID)
 	return nil
 }
 
@@ -172,12 +174,13 @@
 }
 
 // attempt makes one attempt at a place: in two phases when the choice says
-// so, else whole.
+// so, else whole. When the decode phase fails, its engine is asked for the
+// whole; when the prefill phase fails, a new place is chosen.
 func (n *generation) attempt(ctx context.Context, place *placement) error {
 	if place.prefill != nil {
 		done, err := n.twoPhases(ctx, place)
 		lost := err != nil && (!isTargetError(err) || errors.Is(err, errMoved))
-		if done || lost || ctx.Err() != nil {
+		if done || lost || ctx.Err() != nil || place.prefill != nil {
 			return err
 		}
 		if err := n.recheckKey(); err != nil {
@@ -194,10 +197,13 @@
 	prefill := n.request()
 	prefill.Phase = target.PhasePrefill
 	handle, err := n.prefill(ctx, place, source, prefill)
-	place.prefilled(time.Now())
-	if err != nil || handle == "" {
+	if err != nil {
 		return false, err
 	}
+	place.prefilled(time.Now())
+	if handle == "" {
+		return false, nil
+	}
 	if n.assembly.have >= n.limit {
 		return true, nil
 	}
@@ -266,7 +272,8 @@
 	})
 	defer place.onLeave(nil)
 	stall := settings.Millis(n.gateway.options.Settings.StallMillis)
-	watchdog := time.AfterFunc(stall, func() { cancel(errStalled) })
+	first := settings.Millis(n.gateway.options.Settings.FirstChunkMillis)
+	watchdog := time.AfterFunc(first, func() { cancel(errStalled) })
 	defer watchdog.Stop()
 	last, err := n.consume(attemptCtx, a, r, func() { watchdog.Reset(stall) })
 	if cause := context.Cause(attemptCtx); err != nil && cause != nil && ctx.Err() == nil {
--- a/gateway/generation_test.go
+++ b/gateway/generation_test.go
@@ -405,3 +405,95 @@
 		is.Equal(broken, len(s.attempts) == 3)
 	}
 }
+
+// TestSilentEngineIsLeft checks that an answer goes on elsewhere when its
+// engine falls silent.
+func TestSilentEngineIsLeft(t *testing.T) {
+	is := is.New(t)
+	s := &script{hold: make(chan struct{}), run: func(i int, _ target.Target, r target.GenerateRequest) ([]target.Chunk, error, error) {
+		if i > 0 {
+			return append(pieces(r, 5, 5), target.Chunk{}), nil, nil
+		}
+		return pieces(r, 3, 5), nil, nil
+	}}
+	r := newRig(t, s, "e1", "e2")
+	r.g.options.Settings.StallMillis = 50
+	_, body := r.chat("silent", true)
+	is.Equal(streamText(events(body)), joined(5))
+	is.Equal(s.count(), 2)
+	is.True(s.targets[0] != s.targets[1])
+}
+
+// TestWithdrawnStreamIsCut checks the bound on streams of a withdrawn key.
+func TestWithdrawnStreamIsCut(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, nil)
+	s := &script{run: func(_ int, _ target.Target, q target.GenerateRequest) ([]target.Chunk, error, error) {
+		return pieces(q, 500, 500), nil, nil
+	}}
+	r.g.options.Engines = slowly{s, func(i int) {
+		if i == 3 {
+			r.g.Configure(snapshot(2, func(k, _ *contract.Contract) { k.Keys[0].Withdrawn = true }))
+		}
+		time.Sleep(time.Millisecond)
+	}}
+	r.g.options.Settings.WithdrawnStreamMillis = 20
+	r.g.Observe([]control.TargetState{live("e1", target.Engine, "p", "e1")})
+	_, body := r.chat("cut", true)
+	all := events(body)
+	is.Equal(all[len(all)-1].name, "error")
+	is.True(strings.Contains(all[len(all)-1].data, "key_withdrawn"))
+	is.True(len(all) < 400)
+}
+
+// slowly calls a function before each chunk.
+type slowly struct {
+	target.Requests
+	before func(chunk int)
+}
+
+func (s slowly) Generate(ctx context.Context, t target.Target, r target.GenerateRequest) (target.Stream, error) {
+	stream, err := s.Requests.Generate(ctx, t, r)
+	return &slowStream{Stream: stream, before: s.before}, err
+}
+
+type slowStream struct {
+	target.Stream
+	before func(chunk int)
+	chunks int
+}
+
+func (s *slowStream) Next() (target.Chunk, error) {
+	s.before(s.chunks)
+	s.chunks++
+	return s.Stream.Next()
+}
+
+// TestSplitPool checks requests over engines of split roles, as routed, and
+// what happens when the prefill engine is lost.
+func TestSplitPool(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, nil)
+	var view []control.TargetState
+	for _, e := range []struct {
+		name string
+		role target.Role
+	}{{"p1", target.Prefill}, {"p2", target.Prefill}, {"d1", target.Decode}} {
+		r.engines.Add(e.name, engine.Options{ID: target.ID(e.name), Role: e.role, Models: []string{testModel}, DecodeRate: 1e6, PrefillRate: 1e7})
+		state := live(e.name, target.Engine, "p", e.name)
+		state.Report.Role = e.role
+		view = append(view, state)
+	}
+	r.g.Observe(view)
+	want, _ := wholeText("split")
+	response, body := r.chat("split", false)
+	is.Equal(response.StatusCode, 200)
+	is.True(strings.Contains(body, want))
+	r.engines.Remove("p1")
+	for range 5 {
+		response, body = r.chat("split", false)
+		is.Equal(response.StatusCode, 200)
+		is.True(strings.Contains(body, want))
+	}
+	is.Equal(len(r.g.fleet.running), 0)
+}
--- a/gateway/routes.go
+++ b/gateway/routes.go
@@ -67,7 +67,7 @@
 
 // noRoute answers a call that matches nothing.
 func noRoute(_ http.ResponseWriter, r *http.Request, _ *call) error {
-	return result.New(result.NoSuchRoute, "no route %s %s", r.Method, r.URL.Path)
+	return result.New(result.NoSuchRoute, "no such path, or not with the method %.16q", r.Method)
 }
 
 // serve wraps a handler with what every call needs: its id, the key taken
@@ -156,15 +156,16 @@
 	if !g.bodies.take(size) {
 		return nil, nil, result.New(result.QueueFull, "too many large bodies are in progress").Retry(retryElsewhere)
 	}
-	free = func() { g.bodies.give(size) }
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(time.Now().Add(bodyReadTimeout))
 	body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
 	_ = control.SetReadDeadline(time.Time{})
 	if err == nil {
-		return body, free, nil
+		used := int64(len(body))
+		g.bodies.give(size - used)
+		return body, func() { g.bodies.give(used) }, nil
 	}
-	free()
+	g.bodies.give(size)
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return nil, nil, result.New(result.TooLarge, "the body exceeds %d bytes", maxBodyBytes).At("body")
--- a/gateway/run_test.go
+++ b/gateway/run_test.go
@@ -144,7 +144,8 @@
 		g.Configure(snapshot(3, nil))
 		g.Configure(snapshot(2, nil))
 		is.Equal(g.snapshot.Load().Revision, contract.Revision(3))
-		g.Connected(control.Connectivity{Controllers: 2})
+		is.True(g.Ready() != nil) // nor a share
+		g.Connected(control.Connectivity{Controllers: 2, LiveGateways: 3})
 		is.NoErr(g.Ready())
 		g.Connected(control.Connectivity{Controllers: 1, StoreDownForMost: true})
 		time.Sleep(time.Hour)
--- a/gateway/service_test.go
+++ b/gateway/service_test.go
@@ -12,6 +12,7 @@
 	"testing"
 
 	"github.com/matryer/is"
+	"github.com/rs/zerolog"
 	"pgregory.net/rapid"
 
 	"zinniapin/control"
@@ -133,6 +134,9 @@
 	is := is.New(t)
 	s := desk(t)
 	r := withDesks(t, s.Address())
+	var log lockedBuffer
+	r.g.log = r.g.log.Output(&log).Level(zerolog.DebugLevel)
+	defer func() { is.True(!strings.Contains(log.String(), testKey)) }()
 	r.send("GET", "/v1/services/desk/status/1?a=b", testKey, "", "X-Api-Key", testKey, "User-Agent", testKey, "Cookie", testKey, "X-Other", testKey, "Accept", "x")
 	received := s.Calls()
 	is.Equal(len(received), 1)
@@ -142,6 +146,7 @@
 		{"GET", "/v1/services/desk/status/1?k=" + testKey, ""},
 		{"GET", "/v1/services/desk/status/1?k=zk_test%2Dkey-of-kalnins", ""},
 		{"GET", "/v1/services/desk/status/" + testKey, ""},
+		{"GET", "/v1/services/desk/status/zk_test%2Dkey-of-kalnins", ""},
 		{"POST", "/v1/services/desk/drafts", "my key is " + testKey},
 		{"POST", "/v1/chat/completions", chatRequest("my key is "+testKey, false)},
 	} {
@@ -150,6 +155,7 @@
 		is.Equal(response.StatusCode, 400)
 	}
 	is.Equal(len(s.Calls()), 1)
+	r.send("GET", "/v1/"+testKey, testKey, "")
 }
 
 // TestRoutes checks who may call what.
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -22,6 +22,9 @@
 	// FirstTokenMillis is how long a request may wait for its dispatch.
 	// Default 10000.
 	FirstTokenMillis int `json:"first_token_ms,omitempty"`
+	// FirstChunkMillis is how long an engine may take to begin an answer, its
+	// own queue and a long prompt included. Default 60000.
+	FirstChunkMillis int `json:"first_chunk_ms,omitempty"`
 	// StallMillis is the longest silence of an engine within an answer.
 	// Default 10000.
 	StallMillis int `json:"stall_ms,omitempty"`
@@ -41,6 +44,7 @@
 	defaultDrainDelayMillis = 5_000
 	defaultAloneMillis      = 8_000
 	defaultFirstTokenMillis = 10_000
+	defaultFirstChunkMillis = 60_000
 	defaultStallMillis      = 10_000
 	defaultQueueLength      = 2_048
 	defaultResumeMillis     = 600_000
@@ -62,6 +66,7 @@
 	positive(p, "drain_delay_ms", &g.DrainDelayMillis, defaultDrainDelayMillis)
 	positive(p, "alone_ms", &g.AloneMillis, defaultAloneMillis)
 	positive(p, "first_token_ms", &g.FirstTokenMillis, defaultFirstTokenMillis)
+	positive(p, "first_chunk_ms", &g.FirstChunkMillis, defaultFirstChunkMillis)
 	positive(p, "stall_ms", &g.StallMillis, defaultStallMillis)
 	positive(p, "queue_length", &g.QueueLength, defaultQueueLength)
 	positive(p, "withdrawn_stream_ms", &g.WithdrawnStreamMillis, 0)
