--- a/cmd/zinnia-gateway/serve.go
+++ b/cmd/zinnia-gateway/serve.go
@@ -12,13 +12,17 @@
 
 	"zinniapin/claim"
 	"zinniapin/daemon"
+	"zinniapin/event"
 	"zinniapin/gateway"
 	"zinniapin/invariant"
+	"zinniapin/link/yamuxlink"
 	"zinniapin/machine"
 	"zinniapin/result"
 	"zinniapin/settings"
+	"zinniapin/store/budget"
 	"zinniapin/store/httpstore"
 	"zinniapin/target/httpengine"
+	"zinniapin/uplink"
 	"zinniapin/zone"
 )
 
@@ -87,9 +91,26 @@
 		Zone:        zone.Zone{Name: s.Zone, Region: s.Region},
 		Address:     s.Listen,
 	}
-	timeout := settings.Millis(s.Platform.TimeoutMillis)
-	objects := httpstore.New(s.Platform.Objects, timeout)
-	claims := claim.NewStored(objects, claim.Options{})
+	secured, err := yamuxlink.LoadTLS(s.TLS)
+	if err != nil {
+		return nil, err
+	}
+	objects := httpstore.New(s.Platform.Objects, settings.Millis(s.Platform.TimeoutMillis))
+	limited := budget.New(objects, budget.Options{
+		Rate:    s.ObjectCallsPerSecond,
+		Burst:   int(s.ObjectCallsPerSecond) + 1,
+		Seed:    rand.Uint64(),
+		OnState: func(reachable bool) { event.StoreStateChanged.Log(&log).Bool("reachable", reachable).Send() },
+	})
+	registry.MustRegister(limited.Collector())
+	claims := claim.NewStored(limited, claim.Options{})
+	links := uplink.New(uplink.Config{
+		Self:    self,
+		Own:     s.Controllers[0],
+		Seeds:   s.Controllers[1:],
+		Network: &yamuxlink.Network{Self: self, TLS: secured, Log: &log},
+		Log:     &log,
+	})
 	engines := httpengine.New(httpengine.Options{})
 	return &parts{
 		options: gateway.Options{
@@ -98,6 +119,7 @@
 			ResumeKey: key,
 			Engines:   engines,
 			Claims:    claims,
+			Uplink:    links,
 			Log:       log,
 			Registry:  registry,
 			Seed:      rand.Uint64(),
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -35,6 +35,9 @@
 	WithdrawnStreamMillis int `json:"withdrawn_stream_ms,omitempty"`
 	// ResumeMillis is how long a resume token is valid. Default 600000.
 	ResumeMillis int `json:"resume_ms,omitempty"`
+	// ObjectCallsPerSecond bounds this gateway's calls of the object API, which
+	// are those of claims. Default 50.
+	ObjectCallsPerSecond float64 `json:"object_calls_per_second,omitempty"`
 	// FlushMillis bounds the handing over of usage at the end. Default 10000.
 	FlushMillis int `json:"flush_ms,omitempty"`
 }
@@ -49,6 +52,7 @@
 	defaultQueueLength      = 2_048
 	defaultResumeMillis     = 600_000
 	defaultFlushMillis      = 10_000
+	defaultObjectCalls      = 50.0 // a second
 )
 
 // Check implements the check of Load: it notes every mistake and sets the
@@ -72,6 +76,12 @@
 	positive(p, "withdrawn_stream_ms", &g.WithdrawnStreamMillis, 0)
 	positive(p, "resume_ms", &g.ResumeMillis, defaultResumeMillis)
 	positive(p, "flush_ms", &g.FlushMillis, defaultFlushMillis)
+	if g.ObjectCallsPerSecond == 0 {
+		g.ObjectCallsPerSecond = defaultObjectCalls
+	}
+	if g.ObjectCallsPerSecond < 0 {
+		p.Add("object_calls_per_second", "must be above 0")
+	}
 }
 
 // positive sets the default of a missing number and notes a negative one.
