--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -22,6 +22,9 @@
 	// FirstTokenMillis is how long a request may wait for its dispatch.
 	// Default 10000.
 	FirstTokenMillis int `json:"first_token_ms,omitempty"`
+	// FirstChunkMillis is how long an engine may take to begin an answer, its
+	// own queue and a long prompt included. Default 60000.
+	FirstChunkMillis int `json:"first_chunk_ms,omitempty"`
 	// StallMillis is the longest silence of an engine within an answer.
 	// Default 10000.
 	StallMillis int `json:"stall_ms,omitempty"`
@@ -32,6 +35,9 @@
 	WithdrawnStreamMillis int `json:"withdrawn_stream_ms,omitempty"`
 	// ResumeMillis is how long a resume token is valid. Default 600000.
 	ResumeMillis int `json:"resume_ms,omitempty"`
+	// ObjectCallsPerSecond bounds this gateway's calls of the object API, which
+	// are those of claims. Default 50.
+	ObjectCallsPerSecond float64 `json:"object_calls_per_second,omitempty"`
 	// FlushMillis bounds the handing over of usage at the end. Default 10000.
 	FlushMillis int `json:"flush_ms,omitempty"`
 }
@@ -41,10 +47,12 @@
 	defaultDrainDelayMillis = 5_000
 	defaultAloneMillis      = 8_000
 	defaultFirstTokenMillis = 10_000
+	defaultFirstChunkMillis = 60_000
 	defaultStallMillis      = 10_000
 	defaultQueueLength      = 2_048
 	defaultResumeMillis     = 600_000
 	defaultFlushMillis      = 10_000
+	defaultObjectCalls      = 50.0 // a second
 )
 
 // Check implements the check of Load: it notes every mistake and sets the
@@ -62,11 +70,18 @@
 	positive(p, "drain_delay_ms", &g.DrainDelayMillis, defaultDrainDelayMillis)
 	positive(p, "alone_ms", &g.AloneMillis, defaultAloneMillis)
 	positive(p, "first_token_ms", &g.FirstTokenMillis, defaultFirstTokenMillis)
+	positive(p, "first_chunk_ms", &g.FirstChunkMillis, defaultFirstChunkMillis)
 	positive(p, "stall_ms", &g.StallMillis, defaultStallMillis)
 	positive(p, "queue_length", &g.QueueLength, defaultQueueLength)
 	positive(p, "withdrawn_stream_ms", &g.WithdrawnStreamMillis, 0)
 	positive(p, "resume_ms", &g.ResumeMillis, defaultResumeMillis)
 	positive(p, "flush_ms", &g.FlushMillis, defaultFlushMillis)
+	if g.ObjectCallsPerSecond == 0 {
+		g.ObjectCallsPerSecond = defaultObjectCalls
+	}
+	if g.ObjectCallsPerSecond < 0 {
+		p.Add("object_calls_per_second", "must be above 0")
+	}
 }
 
 // positive sets the default of a missing number and notes a negative one.
