--- a/link/yamuxlink/link.go
+++ b/link/yamuxlink/link.go
@@ -80,20 +80,23 @@
 	return reply, err
 }
 
-// serve takes the peer's calls until the session ends.
+// serve takes the peer's calls until the session ends, which ends the contexts
+// of the calls under way.
 func (s *session) serve() {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
 	for {
 		stream, err := s.mux.AcceptStream()
 		if err != nil {
 			return
 		}
 		s.serving <- struct{}{}
-		go s.answer(stream)
+		go s.answer(ctx, stream)
 	}
 }
 
 // answer serves one call.
-func (s *session) answer(stream net.Conn) {
+func (s *session) answer(ctx context.Context, stream net.Conn) {
 	defer func() { <-s.serving }()
 	defer func() { _ = stream.Close() }()
 	_ = stream.SetDeadline(time.Now().Add(serveTimeout))
@@ -101,7 +104,7 @@
 	if err != nil {
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), serveTimeout)
+	ctx, cancel := context.WithTimeout(ctx, serveTimeout)
 	defer cancel()
 	reply, err := s.handler.Serve(ctx, s, request)
 	if err != nil {
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/bits"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -74,7 +75,7 @@
 		return
 	}
 	c := cursor{from.Self().Process.Incarnation, to.Self().Process.Incarnation}
-	records, reached := to.Since(m.seen[c], c.from, 2000)
+	records, reached := to.Since(m.seen[c], c.from, 300)
 	if lossy {
 		return
 	}
@@ -125,6 +126,12 @@
 					a.Doubt(m.now, b.Self().Process.Incarnation)
 				}
 			},
+			"update": func(t *rapid.T) {
+				if table := m.tables[host(t)]; table != nil {
+					via := fmt.Sprint("via-", rapid.IntRange(0, 3).Draw(t, "via"))
+					table.Update(func(own *Member) { own.Via = []string{via}; own.Revision++ })
+				}
+			},
 			"pause": func(*rapid.T) { m.now = m.now.Add(time.Hour) },
 		})
 		m.cut = map[[2]int]bool{}
@@ -152,6 +159,9 @@
 			if m.tables[number] == nil || m.tables[number].Self().Process.Incarnation != member.Process.Incarnation {
 				t.Fatalf("host %d sees an old incarnation of host %d", i, number)
 			}
+			if own := m.tables[number].Self(); member.Revision != own.Revision || !slices.Equal(member.Via, own.Via) {
+				t.Fatalf("host %d sees %+v, host %d is %+v", i, member, number, own)
+			}
 		}
 	}
 }
--- a/membership/table.go
+++ b/membership/table.go
@@ -212,14 +212,14 @@
 			changed = append(changed, e)
 		}
 	}
-	sort.Slice(changed, func(i, j int) bool { return changed[i].changed < changed[j].changed })
+	sort.Slice(changed, func(i, j int) bool { return changed[i].due(version) < changed[j].due(version) })
 	var records []*wire.Member
 	reached, used := version, 0
 	for _, e := range changed {
 		if used >= maxBytes {
 			return records, reached
 		}
-		reached = e.changed
+		reached = e.due(version)
 		if e.source == reader || e.Process.Incarnation == reader && e.doubted.IsZero() {
 			continue
 		}
@@ -230,6 +230,17 @@
 	return records, max(reached, t.version)
 }
 
+// due returns the version at which a reader that has seen the given one must
+// be told of the entry. What is more than the beat counts from its own change,
+// however often the beat changed since: a reader that has seen a version knows
+// the static part of every entry introduced up to it.
+func (e *entry) due(version uint64) uint64 {
+	if e.introduced > version {
+		return e.introduced
+	}
+	return e.changed
+}
+
 // record returns the message of an entry.
 func (e *entry) record(compact bool) *wire.Member {
 	w := e.ToWire(compact)
--- a/targetview/table.go
+++ b/targetview/table.go
@@ -59,7 +59,8 @@
 	published  time.Time // when its report was last published
 	changed    uint64    // version of the table at the last change
 	introduced uint64    // version at the last change of more than the load
-	source     uint64    // incarnation of the peer that told of the change
+	source     uint64    // incarnation of the peer that told of the last change
+	origin     uint64    // incarnation of the peer that told of more than the load
 }
 
 // New returns an empty table.
@@ -79,6 +80,7 @@
 	e.source = source
 	if static {
 		e.introduced = t.version
+		e.origin = source
 	}
 }
 
@@ -279,15 +281,15 @@
 			changed = append(changed, e)
 		}
 	}
-	sort.Slice(changed, func(i, j int) bool { return changed[i].changed < changed[j].changed })
+	sort.Slice(changed, func(i, j int) bool { return changed[i].due(version) < changed[j].due(version) })
 	var states []*wire.TargetState
 	reached, used := version, 0
 	for _, e := range changed {
 		if used >= maxBytes {
 			return states, reached
 		}
-		reached = e.changed
-		if e.source == reader {
+		reached = e.due(version)
+		if e.knownTo(reader, version) {
 			continue
 		}
 		compact := e.introduced <= version
@@ -297,6 +299,23 @@
 	return states, max(reached, t.version)
 }
 
+// due returns the version at which a reader that has seen the given one must
+// be told of the entry. What is more than the load counts from its own change,
+// however often the load changed since: a reader that has seen a version knows
+// the static part of every entry introduced up to it.
+func (e *entry) due(version uint64) uint64 {
+	if e.introduced > version {
+		return e.introduced
+	}
+	return e.changed
+}
+
+// knownTo tells whether a reader that has seen a version told of all that
+// changed since.
+func (e *entry) knownTo(reader, version uint64) bool {
+	return e.source == reader && (e.introduced <= version || e.origin == reader)
+}
+
 // Sizes of states, rounded up, in bytes.
 const (
 	compactBytes = 40
--- /dev/null
+++ b/targetview/table_test.go
@@ -0,0 +1,187 @@
+package targetview
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"zinniapin/platform"
+	"zinniapin/target"
+	"zinniapin/wire"
+	"zinniapin/zone"
+)
+
+// init fixes the seed of the randomised runs.
+func init() {
+	if err := flag.Set("rapid.seed", "20260106"); err != nil {
+		panic(err)
+	}
+}
+
+// everyZone takes every zone for local.
+func everyZone(zone.Name) bool { return true }
+
+// hostWith returns a row of the list.
+func hostWith(i int, s platform.HostState) platform.Host {
+	id := target.ID(fmt.Sprintf("engine-%03d", i))
+	return platform.Host{ID: string(id), State: s, Zone: "riga-a", Target: &target.Target{
+		ID: id, Kind: target.Engine, Class: target.Reserved, Pool: "assistant", Zone: "riga-a", Address: fmt.Sprintf("10.2.0.%d:8000", i)}}
+}
+
+// reportOn returns a report.
+func reportOn(i int, boot, sequence uint64, now time.Time) target.Report {
+	return target.Report{Target: target.ID(fmt.Sprintf("engine-%03d", i)), Boot: boot, Sequence: sequence, Taken: now,
+		Role: target.Mixed, Models: []string{"assistant"}, Running: int(sequence % 40), PrefillTokens: 12_345, KVPiecesUsed: 300, KVPiecesTotal: 500, Capacity: 64}
+}
+
+// TestViewsConverge lets tables learn different things and exchange them in
+// any order, with lost answers, and checks that all end alike.
+func TestViewsConverge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1000, 0)
+		tables := []*Table{New(), New(), New()}
+		var seen [3][3]uint64
+		pull := func(a, b int, lost bool) {
+			states, reached := tables[b].Since(now, seen[a][b], uint64(a+1), 600)
+			if lost || a == b {
+				return
+			}
+			seen[a][b] = reached
+			for _, s := range states {
+				if !tables[a].Merge(now, uint64(b+1), proto.Clone(s).(*wire.TargetState)) {
+					seen[a][b] = 0
+				}
+			}
+		}
+		sequence, epoch := uint64(0), uint64(0)
+		table := func(t *rapid.T) int { return rapid.IntRange(0, 2).Draw(t, "table") }
+		engine := func(t *rapid.T) int { return rapid.IntRange(0, 3).Draw(t, "engine") }
+		t.Repeat(map[string]func(*rapid.T){
+			"time": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond)
+			},
+			"listed": func(t *rapid.T) {
+				s := rapid.SampledFrom([]platform.HostState{platform.Live, platform.Leaving}).Draw(t, "state")
+				tables[table(t)].Listed(now, []platform.Host{hostWith(engine(t), s)}, everyZone)
+			},
+			"reported": func(t *rapid.T) {
+				sequence++
+				now = now.Add(time.Millisecond)
+				boot := rapid.Uint64Range(1, 2).Draw(t, "boot")
+				tables[table(t)].Reported(now, reportOn(engine(t), boot, sequence, now))
+			},
+			"cordon": func(t *rapid.T) {
+				epoch++
+				tables[table(t)].Cordon(hostWith(engine(t), "").Target.ID, epoch, rapid.Bool().Draw(t, "lift"))
+			},
+			"pull": func(t *rapid.T) { pull(table(t), table(t), rapid.Bool().Draw(t, "lost")) },
+		})
+		for range 12 {
+			now = now.Add(time.Second)
+			for i := range 4 { // one more report each, so that all of it is published
+				sequence++
+				tables[i%3].Reported(now, reportOn(i, 3, sequence, now))
+			}
+			for a := range 3 {
+				for b := range 3 {
+					pull(a, b, false)
+				}
+			}
+		}
+		for range 6 {
+			for a := range 3 {
+				for b := range 3 {
+					pull(a, b, false)
+				}
+			}
+		}
+		for i, other := range tables[1:] {
+			compare(t, i+1, tables[0], other)
+		}
+	})
+}
+
+// compare checks that two tables hold the same.
+func compare(t *rapid.T, number int, a, b *Table) {
+	left, right := a.States(), b.States()
+	if len(left) != len(right) {
+		t.Fatalf("table 0 has %d, table %d has %d", len(left), number, len(right))
+	}
+	for j := range left {
+		l, r := left[j], right[j]
+		l.Report.Taken, r.Report.Taken = time.Time{}, time.Time{}
+		if fmt.Sprint(l) != fmt.Sprint(r) {
+			t.Fatalf("table 0 has\n%+v\ntable %d has\n%+v", l, number, r)
+		}
+	}
+}
+
+// TestStatesOnlyMoveUp covers a stale list, a target that vanishes from the
+// list and a cordon against a stale epoch.
+func TestStatesOnlyMoveUp(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	table := New()
+	table.Listed(now, []platform.Host{hostWith(0, platform.Leaving), hostWith(1, platform.Live)}, everyZone)
+	table.Listed(now, []platform.Host{hostWith(0, platform.Live), hostWith(1, platform.Live)}, everyZone)
+	is.Equal(table.States()[0].State, platform.Leaving)
+	for range 7 {
+		now = now.Add(2 * time.Second)
+		table.Listed(now, []platform.Host{hostWith(0, platform.Leaving)}, everyZone)
+	}
+	is.Equal(len(table.States()), 1) // engine-001 is gone
+	table.Listed(now, []platform.Host{hostWith(1, platform.Live)}, everyZone)
+	is.Equal(len(table.States()), 1) // and does not come back
+	is.True(table.Cordon("engine-000", 5, false))
+	is.True(!table.Cordon("engine-000", 4, true))
+	is.True(table.States()[0].Cordoned)
+	is.True(table.Cordon("engine-000", 5, true)) // with equal epochs a lift wins
+	is.True(!table.Cordon("engine-000", 5, false))
+	is.True(!table.States()[0].Cordoned)
+}
+
+// TestQuietTablesSendNothing checks that two pollers with the same list do not
+// tell each other of changes for ever.
+func TestQuietTablesSendNothing(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 123456789)
+	a, b := New(), New()
+	leaving := hostWith(0, platform.Leaving)
+	leaving.LeavesAt = now.Add(time.Minute)
+	var atB uint64
+	for range 5 {
+		a.Listed(now, []platform.Host{leaving}, everyZone)
+		states, reached := a.Since(now, atB, 2, 1<<20)
+		atB = reached
+		for _, s := range states {
+			b.Merge(now, 1, s)
+		}
+		b.Listed(now, []platform.Host{leaving}, everyZone)
+	}
+	is.Equal(a.Version(), uint64(1))
+	is.Equal(b.Version(), uint64(1))
+}
+
+// BenchmarkDigestBytes measures the bytes of a target in a heartbeat.
+func BenchmarkDigestBytes(b *testing.B) {
+	now := time.Unix(1000, 0)
+	table := New()
+	table.Listed(now, []platform.Host{hostWith(7, platform.Live)}, everyZone)
+	table.Reported(now, reportOn(7, 1<<60, 100_000, now))
+	full, reached := table.Since(now, 0, 0, 1<<20)
+	now = now.Add(time.Minute)
+	table.Reported(now, reportOn(7, 1<<60, 100_001, now))
+	compact, _ := table.Since(now, reached, 0, 1<<20)
+	for b.Loop() {
+		_, _ = table.Since(now, reached, 0, 1<<20)
+	}
+	digest := proto.Size(&wire.Heartbeat{Targets: compact})
+	b.ReportMetric(float64(digest), "B/digest")
+	b.ReportMetric(float64(proto.Size(&wire.Heartbeat{Targets: full})), "B/full")
+	b.ReportMetric(float64(digest)*240/PublishInterval(240).Seconds(), "B/s_at_240")
+}
--- a/targetview/wire.go
+++ b/targetview/wire.go
@@ -25,12 +25,23 @@
 	if !r.Taken.IsZero() {
 		w.AgeMs = max(0, now.Sub(r.Taken).Milliseconds())
 	}
-	if !compact {
-		describe(w, s)
+	if compact {
+		w.BootTag = bootTag(r.Boot)
+		return w
 	}
+	describe(w, s)
 	return w
 }
 
+// bootTagMask selects the bits of a boot that go with the load.
+const bootTagMask = 1<<14 - 1
+
+// bootTag returns the low bits of a boot, which tell whether a load belongs to
+// the boot that the reader knows.
+func bootTag(boot uint64) uint32 {
+	return uint32(boot & bootTagMask)
+}
+
 // describe adds what a compact message leaves out.
 func describe(w *wire.TargetState, s *control.TargetState) {
 	r := &s.Report
@@ -74,6 +85,7 @@
 	if e == nil {
 		return true
 	}
+	version := t.version
 	if w.State != "" {
 		t.list(now, source, describedBy(w), platform.HostState(w.State), leavesAt(w))
 	}
@@ -85,21 +97,31 @@
 		e.state.Report = r
 		t.touch(e, source, true)
 	}
+	if t.version != version && !agrees(e, w) {
+		e.source, e.origin = 0, 0 // the peer lacks a part of what is known here
+	}
 	return true
 }
 
-// mergeLoad takes in a compact message.
+// agrees tells whether a peer knows all that is known here.
+func agrees(e *entry, w *wire.TargetState) bool {
+	s := &e.state
+	if string(s.State) != w.State || s.CordonEpoch != w.CordonEpoch || s.Cordoned != w.Cordoned {
+		return false
+	}
+	return s.Report.Boot == w.Boot && s.Report.Sequence == w.Sequence
+}
+
+// mergeLoad takes in a compact message. One of another boot is left aside: the
+// newer of the two boots is on its way in full, one way or the other.
 func (t *Table) mergeLoad(now time.Time, source uint64, w *wire.TargetState) bool {
 	e, ok := t.entries[target.ID(w.Id)]
 	if !ok {
 		return false
 	}
-	if w.Sequence <= e.state.Report.Sequence {
-		return true
-	}
 	r := e.state.Report
-	if r.Boot == 0 {
-		return false
+	if bootTag(r.Boot) != w.BootTag || w.Sequence <= r.Sequence {
+		return true
 	}
 	r.Sequence = w.Sequence
 	r.Taken = now.Add(-time.Duration(w.AgeMs) * time.Millisecond)
