--- a/targetview/table_test.go
+++ b/targetview/table_test.go
@@ -173,12 +173,12 @@
 	table := New()
 	table.Listed(now, []platform.Host{hostWith(7, platform.Live)}, everyZone)
 	table.Reported(now, reportOn(7, 1<<60, 100_000, now))
-	full, reached := table.Since(now, 0, 0, 1<<20)
+	full, reached := table.Since(now, 0, 1, 1<<20)
 	now = now.Add(time.Minute)
 	table.Reported(now, reportOn(7, 1<<60, 100_001, now))
-	compact, _ := table.Since(now, reached, 0, 1<<20)
+	compact, _ := table.Since(now, reached, 1, 1<<20)
 	for b.Loop() {
-		_, _ = table.Since(now, reached, 0, 1<<20)
+		_, _ = table.Since(now, reached, 1, 1<<20)
 	}
 	digest := proto.Size(&wire.Heartbeat{Targets: compact})
 	b.ReportMetric(float64(digest), "B/digest")
