Grant the whole limit when every gateway asks

Cause: a fixed quarter of each limit was set aside for safe shares, so that an organisation at its limit could use only three quarters of its contract.

--- a/controller/grants.go
+++ b/controller/grants.go
@@ -149,12 +149,12 @@
 // the wait of a new grantor and the bounds in package grant cover.
 func (k *Controller) grantAll(q *wire.GrantRequest) *wire.GrantReply {
 	now := time.Now()
-	presence := k.presence(now)
+	fleet := k.fleet(now)
 	reply := &wire.GrantReply{}
 	k.grants.mu.Lock()
 	defer k.grants.mu.Unlock()
 	for _, d := range q.Demands {
-		if g := k.grantOne(now, q.Gateway, presence, d); g != nil {
+		if g := k.grantOne(now, q.Gateway, fleet, d); g != nil {
 			reply.Grants = append(reply.Grants, g)
 		}
 	}
@@ -163,7 +163,7 @@
 
 // grantOne answers one demand, or nil while the grantor waits. The lock of the
 // grantor is held.
-func (k *Controller) grantOne(now time.Time, gateway string, presence float64, d *wire.Demand) *wire.Grant {
+func (k *Controller) grantOne(now time.Time, gateway string, fleet grant.Fleet, d *wire.Demand) *wire.Grant {
 	limits, revision, ok := k.limitsOf(d.Organisation)
 	if !ok {
 		return nil
@@ -175,7 +175,7 @@
 	if fresh {
 		event.GrantorChanged.Log(k.config.Log).Str("organisation", d.Organisation).Send()
 	}
-	share, ok := state.Ask(now, gateway, limits, presence, d.ToDemand())
+	share, ok := state.Ask(now, gateway, limits, fleet, d.ToDemand())
 	if !ok {
 		return nil
 	}
--- a/controller/serve.go
+++ b/controller/serve.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-	"math"
 	"time"
 
 	"zinniapin/contract"
+	"zinniapin/grant"
 	"zinniapin/link"
 	"zinniapin/machine"
 	"zinniapin/membership"
@@ -128,16 +128,14 @@
 	return ack
 }
 
-// presence returns the part of the known gateways that is live, from 0 to 1.
-func (k *Controller) presence(now time.Time) float64 {
+// fleet returns what is known of the gateways.
+func (k *Controller) fleet(now time.Time) grant.Fleet {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	known := k.members.Known(machine.Gateway)
-	live := len(gatewaysOf(k.members.Members(now)))
-	if known == 0 {
-		return 1
+	return grant.Fleet{
+		Live:  len(gatewaysOf(k.members.Members(now))),
+		Known: k.members.Known(machine.Gateway),
 	}
-	return math.Min(1, float64(live)/float64(known))
 }
 
 // limitsOf returns the limits of an organisation, and false when it has no
--- a/grant/grant.go
+++ b/grant/grant.go
@@ -3,11 +3,13 @@
 //
 // # Sums
 //
-// Of a limit L the part SafePart*L is set aside for safe shares: a gateway
-// without a grant in force uses SafeShare(L, gateways) instead, and a gateway
-// with one uses only the grant. The grants in force of one grantor sum to at
-// most (1-SafePart)*L, so grants and safe shares together stay within L as
-// long as there is one grantor and every gateway counts the gateways right.
+// A gateway without a grant in force uses SafeShare(L, n), that is
+// SafePart*L/n of a limit L among n gateways, and a gateway with one uses only
+// the grant. A grantor counts each gateway that holds grants with the larger of
+// its grants and a safe share, and each other gateway with a safe share, and
+// grants no more than what that leaves of L. So grants and safe shares together
+// stay within L as long as there is one grantor and every gateway counts the
+// same n, and when all n gateways hold grants these may sum to L.
 //
 // A grant runs for a term counted from the moment at which the gateway sent
 // its request, and the grantor counts the term from the later moment at which
@@ -16,20 +18,22 @@
 // force, so the larger of the two is counted until the earlier one ends.
 //
 // A new grantor, started or taken over, grants nothing for one term and a
-// margin, in which the predecessor's grants end.
+// margin, in which the predecessor's grants end. The sum holds when no gateway
+// has the predecessor asked for longer than the margin after the takeover;
+// while two grantors are asked side by side for longer, the sum is at most 2*L.
 //
-// The worst overshoot: while the mesh is split into k parts that each have a
-// grantor, each part grants as if it were alone. A grantor therefore grants
-// only the part live/known of its pool, where known counts the gateways that
-// it remembers from before the split; while the memory lasts (membership
-// forgets after 15 minutes) and each gateway asks in one part only, the sum of
-// all parts stays within (1-SafePart)*L. Gateways that count only live ones
-// use safe shares of at most SafePart*L in each part: the sum is at most
-// L + (k-1)*SafePart*L then, and k*L once the other parts are forgotten.
+// While the mesh is split into k parts that each have a grantor, each part
+// grants as if it were alone. A grantor therefore shares out only the part
+// live/known of L, where known counts the gateways that it remembers from
+// before the split. While that memory lasts (membership forgets after 15
+// minutes) a part uses at most the larger of its own share of L and of
+// SafePart*L, since its gateways count only those that they know to be live:
+// the sum is at most (1+(k-1)*SafePart)*L then, and k*L once the other parts
+// are forgotten.
 //
 // Limits of concurrency are shared in whole numbers, rounded down. A safe
 // share of concurrency is at least 1, so the sum may exceed the limit by at
-// most one for each gateway when the limit is smaller than the fleet.
+// most one for each gateway without a grant.
 package grant
 
 import (
@@ -49,7 +53,7 @@
 	Margin = 2 * time.Second
 	// SafePart is the part of each limit that is set aside for safe shares.
 	SafePart = 0.25
-	// floorPart is the part of the pool that is shared equally among the
+	// floorPart is the part of what may be granted that is shared equally among the
 	// gateways that ask, whatever they ask for.
 	floorPart = 0.1
 	// maxIssues bounds the grants of one gateway that are counted one by one.
@@ -87,12 +91,25 @@
 	return Amount{a.RequestsPerSecond * part, int(float64(a.Concurrency) * part), a.TokensPerMinute * part}
 }
 
-// Pool returns what a grantor may grant of the limits in all.
-func Pool(l contract.Limits) Amount {
-	limit := limitsOf(l)
-	pool := limit.scale(1 - SafePart)
-	pool.Concurrency = max(pool.Concurrency, min(limit.Concurrency, 1))
-	return pool
+// Fleet is what a grantor knows of the gateways.
+type Fleet struct {
+	// Live is the number of live gateways.
+	Live int
+	// Known is the number of gateways that are remembered, live or not.
+	Known int
+}
+
+// presence returns the part of the known gateways that is live, from 0 to 1.
+func (f Fleet) presence() float64 {
+	if f.Known <= f.Live {
+		return 1
+	}
+	return float64(f.Live) / float64(f.Known)
+}
+
+// reserve returns what is set aside for each gateway without a grant.
+func (f Fleet) reserve(l contract.Limits) Amount {
+	return limitsOf(l).scale(SafePart / float64(max(1, f.Live)))
 }
 
 // SafeShare returns what a gateway may use without a grant when it counts
@@ -181,19 +198,16 @@
 	return sum
 }
 
-// Ask answers a gateway's demand with its share. The presence is the part of
-// the known gateways that is live, from 0 to 1. It returns false while the
+// Ask answers a gateway's demand with its share. It returns false while the
 // grantor waits for earlier grants to end.
-func (o *Organisation) Ask(now time.Time, gateway string, limits contract.Limits, presence float64, d control.Demand) (Amount, bool) {
-	h := o.holder(gateway)
-	h.wanted = Amount{d.RequestsPerSecond, d.Concurrency, d.TokensPerMinute}
+func (o *Organisation) Ask(now time.Time, gateway string, limits contract.Limits, f Fleet, d control.Demand) (Amount, bool) {
 	if now.Before(o.opens) {
 		return Amount{}, false
 	}
 	o.Idle(now)
-	o.holders[gateway] = h
-	pool := Pool(limits).scale(min(1, max(0, presence)))
-	share := o.share(gateway, pool)
+	h := o.holder(gateway)
+	h.wanted = Amount{d.RequestsPerSecond, d.Concurrency, d.TokensPerMinute}
+	share := o.share(gateway, limits, f)
 	h.add(issue{share, now.Add(Term + Margin)})
 	return share, true
 }
@@ -208,16 +222,19 @@
 	return h
 }
 
-// share returns a gateway's part of the pool: in proportion to the demands,
-// above an equal floor, and within what the others leave.
-func (o *Organisation) share(gateway string, pool Amount) Amount {
+// share returns a gateway's part of what may be granted: in proportion to the
+// demands, above an equal floor, and within what the others leave.
+func (o *Organisation) share(gateway string, limits contract.Limits, f Fleet) Amount {
+	reserve := f.reserve(limits)
 	var wanted, others Amount
 	for name, h := range o.holders {
 		wanted = wanted.add(h.wanted)
 		if name != gateway {
-			others = others.add(h.held())
+			others = others.add(h.held().max(reserve))
 		}
 	}
+	idle := max(0, f.Live-len(o.holders))
+	pool := limitsOf(limits).scale(f.presence()).less(reserve, idle)
 	mine := o.holders[gateway].wanted
 	n := float64(len(o.holders))
 	return Amount{
@@ -227,6 +244,15 @@
 	}
 }
 
+// less returns an amount less n times another, and 0 at least.
+func (a Amount) less(b Amount, n int) Amount {
+	return Amount{
+		math.Max(0, a.RequestsPerSecond-b.RequestsPerSecond*float64(n)),
+		max(0, a.Concurrency-b.Concurrency*n),
+		math.Max(0, a.TokensPerMinute-b.TokensPerMinute*float64(n)),
+	}
+}
+
 // part returns a gateway's part, from 0 to 1.
 func part(mine, wanted, n float64) float64 {
 	if wanted <= 0 {
