Drive the system end to end as processes, under kills, freezes and outages

Cause: the parts were only tested apart. Change: e2e builds the programs and runs hosts of the Kalniņš example against stand-ins held in the test: a killed gateway whose stream resumes through another, graceful shutdown under 20 streams, a deposit across the death of its gateway, a platform outage, a frozen controller, a withdrawn key. The demo stops processes side by side.

--- a/Makefile
+++ b/Makefile
@@ -5,13 +5,21 @@
 GOBIN := $(shell go env GOPATH)/bin
 export PATH := $(GOBIN):$(PATH)
 
-.PHONY: all build test lint format-check docs generate tools bench
+.PHONY: all build demo up test lint format-check docs generate tools bench
 
 all: build
 
 build:
 	go build -o bin/ ./cmd/...
 
+# Runs an example deployment, shows what it does and stops it.
+demo: build
+	go run ./internal/demo
+
+# Runs an example deployment until interrupted.
+up: build
+	go run ./internal/demo --up
+
 test:
 	go test ./...
 
--- /dev/null
+++ b/e2e/failure_test.go
@@ -0,0 +1,229 @@
+package e2e
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+
+	"zinniapin/internal/deploy"
+	"zinniapin/internal/standin/engine"
+	"zinniapin/internal/standin/platform"
+	"zinniapin/internal/standin/service"
+)
+
+// stream is what a caller has of a streamed answer.
+type stream struct {
+	text   string
+	lastID string
+	events int
+	done   bool
+}
+
+// streamBody is a streamed request; the second part goes with a resume.
+const streamBody = `{"model":"assistant","max_tokens":%d,"stream":true,"messages":[{"role":"user","content":"a long programme, please"}]%s}`
+
+// read reads a streamed answer until its end, or until stop says so.
+func (s *stream) read(ctx context.Context, url, key string, tokens int, stop func() bool) error {
+	resume := ""
+	if s.lastID != "" {
+		delivered, _ := json.Marshal(s.text)
+		resume = `,"zinnia_delivered":` + string(delivered)
+	}
+	body := strings.NewReader(fmt.Sprintf(streamBody, tokens, resume))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url+"/v1/chat/completions", body)
+	if err != nil {
+		return err
+	}
+	request.Header.Set("Authorization", "Bearer "+key)
+	if s.lastID != "" {
+		request.Header.Set("Last-Event-ID", s.lastID)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return fmt.Errorf("status %d", response.StatusCode)
+	}
+	scanner := bufio.NewScanner(response.Body)
+	for scanner.Scan() {
+		s.take(scanner.Text())
+		if stop != nil && stop() {
+			return nil
+		}
+	}
+	return scanner.Err()
+}
+
+// take reads one line of a streamed answer.
+func (s *stream) take(line string) {
+	if id, ok := strings.CutPrefix(line, "id: "); ok {
+		s.lastID = id
+	}
+	data, ok := strings.CutPrefix(line, "data: ")
+	if !ok {
+		return
+	}
+	if data == "[DONE]" {
+		s.done = true
+		return
+	}
+	var event struct {
+		Choices []struct {
+			Delta struct {
+				Content string `json:"content"`
+			} `json:"delta"`
+		} `json:"choices"`
+	}
+	if json.Unmarshal([]byte(data), &event) == nil && len(event.Choices) > 0 {
+		s.text += event.Choices[0].Delta.Content
+		s.events++
+	}
+}
+
+// slowEngines makes every engine's answers slow to start.
+func (r *rig) slowEngines(delayMillis int) {
+	for _, e := range r.standins.Engines() {
+		e.SetFaults(engine.Faults{DelayMillis: delayMillis})
+	}
+}
+
+// TestKilledGatewayStreamResumes kills a gateway in mid-stream; the caller
+// goes on through another and gets each token once.
+func TestKilledGatewayStreamResumes(t *testing.T) {
+	t.Parallel()
+	r := start(t, "127.81.3.", 2)
+	key := r.key("programme-drafts")
+	whole := &stream{}
+	r.is.NoErr(whole.read(r.ctx, r.url(1), key, 400, nil))
+	r.is.True(whole.done)
+
+	cut := &stream{}
+	gateway := r.Process("host-1-gateway")
+	_ = cut.read(r.ctx, r.url(0), key, 400, func() bool { return cut.events > 10 })
+	gateway.Kill()
+	r.is.True(!cut.done)
+	r.is.NoErr(cut.read(r.ctx, r.url(1), key, 400, nil))
+	r.is.True(cut.done)
+	r.is.Equal(cut.text, whole.text)
+}
+
+// TestShutdownCutsNothing stops a gateway gracefully while streams run.
+func TestShutdownCutsNothing(t *testing.T) {
+	t.Parallel()
+	r := start(t, "127.81.4.", 2)
+	key := r.key("programme-drafts")
+	const callers = 20
+	streams := make([]stream, callers)
+	var running, done sync.WaitGroup
+	running.Add(callers)
+	for i := range streams {
+		done.Go(func() {
+			s := &streams[i]
+			started := sync.OnceFunc(running.Done)
+			defer started()
+			_ = s.read(r.ctx, r.url(0), key, 300, func() bool {
+				if s.events > 2 {
+					started()
+				}
+				return false
+			})
+		})
+	}
+	running.Wait()
+	r.is.NoErr(r.Process("host-1-gateway").Stop(r.ctx))
+	done.Wait()
+	for i := range streams {
+		r.is.True(streams[i].done) // no stream was cut
+	}
+}
+
+// TestDepositRunsOnceAcrossGatewayDeath kills the gateway that sends a
+// deposit while the service works on it, and repeats the deposit through the
+// other gateway.
+func TestDepositRunsOnceAcrossGatewayDeath(t *testing.T) {
+	t.Parallel()
+	r := start(t, "127.81.5.", 2)
+	key := r.key("parents-portal")
+	for _, s := range r.standins.Services() {
+		s.SetFaults(service.Faults{DelayMillis: 1500})
+	}
+	var sent sync.WaitGroup
+	sent.Go(func() { _, _ = r.deposit(0, key, "death", "booking-2") })
+	r.eventually("the service received the deposit", func() bool { return r.received("booking-2") })
+	r.Process("host-1-gateway").Kill()
+	sent.Wait()
+	for range 5 {
+		answer, err := r.deposit(1, key, "death", "booking-2")
+		r.is.NoErr(err)
+		r.is.Equal(answer.Status, http.StatusConflict) // in progress or unknown, never sent again
+	}
+	r.eventually("the deposit ran", func() bool { return r.runs("booking-2") == 1 })
+	r.is.Equal(r.runs("booking-2"), 1)
+}
+
+// received tells whether any instance of the service received the deposit.
+func (r *rig) received(id string) bool {
+	for _, s := range r.standins.Services() {
+		for _, call := range s.Calls() {
+			if strings.Contains(string(call.Body), id) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// TestPlatformOutage serves on while the platform is down and refuses
+// non-repeatable work unrun.
+func TestPlatformOutage(t *testing.T) {
+	t.Parallel()
+	r := start(t, "127.81.6.", 2)
+	key := r.key("parents-portal")
+	r.standins.Platform.SetFaults(platform.Faults{Outage: true})
+	for host := range r.Hosts {
+		r.is.Equal(r.chat(host, key, "triage", 8, false).Status, http.StatusOK)
+	}
+	answer, err := r.deposit(0, key, "outage", "booking-3")
+	r.is.NoErr(err)
+	r.is.Equal(answer.Status, http.StatusServiceUnavailable)
+	r.is.True(strings.Contains(answer.Body, `"execution":"not_run"`))
+	r.is.True(answer.Header.Get("Retry-After") != "")
+	r.is.Equal(r.runs("booking-3"), 0)
+	r.standins.Platform.SetFaults(platform.Faults{})
+	r.eventually("the deposit is taken again", func() bool {
+		answer, err := r.deposit(0, key, "outage", "booking-3")
+		return err == nil && answer.Status == http.StatusCreated
+	})
+	r.is.Equal(r.runs("booking-3"), 1)
+}
+
+// TestFrozenControllerIsHarmless freezes the controller of a host; its
+// gateway goes on through another, and a change made meanwhile is in force
+// there too.
+func TestFrozenControllerIsHarmless(t *testing.T) {
+	t.Parallel()
+	r := start(t, "127.81.7.", 3)
+	key := r.key("parents-portal")
+	frozen := r.Process("host-1-controller")
+	r.is.NoErr(frozen.Signal(syscall.SIGSTOP))
+	_, err := r.Operator(r.ctx, "key", "withdraw", deploy.Fingerprint(key))
+	r.is.NoErr(err)
+	r.eventually("the withdrawn key is refused at every gateway", func() bool {
+		for host := range r.Hosts {
+			if r.chat(host, key, "triage", 4, false).Status != http.StatusUnauthorized {
+				return false
+			}
+		}
+		return true
+	})
+	r.is.NoErr(frozen.Signal(syscall.SIGCONT))
+	r.is.Equal(r.chat(0, key, "triage", 4, false).Status, http.StatusUnauthorized)
+}
--- a/internal/demo/main.go
+++ b/internal/demo/main.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/signal"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"time"
 
@@ -50,7 +51,7 @@
 	if err := os.RemoveAll(filepath.Join(o.Folder, "run", filepath.Base(o.Example))); err != nil {
 		return trace.Wrap(err)
 	}
-	d, err := deploy.Prepare(deploy.Options{Example: o.Example, Folder: o.Folder, Binaries: o.Binaries, Hosts: o.Hosts})
+	d, err := deploy.Prepare(deploy.Options{Example: o.Example, Folder: o.Folder, Binaries: o.Binaries, Hosts: o.Hosts, Edit: shortWindows})
 	if err != nil {
 		return err
 	}
@@ -72,6 +73,14 @@
 	return show(ctx, d)
 }
 
+// shortWindows makes usage windows short, so that reports are seen soon.
+func shortWindows(path string, content []byte) []byte {
+	if path != "configuration.json" {
+		return content
+	}
+	return []byte(strings.Replace(string(content), `"usage_window_seconds": 60`, `"usage_window_seconds": 5`, 1))
+}
+
 // start starts all processes and accepts the configuration.
 func start(ctx context.Context, d *deploy.Deployment) error {
 	ctx, cancel := context.WithTimeout(ctx, startLimit)
--- a/internal/demo/show.go
+++ b/internal/demo/show.go
@@ -114,7 +114,7 @@
 }
 
 // decisionNames are the events shown as decision log lines.
-var decisionNames = []string{`"name":"route_chosen"`, `"name":"request_refused"`, `"name":"role_`, `"name":"spending_`}
+var decisionNames = []string{`"name":"request_routed"`, `"name":"request_refused"`, `"name":"role_`, `"name":"spending_`}
 
 // decisionLines bounds the log lines shown.
 const decisionLines = 8
--- a/internal/deploy/caller.go
+++ b/internal/deploy/caller.go
@@ -8,6 +8,8 @@
 	"strings"
 
 	"github.com/gravitational/trace"
+
+	"zinniapin/contract"
 )
 
 // IssueKey issues a key for an organisation and waits until it is in force.
@@ -61,3 +63,8 @@
 	body, err := io.ReadAll(response.Body)
 	return Answer{response.StatusCode, response.Header, string(body)}, trace.Wrap(err)
 }
+
+// Fingerprint returns the fingerprint of a key.
+func Fingerprint(key string) string {
+	return contract.Fingerprint(key)
+}
--- a/internal/deploy/process.go
+++ b/internal/deploy/process.go
@@ -9,10 +9,12 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"time"
 
 	"github.com/gravitational/trace"
+	"golang.org/x/sync/errgroup"
 
 	"zinniapin/settings"
 )
@@ -110,29 +112,49 @@
 	case <-p.done:
 		return trace.Wrap(p.err)
 	case <-ctx.Done():
-		return p.Kill()
+		p.Kill()
+		return trace.Wrap(ctx.Err(), "killed after it did not stop in time")
 	}
 }
 
 // Kill ends the process at once.
-func (p *Process) Kill() error {
+func (p *Process) Kill() {
 	_ = p.command.Process.Kill()
 	<-p.done
-	return nil
 }
 
-// StopAll stops every process, those started last first.
+// StopAll stops every process that still runs: gateways before controllers,
+// since they hand their usage over, and the stand-ins last.
 func (d *Deployment) StopAll(ctx context.Context) error {
 	var failures []error
-	for i := len(d.processes) - 1; i >= 0; i-- {
-		p := d.processes[i]
-		if err := p.Stop(ctx); err != nil {
-			failures = append(failures, fmt.Errorf("%s: %w", p.Name, err))
-		}
+	for _, suffix := range []string{"-gateway", "-controller", ""} {
+		failures = append(failures, d.stopEach(ctx, suffix))
 	}
 	return errors.Join(failures...)
 }
 
+// stopEach stops the processes whose names end with suffix, all at once.
+func (d *Deployment) stopEach(ctx context.Context, suffix string) error {
+	var stopping errgroup.Group
+	for _, p := range d.processes {
+		if !strings.HasSuffix(p.Name, suffix) {
+			continue
+		}
+		stopping.Go(func() error {
+			select {
+			case <-p.done:
+				return nil
+			default:
+			}
+			if err := p.Stop(ctx); err != nil {
+				return fmt.Errorf("%s: %w", p.Name, err)
+			}
+			return nil
+		})
+	}
+	return trace.Wrap(stopping.Wait())
+}
+
 // GatewaySettings reads the settings of a host's gateway.
 func (d *Deployment) GatewaySettings(host string) (*settings.Gateway, error) {
 	s := &settings.Gateway{}
@@ -244,3 +266,19 @@
 func (d *Deployment) LogPath(name string) string {
 	return d.path("log", name+".log")
 }
+
+// Process returns the latest process of a name, such as "host-1-gateway", or
+// nil.
+func (d *Deployment) Process(name string) *Process {
+	for i := len(d.processes) - 1; i >= 0; i-- {
+		if d.processes[i].Name == name {
+			return d.processes[i]
+		}
+	}
+	return nil
+}
+
+// StandinSettings reads the settings of the stand-ins.
+func (d *Deployment) StandinSettings(into *settings.Standin) error {
+	return settings.Load(d.path(standinFile), into)
+}
--- a/internal/standin/process/process.go
+++ b/internal/standin/process/process.go
@@ -4,6 +4,7 @@
 
 import (
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -121,6 +122,24 @@
 	return p.engines[id]
 }
 
+// Engines returns the running engines, in no order.
+func (p *Process) Engines() []*engine.Engine {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var all []*engine.Engine
+	for _, s := range p.engines {
+		all = append(all, s.Engine)
+	}
+	return all
+}
+
+// Services returns the running plain services.
+func (p *Process) Services() []*service.Server {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Clone(p.services)
+}
+
 // Close ends every stand-in.
 func (p *Process) Close() {
 	if p.Platform != nil {
