--- a/gateway/chatanswer.go
+++ b/gateway/chatanswer.go
@@ -183,7 +183,7 @@
 
 // write sends a piece of a stream at once.
 func (a *chatAnswer) write(text string) error {
-	_ = a.control.SetWriteDeadline(time.Now().Add(writeTimeout)) // not every writer has one
+	limitWrite(a.w)
 	if _, err := a.w.Write([]byte(text)); err != nil {
 		return result.Wrap(err, result.AnswerCut, "the caller went away")
 	}
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -30,6 +30,7 @@
 func (g *Gateway) Observe(view []control.TargetState) {
 	now := time.Now()
 	g.fleet.observe(now, view)
+	g.observed.Store(true)
 	g.moveStreams(now)
 	g.setCapacities(now)
 }
--- a/gateway/errors.go
+++ b/gateway/errors.go
@@ -72,6 +72,12 @@
 	return strconv.FormatInt(int64((d+time.Second-1)/time.Second), 10)
 }
 
+// limitWrite bounds the writing of an answer, so that a caller that does not
+// read cannot hold up a shutdown.
+func limitWrite(w http.ResponseWriter) {
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTimeout)) // not every writer has one
+}
+
 // writeJSON answers with a JSON document.
 func writeJSON(w http.ResponseWriter, status int, document any) {
 	encoded, err := json.Marshal(document)
@@ -79,6 +85,7 @@
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
+	limitWrite(w)
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("Content-Length", strconv.Itoa(len(encoded)))
 	w.WriteHeader(status)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -71,6 +71,7 @@
 	aloneSince time.Time // zero while a controller is reached
 
 	draining atomic.Bool
+	observed atomic.Bool // a view of targets has come
 	inFlight atomic.Int64
 }
 
@@ -108,6 +109,9 @@
 	if g.draining.Load() {
 		return result.New(result.ShuttingDown, "the gateway is shutting down").Retry(retryElsewhere)
 	}
+	if !g.observed.Load() {
+		return result.New(result.NotReady, "no targets are known yet").Retry(retryElsewhere)
+	}
 	return g.serving()
 }
 
--- a/gateway/routes.go
+++ b/gateway/routes.go
@@ -79,6 +79,9 @@
 		defer g.inFlight.Add(-1)
 		c := &call{id: requestID(), kind: kind, arrived: time.Now()}
 		w.Header().Set(headerRequestID, c.id)
+		// net/http keeps a connection's write deadline over requests; that of
+		// an earlier answer must not cut this one.
+		_ = http.NewResponseController(w).SetWriteDeadline(time.Time{}) // not every writer has one
 		if g.draining.Load() {
 			// An idle connection closed at the end may have a request on its
 			// way; connections are given back while the balancer still sends.
@@ -108,6 +111,7 @@
 func (g *Gateway) ended(w http.ResponseWriter, r *http.Request, c *call, err error) {
 	if err == nil {
 		g.metrics.requests.WithLabelValues(c.kind, "ok").Inc()
+		g.history.add(decision{At: time.Now(), Request: c.id, Decision: "finished"})
 		return
 	}
 	e := result.Of(err)
@@ -146,6 +150,9 @@
 // readBody reads a body within its bounds. The caller gives its bytes back
 // to the budget with free.
 func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request) (body []byte, free func(), err error) {
+	if coding := r.Header.Get("Content-Encoding"); coding != "" && coding != "identity" {
+		return nil, nil, result.New(result.Unsupported, "bodies are taken uncompressed only").At("header Content-Encoding")
+	}
 	size := r.ContentLength
 	if size > maxBodyBytes {
 		return nil, nil, result.New(result.TooLarge, "the body exceeds %d bytes", maxBodyBytes).At("body")
--- a/gateway/run_test.go
+++ b/gateway/run_test.go
@@ -146,6 +146,8 @@
 		is.Equal(g.snapshot.Load().Revision, contract.Revision(3))
 		is.True(g.Ready() != nil) // nor a share
 		g.Connected(control.Connectivity{Controllers: 2, LiveGateways: 3})
+		is.True(g.Ready() != nil) // nor any view of targets
+		g.Observe(nil)
 		is.NoErr(g.Ready())
 		g.Connected(control.Connectivity{Controllers: 1, StoreDownForMost: true})
 		time.Sleep(time.Hour)
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -226,6 +226,7 @@
 			w.Header()[name] = values
 		}
 	}
+	limitWrite(w)
 	w.WriteHeader(a.Status)
 	_, _ = w.Write(a.Body) // a caller that is gone needs no answer
 	return nil
