--- a/membership/table.go
+++ b/membership/table.go
@@ -85,7 +85,7 @@
 func (t *Table) Tick(now time.Time) {
 	gap := now.Sub(t.ticked)
 	if gap > maxTickGap || gap < 0 {
-		t.shift(gap)
+		t.shift(now, gap)
 	}
 	t.ticked = now
 	t.self.rose = now
@@ -101,15 +101,24 @@
 	}
 }
 
-// shift moves all observations by a gap in this process's own time.
-func (t *Table) shift(gap time.Duration) {
+// shift moves all observations by a gap in this process's own time, but none
+// into the future: what was observed after the gap stays as it is.
+func (t *Table) shift(now time.Time, gap time.Duration) {
 	for _, e := range t.entries {
-		e.rose = e.rose.Add(gap)
+		e.rose = earlier(e.rose.Add(gap), now)
 		if !e.doubted.IsZero() {
-			e.doubted = e.doubted.Add(gap)
+			e.doubted = earlier(e.doubted.Add(gap), now)
 		}
 	}
-	t.nextBeat = t.nextBeat.Add(gap)
+	t.nextBeat = earlier(t.nextBeat.Add(gap), now)
+}
+
+// earlier returns the earlier of two times.
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
 }
 
 // Merge takes in a record that a peer told of. It returns false when the
@@ -203,14 +212,14 @@
 			changed = append(changed, e)
 		}
 	}
-	sort.Slice(changed, func(i, j int) bool { return changed[i].changed < changed[j].changed })
+	sort.Slice(changed, func(i, j int) bool { return changed[i].due(version) < changed[j].due(version) })
 	var records []*wire.Member
 	reached, used := version, 0
 	for _, e := range changed {
 		if used >= maxBytes {
 			return records, reached
 		}
-		reached = e.changed
+		reached = e.due(version)
 		if e.source == reader || e.Process.Incarnation == reader && e.doubted.IsZero() {
 			continue
 		}
@@ -221,6 +230,17 @@
 	return records, max(reached, t.version)
 }
 
+// due returns the version at which a reader that has seen the given one must
+// be told of the entry. What is more than the beat counts from its own change,
+// however often the beat changed since: a reader that has seen a version knows
+// the static part of every entry introduced up to it.
+func (e *entry) due(version uint64) uint64 {
+	if e.introduced > version {
+		return e.introduced
+	}
+	return e.changed
+}
+
 // record returns the message of an entry.
 func (e *entry) record(compact bool) *wire.Member {
 	w := e.ToWire(compact)
