Tell the controllers that the gateway leaves; log a configuration once

Ran: go test ./gateway; a trial with real processes: eight streams under way at SIGTERM ended whole. In the same trial the controller acknowledged no usage, so usage_not_flushed was logged at the end.

--- a/gateway/control.go
+++ b/gateway/control.go
@@ -10,7 +10,8 @@
 	"zinniapin/usage"
 )
 
-// Configure implements control.Gateway. The revision in force only rises.
+// Configure implements control.Gateway. The revision in force only rises; the
+// uplink logs it.
 func (g *Gateway) Configure(s *contract.Snapshot) {
 	for {
 		old := g.snapshot.Load()
@@ -23,7 +24,6 @@
 	}
 	g.meter.setWindow(s.Fleet.UsageWindowSeconds)
 	g.fleet.setZones(time.Now(), s.Zone)
-	event.ConfigurationInForce.Log(&g.log).Uint64("revision", uint64(s.Revision)).Send()
 }
 
 // Observe implements control.Gateway.
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -60,10 +60,19 @@
 	}
 }
 
+// leaver is an uplink that tells the controllers that the gateway leaves, so
+// that its share of the limits goes to the others.
+type leaver interface {
+	Leave()
+}
+
 // shutDown ends the server, gracefully until immediate ends.
 func (g *Gateway) shutDown(immediate context.Context, server *http.Server) error {
 	g.draining.Store(true)
 	event.ProcessStopping.Log(&g.log).Int64("running", g.inFlight.Load()).Send()
+	if l, ok := g.options.Uplink.(leaver); ok {
+		l.Leave()
+	}
 	delay := time.NewTimer(settings.Millis(g.options.Settings.DrainDelayMillis))
 	defer delay.Stop()
 	select {
