Rejoin parts of the mesh; grant only once the live can be told from the dead

(1) After a split longer than the memory of members two meshes never joined again: seeds were tried only without any link. Now controllers say when they are settled, only settled ones grant, and gateways tell their own count. Also refused: usage of another gateway, and calls that a role has no business to make.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -68,6 +68,7 @@
 	mu            sync.Mutex
 	members       *membership.Table
 	targets       *targetview.Table
+	book          *addressBook
 	storeRead     bool // the root was read since the start
 	storeUp       bool // the last call of the store succeeded
 	leaving       bool
@@ -85,6 +86,7 @@
 		grants:        newGrantor(),
 		members:       membership.New(self, now),
 		targets:       targetview.New(),
+		book:          newAddressBook(c.Seeds, c.Seed^c.Self.Incarnation),
 		failedTargets: map[target.ID]time.Time{},
 	}
 	return k
@@ -148,6 +150,11 @@
 	})
 	k.members.Tick(now)
 	k.targets.Forget(now)
+	for id, again := range k.failedTargets {
+		if now.After(again) {
+			delete(k.failedTargets, id)
+		}
+	}
 	k.mu.Unlock()
 	k.grants.prune(now)
 	k.keepPeers(ctx, now)
--- a/controller/grants.go
+++ b/controller/grants.go
@@ -106,6 +106,9 @@
 // divide splits a request by grantor.
 func (k *Controller) divide(q *wire.GrantRequest) []grantPart {
 	controllers := membership.Controllers(k.Members(), "")
+	if settled := membership.Settled(controllers); len(settled) > 0 {
+		controllers = settled
+	}
 	eligible := membership.Owners(controllers, grantorKey, grantors)
 	byHost := map[machine.HostID]int{}
 	var parts []grantPart
@@ -119,7 +122,7 @@
 		if !ok {
 			i = len(parts)
 			byHost[owner.Host] = i
-			parts = append(parts, grantPart{owner, &wire.GrantRequest{Gateway: q.Gateway}})
+			parts = append(parts, grantPart{owner, &wire.GrantRequest{Gateway: q.Gateway, Gateways: q.Gateways}})
 		}
 		parts[i].request.Demands = append(parts[i].request.Demands, d)
 	}
@@ -150,6 +153,7 @@
 func (k *Controller) grantAll(q *wire.GrantRequest) *wire.GrantReply {
 	now := time.Now()
 	fleet := k.fleet(now)
+	fleet.Known = max(fleet.Known, int(q.Gateways)) // a restarted controller may know fewer
 	reply := &wire.GrantReply{}
 	k.grants.mu.Lock()
 	defer k.grants.mu.Unlock()
@@ -161,6 +165,13 @@
 	return reply
 }
 
+// settled tells whether this controller can tell the live from the dead.
+func (k *Controller) settled() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.members.Self().Settled
+}
+
 // grantOne answers one demand, or nil while the grantor waits. The lock of the
 // grantor is held.
 func (k *Controller) grantOne(now time.Time, gateway string, fleet grant.Fleet, d *wire.Demand) *wire.Grant {
@@ -175,6 +186,9 @@
 	if fresh {
 		event.GrantorChanged.Log(k.config.Log).Str("organisation", d.Organisation).Send()
 	}
+	if !k.settled() {
+		return nil // the count of live gateways would be too high
+	}
 	share, ok := state.Ask(now, gateway, limits, fleet, d.ToDemand())
 	if !ok {
 		return nil
--- a/controller/peers.go
+++ b/controller/peers.go
@@ -33,8 +33,10 @@
 func (k *Controller) keepPeers(ctx context.Context, now time.Time) {
 	linked := k.links.linked()
 	k.mu.Lock()
-	controllers := membership.Controllers(k.members.Members(now), "")
+	live := k.members.Members(now)
+	silent := k.book.try(now, controllersOf(live))
 	k.mu.Unlock()
+	controllers := membership.Controllers(live, "")
 	peers := membership.Peers(controllers, k.config.Self, k.config.Seed, linked)
 	wanted := make(map[machine.HostID]bool, len(peers))
 	for _, p := range peers {
@@ -46,12 +48,25 @@
 	if len(linked) == 0 {
 		k.dialSeeds(ctx, now)
 	}
+	k.dialPeer(ctx, now, silent)
 	for _, l := range k.links.excess(wanted) {
 		_ = l.Close()
 	}
 	k.links.closeIdle(now)
 }
 
+// controllersOf returns the controllers among live processes, leaving ones
+// included.
+func controllersOf(members []membership.Member) []membership.Member {
+	var controllers []membership.Member
+	for _, m := range members {
+		if m.Process.Role == machine.Controller {
+			controllers = append(controllers, m)
+		}
+	}
+	return controllers
+}
+
 // dialSeeds tries the addresses of the settings.
 func (k *Controller) dialSeeds(ctx context.Context, now time.Time) {
 	for _, address := range k.config.Seeds {
--- a/controller/serve.go
+++ b/controller/serve.go
@@ -16,6 +16,9 @@
 
 // serve answers the calls of peers and gateways.
 func (k *Controller) serve(ctx context.Context, from link.Link, q *wire.Envelope) (*wire.Envelope, error) {
+	if !allowed(from.Peer().Role, q) {
+		return nil, result.New(result.UnknownMessage, "a controller does not serve %T to a %s", q.Body, from.Peer().Role)
+	}
 	switch body := q.Body.(type) {
 	case *wire.Envelope_Heartbeat:
 		return k.serveHeartbeat(from, body.Heartbeat), nil
@@ -26,7 +29,7 @@
 		reply := k.serveGrants(ctx, from, body.GrantRequest)
 		return &wire.Envelope{Body: &wire.Envelope_GrantReply{GrantReply: reply}}, nil
 	case *wire.Envelope_UsagePush:
-		reply := k.serveUsage(body.UsagePush)
+		reply := k.serveUsage(from, body.UsagePush)
 		return &wire.Envelope{Body: &wire.Envelope_UsageAck{UsageAck: reply}}, nil
 	case *wire.Envelope_Cordon:
 		return k.relayCordon(ctx, body.Cordon)
@@ -37,6 +40,20 @@
 	}
 }
 
+// allowed tells whether a process of a role may make a call.
+func allowed(role machine.Role, q *wire.Envelope) bool {
+	switch q.Body.(type) {
+	case *wire.Envelope_UsagePush:
+		return role == machine.Gateway
+	case *wire.Envelope_Cordon:
+		return role == machine.Controller
+	case *wire.Envelope_Heartbeat, *wire.Envelope_GrantRequest, *wire.Envelope_ConfigRequest:
+		return role == machine.Gateway || role == machine.Controller
+	default:
+		return true
+	}
+}
+
 // serveHeartbeat answers a heartbeat with what changed since the versions
 // that the asker has seen.
 func (k *Controller) serveHeartbeat(from link.Link, q *wire.Heartbeat) *wire.Envelope {
@@ -112,14 +129,16 @@
 	return gateways
 }
 
-// serveUsage hands counters to the sink.
-func (k *Controller) serveUsage(q *wire.UsagePush) *wire.UsageAck {
+// serveUsage hands counters to the sink. A gateway may push only its own.
+func (k *Controller) serveUsage(from link.Link, q *wire.UsagePush) *wire.UsageAck {
 	if k.config.Usage == nil {
 		return &wire.UsageAck{}
 	}
 	counters := make([]usage.Counter, 0, len(q.Counters))
 	for _, c := range q.Counters {
-		counters = append(counters, c.ToCounter())
+		if c.Gateway == from.Peer().ID() {
+			counters = append(counters, c.ToCounter())
+		}
 	}
 	ack := &wire.UsageAck{}
 	for _, c := range k.config.Usage.Push(counters) {
--- a/membership/member.go
+++ b/membership/member.go
@@ -35,6 +35,9 @@
 	Leaving bool
 	// StoreReachable tells whether the process reaches the object API.
 	StoreReachable bool
+	// Settled processes run long enough to tell the live from the dead: what a
+	// process is told of another at first passes for live until it stays silent.
+	Settled bool
 	// Via holds the addresses of the controllers that a gateway is linked to.
 	Via []string
 }
@@ -48,6 +51,7 @@
 		ConfigRevision: uint64(m.Revision),
 		Leaving:        m.Leaving,
 		StoreReachable: m.StoreReachable,
+		Settled:        m.Settled,
 	}
 	if compact {
 		return w
@@ -75,6 +79,7 @@
 		Revision:       contract.Revision(w.ConfigRevision),
 		Leaving:        w.Leaving,
 		StoreReachable: w.StoreReachable,
+		Settled:        w.Settled,
 		Via:            w.Via,
 	}
 }
--- a/membership/select.go
+++ b/membership/select.go
@@ -26,6 +26,17 @@
 	return found
 }
 
+// Settled returns the settled ones among members.
+func Settled(members []Member) []Member {
+	var settled []Member
+	for _, m := range members {
+		if m.Settled {
+			settled = append(settled, m)
+		}
+	}
+	return settled
+}
+
 // Owners returns up to n controllers for a key by rendezvous hashing over
 // host ids, the first owner first. A restart of a host moves nothing.
 func Owners(controllers []Member, key string, n int) []Member {
--- a/membership/table.go
+++ b/membership/table.go
@@ -17,6 +17,7 @@
 	entries  map[uint64]*entry // by incarnation
 	version  uint64
 	ticked   time.Time
+	started  time.Time
 	nextBeat time.Time
 }
 
@@ -33,7 +34,7 @@
 // New returns a table that knows the process itself. The incarnation of self
 // must be unique.
 func New(self Member, now time.Time) *Table {
-	t := &Table{entries: map[uint64]*entry{}, ticked: now, nextBeat: now}
+	t := &Table{entries: map[uint64]*entry{}, ticked: now, started: now, nextBeat: now}
 	t.self = &entry{Member: self, rose: now}
 	t.entries[self.Process.Incarnation] = t.self
 	t.touch(t.self, 0, true)
@@ -59,7 +60,7 @@
 		"own revision fell from %d to %d", before.Revision, after.Revision)
 	static := !sameStrings(before.Via, after.Via)
 	if !static && before.Revision == after.Revision && before.Leaving == after.Leaving &&
-		before.StoreReachable == after.StoreReachable {
+		before.StoreReachable == after.StoreReachable && before.Settled == after.Settled {
 		return
 	}
 	t.self.Beat++
@@ -89,6 +90,9 @@
 	}
 	t.ticked = now
 	t.self.rose = now
+	if !t.self.Settled && now.Sub(t.started) > SuspectAfter(len(t.entries)) {
+		t.Update(func(m *Member) { m.Settled = true })
+	}
 	if !now.Before(t.nextBeat) {
 		t.self.Beat++
 		t.touch(t.self, 0, false)
@@ -111,6 +115,7 @@
 		}
 	}
 	t.nextBeat = earlier(t.nextBeat.Add(gap), now)
+	t.started = earlier(t.started.Add(gap), now)
 }
 
 // earlier returns the earlier of two times.
--- a/uplink/link.go
+++ b/uplink/link.go
@@ -181,11 +181,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	up.told = len(named) > 1 || up.told
-	u.fleet = fleet{
-		gateways:  int(reply.LiveGateways),
-		processes: int(reply.LiveGateways + reply.LiveControllers),
-		storeDown: reply.StoreDownForMost,
-	}
+	u.fleet.take(now, reply)
 	up.targets = reply.TargetsVersion
 	for _, t := range reply.Targets {
 		if !u.targets.Merge(now, up.link.Peer().Incarnation, t) {
@@ -195,6 +191,19 @@
 	u.targets.Forget(now)
 }
 
+// take takes in what a heartbeat says of the fleet. A lower number of gateways
+// counts only once no controller named the higher one for countMemory: a
+// controller that has just started knows few, and a low count would make safe
+// shares too large.
+func (f *fleet) take(now time.Time, reply *wire.Heartbeat) {
+	if count := int(reply.LiveGateways); count >= f.gateways || now.Sub(f.counted) > countMemory {
+		f.gateways = count
+		f.counted = now
+	}
+	f.processes = int(reply.LiveGateways + reply.LiveControllers)
+	f.storeDown = reply.StoreDownForMost
+}
+
 // tellObserved hands the view of targets to the gateway when it changed.
 func (u *Uplink) tellObserved(g control.Gateway) {
 	u.observe.Lock()
--- a/uplink/push.go
+++ b/uplink/push.go
@@ -28,7 +28,7 @@
 	if len(demands) == 0 {
 		return
 	}
-	request := &wire.GrantRequest{Gateway: u.config.Self.ID()}
+	request := &wire.GrantRequest{Gateway: u.config.Self.ID(), Gateways: u.gateways()}
 	for _, d := range demands[:min(len(demands), maxDemands)] {
 		request.Demands = append(request.Demands, wire.FromDemand(d))
 	}
@@ -44,6 +44,13 @@
 	}
 }
 
+// gateways returns the number of gateways that this one remembers.
+func (u *Uplink) gateways() uint32 {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return uint32(u.fleet.gateways)
+}
+
 // tellGrants hands grants to the gateway. A grant counts from the moment at
 // which it was asked for.
 func tellGrants(g control.Gateway, sent time.Time, reply *wire.GrantReply) {
--- a/uplink/uplink.go
+++ b/uplink/uplink.go
@@ -37,6 +37,9 @@
 	// maxMissed is the number of heartbeats without answer after which a link
 	// is given up.
 	maxMissed = 3
+	// countMemory is how long the highest count of gateways is kept; as long as
+	// controllers remember silent processes.
+	countMemory = 15 * time.Minute
 	// linkCount is the number of controllers that a gateway is linked to.
 	linkCount = 2
 )
@@ -77,6 +80,7 @@
 // fleet is what the last heartbeat said of the fleet.
 type fleet struct {
 	gateways  int
+	counted   time.Time // when a controller last named that many gateways
 	processes int
 	storeDown bool
 }
