--- a/controller/chaos_test.go
+++ b/controller/chaos_test.go
@@ -138,6 +138,7 @@
 		f := newFleet(t, 7)
 		first := f.accept(0, 100)
 		f.within(14*time.Second, "configured", func() bool { return f.everywhere(first, all7...) })
+		f.within(30*time.Second, "all see all at first", f.allSeeAll)
 		c := &chaosRun{fleet: f}
 		c.split(1<<3 | 1<<4) // neither holds a seed address
 		time.Sleep(time.Hour)
