--- /dev/null
+++ b/authority/agent.go
@@ -0,0 +1,524 @@
+package authority
+
+import (
+	"fmt"
+	"time"
+
+	"zinniapin/invariant"
+	"zinniapin/store"
+)
+
+// Policy says what an author must wait for before it replaces another's open
+// order.
+type Policy struct {
+	// Fenced targets refuse an old fencing number and are ordered at once.
+	Fenced bool
+	// Settle is how long an order may stay on its way to the target after its
+	// author has ended its connection or died.
+	Settle time.Duration
+}
+
+// ActionKind is what the agent wants done next.
+type ActionKind uint8
+
+// Kinds of actions.
+const (
+	DoNothing ActionKind = iota // idle
+	DoRead                      // read the record
+	DoPut                       // update the record under its version
+	DoSend                      // send the order, once
+	DoProbe                     // ask the target and the platform
+	DoPause                     // wait for the poll interval
+)
+
+// Action is what the agent wants done next. Each ends in one event.
+type Action struct {
+	Kind ActionKind
+	// Put is the record and the version to replace, with DoPut.
+	Put Snapshot
+	// Send is the order, with DoSend.
+	Send Order
+	// Probe is the order to ask about, with DoProbe.
+	Probe Order
+}
+
+// EventKind is what happened.
+type EventKind uint8
+
+// Kinds of events.
+const (
+	Start     EventKind = iota // an order is wanted
+	Cancelled                  // the order is no longer wanted
+	ReadDone                   // the record was read
+	PutDone                    // the update ended
+	SendDone                   // the send ended
+	ProbeDone                  // the probe ended
+	PauseDone                  // the poll interval is over
+)
+
+// Answer is how a call of the object API ended.
+type Answer uint8
+
+// Answers of the object API.
+const (
+	Confirmed Answer = iota
+	Conflict
+	Doubtful // no answer: an update may have, or may yet take effect
+	Down     // the call had no effect
+)
+
+// Delivery is how a send ended.
+type Delivery uint8
+
+// Ends of a send.
+const (
+	Effective   Delivery = iota // the target says that it took effect
+	Undelivered                 // no byte reached the target
+	Declined                    // the target says that it had no effect
+	Outdated                    // the target has seen a higher fencing number
+	Unanswered                  // the connection was reset without an answer
+)
+
+// Evidence is what a probe found. Only positive findings prove anything.
+type Evidence struct {
+	Answered bool // the target answered; Boot and Applied are valid
+	Boot     uint64
+	Applied  bool // the order took effect
+	// AuthorEnded is proof that the order's author no longer runs: a new
+	// incarnation on its address, or the platform's word on its host.
+	AuthorEnded bool
+	// TargetGone is the platform's word that the target's host is gone.
+	TargetGone bool
+}
+
+// Event is what happened.
+type Event struct {
+	Kind EventKind
+	// Order is the wanted order, with Start; ID, Author and Epoch are filled
+	// in by the agent. Its Epoch is the least fencing number to use.
+	Order  Order
+	Answer Answer   // with ReadDone and PutDone
+	Found  Snapshot // with ReadDone
+	// Version is the new version, with PutDone and Confirmed.
+	Version  store.Version
+	Delivery Delivery // with SendDone
+	Evidence Evidence // with ProbeDone
+}
+
+// phase is where the agent stands with its order.
+type phase uint8
+
+// Phases of an order.
+const (
+	idle      phase = iota
+	reading         // to learn whether an order may be opened
+	opening         // the update that opens the order is under way
+	sending         // the order is open and being sent
+	marking         // the update that says "never sent again" is under way
+	settling        // the order was sent without an answer
+	blocked         // another author's order is open
+	closing         // the update that closes the order is under way
+	rereading       // to learn whether the order is still open
+)
+
+// watch follows an order that may still be on its way.
+type watch struct {
+	id string
+	// ended is set once the order can no longer be sent; since is when that
+	// became known and boot the target's first boot id seen afterwards.
+	ended   bool
+	since   time.Time
+	booted  bool
+	boot    uint64
+	settled bool
+	outcome Outcome
+}
+
+// Agent is one author's part in the protocol for one unit. It is comparable,
+// holds no clock and does no I/O.
+type Agent struct {
+	self     string
+	policy   Policy
+	phase    phase
+	sequence uint64
+	wanted   Order
+	mine     Order    // the order being opened, sent or closed
+	base     Snapshot // what the update under way replaces
+	put      Record   // the update under way
+	doubtful bool     // the update that opens may yet take effect
+	sent     bool     // mine was handed to the network
+	watch    watch
+	outcome  Outcome
+}
+
+// NewAgent returns the agent of an author.
+func NewAgent(self string, policy Policy) Agent {
+	return Agent{self: self, policy: policy}
+}
+
+// Idle reports whether the agent has no order in hand.
+func (a *Agent) Idle() bool { return a.phase == idle }
+
+// Outcome returns how the last order ended, once the agent is idle.
+func (a *Agent) Outcome() Outcome { return a.outcome }
+
+// Order returns the last order that the agent opened, or tried to open.
+func (a *Agent) Order() Order { return a.mine }
+
+// Settled returns the outcome once it is known, which may be before the
+// order is closed.
+func (a *Agent) Settled() (Outcome, bool) {
+	known := a.phase == idle || a.phase == closing || a.phase == rereading
+	return a.outcome, known
+}
+
+// Step takes an event and returns what to do next. Cancelled may only be
+// given in place of carrying out the last action, and never one to send.
+func (a *Agent) Step(now time.Time, e Event) Action {
+	switch e.Kind {
+	case Start:
+		return a.start(e.Order)
+	case Cancelled:
+		return a.cancel()
+	case ReadDone:
+		return a.readDone(now, e)
+	case PutDone:
+		return a.putDone(e)
+	case SendDone:
+		return a.sendDone(now, e.Delivery)
+	case ProbeDone:
+		return a.probeDone(now, e.Evidence)
+	default:
+		return a.pauseDone()
+	}
+}
+
+// start begins an order.
+func (a *Agent) start(o Order) Action {
+	invariant.Check(a.phase == idle, "order_serial", "agent %s starts an order in phase %d", a.self, a.phase)
+	*a = Agent{self: a.self, policy: a.policy, sequence: a.sequence, wanted: o}
+	return a.read(reading)
+}
+
+// read asks for the record.
+func (a *Agent) read(p phase) Action {
+	a.phase = p
+	return Action{Kind: DoRead}
+}
+
+// finish ends the order.
+func (a *Agent) finish(o Outcome) Action {
+	a.phase = idle
+	a.outcome = o
+	return Action{}
+}
+
+// cancel gives up an order that is not yet open. One that may have been sent
+// goes on until it is closed.
+func (a *Agent) cancel() Action {
+	switch a.phase {
+	case reading:
+		return a.finish(Unavailable)
+	case blocked:
+		return a.finish(Blocked)
+	case opening:
+		return a.withdraw()
+	default:
+		return Action{}
+	}
+}
+
+// withdraw gives up an open order that was never sent, or sees to it that a
+// doubtful update never opens it.
+func (a *Agent) withdraw() Action {
+	invariant.Check(!a.sent, "order_withdrawn_unsent", "order %s was sent", a.mine.ID)
+	if !a.doubtful {
+		return a.finish(NotSent)
+	}
+	a.outcome = NotSent
+	record := a.base.Record
+	record.Epoch = a.mine.Epoch
+	return a.update(closing, record)
+}
+
+// update asks for an update of the record at the base version.
+func (a *Agent) update(p phase, r Record) Action {
+	invariant.Check(r.Epoch >= a.base.Record.Epoch, "order_epoch_rises", "epoch %d after %d", r.Epoch, a.base.Record.Epoch)
+	a.phase = p
+	a.put = r
+	return Action{Kind: DoPut, Put: Snapshot{Version: a.base.Version, Record: r}}
+}
+
+// readDone decides on the record as it stands.
+func (a *Agent) readDone(now time.Time, e Event) Action {
+	if e.Answer != Confirmed {
+		if a.phase == rereading {
+			return Action{Kind: DoPause}
+		}
+		if a.doubtful {
+			return a.withdraw()
+		}
+		return a.finish(Unavailable)
+	}
+	previous := a.base
+	a.base = e.Found
+	if a.phase == rereading {
+		return a.closeAgain()
+	}
+	open := e.Found.Record.Open
+	if a.doubtful {
+		invariant.Check(e.Found.Version > previous.Version, "order_conflict_version",
+			"conflict at version %d, read %d", previous.Version, e.Found.Version)
+		a.doubtful = false // a higher version rules the update out, or shows it
+		if open.ID == a.mine.ID {
+			return a.send()
+		}
+	}
+	if open.ID == "" {
+		return a.open(now)
+	}
+	return a.meet(now, open)
+}
+
+// meet decides on an open order that stands in the way.
+func (a *Agent) meet(now time.Time, open Order) Action {
+	if a.policy.Fenced {
+		return a.open(now)
+	}
+	if open.Author == a.self {
+		// The agent closes what it sent before it starts anew, so an own order
+		// found open was never sent.
+		return a.open(now)
+	}
+	a.follow(now, open)
+	if a.watch.settled {
+		return a.open(now)
+	}
+	a.phase = blocked
+	return Action{Kind: DoProbe, Probe: open}
+}
+
+// follow starts or goes on watching an order.
+func (a *Agent) follow(now time.Time, open Order) {
+	if a.watch.id != open.ID {
+		a.watch = watch{id: open.ID}
+	}
+	if open.Ended {
+		a.watch.end(now)
+	}
+}
+
+// end notes that the order can no longer be sent.
+func (w *watch) end(now time.Time) {
+	if w.ended {
+		return
+	}
+	w.ended = true
+	w.since = now
+}
+
+// settle notes how the order ended.
+func (w *watch) settle(o Outcome) {
+	w.settled = true
+	w.outcome = o
+}
+
+// open asks for the update that opens the wanted order.
+func (a *Agent) open(now time.Time) Action {
+	record := a.base.Record
+	invariant.Check(a.mayReplace(record.Open), "order_open_exclusive",
+		"order %s of %s is open", record.Open.ID, record.Open.Author)
+	a.sequence++
+	a.mine = a.wanted
+	a.mine.ID = fmt.Sprintf("%s-%d", a.self, a.sequence)
+	a.mine.Author = a.self
+	a.mine.Epoch = max(record.Epoch+1, a.wanted.Epoch)
+	a.mine.OpenedMillis = now.UnixMilli()
+	if record.Open.ID != "" {
+		record = record.closed(a.replacedOutcome())
+	}
+	return a.update(opening, record.opened(a.mine))
+}
+
+// mayReplace tells whether an open order no longer stands in the way.
+func (a *Agent) mayReplace(open Order) bool {
+	if open.ID == "" || open.Author == a.self || a.policy.Fenced {
+		return true
+	}
+	return a.watch.id == open.ID && a.watch.settled
+}
+
+// replacedOutcome tells how the order that is replaced ended.
+func (a *Agent) replacedOutcome() Outcome {
+	if a.watch.id == a.base.Record.Open.ID && a.watch.settled {
+		return a.watch.outcome
+	}
+	if a.base.Record.Open.Author == a.self {
+		return NotSent
+	}
+	return Stale
+}
+
+// putDone decides on the end of an update.
+func (a *Agent) putDone(e Event) Action {
+	if e.Answer == Confirmed {
+		a.base = Snapshot{Version: e.Version, Record: a.put}
+	}
+	switch a.phase {
+	case opening:
+		return a.openDone(e.Answer)
+	case marking:
+		return a.probeMine() // the mark only helps others: one try is enough
+	default:
+		return a.closeDone(e.Answer)
+	}
+}
+
+// openDone decides on the end of the update that opens the order.
+func (a *Agent) openDone(answer Answer) Action {
+	switch answer {
+	case Confirmed:
+		return a.send()
+	case Conflict:
+		return a.read(reading)
+	case Doubtful:
+		// The same update again settles it: success, or a conflict that shows
+		// which update came first.
+		a.doubtful = true
+		return a.update(opening, a.put)
+	default:
+		return a.withdrawOr(Unavailable)
+	}
+}
+
+// withdrawOr withdraws a doubtful order, or ends one that had no effect.
+func (a *Agent) withdrawOr(o Outcome) Action {
+	if a.doubtful {
+		return a.withdraw()
+	}
+	return a.finish(o)
+}
+
+// send hands the open order to the network, once.
+func (a *Agent) send() Action {
+	invariant.Check(!a.sent, "order_sent_once", "order %s is sent again", a.mine.ID)
+	a.doubtful = false
+	a.sent = true
+	a.phase = sending
+	return Action{Kind: DoSend, Send: a.mine}
+}
+
+// sendDone decides on the end of the send.
+func (a *Agent) sendDone(now time.Time, d Delivery) Action {
+	switch d {
+	case Effective:
+		return a.close(Applied)
+	case Undelivered:
+		return a.close(NotSent)
+	case Declined:
+		return a.close(Refused)
+	case Outdated:
+		return a.close(Stale)
+	}
+	a.watch = watch{id: a.mine.ID}
+	a.watch.end(now)
+	record := a.base.Record
+	record.Open.Ended = true
+	return a.update(marking, record)
+}
+
+// probeMine asks what became of the order that was sent.
+func (a *Agent) probeMine() Action {
+	a.phase = settling
+	return Action{Kind: DoProbe, Probe: a.mine}
+}
+
+// probeDone decides on what a probe found.
+func (a *Agent) probeDone(now time.Time, e Evidence) Action {
+	a.weigh(now, e)
+	if a.watch.settled {
+		if a.phase == settling {
+			return a.close(a.watch.outcome)
+		}
+		return a.read(reading)
+	}
+	return Action{Kind: DoPause}
+}
+
+// weigh applies evidence to the watched order.
+func (a *Agent) weigh(now time.Time, e Evidence) {
+	w := &a.watch
+	if e.AuthorEnded {
+		w.end(now)
+	}
+	switch {
+	case e.TargetGone:
+		w.settle(Gone)
+	case e.Answered && e.Applied:
+		w.settle(Applied) // it was sent once, so no copy can still arrive
+	case !w.ended:
+		// The author may be paused just before it sends.
+	case w.restarted(e):
+		w.settle(Lost)
+	case now.Sub(w.since) >= a.policy.Settle:
+		w.settle(Lapsed)
+	}
+}
+
+// restarted reports whether the target shows another boot than the first one
+// seen after the order could no longer be sent. The boot before proves
+// nothing: the order may have been sent to the present one.
+func (w *watch) restarted(e Evidence) bool {
+	if !e.Answered {
+		return false
+	}
+	if !w.booted {
+		w.booted = true
+		w.boot = e.Boot
+		return false
+	}
+	return e.Boot != w.boot
+}
+
+// pauseDone goes on after the poll interval.
+func (a *Agent) pauseDone() Action {
+	switch a.phase {
+	case settling:
+		return a.probeMine()
+	case blocked:
+		return a.read(reading)
+	case closing:
+		return a.update(closing, a.put)
+	case rereading:
+		return a.read(rereading)
+	default:
+		return Action{}
+	}
+}
+
+// close asks for the update that closes the order.
+func (a *Agent) close(o Outcome) Action {
+	a.outcome = o
+	return a.update(closing, a.base.Record.closed(o))
+}
+
+// closeDone decides on the end of the update that closes the order.
+func (a *Agent) closeDone(answer Answer) Action {
+	switch answer {
+	case Confirmed:
+		return a.finish(a.outcome)
+	case Conflict:
+		return a.read(rereading)
+	default:
+		return Action{Kind: DoPause}
+	}
+}
+
+// closeAgain closes the order if it is still open. A record without it has a
+// version above every update of ours, so none can open it again.
+func (a *Agent) closeAgain() Action {
+	if a.base.Record.Open.ID != a.mine.ID {
+		return a.finish(a.outcome)
+	}
+	return a.close(a.outcome)
+}
