Carry out orders to engines and the platform

Cause: planners need one call that opens, sends, settles and closes an order. Change: authority.Executor drives the agent; drivers for engines and for the platform's target interface; List and Release for operators. A blocked call now ends with its caller's context even while a probe hangs.

--- a/authority/agent.go
+++ b/authority/agent.go
@@ -138,6 +138,7 @@
 // holds no clock and does no I/O.
 type Agent struct {
 	self     string
+	number   uint64 // tells the author's agents apart in order ids
 	policy   Policy
 	phase    phase
 	sequence uint64
@@ -151,9 +152,10 @@
 	outcome  Outcome
 }
 
-// NewAgent returns the agent of an author.
-func NewAgent(self string, policy Policy) Agent {
-	return Agent{self: self, policy: policy}
+// NewAgent returns an agent of an author. No two agents of an author, over
+// all units, may have the same number.
+func NewAgent(self string, number uint64, policy Policy) Agent {
+	return Agent{self: self, number: number, policy: policy}
 }
 
 // Idle reports whether the agent has no order in hand.
@@ -165,6 +167,11 @@
 // Order returns the last order that the agent opened, or tried to open.
 func (a *Agent) Order() Order { return a.mine }
 
+// Cancellable reports whether Cancelled may be given now.
+func (a *Agent) Cancellable() bool {
+	return a.phase == reading || a.phase == blocked || a.phase == opening
+}
+
 // Settled returns the outcome once it is known, which may be before the
 // order is closed.
 func (a *Agent) Settled() (Outcome, bool) {
@@ -196,7 +203,7 @@
 // start begins an order.
 func (a *Agent) start(o Order) Action {
 	invariant.Check(a.phase == idle, "order_serial", "agent %s starts an order in phase %d", a.self, a.phase)
-	*a = Agent{self: a.self, policy: a.policy, sequence: a.sequence, wanted: o}
+	*a = Agent{self: a.self, number: a.number, policy: a.policy, sequence: a.sequence, wanted: o}
 	return a.read(reading)
 }
 
@@ -330,7 +337,7 @@
 		"order %s of %s is open", record.Open.ID, record.Open.Author)
 	a.sequence++
 	a.mine = a.wanted
-	a.mine.ID = fmt.Sprintf("%s-%d", a.self, a.sequence)
+	a.mine.ID = fmt.Sprintf("%s-%d-%d", a.self, a.number, a.sequence)
 	a.mine.Author = a.self
 	a.mine.Epoch = max(record.Epoch+1, a.wanted.Epoch)
 	a.mine.OpenedMillis = now.UnixMilli()
--- /dev/null
+++ b/authority/drivers.go
@@ -0,0 +1,131 @@
+package authority
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"github.com/gravitational/trace"
+
+	"zinniapin/platform"
+	"zinniapin/target"
+	"zinniapin/zone"
+)
+
+// EngineUnit returns the unit of an engine.
+func EngineUnit(id target.ID) string { return "engine/" + string(id) }
+
+// PoolUnit returns the unit of the platform's target interface for a pool in
+// a zone.
+func PoolUnit(pool string, z zone.Name) string { return fmt.Sprintf("platform/%s/%s", pool, z) }
+
+// Change is what an order makes an engine do.
+type Change struct {
+	Kind   target.OrderKind `json:"kind"`
+	Role   target.Role      `json:"role,omitempty"`
+	Model  string           `json:"model,omitempty"`
+	Unload string           `json:"unload,omitempty"`
+}
+
+// Engine orders a change from an engine.
+func (x *Executor) Engine(ctx context.Context, orders target.Orders, t target.Target, c Change) (Outcome, error) {
+	payload, err := json.Marshal(c)
+	if err != nil {
+		return NotSent, trace.Wrap(err)
+	}
+	unit := EngineUnit(t.ID)
+	d := &engineDriver{executor: x, unit: unit, orders: orders, target: t, change: c}
+	return x.Do(ctx, unit, t.ChecksFence, d, Order{Payload: string(payload), Role: string(c.Role)})
+}
+
+// engineDriver sends orders to one engine.
+type engineDriver struct {
+	executor *Executor
+	unit     string
+	orders   target.Orders
+	target   target.Target
+	change   Change
+}
+
+// Send implements Driver.
+func (d *engineDriver) Send(ctx context.Context, o Order) error {
+	err := d.orders.Send(ctx, d.target, target.Order{
+		ID:     o.ID,
+		Fence:  o.Epoch,
+		Author: o.Author,
+		Kind:   d.change.Kind,
+		Role:   d.change.Role,
+		Model:  d.change.Model,
+		Unload: d.change.Unload,
+	})
+	if errors.Is(err, target.ErrStaleFence) {
+		d.learnFence(ctx)
+	}
+	return err
+}
+
+// learnFence reads the fencing number that the engine has seen, so that the
+// next order exceeds it.
+func (d *engineDriver) learnFence(ctx context.Context) {
+	report, err := d.orders.Report(ctx, d.target)
+	if err == nil {
+		d.executor.raiseFloor(d.unit, report.Fence)
+	}
+}
+
+// Probe implements Driver.
+func (d *engineDriver) Probe(ctx context.Context, o Order) Evidence {
+	report, err := d.orders.Report(ctx, d.target)
+	if err != nil || report.Target != d.target.ID {
+		return Evidence{}
+	}
+	return Evidence{Answered: true, Boot: report.Boot, Applied: report.LastOrder == o.ID}
+}
+
+// Platform orders targets from the platform. ID and Fence of the order are
+// filled in.
+func (x *Executor) Platform(ctx context.Context, targets platform.Targets, o platform.TargetOrder) (platform.TargetOrderResult, Outcome, error) {
+	payload, err := json.Marshal(o)
+	if err != nil {
+		return platform.TargetOrderResult{}, NotSent, trace.Wrap(err)
+	}
+	d := &platformDriver{targets: targets, order: o, granted: make(chan platform.TargetOrderResult, 1)}
+	outcome, err := x.Do(ctx, PoolUnit(o.Pool, o.Zone), false, d, Order{Payload: string(payload)})
+	if outcome != Applied {
+		return platform.TargetOrderResult{}, outcome, err
+	}
+	return <-d.granted, outcome, err
+}
+
+// platformDriver sends one order to the target interface.
+type platformDriver struct {
+	targets platform.Targets
+	order   platform.TargetOrder
+	granted chan platform.TargetOrderResult // holds the answer to our own order
+	mine    string
+}
+
+// Send implements Driver.
+func (d *platformDriver) Send(ctx context.Context, o Order) error {
+	d.mine = o.ID
+	order := d.order
+	order.ID, order.Fence = o.ID, o.Epoch
+	granted, err := d.targets.Order(ctx, order)
+	if err == nil {
+		d.granted <- granted
+	}
+	return err
+}
+
+// Probe implements Driver.
+func (d *platformDriver) Probe(ctx context.Context, o Order) Evidence {
+	granted, found, err := d.targets.Lookup(ctx, o.ID)
+	if err != nil || !found {
+		return Evidence{}
+	}
+	if o.ID == d.mine {
+		d.granted <- granted
+	}
+	return Evidence{Answered: true, Applied: true}
+}
--- /dev/null
+++ b/authority/executor.go
@@ -0,0 +1,398 @@
+package authority
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/rs/zerolog"
+
+	"zinniapin/event"
+	"zinniapin/result"
+	"zinniapin/store"
+	"zinniapin/target"
+)
+
+// Liveness gives proof of ends. It answers true only on proof: a lapsed
+// lease, a missed heartbeat or an absence from the list of hosts is none.
+type Liveness interface {
+	// AuthorEnded reports proof that a process has ended: a new incarnation
+	// answers on its address, or the platform says that its host is gone.
+	AuthorEnded(author string) bool
+	// TargetGone reports the platform's word that the unit's host is gone.
+	TargetGone(unit string) bool
+}
+
+// Driver sends the orders of one unit and asks what became of them.
+type Driver interface {
+	// Send sends the order once. Its errors are those of target.Orders; any
+	// other error leaves the outcome open. When it returns, no byte of the
+	// order that is not yet sent will be sent.
+	Send(ctx context.Context, o Order) error
+	// Probe asks for the present state. AuthorEnded and TargetGone are filled
+	// in by the executor.
+	Probe(ctx context.Context, o Order) Evidence
+}
+
+// Options are the settings of an Executor. Zero values take defaults.
+type Options struct {
+	// Settle is how long an order may stay on its way to a target after its
+	// author's connection is reset or its author has ended. Default 2 minutes.
+	Settle time.Duration
+	// Poll is the pause between tries. Default 500 ms.
+	Poll time.Duration
+	// CallTimeout bounds one call. Default 30 s.
+	CallTimeout time.Duration
+	// Now is the clock. Default time.Now.
+	Now func() time.Time
+	// Log receives events. Default none.
+	Log *zerolog.Logger
+}
+
+// Defaults of Options.
+const (
+	defaultSettle      = 2 * time.Minute
+	defaultPoll        = 500 * time.Millisecond
+	defaultCallTimeout = 30 * time.Second
+)
+
+// withDefaults fills the zero values.
+func (o Options) withDefaults() Options {
+	if o.Settle == 0 {
+		o.Settle = defaultSettle
+	}
+	if o.Poll == 0 {
+		o.Poll = defaultPoll
+	}
+	if o.CallTimeout == 0 {
+		o.CallTimeout = defaultCallTimeout
+	}
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	if o.Log == nil {
+		none := zerolog.Nop()
+		o.Log = &none
+	}
+	return o
+}
+
+// Executor carries out orders as one author. It is safe for concurrent use;
+// orders to one unit go one at a time.
+type Executor struct {
+	objects  store.Store
+	author   string
+	liveness Liveness
+	options  Options
+	ctx      context.Context // ends with Close
+	stop     context.CancelFunc
+	runs     sync.WaitGroup
+
+	mu      sync.Mutex
+	busy    map[string]bool
+	started uint64            // runs so far
+	floors  map[string]uint64 // least fencing number by unit
+}
+
+// NewExecutor returns the executor of an author, a machine.Process.ID.
+func NewExecutor(objects store.Store, author string, liveness Liveness, options Options) *Executor {
+	ctx, stop := context.WithCancel(context.Background())
+	return &Executor{
+		objects:  objects,
+		author:   author,
+		liveness: liveness,
+		options:  options.withDefaults(),
+		ctx:      ctx,
+		stop:     stop,
+		busy:     map[string]bool{},
+		floors:   map[string]uint64{},
+	}
+}
+
+// Close stops at once and waits for the runs to stop. Orders that are open
+// stay open in the object API.
+func (x *Executor) Close() {
+	x.stop()
+	x.runs.Wait()
+}
+
+// Drain waits until every order is closed, or the context ends.
+func (x *Executor) Drain(ctx context.Context) error {
+	done := make(chan struct{})
+	go func() {
+		x.runs.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return trace.Wrap(ctx.Err())
+	}
+}
+
+// Do opens, sends, settles and closes an order to a unit. The error is nil
+// when the order took effect. When the context ends first, an order that may
+// have been sent goes on in the background until it is closed.
+func (x *Executor) Do(ctx context.Context, unit string, fenced bool, d Driver, o Order) (Outcome, error) {
+	number, ok := x.claim(unit)
+	if !ok {
+		return Blocked, result.New(result.OrderOpen, "an earlier order of this process to %s is not closed", unit)
+	}
+	r := &run{
+		executor: x,
+		unit:     unit,
+		driver:   d,
+		agent:    NewAgent(x.author, number, Policy{Fenced: fenced, Settle: x.options.Settle}),
+		caller:   ctx,
+		known:    make(chan Outcome, 1),
+	}
+	o.Epoch = max(o.Epoch, x.floor(unit))
+	x.runs.Go(func() {
+		defer x.unclaim(unit)
+		r.drive(o)
+	})
+	outcome, known := r.await(ctx)
+	if !known {
+		err := result.New(result.OrderUnknown, "the order to %s goes on in the background", unit)
+		err.Execution = result.Unknown
+		return "", err
+	}
+	return outcome, outcomeError(unit, outcome)
+}
+
+// claim reserves a unit for one run and numbers the run.
+func (x *Executor) claim(unit string) (uint64, bool) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.busy[unit] || x.ctx.Err() != nil {
+		return 0, false
+	}
+	x.busy[unit] = true
+	x.started++
+	return x.started, true
+}
+
+// unclaim ends the reservation.
+func (x *Executor) unclaim(unit string) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	delete(x.busy, unit)
+}
+
+// floor returns the least fencing number that the unit's target may accept.
+func (x *Executor) floor(unit string) uint64 {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.floors[unit]
+}
+
+// raiseFloor notes a fencing number that the unit's target has seen.
+func (x *Executor) raiseFloor(unit string, seen uint64) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.floors[unit] = max(x.floors[unit], seen+1)
+}
+
+// outcomeError returns the error of an order that did not take effect.
+func outcomeError(unit string, o Outcome) error {
+	switch o {
+	case Applied:
+		return nil
+	case Blocked:
+		return result.New(result.OrderOpen, "another author's order to %s is open", unit)
+	case Unavailable:
+		return result.Wrap(store.ErrUnavailable, result.StoreUnavailable, "the order to %s was not opened", unit)
+	case NotSent:
+		return trace.Wrap(target.ErrNotSent, "order to %s", unit)
+	case Refused:
+		return trace.Wrap(target.ErrRefused, "order to %s", unit)
+	case Stale:
+		return result.Wrap(target.ErrStaleFence, result.OrderStale, "order to %s", unit)
+	default:
+		err := result.New(result.OrderUnknown, "the order to %s ended as %s", unit, o)
+		err.Execution = result.Unknown
+		return err
+	}
+}
+
+// run is one order under way.
+type run struct {
+	executor *Executor
+	unit     string
+	driver   Driver
+	agent    Agent
+	caller   context.Context
+	known    chan Outcome
+	told     bool
+	doubtful bool // the last update had no answer
+}
+
+// await returns the outcome, and false when it is not known in time.
+func (r *run) await(ctx context.Context) (Outcome, bool) {
+	select {
+	case o := <-r.known:
+		return o, o != ""
+	case <-ctx.Done():
+	}
+	grace := time.NewTimer(r.executor.options.Poll)
+	defer grace.Stop()
+	select {
+	case o := <-r.known:
+		return o, o != ""
+	case <-grace.C:
+		return "", false
+	}
+}
+
+// drive carries out the agent's actions until the order is closed.
+func (r *run) drive(o Order) {
+	defer close(r.known)
+	x := r.executor
+	action := r.agent.Step(x.options.Now(), Event{Kind: Start, Order: o})
+	for !r.agent.Idle() && x.ctx.Err() == nil {
+		if r.cancelled() && r.agent.Cancellable() && action.Kind != DoSend {
+			action = r.agent.Step(x.options.Now(), Event{Kind: Cancelled})
+			r.tell()
+			continue
+		}
+		e := r.carryOut(action)
+		action = r.agent.Step(x.options.Now(), e)
+		r.tell()
+	}
+}
+
+// cancelled reports whether the caller no longer waits.
+func (r *run) cancelled() bool {
+	return r.caller.Err() != nil
+}
+
+// tell hands the outcome to the caller as soon as it is known.
+func (r *run) tell() {
+	outcome, known := r.agent.Settled()
+	if !known || r.told {
+		return
+	}
+	r.told = true
+	r.known <- outcome
+	event.OrderClosed.Log(r.executor.options.Log).Str("unit", r.unit).
+		Str("order", r.agent.Order().ID).Str("outcome", string(outcome)).Send()
+}
+
+// carryOut does what the agent wants and returns what happened.
+func (r *run) carryOut(a Action) Event {
+	ctx, cancel := context.WithTimeout(r.executor.ctx, r.executor.options.CallTimeout)
+	defer cancel()
+	if a.Kind != DoPut && r.agent.Cancellable() {
+		stop := context.AfterFunc(r.caller, cancel)
+		defer stop()
+	}
+	switch a.Kind {
+	case DoRead:
+		return r.read(ctx)
+	case DoPut:
+		return r.put(ctx, a.Put)
+	case DoSend:
+		return r.send(ctx, a.Send)
+	case DoProbe:
+		return r.probe(ctx, a.Probe)
+	default:
+		r.pause(ctx)
+		return Event{Kind: PauseDone}
+	}
+}
+
+// pause waits for the poll interval.
+func (r *run) pause(ctx context.Context) {
+	timer := time.NewTimer(r.executor.options.Poll)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// read reads the record.
+func (r *run) read(ctx context.Context) Event {
+	found, err := readRecord(ctx, r.executor.objects, r.unit)
+	return Event{Kind: ReadDone, Found: found, Answer: answerOf(err)}
+}
+
+// put updates the record.
+func (r *run) put(ctx context.Context, p Snapshot) Event {
+	if r.doubtful {
+		r.pause(ctx)
+	}
+	value, err := p.Record.encode()
+	if err != nil {
+		return Event{Kind: PutDone, Answer: Down}
+	}
+	version, err := r.executor.objects.Put(ctx, store.PurposeOrder, Prefix+r.unit, value, p.Version)
+	answer := answerOf(err)
+	r.doubtful = answer == Doubtful
+	return Event{Kind: PutDone, Answer: answer, Version: version}
+}
+
+// answerOf tells how a call of the object API ended.
+func answerOf(err error) Answer {
+	switch {
+	case err == nil:
+		return Confirmed
+	case errors.Is(err, store.ErrConflict):
+		return Conflict
+	case errors.Is(err, store.ErrUnavailable), errors.Is(err, store.ErrTooLarge):
+		return Down
+	default:
+		return Doubtful
+	}
+}
+
+// send sends the order.
+func (r *run) send(ctx context.Context, o Order) Event {
+	event.OrderOpened.Log(r.executor.options.Log).Str("unit", r.unit).
+		Str("order", o.ID).Uint64("fence", o.Epoch).Str("payload", o.Payload).Send()
+	err := r.driver.Send(ctx, o)
+	return Event{Kind: SendDone, Delivery: deliveryOf(err)}
+}
+
+// deliveryOf tells how a send ended.
+func deliveryOf(err error) Delivery {
+	switch {
+	case err == nil:
+		return Effective
+	case errors.Is(err, target.ErrNotSent):
+		return Undelivered
+	case errors.Is(err, target.ErrRefused):
+		return Declined
+	case errors.Is(err, target.ErrStaleFence):
+		return Outdated
+	default:
+		return Unanswered
+	}
+}
+
+// probe gathers evidence. Proof of the author's end comes first, so that the
+// target's boot id is one seen after that end.
+func (r *run) probe(ctx context.Context, o Order) Event {
+	x := r.executor
+	ended := o.Author != x.author && x.liveness.AuthorEnded(o.Author)
+	found := r.driver.Probe(ctx, o)
+	found.AuthorEnded = ended
+	found.TargetGone = x.liveness.TargetGone(r.unit)
+	return Event{Kind: ProbeDone, Evidence: found}
+}
+
+// readRecord reads the record of a unit; one that does not exist is empty.
+func readRecord(ctx context.Context, objects store.Store, unit string) (Snapshot, error) {
+	object, err := objects.Get(ctx, store.PurposeOrder, Prefix+unit)
+	if errors.Is(err, store.ErrNotFound) {
+		return Snapshot{}, nil
+	}
+	if err != nil {
+		return Snapshot{}, trace.Wrap(err)
+	}
+	record, err := decodeRecord(object.Value)
+	return Snapshot{Version: object.Version, Record: record}, err
+}
--- a/authority/explore_test.go
+++ b/authority/explore_test.go
@@ -270,7 +270,7 @@
 	var first world
 	first.boot = 1
 	for i := range first.authors {
-		first.authors[i].agent = NewAgent(string(rune('a'+i)), policy)
+		first.authors[i].agent = NewAgent(string(rune('a'+i)), 0, policy)
 	}
 	x.add(first, "start")
 	for len(x.frontier) > 0 && x.conflict == "" {
--- /dev/null
+++ b/authority/operate.go
@@ -0,0 +1,86 @@
+package authority
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"zinniapin/event"
+	"zinniapin/result"
+	"zinniapin/store"
+)
+
+// List returns the open orders of all units.
+func (x *Executor) List(ctx context.Context) ([]OpenOrder, error) {
+	objects, err := x.objects.List(ctx, store.PurposeStatus, Prefix)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	var open []OpenOrder
+	for _, object := range objects {
+		record, err := decodeRecord(object.Value)
+		if err != nil {
+			return nil, trace.Wrap(err)
+		}
+		if record.Open.ID == "" {
+			continue
+		}
+		open = append(open, OpenOrder{
+			Unit:   strings.TrimPrefix(object.Key, Prefix),
+			Order:  record.Open,
+			Opened: time.UnixMilli(record.Open.OpenedMillis).UTC(),
+		})
+	}
+	return open, nil
+}
+
+// maxReleaseTries bounds the updates of one Release.
+const maxReleaseTries = 4
+
+// Release closes the open order of a unit on the word of an operator, who
+// vouches that its author will not send it any more.
+func (x *Executor) Release(ctx context.Context, unit, operator string) error {
+	found, err := readRecord(ctx, x.objects, unit)
+	if err != nil {
+		return result.Wrap(err, result.StoreUnavailable, "the record of %s was not read", unit)
+	}
+	open := found.Record.Open
+	if open.ID == "" {
+		return result.New(result.OrderNone, "no order to %s is open", unit)
+	}
+	released := found.Record.closed(Released)
+	released.ReleasedBy = operator
+	value, err := released.encode()
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	event.OrderReleased.Log(x.options.Log).Str("unit", unit).Str("order", open.ID).
+		Str("author", open.Author).Str("operator", operator).Send()
+	for range maxReleaseTries {
+		_, err = x.objects.Put(ctx, store.PurposeOrder, Prefix+unit, value, found.Version)
+		if !errors.Is(err, store.ErrUnknown) {
+			break
+		}
+	}
+	return x.releaseError(ctx, unit, open, err)
+}
+
+// releaseError explains the end of the update that releases an order.
+func (x *Executor) releaseError(ctx context.Context, unit string, open Order, err error) error {
+	switch answerOf(err) {
+	case Confirmed:
+		return nil
+	case Doubtful:
+		return result.Wrap(err, result.StoreUnknown, "release of %s", unit)
+	case Down:
+		return result.Wrap(err, result.StoreUnavailable, "release of %s", unit)
+	}
+	found, readErr := readRecord(ctx, x.objects, unit)
+	if readErr == nil && found.Record.Open.ID != open.ID {
+		return nil // closed, by us or by its author
+	}
+	return result.Wrap(err, result.StoreConflict, "release of %s", unit)
+}
