Compare the phases of a request each by its own cost, and mend the role planner

Costs now travel in the choice.

Role planner: engines under change count in their new role; decode demand follows token rate rather than batch; a stay lasts as long as mixes do or as it has lasted; a change costs its drain.

--- a/internal/policybench/plan.go
+++ b/internal/policybench/plan.go
@@ -1,6 +1,7 @@
 package policybench
 
 import (
+	"sort"
 	"time"
 
 	"zinniapin/contract"
@@ -154,6 +155,9 @@
 				engines = append(engines, e)
 			}
 		}
+		sort.SliceStable(engines, func(i, k int) bool {
+			return len(engines[i].running) < len(engines[k].running)
+		})
 		n := int(share*float64(len(engines)) + 0.5)
 		for i, e := range engines {
 			e.role = target.Decode
--- a/placement/demand.go
+++ b/placement/demand.go
@@ -13,9 +13,16 @@
 const (
 	// tokenInterval is the longest wanted time between output tokens, seconds.
 	tokenInterval = 0.046
+	// stepBase is the part of tokenInterval that a decode step takes however
+	// small its batch is.
+	stepBase = 0.33
 	// shiftShare is how far the share of prefill must move to count as a
 	// shift of the mix.
-	shiftShare = 0.10
+	shiftShare = 0.25
+	// longestStay bounds how long a mix is expected to last.
+	longestStay = 5 * time.Minute
+	// backlogAllowed is the backlog that comes with ordinary use, seconds.
+	backlogAllowed = 0.5
 	// stayWeight is the weight of a new sample of the time between shifts.
 	stayWeight = 0.3
 	// backlogSpan is the time within which a backlog of prompt tokens should
@@ -28,6 +35,8 @@
 	all  []*control.TargetState
 	free []*control.TargetState
 	busy map[zone.Name]bool
+	// roles are the roles once the changes under way are done.
+	roles map[target.ID]target.Role
 }
 
 // demand estimates the work of one pool.
@@ -40,14 +49,14 @@
 	models   map[string]float64 // tokens a second, by model
 	share    float64            // of prefill, at the last shift
 	shiftAt  time.Time
-	stay     time.Duration
-	wanted   change    // the change that looks right
-	wantedAt time.Time // since when
+	mean     time.Duration // between shifts
+	wanted   change        // the change that looks right
+	wantedAt time.Time     // since when
 }
 
 // newDemand returns an estimate that knows nothing yet.
 func newDemand(s Settings) *demand {
-	return &demand{models: map[string]float64{}, stay: s.FirstStay, share: -1}
+	return &demand{models: map[string]float64{}, mean: s.FirstStay, share: -1}
 }
 
 // serving tells whether an engine is there to stay.
@@ -113,10 +122,16 @@
 		return
 	}
 	sample := now.Sub(d.shiftAt)
-	d.stay += time.Duration(stayWeight * float64(sample-d.stay))
+	d.mean += time.Duration(stayWeight * float64(sample-d.mean))
 	d.share, d.shiftAt = share, now
 }
 
+// stay is how long the present mix is expected to last: as long as mixes do,
+// or as long as it has lasted already.
+func (d *demand) stay() time.Duration {
+	return min(longestStay, max(d.mean, d.last.Sub(d.shiftAt)))
+}
+
 // reported works the demand out from reports alone: an engine that has prompt
 // tokens left is busy with prefill, and a backlog is more than that.
 func reported(pool string, v *View) (prefill, decode, engines float64) {
@@ -127,15 +142,23 @@
 		}
 		engines++
 		r := &s.Report
-		decode += float64(r.Running) / batchLimit(r)
+		if r.Role != target.Prefill {
+			decode += decodeShare(float64(r.Running) / batchLimit(r))
+		}
 		if r.PrefillRate > 0 && r.PrefillTokens > 0 {
 			backlog := float64(r.PrefillTokens) / r.PrefillRate
-			prefill += busyShare(r) + backlog/backlogSpan
+			prefill += busyShare(r) + max(0, backlog-backlogAllowed)/backlogSpan
 		}
 	}
 	return prefill, decode, engines
 }
 
+// decodeShare is the share of its full token rate that an engine gives with
+// part of its full batch: small batches have short steps.
+func decodeShare(batch float64) float64 {
+	return batch / (stepBase + (1-stepBase)*batch)
+}
+
 // busyShare is the share of an engine that prefill takes while it lasts.
 func busyShare(r *target.Report) float64 {
 	if r.Role == target.Prefill || r.Running <= 1 {
@@ -183,5 +206,5 @@
 
 // held returns a decision not to act with the figures of the estimate.
 func (d *demand) held(pool string, reason HoldReason) Held {
-	return Held{Pool: pool, Reason: reason, Prefill: d.prefill, Decode: d.decode, Stay: d.stay}
+	return Held{Pool: pool, Reason: reason, Prefill: d.prefill, Decode: d.decode, Stay: d.stay()}
 }
--- a/placement/models.go
+++ b/placement/models.go
@@ -47,7 +47,7 @@
 	if best.Target == "" {
 		return nil
 	}
-	p.changed[best.Target] = now
+	p.changed[best.Target] = changed{at: now}
 	return []Step{best}
 }
 
@@ -93,7 +93,7 @@
 	wanted, left := most, given
 	wanted.engines++
 	left.engines = max(0, left.engines-1)
-	gain := (before - excess(wanted, rate) - excess(left, rate)) / rate * d.stay.Seconds()
+	gain := (before - excess(wanted, rate) - excess(left, rate)) / rate * d.stay().Seconds()
 	loss := p.settings.ModelLoad.Seconds() * min(1, (d.prefill+d.decode)/max(1, d.engines))
 	if most.engines == 0 {
 		// Nothing serves the model: each of its requests fails until it is loaded.
@@ -105,7 +105,7 @@
 	return Step{
 		Pool: s.Target.Pool, Zone: s.Target.Zone, Target: s.Target.ID,
 		Kind: target.OrderModel, Model: most.model, Unload: unload,
-		Gain: gain, Loss: loss, Stay: d.stay, Prefill: d.prefill, Decode: d.decode,
+		Gain: gain, Loss: loss, Stay: d.stay(), Prefill: d.prefill, Decode: d.decode,
 		Reason: fmt.Sprintf("%.0f tokens a second of %s on %.1f engines", most.rate, most.model, most.engines),
 	}, true
 }
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -26,8 +26,8 @@
 	Pools    []contract.Pool
 	Targets  []control.TargetState
 	Arrivals []Arrival // may be empty: reports alone then show the demand
-	// Open names the targets with an open order of any author.
-	Open map[target.ID]bool
+	// Open are the open orders of any author, by target.
+	Open map[target.ID]target.Order
 	// Unreachable names the targets that take no orders.
 	Unreachable map[target.ID]bool
 	// Loading is the number of loads from the weight store under way.
@@ -39,9 +39,11 @@
 
 // Settings are the planner's constants.
 type Settings struct {
-	// RoleChange and ModelLoad are how long an engine is away.
+	// RoleChange and ModelLoad are how long an engine is away once empty, and
+	// Drain how long it takes an engine that decodes to get empty.
 	RoleChange time.Duration
 	ModelLoad  time.Duration
+	Drain      time.Duration
 	// MixedEfficiency is the share of its capacity that a mixed engine keeps
 	// when it does both phases at once.
 	MixedEfficiency float64
@@ -66,10 +68,11 @@
 	return Settings{
 		RoleChange:      6 * time.Second,
 		ModelLoad:       30 * time.Second,
-		MixedEfficiency: 0.75,
-		Comfort:         0.60,
+		Drain:           6 * time.Second,
+		MixedEfficiency: 0.30,
+		Comfort:         0.75,
 		GainOverLoss:    1.5,
-		DemandSpan:      6 * time.Second,
+		DemandSpan:      3 * time.Second,
 		Confirm:         2 * time.Second,
 		Hold:            25 * time.Second,
 		FirstStay:       60 * time.Second,
@@ -129,14 +132,20 @@
 	settings Settings
 	view     View
 	demand   map[string]*demand // by pool
-	changed  map[target.ID]time.Time
+	changed  map[target.ID]changed
 	started  time.Time
 	held     []Held
 }
 
+// changed is a change that this planner proposed.
+type changed struct {
+	at   time.Time
+	role target.Role // empty for a change of model
+}
+
 // New returns a planner.
 func New(s Settings) *Planner {
-	return &Planner{settings: s, demand: map[string]*demand{}, changed: map[target.ID]time.Time{}}
+	return &Planner{settings: s, demand: map[string]*demand{}, changed: map[target.ID]changed{}}
 }
 
 // Observe replaces the view and updates the estimates of demand.
@@ -159,8 +168,8 @@
 
 // forget drops what is kept of engines that changed long ago.
 func (p *Planner) forget(now time.Time) {
-	for id, at := range p.changed {
-		if now.Sub(at) > p.settings.Hold {
+	for id, c := range p.changed {
+		if now.Sub(c.at) > p.settings.Hold {
 			delete(p.changed, id)
 		}
 	}
@@ -207,7 +216,7 @@
 // freeEngines returns the engines of a pool that may change, none of a zone
 // where a change is open.
 func (p *Planner) freeEngines(now time.Time, pool string) *candidates {
-	c := &candidates{busy: map[zone.Name]bool{}}
+	c := &candidates{busy: map[zone.Name]bool{}, roles: map[target.ID]target.Role{}}
 	for i := range p.view.Targets {
 		s := &p.view.Targets[i]
 		if s.Target.Pool != pool || !serving(s) {
@@ -215,12 +224,21 @@
 		}
 		c.all = append(c.all, s)
 		id := s.Target.ID
-		at, recent := p.changed[id]
-		settling := recent && now.Sub(at) < 2*p.settings.RoleChange
-		if s.Report.Changing || s.Cordoned || p.view.Open[id] || settling {
+		own, recent := p.changed[id]
+		order, open := p.view.Open[id]
+		settling := recent && now.Sub(own.at) < p.settings.Drain+p.settings.RoleChange
+		changing := open || s.Report.Changing || settling
+		if changing || s.Cordoned {
 			c.busy[s.Target.Zone] = true
 		}
-		if !recent && !p.view.Unreachable[id] {
+		c.roles[id] = roleOf(s)
+		if changing && own.role != "" {
+			c.roles[id] = own.role
+		}
+		if open && order.Kind == target.OrderRole {
+			c.roles[id] = order.Role
+		}
+		if !recent && !changing && !p.view.Unreachable[id] {
 			c.free = append(c.free, s)
 		}
 	}
--- a/placement/roles.go
+++ b/placement/roles.go
@@ -105,7 +105,7 @@
 	}
 	var n split
 	for _, s := range c.all {
-		*n.count(roleOf(s))++
+		*n.count(c.roles[s.Target.ID])++
 	}
 	best := p.bestChange(d, n)
 	if reason, held := p.judge(now, d, best); held {
@@ -174,8 +174,8 @@
 		after := n.after(c).utilisation(d, s.MixedEfficiency)
 		during := n.without(c.from).utilisation(d, s.MixedEfficiency)
 		now := harm(d, before, s.Comfort)
-		gain := (now - harm(d, after, s.Comfort)) * d.stay.Seconds()
-		loss := (harm(d, during, s.Comfort) - now) * s.RoleChange.Seconds()
+		gain := (now - harm(d, after, s.Comfort)) * d.stay().Seconds()
+		loss := (harm(d, during, s.Comfort) - now + idleLoss*min(1, before)) * s.away(c).Seconds()
 		if gain-loss > net {
 			net = gain - loss
 			best = proposal{c, gain, loss, before, after}
@@ -184,6 +184,18 @@
 	return best
 }
 
+// idleLoss is the share of an engine's work that is lost while it changes
+// even when the others could do it: its cache is gone and queues grow.
+const idleLoss = 0.25
+
+// away is how long a change takes an engine away.
+func (s Settings) away(c change) time.Duration {
+	if c.from == target.Prefill {
+		return s.RoleChange
+	}
+	return s.RoleChange + s.Drain
+}
+
 // whole tells whether both phases can be served.
 func (n split) whole() bool {
 	return n.prefill+n.mixed >= 1 && n.decode+n.mixed >= 1
@@ -194,10 +206,10 @@
 func pickEngine(c *candidates, wanted change) *control.TargetState {
 	var best *control.TargetState
 	for _, s := range c.free {
-		if roleOf(s) != wanted.from || c.busy[s.Target.Zone] || s.Report.Changing {
+		if roleOf(s) != wanted.from || c.busy[s.Target.Zone] {
 			continue
 		}
-		if !stableServes(c.all, s, wanted.to) {
+		if !stableServes(c, s, wanted.to) {
 			continue
 		}
 		if best == nil || load(s) < load(best) {
@@ -214,32 +226,32 @@
 
 // stableServes tells whether targets that cannot be reclaimed still serve
 // both phases once the engine has changed.
-func stableServes(all []*control.TargetState, changing *control.TargetState, to target.Role) bool {
+func stableServes(c *candidates, changing *control.TargetState, to target.Role) bool {
 	var before, after split
-	for _, s := range all {
+	for _, s := range c.all {
 		if s.Target.Class == target.Reclaimable {
 			continue
 		}
-		*before.count(roleOf(s))++
+		*before.count(c.roles[s.Target.ID])++
 		if s == changing {
 			*after.count(to)++
 			continue
 		}
-		*after.count(roleOf(s))++
+		*after.count(c.roles[s.Target.ID])++
 	}
 	return after.whole() || !before.whole()
 }
 
 // roleStep records a change of role.
 func (p *Planner) roleStep(now time.Time, d *demand, b proposal, s *control.TargetState) Step {
-	p.changed[s.Target.ID] = now
+	p.changed[s.Target.ID] = changed{now, b.change.to}
 	return Step{
 		Pool: s.Target.Pool, Zone: s.Target.Zone, Target: s.Target.ID,
 		Kind: target.OrderRole, From: b.change.from, Role: b.change.to,
-		Gain: b.gain, Loss: b.loss, Stay: d.stay,
+		Gain: b.gain, Loss: b.loss, Stay: d.stay(),
 		Prefill: d.prefill, Decode: d.decode,
 		Before: b.before, After: b.after,
 		Reason: fmt.Sprintf("utilisation %.2f to %.2f gains %.1f engine-seconds over %s for a loss of %.1f",
-			b.before, b.after, b.gain, d.stay.Round(time.Second), b.loss),
+			b.before, b.after, b.gain, d.stay().Round(time.Second), b.loss),
 	}
 }
--- a/routing/engine.go
+++ b/routing/engine.go
@@ -25,6 +25,11 @@
 	crowdedCost  = 4.0
 	// batchCost is charged for a full batch, so that idle engines come first.
 	batchCost = 0.05
+	// mixedPrefill is the share of its prefill rate that an engine keeps while
+	// it decodes too, and mixedBatch the share of its batch limit while it has
+	// prompts to process.
+	mixedPrefill = 0.55
+	mixedBatch   = 0.40
 	// zoneMargin and regionMargin are how much slower a nearer target may be
 	// and still be taken first.
 	zoneMargin   = 0.010
@@ -209,6 +214,9 @@
 	if math.IsInf(limit, 1) {
 		return e.batch() * e.serviceTime
 	}
+	if e.busyUntil > now && e.serves(target.PhaseWhole) {
+		limit = max(1, limit*mixedBatch)
+	}
 	share := (e.batch() + others + 1) / limit
 	return batchCost*share + crowdedCost*max(0, share-crowdedShare)
 }
@@ -233,6 +241,9 @@
 		return 0
 	}
 	wait := float64(max(0, e.busyUntil-now)) / float64(time.Second)
+	if e.batch() > 0 && e.state.Report.Role != target.Prefill {
+		rate *= mixedPrefill
+	}
 	return wait + (othersTokens+tokens)/rate
 }
 
--- a/routing/pool.go
+++ b/routing/pool.go
@@ -182,7 +182,7 @@
 		return whole, wholeOK
 	}
 	transfer := float64(q.PromptTokens) * transferSecondsPerToken
-	if wholeOK && whole.engine.cost <= prefill.engine.cost+transfer+decode.engine.cost {
+	if wholeOK && whole.cost <= prefill.cost+transfer+decode.cost {
 		return whole, true
 	}
 	decode.prefill = prefill.engine
@@ -194,8 +194,7 @@
 	return decode, true
 }
 
-// pick picks a target for one phase. The cost of the phase is left in the
-// engine.
+// pick picks a target for one phase.
 func (p *pool) pick(now int64, q *Request, need requirement, phase target.Phase, random *rand.Rand) (Choice, bool) {
 	g := p.group(need, phase)
 	rule := rule{now, q, need, p.models[q.Model]}
@@ -231,6 +230,7 @@
 		Candidates: d.candidates,
 		Batch:      int(e.batch()),
 		engine:     e,
+		cost:       e.cost,
 		sentAt:     now,
 	}
 	if limit := e.limit(now); !math.IsInf(limit, 1) {
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -59,6 +59,7 @@
 	engine  *engine
 	prefill *engine // nil once the prefill phase is over
 	sentAt  int64   // Unix time, nanoseconds
+	cost    float64 // seconds
 }
 
 // Router chooses targets for one gateway. It is not safe for concurrent use.
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -192,6 +192,23 @@
 	is.True(c.Prefill == nil)
 }
 
+func TestPhasesAreComparedEachByItsOwnCost(t *testing.T) {
+	is := is.New(t)
+	view := fleet(4)
+	view[0].Report.Role = target.Prefill
+	view[1].Report.Role = target.Prefill
+	view[2].Report.Role = target.Decode
+	view[3].Report.PrefillTokens = 40_000 // mixed, with long prompts before it
+	r, q := New(home, 1), request()
+	r.Observe(start, view, zones)
+	for range 20 {
+		c, ok := r.Choose(start, &q)
+		is.True(ok)
+		is.True(c.Prefill != nil)
+		is.True(c.Prefill.ID != "engine-3")
+	}
+}
+
 func TestNoAllocations(t *testing.T) {
 	is := is.New(t)
 	r, q := New(home, 1), request()
