--- a/internal/policybench/gateway.go
+++ b/internal/policybench/gateway.go
@@ -3,135 +3,166 @@
 import (
 	"time"
 
+	"zinniapin/admission"
+	"zinniapin/contract"
+	"zinniapin/invariant"
 	"zinniapin/routing"
 	"zinniapin/target"
 )
 
-// Constants of the simple fair queue that stands before every policy.
+// Constants of the gateways, the same for every policy.
 const (
 	// patience is how long a request queues at a gateway before it is refused
 	// unrun.
 	patience = 900 * time.Millisecond
-	// slowFirst is the time from sending to the first token above which the
+	// lateFirst is the time from sending to the first token above which the
 	// window shrinks.
-	slowFirst = 900 * time.Millisecond
-	// Bounds of the window, in prompt tokens sent without a first token.
-	firstWindow    = 24000.0
-	smallestWindow = 5000.0
-	largestWindow  = 400000.0
-	windowShrink   = 0.85
-	shrinkEvery    = 300 * time.Millisecond
-	windowGrowth   = 0.25 // of a served prompt
-	// callTokens stands for a call or a very short prompt.
-	callTokens = 100
+	lateFirst = 900 * time.Millisecond
+	// queueLength bounds the queue of a gateway, requests.
+	queueLength = 512
+	// unlimited stands for limits that the traces do not reach.
+	unlimited = 1e9
 	// maxAttempts bounds how often a request is sent.
 	maxAttempts = 4
 )
 
-// gateway holds requests in fair queues by organisation. The window of
-// prompts under way follows the first-token times that it sees, in the same
-// way for every policy.
+// gateway admits requests by the project's admission core. Its capacity
+// follows the window: the requests that stream, and those that the window
+// lets start.
 type gateway struct {
-	picker   picker
-	queues   [][]*request // by organisation
-	served   []float64    // work sent, by organisation
-	clock    float64      // of the organisation served last
-	window   float64
-	under    float64 // prompt tokens under way
-	shrunkAt int64
-	calls    []*request
+	picker    picker
+	admission *admission.Core
+	contracts []*contract.Contract // by organisation
+	window    *routing.Window
+	queue     []*request // waiting, by age
+	byTicket  map[*admission.Ticket]*request
+	calls     []*request
+	running   int // tickets dispatched
 
 	waited  float64 // seconds, since the last look
 	sent    int
 	refused int
 }
 
-// newGateway returns a gateway for n organisations.
-func newGateway(p picker, n int) *gateway {
-	return &gateway{picker: p, queues: make([][]*request, n), served: make([]float64, n), window: firstWindow}
-}
-
-// tokens is what a request takes of the window.
-func tokens(r *request) float64 {
-	return float64(max(callTokens, r.prompt))
+// newGateway returns a gateway for a deployment.
+func newGateway(p picker, d *deployment) *gateway {
+	g := &gateway{
+		picker: p, admission: admission.New(queueLength), window: routing.NewWindow(lateFirst),
+		byTicket: map[*admission.Ticket]*request{},
+	}
+	g.admission.SetCapacity(d.pool.Name, 1)
+	for _, o := range d.orgs {
+		g.contracts = append(g.contracts, &contract.Contract{
+			Organisation: o.name,
+			Limits:       contract.Limits{RequestsPerSecond: unlimited, Concurrency: unlimited},
+		})
+	}
+	return g
 }
 
-// arrive queues a request.
-func (g *gateway) arrive(r *request) {
+// arrive admits a request, or refuses it at once.
+func (g *gateway) arrive(now int64, w *world, r *request) {
 	if r.service {
 		g.calls = append(g.calls, r)
 		return
 	}
-	if len(g.queues[r.org]) == 0 {
-		g.served[r.org] = max(g.served[r.org], g.clock)
+	k := g.contracts[r.org]
+	g.admission.SetCapacity(w.d.pool.Name, max(g.running+1, w.capacity()))
+	ticket, err := g.admission.Arrive(at(now), admission.Request{
+		Organisation: k.Organisation, Contract: k, Pool: w.d.pool.Name,
+		Cost: float64(r.prompt)*decodeRate/prefillRate + float64(r.output), PromptTokens: r.prompt,
+		Deadline: at(r.at).Add(patience),
+	})
+	if err != nil {
+		g.refuse(now, w, r)
+		return
 	}
-	g.queues[r.org] = append(g.queues[r.org], r)
+	r.ticket = ticket
+	g.byTicket[ticket] = r
+	g.queue = append(g.queue, r)
+}
+
+// capacity is a gateway's share of the batches of all live engines.
+func (w *world) capacity() int {
+	total := 0.0
+	for _, e := range w.engines {
+		if !e.dead && e.target.Kind == target.Engine {
+			total += decodeRate * tokenInterval
+		}
+	}
+	return int(total) / len(w.gateways)
+}
+
+// refuse refuses a request unrun.
+func (g *gateway) refuse(now int64, w *world, r *request) {
+	w.refuse(now, r)
+	g.refused++
 }
 
 // dispatch sends what the window allows and refuses what waited too long.
 func (g *gateway) dispatch(now int64, w *world) {
-	g.expire(now, w)
 	for _, r := range g.calls {
 		if !w.send(now, g, r) {
 			w.refuse(now, r)
 		}
 	}
 	g.calls = g.calls[:0]
-	for g.under < g.window {
-		org := g.next()
-		if org < 0 {
+	g.expire(now, w)
+	for g.window.Open() && len(g.byTicket) > 0 {
+		g.admission.SetCapacity(w.d.pool.Name, g.running+1)
+		tickets := g.admission.Dispatch(at(now), w.d.pool.Name)
+		if len(tickets) == 0 {
 			return
 		}
-		r := g.queues[org][0]
-		if !w.send(now, g, r) {
-			return
+		for _, t := range tickets {
+			g.start(now, w, g.byTicket[t])
 		}
-		g.queues[org] = g.queues[org][1:]
-		g.clock = g.served[org]
-		g.served[org] += workOf(float64(r.prompt), float64(r.output))
-		g.under += tokens(r)
-		g.waited += float64(now-r.at) / float64(time.Second)
-		g.sent++
 	}
 }
 
-// next returns the organisation that was served least, or -1.
-func (g *gateway) next() int {
-	best := -1
-	for i, q := range g.queues {
-		if len(q) > 0 && (best < 0 || g.served[i] < g.served[best]) {
-			best = i
+// start sends a dispatched request.
+func (g *gateway) start(now int64, w *world, r *request) {
+	delete(g.byTicket, r.ticket)
+	g.running++
+	if !w.send(now, g, r) {
+		g.leave(now, r)
+		if r.attempts == 0 {
+			g.refuse(now, w, r)
+		} else {
+			w.abandon(now, r)
 		}
+		return
+	}
+	g.window.Sent(r.prompt)
+	g.waited += float64(now-r.at) / float64(time.Second)
+	g.sent++
+}
+
+// leave gives a dispatched ticket back.
+func (g *gateway) leave(now int64, r *request) {
+	if r.ticket == nil {
+		return
 	}
-	return best
+	g.admission.Leave(at(now), r.ticket, r.output)
+	r.ticket = nil
+	g.running--
+	invariant.Check(g.running >= 0, "bench_running", "%d", g.running)
 }
 
 // expire refuses what waited too long.
 func (g *gateway) expire(now int64, w *world) {
-	for i, q := range g.queues {
-		for len(q) > 0 && now-q[0].at > int64(patience) {
-			if q[0].attempts == 0 {
-				w.refuse(now, q[0])
-				g.refused++
-			} else {
-				w.abandon(now, q[0])
+	for len(g.queue) > 0 {
+		r := g.queue[0]
+		if _, waits := g.byTicket[r.ticket]; r.ticket != nil && waits {
+			if now-r.at <= int64(patience) {
+				return
 			}
-			q = q[1:]
+			delete(g.byTicket, r.ticket)
+			g.admission.Leave(at(now), r.ticket, 0)
+			r.ticket = nil
+			g.refuse(now, w, r)
 		}
-		g.queues[i] = q
-	}
-}
-
-// first takes in a first token.
-func (g *gateway) first(now int64, r *request) {
-	g.under -= tokens(r)
-	if now-r.sentAt <= int64(slowFirst) {
-		g.window = min(largestWindow, g.window+windowGrowth*tokens(r)*tokens(r)/g.window)
-		return
-	}
-	if now-g.shrunkAt >= int64(shrinkEvery) {
-		g.window = max(smallestWindow, g.window*windowShrink)
-		g.shrunkAt = now
+		g.queue = g.queue[1:]
 	}
 }
 
--- a/internal/policybench/policy.go
+++ b/internal/policybench/policy.go
@@ -104,13 +104,16 @@
 	return &simple{own: map[target.ID]int{}, load: reportedLoad, count: true}
 }
 
+// tokensPerUnit is how many prompt tokens weigh as much as a request.
+const tokensPerUnit = 100
+
 // reportedLoad is the load of a target for a phase, as last reported.
 func reportedLoad(s *control.TargetState, phase target.Phase) float64 {
 	load := float64(s.Report.Running + s.Report.Waiting)
 	if phase == target.PhaseDecode {
 		return load
 	}
-	return load + float64(s.Report.PrefillTokens)/callTokens
+	return load + float64(s.Report.PrefillTokens)/tokensPerUnit
 }
 
 func (p *simple) observe(_ time.Time, view []control.TargetState) {
--- a/internal/policybench/table.go
+++ b/internal/policybench/table.go
@@ -22,6 +22,8 @@
 	Cheap       float64 // share of requests that ran on reclaimable targets
 	Harmed      float64 // share cut there and then not served in time
 	Refused     float64 // share refused unrun
+	Late        float64 // share whose first token came late or never, not refused
+	Slow        float64 // share whose first token came in time and the others too slowly
 	FalseWords  int     // refusals "not run" of requests that were sent
 	runs        int
 }
@@ -31,7 +33,7 @@
 	good := make([]int, len(w.d.orgs))
 	offered := make([]int, len(w.d.orgs))
 	total := 0
-	cheap, harmed, refused := 0, 0, 0
+	cheap, harmed, refused, late, slow := 0, 0, 0, 0, 0
 	for _, r := range w.requests {
 		offered[r.org]++
 		if r.good() {
@@ -43,6 +45,13 @@
 		if r.cheap {
 			cheap++
 		}
+		switch {
+		case r.good() || r.refused:
+		case r.firstInTime():
+			slow++
+		default:
+			late++
+		}
 		if r.refused {
 			refused++
 			if r.sent {
@@ -64,6 +73,8 @@
 	row.Cheap += share(cheap, n)
 	row.Harmed += share(harmed, n)
 	row.Refused += share(refused, n)
+	row.Late += share(late, n)
+	row.Slow += share(slow, n)
 }
 
 // add merges another row over other runs.
@@ -77,6 +88,8 @@
 	row.Cheap += o.Cheap
 	row.Harmed += o.Harmed
 	row.Refused += o.Refused
+	row.Late += o.Late
+	row.Slow += o.Slow
 	row.FalseWords += o.FalseWords
 }
 
@@ -84,7 +97,7 @@
 func (row *Row) mean() Row {
 	n := float64(max(1, row.runs))
 	m := *row
-	for _, x := range []*float64{&m.Goodput, &m.Worst, &m.RoleChanges, &m.Cost, &m.Cheap, &m.Harmed, &m.Refused} {
+	for _, x := range []*float64{&m.Goodput, &m.Worst, &m.RoleChanges, &m.Cost, &m.Cheap, &m.Harmed, &m.Refused, &m.Late, &m.Slow} {
 		*x /= n
 	}
 	return m
@@ -103,7 +116,7 @@
 
 // good tells whether a request was served in time.
 func (r *request) good() bool {
-	if r.doneAt == 0 || r.firstAt-r.at > int64(firstTokenBound) {
+	if r.doneAt == 0 || !r.firstInTime() {
 		return false
 	}
 	if r.output < 2 {
@@ -113,6 +126,11 @@
 	return between <= tokenInterval
 }
 
+// firstInTime tells whether the first token came in time.
+func (r *request) firstInTime() bool {
+	return r.firstAt > 0 && r.firstAt-r.at <= int64(firstTokenBound)
+}
+
 // cost sums the target-hours of the pool, in reserved ones.
 func (w *world) cost() float64 {
 	sum := 0.0
@@ -223,7 +241,7 @@
 func (t *Table) print(out io.Writer) {
 	fmt.Fprintf(out, "\n%s, %s traces, seeds %v\n", t.Deployment, t.Set, t.Seeds)
 	tab := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(tab, "trace\tpolicy\tgoodput %\tworst org %\trole changes\tcost\tcheap %\tharmed %\trefused %\tuntrue\tlate/wrong reports")
+	fmt.Fprintln(tab, "trace\tpolicy\tgoodput %\tworst org %\trole changes\tcost\tcheap %\tharmed %\tlate first %\tslow tokens %\trefused %\tuntrue\tlate/wrong reports")
 	for i, name := range t.Traces {
 		for k := range t.ByTrace[i] {
 			t.ByTrace[i][k].print(tab, name)
@@ -237,6 +255,6 @@
 
 // print writes one row.
 func (row *Row) print(out io.Writer, name string) {
-	fmt.Fprintf(out, "%s\t%s\t%.1f\t%.1f\t%.1f\t%.2f\t%.0f\t%.2f\t%.1f\t%d\tn/a\n", name, row.Policy,
-		100*row.Goodput, 100*row.Worst, row.RoleChanges, row.Cost, 100*row.Cheap, 100*row.Harmed, 100*row.Refused, row.FalseWords)
+	fmt.Fprintf(out, "%s\t%s\t%.1f\t%.1f\t%.1f\t%.2f\t%.0f\t%.2f\t%.1f\t%.1f\t%.1f\t%d\tn/a\n", name, row.Policy,
+		100*row.Goodput, 100*row.Worst, row.RoleChanges, row.Cost, 100*row.Cheap, 100*row.Harmed, 100*row.Late, 100*row.Slow, 100*row.Refused, row.FalseWords)
 }
--- a/internal/policybench/trace.go
+++ b/internal/policybench/trace.go
@@ -6,6 +6,7 @@
 	"sort"
 	"time"
 
+	"zinniapin/admission"
 	"zinniapin/contract"
 	"zinniapin/routing"
 	"zinniapin/target"
@@ -35,6 +36,7 @@
 	prefill  *engine
 	engine   *engine
 	choice   routing.Choice
+	ticket   *admission.Ticket
 }
 
 // deployment is one of the users' fleets.
--- a/internal/policybench/world.go
+++ b/internal/policybench/world.go
@@ -76,7 +76,7 @@
 			home := zone.Zone{Name: d.zones[i%len(d.zones)], Region: "region"}
 			w.pickers = append(w.pickers, p.pick(home, seed*1000+uint64(i)))
 		}
-		w.gateways = append(w.gateways, newGateway(w.pickers[len(w.pickers)-1], len(d.orgs)))
+		w.gateways = append(w.gateways, newGateway(w.pickers[len(w.pickers)-1], d))
 	}
 	return w
 }
@@ -135,7 +135,7 @@
 		}
 		for w.next < len(w.requests) && w.requests[w.next].at <= now {
 			r := w.requests[w.next]
-			w.gateways[r.gateway].arrive(r)
+			w.gateways[r.gateway].arrive(now, w, r)
 			w.next++
 		}
 		for _, g := range w.gateways {
@@ -209,15 +209,13 @@
 	r.prefill = nil
 	g := w.gateways[r.gateway]
 	g.picker.done(at(now), &r.choice, true)
-	if r.firstAt == 0 {
-		g.under -= tokens(r)
-	}
+	starting := r.firstAt == 0 && !r.service
 	if !w.send(now, g, r) {
+		if starting {
+			g.window.Ended(r.prompt)
+		}
+		g.leave(now, r)
 		w.abandon(now, r)
-		return
-	}
-	if r.firstAt == 0 {
-		g.under += tokens(r)
 	}
 }
 
@@ -286,7 +284,7 @@
 	r.firstAt = now
 	r.left = max(0, r.left-1)
 	if !r.service {
-		w.gateways[r.gateway].first(now, r)
+		w.gateways[r.gateway].window.First(at(now), r.prompt, time.Duration(now-r.sentAt))
 	}
 }
 
@@ -294,7 +292,9 @@
 func (w *world) finished(now int64, r *request) {
 	r.doneAt = now
 	w.open--
-	w.gateways[r.gateway].picker.done(at(now), &r.choice, false)
+	g := w.gateways[r.gateway]
+	g.picker.done(at(now), &r.choice, false)
+	g.leave(now, r)
 }
 
 // refuse refuses a request unrun.
--- /dev/null
+++ b/routing/window.go
@@ -0,0 +1,77 @@
+package routing
+
+import "time"
+
+// Constants of windows.
+const (
+	// windowFirst, windowLeast and windowMost are in prompt tokens.
+	windowFirst = 24_000.0
+	windowLeast = 5_000.0
+	windowMost  = 400_000.0
+	// windowShrink is what is left of a window after a late first token, and
+	// windowRest the time between two such cuts.
+	windowShrink = 0.85
+	windowRest   = 300 * time.Millisecond
+	// windowGrowth is the part of a served prompt by which a window grows for
+	// each windowful.
+	windowGrowth = 0.25
+	// windowFloor stands for a very short prompt, in tokens.
+	windowFloor = 100
+)
+
+// Window bounds the prompt tokens that a gateway has sent to a pool and that
+// brought no first token yet. It grows while first tokens come in time and
+// shrinks when they do not, so that work waits in the gateway's fair queue
+// and not at the engines. It is not safe for concurrent use.
+type Window struct {
+	late   time.Duration
+	size   float64
+	under  float64
+	cutAt  time.Time
+	starts int // requests under way
+}
+
+// NewWindow returns a window that shrinks when the time from sending to the
+// first token exceeds late.
+func NewWindow(late time.Duration) *Window {
+	return &Window{late: late, size: windowFirst}
+}
+
+// windowTokens is what a prompt takes of a window.
+func windowTokens(prompt int) float64 {
+	return float64(max(windowFloor, prompt))
+}
+
+// Open tells whether another request may be sent.
+func (w *Window) Open() bool {
+	return w.under < w.size
+}
+
+// Sent takes in a request that was sent.
+func (w *Window) Sent(prompt int) {
+	w.under += windowTokens(prompt)
+	w.starts++
+}
+
+// Ended takes in a request that ended or was lost before its first token.
+func (w *Window) Ended(prompt int) {
+	w.under -= windowTokens(prompt)
+	w.starts--
+	if w.starts <= 0 {
+		w.starts, w.under = 0, 0
+	}
+}
+
+// First takes in a first token and the time since its request was sent.
+func (w *Window) First(now time.Time, prompt int, took time.Duration) {
+	w.Ended(prompt)
+	if took <= w.late {
+		tokens := windowTokens(prompt)
+		w.size = min(windowMost, w.size+windowGrowth*tokens*tokens/w.size)
+		return
+	}
+	if now.Sub(w.cutAt) >= windowRest {
+		w.size = max(windowLeast, w.size*windowShrink)
+		w.cutAt = now
+	}
+}
