--- a/internal/policybench/gateway.go
+++ b/internal/policybench/gateway.go
@@ -22,6 +22,9 @@
 	queueLength = 512
 	// unlimited stands for limits that the traces do not reach.
 	unlimited = 1e9
+	// shareSlack is how far a gateway may exceed its share of the batches, as
+	// gateways are never loaded alike.
+	shareSlack = 1.1
 	// maxAttempts bounds how often a request is sent.
 	maxAttempts = 4
 )
@@ -82,15 +85,15 @@
 	g.queue = append(g.queue, r)
 }
 
-// capacity is a gateway's share of the batches of all live engines.
+// capacity is a gateway's share of the batches in which tokens come in time.
 func (w *world) capacity() int {
 	total := 0.0
 	for _, e := range w.engines {
-		if !e.dead && e.target.Kind == target.Engine {
+		if !e.dead && e.noticedAt == 0 && e.target.Kind == target.Engine && e.role != target.Prefill && e.changingTo == "" {
 			total += decodeRate * tokenInterval
 		}
 	}
-	return int(total) / len(w.gateways)
+	return max(1, int(shareSlack*total/float64(len(w.gateways))))
 }
 
 // refuse refuses a request unrun.
@@ -108,7 +111,7 @@
 	}
 	g.calls = g.calls[:0]
 	g.expire(now, w)
-	for g.window.Open() && len(g.byTicket) > 0 {
+	for g.window.Open() && len(g.byTicket) > 0 && g.running < w.capacity() {
 		g.admission.SetCapacity(w.d.pool.Name, g.running+1)
 		tickets := g.admission.Dispatch(at(now), w.d.pool.Name)
 		if len(tickets) == 0 {
