--- a/e2e/failure_test.go
+++ b/e2e/failure_test.go
@@ -12,7 +12,6 @@
 	"testing"
 
 	"zinniapin/internal/deploy"
-	"zinniapin/internal/standin/engine"
 	"zinniapin/internal/standin/platform"
 	"zinniapin/internal/standin/service"
 )
@@ -88,13 +87,6 @@
 	}
 }
 
-// slowEngines makes every engine's answers slow to start.
-func (r *rig) slowEngines(delayMillis int) {
-	for _, e := range r.standins.Engines() {
-		e.SetFaults(engine.Faults{DelayMillis: delayMillis})
-	}
-}
-
 // TestKilledGatewayStreamResumes kills a gateway in mid-stream; the caller
 // goes on through another and gets each token once.
 func TestKilledGatewayStreamResumes(t *testing.T) {
--- a/strictjson/strictjson_test.go
+++ b/strictjson/strictjson_test.go
@@ -25,7 +25,7 @@
 	cases := []struct {
 		name, input, place string
 	}{
-		{"unknown", `{"nmae":"x"}`, "nmae"},
+		{"unknown", `{"title":"x"}`, "title"},
 		{"unknown nested", `{"nested":{"cuont":1}}`, "nested.cuont"},
 		{"unknown in array", `{"many":[{"count":1},{"x":1}]}`, "many[1].x"},
 		{"unknown in map", `{"named":{"a":{"x":1}}}`, "named.a.x"},
