Test the stand-in engine; let virtual time pass under waiting orders

An order that waited for another on a mutex stopped the clock of a synctest bubble, so TestOverlappingOrdersConflict hung. Orders now wait on a channel.

--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -22,9 +22,9 @@
 // clock of package time, so it runs in a synctest bubble.
 type Engine struct {
 	options Options
-	prefill *turnstile // one prompt at a time
-	batch   *turnstile // Capacity requests at a time
-	change  sync.Mutex // one change at a time
+	prefill *turnstile    // one prompt at a time
+	batch   *turnstile    // Capacity requests at a time
+	change  chan struct{} // one change at a time; a mutex would stop virtual time
 
 	mu         sync.Mutex
 	draw       *rand.Rand
@@ -58,6 +58,7 @@
 		options: o,
 		prefill: newTurnstile(1),
 		batch:   newTurnstile(o.Capacity),
+		change:  make(chan struct{}, 1),
 		draw:    rand.New(rand.NewPCG(o.Seed, o.Seed+1)),
 		onCrash: func(time.Duration) {},
 	}
--- /dev/null
+++ b/internal/standin/engine/engine_test.go
@@ -0,0 +1,338 @@
+package engine
+
+import (
+	"context"
+	"errors"
+	"io"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"zinniapin/target"
+)
+
+const model = "m"
+
+// fleet runs test with engines at the addresses "a" and "b" in virtual time.
+func fleet(t *testing.T, o Options, test func(t *testing.T, d *Direct, a, b *Engine)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		d := NewDirect()
+		o.Models = []string{model}
+		a := d.Add("a", o)
+		o.Seed++
+		b := d.Add("b", o)
+		test(t, d, a, b)
+		a.Close()
+		b.Close()
+		synctest.Wait()
+	})
+}
+
+// read reads a stream to its end and joins its own chunks by their offsets.
+func read(s target.Stream, attempt string, offset int) (text string, tokens int, last target.Chunk, err error) {
+	tokens = offset
+	for {
+		c, err := s.Next()
+		if errors.Is(err, io.EOF) {
+			return text, tokens, last, nil
+		}
+		if err != nil {
+			return text, tokens, last, err
+		}
+		if c.Attempt != attempt || c.Offset != tokens && !c.Done {
+			continue
+		}
+		text += c.Text
+		tokens += c.Tokens
+		last = c
+	}
+}
+
+// generate makes a request.
+func generate(attempt, prompt string) target.GenerateRequest {
+	return target.GenerateRequest{Attempt: attempt, Model: model, Prompt: prompt, MaxTokens: 400}
+}
+
+// An answer broken anywhere and resumed on another engine is the same answer.
+func TestResumedAnswerIsTheSame(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		prompt := rapid.StringN(1, 50, 100).Draw(r, "prompt")
+		after := rapid.IntRange(0, 8).Draw(r, "chunks before the break")
+		size := rapid.IntRange(1, 9).Draw(r, "tokens a chunk")
+		fleet(t, Options{ChunkTokens: size}, func(t *testing.T, _ *Direct, a, b *Engine) {
+			is := is.New(t)
+			want, finish := Length(model, prompt, 400)
+			a.SetFaults(Faults{BreakStreams: 1, BreakAfter: after})
+			s, err := a.Generate(t.Context(), generate("1", prompt))
+			is.NoErr(err)
+			first, tokens, _, err := read(s, "1", 0)
+			if err == nil {
+				is.Equal(first, Text(model, prompt, 0, want)) // ended before the break
+				return
+			}
+			is.True(errors.Is(err, target.ErrBroken))
+			q := generate("2", prompt)
+			q.Offset = tokens
+			q.Delivered = first
+			s, err = b.Generate(t.Context(), q)
+			is.NoErr(err)
+			rest, tokens, last, err := read(s, "2", tokens)
+			is.NoErr(err)
+			is.Equal(first+rest, Text(model, prompt, 0, want))
+			is.Equal(tokens, want)
+			is.Equal(last.OutputTokens, want)
+			is.Equal(last.Finish, finish)
+		})
+	})
+}
+
+func TestWrongDeliveredTextIsRefused(t *testing.T) {
+	fleet(t, Options{}, func(t *testing.T, _ *Direct, a, _ *Engine) {
+		is := is.New(t)
+		q := generate("1", "p")
+		q.Offset = 3
+		q.Delivered = "not what was sent "
+		_, err := a.Generate(t.Context(), q)
+		is.True(errors.Is(err, target.ErrRefused))
+	})
+}
+
+func TestDisturbedChunksJoinByAttemptAndOffset(t *testing.T) {
+	fleet(t, Options{}, func(t *testing.T, _ *Direct, a, _ *Engine) {
+		is := is.New(t)
+		a.SetFaults(Faults{Cross: 2, Duplicate: 3, LateChunks: 3})
+		s, err := a.Generate(t.Context(), generate("1", "p"))
+		is.NoErr(err)
+		text, tokens, _, err := read(s, "1", 0)
+		is.NoErr(err)
+		want, _ := Length(model, "p", 400)
+		is.Equal(tokens, want)
+		is.Equal(text, Text(model, "p", 0, want))
+	})
+}
+
+func TestPrefillHandsOverToDecode(t *testing.T) {
+	fleet(t, Options{}, func(t *testing.T, d *Direct, a, b *Engine) {
+		is := is.New(t)
+		prompt := strings.Repeat("long ", 4000)
+		q := generate("1", prompt)
+		q.CacheScope = "org"
+		q.Phase = target.PhasePrefill
+		s, err := a.Generate(t.Context(), q)
+		is.NoErr(err)
+		first, tokens, last, err := read(s, "1", 0)
+		is.NoErr(err)
+		is.Equal(tokens, 1)
+		is.True(last.KVHandle != "" && !last.Done)
+		q.Attempt, q.Phase = "2", target.PhaseDecode
+		q.Offset, q.Delivered = tokens, first
+		q.KVSource, q.KVHandle = "a", last.KVHandle
+		s, err = b.Generate(t.Context(), q)
+		is.NoErr(err)
+		rest, _, _, err := read(s, "2", tokens)
+		is.NoErr(err)
+		want, _ := Length(model, prompt, 400)
+		is.Equal(first+rest, Text(model, prompt, 0, want))
+		q.Attempt, q.CacheScope = "3", "other"
+		s, err = b.Generate(t.Context(), q)
+		is.NoErr(err)
+		_, _, _, err = read(s, "3", tokens)
+		is.True(errors.Is(err, target.ErrBroken)) // another organisation's cache
+	})
+}
+
+func TestPrefixCacheSavesPrefillWithinAScope(t *testing.T) {
+	fleet(t, Options{PrefillRate: 1000}, func(t *testing.T, _ *Direct, a, _ *Engine) {
+		is := is.New(t)
+		first := func(attempt, scope string) time.Duration {
+			q := generate(attempt, strings.Repeat("p", 4*pieceBytes))
+			q.CacheScope = scope
+			start := time.Now()
+			s, err := a.Generate(t.Context(), q)
+			is.NoErr(err)
+			_, err = s.Next()
+			is.NoErr(err)
+			s.Close()
+			return time.Since(start)
+		}
+		cold := first("1", "x")
+		is.True(first("2", "x") < cold/10)
+		is.Equal(first("3", "y"), cold)
+		is.Equal(len(a.CacheEvents(0)), 8)
+	})
+}
+
+func TestPriorityGoesFirst(t *testing.T) {
+	fleet(t, Options{Capacity: 1}, func(t *testing.T, _ *Direct, a, _ *Engine) {
+		is := is.New(t)
+		ended := make(chan string, 3)
+		for i, attempt := range []string{"running", "low", "high"} {
+			q := generate(attempt, "p")
+			q.Priority = i
+			s, err := a.Generate(t.Context(), q)
+			is.NoErr(err)
+			go func() { _, _, _, _ = read(s, attempt, 0); ended <- attempt }()
+			synctest.Wait()
+		}
+		is.Equal(<-ended, "running")
+		is.Equal(<-ended, "high")
+		is.Equal(<-ended, "low")
+	})
+}
+
+func TestCancelFreesThePlace(t *testing.T) {
+	fleet(t, Options{}, func(t *testing.T, _ *Direct, a, _ *Engine) {
+		is := is.New(t)
+		_, err := a.Generate(t.Context(), generate("1", "p"))
+		is.NoErr(err)
+		is.Equal(a.Report().Running, 1)
+		is.True(a.Cancel("1"))
+		synctest.Wait()
+		is.Equal(a.Report().Running, 0)
+		is.Equal(a.Report().PrefillTokens, 0)
+		is.True(!a.Cancel("1"))
+	})
+}
+
+// role returns an order to change the role.
+func role(id, author string, fence uint64, r target.Role) target.Order {
+	return target.Order{ID: id, Author: author, Fence: fence, Kind: target.OrderRole, Role: r}
+}
+
+func TestRoleChangeCutsAndRefuses(t *testing.T) {
+	fleet(t, Options{}, func(t *testing.T, _ *Direct, a, _ *Engine) {
+		is := is.New(t)
+		s, err := a.Generate(t.Context(), generate("1", "p"))
+		is.NoErr(err)
+		done := make(chan error, 1)
+		go func() { done <- a.Send(t.Context(), role("o1", "x", 1, target.Decode)) }()
+		synctest.Wait()
+		is.True(a.Report().Changing)
+		_, _, _, err = read(s, "1", 0)
+		is.True(errors.Is(err, target.ErrBroken))
+		_, err = a.Generate(t.Context(), generate("2", "p"))
+		is.True(errors.Is(err, target.ErrRefused))
+		is.NoErr(<-done)
+		is.Equal(a.Report().Role, target.Decode)
+		is.Equal(a.Report().LastOrder, "o1")
+		is.Equal(a.Records().Cut, 1)
+		_, err = a.Generate(t.Context(), generate("3", "p"))
+		is.True(errors.Is(err, target.ErrRefused)) // decode runs no whole request
+	})
+}
+
+func TestFenceIsCheckedOrIgnored(t *testing.T) {
+	for _, checks := range []bool{true, false} {
+		fleet(t, Options{ChecksFence: checks}, func(t *testing.T, _ *Direct, a, _ *Engine) {
+			is := is.New(t)
+			is.NoErr(a.Send(t.Context(), role("new", "y", 2, target.Decode)))
+			err := a.Send(t.Context(), role("old", "x", 1, target.Prefill))
+			records := a.Records()
+			if checks {
+				is.True(errors.Is(err, target.ErrStaleFence))
+				is.Equal(a.Report().Role, target.Decode)
+				is.Equal(len(records.Conflicts()), 0)
+				return
+			}
+			is.NoErr(err)
+			is.Equal(a.Report().Role, target.Prefill)
+			is.Equal(len(records.Conflicts()), 1)
+		})
+	}
+}
+
+func TestOverlappingOrdersConflict(t *testing.T) {
+	fleet(t, Options{}, func(t *testing.T, _ *Direct, a, _ *Engine) {
+		is := is.New(t)
+		done := make(chan error, 2)
+		go func() { done <- a.Send(t.Context(), role("o1", "x", 1, target.Decode)) }()
+		synctest.Wait()
+		go func() { done <- a.Send(t.Context(), role("o2", "y", 2, target.Prefill)) }()
+		is.NoErr(<-done)
+		is.NoErr(<-done)
+		records := a.Records()
+		is.Equal(len(records.Conflicts()), 1)
+		is.True(records.Orders[1].Overlaps)
+	})
+}
+
+// The answer to an order is lost after it took effect; a repeat of the same
+// id changes nothing and cuts nothing.
+func TestLostOrderAnswerAndRepeat(t *testing.T) {
+	fleet(t, Options{}, func(t *testing.T, _ *Direct, a, _ *Engine) {
+		is := is.New(t)
+		a.SetFaults(Faults{LoseOrderAnswers: 1})
+		o := role("o1", "x", 1, target.Mixed)
+		is.True(errors.Is(a.Send(t.Context(), o), target.ErrBroken))
+		is.Equal(a.Report().LastOrder, "o1")
+		s, err := a.Generate(t.Context(), generate("1", "p"))
+		is.NoErr(err)
+		is.NoErr(a.Send(t.Context(), o))
+		_, _, _, err = read(s, "1", 0)
+		is.NoErr(err)
+		is.Equal(a.Records().Orders[1].Outcome, OrderRepeated)
+	})
+}
+
+// An order whose sender gives up still takes effect.
+func TestOrderOutlivesItsSender(t *testing.T) {
+	fleet(t, Options{}, func(t *testing.T, _ *Direct, a, _ *Engine) {
+		is := is.New(t)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		is.True(errors.Is(a.Send(ctx, role("o1", "x", 1, target.Decode)), target.ErrBroken))
+		is.Equal(a.Report().Role, target.Mixed)
+		time.Sleep(defaultChange)
+		is.Equal(a.Report().Role, target.Decode)
+	})
+}
+
+func TestCrashInChangeLosesStateAndBoot(t *testing.T) {
+	fleet(t, Options{}, func(t *testing.T, d *Direct, a, _ *Engine) {
+		is := is.New(t)
+		boot := a.Report().Boot
+		a.SetFaults(Faults{CrashInChange: 1})
+		is.True(errors.Is(a.Send(t.Context(), role("o1", "x", 7, target.Decode)), target.ErrBroken))
+		at := target.Target{Address: "a"}
+		_, err := d.Generate(t.Context(), at, generate("1", "p"))
+		is.True(errors.Is(err, target.ErrNotSent))
+		a.Restart()
+		r := a.Report()
+		is.True(r.Boot != boot)
+		is.Equal(r.Role, target.Mixed)
+		is.Equal(r.Fence, uint64(0))
+		is.Equal(r.LastOrder, "")
+		is.True(!r.Changing)
+	})
+}
+
+func TestCrashMidStream(t *testing.T) {
+	fleet(t, Options{}, func(t *testing.T, _ *Direct, a, _ *Engine) {
+		is := is.New(t)
+		a.SetFaults(Faults{CrashAfter: 3})
+		s, err := a.Generate(t.Context(), generate("1", "p"))
+		is.NoErr(err)
+		text, tokens, _, err := read(s, "1", 0)
+		is.True(errors.Is(err, target.ErrBroken))
+		is.Equal(text, Text(model, "p", 0, tokens))
+		is.True(a.Down())
+	})
+}
+
+func TestReportsLag(t *testing.T) {
+	fleet(t, Options{ReportLag: time.Second}, func(t *testing.T, _ *Direct, a, _ *Engine) {
+		is := is.New(t)
+		is.Equal(a.Report().Running, 0)
+		_, err := a.Generate(t.Context(), generate("1", strings.Repeat("p", 400_000)))
+		is.NoErr(err)
+		time.Sleep(500 * time.Millisecond)
+		is.Equal(a.Report().Running, 0)
+		time.Sleep(time.Second)
+		is.Equal(a.Report().Running, 1)
+	})
+}
--- a/internal/standin/engine/orders.go
+++ b/internal/standin/engine/orders.go
@@ -48,8 +48,8 @@
 
 // carryOut makes the change, one at a time.
 func (e *Engine) carryOut(index int, o target.Order) error {
-	e.change.Lock()
-	defer e.change.Unlock()
+	e.change <- struct{}{}
+	defer func() { <-e.change }()
 	life, known, ok := e.begin(index, o)
 	if !ok {
 		return e.finish(index, OrderLost, life)
