--- /dev/null
+++ b/internal/standin/service/service_test.go
@@ -0,0 +1,53 @@
+package service
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// deposit posts a deposit on a connection of its own.
+func deposit(s *Server, id string) (*http.Response, error) {
+	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	return client.Post("http://"+s.Address()+"/deposits", "application/json", strings.NewReader(`{"id":"`+id+`"}`))
+}
+
+func TestRunsAreCountedAndRefusalsRunNothing(t *testing.T) {
+	is := is.New(t)
+	s, err := Start("127.0.0.1:0")
+	is.NoErr(err)
+	defer s.Close()
+	s.SetFaults(Faults{Refuse: 1, LoseAnswers: 1})
+	r, err := deposit(s, "a")
+	is.NoErr(err)
+	r.Body.Close()
+	is.Equal(r.Header.Get(NotRunHeader), "true")
+	is.Equal(s.Runs()["a"], 0)
+	_, err = deposit(s, "a")
+	is.True(err != nil) // the answer is lost
+	is.Equal(s.Runs()["a"], 1)
+	r, err = deposit(s, "a")
+	is.NoErr(err)
+	body, _ := io.ReadAll(r.Body)
+	r.Body.Close()
+	is.True(strings.Contains(string(body), `"state":"done"`))
+	is.Equal(r.Header.Get(NotRunHeader), "")
+	is.Equal(s.Runs()["a"], 2) // a repeat is counted, never hidden
+}
+
+func TestCrashBeforeAndAfter(t *testing.T) {
+	is := is.New(t)
+	s, err := Start("127.0.0.1:0")
+	is.NoErr(err)
+	defer s.Close()
+	s.SetFaults(Faults{CrashBefore: 1, CrashAfter: 1})
+	for want := range 2 {
+		_, err = deposit(s, "a")
+		is.True(err != nil)
+		is.Equal(s.Runs()["a"], want)
+		is.NoErr(s.Restart())
+	}
+}
