Close a crashed engine's listener before its answers break

A caller that saw a broken answer could still connect for a moment and then got ErrBroken for a request that never ran; read from the code, not seen in a run.

--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -97,11 +97,14 @@
 		return
 	}
 	e.down = true
-	e.end()
+	end := e.end
 	notify := e.onCrash
 	after := time.Duration(e.faults.RestartMillis) * time.Millisecond
 	e.mu.Unlock()
+	// The listener goes first, so that whoever sees a broken answer finds
+	// nothing listening.
 	notify(after)
+	end()
 }
 
 // Restart starts a crashed engine with a new boot id.
--- /dev/null
+++ b/internal/standin/engine/server_test.go
@@ -0,0 +1,63 @@
+package engine
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"zinniapin/target"
+	"zinniapin/target/httpengine"
+)
+
+// The adapter and the engine agree over HTTP, through a crash and a restart
+// at the same address.
+func TestOverHTTP(t *testing.T) {
+	is := is.New(t)
+	o := Options{ID: "e", Models: []string{model}, ChecksFence: true, RoleChange: time.Millisecond, DecodeRate: 1e6}
+	s, err := Start("127.0.0.1:0", o)
+	is.NoErr(err)
+	defer s.Close()
+	c := httpengine.New(httpengine.Options{})
+	defer c.Close()
+	at := target.Target{ID: "e", Address: s.Address()}
+	answer := func(attempt string) (string, error) {
+		stream, err := c.Generate(t.Context(), at, generate(attempt, "p"))
+		if err != nil {
+			return "", err
+		}
+		defer stream.Close()
+		text, _, _, err := read(stream, attempt, 0)
+		return text, err
+	}
+	want, _ := Length(model, "p", 400)
+	text, err := answer("1")
+	is.NoErr(err)
+	is.Equal(text, Text(model, "p", 0, want))
+	is.NoErr(c.Send(t.Context(), at, role("o2", "x", 2, target.Mixed)))
+	is.True(errors.Is(c.Send(t.Context(), at, role("o1", "y", 1, target.Decode)), target.ErrStaleFence))
+	s.Engine.SetFaults(Faults{Refuse: 1})
+	_, err = answer("2")
+	is.True(errors.Is(err, target.ErrRefused))
+	s.Engine.SetFaults(Faults{LoseOrderAnswers: 1})
+	is.True(errors.Is(c.Send(t.Context(), at, role("o3", "x", 2, target.Mixed)), target.ErrBroken))
+	before, err := c.Report(t.Context(), at)
+	is.NoErr(err)
+	is.Equal(before.LastOrder, "o3")
+	s.Engine.SetFaults(Faults{CrashAfter: 2})
+	_, err = answer("3")
+	is.True(errors.Is(err, target.ErrBroken))
+	_, err = answer("4")
+	is.True(errors.Is(err, target.ErrNotSent)) // nothing listens
+	is.NoErr(s.Restart())
+	after, err := c.Report(t.Context(), at)
+	is.NoErr(err)
+	is.True(after.Boot != before.Boot)
+	_, err = answer("5")
+	is.NoErr(err)
+	for _, r := range s.Engine.Records().HTTP {
+		is.Equal(r.Header.Get("Authorization"), "")
+		is.Equal(r.Header.Get("Idempotency-Key"), "")
+	}
+}
