Give randomised tests a fixed seed

Ruled out: -rapid.seed on the command line, which packages that do not use rapid refuse as an unknown flag. Change: internal/fixedseed sets the flag where rapid is used; the command line goes first.

--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -13,6 +13,7 @@
 
 	"zinniapin/contract"
 	"zinniapin/control"
+	_ "zinniapin/internal/fixedseed"
 	"zinniapin/result"
 )
 
--- a/configuration/accept_test.go
+++ b/configuration/accept_test.go
@@ -11,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	"zinniapin/contract"
+	_ "zinniapin/internal/fixedseed"
 	"zinniapin/internal/standin/objects"
 	"zinniapin/result"
 	"zinniapin/store"
--- a/gateway/chatbody_test.go
+++ b/gateway/chatbody_test.go
@@ -7,6 +7,7 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	_ "zinniapin/internal/fixedseed"
 	"zinniapin/result"
 )
 
--- a/grant/grant_test.go
+++ b/grant/grant_test.go
@@ -11,6 +11,7 @@
 
 	"zinniapin/contract"
 	"zinniapin/control"
+	_ "zinniapin/internal/fixedseed"
 )
 
 // init fixes the seed of the randomised runs.
--- a/internal/demo/main.go
+++ b/internal/demo/main.go
@@ -103,9 +103,12 @@
 	return d.WaitReady(ctx)
 }
 
+// begun is when the demo began.
+var begun = time.Now()
+
 // step prints what comes next.
 func step(text string) {
-	fmt.Println("==", text)
+	fmt.Printf("== %s (%s)\n", text, time.Since(begun).Round(100*time.Millisecond))
 }
 
 // up issues a key for each organisation, prints how to call and waits.
--- a/internal/standin/engine/engine_test.go
+++ b/internal/standin/engine/engine_test.go
@@ -12,6 +12,7 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	_ "zinniapin/internal/fixedseed"
 	"zinniapin/target"
 )
 
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -13,6 +13,7 @@
 	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 
+	_ "zinniapin/internal/fixedseed"
 	"zinniapin/machine"
 	"zinniapin/wire"
 	"zinniapin/zone"
--- a/store/budget/budget_test.go
+++ b/store/budget/budget_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	_ "zinniapin/internal/fixedseed"
 	"zinniapin/internal/standin/objects"
 	"zinniapin/store"
 )
--- a/targetview/table_test.go
+++ b/targetview/table_test.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 
+	_ "zinniapin/internal/fixedseed"
 	"zinniapin/platform"
 	"zinniapin/target"
 	"zinniapin/wire"
