--- a/authority/agent.go
+++ b/authority/agent.go
@@ -148,6 +148,7 @@
 	put      Record   // the update under way
 	doubtful bool     // the update that opens may yet take effect
 	sent     bool     // mine was handed to the network
+	waited   bool     // another author's order was found open
 	watch    watch
 	outcome  Outcome
 }
@@ -203,7 +204,9 @@
 // start begins an order.
 func (a *Agent) start(o Order) Action {
 	invariant.Check(a.phase == idle, "order_serial", "agent %s starts an order in phase %d", a.self, a.phase)
-	*a = Agent{self: a.self, number: a.number, policy: a.policy, sequence: a.sequence, wanted: o}
+	// What was learnt about another author's order outlives a call that gave
+	// up waiting; otherwise impatient callers would never see it settled.
+	*a = Agent{self: a.self, number: a.number, policy: a.policy, sequence: a.sequence, watch: a.watch, wanted: o}
 	return a.read(reading)
 }
 
@@ -265,6 +268,10 @@
 		if a.doubtful {
 			return a.withdraw()
 		}
+		if a.waited {
+			a.phase = blocked // a failed read is no reason to stop waiting
+			return Action{Kind: DoPause}
+		}
 		return a.finish(Unavailable)
 	}
 	previous := a.base
@@ -298,6 +305,7 @@
 		return a.open(now)
 	}
 	a.follow(now, open)
+	a.waited = true
 	if a.watch.settled {
 		return a.open(now)
 	}
--- a/authority/executor.go
+++ b/authority/executor.go
@@ -91,9 +91,10 @@
 	runs     sync.WaitGroup
 
 	mu      sync.Mutex
-	busy    map[string]bool
-	started uint64            // runs so far
-	floors  map[string]uint64 // least fencing number by unit
+	busy    map[string]chan struct{} // closed when the run of the unit ends
+	started uint64                   // runs so far
+	floors  map[string]uint64        // least fencing number by unit
+	agents  map[string]Agent         // by unit, between runs
 }
 
 // NewExecutor returns the executor of an author, a machine.Process.ID.
@@ -106,7 +107,8 @@
 		options:  options.withDefaults(),
 		ctx:      ctx,
 		stop:     stop,
-		busy:     map[string]bool{},
+		busy:     map[string]chan struct{}{},
+		agents:   map[string]Agent{},
 		floors:   map[string]uint64{},
 	}
 }
@@ -133,6 +135,23 @@
 	}
 }
 
+// Closed waits until this process has no order to the unit that is not
+// closed, or the context ends.
+func (x *Executor) Closed(ctx context.Context, unit string) error {
+	x.mu.Lock()
+	ended := x.busy[unit]
+	x.mu.Unlock()
+	if ended == nil {
+		return nil
+	}
+	select {
+	case <-ended:
+		return nil
+	case <-ctx.Done():
+		return trace.Wrap(ctx.Err())
+	}
+}
+
 // Do opens, sends, settles and closes an order to a unit. The error is nil
 // when the order took effect. When the context ends first, an order that may
 // have been sent goes on in the background until it is closed.
@@ -145,13 +164,13 @@
 		executor: x,
 		unit:     unit,
 		driver:   d,
-		agent:    NewAgent(x.author, number, Policy{Fenced: fenced, Settle: x.options.Settle}),
+		agent:    x.agent(unit, number, fenced),
 		caller:   ctx,
 		known:    make(chan Outcome, 1),
 	}
 	o.Epoch = max(o.Epoch, x.floor(unit))
 	x.runs.Go(func() {
-		defer x.unclaim(unit)
+		defer x.unclaim(r)
 		r.drive(o)
 	})
 	outcome, known := r.await(ctx)
@@ -167,19 +186,34 @@
 func (x *Executor) claim(unit string) (uint64, bool) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if x.busy[unit] || x.ctx.Err() != nil {
+	if x.busy[unit] != nil || x.ctx.Err() != nil {
 		return 0, false
 	}
-	x.busy[unit] = true
+	x.busy[unit] = make(chan struct{})
 	x.started++
 	return x.started, true
 }
 
+// agent returns the agent of a unit, with what it learnt in earlier runs.
+func (x *Executor) agent(unit string, number uint64, fenced bool) Agent {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	policy := Policy{Fenced: fenced, Settle: x.options.Settle}
+	agent, known := x.agents[unit]
+	if !known {
+		return NewAgent(x.author, number, policy)
+	}
+	agent.number, agent.policy = number, policy
+	return agent
+}
+
 // unclaim ends the reservation.
-func (x *Executor) unclaim(unit string) {
+func (x *Executor) unclaim(r *run) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	delete(x.busy, unit)
+	x.agents[r.unit] = r.agent
+	close(x.busy[r.unit])
+	delete(x.busy, r.unit)
 }
 
 // floor returns the least fencing number that the unit's target may accept.
--- a/event/authority.go
+++ b/event/authority.go
@@ -15,5 +15,6 @@
 	WindowFrozen       = define(4100, "usage_window_frozen", zerolog.InfoLevel, "A usage window was closed; its figures no longer change.", "none")
 	WindowReported     = define(4101, "usage_window_reported", zerolog.InfoLevel, "The platform took the report of a usage window.", "none")
 	UsageLate          = define(4102, "usage_late", zerolog.WarnLevel, "Usage came after its window was frozen and was counted into a later one.", "none")
+	UsageLost          = define(4104, "usage_lost", zerolog.ErrorLevel, "Usage came more than 1440 windows late and was dropped.", "See why the gateway could not hand it over.")
 	UsageStoreDown     = define(4103, "usage_store_down", zerolog.WarnLevel, "Usage waits in memory for the object API.", "See docs/OPERATIONS.md, platform outage.")
 )
