Refuse when the configuration cannot be confirmed although a controller is reached

Cause: a host that is cut off still reaches its own controller, so its gateway served on with a stale configuration for as long as the cut lasted. Test changed: TestAloneRefuses repeats the word on the store, as the uplink does each second, since one word an hour old no longer counts.

--- a/gateway/control.go
+++ b/gateway/control.go
@@ -93,6 +93,7 @@
 	now := time.Now()
 	g.mu.Lock()
 	wasAlone := !g.aloneSince.IsZero()
+	g.confirm(now, c)
 	if c.LiveGateways > 0 {
 		// A gateway that is cut off keeps its last share, which is safe.
 		g.gateways = c.LiveGateways
@@ -109,6 +110,16 @@
 	g.setCapacities(now)
 }
 
+// confirm notes until when the configuration needs no doubt. The lock is held.
+func (g *Gateway) confirm(now time.Time, c control.Connectivity) {
+	switch {
+	case c.Controllers > 0 && c.StoreDownForMost:
+		g.confirmed = now
+	case c.ConfirmedAt.After(g.confirmed):
+		g.confirmed = c.ConfirmedAt
+	}
+}
+
 // Demands implements control.Gateway.
 func (g *Gateway) Demands() []control.Demand {
 	g.mu.Lock()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -69,6 +69,7 @@
 	admission  *admission.Core
 	gateways   int       // live ones, 0 until known
 	aloneSince time.Time // zero while a controller is reached
+	confirmed  time.Time // when the configuration last needed no doubt
 
 	draining atomic.Bool
 	observed atomic.Bool // a view of targets has come
@@ -98,6 +99,7 @@
 		bodies:     newBodyBudget(maxBodiesBytes),
 		admission:  admission.New(o.Settings.QueueLength),
 		aloneSince: time.Now(),
+		confirmed:  time.Now(),
 	}
 	g.metrics = newMetrics(o.Registry, g)
 	g.handler = g.routes()
@@ -130,17 +132,19 @@
 	return nil
 }
 
-// alone tells whether the gateway has reached no controller for too long. A
-// gateway that hears from controllers that the store is down for most serves
-// on: nobody can have accepted a newer configuration that others have. Alone,
-// it may have missed the withdrawal of a key, so it refuses. What remains
-// open is the time until it notices, which the setting alone_ms bounds. The
-// lock is held.
+// alone tells whether the gateway has been unable for too long to tell that
+// its configuration is the newest: it reaches no controller, or only ones that
+// are cut off with it. A gateway that hears that the store is down for most
+// serves on: nobody can have accepted a newer configuration. Else it may have
+// missed the withdrawal of a key, so it refuses. What remains open is the time
+// until it notices, which the settings alone_ms and confirm_ms bound after the
+// uplink has given its links up. The lock is held.
 func (g *Gateway) alone(now time.Time) bool {
-	if g.aloneSince.IsZero() {
-		return false
+	s := &g.options.Settings
+	if !g.aloneSince.IsZero() {
+		return now.Sub(g.aloneSince) > settings.Millis(s.AloneMillis)
 	}
-	return now.Sub(g.aloneSince) > settings.Millis(g.options.Settings.AloneMillis)
+	return now.Sub(g.confirmed) > settings.Millis(s.ConfirmMillis)
 }
 
 // attemptID returns an id that no other attempt has.
--- a/gateway/run_test.go
+++ b/gateway/run_test.go
@@ -149,16 +149,24 @@
 		is.True(g.Ready() != nil) // nor any view of targets
 		g.Observe(nil)
 		is.NoErr(g.Ready())
-		g.Connected(control.Connectivity{Controllers: 1, StoreDownForMost: true})
-		time.Sleep(time.Hour)
-		is.NoErr(g.Ready()) // the store is down for most
+		for range 60 {
+			g.Connected(control.Connectivity{Controllers: 1, StoreDownForMost: true})
+			time.Sleep(time.Minute)
+			is.NoErr(g.Ready()) // the store is down for most
+		}
+		g.Connected(control.Connectivity{Controllers: 1})
+		time.Sleep(11 * time.Minute)
+		g.Connected(control.Connectivity{Controllers: 1})
+		is.True(g.Ready() != nil) // its controller is cut off with it
+		g.Connected(control.Connectivity{Controllers: 1, ConfirmedAt: time.Now()})
+		is.NoErr(g.Ready())
 		g.Connected(control.Connectivity{})
 		time.Sleep(59 * time.Second)
 		is.NoErr(g.Ready())
 		g.Connected(control.Connectivity{}) // a repeated word starts no new span
 		time.Sleep(2 * time.Second)
 		is.True(g.Ready() != nil)
-		g.Connected(control.Connectivity{Controllers: 1})
+		g.Connected(control.Connectivity{Controllers: 1, ConfirmedAt: time.Now()})
 		is.NoErr(g.Ready())
 	})
 }
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -19,6 +19,10 @@
 	// AloneMillis is how long a gateway that reaches no controller goes on
 	// serving. Default 8000.
 	AloneMillis int `json:"alone_ms,omitempty"`
+	// ConfirmMillis is how long a gateway goes on serving that reaches a
+	// controller but hears neither that its configuration is the newest nor
+	// that the object API is down for most. Default 12000.
+	ConfirmMillis int `json:"confirm_ms,omitempty"`
 	// FirstTokenMillis is how long a request may wait for its dispatch.
 	// Default 10000.
 	FirstTokenMillis int `json:"first_token_ms,omitempty"`
@@ -46,6 +50,7 @@
 const (
 	defaultDrainDelayMillis = 5_000
 	defaultAloneMillis      = 8_000
+	defaultConfirmMillis    = 12_000
 	defaultFirstTokenMillis = 10_000
 	defaultFirstChunkMillis = 60_000
 	defaultStallMillis      = 10_000
@@ -69,6 +74,7 @@
 	}
 	positive(p, "drain_delay_ms", &g.DrainDelayMillis, defaultDrainDelayMillis)
 	positive(p, "alone_ms", &g.AloneMillis, defaultAloneMillis)
+	positive(p, "confirm_ms", &g.ConfirmMillis, defaultConfirmMillis)
 	positive(p, "first_token_ms", &g.FirstTokenMillis, defaultFirstTokenMillis)
 	positive(p, "first_chunk_ms", &g.FirstChunkMillis, defaultFirstChunkMillis)
 	positive(p, "stall_ms", &g.StallMillis, defaultStallMillis)
