Doubt the configuration also while no controller is reached

Cause: once the uplink had given its links up, about 9 s after the cut, only alone_ms counted from there, so refusal came 17 s after the cut. Change: confirm_ms counts in both cases. Ran: TestJoined and TestAloneRefuses with -race, 30 times: the host cut off refused after 7.2 to 9.3 s each time. Every run of TestJoined under -race with -count=5 still FAILED once by a data race in package controller (controller.go:100 against 107: the accept function of Listen reads what Run sets after Listen has returned), which is not of this change.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -141,8 +141,8 @@
 // uplink has given its links up. The lock is held.
 func (g *Gateway) alone(now time.Time) bool {
 	s := &g.options.Settings
-	if !g.aloneSince.IsZero() {
-		return now.Sub(g.aloneSince) > settings.Millis(s.AloneMillis)
+	if !g.aloneSince.IsZero() && now.Sub(g.aloneSince) > settings.Millis(s.AloneMillis) {
+		return true
 	}
 	return now.Sub(g.confirmed) > settings.Millis(s.ConfirmMillis)
 }
