--- a/internal/policybench/plan.go
+++ b/internal/policybench/plan.go
@@ -1,7 +1,6 @@
 package policybench
 
 import (
-	"sort"
 	"time"
 
 	"zinniapin/contract"
@@ -116,61 +115,6 @@
 	w.roleChanges++
 }
 
-// foresight is how far the clairvoyant reference looks ahead.
-const foresight = 3 * time.Second
-
-// foresee gives engines, at no cost, the roles that the work to come wants.
-func (w *world) foresee(now int64) {
-	prefill, decode := 0.0, 0.0
-	for i := w.next; i < len(w.requests) && w.requests[i].at < now+int64(foresight); i++ {
-		r := w.requests[i]
-		prefill += float64(r.prompt) / prefillRate
-		decode += float64(r.output) / decodeRate
-	}
-	for _, e := range w.engines {
-		if e.dead || e.target.Kind == target.Service {
-			continue
-		}
-		for _, j := range append(e.prefills, e.waiting...) {
-			prefill += j.prefill / prefillRate
-		}
-		for _, j := range e.running {
-			decode += j.r.left / decodeRate
-		}
-	}
-	w.assign(prefill, decode)
-}
-
-// assign splits the engines by the two demands. Stable and reclaimable ones
-// are split alike.
-func (w *world) assign(prefill, decode float64) {
-	if prefill+decode == 0 {
-		return
-	}
-	share := prefill / (prefill + decode)
-	for _, stable := range []bool{true, false} {
-		var engines []*engine
-		for _, e := range w.engines {
-			if !e.dead && e.target.Kind == target.Engine && cheapTarget(e) != stable {
-				engines = append(engines, e)
-			}
-		}
-		sort.SliceStable(engines, func(i, k int) bool {
-			return len(engines[i].running) < len(engines[k].running)
-		})
-		n := int(share*float64(len(engines)) + 0.5)
-		for i, e := range engines {
-			e.role = target.Decode
-			if i < n {
-				e.role = target.Prefill
-			}
-		}
-		if stable && len(engines) > 1 && (n == 0 || n == len(engines)) {
-			engines[0].role = target.Mixed
-		}
-	}
-}
-
 // spend runs the spending rules, which are the same for every policy.
 func (w *world) spend(now int64, view []control.TargetState, possible bool) {
 	queue := spending.Queue{Pool: w.d.pool.Name, StableShare: w.d.promised(), StableOnlyShare: w.d.stableOnly()}
--- /dev/null
+++ b/internal/policybench/policybench_test.go
@@ -0,0 +1,61 @@
+package policybench
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// TestOursIsBestOfThePolicies compares ours with every baseline over one
+// trace with swings, a crowd and lost targets, in both deployments.
+func TestOursIsBestOfThePolicies(t *testing.T) {
+	set := Set{
+		Name: "regression",
+		scenarios: []scenario{{
+			name: "all at once", length: 240, gateways: 6, period: 80, ramp: 15, low: 0.1, high: 0.7,
+			level: 0.95, crowd: span{90, 140}, crowdBy: 0.5, reclaim: 150, scarce: 60,
+		}},
+		seeds: []uint64{5},
+	}
+	for _, d := range deployments() {
+		t.Run(d.name, func(t *testing.T) {
+			is := is.New(t)
+			rows := map[string]Row{}
+			for _, row := range Run(set, d, Policies()).All {
+				rows[row.Policy] = row
+			}
+			ours := rows["ours"]
+			t.Logf("%+v", ours)
+			is.Equal(ours.FalseWords, 0)
+			is.True(ours.Goodput > 0.9)
+			for _, p := range Policies() {
+				if row := rows[p.Name]; p.baseline() {
+					t.Logf("%+v", row)
+					is.True(ours.Goodput >= row.Goodput)
+					is.True(ours.Worst >= row.Worst)
+					is.Equal(row.Offered, ours.Offered)
+				}
+			}
+		})
+	}
+}
+
+// baseline tells whether a policy is a simpler one to be beaten.
+func (p *Policy) baseline() bool {
+	switch p.roles {
+	case fixedSplit, allMixed, thresholdRoles:
+		return p.Name != "ours, fixed split"
+	default:
+		return false
+	}
+}
+
+// TestRunsRepeat runs the same trace twice.
+func TestRunsRepeat(t *testing.T) {
+	is := is.New(t)
+	set := Set{scenarios: tunedScenarios()[2:3], seeds: []uint64{3}}
+	set.scenarios[0].length = 60
+	ours := Policies()[5:6]
+	d := deployments()[0]
+	is.Equal(Run(set, d, ours).All, Run(set, d, ours).All)
+}
--- a/internal/policybench/table.go
+++ b/internal/policybench/table.go
@@ -174,8 +174,9 @@
 	Set, Deployment string
 	Seeds           []uint64
 	Traces          []string
-	ByTrace         [][]Row // by trace, then policy
-	All             []Row   // by policy
+	Bounds          []float64 // by trace: the fluid upper bound of the goodput
+	ByTrace         [][]Row   // by trace, then policy
+	All             []Row     // by policy
 }
 
 // Run runs every policy over a set for one deployment.
@@ -188,6 +189,11 @@
 	for i := range set.scenarios {
 		t.Traces = append(t.Traces, set.scenarios[i].name)
 		sums[i] = make([]Row, len(policies))
+		bound := 0.0
+		for _, seed := range set.seeds {
+			bound += fluidBound(&d, &set.scenarios[i], trace(&d, &set.scenarios[i], seed))
+		}
+		t.Bounds = append(t.Bounds, bound/float64(len(set.seeds)))
 		for k := range policies {
 			sums[i][k].Policy = policies[k].Name
 			for _, seed := range set.seeds {
@@ -246,6 +252,7 @@
 		for k := range t.ByTrace[i] {
 			t.ByTrace[i][k].print(tab, name)
 		}
+		fmt.Fprintf(tab, "%s\tfluid upper bound\t%.1f\t\t\t\t\t\t\t\t\t\t\n", name, 100*t.Bounds[i])
 	}
 	for k := range t.All {
 		t.All[k].print(tab, "ALL")
--- /dev/null
+++ b/placement/placement_test.go
@@ -0,0 +1,215 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"zinniapin/contract"
+	"zinniapin/control"
+	"zinniapin/platform"
+	"zinniapin/target"
+	"zinniapin/zone"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+var names = []zone.Name{"kolkata", "siliguri", "bardhaman"}
+
+// fleet returns engines of one pool, the first ones in role prefill.
+func fleet(n, prefill int) View {
+	v := View{
+		Pools:          []contract.Pool{{Name: "reports", Disaggregated: true}},
+		OrdersPossible: true,
+		Open:           map[target.ID]target.Order{},
+		Unreachable:    map[target.ID]bool{},
+	}
+	for i := range n {
+		id := target.ID(fmt.Sprintf("engine-%d", i))
+		role := target.Decode
+		if i < prefill {
+			role = target.Prefill
+		}
+		v.Targets = append(v.Targets, control.TargetState{
+			Target: target.Target{ID: id, Kind: target.Engine, Class: target.Reserved, Pool: "reports", Zone: names[i%3]},
+			State:  platform.Live,
+			Report: target.Report{
+				Target: id, Boot: 1, Taken: start, Role: role, Models: []string{"m"},
+				PrefillRate: 8000, DecodeRate: 1100, Capacity: 64,
+			},
+		})
+	}
+	return v
+}
+
+// press gives every engine of a role work.
+func press(v *View, role target.Role, prefillTokens, running int) {
+	for i := range v.Targets {
+		if r := &v.Targets[i].Report; r.Role == role {
+			r.PrefillTokens, r.Running = prefillTokens, running
+		}
+	}
+}
+
+// drive observes the same view for a while and returns all steps.
+func drive(p *Planner, v View, from, to int) []Step {
+	var steps []Step
+	for s := from; s <= to; s++ {
+		now := start.Add(time.Duration(s) * time.Second)
+		p.Observe(now, v)
+		steps = append(steps, p.Plan(now)...)
+	}
+	return steps
+}
+
+func TestPrefillDemandTurnsDecodeEngines(t *testing.T) {
+	is := is.New(t)
+	p, v := New(DefaultSettings()), fleet(9, 3)
+	press(&v, target.Prefill, 16000, 1)
+	press(&v, target.Decode, 0, 5)
+	steps := drive(p, v, 0, 6)
+	is.True(len(steps) > 0)
+	zones := map[zone.Name]int{}
+	for _, s := range steps {
+		is.Equal(s.Kind, target.OrderRole)
+		is.Equal(s.Role, target.Prefill)
+		is.True(s.Gain > s.Loss)
+		is.True(s.Reason != "")
+		zones[s.Zone]++
+	}
+	for _, n := range zones {
+		is.Equal(n, 1)
+	}
+}
+
+func TestNoChange(t *testing.T) {
+	for name, c := range map[string]struct {
+		change func(*View)
+		reason HoldReason
+	}{
+		"comfortable":   {func(v *View) { press(v, target.Prefill, 0, 0) }, HeldComfortable},
+		"no orders":     {func(v *View) { v.OrdersPossible = false }, HeldNoOrders},
+		"not split":     {func(v *View) { v.Pools[0].Disaggregated = false }, HeldNotSplit},
+		"both full":     {pressBoth, HeldNoGain},
+		"all forbidden": {forbidAll, HeldRecent},
+		"open orders":   {openAll, HeldZonesBusy},
+		"no reports":    {func(v *View) { v.Targets = nil }, HeldNoReports},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			p, v := New(DefaultSettings()), fleet(9, 3)
+			press(&v, target.Prefill, 16000, 1)
+			press(&v, target.Decode, 0, 5)
+			c.change(&v)
+			is.Equal(len(drive(p, v, 0, 10)), 0)
+			is.Equal(p.Held()[0].Reason, c.reason)
+		})
+	}
+}
+
+// pressBoth fills engines of both roles alike.
+func pressBoth(v *View) {
+	press(v, target.Prefill, 8000, 1)
+	press(v, target.Decode, 0, 60)
+}
+
+// forbidAll makes every engine unreachable for orders.
+func forbidAll(v *View) {
+	for i := range v.Targets {
+		v.Unreachable[v.Targets[i].Target.ID] = true
+	}
+}
+
+// openAll opens an order on one engine of each zone, which changes nothing.
+func openAll(v *View) {
+	for i := range 3 {
+		v.Open[v.Targets[i].Target.ID] = target.Order{Kind: target.OrderRole, Role: target.Prefill}
+	}
+}
+
+func TestShortPeakIsNotFollowed(t *testing.T) {
+	is := is.New(t)
+	p, v := New(DefaultSettings()), fleet(9, 3)
+	press(&v, target.Decode, 0, 5)
+	drive(p, v, 0, 20)
+	press(&v, target.Prefill, 16000, 1)
+	steps := drive(p, v, 21, 22)
+	press(&v, target.Prefill, 0, 0)
+	steps = append(steps, drive(p, v, 23, 40)...)
+	is.Equal(len(steps), 0)
+}
+
+func TestModelThatNothingServesIsLoaded(t *testing.T) {
+	is := is.New(t)
+	p, v := New(DefaultSettings()), fleet(9, 3)
+	v.Pools[0].Disaggregated = false
+	v.Arrivals = []Arrival{
+		{Pool: "reports", Model: "m", PromptRate: 4000, OutputRate: 400},
+		{Pool: "reports", Model: "n", PromptRate: 900, OutputRate: 100},
+	}
+	v.Loading = 1
+	is.Equal(len(drive(p, v, 0, 1)), 0)
+	is.Equal(p.Held()[len(p.Held())-1].Reason, HeldStoreLimited)
+	v.Loading = 0
+	steps := drive(p, v, 2, 2)
+	is.Equal(len(steps), 1)
+	is.Equal(steps[0].Kind, target.OrderModel)
+	is.Equal(steps[0].Model, "n")
+	is.Equal(steps[0].Unload, "m")
+}
+
+// TestStepsKeepTheRules drives a planner through random views in which orders
+// take their time, get lost and targets come and go.
+func TestStepsKeepTheRules(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		v := fleet(rapid.IntRange(2, 12).Draw(t, "engines"), 1)
+		p := New(DefaultSettings())
+		for s := range 60 {
+			now := start.Add(time.Duration(s) * time.Second)
+			for i := range v.Targets {
+				row := &v.Targets[i]
+				row.Report.Running = rapid.IntRange(0, 64).Draw(t, "running")
+				row.Report.PrefillTokens = rapid.IntRange(0, 30000).Draw(t, "tokens")
+				id := row.Target.ID
+				if o, open := v.Open[id]; open && rapid.IntRange(0, 4).Draw(t, "closes") == 0 {
+					row.Report.Role = o.Role
+					delete(v.Open, id)
+				}
+			}
+			v.OrdersPossible = rapid.IntRange(0, 9).Draw(t, "outage") > 0
+			p.Observe(now, v)
+			checkSteps(t, &v, p.Plan(now))
+		}
+	})
+}
+
+// checkSteps checks the rules for the steps of one plan and opens their
+// orders.
+func checkSteps(t *rapid.T, v *View, steps []Step) {
+	if len(steps) > 0 && !v.OrdersPossible {
+		t.Fatal("a step while no orders are possible")
+	}
+	for _, step := range steps {
+		for i := range v.Targets {
+			row := &v.Targets[i]
+			if _, open := v.Open[row.Target.ID]; open && row.Target.Zone == step.Zone {
+				t.Fatalf("two changes in %s", step.Zone)
+			}
+		}
+		v.Open[step.Target] = target.Order{Kind: step.Kind, Role: step.Role}
+	}
+	var n split
+	for i := range v.Targets {
+		role := v.Targets[i].Report.Role
+		if o, open := v.Open[v.Targets[i].Target.ID]; open {
+			role = o.Role
+		}
+		*n.count(role)++
+	}
+	if !n.whole() {
+		t.Fatalf("a phase is served by nobody: %+v", n)
+	}
+}
