Drop the allowance for other gateways, the batch correction and tune the margin

The allowance added the noise of its estimate to every target alike; it is gone.

Router.Streams and StreamShare give the gateway the same bound.

--- a/internal/policybench/gateway.go
+++ b/internal/policybench/gateway.go
@@ -22,9 +22,6 @@
 	queueLength = 512
 	// unlimited stands for limits that the traces do not reach.
 	unlimited = 1e9
-	// shareSlack is how far a gateway may exceed its share of the batches, as
-	// gateways are never loaded alike.
-	shareSlack = 1.1
 	// maxAttempts bounds how often a request is sent.
 	maxAttempts = 4
 )
@@ -93,7 +90,7 @@
 			total += decodeRate * tokenInterval
 		}
 	}
-	return max(1, int(shareSlack*total/float64(len(w.gateways))))
+	return routing.StreamShare(total, len(w.gateways))
 }
 
 // refuse refuses a request unrun.
--- a/internal/policybench/table.go
+++ b/internal/policybench/table.go
@@ -156,12 +156,13 @@
 	seeds     []uint64
 }
 
-// Sets returns the traces over which constants were set, and those over which
-// none was.
+// Sets returns the traces over which constants were set, those over which none
+// was, and those that were first run once everything was settled.
 func Sets() []Set {
 	return []Set{
 		{Name: "tuned", scenarios: tunedScenarios(), seeds: []uint64{11, 12}},
 		{Name: "held out", scenarios: heldOutScenarios(), seeds: []uint64{71, 72}},
+		{Name: "fresh", scenarios: freshScenarios(), seeds: []uint64{901, 902}},
 	}
 }
 
@@ -233,22 +234,43 @@
 	}
 }
 
-// Print writes the tables of every set and deployment.
-func Print(out io.Writer) {
+// Filter selects what is run; an empty field selects all.
+type Filter struct {
+	Set    string
+	Policy string
+	// Totals leaves the rows of single traces out.
+	Totals bool
+}
+
+// Print writes the tables of the selected sets and policies, for each
+// deployment.
+func Print(out io.Writer, f Filter) {
+	var policies []Policy
+	for _, p := range Policies() {
+		if f.Policy == "" || f.Policy == p.Name {
+			policies = append(policies, p)
+		}
+	}
 	for _, set := range Sets() {
+		if f.Set != "" && f.Set != set.Name || len(policies) == 0 {
+			continue
+		}
 		for _, d := range deployments() {
-			t := Run(set, d, Policies())
-			t.print(out)
+			t := Run(set, d, policies)
+			t.print(out, f.Totals)
 		}
 	}
 }
 
 // print writes one table.
-func (t *Table) print(out io.Writer) {
+func (t *Table) print(out io.Writer, totals bool) {
 	fmt.Fprintf(out, "\n%s, %s traces, seeds %v\n", t.Deployment, t.Set, t.Seeds)
 	tab := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(tab, "trace\tpolicy\tgoodput %\tworst org %\trole changes\tcost\tcheap %\tharmed %\tlate first %\tslow tokens %\trefused %\tuntrue\tlate/wrong reports")
 	for i, name := range t.Traces {
+		if totals {
+			break
+		}
 		for k := range t.ByTrace[i] {
 			t.ByTrace[i][k].print(tab, name)
 		}
--- a/internal/policybench/trace.go
+++ b/internal/policybench/trace.go
@@ -150,6 +150,16 @@
 	}
 }
 
+// freshScenarios are those that were first run once everything was settled.
+func freshScenarios() []scenario {
+	return []scenario{
+		{name: "uneven swings", length: 540, gateways: 6, period: 95, ramp: 45, low: 0.02, high: 0.65, level: 1.02},
+		{name: "two blows", length: 480, gateways: 7, period: 110, ramp: 15, low: 0.1, high: 0.8, level: 0.92, crowd: span{200, 290}, crowdBy: 0.6, reclaim: 240, scarce: 100},
+		{name: "long outage", length: 480, gateways: 6, period: 130, ramp: 25, low: 0.1, high: 0.7, level: 0.97, outage: span{60, 420}},
+		{name: "24 gateways", length: 480, gateways: 24, period: 150, ramp: 20, low: 0.05, high: 0.7, level: 1, reclaim: 250, scarce: 120},
+	}
+}
+
 // longShare is the share of long prompts at a time: it swings between the low
 // and the high end.
 func (s *scenario) longShare(t float64) float64 {
--- a/placement/demand.go
+++ b/placement/demand.go
@@ -13,9 +13,6 @@
 const (
 	// tokenInterval is the longest wanted time between output tokens, seconds.
 	tokenInterval = 0.046
-	// stepBase is the part of tokenInterval that a decode step takes however
-	// small its batch is.
-	stepBase = 0.33
 	// shiftShare is how far the share of prefill must move to count as a
 	// shift of the mix.
 	shiftShare = 0.25
@@ -143,7 +140,7 @@
 		engines++
 		r := &s.Report
 		if r.Role != target.Prefill {
-			decode += decodeShare(float64(r.Running) / batchLimit(r))
+			decode += float64(r.Running) / batchLimit(r)
 		}
 		if r.PrefillRate > 0 && r.PrefillTokens > 0 {
 			backlog := float64(r.PrefillTokens) / r.PrefillRate
@@ -153,12 +150,6 @@
 	return prefill, decode, engines
 }
 
-// decodeShare is the share of its full token rate that an engine gives with
-// part of its full batch: small batches have short steps.
-func decodeShare(batch float64) float64 {
-	return batch / (stepBase + (1-stepBase)*batch)
-}
-
 // busyShare is the share of an engine that prefill takes while it lasts.
 func busyShare(r *target.Report) float64 {
 	if r.Role == target.Prefill || r.Running <= 1 {
--- a/routing/engine.go
+++ b/routing/engine.go
@@ -40,9 +40,6 @@
 	// cachedShare is the share of a prompt that the prefix's own engine is
 	// expected to hold.
 	cachedShare = 0.5
-	// maxExtrapolation bounds for how long sends of other gateways are
-	// extrapolated from an old report.
-	maxExtrapolation = 2.0
 )
 
 // Constants of back-off and slow start.
@@ -209,7 +206,7 @@
 }
 
 // crowding is the cost of one more request in the batch, in seconds.
-func (e *engine) crowding(now int64, others float64) float64 {
+func (e *engine) crowding(now int64) float64 {
 	limit := e.limit(now)
 	if math.IsInf(limit, 1) {
 		return e.batch() * e.serviceTime
@@ -217,17 +214,17 @@
 	if e.busyUntil > now && e.serves(target.PhaseWhole) {
 		limit = max(1, limit*mixedBatch)
 	}
-	share := (e.batch() + others + 1) / limit
+	share := (e.batch() + 1) / limit
 	return batchCost*share + crowdedCost*max(0, share-crowdedShare)
 }
 
 // slotWait is the time until a place in the batch is free, in seconds.
-func (e *engine) slotWait(others float64) float64 {
+func (e *engine) slotWait() float64 {
 	capacity := float64(e.state.Report.Capacity)
 	if capacity <= 0 {
 		return 0
 	}
-	ahead := e.batch() + others + 1 - capacity
+	ahead := e.batch() + 1 - capacity
 	if ahead <= 0 {
 		return 0
 	}
@@ -235,7 +232,7 @@
 }
 
 // prefillWait is the time until the prompt is processed, in seconds.
-func (e *engine) prefillWait(now int64, tokens, othersTokens float64) float64 {
+func (e *engine) prefillWait(now int64, tokens float64) float64 {
 	rate := e.state.Report.PrefillRate
 	if rate <= 0 {
 		return 0
@@ -244,7 +241,7 @@
 	if e.batch() > 0 && e.state.Report.Role != target.Prefill {
 		rate *= mixedPrefill
 	}
-	return wait + (othersTokens+tokens)/rate
+	return wait + tokens/rate
 }
 
 // away is the charge for the distance, in seconds.
--- a/routing/pool.go
+++ b/routing/pool.go
@@ -18,11 +18,9 @@
 	nearShare  = 0.15
 	// affinityMargin is how much dearer the prefix's own target may be, in
 	// seconds.
-	affinityMargin = 0.020
+	affinityMargin = 0.060
 	// affinityLoad bounds the own target's batch, as a multiple of the mean.
 	affinityLoad = 1.25
-	// sendRateSpan is the time over which own sends are averaged, seconds.
-	sendRateSpan = 1.0
 	// maxModels is the number of models that a pool indexes.
 	maxModels = 64
 )
@@ -52,11 +50,6 @@
 	// split is set when some target takes a role other than mixed.
 	split  bool
 	models map[string]uint64 // bit of each model
-	// others is how many requests other gateways send for each of ours.
-	others float64
-	// tokenRate and sendRate are what this gateway sends, smoothed, a second.
-	tokenRate, sendRate float64
-	sentAt              int64 // Unix time, nanoseconds
 }
 
 // reset empties the pool before a new view.
@@ -125,47 +118,6 @@
 	return bit
 }
 
-// estimateOthers compares the reports with what this gateway has in flight.
-func (p *pool) estimateOthers() {
-	reported, own := 0, 0
-	for _, e := range p.engines {
-		reported += e.state.Report.Running + e.state.Report.Waiting
-		own += e.inflight - e.unseen + e.departed
-	}
-	if own > 0 {
-		p.others = max(0, float64(reported-own)/float64(own))
-	}
-}
-
-// sent counts a request of this gateway.
-func (p *pool) sent(now int64, tokens int) {
-	p.decay(now)
-	p.tokenRate += float64(tokens) / sendRateSpan
-	p.sendRate += 1 / sendRateSpan
-}
-
-// decay ages the smoothed rates.
-func (p *pool) decay(now int64) {
-	if p.sentAt > 0 {
-		span := float64(now-p.sentAt) / float64(time.Second)
-		keep := math.Exp(-span / sendRateSpan)
-		p.tokenRate *= keep
-		p.sendRate *= keep
-	}
-	p.sentAt = now
-}
-
-// allowance estimates what other gateways sent to one target since its
-// report: requests and prompt tokens.
-func (p *pool) allowance(now int64, e *engine) (requests, tokens float64) {
-	if e.taken == 0 || p.others == 0 {
-		return 0, 0
-	}
-	age := min(maxExtrapolation, float64(now-e.taken)/float64(time.Second))
-	factor := p.others * max(0, age) / float64(len(p.engines))
-	return factor * p.sendRate, factor * p.tokenRate
-}
-
 // choose picks a target for the whole request, or one for each phase when
 // that is faster.
 func (p *pool) choose(now int64, q *Request, need requirement, random *rand.Rand) (Choice, bool) {
@@ -205,27 +157,27 @@
 		return Choice{}, false
 	}
 	for _, e := range d.evaluated() {
-		e.cost = p.cost(now, e, q, phase)
+		e.cost = phaseCost(now, e, q, phase)
 		d.consider(e)
 	}
 	chosen, other := d.nearEqual(random)
 	reason := ReasonLoad
 	if phase != target.PhaseDecode {
-		if home := p.affine(&d, q, chosen); home != nil {
+		if home := affine(&d, q, chosen); home != nil {
 			chosen, reason = home, ReasonAffinity
 		}
 	}
 	if d.candidates == 1 {
 		reason = ReasonOnly
 	}
-	return p.choice(now, q, phase, &d, chosen, other, reason), true
+	return newChoice(now, q, phase, &d, chosen, other, reason), true
 }
 
 // choice fills in the figures of a decision.
-func (p *pool) choice(now int64, q *Request, phase target.Phase, d *decision, e, other *engine, reason Reason) Choice {
+func newChoice(now int64, q *Request, phase target.Phase, d *decision, e, other *engine, reason Reason) Choice {
 	c := Choice{
 		Target:     e.state.Target,
-		Expected:   seconds(p.expected(now, e, q, phase)),
+		Expected:   seconds(expected(now, e, q, phase)),
 		Reason:     reason,
 		Candidates: d.candidates,
 		Batch:      int(e.batch()),
@@ -240,14 +192,14 @@
 		c.ReportAge = time.Duration(now - e.taken)
 	}
 	if other != nil && other != e {
-		c.OtherExpected = seconds(p.expected(now, other, q, phase))
+		c.OtherExpected = seconds(expected(now, other, q, phase))
 	}
 	return c
 }
 
 // affine returns the prefix's own target, or its second, unless it is loaded
 // above its bound or too slow even with the prefix in its cache.
-func (p *pool) affine(d *decision, q *Request, chosen *engine) *engine {
+func affine(d *decision, q *Request, chosen *engine) *engine {
 	if q.Affinity == 0 {
 		return nil
 	}
@@ -272,24 +224,22 @@
 }
 
 // expected is the expected time to the first token, in seconds.
-func (p *pool) expected(now int64, e *engine, q *Request, phase target.Phase) float64 {
-	requests, tokens := p.allowance(now, e)
-	wait := e.slotWait(requests)
+func expected(now int64, e *engine, q *Request, phase target.Phase) float64 {
+	wait := e.slotWait()
 	if phase == target.PhaseDecode {
 		return wait
 	}
-	return wait + e.prefillWait(now, float64(q.PromptTokens), tokens)
+	return wait + e.prefillWait(now, float64(q.PromptTokens))
 }
 
 // cost is what candidates are compared by: the expected time to the first
 // token with charges for crowding and distance, in seconds.
-func (p *pool) cost(now int64, e *engine, q *Request, phase target.Phase) float64 {
-	cost := p.expected(now, e, q, phase) + e.away()
+func phaseCost(now int64, e *engine, q *Request, phase target.Phase) float64 {
+	cost := expected(now, e, q, phase) + e.away()
 	if phase == target.PhasePrefill {
 		return cost
 	}
-	requests, _ := p.allowance(now, e)
-	return cost + e.crowding(now, requests) + cacheCrowding(e, q)
+	return cost + e.crowding(now) + cacheCrowding(e, q)
 }
 
 // cacheCrowding charges for a KV cache that has no room for the request.
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -106,7 +106,6 @@
 			continue
 		}
 		p.index()
-		p.estimateOthers()
 	}
 	r.started = r.started || len(view) > 0
 }
@@ -159,7 +158,6 @@
 	at := now.UnixNano()
 	for _, need := range tiers {
 		if c, ok := p.choose(at, q, need, r.random); ok {
-			p.sent(at, q.PromptTokens)
 			c.start(q)
 			return c, true
 		}
--- a/routing/window.go
+++ b/routing/window.go
@@ -1,6 +1,9 @@
 package routing
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Constants of windows.
 const (
@@ -75,3 +78,32 @@
 		w.cutAt = now
 	}
 }
+
+// StreamShare is the number of requests that one of n gateways may have in
+// progress at a pool whose engines together decode total requests in time:
+// its part, and room for the spread of a part that is drawn at random.
+func StreamShare(total float64, gateways int) int {
+	part := total / float64(max(1, gateways))
+	return max(1, int(part+math.Sqrt(part)))
+}
+
+// Streams returns the requests that the live targets of a pool decode in
+// time, all gateways together; 0 when they have not reported. Targets without
+// a bound of their own count as unboundedCapacity.
+func (r *Router) Streams(now time.Time, name string) float64 {
+	p := r.pools[name]
+	if p == nil {
+		return 0
+	}
+	total := 0.0
+	for _, e := range p.decode.engines {
+		if e.state.Cordoned || e.state.Report.Changing {
+			continue
+		}
+		total += min(unboundedCapacity, e.limit(now.UnixNano()))
+	}
+	return total
+}
+
+// unboundedCapacity stands for the capacity of a target that reports none.
+const unboundedCapacity = 64
--- a/routing/window_test.go
+++ b/routing/window_test.go
@@ -5,6 +5,9 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"zinniapin/platform"
+	"zinniapin/target"
 )
 
 func TestWindowFollowsFirstTokens(t *testing.T) {
@@ -29,3 +32,18 @@
 	is.True(w.Open())
 	is.Equal(w.under, 0.0)
 }
+
+func TestStreamsCountDecodingTargets(t *testing.T) {
+	is := is.New(t)
+	view := fleet(6)
+	view[0].Report.Role = target.Prefill
+	view[1].Cordoned = true
+	view[2].State = platform.Leaving
+	view[3].Report.Changing = true
+	r := New(home, 1)
+	is.Equal(r.Streams(start, "assistant"), 0.0)
+	r.Observe(start, view, zones)
+	is.Equal(int(r.Streams(start, "assistant")), 2*46)
+	is.Equal(StreamShare(92, 1), 101)
+	is.Equal(StreamShare(92, 1000), 1)
+}
