--- a/internal/policybench/table.go
+++ b/internal/policybench/table.go
@@ -156,12 +156,13 @@
 	seeds     []uint64
 }
 
-// Sets returns the traces over which constants were set, and those over which
-// none was.
+// Sets returns the traces over which constants were set, those over which none
+// was, and those that were first run once everything was settled.
 func Sets() []Set {
 	return []Set{
 		{Name: "tuned", scenarios: tunedScenarios(), seeds: []uint64{11, 12}},
 		{Name: "held out", scenarios: heldOutScenarios(), seeds: []uint64{71, 72}},
+		{Name: "fresh", scenarios: freshScenarios(), seeds: []uint64{901, 902}},
 	}
 }
 
@@ -174,8 +175,9 @@
 	Set, Deployment string
 	Seeds           []uint64
 	Traces          []string
-	ByTrace         [][]Row // by trace, then policy
-	All             []Row   // by policy
+	Bounds          []float64 // by trace: the fluid upper bound of the goodput
+	ByTrace         [][]Row   // by trace, then policy
+	All             []Row     // by policy
 }
 
 // Run runs every policy over a set for one deployment.
@@ -188,6 +190,11 @@
 	for i := range set.scenarios {
 		t.Traces = append(t.Traces, set.scenarios[i].name)
 		sums[i] = make([]Row, len(policies))
+		bound := 0.0
+		for _, seed := range set.seeds {
+			bound += fluidBound(&d, &set.scenarios[i], trace(&d, &set.scenarios[i], seed))
+		}
+		t.Bounds = append(t.Bounds, bound/float64(len(set.seeds)))
 		for k := range policies {
 			sums[i][k].Policy = policies[k].Name
 			for _, seed := range set.seeds {
@@ -227,25 +234,47 @@
 	}
 }
 
-// Print writes the tables of every set and deployment.
-func Print(out io.Writer) {
+// Filter selects what is run; an empty field selects all.
+type Filter struct {
+	Set    string
+	Policy string
+	// Totals leaves the rows of single traces out.
+	Totals bool
+}
+
+// Print writes the tables of the selected sets and policies, for each
+// deployment.
+func Print(out io.Writer, f Filter) {
+	var policies []Policy
+	for _, p := range Policies() {
+		if f.Policy == "" || f.Policy == p.Name {
+			policies = append(policies, p)
+		}
+	}
 	for _, set := range Sets() {
+		if f.Set != "" && f.Set != set.Name || len(policies) == 0 {
+			continue
+		}
 		for _, d := range deployments() {
-			t := Run(set, d, Policies())
-			t.print(out)
+			t := Run(set, d, policies)
+			t.print(out, f.Totals)
 		}
 	}
 }
 
 // print writes one table.
-func (t *Table) print(out io.Writer) {
+func (t *Table) print(out io.Writer, totals bool) {
 	fmt.Fprintf(out, "\n%s, %s traces, seeds %v\n", t.Deployment, t.Set, t.Seeds)
 	tab := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(tab, "trace\tpolicy\tgoodput %\tworst org %\trole changes\tcost\tcheap %\tharmed %\tlate first %\tslow tokens %\trefused %\tuntrue\tlate/wrong reports")
 	for i, name := range t.Traces {
+		if totals {
+			break
+		}
 		for k := range t.ByTrace[i] {
 			t.ByTrace[i][k].print(tab, name)
 		}
+		fmt.Fprintf(tab, "%s\tfluid upper bound\t%.1f\t\t\t\t\t\t\t\t\t\t\n", name, 100*t.Bounds[i])
 	}
 	for k := range t.All {
 		t.All[k].print(tab, "ALL")
--- /dev/null
+++ b/routing/window_test.go
@@ -0,0 +1,49 @@
+package routing
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"zinniapin/platform"
+	"zinniapin/target"
+)
+
+func TestWindowFollowsFirstTokens(t *testing.T) {
+	is := is.New(t)
+	w := NewWindow(time.Second)
+	for w.Open() {
+		w.Sent(4000)
+	}
+	is.Equal(w.starts, 6)
+	now := start
+	for range 6 {
+		now = now.Add(windowRest)
+		w.First(now, 4000, 2*time.Second)
+	}
+	shrunk := w.size
+	is.True(shrunk < windowFirst/2)
+	for range 100 {
+		w.Sent(4000)
+		w.First(now, 4000, 100*time.Millisecond)
+	}
+	is.True(w.size > shrunk)
+	is.True(w.Open())
+	is.Equal(w.under, 0.0)
+}
+
+func TestStreamsCountDecodingTargets(t *testing.T) {
+	is := is.New(t)
+	view := fleet(6)
+	view[0].Report.Role = target.Prefill
+	view[1].Cordoned = true
+	view[2].State = platform.Leaving
+	view[3].Report.Changing = true
+	r := New(home, 1)
+	is.Equal(r.Streams(start, "assistant"), 0.0)
+	r.Observe(start, view, zones)
+	is.Equal(int(r.Streams(start, "assistant")), 2*46)
+	is.Equal(StreamShare(92, 1), 101)
+	is.Equal(StreamShare(92, 1000), 1)
+}
