--- /dev/null
+++ b/control/load.go
@@ -0,0 +1,42 @@
+package control
+
+// PoolLoad is what one gateway, or several together, saw of a pool of
+// engines over the last seconds.
+type PoolLoad struct {
+	Pool  string
+	Model string
+	// Requests is in requests a second, refused ones included.
+	Requests float64
+	// PromptTokens and OutputTokens are in tokens a second.
+	PromptTokens float64
+	OutputTokens float64
+	// Wait is the mean time that dispatched requests queued, in seconds.
+	Wait float64
+	// Refused is the share of requests refused for want of capacity.
+	Refused float64
+	// Stable is the share of requests of organisations that keep off
+	// reclaimable targets.
+	Stable float64
+}
+
+// Add returns the load of two sources together: rates add up, shares and
+// waits are weighted by requests.
+func (l PoolLoad) Add(other PoolLoad) PoolLoad {
+	total := l.Requests + other.Requests
+	if total == 0 {
+		return l
+	}
+	mean := func(a, b float64) float64 {
+		return (a*l.Requests + b*other.Requests) / total
+	}
+	return PoolLoad{
+		Pool:         l.Pool,
+		Model:        l.Model,
+		Requests:     total,
+		PromptTokens: l.PromptTokens + other.PromptTokens,
+		OutputTokens: l.OutputTokens + other.OutputTokens,
+		Wait:         mean(l.Wait, other.Wait),
+		Refused:      mean(l.Refused, other.Refused),
+		Stable:       mean(l.Stable, other.Stable),
+	}
+}
--- /dev/null
+++ b/planning/purchases.go
@@ -0,0 +1,148 @@
+package planning
+
+import (
+	"context"
+	"time"
+
+	"zinniapin/contract"
+	"zinniapin/control"
+	"zinniapin/event"
+	"zinniapin/platform"
+	"zinniapin/spending"
+	"zinniapin/zone"
+)
+
+// queues returns what gateways saw of the pools' queues.
+func queues(pools []contract.Pool, loads []control.PoolLoad) []spending.Queue {
+	all := make([]spending.Queue, 0, len(pools))
+	for i := range pools {
+		total := control.PoolLoad{Pool: pools[i].Name}
+		for _, l := range loads {
+			if l.Pool == total.Pool {
+				total = total.Add(l)
+			}
+		}
+		all = append(all, spending.Queue{
+			Pool:            total.Pool,
+			Wait:            total.Wait,
+			Refused:         total.Refused,
+			StableShare:     total.Stable,
+			StableOnlyShare: total.Stable,
+		})
+	}
+	return all
+}
+
+// zonesOf returns the zones of the targets' region: those in which a target
+// of the view stands.
+func zonesOf(s *contract.Snapshot, targets []control.TargetState) []zone.Name {
+	regions := map[zone.Region]bool{}
+	for i := range targets {
+		if z, ok := s.Zone(targets[i].Target.Zone); ok {
+			regions[z.Region] = true
+		}
+	}
+	var zones []zone.Name
+	for _, z := range s.Fleet.Zones {
+		if regions[z.Region] {
+			zones = append(zones, z.Name)
+		}
+	}
+	return zones
+}
+
+// planPurchases plans orders for targets and starts them.
+func (p *Planning) planPurchases(ctx context.Context, now time.Time, s *contract.Snapshot, pools []contract.Pool, targets []control.TargetState) {
+	loads := p.loads(pools)
+	p.mu.Lock()
+	p.purchases.Observe(now, spending.View{
+		Pools:          pools,
+		Zones:          zonesOf(s, targets),
+		Targets:        targets,
+		Queues:         queues(pools, loads),
+		OrdersPossible: p.fleet.StoreReachable(),
+	})
+	steps := p.purchases.Plan(now)
+	held := p.status.purchases(now, steps, p.purchases.Held())
+	p.mu.Unlock()
+	for _, h := range held {
+		event.PurchaseHeld.Log(p.options.Log).Str("pool", h.Pool).Str("reason", string(h.Reason)).
+			Float64("utilisation", h.Figures.Utilisation).Float64("wait_seconds", h.Figures.Wait).
+			Float64("refused", h.Figures.Refused).Int("targets", h.Figures.Targets).Int("cheap", h.Figures.Cheap).Send()
+	}
+	for _, step := range steps {
+		p.buy(ctx, step)
+	}
+}
+
+// buy starts an order for targets unless one is under way in the zone.
+func (p *Planning) buy(ctx context.Context, step spending.Step) {
+	if !p.claimZone(step.Zone) {
+		return
+	}
+	event.PurchasePlanned.Log(p.options.Log).Str("pool", step.Pool).Str("zone", string(step.Zone)).
+		Str("class", string(step.Class)).Int("count", step.Count).Str("release", string(step.Release)).
+		Str("reason", string(step.Reason)).Float64("utilisation", step.Figures.Utilisation).
+		Float64("wait_seconds", step.Figures.Wait).Float64("refused", step.Figures.Refused).Send()
+	p.tasks.Go(func() {
+		defer p.unclaimZone(step.Zone)
+		p.order(ctx, step)
+	})
+}
+
+// order carries out one order for targets. A target to be given back is
+// drained first.
+func (p *Planning) order(ctx context.Context, step spending.Step) {
+	if step.Release != "" {
+		s, ok := p.state(step.Release)
+		if !ok || !p.claim(step.Release) {
+			return
+		}
+		defer p.unclaim(step.Release)
+		c, err := p.drain(ctx, s)
+		if err != nil {
+			event.ChangeGivenUp.Log(p.options.Log).Str("target", string(step.Release)).Err(err).Send()
+			return
+		}
+		defer p.liftUnlessGiven(c)
+	}
+	bounded, cancel := context.WithTimeout(ctx, p.options.ChangeLimit)
+	defer cancel()
+	granted, outcome, err := p.executor.Platform(bounded, p.targets, platform.TargetOrder{
+		Zone: step.Zone, Class: step.Class, Pool: step.Pool, Count: step.Count, Release: step.Release,
+	})
+	event.PurchaseAnswered.Log(p.options.Log).Str("pool", step.Pool).Str("zone", string(step.Zone)).
+		Str("outcome", string(outcome)).Int("accepted", granted.Accepted).Str("reason", granted.Reason).Err(err).Send()
+	if step.Release != "" {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.purchases.Ordered(time.Now(), step, granted.Accepted)
+}
+
+// liftUnlessGiven lifts the cordon of a target that the platform still lists
+// as live after its release was refused.
+func (p *Planning) liftUnlessGiven(c cordoned) {
+	if s, ok := p.state(c.id); ok && s.State == platform.Live {
+		p.lift(c)
+	}
+}
+
+// claimZone reserves a zone for one order for targets.
+func (p *Planning) claimZone(z zone.Name) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.ordering[z] {
+		return false
+	}
+	p.ordering[z] = true
+	return true
+}
+
+// unclaimZone ends the reservation.
+func (p *Planning) unclaimZone(z zone.Name) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.ordering, z)
+}
--- a/spending/spending_test.go
+++ b/spending/spending_test.go
@@ -10,6 +10,7 @@
 
 	"zinniapin/contract"
 	"zinniapin/control"
+	_ "zinniapin/internal/fixedseed"
 	"zinniapin/platform"
 	"zinniapin/target"
 	"zinniapin/zone"
