Refuse to change the length of usage windows once accepted

Cause: windows are named by their start; another length would let open windows overlap frozen ones, and usage could be reported twice. Ruled out: carrying the length in each window's name, which every reader of windows would have to know in advance. Change: configuration.Accept refuses the change and names the field. Run: TestWindowLengthStays.

--- a/configuration/accept.go
+++ b/configuration/accept.go
@@ -115,6 +115,9 @@
 	if err := contract.Validate(&fleet, contracts); err != nil {
 		return nil, err
 	}
+	if err := checkWindow(current, &fleet); err != nil {
+		return nil, err
+	}
 	next := *current.Root
 	next.Buckets = append([]Bucket(nil), current.Root.Buckets...)
 	next.Revision++
@@ -128,6 +131,22 @@
 	return &next, nil
 }
 
+// checkWindow refuses to change the length of usage windows once a
+// configuration is accepted: open windows would overlap closed ones.
+func checkWindow(current *Bundle, next *contract.Fleet) error {
+	if current.Root.Revision == 0 {
+		return nil
+	}
+	fleet, err := current.Fleet()
+	if err != nil {
+		return err
+	}
+	if fleet.UsageWindow() == next.UsageWindow() {
+		return nil
+	}
+	return result.New(result.BadConfiguration, "the length is %s and cannot be changed", fleet.UsageWindow()).At("fleet.usage_window_seconds")
+}
+
 // putJSON stores a value as a part.
 func putJSON(ctx context.Context, s store.Store, value any) (Digest, error) {
 	part, err := json.Marshal(value)
--- a/configuration/accept_test.go
+++ b/configuration/accept_test.go
@@ -222,6 +222,20 @@
 	}
 }
 
+func TestWindowLengthStays(t *testing.T) {
+	is := is.New(t)
+	s := objects.New()
+	first(t, s)
+	fleet := testFleet()
+	fleet.UsageWindowSeconds = 30
+	_, err := Accept(context.Background(), s, Proposal{ID: "window", Base: 1, Fleet: fleet}, testTime)
+	is.Equal(result.CodeOf(err), result.BadConfiguration)
+	is.Equal(result.Of(err).Place, "fleet.usage_window_seconds")
+	fleet.UsageWindowSeconds = 60 // the default, spelled out
+	_, err = Accept(context.Background(), s, Proposal{ID: "same", Base: 1, Fleet: fleet}, testTime)
+	is.NoErr(err)
+}
+
 func TestDamagedPartIsRefused(t *testing.T) {
 	is := is.New(t)
 	ctx := context.Background()
--- a/contract/contract.go
+++ b/contract/contract.go
@@ -4,6 +4,8 @@
 package contract
 
 import (
+	"time"
+
 	"zinniapin/target"
 	"zinniapin/zone"
 )
@@ -76,10 +78,22 @@
 	Pools []Pool `json:"pools"`
 	// Drained are the targets that get no new work.
 	Drained []target.ID `json:"drained,omitempty"`
-	// UsageWindowSeconds is the length of a usage window. Default 60.
+	// UsageWindowSeconds is the length of a usage window. Default 60. It
+	// cannot be changed once accepted.
 	UsageWindowSeconds int `json:"usage_window_seconds,omitempty"`
 }
 
+// defaultUsageWindow is the length of a usage window when none is given.
+const defaultUsageWindow = time.Minute
+
+// UsageWindow returns the length of a usage window.
+func (f *Fleet) UsageWindow() time.Duration {
+	if f.UsageWindowSeconds == 0 {
+		return defaultUsageWindow
+	}
+	return time.Duration(f.UsageWindowSeconds) * time.Second
+}
+
 // Model is a model that callers may name.
 type Model struct {
 	// Name is what callers put into the field "model".
