Read no variable in a controller's accept function that Run sets later

Cause: Run assigned the group's context to the variable that the function given to Listen reads, so a link taken at once raced with it (TestJoined under -race, about one run in five). Change: the group's context has a name of its own. Run now also returns the error of a part that failed, which the reassigned context hid. Ran: go test -race -count=3 -run TestJoined ./gateway and go test ./controller: passed.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -106,11 +106,11 @@
 	}
 	defer func() { _ = stop() }()
 	defer k.links.closeAll()
-	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { return k.every(ctx, tickInterval, k.tick) })
-	group.Go(func() error { return k.watchConfiguration(ctx) })
-	group.Go(func() error { return k.every(ctx, hostListInterval, k.pollHosts) })
-	group.Go(func() error { return k.every(ctx, pollInterval, k.pollTargets) })
+	group, running := errgroup.WithContext(ctx)
+	group.Go(func() error { return k.every(running, tickInterval, k.tick) })
+	group.Go(func() error { return k.watchConfiguration(running) })
+	group.Go(func() error { return k.every(running, hostListInterval, k.pollHosts) })
+	group.Go(func() error { return k.every(running, pollInterval, k.pollTargets) })
 	err = group.Wait()
 	if ctx.Err() != nil {
 		return nil
