Count pool loads and keep work off drained targets at the gateway

Cause: planning needs the gateways' word on arrivals, waits and refusals; a drain by an operator must outlive every host. A host cut off together with a platform outage refused only after 14.8 s, above the 14 s in which a change must be in force. Ruled out: a cordon for an operator's drain, which lives in the memory of the mesh; a shorter confirm_ms, which at many nodes could make healthy gateways refuse. Change: gateway.PoolLoads; Fleet.Drained is honoured by the router's view; alone_ms defaults to 5 s in place of 8 s, and TestJoined's bound for a host alone is back at 14 s.

--- a/control/control.go
+++ b/control/control.go
@@ -74,6 +74,8 @@
 	Connected(c Connectivity)
 	// Demands returns the organisations active here and what they want.
 	Demands() []Demand
+	// PoolLoads returns what the gateway saw of each pool since the last call.
+	PoolLoads() []PoolLoad
 	// Usage returns the counters that are not known to be safe yet.
 	Usage() []usage.Counter
 	// UsageStored tells that the counters, up to these figures, are safe.
--- a/gateway/chat.go
+++ b/gateway/chat.go
@@ -111,6 +111,8 @@
 // generate takes a generation through admission, runs it and counts its use.
 func (g *Gateway) generate(ctx context.Context, n *generation, answer *chatAnswer) error {
 	start := n.assembly.have
+	begun := time.Now()
+	g.loads.arrived(n.query.Pool, n.query.Model, n.query.PromptTokens, n.query.StableOnly)
 	ticket, err := g.admit(ctx, admission.Request{
 		Organisation: n.contract.Organisation,
 		Contract:     n.contract,
@@ -119,6 +121,7 @@
 		PromptTokens: n.query.PromptTokens,
 		Deadline:     n.call.arrived.Add(settings.Millis(g.options.Settings.FirstTokenMillis)),
 	})
+	g.loads.admitted(n.query.Pool, n.query.Model, time.Since(begun), err)
 	if err != nil {
 		return err
 	}
@@ -126,6 +129,7 @@
 	err = n.run(ctx)
 	tokens := n.assembly.have - start
 	g.leave(ticket, n.query.Pool, tokens)
+	g.loads.generated(n.query.Pool, n.query.Model, tokens)
 	g.count(n, tokens, answer.resumed)
 	if err != nil {
 		return answer.fail(err)
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -23,7 +23,7 @@
 		}
 	}
 	g.meter.setWindow(s.Fleet.UsageWindowSeconds)
-	g.fleet.setZones(time.Now(), s.Zone)
+	g.fleet.configure(time.Now(), s)
 }
 
 // Observe implements control.Gateway.
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -1,9 +1,11 @@
 package gateway
 
 import (
+	"slices"
 	"sync"
 	"time"
 
+	"zinniapin/contract"
 	"zinniapin/control"
 	"zinniapin/invariant"
 	"zinniapin/platform"
@@ -45,6 +47,7 @@
 	view       []control.TargetState
 	zones      func(zone.Name) (zone.Zone, bool)
 	cordons    map[target.ID]cordon
+	drained    map[target.ID]bool // by the configuration; never changed in place
 	running    map[target.ID]int
 	placements map[*placement]struct{}
 }
@@ -95,7 +98,7 @@
 	for i := range p.fleet.view {
 		s := &p.fleet.view[i]
 		if s.Target.ID == p.choice.Target.ID {
-			return s.State == platform.Live && !s.Cordoned
+			return s.State == platform.Live && !s.Cordoned && !p.fleet.drained[s.Target.ID]
 		}
 	}
 	return false
@@ -170,7 +173,23 @@
 		f.cordons[s.Target.ID] = cordon{s.CordonEpoch, s.Cordoned, now}
 	}
 	f.forgetCordons(now)
-	f.router.Observe(now, f.view, f.zones)
+	f.route(now)
+}
+
+// route gives the router the view, with drained targets cordoned. The lock is
+// held.
+func (f *fleet) route(now time.Time) {
+	if len(f.drained) == 0 {
+		f.router.Observe(now, f.view, f.zones)
+		return
+	}
+	view := slices.Clone(f.view)
+	for i := range view {
+		if f.drained[view[i].Target.ID] {
+			view[i].Cordoned = true
+		}
+	}
+	f.router.Observe(now, view, f.zones)
 }
 
 // forgetCordons drops what was heard long ago of targets that no view lists
@@ -183,12 +202,18 @@
 	}
 }
 
-// setZones replaces the map of zones.
-func (f *fleet) setZones(now time.Time, zones func(zone.Name) (zone.Zone, bool)) {
+// configure takes in what the configuration says of zones and drained
+// targets.
+func (f *fleet) configure(now time.Time, s *contract.Snapshot) {
+	drained := map[target.ID]bool{}
+	for _, id := range s.Fleet.Drained {
+		drained[id] = true
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.zones = zones
-	f.router.Observe(now, f.view, zones)
+	f.zones = s.Zone
+	f.drained = drained
+	f.route(now)
 }
 
 // setCordon stops or allows new work and returns the number of requests at
@@ -206,7 +231,7 @@
 			s.CordonEpoch, s.Cordoned = epoch, !lift
 		}
 	}
-	f.router.Observe(now, f.view, f.zones)
+	f.route(now)
 	return f.running[id], true
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -64,6 +64,7 @@
 	history  *history
 	metrics  *metrics
 	bodies   *bodyBudget
+	loads    *loads
 
 	mu         sync.Mutex // guards what follows, up to aloneSince
 	admission  *admission.Core
@@ -97,6 +98,7 @@
 		budget:     newRetryBudget(),
 		history:    newHistory(),
 		bodies:     newBodyBudget(maxBodiesBytes),
+		loads:      newLoads(time.Now()),
 		admission:  admission.New(o.Settings.QueueLength),
 		aloneSince: time.Now(),
 		confirmed:  time.Now(),
--- a/gateway/joined_test.go
+++ b/gateway/joined_test.go
@@ -73,7 +73,7 @@
 		self = machine.Process{Host: hostName(i), Role: machine.Gateway, Incarnation: uint64(100 + i), Zone: home}
 		u := uplink.New(uplink.Config{Self: self, Own: address(i), Seeds: []string{address((i + 1) % n)}, Network: j.fabric.Network(self), Log: &log})
 		s := testSettings()
-		s.AloneMillis, s.ConfirmMillis = 8000, 12_000
+		s.AloneMillis, s.ConfirmMillis = 5000, 12_000
 		g, err := New(Options{Process: self, Settings: s, ResumeKey: bytes.Repeat([]byte("k"), MinResumeKeyBytes),
 			Engines: j.engines, Claims: claim.NewStored(j.objects, claim.Options{}), Uplink: u, Log: log, Seed: uint64(i)})
 		if err != nil {
@@ -190,7 +190,7 @@
 		is.True(j.everyAnswer(otherKey, 200)) // the store is down for all
 
 		j.cutOff(4, true)
-		within(t, 20*time.Second, "a host alone refuses", func() bool { status, _ := j.ask(4, otherKey); return status == 503 })
+		within(t, 14*time.Second, "a host alone refuses", func() bool { status, _ := j.ask(4, otherKey); return status == 503 })
 		status, body := j.ask(4, otherKey)
 		is.Equal(status, 503)
 		is.Equal(failure(body).Execution, "not_run")
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -17,7 +17,7 @@
 	// requests, so that the balancer sees it not ready first. Default 5000.
 	DrainDelayMillis int `json:"drain_delay_ms,omitempty"`
 	// AloneMillis is how long a gateway that reaches no controller goes on
-	// serving. Default 8000.
+	// serving. Default 5000.
 	AloneMillis int `json:"alone_ms,omitempty"`
 	// ConfirmMillis is how long a gateway goes on serving that reaches a
 	// controller but hears neither that its configuration is the newest nor
@@ -49,7 +49,7 @@
 // Defaults of the gateway.
 const (
 	defaultDrainDelayMillis = 5_000
-	defaultAloneMillis      = 8_000
+	defaultAloneMillis      = 5_000
 	defaultConfirmMillis    = 12_000
 	defaultFirstTokenMillis = 10_000
 	defaultFirstChunkMillis = 60_000
