--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -183,6 +183,7 @@
 // fleet is a small fleet in virtual time.
 type fleet struct {
 	t        *testing.T
+	zones    []zone.Zone
 	ctx      context.Context
 	fabric   *memlink.Fabric
 	objects  *objects.Store
@@ -197,8 +198,13 @@
 
 // newFleet starts n hosts, each with a controller and a gateway.
 func newFleet(t *testing.T, n int) *fleet {
+	return newFleetIn(t, n, zones)
+}
+
+// newFleetIn starts n hosts spread over zones.
+func newFleetIn(t *testing.T, n int, zones []zone.Zone) *fleet {
 	ctx, cancel := context.WithCancel(context.Background())
-	f := &fleet{t: t, ctx: ctx, fabric: memlink.NewFabric(), objects: objects.New(), hosts: &fakeHosts{}}
+	f := &fleet{t: t, zones: zones, ctx: ctx, fabric: memlink.NewFabric(), objects: objects.New(), hosts: &fakeHosts{}}
 	f.fabric.SetDelay(500 * time.Microsecond)
 	f.running = make([]*Controller, n)
 	f.stops = make([]context.CancelFunc, n)
@@ -219,7 +225,7 @@
 
 // startController starts the controller of a host.
 func (f *fleet) startController(i int, incarnation uint64) {
-	self := machine.Process{Host: hostOf(i), Role: machine.Controller, Incarnation: incarnation, Zone: zones[i%len(zones)], Address: addressOf(i)}
+	self := machine.Process{Host: hostOf(i), Role: machine.Controller, Incarnation: incarnation, Zone: f.zones[i%len(f.zones)], Address: addressOf(i)}
 	k := New(Config{
 		Self: self, Seeds: []string{addressOf(0), addressOf(1), addressOf(2)}, Network: f.fabric.Network(self),
 		Store: f.stores[i], Hosts: f.hosts, Orders: &fakeOrders{}, Usage: fakeSink{}, Seed: 1, Log: testLog(),
@@ -231,7 +237,7 @@
 
 // startGateway starts the gateway of a host.
 func (f *fleet) startGateway(i, n int) {
-	self := machine.Process{Host: hostOf(i), Role: machine.Gateway, Incarnation: uint64(1000 + i), Zone: zones[i%len(zones)]}
+	self := machine.Process{Host: hostOf(i), Role: machine.Gateway, Incarnation: uint64(1000 + i), Zone: f.zones[i%len(f.zones)]}
 	u := uplink.New(uplink.Config{Self: self, Own: addressOf(i), Seeds: []string{addressOf((i + 1) % n)}, Network: f.fabric.Network(self), Log: testLog()})
 	g := &fakeGateway{grants: map[string]control.Grant{}}
 	f.gateways = append(f.gateways, g)
@@ -242,7 +248,7 @@
 // accept accepts a contract with a limit of requests a second.
 func (f *fleet) accept(base contract.Revision, rate float64) contract.Revision {
 	p := configuration.Proposal{ID: fmt.Sprint("change-", base), Base: base,
-		Fleet: &contract.Fleet{Zones: zones},
+		Fleet: &contract.Fleet{Zones: f.zones},
 		Contracts: []*contract.Contract{{Organisation: "svetki", Keys: []contract.Key{{Fingerprint: contract.Fingerprint("k")}},
 			Limits: contract.Limits{RequestsPerSecond: rate, Concurrency: 16}}}}
 	r, err := configuration.Accept(f.ctx, f.objects, p, time.Now())
--- a/link/yamuxlink/network_test.go
+++ b/link/yamuxlink/network_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"path/filepath"
 	"runtime"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -231,3 +232,60 @@
 	runtime.ReadMemStats(&m)
 	return m.HeapInuse + m.StackInuse
 }
+
+// BenchmarkCallBytes measures the bytes that one call with a short request and
+// reply puts on the wire, both ways together, TCP and IP headers left out.
+func BenchmarkCallBytes(b *testing.B) {
+	a, err := certs.NewAuthority()
+	if err != nil {
+		b.Fatal(err)
+	}
+	address, accepted := listen(b, networkOf("host-b", issue(b, a, "host-b")))
+	proxy, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer func() { _ = proxy.Close() }()
+	var passed atomic.Int64
+	go func() {
+		near, err := proxy.Accept()
+		if err != nil {
+			return
+		}
+		far, err := net.Dial("tcp", address)
+		if err != nil {
+			return
+		}
+		go pass(near, far, &passed)
+		pass(far, near, &passed)
+	}()
+	l, err := networkOf("host-a", issue(b, a, "host-a")).Dial(context.Background(), proxy.Addr().String(), echo)
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer func() { _ = l.Close(); _ = (<-accepted).Close() }()
+	before, calls := passed.Load(), 0
+	for b.Loop() {
+		if _, err := l.Call(context.Background(), ask("echo", "x")); err != nil {
+			b.Fatal(err)
+		}
+		calls++
+	}
+	b.ReportMetric(float64(passed.Load()-before)/float64(calls), "B/call")
+}
+
+// pass copies from one connection to the other and counts.
+func pass(to, from net.Conn, passed *atomic.Int64) {
+	defer func() { _ = to.Close(); _ = from.Close() }()
+	buffer := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(buffer)
+		passed.Add(int64(n))
+		if err != nil {
+			return
+		}
+		if _, err := to.Write(buffer[:n]); err != nil {
+			return
+		}
+	}
+}
