Tell peers of a new configuration at once; pace heartbeats by the size of the mesh

An empty call takes 272 bytes on the wire (measured through a counting proxy), so a call each way every second on 18 links would take a third of a node's budget. Heartbeats now come every 1 to 3 s by the number of processes; a new revision makes a heartbeat due at once, and whoever hears of a newer one fetches it.

--- a/controller/configuration.go
+++ b/controller/configuration.go
@@ -169,6 +169,17 @@
 	}
 }
 
+// fetchTimeout bounds the fetch of a configuration that a peer's heartbeat told
+// of.
+const fetchTimeout = 10 * time.Second
+
+// fetchNewer takes over the newer configuration of a peer that called.
+func (k *Controller) fetchNewer(from link.Link) {
+	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
+	defer cancel()
+	k.fetchFrom(ctx, from)
+}
+
 // fetchFrom takes a newer configuration over from a peer.
 func (k *Controller) fetchFrom(ctx context.Context, peer link.Link) {
 	snapshot, err := k.holder.Fetch(ctx, peer)
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -231,13 +231,14 @@
 	return membership.Owns(controllers, key, n, k.config.Self.Host)
 }
 
-// adopted logs a new revision and tells the mesh.
+// adopted logs a new revision and tells the peers at once, which fetch it.
 func (k *Controller) adopted(s *contract.Snapshot) {
 	if s == nil {
 		return
 	}
 	event.ConfigurationInForce.Log(k.config.Log).Uint64("revision", uint64(s.Revision)).Send()
 	k.mu.Lock()
-	defer k.mu.Unlock()
 	k.members.Update(func(m *membership.Member) { m.Revision = max(m.Revision, s.Revision) })
+	k.mu.Unlock()
+	k.links.tellNews()
 }
--- a/controller/peers.go
+++ b/controller/peers.go
@@ -127,26 +127,58 @@
 	defer k.links.removePeer(p)
 	defer func() { _ = l.Close() }()
 	missed := 0
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
 	for missed < maxMissed {
 		missed++
 		if k.heartbeat(ctx, p) == nil {
 			missed = 0
 		}
-		select {
-		case <-ticker.C:
-		case <-l.Done():
-			missed = maxMissed
-		case <-ctx.Done():
-			return
+		if !k.awaitHeartbeat(ctx, p) {
+			break
 		}
 	}
+	if ctx.Err() != nil {
+		return
+	}
 	k.mu.Lock()
 	k.members.Doubt(time.Now(), l.Peer().Incarnation)
 	k.mu.Unlock()
 }
 
+// awaitHeartbeat waits until the next heartbeat is due. It returns false when
+// the link or ctx has ended.
+func (k *Controller) awaitHeartbeat(ctx context.Context, p *peer) bool {
+	timer := time.NewTimer(k.heartbeatInterval())
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-p.news:
+		return true
+	case <-p.link.Done():
+		return false
+	case <-ctx.Done():
+		return false
+	}
+}
+
+const (
+	// maxHeartbeatInterval bounds the time between two heartbeats on a link.
+	maxHeartbeatInterval = 3 * time.Second
+	// heartbeatScale is the number of processes for each second between two
+	// heartbeats. An empty call takes about 270 bytes, so that 18 links with a
+	// call each way every second would take a third of what a node may spend.
+	heartbeatScale = 130
+)
+
+// heartbeatInterval returns the time between two heartbeats on a link. News of
+// the configuration does not wait for it.
+func (k *Controller) heartbeatInterval() time.Duration {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	scaled := time.Duration(k.members.Size()) * time.Second / heartbeatScale
+	return min(maxHeartbeatInterval, max(tickInterval, scaled))
+}
+
 // heartbeat asks a peer for what changed and takes it in.
 func (k *Controller) heartbeat(ctx context.Context, p *peer) error {
 	timed, cancel := context.WithTimeout(ctx, callTimeout)
--- a/controller/registry.go
+++ b/controller/registry.go
@@ -22,6 +22,7 @@
 	link    link.Link
 	dialled bool // this process opened it
 	heard   bool // a heartbeat was answered
+	news    chan struct{}
 	members uint64
 	targets uint64
 }
@@ -74,7 +75,7 @@
 	if old, ok := r.peers[host]; ok && alive(old.link) && old.link.Peer().Incarnation == l.Peer().Incarnation {
 		return nil
 	}
-	p := &peer{link: l, dialled: dialled}
+	p := &peer{link: l, dialled: dialled, news: make(chan struct{}, 1)}
 	r.peers[host] = p
 	return p
 }
@@ -98,6 +99,18 @@
 	}
 }
 
+// tellNews makes every peer's heartbeat due now.
+func (r *registry) tellNews() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, p := range r.peers {
+		select {
+		case p.news <- struct{}{}:
+		default: // one is due already
+		}
+	}
+}
+
 // linked returns the hosts of the controllers linked to.
 func (r *registry) linked() map[machine.HostID]bool {
 	r.mu.Lock()
--- a/controller/serve.go
+++ b/controller/serve.go
@@ -58,6 +58,9 @@
 // that the asker has seen.
 func (k *Controller) serveHeartbeat(from link.Link, q *wire.Heartbeat) *wire.Envelope {
 	k.confirm(q)
+	if contract.Revision(q.ConfigRevision) > k.holder.Revision() {
+		go k.fetchNewer(from)
+	}
 	reply := k.heartbeatBase()
 	peer := from.Peer()
 	now := time.Now()
