Return to the own host's controller; publish a target's load once for all pollers

TestFailsOver failed in 5 of 30 runs: after both controllers came back the first slot could take the other zone's, and nothing then went to the own one. The second controller of a large fleet tells its view of targets with every eighth heartbeat only.

--- a/targetview/table.go
+++ b/targetview/table.go
@@ -42,7 +42,8 @@
 // PublishInterval returns the time between two digests of a target when the
 // region has n.
 func PublishInterval(n int) time.Duration {
-	return max(time.Second, time.Duration(n)*time.Second/digestsPerSecond).Truncate(time.Second)
+	seconds := (n + digestsPerSecond - 1) / digestsPerSecond
+	return time.Duration(max(1, seconds)) * time.Second
 }
 
 // Table is the view of one process. It is not safe for concurrent use.
@@ -56,7 +57,7 @@
 	state      control.TargetState
 	absent     time.Time // since when it is missing from the list; zero if not
 	gone       time.Time // when it passed for gone
-	published  time.Time // when its report was last published
+	published  time.Time // when a report was last published, here or by a peer
 	changed    uint64    // version of the table at the last change
 	introduced uint64    // version at the last change of more than the load
 	source     uint64    // incarnation of the peer that told of the last change
@@ -170,7 +171,8 @@
 }
 
 // Reported takes in a report that this process read itself. It is published
-// at once when more than the load changed, else on its interval.
+// at once when more than the load changed, else on its interval, unless another
+// poller's report came in the meantime.
 func (t *Table) Reported(now time.Time, r target.Report) {
 	e, ok := t.entries[r.Target]
 	if !ok || !newer(&r, &e.state.Report) {
--- a/targetview/wire.go
+++ b/targetview/wire.go
@@ -95,6 +95,7 @@
 	r := reportOf(now, w)
 	if w.Boot != 0 && newer(&r, &e.state.Report) {
 		e.state.Report = r
+		e.published = now
 		t.touch(e, source, true)
 	}
 	if t.version != version && !agrees(e, w) {
@@ -130,6 +131,7 @@
 	r.PrefillTokens = int(w.PrefillTokens)
 	r.KVPiecesUsed = int(w.KvPiecesUsed)
 	e.state.Report = r
+	e.published = now
 	t.touch(e, source, false)
 	return true
 }
--- a/uplink/link.go
+++ b/uplink/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -17,16 +18,24 @@
 // keepLink keeps one link open until ctx ends.
 func (u *Uplink) keepLink(ctx context.Context, g control.Gateway, slot int) error {
 	backoff := minBackoff
+	var next link.Link
 	for ctx.Err() == nil {
-		l := u.open(ctx, g, slot)
+		l := next
+		if l == nil {
+			l = u.open(ctx, g, slot)
+		}
 		if l == nil {
 			pause(ctx, backoff/2+rand.N(backoff))
 			backoff = min(2*backoff, maxBackoff)
 			continue
 		}
 		backoff = minBackoff
-		u.run(ctx, g, slot, l)
-		pause(ctx, backoff/2+rand.N(backoff))
+		if next = u.run(ctx, g, slot, l); next == nil {
+			pause(ctx, backoff/2+rand.N(backoff))
+		}
+	}
+	if next != nil {
+		_ = next.Close()
 	}
 	return nil
 }
@@ -76,8 +85,8 @@
 }
 
 // run exchanges heartbeats over a link until it ends or a better one can be
-// had.
-func (u *Uplink) run(ctx context.Context, g control.Gateway, slot int, l link.Link) {
+// had, which it returns when it is open already.
+func (u *Uplink) run(ctx context.Context, g control.Gateway, slot int, l link.Link) link.Link {
 	up := &upstream{link: l}
 	u.setLink(slot, up)
 	event.LinkOpened.Log(u.config.Log).Str("peer", l.Peer().ID()).Send()
@@ -88,6 +97,7 @@
 	}()
 	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
+	returning := time.Now().Add(returnInterval)
 	for missed := 0; missed < maxMissed; {
 		missed++
 		if u.heartbeat(ctx, g, up) == nil {
@@ -97,17 +107,33 @@
 			u.candidates.mark(l.Peer().Address, time.Now())
 		}
 		if u.betterThan(slot, l) {
-			return
+			return nil
+		}
+		if slot == 0 && u.away(l) && time.Now().After(returning) {
+			if own := u.dial(ctx, g, u.config.Own); own != nil {
+				return own
+			}
+			returning = time.Now().Add(returnInterval)
 		}
 		select {
 		case <-ticker.C:
 		case <-l.Done():
 			u.candidates.mark(l.Peer().Address, time.Now())
-			return
+			return nil
 		case <-ctx.Done():
-			return
+			return nil
 		}
 	}
+	return nil
+}
+
+// returnInterval is the interval at which the first slot, while it is linked
+// to another controller, tries that of the own host.
+const returnInterval = 5 * time.Second
+
+// away tells whether a link is not to the own host's controller.
+func (u *Uplink) away(l link.Link) bool {
+	return u.config.Own != "" && l.Peer().Address != u.config.Own
 }
 
 // betterThan tells whether the second slot could be linked to another zone
@@ -150,9 +176,30 @@
 	if up.told {
 		request.MembersVersion = 1
 	}
+	if !u.asksTargets(up) {
+		request.TargetsVersion = math.MaxUint64
+	}
 	return request
 }
 
+const (
+	// smallFleet is the number of processes up to which both controllers tell
+	// their views with each heartbeat.
+	smallFleet = 64
+	// secondView is the number of heartbeats for each time that the second
+	// controller of a larger fleet tells its view. It guards against a first
+	// one that is cut off from the mesh.
+	secondView = 8
+)
+
+// asksTargets tells whether the next heartbeat on a link asks for targets. The
+// lock is held.
+func (u *Uplink) asksTargets(up *upstream) bool {
+	up.beats++
+	first := u.links[0] == nil || u.links[0] == up
+	return first || u.fleet.processes <= smallFleet || up.beats%secondView == 1
+}
+
 // beat raises the beat of this gateway when it is due, or when its record
 // changed. The lock is held.
 func (u *Uplink) beat(now time.Time) {
@@ -182,7 +229,9 @@
 	defer u.mu.Unlock()
 	up.told = len(named) > 1 || up.told
 	u.fleet.take(now, reply)
-	up.targets = reply.TargetsVersion
+	if reply.TargetsVersion != math.MaxUint64 {
+		up.targets = reply.TargetsVersion
+	}
 	for _, t := range reply.Targets {
 		if !u.targets.Merge(now, up.link.Peer().Incarnation, t) {
 			up.targets = 0
--- a/uplink/uplink.go
+++ b/uplink/uplink.go
@@ -89,6 +89,7 @@
 type upstream struct {
 	link    link.Link
 	targets uint64 // version of the controller's view seen so far
+	beats   uint64 // heartbeats so far
 	told    bool   // the controller named others
 }
 
