--- a/gateway/control.go
+++ b/gateway/control.go
@@ -10,7 +10,8 @@
 	"zinniapin/usage"
 )
 
-// Configure implements control.Gateway. The revision in force only rises.
+// Configure implements control.Gateway. The revision in force only rises; the
+// uplink logs it.
 func (g *Gateway) Configure(s *contract.Snapshot) {
 	for {
 		old := g.snapshot.Load()
@@ -23,13 +24,13 @@
 	}
 	g.meter.setWindow(s.Fleet.UsageWindowSeconds)
 	g.fleet.setZones(time.Now(), s.Zone)
-	event.ConfigurationInForce.Log(&g.log).Uint64("revision", uint64(s.Revision)).Send()
 }
 
 // Observe implements control.Gateway.
 func (g *Gateway) Observe(view []control.TargetState) {
 	now := time.Now()
 	g.fleet.observe(now, view)
+	g.observed.Store(true)
 	g.moveStreams(now)
 	g.setCapacities(now)
 }
@@ -92,6 +93,7 @@
 	now := time.Now()
 	g.mu.Lock()
 	wasAlone := !g.aloneSince.IsZero()
+	g.confirm(now, c)
 	if c.LiveGateways > 0 {
 		// A gateway that is cut off keeps its last share, which is safe.
 		g.gateways = c.LiveGateways
@@ -108,6 +110,16 @@
 	g.setCapacities(now)
 }
 
+// confirm notes until when the configuration needs no doubt. The lock is held.
+func (g *Gateway) confirm(now time.Time, c control.Connectivity) {
+	switch {
+	case c.Controllers > 0 && c.StoreDownForMost:
+		g.confirmed = now
+	case c.ConfirmedAt.After(g.confirmed):
+		g.confirmed = c.ConfirmedAt
+	}
+}
+
 // Demands implements control.Gateway.
 func (g *Gateway) Demands() []control.Demand {
 	g.mu.Lock()
--- a/routing/engine.go
+++ b/routing/engine.go
@@ -25,6 +25,11 @@
 	crowdedCost  = 4.0
 	// batchCost is charged for a full batch, so that idle engines come first.
 	batchCost = 0.05
+	// mixedPrefill is the share of its prefill rate that an engine keeps while
+	// it decodes too, and mixedBatch the share of its batch limit while it has
+	// prompts to process.
+	mixedPrefill = 0.55
+	mixedBatch   = 0.40
 	// zoneMargin and regionMargin are how much slower a nearer target may be
 	// and still be taken first.
 	zoneMargin   = 0.010
@@ -35,9 +40,6 @@
 	// cachedShare is the share of a prompt that the prefix's own engine is
 	// expected to hold.
 	cachedShare = 0.5
-	// maxExtrapolation bounds for how long sends of other gateways are
-	// extrapolated from an old report.
-	maxExtrapolation = 2.0
 )
 
 // Constants of back-off and slow start.
@@ -204,22 +206,25 @@
 }
 
 // crowding is the cost of one more request in the batch, in seconds.
-func (e *engine) crowding(now int64, others float64) float64 {
+func (e *engine) crowding(now int64) float64 {
 	limit := e.limit(now)
 	if math.IsInf(limit, 1) {
 		return e.batch() * e.serviceTime
 	}
-	share := (e.batch() + others + 1) / limit
+	if e.busyUntil > now && e.serves(target.PhaseWhole) {
+		limit = max(1, limit*mixedBatch)
+	}
+	share := (e.batch() + 1) / limit
 	return batchCost*share + crowdedCost*max(0, share-crowdedShare)
 }
 
 // slotWait is the time until a place in the batch is free, in seconds.
-func (e *engine) slotWait(others float64) float64 {
+func (e *engine) slotWait() float64 {
 	capacity := float64(e.state.Report.Capacity)
 	if capacity <= 0 {
 		return 0
 	}
-	ahead := e.batch() + others + 1 - capacity
+	ahead := e.batch() + 1 - capacity
 	if ahead <= 0 {
 		return 0
 	}
@@ -227,13 +232,16 @@
 }
 
 // prefillWait is the time until the prompt is processed, in seconds.
-func (e *engine) prefillWait(now int64, tokens, othersTokens float64) float64 {
+func (e *engine) prefillWait(now int64, tokens float64) float64 {
 	rate := e.state.Report.PrefillRate
 	if rate <= 0 {
 		return 0
 	}
 	wait := float64(max(0, e.busyUntil-now)) / float64(time.Second)
-	return wait + (othersTokens+tokens)/rate
+	if e.batch() > 0 && e.state.Report.Role != target.Prefill {
+		rate *= mixedPrefill
+	}
+	return wait + tokens/rate
 }
 
 // away is the charge for the distance, in seconds.
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -59,6 +59,7 @@
 	engine  *engine
 	prefill *engine // nil once the prefill phase is over
 	sentAt  int64   // Unix time, nanoseconds
+	cost    float64 // seconds
 }
 
 // Router chooses targets for one gateway. It is not safe for concurrent use.
@@ -105,7 +106,6 @@
 			continue
 		}
 		p.index()
-		p.estimateOthers()
 	}
 	r.started = r.started || len(view) > 0
 }
@@ -158,7 +158,6 @@
 	at := now.UnixNano()
 	for _, need := range tiers {
 		if c, ok := p.choose(at, q, need, r.random); ok {
-			p.sent(at, q.PromptTokens)
 			c.start(q)
 			return c, true
 		}
