Hand pushed usage to the windows in the object API

The sink takes a context and returns an error, as usage.Windows does; a push may wait for the next commit, so it has a longer limit than a heartbeat. The controller's calls of the object API go through a budget. Not done: closing and reporting windows from the controller.

--- a/cmd/zinnia-controller/main.go
+++ b/cmd/zinnia-controller/main.go
@@ -22,8 +22,10 @@
 	"zinniapin/platform/httpapi"
 	"zinniapin/result"
 	"zinniapin/settings"
+	"zinniapin/store/budget"
 	"zinniapin/store/httpstore"
 	"zinniapin/target/httpengine"
+	"zinniapin/usage"
 	"zinniapin/zone"
 )
 
@@ -60,6 +62,12 @@
 	return serve(s, config)
 }
 
+// Share of one controller in the calls of the object API.
+const (
+	storeRate  = 20  // calls a second
+	storeBurst = 300 // calls at once, enough for the parts of a configuration
+)
+
 // configure builds the controller's configuration.
 func configure(s *settings.Controller) (controller.Config, error) {
 	log := daemon.NewLogger(os.Stderr, s.Log.Level, "zinnia-controller", s.Host)
@@ -74,15 +82,18 @@
 		Zone:        zone.Zone{Name: s.Zone, Region: s.Region},
 		Address:     s.Links,
 	}
+	seed := rand.Uint64()
 	timeout := time.Duration(s.Platform.TimeoutMillis) * time.Millisecond
+	objects := budget.New(httpstore.New(s.Platform.Objects, timeout), budget.Options{Rate: storeRate, Burst: storeBurst, Seed: seed})
 	return controller.Config{
 		Self:    self,
 		Seeds:   s.Seeds,
 		Network: &yamuxlink.Network{Self: self, TLS: secured, Log: &log},
-		Store:   httpstore.New(s.Platform.Objects, timeout),
+		Store:   objects,
 		Hosts:   httpapi.NewHosts(s.Platform.Hosts, timeout),
 		Orders:  httpengine.New(httpengine.Options{}),
-		Seed:    rand.Uint64(),
+		Usage:   usage.NewWindows(objects, usage.Options{Log: &log}),
+		Seed:    seed,
 		Log:     &log,
 	}, nil
 }
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -29,11 +29,12 @@
 	"zinniapin/zone"
 )
 
-// UsageSink takes the counters that gateways push.
+// UsageSink takes the counters that gateways push; usage.Windows is one.
 type UsageSink interface {
 	// Push takes in counters and returns those, up to the figures given, that
-	// are safe in the store by now; they may be of earlier pushes.
-	Push(counters []usage.Counter) (stored []usage.Counter)
+	// the object API holds by now. The error tells why others are not; they are
+	// pushed again.
+	Push(ctx context.Context, counters []usage.Counter) (stored []usage.Counter, err error)
 }
 
 // Config is what a controller needs.
--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -103,7 +103,9 @@
 // fakeSink stores every counter at once.
 type fakeSink struct{}
 
-func (fakeSink) Push(counters []usage.Counter) []usage.Counter { return counters }
+func (fakeSink) Push(_ context.Context, counters []usage.Counter) ([]usage.Counter, error) {
+	return counters, nil
+}
 
 // fakeGateway records what the uplink does to it.
 type fakeGateway struct {
--- a/controller/serve.go
+++ b/controller/serve.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"zinniapin/contract"
+	"zinniapin/event"
 	"zinniapin/grant"
 	"zinniapin/link"
 	"zinniapin/machine"
@@ -29,7 +30,7 @@
 		reply := k.serveGrants(ctx, from, body.GrantRequest)
 		return &wire.Envelope{Body: &wire.Envelope_GrantReply{GrantReply: reply}}, nil
 	case *wire.Envelope_UsagePush:
-		reply := k.serveUsage(from, body.UsagePush)
+		reply := k.serveUsage(ctx, from, body.UsagePush)
 		return &wire.Envelope{Body: &wire.Envelope_UsageAck{UsageAck: reply}}, nil
 	case *wire.Envelope_Cordon:
 		return k.relayCordon(ctx, body.Cordon)
@@ -133,7 +134,7 @@
 }
 
 // serveUsage hands counters to the sink. A gateway may push only its own.
-func (k *Controller) serveUsage(from link.Link, q *wire.UsagePush) *wire.UsageAck {
+func (k *Controller) serveUsage(ctx context.Context, from link.Link, q *wire.UsagePush) *wire.UsageAck {
 	if k.config.Usage == nil {
 		return &wire.UsageAck{}
 	}
@@ -144,7 +145,11 @@
 		}
 	}
 	ack := &wire.UsageAck{}
-	for _, c := range k.config.Usage.Push(counters) {
+	stored, err := k.config.Usage.Push(ctx, counters)
+	if err != nil {
+		event.UsageNotStored.Log(k.config.Log).Str("gateway", from.Peer().ID()).Int("counters", len(counters)-len(stored)).Err(err).Send()
+	}
+	for _, c := range stored {
 		ack.Stored = append(ack.Stored, wire.FromCounter(c))
 	}
 	return ack
--- a/uplink/push.go
+++ b/uplink/push.go
@@ -17,6 +17,8 @@
 	maxDemands = 4096
 	// maxCounters bounds the counters of one push; the next push carries more.
 	maxCounters = 4096
+	// pushTimeout bounds a push, which waits for the next commit of the store.
+	pushTimeout = 6 * time.Second
 	// flushPause is the wait between two pushes of a flush.
 	flushPause = 200 * time.Millisecond
 )
@@ -82,7 +84,7 @@
 
 // pushTo hands counters to one controller and takes its acknowledgement.
 func pushTo(ctx context.Context, g control.Gateway, up *upstream, push *wire.UsagePush) {
-	timed, cancel := context.WithTimeout(ctx, callTimeout)
+	timed, cancel := context.WithTimeout(ctx, pushTimeout)
 	defer cancel()
 	reply, err := up.link.Call(timed, &wire.Envelope{Body: &wire.Envelope_UsagePush{UsagePush: push}})
 	if err != nil || reply.GetUsageAck() == nil {
