--- a/cmd/zinnia-controller/main.go
+++ b/cmd/zinnia-controller/main.go
@@ -113,7 +113,7 @@
 	go func() { _ = operators.Serve() }()
 	running, stop := context.WithCancel(immediate)
 	defer stop()
-	go leave(graceful, immediate, s.Shutdown(), k, log, stop)
+	go leave(graceful, immediate, s.Shutdown(), k, config.Usage, log, stop)
 	event.ProcessStarted.Log(log).Str("links", s.Links).Str("operators", operators.Address()).Send()
 	err = k.Run(running)
 	event.ProcessStopped.Log(log).Err(err).Send()
@@ -121,12 +121,17 @@
 }
 
 // leave waits for the first signal, lets the mesh take over this controller's
-// work and ends it.
-func leave(graceful, immediate context.Context, limit time.Duration, k *controller.Controller, log *zerolog.Logger, stop func()) {
+// work, writes the usage that waits and ends it.
+func leave(graceful, immediate context.Context, limit time.Duration, k *controller.Controller, sink controller.UsageSink, log *zerolog.Logger, stop func()) {
 	<-graceful.Done()
 	event.ProcessStopping.Log(log).Send()
 	bounded, cancel := context.WithTimeout(immediate, limit)
 	defer cancel()
 	k.Leave(bounded)
+	if windows, ok := sink.(*usage.Windows); ok {
+		if err := windows.Flush(bounded); err != nil {
+			event.UsageNotStored.Log(log).Int("counters", windows.Pending()).Err(err).Send()
+		}
+	}
 	stop()
 }
