--- /dev/null
+++ b/controller/fakes_test.go
@@ -0,0 +1,159 @@
+package controller
+
+import (
+	"context"
+	"sync"
+
+	"zinniapin/contract"
+	"zinniapin/control"
+	"zinniapin/platform"
+	"zinniapin/store"
+	"zinniapin/target"
+	"zinniapin/usage"
+	"zinniapin/zone"
+)
+
+// zones are the zones of the small fleet.
+var zones = []zone.Zone{{Name: "riga-a", Region: "baltic"}, {Name: "riga-b", Region: "baltic"}, {Name: "jelgava", Region: "baltic"}, {Name: "valmiera", Region: "baltic"}}
+
+// faultyStore gives each host its own view of one store.
+type faultyStore struct {
+	store.Store
+	mu   sync.Mutex
+	down bool
+}
+
+func (f *faultyStore) setDown(down bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.down = down
+}
+
+func (f *faultyStore) isDown() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.down
+}
+
+func (f *faultyStore) Get(ctx context.Context, p store.Purpose, key string) (store.Object, error) {
+	if f.isDown() {
+		return store.Object{}, store.ErrUnavailable
+	}
+	return f.Store.Get(ctx, p, key)
+}
+
+func (f *faultyStore) Watch(ctx context.Context, p store.Purpose, key string, after store.Version) (store.Object, error) {
+	if f.isDown() {
+		return store.Object{}, store.ErrUnavailable
+	}
+	return f.Store.Watch(ctx, p, key, after)
+}
+
+// fakeHosts is a list of hosts.
+type fakeHosts struct {
+	mu   sync.Mutex
+	list []platform.Host
+}
+
+func (f *fakeHosts) List(context.Context) ([]platform.Host, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]platform.Host(nil), f.list...), nil
+}
+
+// fakeOrders answers with rising reports.
+type fakeOrders struct {
+	mu       sync.Mutex
+	sequence uint64
+}
+
+func (f *fakeOrders) Send(context.Context, target.Target, target.Order) error { return nil }
+
+func (f *fakeOrders) Report(_ context.Context, t target.Target) (target.Report, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.sequence++
+	return target.Report{Target: t.ID, Boot: 7, Sequence: f.sequence, Role: target.Mixed, Running: 3, Capacity: 8}, nil
+}
+
+// fakeSink stores every counter at once.
+type fakeSink struct{}
+
+func (fakeSink) Push(_ context.Context, counters []usage.Counter) ([]usage.Counter, error) {
+	return counters, nil
+}
+
+// fakeGateway records what the uplink does to it.
+type fakeGateway struct {
+	mu        sync.Mutex
+	revisions []contract.Revision
+	view      []control.TargetState
+	cordons   int
+	grants    map[string]control.Grant
+	connected control.Connectivity
+	demands   []control.Demand
+	counters  []usage.Counter
+}
+
+func (g *fakeGateway) Configure(s *contract.Snapshot) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.revisions = append(g.revisions, s.Revision)
+}
+
+func (g *fakeGateway) Observe(view []control.TargetState) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.view = view
+}
+
+func (g *fakeGateway) Cordon(target.ID, uint64, bool) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.cordons++
+	return 1
+}
+
+func (g *fakeGateway) Grant(grants []control.Grant) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, granted := range grants {
+		g.grants[granted.Organisation] = granted
+	}
+}
+
+func (g *fakeGateway) Connected(c control.Connectivity) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.connected = c
+}
+
+func (g *fakeGateway) Demands() []control.Demand {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.demands
+}
+
+func (g *fakeGateway) Usage() []usage.Counter {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.counters
+}
+
+func (g *fakeGateway) UsageStored([]usage.Counter) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.counters = nil
+}
+
+func (g *fakeGateway) Explain(id string) []byte { return []byte(`{"id":"` + id + `"}`) }
+
+// revision returns the last revision that was put in force.
+func (g *fakeGateway) revision() contract.Revision {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if len(g.revisions) == 0 {
+		return 0
+	}
+	return g.revisions[len(g.revisions)-1]
+}
