--- a/controller/controller.go
+++ b/controller/controller.go
@@ -100,6 +100,7 @@
 // Run runs the controller until ctx ends. A graceful shutdown calls Leave
 // first.
 func (k *Controller) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
 	_, stop, err := k.config.Network.Listen(k.config.Self.Address, link.HandlerFunc(k.serve), func(l link.Link) {
 		k.accepted(ctx, l)
 	})
@@ -108,16 +109,11 @@
 	}
 	defer func() { _ = stop() }()
 	defer k.links.closeAll()
-	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return k.every(ctx, tickInterval, k.tick) })
 	group.Go(func() error { return k.watchConfiguration(ctx) })
 	group.Go(func() error { return k.every(ctx, hostListInterval, k.pollHosts) })
 	group.Go(func() error { return k.every(ctx, pollInterval, k.pollTargets) })
-	err = group.Wait()
-	if ctx.Err() != nil {
-		return nil
-	}
-	return err
+	return group.Wait()
 }
 
 // every calls f at once and then at an interval until ctx ends.
