--- a/controller/controller.go
+++ b/controller/controller.go
@@ -29,11 +29,12 @@
 	"zinniapin/zone"
 )
 
-// UsageSink takes the counters that gateways push.
+// UsageSink takes the counters that gateways push; usage.Windows is one.
 type UsageSink interface {
 	// Push takes in counters and returns those, up to the figures given, that
-	// are safe in the store by now; they may be of earlier pushes.
-	Push(counters []usage.Counter) (stored []usage.Counter)
+	// the object API holds by now. The error tells why others are not; they are
+	// pushed again.
+	Push(ctx context.Context, counters []usage.Counter) (stored []usage.Counter, err error)
 }
 
 // Config is what a controller needs.
@@ -69,8 +70,9 @@
 	members       *membership.Table
 	targets       *targetview.Table
 	book          *addressBook
-	storeRead     bool // the root was read since the start
-	storeUp       bool // the last call of the store succeeded
+	sources       map[machine.HostID]bool // whose records are taken; nil means all
+	storeRead     bool                    // the root was read since the start
+	storeUp       bool                    // the last call of the store succeeded
 	leaving       bool
 	failedTargets map[target.ID]time.Time // when to poll again
 }
@@ -98,6 +100,7 @@
 // Run runs the controller until ctx ends. A graceful shutdown calls Leave
 // first.
 func (k *Controller) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
 	_, stop, err := k.config.Network.Listen(k.config.Self.Address, link.HandlerFunc(k.serve), func(l link.Link) {
 		k.accepted(ctx, l)
 	})
@@ -106,16 +109,11 @@
 	}
 	defer func() { _ = stop() }()
 	defer k.links.closeAll()
-	group, running := errgroup.WithContext(ctx)
-	group.Go(func() error { return k.every(running, tickInterval, k.tick) })
-	group.Go(func() error { return k.watchConfiguration(running) })
-	group.Go(func() error { return k.every(running, hostListInterval, k.pollHosts) })
-	group.Go(func() error { return k.every(running, pollInterval, k.pollTargets) })
-	err = group.Wait()
-	if ctx.Err() != nil {
-		return nil
-	}
-	return err
+	group.Go(func() error { return k.every(ctx, tickInterval, k.tick) })
+	group.Go(func() error { return k.watchConfiguration(ctx) })
+	group.Go(func() error { return k.every(ctx, hostListInterval, k.pollHosts) })
+	group.Go(func() error { return k.every(ctx, pollInterval, k.pollTargets) })
+	return group.Wait()
 }
 
 // every calls f at once and then at an interval until ctx ends.
@@ -231,13 +229,14 @@
 	return membership.Owns(controllers, key, n, k.config.Self.Host)
 }
 
-// adopted logs a new revision and tells the mesh.
+// adopted logs a new revision and tells the peers at once, which fetch it.
 func (k *Controller) adopted(s *contract.Snapshot) {
 	if s == nil {
 		return
 	}
 	event.ConfigurationInForce.Log(k.config.Log).Uint64("revision", uint64(s.Revision)).Send()
 	k.mu.Lock()
-	defer k.mu.Unlock()
 	k.members.Update(func(m *membership.Member) { m.Revision = max(m.Revision, s.Revision) })
+	k.mu.Unlock()
+	k.links.tellNews()
 }
