--- /dev/null
+++ b/authority/action.go
@@ -0,0 +1,104 @@
+package authority
+
+import (
+	"time"
+
+	"zinniapin/store"
+)
+
+// Policy says what an author must wait for before it replaces another's open
+// order.
+type Policy struct {
+	// Fenced targets refuse an old fencing number and are ordered at once.
+	Fenced bool
+	// Settle is how long an order may stay on its way to the target after its
+	// author has ended its connection or died.
+	Settle time.Duration
+}
+
+// ActionKind is what the agent wants done next.
+type ActionKind uint8
+
+// Kinds of actions.
+const (
+	DoNothing ActionKind = iota // idle
+	DoRead                      // read the record
+	DoPut                       // update the record under its version
+	DoSend                      // send the order, once
+	DoProbe                     // ask the target and the platform
+	DoPause                     // wait for the poll interval
+)
+
+// Action is what the agent wants done next. Each ends in one event.
+type Action struct {
+	Kind ActionKind
+	// Put is the record and the version to replace, with DoPut.
+	Put Snapshot
+	// Send is the order, with DoSend.
+	Send Order
+	// Probe is the order to ask about, with DoProbe.
+	Probe Order
+}
+
+// EventKind is what happened.
+type EventKind uint8
+
+// Kinds of events.
+const (
+	Start     EventKind = iota // an order is wanted
+	Cancelled                  // the order is no longer wanted
+	ReadDone                   // the record was read
+	PutDone                    // the update ended
+	SendDone                   // the send ended
+	ProbeDone                  // the probe ended
+	PauseDone                  // the poll interval is over
+)
+
+// Answer is how a call of the object API ended.
+type Answer uint8
+
+// Answers of the object API.
+const (
+	Confirmed Answer = iota
+	Conflict
+	Doubtful // no answer: an update may have, or may yet take effect
+	Down     // the call had no effect
+)
+
+// Delivery is how a send ended.
+type Delivery uint8
+
+// Ends of a send.
+const (
+	Effective   Delivery = iota // the target says that it took effect
+	Undelivered                 // no byte reached the target
+	Declined                    // the target says that it had no effect
+	Outdated                    // the target has seen a higher fencing number
+	Unanswered                  // the connection was reset without an answer
+)
+
+// Evidence is what a probe found. Only positive findings prove anything.
+type Evidence struct {
+	Answered bool // the target answered; Boot and Applied are valid
+	Boot     uint64
+	Applied  bool // the order took effect
+	// AuthorEnded is proof that the order's author no longer runs: a new
+	// incarnation on its address, or the platform's word on its host.
+	AuthorEnded bool
+	// TargetGone is the platform's word that the target's host is gone.
+	TargetGone bool
+}
+
+// Event is what happened.
+type Event struct {
+	Kind EventKind
+	// Order is the wanted order, with Start; ID, Author and Epoch are filled
+	// in by the agent. Its Epoch is the least fencing number to use.
+	Order  Order
+	Answer Answer   // with ReadDone and PutDone
+	Found  Snapshot // with ReadDone
+	// Version is the new version, with PutDone and Confirmed.
+	Version  store.Version
+	Delivery Delivery // with SendDone
+	Evidence Evidence // with ProbeDone
+}
--- a/authority/agent.go
+++ b/authority/agent.go
@@ -5,106 +5,8 @@
 	"time"
 
 	"zinniapin/invariant"
-	"zinniapin/store"
 )
 
-// Policy says what an author must wait for before it replaces another's open
-// order.
-type Policy struct {
-	// Fenced targets refuse an old fencing number and are ordered at once.
-	Fenced bool
-	// Settle is how long an order may stay on its way to the target after its
-	// author has ended its connection or died.
-	Settle time.Duration
-}
-
-// ActionKind is what the agent wants done next.
-type ActionKind uint8
-
-// Kinds of actions.
-const (
-	DoNothing ActionKind = iota // idle
-	DoRead                      // read the record
-	DoPut                       // update the record under its version
-	DoSend                      // send the order, once
-	DoProbe                     // ask the target and the platform
-	DoPause                     // wait for the poll interval
-)
-
-// Action is what the agent wants done next. Each ends in one event.
-type Action struct {
-	Kind ActionKind
-	// Put is the record and the version to replace, with DoPut.
-	Put Snapshot
-	// Send is the order, with DoSend.
-	Send Order
-	// Probe is the order to ask about, with DoProbe.
-	Probe Order
-}
-
-// EventKind is what happened.
-type EventKind uint8
-
-// Kinds of events.
-const (
-	Start     EventKind = iota // an order is wanted
-	Cancelled                  // the order is no longer wanted
-	ReadDone                   // the record was read
-	PutDone                    // the update ended
-	SendDone                   // the send ended
-	ProbeDone                  // the probe ended
-	PauseDone                  // the poll interval is over
-)
-
-// Answer is how a call of the object API ended.
-type Answer uint8
-
-// Answers of the object API.
-const (
-	Confirmed Answer = iota
-	Conflict
-	Doubtful // no answer: an update may have, or may yet take effect
-	Down     // the call had no effect
-)
-
-// Delivery is how a send ended.
-type Delivery uint8
-
-// Ends of a send.
-const (
-	Effective   Delivery = iota // the target says that it took effect
-	Undelivered                 // no byte reached the target
-	Declined                    // the target says that it had no effect
-	Outdated                    // the target has seen a higher fencing number
-	Unanswered                  // the connection was reset without an answer
-)
-
-// Evidence is what a probe found. Only positive findings prove anything.
-type Evidence struct {
-	Answered bool // the target answered; Boot and Applied are valid
-	Boot     uint64
-	Applied  bool // the order took effect
-	// AuthorEnded is proof that the order's author no longer runs: a new
-	// incarnation on its address, or the platform's word on its host.
-	AuthorEnded bool
-	// TargetGone is the platform's word that the target's host is gone.
-	TargetGone bool
-}
-
-// Event is what happened.
-type Event struct {
-	Kind EventKind
-	// Order is the wanted order, with Start; ID, Author and Epoch are filled
-	// in by the agent. Its Epoch is the least fencing number to use.
-	Order  Order
-	Answer Answer   // with ReadDone and PutDone
-	Found  Snapshot // with ReadDone
-	// Version is the new version, with PutDone and Confirmed.
-	Version  store.Version
-	Delivery Delivery // with SendDone
-	Evidence Evidence // with ProbeDone
-}
-
 // phase is where the agent stands with its order.
 type phase uint8
 
@@ -121,19 +23,6 @@
 	rereading       // to learn whether the order is still open
 )
 
-// watch follows an order that may still be on its way.
-type watch struct {
-	id string
-	// ended is set once the order can no longer be sent; since is when that
-	// became known and boot the target's first boot id seen afterwards.
-	ended   bool
-	since   time.Time
-	booted  bool
-	boot    uint64
-	settled bool
-	outcome Outcome
-}
-
 // Agent is one author's part in the protocol for one unit. It is comparable,
 // holds no clock and does no I/O.
 type Agent struct {
@@ -323,21 +212,6 @@
 	}
 }
 
-// end notes that the order can no longer be sent.
-func (w *watch) end(now time.Time) {
-	if w.ended {
-		return
-	}
-	w.ended = true
-	w.since = now
-}
-
-// settle notes how the order ended.
-func (w *watch) settle(o Outcome) {
-	w.settled = true
-	w.outcome = o
-}
-
 // open asks for the update that opens the wanted order.
 func (a *Agent) open(now time.Time) Action {
 	record := a.base.Record
@@ -460,41 +334,6 @@
 	return Action{Kind: DoPause}
 }
 
-// weigh applies evidence to the watched order.
-func (a *Agent) weigh(now time.Time, e Evidence) {
-	w := &a.watch
-	if e.AuthorEnded {
-		w.end(now)
-	}
-	switch {
-	case e.TargetGone:
-		w.settle(Gone)
-	case e.Answered && e.Applied:
-		w.settle(Applied) // it was sent once, so no copy can still arrive
-	case !w.ended:
-		// The author may be paused just before it sends.
-	case w.restarted(e):
-		w.settle(Lost)
-	case now.Sub(w.since) >= a.policy.Settle:
-		w.settle(Lapsed)
-	}
-}
-
-// restarted reports whether the target shows another boot than the first one
-// seen after the order could no longer be sent. The boot before proves
-// nothing: the order may have been sent to the present one.
-func (w *watch) restarted(e Evidence) bool {
-	if !e.Answered {
-		return false
-	}
-	if !w.booted {
-		w.booted = true
-		w.boot = e.Boot
-		return false
-	}
-	return e.Boot != w.boot
-}
-
 // pauseDone goes on after the poll interval.
 func (a *Agent) pauseDone() Action {
 	switch a.phase {
--- a/authority/executor_test.go
+++ b/authority/executor_test.go
@@ -334,6 +334,30 @@
 	}
 }
 
+// TestStaleFenceIsLearnt checks that an engine which has seen a higher fencing
+// number than the record refuses one order and takes the next.
+func TestStaleFenceIsLearnt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx := context.Background()
+		x := NewExecutor(objects.New(), "a", &register{}, Options{})
+		r := newReceiver(1, true)
+		r.fence = 10
+		e := target.Target{ID: "e1", ChecksFence: true}
+		stale := 0
+		for done := false; !done; {
+			outcome, err := x.Engine(ctx, r, e, Change{Kind: target.OrderRole, Role: target.Decode})
+			is.NoErr(x.Drain(ctx))
+			if errors.Is(err, target.ErrStaleFence) {
+				stale++
+			}
+			done = outcome == Applied
+		}
+		is.True(stale > 0)
+		is.True(r.fence > 10)
+	})
+}
+
 // accepting is a driver whose target takes every order.
 type accepting struct{}
 
--- a/event/authority.go
+++ b/event/authority.go
@@ -10,7 +10,7 @@
 	ClaimPendingLost   = define(4003, "claim_pending_lost", zerolog.ErrorLevel, "Too many ends of claims wait for the object API; one was given up and its claim stays open until it becomes unknown.", "See docs/OPERATIONS.md, platform outage.")
 	OrderOpened        = define(4050, "order_opened", zerolog.InfoLevel, "An order to an engine or the platform was opened.", "none")
 	OrderClosed        = define(4051, "order_closed", zerolog.InfoLevel, "An order was closed; the line says why.", "none")
-	OrderStuck         = define(4052, "order_stuck", zerolog.WarnLevel, "An order of another author stays open and blocks the engine.", "If the author is known to be gone, release it.")
+	OrderStuck         = define(4052, "order_stuck", zerolog.WarnLevel, "An order of another author is open, and an order has to wait for it.", "If the author is known to be gone, release it.")
 	OrderReleased      = define(4053, "order_released", zerolog.WarnLevel, "An operator released an open order.", "none")
 	WindowFrozen       = define(4100, "usage_window_frozen", zerolog.InfoLevel, "A usage window was closed; its figures no longer change.", "none")
 	WindowReported     = define(4101, "usage_window_reported", zerolog.InfoLevel, "The platform took the report of a usage window.", "none")
