Look ahead along the trend of decode demand

Cause: decode demand as reported follows arrivals by the length of an answer, so a crowd of short prompts was seen 8 s late and met by engines that left one after another.

--- a/placement/demand.go
+++ b/placement/demand.go
@@ -18,6 +18,10 @@
 	shiftShare = 0.25
 	// longestStay bounds how long a mix is expected to last.
 	longestStay = 5 * time.Minute
+	// trendSpan is the time over which a trend is averaged, and trendLead how
+	// far it is looked ahead along, seconds.
+	trendSpan = 4.0
+	trendLead = 3.0
 	// backlogAllowed is the backlog that comes with ordinary use, seconds.
 	backlogAllowed = 0.5
 	// stayWeight is the weight of a new sample of the time between shifts.
@@ -38,17 +42,43 @@
 
 // demand estimates the work of one pool.
 type demand struct {
-	known    bool
-	last     time.Time
-	engines  float64
-	prefill  float64            // engines' worth of prefill work
-	decode   float64            // engines' worth of decode work
-	models   map[string]float64 // tokens a second, by model
-	share    float64            // of prefill, at the last shift
-	shiftAt  time.Time
-	mean     time.Duration // between shifts
-	wanted   change        // the change that looks right
-	wantedAt time.Time     // since when
+	known   bool
+	last    time.Time
+	engines float64
+	prefill float64 // engines' worth of prefill work
+	decode  float64 // engines' worth of decode work, as it is to be
+	// decodeLevel smooths the decode work; it follows arrivals by the length
+	// of an answer, so its trend is looked ahead along.
+	decodeLevel level
+	models      map[string]float64 // tokens a second, by model
+	share       float64            // of prefill, at the last shift
+	shiftAt     time.Time
+	mean        time.Duration // between shifts
+	wanted      change        // the change that looks right
+	wantedAt    time.Time     // since when
+}
+
+// level is a smoothed quantity with its smoothed trend.
+type level struct {
+	value float64
+	trend float64 // a second
+}
+
+// observe takes in a sample that comes step seconds after the last one.
+func (l *level) observe(sample, step, span float64, known bool) {
+	if !known || step <= 0 {
+		l.value = sample
+		return
+	}
+	before := l.value
+	l.value += (1 - math.Exp(-step/span)) * (sample - l.value)
+	l.trend += (1 - math.Exp(-step/trendSpan)) * ((l.value-before)/step - l.trend)
+}
+
+// ahead returns what the quantity will be after some seconds when it rises,
+// and the present value when it falls.
+func (l *level) ahead(seconds float64) float64 {
+	return l.value + max(0, l.trend)*seconds
 }
 
 // newDemand returns an estimate that knows nothing yet.
@@ -83,8 +113,9 @@
 	if d.known {
 		weight = 1 - math.Exp(-now.Sub(d.last).Seconds()/s.DemandSpan.Seconds())
 	}
+	d.decodeLevel.observe(decode, now.Sub(d.last).Seconds(), s.DemandSpan.Seconds(), d.known)
 	d.prefill += weight * (prefill - d.prefill)
-	d.decode += weight * (decode - d.decode)
+	d.decode = d.decodeLevel.ahead(trendLead)
 	d.engines = engines
 	d.observeModels(pool, v, weight)
 	d.last = now
