Join usage, planning and loads to the controllers: the whole path

Cause: gateways handed usage over and nobody stored, froze or reported it; the planners ran in tests only. Ruled out: every controller storing what its gateways push (writes grow with controllers times shards); proof of an author's end from the table of members, whose record may be older than the author: only another incarnation that answers at the author's address, or the platform's word, counts. Change: a controller relays counters to the owners of their shards, who store them; owners freeze and report windows; planners of a region's pools get the gateways' loads; orders end before the listener does; topic plans. UsageSink is gone from the controller's settings, its test now runs the real windows.

--- a/cmd/zinnia-controller/main.go
+++ b/cmd/zinnia-controller/main.go
@@ -25,7 +25,6 @@
 	"zinniapin/store/budget"
 	"zinniapin/store/httpstore"
 	"zinniapin/target/httpengine"
-	"zinniapin/usage"
 	"zinniapin/zone"
 )
 
@@ -86,15 +85,16 @@
 	timeout := time.Duration(s.Platform.TimeoutMillis) * time.Millisecond
 	objects := budget.New(httpstore.New(s.Platform.Objects, timeout), budget.Options{Rate: storeRate, Burst: storeBurst, Seed: seed})
 	return controller.Config{
-		Self:    self,
-		Seeds:   s.Seeds,
-		Network: &yamuxlink.Network{Self: self, TLS: secured, Log: &log},
-		Store:   objects,
-		Hosts:   httpapi.NewHosts(s.Platform.Hosts, timeout),
-		Orders:  httpengine.New(httpengine.Options{}),
-		Usage:   usage.NewWindows(objects, usage.Options{Log: &log}),
-		Seed:    seed,
-		Log:     &log,
+		Self:         self,
+		Seeds:        s.Seeds,
+		Network:      &yamuxlink.Network{Self: self, TLS: secured, Log: &log},
+		Store:        objects,
+		Hosts:        httpapi.NewHosts(s.Platform.Hosts, timeout),
+		Orders:       httpengine.New(httpengine.Options{}),
+		Reports:      httpapi.NewUsage(s.Platform.Usage, timeout),
+		TargetOrders: httpapi.NewTargets(s.Platform.Targets, timeout),
+		Seed:         seed,
+		Log:          &log,
 	}, nil
 }
 
@@ -113,7 +113,7 @@
 	go func() { _ = operators.Serve() }()
 	running, stop := context.WithCancel(immediate)
 	defer stop()
-	go leave(graceful, immediate, s.Shutdown(), k, config.Usage, log, stop)
+	go leave(graceful, immediate, s.Shutdown(), k, log, stop)
 	event.ProcessStarted.Log(log).Str("links", s.Links).Str("operators", operators.Address()).Send()
 	err = k.Run(running)
 	event.ProcessStopped.Log(log).Err(err).Send()
@@ -121,17 +121,12 @@
 }
 
 // leave waits for the first signal, lets the mesh take over this controller's
-// work, writes the usage that waits and ends it.
-func leave(graceful, immediate context.Context, limit time.Duration, k *controller.Controller, sink controller.UsageSink, log *zerolog.Logger, stop func()) {
+// work, lets it hand over what waits and ends it.
+func leave(graceful, immediate context.Context, limit time.Duration, k *controller.Controller, log *zerolog.Logger, stop func()) {
 	<-graceful.Done()
 	event.ProcessStopping.Log(log).Send()
 	bounded, cancel := context.WithTimeout(immediate, limit)
 	defer cancel()
 	k.Leave(bounded)
-	if windows, ok := sink.(*usage.Windows); ok {
-		if err := windows.Flush(bounded); err != nil {
-			event.UsageNotStored.Log(log).Int("counters", windows.Pending()).Err(err).Send()
-		}
-	}
 	stop()
 }
--- a/cmd/zinnia-controller/main_test.go
+++ b/cmd/zinnia-controller/main_test.go
@@ -41,6 +41,8 @@
 	revision atomic.Uint64
 }
 
+func (g *quietGateway) PoolLoads() []control.PoolLoad { return nil }
+
 func (g *quietGateway) Configure(s *contract.Snapshot)  { g.revision.Store(uint64(s.Revision)) }
 func (g *quietGateway) Observe([]control.TargetState)   {}
 func (g *quietGateway) Connected(control.Connectivity)  {}
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -13,30 +13,23 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
+	"zinniapin/authority"
 	"zinniapin/contract"
 	"zinniapin/control"
 	"zinniapin/event"
 	"zinniapin/link"
 	"zinniapin/machine"
 	"zinniapin/membership"
+	"zinniapin/planning"
 	"zinniapin/platform"
 	"zinniapin/relay"
 	"zinniapin/result"
 	"zinniapin/store"
 	"zinniapin/target"
 	"zinniapin/targetview"
-	"zinniapin/usage"
 	"zinniapin/zone"
 )
 
-// UsageSink takes the counters that gateways push; usage.Windows is one.
-type UsageSink interface {
-	// Push takes in counters and returns those, up to the figures given, that
-	// the object API holds by now. The error tells why others are not; they are
-	// pushed again.
-	Push(ctx context.Context, counters []usage.Counter) (stored []usage.Counter, err error)
-}
-
 // Config is what a controller needs.
 type Config struct {
 	// Self is this process; Address is where it listens.
@@ -51,8 +44,11 @@
 	Hosts platform.Hosts
 	// Orders reads the reports of targets.
 	Orders target.Orders
-	// Usage takes the counters of gateways; nil acknowledges none.
-	Usage UsageSink
+	// Reports takes usage reports; nil reports none.
+	Reports platform.Usage
+	// TargetOrders takes orders for targets; nil means that this controller
+	// plans nothing.
+	TargetOrders platform.Targets
 	// Seed selects peers and jitter.
 	Seed uint64
 	// Log takes the events.
@@ -65,6 +61,13 @@
 	holder *relay.Holder
 	links  *registry
 	grants *grantor
+	usage  *usageWork
+
+	gatewayLoads *loadTable // of the gateways linked here
+	planLoads    *loadTable // of the pools that this controller plans for
+
+	executor *authority.Executor
+	plan     *planning.Planning // nil when there is nothing to plan
 
 	mu            sync.Mutex
 	members       *membership.Table
@@ -73,6 +76,7 @@
 	sources       map[machine.HostID]bool // whose records are taken; nil means all
 	storeRead     bool                    // the root was read since the start
 	storeUp       bool                    // the last call of the store succeeded
+	reachable     bool                    // the store is, by own or a watcher's word
 	leaving       bool
 	failedTargets map[target.ID]time.Time // when to poll again
 }
@@ -90,6 +94,14 @@
 		targets:       targetview.New(),
 		book:          newAddressBook(c.Seeds, c.Seed^c.Self.Incarnation),
 		failedTargets: map[target.ID]time.Time{},
+		usage:         newUsageWork(),
+		gatewayLoads:  newLoadTable(),
+		planLoads:     newLoadTable(),
+	}
+	proofs := &liveness{controller: k, ended: map[string]bool{}}
+	k.executor = authority.NewExecutor(c.Store, c.Self.ID(), proofs, authority.Options{Log: c.Log})
+	if c.TargetOrders != nil && c.Orders != nil {
+		k.plan = planning.New(planFleet{k}, k.executor, c.Orders, c.TargetOrders, planning.Options{Log: c.Log})
 	}
 	return k
 }
@@ -109,10 +121,17 @@
 	}
 	defer func() { _ = stop() }()
 	defer k.links.closeAll()
+	// Orders end before the listener does: who finds another incarnation at
+	// this address takes it as proof that this one orders nothing any more.
+	defer k.executor.Close()
 	group.Go(func() error { return k.every(ctx, tickInterval, k.tick) })
 	group.Go(func() error { return k.watchConfiguration(ctx) })
 	group.Go(func() error { return k.every(ctx, hostListInterval, k.pollHosts) })
 	group.Go(func() error { return k.every(ctx, pollInterval, k.pollTargets) })
+	group.Go(func() error { return k.every(ctx, usageInterval, k.relayUsage) })
+	group.Go(func() error { return k.every(ctx, closeInterval, k.closeWindows) })
+	group.Go(func() error { return k.every(ctx, loadsInterval, k.spreadLoads) })
+	group.Go(func() error { return k.runPlanning(ctx) })
 	return group.Wait()
 }
 
@@ -141,6 +160,7 @@
 	watches := k.watches(now)
 	k.mu.Lock()
 	reachable := k.storeUp && watches || fresh && !watches
+	k.reachable = reachable
 	k.members.Update(func(m *membership.Member) {
 		m.Revision = max(m.Revision, k.holder.Revision())
 		m.Leaving = k.leaving
@@ -173,6 +193,10 @@
 	case <-time.After(leaveSpread):
 	case <-ctx.Done():
 	}
+	k.leaveUsage(ctx)
+	if err := k.executor.Drain(ctx); err != nil {
+		event.OrdersLeftOpen.Log(k.config.Log).Err(err).Send()
+	}
 }
 
 // Ready returns why the controller is not ready, or nil. It is ready with a
--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -84,7 +84,7 @@
 	self := machine.Process{Host: hostOf(i), Role: machine.Controller, Incarnation: incarnation, Zone: f.zones[i%len(f.zones)], Address: addressOf(i)}
 	k := New(Config{
 		Self: self, Seeds: []string{addressOf(0), addressOf(1), addressOf(2)}, Network: f.fabric.Network(self),
-		Store: f.stores[i], Hosts: f.hosts, Orders: &fakeOrders{}, Usage: fakeSink{}, Seed: 1, Log: testLog(),
+		Store: f.stores[i], Hosts: f.hosts, Orders: &fakeOrders{}, Seed: 1, Log: testLog(),
 	})
 	ctx, stop := context.WithCancel(f.ctx)
 	f.running[i], f.stops[i] = k, stop
--- a/controller/fakes_test.go
+++ b/controller/fakes_test.go
@@ -76,13 +76,6 @@
 	return target.Report{Target: t.ID, Boot: 7, Sequence: f.sequence, Role: target.Mixed, Running: 3, Capacity: 8}, nil
 }
 
-// fakeSink stores every counter at once.
-type fakeSink struct{}
-
-func (fakeSink) Push(_ context.Context, counters []usage.Counter) ([]usage.Counter, error) {
-	return counters, nil
-}
-
 // fakeGateway records what the uplink does to it.
 type fakeGateway struct {
 	mu        sync.Mutex
--- a/controller/serve.go
+++ b/controller/serve.go
@@ -5,13 +5,11 @@
 	"time"
 
 	"zinniapin/contract"
-	"zinniapin/event"
 	"zinniapin/grant"
 	"zinniapin/link"
 	"zinniapin/machine"
 	"zinniapin/membership"
 	"zinniapin/result"
-	"zinniapin/usage"
 	"zinniapin/wire"
 )
 
@@ -32,6 +30,9 @@
 	case *wire.Envelope_UsagePush:
 		reply := k.serveUsage(ctx, from, body.UsagePush)
 		return &wire.Envelope{Body: &wire.Envelope_UsageAck{UsageAck: reply}}, nil
+	case *wire.Envelope_LoadPush:
+		reply := k.serveLoads(from, body.LoadPush)
+		return &wire.Envelope{Body: &wire.Envelope_LoadAck{LoadAck: reply}}, nil
 	case *wire.Envelope_Cordon:
 		return k.relayCordon(ctx, body.Cordon)
 	case *wire.Envelope_StatusRequest:
@@ -44,11 +45,10 @@
 // allowed tells whether a process of a role may make a call.
 func allowed(role machine.Role, q *wire.Envelope) bool {
 	switch q.Body.(type) {
-	case *wire.Envelope_UsagePush:
-		return role == machine.Gateway
 	case *wire.Envelope_Cordon:
 		return role == machine.Controller
-	case *wire.Envelope_Heartbeat, *wire.Envelope_GrantRequest, *wire.Envelope_ConfigRequest:
+	case *wire.Envelope_Heartbeat, *wire.Envelope_GrantRequest, *wire.Envelope_ConfigRequest,
+		*wire.Envelope_UsagePush, *wire.Envelope_LoadPush:
 		return role == machine.Gateway || role == machine.Controller
 	default:
 		return true
@@ -133,28 +133,6 @@
 	return gateways
 }
 
-// serveUsage hands counters to the sink. A gateway may push only its own.
-func (k *Controller) serveUsage(ctx context.Context, from link.Link, q *wire.UsagePush) *wire.UsageAck {
-	if k.config.Usage == nil {
-		return &wire.UsageAck{}
-	}
-	counters := make([]usage.Counter, 0, len(q.Counters))
-	for _, c := range q.Counters {
-		if c.Gateway == from.Peer().ID() {
-			counters = append(counters, c.ToCounter())
-		}
-	}
-	ack := &wire.UsageAck{}
-	stored, err := k.config.Usage.Push(ctx, counters)
-	if err != nil {
-		event.UsageNotStored.Log(k.config.Log).Str("gateway", from.Peer().ID()).Int("counters", len(counters)-len(stored)).Err(err).Send()
-	}
-	for _, c := range stored {
-		ack.Stored = append(ack.Stored, wire.FromCounter(c))
-	}
-	return ack
-}
-
 // fleet returns what is known of the gateways.
 func (k *Controller) fleet(now time.Time) grant.Fleet {
 	k.mu.Lock()
--- a/controller/status.go
+++ b/controller/status.go
@@ -21,6 +21,8 @@
 	TopicConfig  = "config"
 	TopicGrants  = "grants"
 	TopicLinks   = "links"
+	// TopicPlans is what this controller planned; others may own other pools.
+	TopicPlans = "plans"
 	// TopicExplain asks a gateway about a request; the argument is the id of
 	// the gateway's process, a space, and the id of the request.
 	TopicExplain = "explain"
@@ -110,6 +112,8 @@
 		return k.grants.status(time.Now()), nil
 	case TopicLinks:
 		return k.linkStatus(), nil
+	case TopicPlans:
+		return k.planStatus(), nil
 	default:
 		return nil, result.New(result.NoSuchTopic, "no topic %q", topic)
 	}
--- a/event/controller.go
+++ b/event/controller.go
@@ -13,6 +13,8 @@
 	CordonSpread          = define(3030, "cordon_spread", zerolog.InfoLevel, "A cordon or its lift was sent to the gateways; the line names those that did not answer.", "none")
 	TargetPollFailed      = define(3040, "target_poll_failed", zerolog.DebugLevel, "A target did not answer with its report.", "none")
 	HostListFailed        = define(3041, "host_list_failed", zerolog.WarnLevel, "The list of hosts could not be read.", "See docs/OPERATIONS.md, platform outage.")
+	OrdersLeftOpen        = define(3070, "orders_left_open", zerolog.WarnLevel, "A controller ended with orders whose outcome is open; they stay in the record of open orders.", "None, unless an order stays open: see docs/OPERATIONS.md, stuck open order.")
+	UsageNotReported      = define(3061, "usage_not_reported", zerolog.WarnLevel, "A usage window could not be frozen or reported yet; it is tried again.", "See docs/OPERATIONS.md, platform outage.")
 	UsageNotStored        = define(3060, "usage_not_stored", zerolog.WarnLevel, "Counters that a gateway pushed are not in the object API yet; it pushes them again.", "See docs/OPERATIONS.md, platform outage.")
 	UplinkControllersGone = define(3050, "uplink_no_controller", zerolog.WarnLevel, "A gateway reaches no controller and serves on with its safe shares.", "Check the controllers.")
 )
--- a/uplink/push.go
+++ b/uplink/push.go
@@ -121,3 +121,20 @@
 	u.self.Leaving = true
 	u.changed = true
 }
+
+// pushLoads tells a controller what the gateway saw of each pool. Loads are of
+// the moment: one that is lost is not told again.
+func (u *Uplink) pushLoads(ctx context.Context, g control.Gateway) {
+	loads := g.PoolLoads()
+	upstreams := u.upstreams()
+	if len(loads) == 0 || len(upstreams) == 0 {
+		return
+	}
+	push := &wire.LoadPush{}
+	for _, l := range loads {
+		push.Loads = append(push.Loads, wire.FromPoolLoad(l))
+	}
+	timed, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	_, _ = upstreams[0].link.Call(timed, &wire.Envelope{Body: &wire.Envelope_LoadPush{LoadPush: push}})
+}
--- a/uplink/uplink.go
+++ b/uplink/uplink.go
@@ -114,6 +114,7 @@
 	}
 	group.Go(func() error { return u.every(ctx, func() { u.askGrants(ctx, g) }) })
 	group.Go(func() error { return u.every(ctx, func() { u.pushUsage(ctx, g) }) })
+	group.Go(func() error { return u.every(ctx, func() { u.pushLoads(ctx, g) }) })
 	group.Go(func() error { return u.every(ctx, func() { u.tellConnected(g) }) })
 	return group.Wait()
 }
--- a/usage/relay.go
+++ b/usage/relay.go
@@ -48,8 +48,10 @@
 
 // covers tells whether an amount is known to be stored. The lock is held.
 func (r *Relay) covers(id counterID, a Amount) bool {
-	known := r.stored[id].Max(r.former[id])
-	return known != Amount{} && known.Max(a) == known
+	lately, now := r.stored[id]
+	before, then := r.former[id]
+	known := lately.Max(before)
+	return (now || then) && known.Max(a) == known
 }
 
 // Pending returns the counters that are not stored yet, by shard.
--- a/wire/convert.go
+++ b/wire/convert.go
@@ -68,3 +68,31 @@
 		Expires:           sent.Add(time.Duration(x.TermMs) * time.Millisecond),
 	}
 }
+
+// FromPoolLoad returns the message of a pool's load.
+func FromPoolLoad(l control.PoolLoad) *PoolLoad {
+	return &PoolLoad{
+		Pool:         l.Pool,
+		Model:        l.Model,
+		Requests:     float32(l.Requests),
+		PromptTokens: float32(l.PromptTokens),
+		OutputTokens: float32(l.OutputTokens),
+		Wait:         float32(l.Wait),
+		Refused:      float32(l.Refused),
+		Stable:       float32(l.Stable),
+	}
+}
+
+// ToPoolLoad returns the pool's load of a message.
+func (x *PoolLoad) ToPoolLoad() control.PoolLoad {
+	return control.PoolLoad{
+		Pool:         x.Pool,
+		Model:        x.Model,
+		Requests:     float64(x.Requests),
+		PromptTokens: float64(x.PromptTokens),
+		OutputTokens: float64(x.OutputTokens),
+		Wait:         float64(x.Wait),
+		Refused:      float64(x.Refused),
+		Stable:       float64(x.Stable),
+	}
+}
