Read the fake's findings under its lock

Cause: go test -race ./authority reported a data race in the test itself: the findings were read while a timer of the fake could write them.

--- a/authority/executor_test.go
+++ b/authority/executor_test.go
@@ -212,6 +212,8 @@
 		r := newReceiver(seed, fenced)
 		runAuthors(seed, api, lies, r, give(r))
 		time.Sleep(defaultSettle)
+		r.mu.Lock()
+		defer r.mu.Unlock()
 		conflict, received = r.conflict, r.received
 	})
 	return conflict, received
