--- a/Makefile
+++ b/Makefile
@@ -5,13 +5,21 @@
 GOBIN := $(shell go env GOPATH)/bin
 export PATH := $(GOBIN):$(PATH)
 
-.PHONY: all build test lint format-check docs generate tools
+.PHONY: all build demo up test lint format-check docs generate tools bench
 
 all: build
 
 build:
 	go build -o bin/ ./cmd/...
 
+# Runs an example deployment, shows what it does and stops it.
+demo: build
+	go run ./internal/demo
+
+# Runs an example deployment until interrupted.
+up: build
+	go run ./internal/demo --up
+
 test:
 	go test ./...
 
@@ -34,3 +42,7 @@
 tools:
 	@golangci-lint version 2>/dev/null | grep -q "version $(GOLANGCI_VERSION:v%=%)" || \
 	go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_VERSION)
+
+# Compares the policies with simpler ones in virtual time.
+bench:
+	go run ./cmd/zinnia-bench
--- /dev/null
+++ b/internal/policybench/gateway.go
@@ -0,0 +1,184 @@
+package policybench
+
+import (
+	"time"
+
+	"zinniapin/admission"
+	"zinniapin/contract"
+	"zinniapin/invariant"
+	"zinniapin/routing"
+	"zinniapin/target"
+)
+
+// Constants of the gateways, the same for every policy.
+const (
+	// patience is how long a request queues at a gateway before it is refused
+	// unrun.
+	patience = 900 * time.Millisecond
+	// lateFirst is the time from sending to the first token above which the
+	// window shrinks.
+	lateFirst = 900 * time.Millisecond
+	// queueLength bounds the queue of a gateway, requests.
+	queueLength = 512
+	// unlimited stands for limits that the traces do not reach.
+	unlimited = 1e9
+	// maxAttempts bounds how often a request is sent.
+	maxAttempts = 4
+)
+
+// gateway admits requests by the project's admission core. Its capacity
+// follows the window: the requests that stream, and those that the window
+// lets start.
+type gateway struct {
+	picker    picker
+	admission *admission.Core
+	contracts []*contract.Contract // by organisation
+	window    *routing.Window
+	queue     []*request // waiting, by age
+	byTicket  map[*admission.Ticket]*request
+	calls     []*request
+	running   int // tickets dispatched
+
+	waited  float64 // seconds, since the last look
+	sent    int
+	refused int
+}
+
+// newGateway returns a gateway for a deployment.
+func newGateway(p picker, d *deployment) *gateway {
+	g := &gateway{
+		picker: p, admission: admission.New(queueLength), window: routing.NewWindow(lateFirst),
+		byTicket: map[*admission.Ticket]*request{},
+	}
+	g.admission.SetCapacity(d.pool.Name, 1)
+	for _, o := range d.orgs {
+		g.contracts = append(g.contracts, &contract.Contract{
+			Organisation: o.name,
+			Limits:       contract.Limits{RequestsPerSecond: unlimited, Concurrency: unlimited},
+		})
+	}
+	return g
+}
+
+// arrive admits a request, or refuses it at once.
+func (g *gateway) arrive(now int64, w *world, r *request) {
+	if r.service {
+		g.calls = append(g.calls, r)
+		return
+	}
+	k := g.contracts[r.org]
+	g.admission.SetCapacity(w.d.pool.Name, max(g.running+1, w.capacity()))
+	ticket, err := g.admission.Arrive(at(now), admission.Request{
+		Organisation: k.Organisation, Contract: k, Pool: w.d.pool.Name,
+		Cost: float64(r.prompt)*decodeRate/prefillRate + float64(r.output), PromptTokens: r.prompt,
+		Deadline: at(r.at).Add(patience),
+	})
+	if err != nil {
+		g.refuse(now, w, r)
+		return
+	}
+	r.ticket = ticket
+	g.byTicket[ticket] = r
+	g.queue = append(g.queue, r)
+}
+
+// capacity is a gateway's share of the batches in which tokens come in time.
+func (w *world) capacity() int {
+	total := 0.0
+	for _, e := range w.engines {
+		if !e.dead && e.noticedAt == 0 && e.target.Kind == target.Engine && e.role != target.Prefill && e.changingTo == "" {
+			total += decodeRate * tokenInterval
+		}
+	}
+	return routing.StreamShare(total, len(w.gateways))
+}
+
+// refuse refuses a request unrun.
+func (g *gateway) refuse(now int64, w *world, r *request) {
+	w.refuse(now, r)
+	g.refused++
+}
+
+// dispatch sends what the window allows and refuses what waited too long.
+func (g *gateway) dispatch(now int64, w *world) {
+	for _, r := range g.calls {
+		if !w.send(now, g, r) {
+			w.refuse(now, r)
+		}
+	}
+	g.calls = g.calls[:0]
+	g.expire(now, w)
+	for g.window.Open() && len(g.byTicket) > 0 && g.running < w.capacity() {
+		g.admission.SetCapacity(w.d.pool.Name, g.running+1)
+		tickets := g.admission.Dispatch(at(now), w.d.pool.Name)
+		if len(tickets) == 0 {
+			return
+		}
+		for _, t := range tickets {
+			g.start(now, w, g.byTicket[t])
+		}
+	}
+}
+
+// start sends a dispatched request.
+func (g *gateway) start(now int64, w *world, r *request) {
+	delete(g.byTicket, r.ticket)
+	g.running++
+	if !w.send(now, g, r) {
+		g.leave(now, r)
+		if r.attempts == 0 {
+			g.refuse(now, w, r)
+		} else {
+			w.abandon(now, r)
+		}
+		return
+	}
+	g.window.Sent(r.prompt)
+	g.waited += float64(now-r.at) / float64(time.Second)
+	g.sent++
+}
+
+// leave gives a dispatched ticket back.
+func (g *gateway) leave(now int64, r *request) {
+	if r.ticket == nil {
+		return
+	}
+	g.admission.Leave(at(now), r.ticket, r.output)
+	r.ticket = nil
+	g.running--
+	invariant.Check(g.running >= 0, "bench_running", "%d", g.running)
+}
+
+// expire refuses what waited too long.
+func (g *gateway) expire(now int64, w *world) {
+	for len(g.queue) > 0 {
+		r := g.queue[0]
+		if _, waits := g.byTicket[r.ticket]; r.ticket != nil && waits {
+			if now-r.at <= int64(patience) {
+				return
+			}
+			delete(g.byTicket, r.ticket)
+			g.admission.Leave(at(now), r.ticket, 0)
+			r.ticket = nil
+			g.refuse(now, w, r)
+		}
+		g.queue = g.queue[1:]
+	}
+}
+
+// request fills in what routing needs to know.
+func (d *deployment) request(r *request) routing.Request {
+	q := routing.Request{
+		Pool: d.pool.Name, Model: modelsOf[0], Affinity: r.affinity,
+		PromptTokens: r.prompt, OutputTokens: r.output, StableOnly: r.stable,
+	}
+	if r.service {
+		q.Pool, q.Model, q.Affinity = d.service, "", 0
+	}
+	return q
+}
+
+// cheapTarget tells whether a target may be reclaimed.
+func cheapTarget(e *engine) bool {
+	return e != nil && e.target.Class == target.Reclaimable
+}
