--- a/usage/usage_test.go
+++ b/usage/usage_test.go
@@ -14,6 +14,7 @@
 	"pgregory.net/rapid"
 
 	"zinniapin/authority"
+	_ "zinniapin/internal/fixedseed"
 	"zinniapin/internal/standin/objects"
 	"zinniapin/platform"
 	"zinniapin/store"
