Reserve a loopback network for each end-to-end test

Cause: two runs of the tests on one machine met on the same addresses and all tests failed with address_in_use. Ruled out: ports drawn at random in the settings, since links between processes need them in advance. Change: a test takes the first network whose reservation it can hold.

--- a/e2e/failure_test.go
+++ b/e2e/failure_test.go
@@ -91,7 +91,7 @@
 // goes on through another and gets each token once.
 func TestKilledGatewayStreamResumes(t *testing.T) {
 	t.Parallel()
-	r := start(t, "127.81.3.", 2)
+	r := start(t, 2)
 	key := r.key("programme-drafts")
 	whole := &stream{}
 	r.is.NoErr(whole.read(r.ctx, r.url(1), key, 400, nil))
@@ -110,7 +110,7 @@
 // TestShutdownCutsNothing stops a gateway gracefully while streams run.
 func TestShutdownCutsNothing(t *testing.T) {
 	t.Parallel()
-	r := start(t, "127.81.4.", 2)
+	r := start(t, 2)
 	key := r.key("programme-drafts")
 	const callers = 20
 	streams := make([]stream, callers)
@@ -142,7 +142,7 @@
 // other gateway.
 func TestDepositRunsOnceAcrossGatewayDeath(t *testing.T) {
 	t.Parallel()
-	r := start(t, "127.81.5.", 2)
+	r := start(t, 2)
 	key := r.key("parents-portal")
 	for _, s := range r.standins.Services() {
 		s.SetFaults(service.Faults{DelayMillis: 1500})
@@ -177,7 +177,7 @@
 // non-repeatable work unrun.
 func TestPlatformOutage(t *testing.T) {
 	t.Parallel()
-	r := start(t, "127.81.6.", 2)
+	r := start(t, 2)
 	key := r.key("parents-portal")
 	r.standins.Platform.SetFaults(platform.Faults{Outage: true})
 	for host := range r.Hosts {
@@ -202,7 +202,7 @@
 // there too.
 func TestFrozenControllerIsHarmless(t *testing.T) {
 	t.Parallel()
-	r := start(t, "127.81.7.", 3)
+	r := start(t, 3)
 	key := r.key("parents-portal")
 	frozen := r.Process("host-1-controller")
 	r.is.NoErr(frozen.Signal(syscall.SIGSTOP))
--- a/e2e/path_test.go
+++ b/e2e/path_test.go
@@ -12,7 +12,7 @@
 // for the usage reports.
 func TestWholePath(t *testing.T) {
 	t.Parallel()
-	r := start(t, "127.81.1.", 3)
+	r := start(t, 3)
 	drafts := r.key("programme-drafts")
 	portal := r.key("parents-portal")
 
@@ -108,7 +108,7 @@
 // TestWithdrawnKeyStopsEverywhere withdraws a key from a connected caller.
 func TestWithdrawnKeyStopsEverywhere(t *testing.T) {
 	t.Parallel()
-	r := start(t, "127.81.2.", 3)
+	r := start(t, 3)
 	key := r.key("parents-portal")
 	for host := range r.Hosts {
 		r.is.Equal(r.chat(host, key, "triage", 4, false).Status, http.StatusOK)
--- a/e2e/rig_test.go
+++ b/e2e/rig_test.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -57,9 +58,28 @@
 	is       *is.I
 }
 
+// reserve returns a loopback network that no other test on this machine uses.
+// A listener held until the end of the test is the reservation.
+func reserve(t *testing.T) string {
+	t.Helper()
+	for second := 90; second < 120; second++ {
+		for third := 1; third < 250; third++ {
+			network := fmt.Sprintf("127.%d.%d.", second, third)
+			held, err := net.Listen("tcp", network+"250:9090")
+			if err == nil {
+				t.Cleanup(func() { _ = held.Close() })
+				return network
+			}
+		}
+	}
+	t.Fatal("no loopback network is free")
+	return ""
+}
+
 // start runs the Kalniņš example on a network of its own.
-func start(t *testing.T, network string, hosts int) *rig {
+func start(t *testing.T, hosts int) *rig {
 	t.Helper()
+	network := reserve(t)
 	ctx, cancel := context.WithTimeout(context.Background(), 3*limit)
 	t.Cleanup(cancel)
 	r := &rig{ctx: ctx, is: is.New(t)}
