--- a/internal/policybench/trace.go
+++ b/internal/policybench/trace.go
@@ -71,7 +71,7 @@
 			pool: contract.Pool{
 				Name: "assistant", Disaggregated: true, MaxOnDemand: 2, MaxReclaimable: 6,
 			},
-			reserved: 8, cheap: 4, prefill: 4, services: 4, service: "desk",
+			reserved: 8, cheap: 4, prefill: 5, services: 4, service: "desk",
 			orgs: organisations("family", 8), load: 7.4, calls: 25,
 		},
 		{
@@ -80,7 +80,7 @@
 			pool: contract.Pool{
 				Name: "reports", Disaggregated: true, MaxOnDemand: 2, MaxReclaimable: 4,
 			},
-			reserved: 6, cheap: 3, prefill: 3, services: 3, service: "registry",
+			reserved: 6, cheap: 3, prefill: 4, services: 3, service: "registry",
 			orgs: organisations("desk", 8), load: 5.5, calls: 20,
 		},
 	}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -70,7 +70,7 @@
 		ModelLoad:       30 * time.Second,
 		Drain:           6 * time.Second,
 		MixedEfficiency: 0.30,
-		Comfort:         0.75,
+		Comfort:         0.85,
 		GainOverLoss:    1.5,
 		DemandSpan:      3 * time.Second,
 		Confirm:         2 * time.Second,
