--- a/cmd/zinnia-controller/main.go
+++ b/cmd/zinnia-controller/main.go
@@ -22,6 +22,7 @@
 	"zinniapin/platform/httpapi"
 	"zinniapin/result"
 	"zinniapin/settings"
+	"zinniapin/store/budget"
 	"zinniapin/store/httpstore"
 	"zinniapin/target/httpengine"
 	"zinniapin/zone"
@@ -60,6 +61,12 @@
 	return serve(s, config)
 }
 
+// Share of one controller in the calls of the object API.
+const (
+	storeRate  = 20  // calls a second
+	storeBurst = 300 // calls at once, enough for the parts of a configuration
+)
+
 // configure builds the controller's configuration.
 func configure(s *settings.Controller) (controller.Config, error) {
 	log := daemon.NewLogger(os.Stderr, s.Log.Level, "zinnia-controller", s.Host)
@@ -74,16 +81,20 @@
 		Zone:        zone.Zone{Name: s.Zone, Region: s.Region},
 		Address:     s.Links,
 	}
+	seed := rand.Uint64()
 	timeout := time.Duration(s.Platform.TimeoutMillis) * time.Millisecond
+	objects := budget.New(httpstore.New(s.Platform.Objects, timeout), budget.Options{Rate: storeRate, Burst: storeBurst, Seed: seed})
 	return controller.Config{
-		Self:    self,
-		Seeds:   s.Seeds,
-		Network: &yamuxlink.Network{Self: self, TLS: secured, Log: &log},
-		Store:   httpstore.New(s.Platform.Objects, timeout),
-		Hosts:   httpapi.NewHosts(s.Platform.Hosts, timeout),
-		Orders:  httpengine.New(httpengine.Options{}),
-		Seed:    rand.Uint64(),
-		Log:     &log,
+		Self:         self,
+		Seeds:        s.Seeds,
+		Network:      &yamuxlink.Network{Self: self, TLS: secured, Log: &log},
+		Store:        objects,
+		Hosts:        httpapi.NewHosts(s.Platform.Hosts, timeout),
+		Orders:       httpengine.New(httpengine.Options{}),
+		Reports:      httpapi.NewUsage(s.Platform.Usage, timeout),
+		TargetOrders: httpapi.NewTargets(s.Platform.Targets, timeout),
+		Seed:         seed,
+		Log:          &log,
 	}, nil
 }
 
@@ -110,7 +121,7 @@
 }
 
 // leave waits for the first signal, lets the mesh take over this controller's
-// work and ends it.
+// work, lets it hand over what waits and ends it.
 func leave(graceful, immediate context.Context, limit time.Duration, k *controller.Controller, log *zerolog.Logger, stop func()) {
 	<-graceful.Done()
 	event.ProcessStopping.Log(log).Send()
--- a/uplink/push.go
+++ b/uplink/push.go
@@ -17,6 +17,8 @@
 	maxDemands = 4096
 	// maxCounters bounds the counters of one push; the next push carries more.
 	maxCounters = 4096
+	// pushTimeout bounds a push, which waits for the next commit of the store.
+	pushTimeout = 6 * time.Second
 	// flushPause is the wait between two pushes of a flush.
 	flushPause = 200 * time.Millisecond
 )
@@ -28,7 +30,7 @@
 	if len(demands) == 0 {
 		return
 	}
-	request := &wire.GrantRequest{Gateway: u.config.Self.ID()}
+	request := &wire.GrantRequest{Gateway: u.config.Self.ID(), Gateways: u.gateways()}
 	for _, d := range demands[:min(len(demands), maxDemands)] {
 		request.Demands = append(request.Demands, wire.FromDemand(d))
 	}
@@ -44,6 +46,13 @@
 	}
 }
 
+// gateways returns the number of gateways that this one remembers.
+func (u *Uplink) gateways() uint32 {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return uint32(u.fleet.gateways)
+}
+
 // tellGrants hands grants to the gateway. A grant counts from the moment at
 // which it was asked for.
 func tellGrants(g control.Gateway, sent time.Time, reply *wire.GrantReply) {
@@ -75,7 +84,7 @@
 
 // pushTo hands counters to one controller and takes its acknowledgement.
 func pushTo(ctx context.Context, g control.Gateway, up *upstream, push *wire.UsagePush) {
-	timed, cancel := context.WithTimeout(ctx, callTimeout)
+	timed, cancel := context.WithTimeout(ctx, pushTimeout)
 	defer cancel()
 	reply, err := up.link.Call(timed, &wire.Envelope{Body: &wire.Envelope_UsagePush{UsagePush: push}})
 	if err != nil || reply.GetUsageAck() == nil {
@@ -112,3 +121,20 @@
 	u.self.Leaving = true
 	u.changed = true
 }
+
+// pushLoads tells a controller what the gateway saw of each pool. Loads are of
+// the moment: one that is lost is not told again.
+func (u *Uplink) pushLoads(ctx context.Context, g control.Gateway) {
+	loads := g.PoolLoads()
+	upstreams := u.upstreams()
+	if len(loads) == 0 || len(upstreams) == 0 {
+		return
+	}
+	push := &wire.LoadPush{}
+	for _, l := range loads {
+		push.Loads = append(push.Loads, wire.FromPoolLoad(l))
+	}
+	timed, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	_, _ = upstreams[0].link.Call(timed, &wire.Envelope{Body: &wire.Envelope_LoadPush{LoadPush: push}})
+}
--- a/uplink/uplink.go
+++ b/uplink/uplink.go
@@ -37,6 +37,9 @@
 	// maxMissed is the number of heartbeats without answer after which a link
 	// is given up.
 	maxMissed = 3
+	// countMemory is how long the highest count of gateways is kept; as long as
+	// controllers remember silent processes.
+	countMemory = 15 * time.Minute
 	// linkCount is the number of controllers that a gateway is linked to.
 	linkCount = 2
 )
@@ -77,6 +80,7 @@
 // fleet is what the last heartbeat said of the fleet.
 type fleet struct {
 	gateways  int
+	counted   time.Time // when a controller last named that many gateways
 	processes int
 	storeDown bool
 }
@@ -85,6 +89,7 @@
 type upstream struct {
 	link    link.Link
 	targets uint64 // version of the controller's view seen so far
+	beats   uint64 // heartbeats so far
 	told    bool   // the controller named others
 }
 
@@ -109,6 +114,7 @@
 	}
 	group.Go(func() error { return u.every(ctx, func() { u.askGrants(ctx, g) }) })
 	group.Go(func() error { return u.every(ctx, func() { u.pushUsage(ctx, g) }) })
+	group.Go(func() error { return u.every(ctx, func() { u.pushLoads(ctx, g) }) })
 	group.Go(func() error { return u.every(ctx, func() { u.tellConnected(g) }) })
 	return group.Wait()
 }
