Read the records of all units, closed ones too

Cause: after a release the record has no open order, so a list of open orders cannot show who released the last one. Change: authority.Units returns every record; Executor.List is built on it. Run: go test ./authority/ -run 'List|Release|Operat' passes.

--- a/authority/operate.go
+++ b/authority/operate.go
@@ -13,26 +13,43 @@
 	"zinniapin/store"
 )
 
-// List returns the open orders of all units.
-func (x *Executor) List(ctx context.Context) ([]OpenOrder, error) {
-	objects, err := x.objects.List(ctx, store.PurposeStatus, Prefix)
+// Unit is the record of one unit as the object API holds it.
+type Unit struct {
+	Name   string // key of the record below Prefix
+	Record Record
+}
+
+// Units reads the records of all units, in order of name. Errors are those of
+// package store.
+func Units(ctx context.Context, objects store.Store) ([]Unit, error) {
+	found, err := objects.List(ctx, store.PurposeStatus, Prefix)
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	var open []OpenOrder
-	for _, object := range objects {
+	units := make([]Unit, 0, len(found))
+	for _, object := range found {
 		record, err := decodeRecord(object.Value)
 		if err != nil {
 			return nil, trace.Wrap(err)
 		}
-		if record.Open.ID == "" {
+		units = append(units, Unit{strings.TrimPrefix(object.Key, Prefix), record})
+	}
+	return units, nil
+}
+
+// List returns the open orders of all units.
+func (x *Executor) List(ctx context.Context) ([]OpenOrder, error) {
+	units, err := Units(ctx, x.objects)
+	if err != nil {
+		return nil, err
+	}
+	var open []OpenOrder
+	for _, u := range units {
+		if u.Record.Open.ID == "" {
 			continue
 		}
-		open = append(open, OpenOrder{
-			Unit:   strings.TrimPrefix(object.Key, Prefix),
-			Order:  record.Open,
-			Opened: time.UnixMilli(record.Open.OpenedMillis).UTC(),
-		})
+		opened := time.UnixMilli(u.Record.Open.OpenedMillis).UTC()
+		open = append(open, OpenOrder{Unit: u.Name, Order: u.Record.Open, Opened: opened})
 	}
 	return open, nil
 }
