--- a/cmd/zinnia-controller/main.go
+++ b/cmd/zinnia-controller/main.go
@@ -54,9 +54,13 @@
 		return err
 	}
 	config, err := configure(s)
-	if err != nil || o.Check {
+	if err != nil {
 		return err
 	}
+	if o.Check {
+		fmt.Println(settings.Valid)
+		return nil
+	}
 	return serve(s, config)
 }
 
--- a/cmd/zinnia-gateway/main.go
+++ b/cmd/zinnia-gateway/main.go
@@ -42,7 +42,7 @@
 		return err
 	}
 	if line.Check {
-		fmt.Println("settings are valid")
+		fmt.Println(settings.Valid)
 		return nil
 	}
 	return serve(context.Background(), s)
--- a/cmd/zinnia-standin/main.go
+++ b/cmd/zinnia-standin/main.go
@@ -45,7 +45,7 @@
 		return err
 	}
 	if o.Check {
-		fmt.Println("settings are valid")
+		fmt.Println(settings.Valid)
 		return nil
 	}
 	log := daemon.NewLogger(os.Stderr, s.Log.Level, "zinnia-standin", "")
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -15,6 +15,9 @@
 	"zinniapin/zone"
 )
 
+// Valid is what every daemon prints when --check finds no mistake.
+const Valid = "settings are valid"
+
 // Common are the settings of every daemon.
 type Common struct {
 	// Host is the id of the host; a replaced host gets a new one.
