Finish zinniactl: release, orders, windows, plans, and lost races

Cause: release answered "not built yet"; open orders, usage windows and plans could not be seen; a change that lost a race was refused even when the other change touched another contract, and two withdrawals in a row could make the second operator try by hand. Ruled out: redoing a whole-contract change over another change of the same contract (it would undo the other's decision); redoing config apply (it names everything). Change: a change is made anew on the newest revision while its contract is as the operator saw it; changes of keys and drains always merge; otherwise the refusal names the winners and the fields. config apply refuses files that drop keys or restore withdrawn ones, as contract apply does. The store column of gateways shows -, since they report none; explain names the header that the gateway sends.

--- a/operator/change.go
+++ b/operator/change.go
@@ -63,9 +63,9 @@
 	return rand.Text()
 }
 
-// accept proposes a change, prints the revision and waits if asked to.
-func (a *app) accept(ctx context.Context, b *Backend, p configuration.Proposal, w waitOptions) error {
-	done, err := a.propose(ctx, b, p, w)
+// accept makes a change, prints the revision and waits if asked to.
+func (a *app) accept(ctx context.Context, b *Backend, base baseOption, w waitOptions, may guard, build edit) error {
+	done, err := a.change(ctx, b, base, w, may, build)
 	if err != nil {
 		return err
 	}
--- a/operator/command.go
+++ b/operator/command.go
@@ -18,10 +18,21 @@
 	"zinniapin/store"
 )
 
-// StatusReader asks a controller for a status document.
+// StatusReader asks controllers for status documents, in JSON; package
+// controller names the topics.
 type StatusReader interface {
-	// Status returns the JSON document on a topic; see package status.
+	// Status returns the document of the first controller that answers.
 	Status(ctx context.Context, topic, argument string) ([]byte, error)
+	// StatusOfAll asks every controller of the settings at once and returns
+	// their replies in the order of the settings.
+	StatusOfAll(ctx context.Context, topic, argument string) []Reply
+}
+
+// Reply is what one controller answered.
+type Reply struct {
+	Controller string // address of its links, IP:port
+	JSON       []byte
+	Err        error // a numbered result, or nil
 }
 
 // Backend is what commands act on.
@@ -43,6 +54,7 @@
 // app is the state that all commands share.
 type app struct {
 	out     io.Writer
+	errOut  io.Writer // takes log lines of what the command itself decides
 	connect Connect
 	now     func() time.Time
 	options *options
@@ -56,10 +68,10 @@
 	Contract contractCommands `command:"contract" description:"Show and change contracts"`
 	Key      keyCommands      `command:"key" description:"Issue, withdraw and list keys"`
 	Config   configCommands   `command:"config" description:"Check, apply and follow configurations"`
-	Status   statusCommand    `command:"status" description:"Show hosts, targets, orders and more" long-description:"Topics: members, targets, config, grants, links, orders, windows.\nExample: zinniactl status targets"`
-	Release  releaseCommand   `command:"release" description:"Give up another author's stuck open order" long-description:"Only after you have made sure that the order's author is gone for good. The release is logged.\nExample: zinniactl release engine-3 --yes"`
+	Status   statusCommand    `command:"status" description:"Show hosts, targets, orders and more" long-description:"members, targets, config, grants and links are as one controller sees them; orders and windows are read from the object API; plans asks every controller.\nExample: zinniactl status targets"`
+	Release  releaseCommand   `command:"release" description:"Give up another author's stuck open order" long-description:"Without --yes it shows the open order and changes nothing. Give --yes only after you have made sure that the order's author is gone for good. The release is logged, and status orders shows who did it.\nTARGET is an engine, or a unit as status orders lists it.\nExamples: zinniactl release engine-3\n  zinniactl release platform/assistant/riga-a --yes"`
 	Drain    drainCommand     `command:"drain" description:"Send no new work to a target, or end that with --lift" long-description:"Example: zinniactl drain engine-3"`
-	Explain  explainCommand   `command:"explain" description:"Show why a request went where it went" long-description:"Example: zinniactl explain host-1-18f2-42"`
+	Explain  explainCommand   `command:"explain" description:"Show why a request went where it went" long-description:"Example: zinniactl explain 1f0c9a6b2d7e4c55"`
 }
 
 // bind gives the shared state to every command.
@@ -76,18 +88,18 @@
 // Main runs a command line and returns the exit code.
 func Main(args []string, out, errOut io.Writer, connect Connect) int {
 	o := &options{Settings: defaultSettingsFile}
-	o.bind(&app{out: out, connect: connect, now: time.Now, options: o})
+	o.bind(&app{out: out, errOut: errOut, connect: connect, now: time.Now, options: o})
 	parser := flags.NewNamedParser("zinniactl", flags.HelpFlag|flags.PassDoubleDash)
 	if _, err := parser.AddGroup("Options", "", o); err != nil {
 		fmt.Fprintln(errOut, "error:", err)
 		return result.Internal.Definition().Exit
 	}
 	_, err := parser.ParseArgs(args)
-	return report(err, out, errOut)
+	return report(err, out, errOut, o.JSON)
 }
 
 // report prints how a command ended and returns its exit code.
-func report(err error, out, errOut io.Writer) int {
+func report(err error, out, errOut io.Writer, asJSON bool) int {
 	var flagError *flags.Error
 	switch {
 	case err == nil:
@@ -98,7 +110,11 @@
 	case errors.As(err, &flagError):
 		err = result.New(result.BadUsage, "%s", flagError.Message)
 	}
-	fmt.Fprintln(errOut, "error:", err)
+	if asJSON {
+		printFailure(err, errOut)
+	} else {
+		fmt.Fprintln(errOut, "error:", err)
+	}
 	return result.CodeOf(err).Definition().Exit
 }
 
--- a/operator/config.go
+++ b/operator/config.go
@@ -16,7 +16,7 @@
 // configCommands are the commands on the whole configuration.
 type configCommands struct {
 	Check   configCheck   `command:"check" description:"Check a file and name every mistake; nothing is changed" long-description:"Example: zinniactl config check deployment.json"`
-	Apply   configApply   `command:"apply" description:"Make a file the accepted configuration" long-description:"Contracts that the file lacks stay unless --prune is given.\nExample: zinniactl config apply deployment.json --wait"`
+	Apply   configApply   `command:"apply" description:"Make a file the accepted configuration" long-description:"Contracts that the file lacks stay unless --prune is given. Keys that the file lacks are refused unless --keys-from-file is given; config show prints a file with all keys.\nExample: zinniactl config apply deployment.json --wait"`
 	Show    configShow    `command:"show" description:"Print the accepted configuration as a file"`
 	History configHistory `command:"history" description:"List the latest accepted changes"`
 	Wait    configWait    `command:"wait" description:"Wait until a revision is in force on every live host" long-description:"Example: zinniactl config wait 42"`
@@ -91,8 +91,9 @@
 	app *app
 	waitOptions
 	baseOption
-	Prune bool         `long:"prune" description:"end contracts that the file lacks"`
-	Args  fileArgument `positional-args:"yes"`
+	Prune        bool         `long:"prune" description:"end contracts that the file lacks"`
+	KeysFromFile bool         `long:"keys-from-file" description:"let the file drop keys and restore withdrawn ones"`
+	Args         fileArgument `positional-args:"yes"`
 }
 
 // Execute implements flags.Commander.
@@ -102,19 +103,31 @@
 		if err != nil {
 			return err
 		}
-		s, err := snapshot(ctx, b)
-		if err != nil {
-			return err
+		replace := func(s *contract.Snapshot) (configuration.Proposal, error) {
+			p := configuration.Proposal{Fleet: &d.Fleet, Contracts: d.Contracts}
+			if c.Prune {
+				p.Remove = lacking(s, d)
+			}
+			p.Summary = fmt.Sprintf("apply a configuration of %d contracts", len(d.Contracts))
+			return p, c.checkKeys(s, d)
 		}
-		p := configuration.Proposal{Base: c.revision(s), Fleet: &d.Fleet, Contracts: d.Contracts}
-		if c.Prune {
-			p.Remove = lacking(s, d)
-		}
-		p.Summary = fmt.Sprintf("apply a configuration of %d contracts", len(d.Contracts))
-		return c.app.accept(ctx, b, p, c.waitOptions)
+		return c.app.accept(ctx, b, c.baseOption, c.waitOptions, nothingChanged, replace)
 	})
 }
 
+// checkKeys refuses a file that would drop keys or restore withdrawn ones.
+func (c *configApply) checkKeys(s *contract.Snapshot, d *Document) error {
+	if c.KeysFromFile {
+		return nil
+	}
+	for _, wanted := range d.Contracts {
+		if err := checkKeys(s.Contracts[wanted.Organisation], wanted); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // lacking returns the organisations of accepted contracts that a file lacks.
 func lacking(s *contract.Snapshot, d *Document) []string {
 	kept := map[string]bool{}
--- a/operator/connect.go
+++ b/operator/connect.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -59,6 +60,35 @@
 	if err != nil {
 		return nil, err
 	}
+	return ask(ctx, to, topic, argument)
+}
+
+// StatusOfAll implements StatusReader. Its links are closed at once.
+func (l *linkStatus) StatusOfAll(ctx context.Context, topic, argument string) []Reply {
+	replies := make([]Reply, len(l.addresses))
+	var asked sync.WaitGroup
+	for i, address := range l.addresses {
+		asked.Go(func() {
+			document, err := l.askOne(ctx, address, topic, argument)
+			replies[i] = Reply{address, document, err}
+		})
+	}
+	asked.Wait()
+	return replies
+}
+
+// askOne asks the controller at an address over a link of its own.
+func (l *linkStatus) askOne(ctx context.Context, address, topic, argument string) ([]byte, error) {
+	to, err := l.network.Dial(ctx, address, refuseCalls)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = to.Close() }()
+	return ask(ctx, to, topic, argument)
+}
+
+// ask asks for a status document over a link.
+func ask(ctx context.Context, to link.Link, topic, argument string) ([]byte, error) {
 	request := &wire.StatusRequest{Topic: topic, Argument: argument}
 	reply, err := to.Call(ctx, &wire.Envelope{Body: &wire.Envelope_StatusRequest{StatusRequest: request}})
 	if err != nil {
--- a/operator/contract.go
+++ b/operator/contract.go
@@ -127,16 +127,14 @@
 		if err != nil {
 			return err
 		}
-		s, err := snapshot(ctx, b)
-		if err != nil {
-			return err
-		}
-		if s.Contracts[wanted.Organisation] != nil {
-			return result.New(result.RevisionConflict, "the contract exists; contract apply replaces it").At(wanted.Organisation)
+		create := func(s *contract.Snapshot) (configuration.Proposal, error) {
+			p := configuration.Proposal{Contracts: []*contract.Contract{wanted}, Summary: "create contract " + wanted.Organisation}
+			if s.Contracts[wanted.Organisation] != nil {
+				return p, result.New(result.ContractExists, "the contract exists; contract apply replaces it").At(wanted.Organisation)
+			}
+			return p, nil
 		}
-		p := configuration.Proposal{Base: s.Revision, Contracts: []*contract.Contract{wanted}}
-		p.Summary = "create contract " + wanted.Organisation
-		return c.app.accept(ctx, b, p, c.waitOptions)
+		return c.app.accept(ctx, b, baseOption{}, c.waitOptions, mergesAlways, create)
 	})
 }
 
@@ -156,23 +154,21 @@
 		if err != nil {
 			return err
 		}
-		s, err := snapshot(ctx, b)
-		if err != nil {
-			return err
-		}
-		if err := c.checkKeys(s.Contracts[wanted.Organisation], wanted); err != nil {
-			return err
+		replace := func(s *contract.Snapshot) (configuration.Proposal, error) {
+			p := configuration.Proposal{Contracts: []*contract.Contract{wanted}, Summary: "apply contract " + wanted.Organisation}
+			if c.KeysFromFile {
+				return p, nil
+			}
+			return p, checkKeys(s.Contracts[wanted.Organisation], wanted)
 		}
-		p := configuration.Proposal{Base: c.revision(s), Contracts: []*contract.Contract{wanted}}
-		p.Summary = "apply contract " + wanted.Organisation
-		return c.app.accept(ctx, b, p, c.waitOptions)
+		return c.app.accept(ctx, b, c.baseOption, c.waitOptions, contractUnchanged(wanted.Organisation), replace)
 	})
 }
 
 // checkKeys refuses a file that would bring a withdrawn key back to life or
 // drop a key by oversight.
-func (c *contractApply) checkKeys(old, wanted *contract.Contract) error {
-	if old == nil || c.KeysFromFile {
+func checkKeys(old, wanted *contract.Contract) error {
+	if old == nil {
 		return nil
 	}
 	kept := map[string]contract.Key{}
@@ -182,10 +178,10 @@
 	for _, k := range old.Keys {
 		now, ok := kept[k.Fingerprint]
 		if !ok {
-			return result.New(result.BadConfiguration, "the file drops the key %s; --keys-from-file allows that", k.Fingerprint).At("keys")
+			return result.New(result.BadConfiguration, "the file drops the key %s; --keys-from-file allows that", short(k.Fingerprint)).At(wanted.Organisation + ".keys")
 		}
 		if k.Withdrawn && !now.Withdrawn {
-			return result.New(result.BadConfiguration, "the file restores the withdrawn key %s; --keys-from-file allows that", k.Fingerprint).At("keys")
+			return result.New(result.BadConfiguration, "the file restores the withdrawn key %s; --keys-from-file allows that", short(k.Fingerprint)).At(wanted.Organisation + ".keys")
 		}
 	}
 	return nil
@@ -218,24 +214,24 @@
 // Execute implements flags.Commander.
 func (c *contractSet) Execute([]string) error {
 	return c.app.run(func(ctx context.Context, b *Backend) error {
-		s, err := snapshot(ctx, b)
-		if err != nil {
-			return err
-		}
-		old, err := contractOf(s, c.Args.Organisation)
-		if err != nil {
-			return err
-		}
-		wanted, err := setFields(old, c.Args.Fields)
-		if err != nil {
-			return err
-		}
-		p := configuration.Proposal{Base: c.revision(s), Contracts: []*contract.Contract{wanted}}
-		p.Summary = fmt.Sprintf("set %s of %s", strings.Join(c.Args.Fields, ", "), old.Organisation)
-		return c.app.accept(ctx, b, p, c.waitOptions)
+		return c.app.accept(ctx, b, c.baseOption, c.waitOptions, contractUnchanged(c.Args.Organisation), c.set)
 	})
 }
 
+// set makes the change.
+func (c *contractSet) set(s *contract.Snapshot) (configuration.Proposal, error) {
+	old, err := contractOf(s, c.Args.Organisation)
+	if err != nil {
+		return configuration.Proposal{}, err
+	}
+	wanted, err := setFields(old, c.Args.Fields)
+	if err != nil {
+		return configuration.Proposal{}, err
+	}
+	summary := fmt.Sprintf("set %s of %s", strings.Join(c.Args.Fields, ", "), old.Organisation)
+	return configuration.Proposal{Contracts: []*contract.Contract{wanted}, Summary: summary}, nil
+}
+
 // setFields returns a copy of a contract with fields set by path.
 func setFields(c *contract.Contract, fields []string) (*contract.Contract, error) {
 	document, err := toDocument(c)
@@ -358,7 +354,7 @@
 	for name := range b {
 		names[name] = true
 	}
-	var found []difference
+	found := []difference{}
 	for name := range names {
 		found = append(found, diffField(prefix+name, a[name], b[name])...)
 	}
@@ -394,12 +390,10 @@
 		return result.New(result.BadUsage, "the keys of %s would stop working; give --yes", c.Args.Organisation)
 	}
 	return c.app.run(func(ctx context.Context, b *Backend) error {
-		s, err := snapshot(ctx, b)
-		if err != nil {
-			return err
+		remove := func(s *contract.Snapshot) (configuration.Proposal, error) {
+			_, err := contractOf(s, c.Args.Organisation)
+			return configuration.Proposal{Remove: []string{c.Args.Organisation}, Summary: "remove contract " + c.Args.Organisation}, err
 		}
-		p := configuration.Proposal{Base: c.revision(s), Remove: []string{c.Args.Organisation}}
-		p.Summary = "remove contract " + c.Args.Organisation
-		return c.app.accept(ctx, b, p, c.waitOptions)
+		return c.app.accept(ctx, b, c.baseOption, c.waitOptions, contractUnchanged(c.Args.Organisation), remove)
 	})
 }
--- a/operator/drain.go
+++ b/operator/drain.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"zinniapin/configuration"
+	"zinniapin/contract"
 	"zinniapin/controller"
 	"zinniapin/result"
 	"zinniapin/target"
@@ -25,21 +26,7 @@
 // Execute implements flags.Commander.
 func (c *drainCommand) Execute([]string) error {
 	return c.app.run(func(ctx context.Context, b *Backend) error {
-		s, err := snapshot(ctx, b)
-		if err != nil {
-			return err
-		}
-		id := target.ID(c.Args.Target)
-		fleet := s.Fleet
-		fleet.Drained = drained(fleet.Drained, id, c.Lift)
-		if slices.Equal(fleet.Drained, s.Fleet.Drained) {
-			return result.New(result.BadUsage, "the target already is so").At(c.Args.Target)
-		}
-		p := configuration.Proposal{Base: s.Revision, Fleet: &fleet, Summary: "drain " + c.Args.Target}
-		if c.Lift {
-			p.Summary = "lift the drain of " + c.Args.Target
-		}
-		done, err := c.app.propose(ctx, b, p, c.waitOptions)
+		done, err := c.app.change(ctx, b, baseOption{}, c.waitOptions, mergesAlways, c.drain)
 		if err != nil {
 			return err
 		}
@@ -52,8 +39,25 @@
 	})
 }
 
+// drain makes the change; it leaves the drains of other targets as they are.
+func (c *drainCommand) drain(s *contract.Snapshot) (configuration.Proposal, error) {
+	fleet := s.Fleet
+	fleet.Drained = drained(fleet.Drained, target.ID(c.Args.Target), c.Lift)
+	if slices.Equal(fleet.Drained, s.Fleet.Drained) {
+		return configuration.Proposal{}, result.New(result.BadUsage, "the target already is so").At(c.Args.Target)
+	}
+	p := configuration.Proposal{Fleet: &fleet, Summary: "drain " + c.Args.Target}
+	if c.Lift {
+		p.Summary = "lift the drain of " + c.Args.Target
+	}
+	return p, nil
+}
+
 // drained returns the drained targets with one added or taken out.
 func drained(all []target.ID, id target.ID, lift bool) []target.ID {
+	if !lift && slices.Contains(all, id) {
+		return all
+	}
 	kept := slices.DeleteFunc(slices.Clone(all), func(x target.ID) bool { return x == id })
 	if !lift {
 		kept = append(kept, id)
@@ -92,17 +96,3 @@
 	}
 	return nil
 }
-
-// releaseCommand gives up another author's open order.
-type releaseCommand struct {
-	app  *app
-	Yes  bool `long:"yes" description:"the author of the open order is gone for good"`
-	Args struct {
-		Target string `positional-arg-name:"TARGET" required:"yes"`
-	} `positional-args:"yes"`
-}
-
-// Execute implements flags.Commander.
-func (c *releaseCommand) Execute([]string) error {
-	return result.New(result.Internal, "not built yet")
-}
--- a/operator/key.go
+++ b/operator/key.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strings"
 
 	"github.com/gravitational/trace"
@@ -51,21 +52,12 @@
 // Execute implements flags.Commander.
 func (c *keyIssue) Execute([]string) error {
 	return c.app.run(func(ctx context.Context, b *Backend) error {
-		s, err := snapshot(ctx, b)
-		if err != nil {
-			return err
-		}
-		old, err := contractOf(s, c.Args.Organisation)
-		if err != nil {
-			return err
-		}
 		key := contract.NewKey()
 		entry := contract.Key{Fingerprint: contract.Fingerprint(key), Label: c.Label}
-		changed := *old
-		changed.Keys = append(append([]contract.Key(nil), old.Keys...), entry)
-		p := configuration.Proposal{Base: s.Revision, Contracts: []*contract.Contract{&changed}}
-		p.Summary = "issue key " + short(entry.Fingerprint) + " of " + old.Organisation
-		done, err := c.app.propose(ctx, b, p, c.waitOptions)
+		issue := func(s *contract.Snapshot) (configuration.Proposal, error) {
+			return c.issue(s, entry)
+		}
+		done, err := c.app.change(ctx, b, baseOption{}, c.waitOptions, mergesAlways, issue)
 		if done.Revision == 0 {
 			return err
 		}
@@ -78,6 +70,18 @@
 	})
 }
 
+// issue adds a key to whatever keys the contract has.
+func (c *keyIssue) issue(s *contract.Snapshot, entry contract.Key) (configuration.Proposal, error) {
+	old, err := contractOf(s, c.Args.Organisation)
+	if err != nil {
+		return configuration.Proposal{}, err
+	}
+	changed := *old
+	changed.Keys = append(slices.Clone(old.Keys), entry)
+	summary := "issue key " + short(entry.Fingerprint) + " of " + old.Organisation
+	return configuration.Proposal{Contracts: []*contract.Contract{&changed}, Summary: summary}, nil
+}
+
 // print prints an issued key.
 func (c *keyIssue) print(k issued) error {
 	if c.app.options.JSON {
@@ -107,23 +111,24 @@
 // Execute implements flags.Commander.
 func (c *keyWithdraw) Execute([]string) error {
 	return c.app.run(func(ctx context.Context, b *Backend) error {
-		s, err := snapshot(ctx, b)
-		if err != nil {
-			return err
-		}
-		owner, index, err := findKey(s, c.Args.Fingerprint)
-		if err != nil {
-			return err
-		}
-		changed := *owner
-		changed.Keys = append([]contract.Key(nil), owner.Keys...)
-		changed.Keys[index].Withdrawn = true
-		p := configuration.Proposal{Base: s.Revision, Contracts: []*contract.Contract{&changed}}
-		p.Summary = "withdraw key " + short(changed.Keys[index].Fingerprint) + " of " + owner.Organisation
-		return c.app.accept(ctx, b, p, c.waitOptions)
+		return c.app.accept(ctx, b, baseOption{}, c.waitOptions, mergesAlways, c.withdraw)
 	})
 }
 
+// withdraw marks one key and leaves all else as it is, so that withdrawals
+// that race all take effect.
+func (c *keyWithdraw) withdraw(s *contract.Snapshot) (configuration.Proposal, error) {
+	owner, index, err := findKey(s, c.Args.Fingerprint)
+	if err != nil {
+		return configuration.Proposal{}, err
+	}
+	changed := *owner
+	changed.Keys = slices.Clone(owner.Keys)
+	changed.Keys[index].Withdrawn = true
+	summary := "withdraw key " + short(changed.Keys[index].Fingerprint) + " of " + owner.Organisation
+	return configuration.Proposal{Contracts: []*contract.Contract{&changed}, Summary: summary}, nil
+}
+
 // findKey returns the contract and index of the only key whose fingerprint
 // begins with prefix.
 func findKey(s *contract.Snapshot, prefix string) (*contract.Contract, int, error) {
@@ -170,6 +175,11 @@
 		if err != nil {
 			return err
 		}
+		if c.Args.Organisation != "" {
+			if _, err := contractOf(s, c.Args.Organisation); err != nil {
+				return err
+			}
+		}
 		listed := []listedKey{}
 		t := &table{header: []string{"organisation", "fingerprint", "state", "label"}}
 		for _, owner := range sortedContracts(s) {
--- /dev/null
+++ b/operator/orders_test.go
@@ -0,0 +1,132 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"testing"
+	"time"
+
+	"zinniapin/authority"
+	"zinniapin/internal/standin/objects"
+	"zinniapin/planning"
+	"zinniapin/result"
+	"zinniapin/store"
+	"zinniapin/usage"
+)
+
+// openRecord stores a record with an open order.
+func (r *rig) openRecord(unit string) {
+	record := authority.Record{Epoch: 4, Open: authority.Order{
+		ID: "order-9", Author: "host-3/controller/7", Epoch: 4, Payload: "{}",
+		OpenedMillis: time.Now().Add(-time.Minute).UnixMilli(),
+	}}
+	value, err := json.Marshal(record)
+	r.NoErr(err)
+	_, err = r.objects.Put(context.Background(), store.PurposeOrder, authority.Prefix+unit, value, store.Absent)
+	r.NoErr(err)
+}
+
+func TestRelease(t *testing.T) {
+	r := newRig(t)
+	r.fails(result.OrderNone, "release", "engine-3", "--yes")
+	r.openRecord("engine/engine-3")
+	r.openRecord("platform/assistant/riga-a")
+	f := r.fails(result.BadUsage, "release", "engine-3")
+	r.True(strings.Contains(f.Message, "host-3/controller/7")) // whose end to make sure of
+	r.Equal(decode[[]orderRow](r, "status", "orders")[0].State, orderOpen)
+
+	exit, out, log := r.run("release", "engine-3", "--yes")
+	r.Equal(exit, 0)
+	r.True(strings.Contains(out, "in the name of olga"))
+	r.True(strings.Contains(log, `"name":"order_released"`))
+	rows := decode[[]orderRow](r, "status", "orders")
+	r.Equal(rows[0].State, orderReleased)
+	r.Equal(rows[0].ReleasedBy, "olga")
+	r.Equal(rows[1].State, orderOpen)
+	r.fails(result.OrderNone, "release", "engine-3", "--yes")
+	r.ok("release", "platform/assistant/riga-a", "--yes")
+}
+
+func TestReleaseOutage(t *testing.T) {
+	r := newRig(t)
+	r.openRecord("engine/engine-3")
+	r.objects.SetFault(func(op objects.Operation, _ string) objects.Verdict {
+		if op == objects.Put {
+			return objects.Refuse
+		}
+		return objects.Pass
+	})
+	r.fails(result.StoreUnavailable, "release", "engine-3", "--yes")
+	lost := 0
+	r.objects.SetFault(func(op objects.Operation, _ string) objects.Verdict {
+		if op == objects.Put && lost == 0 {
+			lost++
+			return objects.LoseAnswer
+		}
+		return objects.Pass
+	})
+	r.ok("release", "engine-3", "--yes") // the read back shows that it took effect
+
+	r.objects.SetFault(nil)
+	r.openRecord("engine/engine-4")
+	r.objects.SetFault(func(op objects.Operation, _ string) objects.Verdict {
+		if op == objects.Put {
+			return objects.LoseAnswer
+		}
+		return objects.Pass
+	})
+	r.fails(result.StoreUnknown, "release", "engine-4", "--yes")
+	r.Equal(decode[[]orderRow](r, "status", "orders")[1].State, orderReleased)
+}
+
+func TestStatusWindows(t *testing.T) {
+	r := newRig(t)
+	r.Equal(strings.TrimSpace(r.ok("--json", "status", "windows")), "[]")
+	start := time.Now().Add(-10 * time.Minute).Truncate(time.Minute)
+	windows := usage.NewWindows(r.objects, usage.Options{CommitEvery: time.Nanosecond})
+	used := usage.Counter{Gateway: "g", Organisation: "acme", Window: start, Amount: usage.Amount{Requests: 3}}
+	_, err := windows.Push(context.Background(), []usage.Counter{used})
+	r.NoErr(err)
+	shard := usage.ShardOf("acme", usage.DefaultShards)
+	row := decode[[]windowRow](r, "status", "windows")[0]
+	r.Equal(row.Shard, shard)
+	r.Equal(row.State, windowsReported)
+	r.True(row.OpenFrom.Equal(start))
+
+	frozen, err := windows.CloseDue(context.Background(), shard)
+	r.NoErr(err)
+	row = decode[[]windowRow](r, "status", "windows")[0]
+	r.Equal(row.State, windowsWaiting)
+	r.Equal(row.Waiting, frozen)
+	r.True(row.Unreported.Equal(start))
+	r.Equal(row.Organisations, []string{"acme"})
+}
+
+// planOf returns a controller's reply with one pool and one step.
+func planOf(r *rig, address, pool string, at time.Time) Reply {
+	raw, err := json.Marshal(planning.Status{
+		Pools: []planning.PoolStatus{{Pool: pool, Roles: "balanced"}},
+		Steps: []planning.StepStatus{{At: at, Pool: pool, Action: "buy reclaimable"}},
+	})
+	r.NoErr(err)
+	return Reply{Controller: address, JSON: raw}
+}
+
+func TestStatusPlans(t *testing.T) {
+	r := newRig(t)
+	unserved := Reply{Controller: "10.0.0.3:7000", Err: result.New(result.NoSuchTopic, "no topic")}
+	down := Reply{Controller: "10.0.0.4:7000", Err: result.New(result.LinkFailed, "down")}
+	at := time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+	r.status.replies = []Reply{unserved, down}
+	r.fails(result.NotServed, "status", "plans")
+	r.status.replies = []Reply{down}
+	r.fails(result.NoController, "status", "plans")
+
+	r.status.replies = []Reply{planOf(r, "10.0.0.1:7000", "triage", at), planOf(r, "10.0.0.2:7000", "assistant", at.Add(time.Minute)), unserved, down}
+	merged := decode[plans](r, "status", "plans")
+	r.Equal(merged.Pools[0].Pool, "assistant")
+	r.Equal(merged.Steps[0].Controller, "10.0.0.2:7000") // newest first
+	r.Equal(merged.Silent, []string{"10.0.0.4:7000"})
+	r.True(strings.Contains(r.ok("status", "plans"), "no answer from 10.0.0.4:7000"))
+}
--- a/operator/output.go
+++ b/operator/output.go
@@ -2,11 +2,16 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
+	"io"
 	"strings"
 	"text/tabwriter"
 
 	"github.com/gravitational/trace"
+
+	"zinniapin/configuration"
+	"zinniapin/result"
 )
 
 // table is output for people.
@@ -43,3 +48,42 @@
 	encoder.SetIndent("", "  ")
 	return trace.Wrap(encoder.Encode(value))
 }
+
+// failure is an error as --json prints it on standard error.
+type failure struct {
+	Code        int                    `json:"code"`
+	Name        string                 `json:"name"`
+	Message     string                 `json:"message"`
+	Place       string                 `json:"place,omitempty"`
+	RetryMS     int64                  `json:"retry_after_ms,omitempty"`
+	Winners     []configuration.Change `json:"winners,omitempty"`
+	Moved       []movedField           `json:"moved,omitempty"`
+	Differences []difference           `json:"differences,omitempty"`
+}
+
+// printFailure prints an error as JSON.
+func printFailure(err error, errOut io.Writer) {
+	f := failure{Code: int(result.CodeOf(err)), Name: result.CodeOf(err).String(), Message: err.Error()}
+	if e := result.Of(err); e != nil {
+		f.Place = e.Place
+		f.RetryMS = e.RetryAfter.Milliseconds()
+	}
+	var lost *lostRace
+	if errors.As(err, &lost) {
+		f.Winners, f.Moved, f.Differences = lost.winners, lost.moved, lost.differences
+	}
+	encoder := json.NewEncoder(errOut)
+	encoder.SetIndent("", "  ")
+	_ = encoder.Encode(f) // nothing is left to tell if standard error is gone
+}
+
+// namesShown bounds the names in one cell of a table.
+const namesShown = 4
+
+// summarise prints the first names of a list and how many more there are.
+func summarise(names []string) string {
+	if len(names) <= namesShown {
+		return strings.Join(names, " ")
+	}
+	return fmt.Sprintf("%s and %d more", strings.Join(names[:namesShown], " "), len(names)-namesShown)
+}
--- /dev/null
+++ b/operator/release.go
@@ -0,0 +1,89 @@
+package operator
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+
+	"github.com/gravitational/trace"
+
+	"zinniapin/authority"
+	"zinniapin/daemon"
+	"zinniapin/result"
+	"zinniapin/store"
+	"zinniapin/target"
+)
+
+// releaseCommand gives up another author's open order.
+type releaseCommand struct {
+	app  *app
+	Yes  bool `long:"yes" description:"the author of the open order is gone for good"`
+	Args struct {
+		Target string `positional-arg-name:"TARGET" required:"yes" description:"an engine, or a unit of status orders"`
+	} `positional-args:"yes"`
+}
+
+// unitOf returns the unit that an operator names. A name without a slash is
+// that of an engine.
+func unitOf(name string) string {
+	if strings.Contains(name, "/") {
+		return name
+	}
+	return authority.EngineUnit(target.ID(name))
+}
+
+// Execute implements flags.Commander.
+func (c *releaseCommand) Execute([]string) error {
+	return c.app.run(func(ctx context.Context, b *Backend) error {
+		open, err := openOrder(ctx, b, unitOf(c.Args.Target))
+		if err != nil {
+			return err
+		}
+		if !c.Yes {
+			return c.refuse(open)
+		}
+		return c.release(ctx, b, open)
+	})
+}
+
+// openOrder returns the open order of a unit.
+func openOrder(ctx context.Context, b *Backend, unit string) (orderRow, error) {
+	units, err := authority.Units(ctx, b.Store)
+	if err != nil {
+		return orderRow{}, store.Describe(err)
+	}
+	rows := orderRows(units)
+	at := slices.IndexFunc(rows, func(r orderRow) bool { return r.Unit == unit && r.State != orderReleased })
+	if at < 0 {
+		return orderRow{}, result.New(result.OrderNone, "no order is open; status orders lists the open ones").At(unit)
+	}
+	return rows[at], nil
+}
+
+// refuse says what a release would give up.
+func (c *releaseCommand) refuse(open orderRow) error {
+	return result.New(result.BadUsage, "order %s of %s, open for %s, would be given up; make sure that this process is gone and give --yes",
+		open.Order, open.Author, c.app.openFor(open)).At(open.Unit)
+}
+
+// release gives the order up and prints what it was.
+func (c *releaseCommand) release(ctx context.Context, b *Backend, open orderRow) error {
+	host, _ := os.Hostname() // an empty one does no harm
+	log := daemon.NewLogger(c.app.errOut, "info", "zinniactl", host)
+	executor := authority.NewExecutor(b.Store, b.Author, nil, authority.Options{Log: &log})
+	defer executor.Close()
+	call, cancel := context.WithTimeout(ctx, b.Timeout)
+	defer cancel()
+	if err := executor.Release(call, open.Unit, b.Author); err != nil {
+		return err
+	}
+	open.State = orderReleased
+	open.ReleasedBy = b.Author
+	if c.app.options.JSON {
+		return c.app.printJSON(open)
+	}
+	_, err := fmt.Fprintf(c.app.out, "released order %s of %s at %s in the name of %s\n", open.Order, open.Author, open.Unit, b.Author)
+	return trace.Wrap(err)
+}
--- a/operator/status.go
+++ b/operator/status.go
@@ -72,7 +72,7 @@
 type statusCommand struct {
 	app  *app
 	Args struct {
-		Topic string `positional-arg-name:"TOPIC" required:"yes" description:"members, targets, config, grants, links, orders or windows"`
+		Topic string `positional-arg-name:"TOPIC" required:"yes" description:"members, targets, config, grants, links, orders, windows or plans"`
 	} `positional-args:"yes"`
 }
 
@@ -80,7 +80,7 @@
 func (c *statusCommand) Execute([]string) error {
 	show, ok := c.topics()[c.Args.Topic]
 	if !ok {
-		return result.New(result.BadUsage, "want members, targets, config, grants, links, orders or windows").At(c.Args.Topic)
+		return result.New(result.BadUsage, "want members, targets, config, grants, links, orders, windows or plans").At(c.Args.Topic)
 	}
 	return c.app.run(show)
 }
@@ -93,6 +93,9 @@
 		controller.TopicConfig:  c.config,
 		controller.TopicGrants:  c.grants,
 		controller.TopicLinks:   c.links,
+		topicOrders:             c.orders,
+		topicWindows:            c.windows,
+		topicPlans:              c.plans,
 	}
 }
 
@@ -104,11 +107,20 @@
 	}
 	t := &table{header: []string{"host", "role", "zone", "address", "revision", "leaving", "store"}}
 	for _, m := range members {
-		t.add(m.Host, m.Role, m.Zone, m.Address, m.Revision, m.Leaving, reachable(m.StoreReachable))
+		t.add(m.Host, m.Role, m.Zone, m.Address, m.Revision, m.Leaving, storeOf(m))
 	}
 	return c.app.print(members, t)
 }
 
+// storeOf names whether a process reaches the store. Gateways say nothing of
+// it: they call it for claims only.
+func storeOf(m controller.MemberStatus) string {
+	if m.Role != string(machine.Controller) {
+		return "-"
+	}
+	return reachable(m.StoreReachable)
+}
+
 // reachable names whether the store is reached.
 func reachable(yes bool) string {
 	if yes {
@@ -189,7 +201,7 @@
 type explainCommand struct {
 	app  *app
 	Args struct {
-		Request string `positional-arg-name:"REQUEST-ID" required:"yes" description:"the header X-Request-Id of the answer"`
+		Request string `positional-arg-name:"REQUEST-ID" required:"yes" description:"the header Zinnia-Request-Id of the answer"`
 	} `positional-args:"yes"`
 }
 
--- a/result/codes_operator.go
+++ b/result/codes_operator.go
@@ -9,4 +9,7 @@
 	NoSuchKey    = define(7002, "no_such_key", http.StatusNotFound, exitNotFound, "No key has the fingerprint.", "List the keys with key list.")
 	NoSuchFile   = define(7003, "no_such_file", http.StatusBadRequest, exitUsage, "An input file cannot be read.", "Check the path.")
 	NoSuchObject = define(7004, "no_such_object", http.StatusNotFound, exitNotFound, "No host, target or request has the name.", "List them with status.")
+
+	ContractExists = define(7005, "contract_exists", http.StatusConflict, exitConflict, "A contract exists for the organisation.", "Change it with contract set or contract apply.")
+	NotServed      = define(7006, "topic_not_served", http.StatusServiceUnavailable, exitFailure, "No controller of the settings serves the status topic.", "Compare the program versions of the controllers.")
 )
