Generate docs/SETTINGS.md from the structs

Cause: no page lists the fields of the settings files and the configuration. The doc comments of the stand-in engine now state the defaults of package engine.

--- a/internal/docgen/main.go
+++ b/internal/docgen/main.go
@@ -14,12 +14,22 @@
 func main() {
 	write("docs/RESULT-CODES.md", result.Page())
 	write("docs/EVENTS.md", event.Page())
+	page, err := settingsPage(".")
+	if err != nil {
+		fail(err)
+	}
+	write("docs/SETTINGS.md", page)
+}
+
+// fail ends the program.
+func fail(err error) {
+	fmt.Fprintln(os.Stderr, err)
+	os.Exit(1)
 }
 
 // write writes one page and ends the program when it cannot.
 func write(path, content string) {
 	if err := os.WriteFile(path, []byte(content), 0o644); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
+		fail(err)
 	}
 }
--- a/settings/standin.go
+++ b/settings/standin.go
@@ -68,8 +68,7 @@
 	ChecksFence bool `json:"checks_fence,omitempty"`
 }
 
-// StandinEngine describes an engine. Fields left out take the defaults of
-// package engine.
+// StandinEngine describes an engine.
 type StandinEngine struct {
 	// ID is the id of the target.
 	ID target.ID `json:"id,omitempty"`
@@ -85,17 +84,21 @@
 	ChecksFence bool `json:"checks_fence,omitempty"`
 	// AnyRole lets the engine run every phase in every role.
 	AnyRole bool `json:"any_role,omitempty"`
-	// Capacity is the number of requests run at once.
+	// Capacity is the number of requests run at once. Default 16.
 	Capacity int `json:"capacity,omitempty"`
-	// PrefillRate is in prompt tokens a second.
+	// PrefillRate is in prompt tokens a second. Default 20000.
 	PrefillRate float64 `json:"prefill_tokens_per_second,omitempty"`
-	// DecodeRate is in output tokens a second over the whole batch.
+	// DecodeRate is in output tokens a second over the whole batch. Default
+	// 2000.
 	DecodeRate float64 `json:"decode_tokens_per_second,omitempty"`
-	// KVPieces is the size of the KV cache in pieces of 2,000 tokens.
+	// KVPieces is the size of the KV cache in pieces of 2,000 tokens. Default
+	// 256.
 	KVPieces int `json:"kv_pieces,omitempty"`
 	// ChangeMillis is how long a role or model change takes, in milliseconds.
+	// Default 3000.
 	ChangeMillis int `json:"change_ms,omitempty"`
 	// ReportLagMillis is the age of what a report shows, in milliseconds.
+	// Default 0.
 	ReportLagMillis int `json:"report_lag_ms,omitempty"`
 }
 
