Let the demo run on another network

Cause: two runs on one machine use the same addresses; the second one's stand-in cannot listen, and its commands change the first one's configuration (seen: revision 10 of a running deployment was applied by another run, which dropped the keys of all callers).

--- a/internal/demo/main.go
+++ b/internal/demo/main.go
@@ -32,6 +32,7 @@
 	Example  string `long:"example" default:"examples/kalnins" description:"folder of the example"`
 	Folder   string `long:"folder" default:"." description:"folder below which run/ is made"`
 	Binaries string `long:"binaries" default:"bin" description:"folder of the built programs"`
+	Network  string `long:"network" description:"network in place of the example's, such as 127.0.7., so that two runs do not meet"`
 	Hosts    int    `long:"hosts" default:"0" description:"number of entry hosts; 0 means all"`
 }
 
@@ -51,7 +52,7 @@
 	if err := os.RemoveAll(filepath.Join(o.Folder, "run", filepath.Base(o.Example))); err != nil {
 		return trace.Wrap(err)
 	}
-	d, err := deploy.Prepare(deploy.Options{Example: o.Example, Folder: o.Folder, Binaries: o.Binaries, Hosts: o.Hosts, Edit: shortWindows})
+	d, err := deploy.Prepare(deploy.Options{Example: o.Example, Folder: o.Folder, Binaries: o.Binaries, Network: o.Network, Hosts: o.Hosts, Edit: shortWindows})
 	if err != nil {
 		return err
 	}
