Show drained targets and refuse to drain unknown ones

Cause: a drained target looked like any other in status targets, and drain took any name. Change: status targets adds the state from the accepted configuration; drain asks the controllers for the target first and lets the change pass when none answers. Run: go test ./operator.

--- a/operator/drain.go
+++ b/operator/drain.go
@@ -26,6 +26,9 @@
 // Execute implements flags.Commander.
 func (c *drainCommand) Execute([]string) error {
 	return c.app.run(func(ctx context.Context, b *Backend) error {
+		if err := c.checkKnown(ctx, b); err != nil {
+			return err
+		}
 		done, err := c.app.change(ctx, b, baseOption{}, c.waitOptions, mergesAlways, c.drain)
 		if err != nil {
 			return err
@@ -39,6 +42,22 @@
 	})
 }
 
+// checkKnown refuses to drain a target that the controllers do not know. It
+// lets all pass while no controller answers, and lifts in any case.
+func (c *drainCommand) checkKnown(ctx context.Context, b *Backend) error {
+	if c.Lift {
+		return nil
+	}
+	known, err := read[[]controller.TargetStatus](ctx, b, controller.TopicTargets, "")
+	if err != nil {
+		return nil
+	}
+	if !slices.ContainsFunc(known, func(t controller.TargetStatus) bool { return t.ID == c.Args.Target }) {
+		return result.New(result.NoSuchObject, "no such target").At(c.Args.Target)
+	}
+	return nil
+}
+
 // drain makes the change; it leaves the drains of other targets as they are.
 func (c *drainCommand) drain(s *contract.Snapshot) (configuration.Proposal, error) {
 	fleet := s.Fleet
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -170,6 +170,10 @@
 	r.fails(result.BadUsage, "drain", "engine-1")
 	r.ok("drain", "engine-1", "--lift")
 	r.fails(result.BadUsage, "drain", "engine-1", "--lift")
+	r.status.documents[controller.TopicTargets] = []controller.TargetStatus{{ID: "engine-2"}}
+	r.fails(result.NoSuchObject, "drain", "engine-22")
+	rows := decode[[]targetRow](r, "status", "targets")
+	r.True(rows[0].Drained)
 }
 
 func TestStatusTables(t *testing.T) {
--- a/operator/status.go
+++ b/operator/status.go
@@ -14,6 +14,7 @@
 	"zinniapin/controller"
 	"zinniapin/machine"
 	"zinniapin/result"
+	"zinniapin/target"
 )
 
 // waitPoll is how often a waiting command asks for the state of the hosts.
@@ -129,22 +130,40 @@
 	return "not reached"
 }
 
+// targetRow is a row of status targets.
+type targetRow struct {
+	controller.TargetStatus
+	// Drained says that the accepted configuration keeps new work off the
+	// target; false also when the object API cannot be read.
+	Drained bool `json:"drained"`
+}
+
 // targets shows the targets.
 func (c *statusCommand) targets(ctx context.Context, b *Backend) error {
-	targets, err := read[[]controller.TargetStatus](ctx, b, controller.TopicTargets, "")
+	seen, err := read[[]controller.TargetStatus](ctx, b, controller.TopicTargets, "")
 	if err != nil {
 		return err
 	}
+	var drained []target.ID
+	if s, err := snapshot(ctx, b); err == nil {
+		drained = s.Fleet.Drained
+	}
+	rows := make([]targetRow, 0, len(seen))
 	t := &table{header: []string{"target", "kind", "class", "pool", "zone", "state", "role", "running", "waiting", "report age"}}
-	for _, x := range targets {
-		t.add(x.ID, x.Kind, x.Class, x.Pool, x.Zone, stateOf(x), x.Role, x.Running, x.Waiting, age(x.ReportAgeMS))
+	for _, x := range seen {
+		row := targetRow{x, slices.Contains(drained, target.ID(x.ID))}
+		rows = append(rows, row)
+		t.add(x.ID, x.Kind, x.Class, x.Pool, x.Zone, stateOf(row), x.Role, x.Running, x.Waiting, age(x.ReportAgeMS))
 	}
-	return c.app.print(targets, t)
+	return c.app.print(rows, t)
 }
 
 // stateOf names the state of a target with what keeps work off it.
-func stateOf(t controller.TargetStatus) string {
+func stateOf(t targetRow) string {
 	state := t.State
+	if t.Drained {
+		state += ", drained"
+	}
 	if t.Cordoned {
 		state += ", cordoned"
 	}
