--- a/operator/contract.go
+++ b/operator/contract.go
@@ -323,7 +323,7 @@
 		}
 		t := &table{header: []string{"field", "accepted", "file"}}
 		for _, d := range differences {
-			t.add(d.Field, d.Accepted, d.File)
+			t.add(d.Field, shown(d.Accepted), shown(d.File))
 		}
 		return c.app.print(differences, t)
 	})
--- a/operator/orders_test.go
+++ b/operator/orders_test.go
@@ -93,6 +93,7 @@
 	r.Equal(row.Shard, shard)
 	r.Equal(row.State, windowsReported)
 	r.True(row.OpenFrom.Equal(start))
+	r.True(row.OverdueMS >= (8 * time.Minute).Milliseconds()) // nobody froze it
 
 	frozen, err := windows.CloseDue(context.Background(), shard)
 	r.NoErr(err)
--- a/operator/output.go
+++ b/operator/output.go
@@ -87,3 +87,16 @@
 	}
 	return fmt.Sprintf("%s and %d more", strings.Join(names[:namesShown], " "), len(names)-namesShown)
 }
+
+// shown prints a value of a JSON document for people; a field that is not
+// there has its default.
+func shown(value any) string {
+	if value == nil {
+		return "not set"
+	}
+	text, err := json.Marshal(value)
+	if err != nil {
+		return fmt.Sprint(value)
+	}
+	return string(text)
+}
--- a/operator/race.go
+++ b/operator/race.go
@@ -48,10 +48,10 @@
 		lines = append(lines, fmt.Sprintf("  accepted meanwhile: revision %d by %s: %s", w.Revision, w.Author, w.Summary))
 	}
 	for _, m := range l.moved {
-		lines = append(lines, fmt.Sprintf("  differs: %s was %v, is %v", m.Field, m.Before, m.Now))
+		lines = append(lines, fmt.Sprintf("  differs: %s was %s, is %s", m.Field, shown(m.Before), shown(m.Now)))
 	}
 	for _, d := range l.differences {
-		lines = append(lines, fmt.Sprintf("  differs: %s is accepted as %v, the change has %v", d.Field, d.Accepted, d.File))
+		lines = append(lines, fmt.Sprintf("  differs: %s is accepted as %s, the change has %s", d.Field, shown(d.Accepted), shown(d.File)))
 	}
 	return strings.Join(lines, "\n")
 }
