--- a/operator/plans.go
+++ b/operator/plans.go
@@ -10,13 +10,11 @@
 
 	"github.com/gravitational/trace"
 
+	"zinniapin/controller"
 	"zinniapin/planning"
 	"zinniapin/result"
 )
 
-// topicPlans shows what planning last decided, over all controllers.
-const topicPlans = "plans"
-
 // plannedPool is a pool as its planner sees it.
 type plannedPool struct {
 	Controller string `json:"controller"`
@@ -42,7 +40,7 @@
 func (c *statusCommand) plans(ctx context.Context, b *Backend) error {
 	call, cancel := context.WithTimeout(ctx, b.Timeout)
 	defer cancel()
-	merged, err := mergePlans(b.Status.StatusOfAll(call, topicPlans, ""))
+	merged, err := mergePlans(b.Status.StatusOfAll(call, controller.TopicPlans, ""))
 	if err != nil {
 		return err
 	}
@@ -71,7 +69,7 @@
 		}
 	}
 	if !served && len(merged.Silent) < len(replies) {
-		return nil, result.New(result.NotServed, "the controllers that answer plan nothing").At(topicPlans)
+		return nil, result.New(result.NotServed, "the controllers that answer plan nothing").At(controller.TopicPlans)
 	}
 	if !served {
 		return nil, result.Wrap(lastErr, result.NoController, "no controller answers")
--- a/operator/status.go
+++ b/operator/status.go
@@ -96,7 +96,7 @@
 		controller.TopicLinks:   c.links,
 		topicOrders:             c.orders,
 		topicWindows:            c.windows,
-		topicPlans:              c.plans,
+		controller.TopicPlans:   c.plans,
 	}
 }
 
