Measure what links, state, configuration and requests cost

The bounds on control at 390 nodes can only be judged from slopes. The command measures each part of the real code at three sizes or more and fits a line.

--- /dev/null
+++ b/internal/capacity/configure.go
@@ -0,0 +1,204 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"zinniapin/configuration"
+	"zinniapin/contract"
+	"zinniapin/internal/standin/objects"
+	"zinniapin/link"
+	"zinniapin/machine"
+	"zinniapin/relay"
+	"zinniapin/store"
+	"zinniapin/wire"
+)
+
+// countingStore counts the calls and bytes of a store.
+type countingStore struct {
+	store.Store
+	reads, writes         int
+	readBytes, wroteBytes int
+}
+
+// Get implements store.Store.
+func (c *countingStore) Get(ctx context.Context, p store.Purpose, key string) (store.Object, error) {
+	o, err := c.Store.Get(ctx, p, key)
+	c.reads++
+	c.readBytes += len(o.Value)
+	return o, err
+}
+
+// Put implements store.Store.
+func (c *countingStore) Put(ctx context.Context, p store.Purpose, key string, value []byte, v store.Version) (store.Version, error) {
+	c.writes++
+	c.wroteBytes += len(value)
+	return c.Store.Put(ctx, p, key, value, v)
+}
+
+// holderLink answers calls from a holder, through the encoding.
+type holderLink struct {
+	holder *relay.Holder
+	bytes  int
+}
+
+// Call implements link.Link.
+func (l *holderLink) Call(_ context.Context, q *wire.Envelope) (*wire.Envelope, error) {
+	reply := &wire.Envelope{Body: &wire.Envelope_ConfigReply{ConfigReply: l.holder.Serve(q.GetConfigRequest())}}
+	raw, err := proto.Marshal(reply)
+	if err != nil {
+		return nil, err
+	}
+	l.bytes += proto.Size(q) + len(raw)
+	copied := &wire.Envelope{}
+	return copied, proto.Unmarshal(raw, copied)
+}
+
+// Peer implements link.Link.
+func (*holderLink) Peer() machine.Process { return machine.Process{} }
+
+// Done implements link.Link.
+func (*holderLink) Done() <-chan struct{} { return nil }
+
+// Close implements link.Link.
+func (*holderLink) Close() error { return nil }
+
+var _ link.Link = (*holderLink)(nil)
+
+// changeCost is what one changed contract costs.
+type changeCost struct {
+	accept, load, fetch         float64 // processor time, milliseconds
+	reads, writes               float64
+	readBytes, wroteBytes       float64
+	watcherReads, watcherBytes  float64
+	relayBytes, joinBytes, heap float64
+	join                        float64 // processor time of a first fetch, milliseconds
+}
+
+// measureConfiguration measures the cost of one changed contract.
+func measureConfiguration(r *report) error {
+	columns := make([][]point, 13)
+	for _, n := range organisationSizes {
+		c, err := changeAmong(n)
+		if err != nil {
+			return err
+		}
+		values := []float64{c.accept, c.load, c.fetch, c.join, c.reads, c.writes, c.readBytes / 1e3, c.wroteBytes / 1e3, c.watcherReads, c.watcherBytes / 1e3, c.relayBytes / 1e3, c.joinBytes / 1e3, c.heap / 1e3}
+		for i, v := range values {
+			columns[i] = append(columns[i], point{float64(n), v})
+		}
+	}
+	names := []struct{ what, unit string }{
+		{"accept a change: processor time", "ms"}, {"take it from the store (watcher): processor time", "ms"},
+		{"take it from a peer: processor time", "ms"}, {"take all from a peer at start: processor time", "ms"},
+		{"accept a change: reads", "calls"}, {"accept a change: writes", "calls"},
+		{"accept a change: read", "kB"}, {"accept a change: written", "kB"},
+		{"watcher: reads", "calls"}, {"watcher: read", "kB"},
+		{"relay of a change: bytes", "kB"}, {"relay of all at start: bytes", "kB"},
+		{"configuration held by a process: heap", "kB"},
+	}
+	for i, name := range names {
+		r.slope(name.what, name.unit, "organisation", columns[i])
+	}
+	return nil
+}
+
+// changeAmong accepts and spreads one changed contract among n.
+func changeAmong(n int) (changeCost, error) {
+	ctx := context.Background()
+	s := &countingStore{Store: objects.New()}
+	fleet := describedFleet()
+	first := configuration.Proposal{ID: "first", Author: "operator", Summary: "first", Fleet: &fleet, Contracts: contractsOf(n)}
+	if _, err := configuration.Accept(ctx, s, first, time.Now()); err != nil {
+		return changeCost{}, err
+	}
+	watcher, err := loaded(ctx, s)
+	if err != nil {
+		return changeCost{}, err
+	}
+	var c changeCost
+	peer := &relay.Holder{}
+	l := &holderLink{holder: watcher}
+	c.heap = retained(func() any {
+		c.join = milliseconds(func() { _, err = peer.Fetch(ctx, l) })
+		return peer
+	})
+	c.joinBytes = float64(l.bytes)
+	if err != nil || peer.Snapshot() == nil {
+		return c, fmt.Errorf("first fetch: %w", err)
+	}
+	return c, c.change(ctx, s, watcher, peer, n)
+}
+
+// warmChanges is the number of changes that an average is taken over. The
+// first ones fill the list of recent changes that the root keeps.
+const warmChanges = 64
+
+// averagedChanges is the number of changes measured.
+const averagedChanges = 8
+
+// change accepts changes and lets a watcher and a peer take them.
+func (c *changeCost) change(ctx context.Context, s *countingStore, watcher, peer *relay.Holder, n int) error {
+	for i := range warmChanges + averagedChanges {
+		l := &holderLink{holder: watcher}
+		k := contractOf(i % n)
+		k.Limits.Concurrency = 17 + i
+		*s = countingStore{Store: s.Store}
+		var err error
+		accept := milliseconds(func() { _, err = configuration.Accept(ctx, s, proposalOf(i, k), time.Now()) })
+		if err != nil {
+			return err
+		}
+		accepted := *s
+		*s = countingStore{Store: s.Store}
+		load := milliseconds(func() { err = reload(ctx, s, watcher) })
+		if err != nil {
+			return err
+		}
+		fetch := milliseconds(func() { _, err = peer.Fetch(ctx, l) })
+		if err != nil || peer.Revision() != watcher.Revision() {
+			return fmt.Errorf("a peer stayed behind: %w", err)
+		}
+		if i < warmChanges {
+			continue
+		}
+		c.accept += accept / averagedChanges
+		c.load += load / averagedChanges
+		c.fetch += fetch / averagedChanges
+		c.reads, c.writes = float64(accepted.reads), float64(accepted.writes)
+		c.readBytes, c.wroteBytes = float64(accepted.readBytes), float64(accepted.wroteBytes)
+		c.watcherReads, c.watcherBytes = float64(s.reads), float64(s.readBytes)
+		c.relayBytes = float64(l.bytes)
+	}
+	return nil
+}
+
+// proposalOf returns the i-th change.
+func proposalOf(i int, k *contract.Contract) configuration.Proposal {
+	return configuration.Proposal{ID: fmt.Sprintf("change-%016d", i), Author: "operator", Summary: "set the concurrency of " + k.Organisation,
+		Base: contract.Revision(i + 1), Contracts: []*contract.Contract{k}}
+}
+
+// loaded returns a holder of the accepted configuration.
+func loaded(ctx context.Context, s store.Store) (*relay.Holder, error) {
+	h := &relay.Holder{}
+	return h, reload(ctx, s, h)
+}
+
+// reload brings a holder up to date from the store.
+func reload(ctx context.Context, s store.Store, h *relay.Holder) error {
+	bundle, _, err := configuration.Load(ctx, s, h.Bundle())
+	if err != nil {
+		return err
+	}
+	_, err = h.Adopt(bundle)
+	return err
+}
+
+// milliseconds returns the processor time of f.
+func milliseconds(f func()) float64 {
+	return perCall(1, func(int) { f() }) / 1e3
+}
--- /dev/null
+++ b/internal/capacity/heartbeats.go
@@ -0,0 +1,140 @@
+package main
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"zinniapin/membership"
+	"zinniapin/targetview"
+	"zinniapin/wire"
+	"zinniapin/zone"
+)
+
+// coreSizes are the numbers of hosts at which the cores are measured; each
+// host has two processes, and the region a third of the targets.
+var coreSizes = []int{7, 60, 390}
+
+// targetSizes are the numbers of targets of a region.
+var targetSizes = []int{16, 240, 720}
+
+// coreCalls is the number of calls that an average is taken over.
+const coreCalls = 2_000
+
+// replyBytes bounds the records of one reply, as a controller does.
+const replyBytes = 32 << 10
+
+// measureHeartbeats measures the records and the processor time of one
+// heartbeat in the cores that make and merge it.
+func measureHeartbeats(r *report) error {
+	measureMembership(r)
+	measureTargetView(r)
+	measureRecords(r)
+	return nil
+}
+
+// measureMembership measures the table of processes.
+func measureMembership(r *report) {
+	var heap, since, live, tick, merge, owns []point
+	for _, hosts := range coreSizes {
+		size := float64(2 * hosts)
+		now := time.Now()
+		var t *membership.Table
+		heap = append(heap, point{size, retained(func() any { t = fullTable(now, hosts); return t }) / 1e3})
+		_, version := t.Since(0, 0, 1<<30)
+		since = append(since, point{size, perCall(coreCalls, func(int) { t.Since(version, 1, replyBytes) })})
+		live = append(live, point{size, perCall(coreCalls, func(int) { t.Members(now) })})
+		tick = append(tick, point{size, perCall(coreCalls, func(int) { t.Tick(now) })})
+		beat := uint64(2)
+		merge = append(merge, point{size, perCall(coreCalls, func(i int) {
+			beat++
+			t.Merge(now, 1, &wire.Member{Incarnation: gatewayOf(i%(hosts-1)+1, 1).Incarnation, Beat: beat})
+		})})
+		controllers := membership.Controllers(t.Members(now), "")
+		owns = append(owns, point{size, perCall(coreCalls, func(int) { membership.Owns(controllers, "engine-0001", 2, "host-001") })})
+	}
+	r.slope("membership table: heap", "kB", "process", heap)
+	r.slope("membership: an answer without news", "us", "process", since)
+	r.slope("membership: list of the live", "us", "process", live)
+	r.slope("membership: tick", "us", "process", tick)
+	r.slope("membership: merge of a beat", "us", "process", merge)
+	r.slope("membership: ownership of a key", "us", "process", owns)
+}
+
+// fullTable returns a table that knows two processes on each host.
+func fullTable(now time.Time, hosts int) *membership.Table {
+	t := membership.New(membership.Member{Process: controllerOf(0, 1)}, now)
+	for i := range hosts {
+		for _, p := range []membership.Member{{Process: controllerOf(i, 1)}, {Process: gatewayOf(i, 1)}} {
+			p.Beat, p.Revision, p.Settled, p.StoreReachable = 1, 1, true, true
+			if p.Process.Role == "gateway" {
+				p.Via = []string{controllerOf(i, 1).Address, controllerOf(i+1, 1).Address}
+			}
+			t.Merge(now, 1, p.ToWire(false))
+		}
+	}
+	return t
+}
+
+// measureTargetView measures the view of targets.
+func measureTargetView(r *report) {
+	var heap, since, states, reported []point
+	for _, n := range targetSizes {
+		size := float64(n)
+		now := time.Now()
+		var t *targetview.Table
+		heap = append(heap, point{size, retained(func() any { t = fullView(now, n); return t }) / 1e3})
+		since = append(since, point{size, perCall(coreCalls, func(int) { t.Since(now, t.Version(), 1, replyBytes) })})
+		states = append(states, point{size, perCall(coreCalls, func(int) { t.States() })})
+		sequence := uint64(1)
+		reported = append(reported, point{size, perCall(coreCalls, func(i int) {
+			sequence++
+			t.Reported(now, reportOf(i%n, sequence))
+		})})
+	}
+	r.slope("view of targets: heap", "kB", "target", heap)
+	r.slope("view of targets: an answer without news", "us", "target", since)
+	r.slope("view of targets: list", "us", "target", states)
+	r.slope("view of targets: a report", "us", "target", reported)
+}
+
+// fullView returns a view with n targets that have reported.
+func fullView(now time.Time, n int) *targetview.Table {
+	t := targetview.New()
+	t.Listed(now, hostsOf(n), func(zone.Name) bool { return true })
+	for i := range n {
+		t.Reported(now, reportOf(i, 1))
+	}
+	return t
+}
+
+// measureRecords prints the encoded sizes of records.
+func measureRecords(r *report) {
+	m := membership.Member{Process: gatewayOf(123, 1), Beat: 40_000, Revision: 90_000, Settled: true, StoreReachable: true}
+	m.Via = []string{controllerOf(123, 1).Address, controllerOf(222, 1).Address}
+	now := time.Now()
+	t := fullView(now, 2)
+	full, version := t.Since(now, 0, 1, replyBytes)
+	t.Reported(now.Add(time.Minute), reportOf(0, 70_000))
+	compact, _ := t.Since(now.Add(time.Minute), version, 1, replyBytes)
+	r.printf("record of a process: %d bytes in full, %d when only its beat rose\n", proto.Size(m.ToWire(false)), proto.Size(m.ToWire(true)))
+	r.printf("record of a target: %d bytes in full, %d when only its load changed\n", proto.Size(full[0]), proto.Size(compact[0]))
+	r.printf("heartbeat without news: %d bytes\n", proto.Size(heartbeatQuestion()))
+	r.printf("demand: %d bytes, grant: %d bytes, usage counter: %d bytes\n", proto.Size(demandMessage()), proto.Size(grantMessage()), proto.Size(counterMessage()))
+}
+
+// demandMessage returns a demand of ordinary size.
+func demandMessage() *wire.Demand {
+	return &wire.Demand{Organisation: organisationName(12_345), RequestsPerSecond: 0.4711, Concurrency: 2, TokensPerMinute: 5432.1}
+}
+
+// grantMessage returns a grant of ordinary size.
+func grantMessage() *wire.Grant {
+	return &wire.Grant{Organisation: organisationName(12_345), ConfigRevision: 90_000, RequestsPerSecond: 0.4711, Concurrency: 2, TokensPerMinute: 5432.1, TermMs: 3_000}
+}
+
+// counterMessage returns a usage counter of ordinary size.
+func counterMessage() *wire.UsageCounter {
+	return &wire.UsageCounter{Gateway: gatewayOf(123, 1).ID(), Organisation: organisationName(12_345),
+		WindowMs: 1_796_256_000_000, Requests: 31, PromptTokens: 40_000, OutputTokens: 7_000, Calls: 2}
+}
--- /dev/null
+++ b/internal/capacity/state.go
@@ -0,0 +1,144 @@
+package main
+
+import (
+	"time"
+
+	"zinniapin/admission"
+	"zinniapin/contract"
+	"zinniapin/control"
+	"zinniapin/grant"
+	"zinniapin/routing"
+	"zinniapin/usage"
+	"zinniapin/zone"
+)
+
+// organisationSizes are the numbers of organisations at which state is
+// measured.
+var organisationSizes = []int{1_000, 4_000, 16_000}
+
+// measureState measures the heap that state takes.
+func measureState(r *report) error {
+	measureOrganisations(r)
+	var router []point
+	for _, n := range targetSizes {
+		view := statesOf(n)
+		router = append(router, point{float64(n), retained(func() any { return routerOf(view) }) / 1e3})
+	}
+	r.slope("router: heap", "kB", "target", router)
+	var queued []point
+	for _, n := range organisationSizes {
+		queued = append(queued, point{float64(n), retained(func() any { return queueOf(n) }) / 1e3})
+	}
+	r.slope("admission: a waiting request", "kB", "request", queued)
+	return nil
+}
+
+// measureOrganisations measures state by organisation.
+func measureOrganisations(r *report) {
+	var snapshot, active, granted, counters []point
+	for _, n := range organisationSizes {
+		size := float64(n)
+		snapshot = append(snapshot, point{size, retained(func() any { return contract.NewSnapshot(1, describedFleet(), contractsOf(n)) }) / 1e3})
+		active = append(active, point{size, retained(func() any { return activeCore(n) }) / 1e3})
+		granted = append(granted, point{size, retained(func() any { return grantsOf(n) }) / 1e3})
+		counters = append(counters, point{size, retained(func() any { return countersOf(n) }) / 1e3})
+	}
+	r.slope("snapshot of contracts: heap", "kB", "organisation", snapshot)
+	r.slope("admission, active: heap", "kB", "organisation", active)
+	r.slope("grantor, one gateway each: heap", "kB", "organisation", granted)
+	r.slope("usage counter: heap", "kB", "counter", counters)
+	var holders []point
+	for _, n := range coreSizes {
+		holders = append(holders, point{float64(n), retained(func() any { return grantHolders(n) }) / 1e3})
+	}
+	r.slope("grantor, one organisation: heap", "kB", "gateway", holders)
+}
+
+// activeCore returns admission with n active organisations.
+func activeCore(n int) *admission.Core {
+	c := admission.New(n)
+	c.SetCapacity("pool", n)
+	now := time.Now()
+	for i := range n {
+		k := contractOf(i)
+		k.Limits.RequestsPerSecond = 1e6
+		ticket, err := c.Arrive(now, admission.Request{Organisation: k.Organisation, Contract: k, Pool: "pool", Cost: 1, Deadline: now.Add(time.Minute)})
+		if err != nil {
+			panic(err)
+		}
+		c.Dispatch(now, "pool")
+		c.Leave(now, ticket, 10)
+	}
+	return c
+}
+
+// queueOf returns admission with n waiting requests of 100 organisations.
+func queueOf(n int) *admission.Core {
+	c := admission.New(n + 1)
+	c.SetCapacity("pool", 1)
+	now := time.Now()
+	for i := range n {
+		k := contractOf(i % 100)
+		k.Limits = contract.Limits{RequestsPerSecond: 1e6, Concurrency: 1e6}
+		if _, err := c.Arrive(now, admission.Request{Organisation: k.Organisation, Contract: k, Pool: "pool", Cost: 1, Deadline: now.Add(time.Hour)}); err != nil {
+			panic(err)
+		}
+	}
+	return c
+}
+
+// grantsOf returns a grantor's state for n organisations with one gateway.
+func grantsOf(n int) map[string]*grant.Organisation {
+	now := time.Now()
+	all := map[string]*grant.Organisation{}
+	for i := range n {
+		all[organisationName(i)] = askedOrganisation(now, 1)
+	}
+	return all
+}
+
+// grantHolders returns the state of one organisation with n gateways.
+func grantHolders(n int) *grant.Organisation {
+	return askedOrganisation(time.Now(), n)
+}
+
+// askedOrganisation returns the state after n gateways asked as often as the
+// grants of each overlap.
+func askedOrganisation(now time.Time, n int) *grant.Organisation {
+	o := grant.NewOrganisation(now)
+	limits := contractOf(0).Limits
+	open := now.Add(grant.Term + grant.Margin)
+	for second := range int((grant.Term + grant.Margin) / time.Second) {
+		for i := range n {
+			o.Ask(open.Add(time.Duration(second)*time.Second), gatewayOf(i, 1).ID(), limits, grant.Fleet{Live: n, Known: n}, control.Demand{RequestsPerSecond: 1, Concurrency: 1})
+		}
+	}
+	return o
+}
+
+// countersOf returns n usage counters.
+func countersOf(n int) map[string]*usage.Counter {
+	all := map[string]*usage.Counter{}
+	for i := range n {
+		c := &usage.Counter{Gateway: gatewayOf(i%designNodes, 1).ID(), Organisation: organisationName(i), Window: time.Now()}
+		all[c.Organisation] = c
+	}
+	return all
+}
+
+// routerOf returns a router that has seen a view.
+func routerOf(view []control.TargetState) *routing.Router {
+	r := routing.New(zoneOf(0), 1)
+	r.Observe(time.Now(), view, lookupZone)
+	return r
+}
+
+// lookupZone returns the zone with a name.
+func lookupZone(name zone.Name) (zone.Zone, bool) {
+	for i := range zoneCount {
+		if zoneOf(i).Name == name {
+			return zoneOf(i), true
+		}
+	}
+	return zone.Zone{}, false
+}
