--- /dev/null
+++ b/internal/capacity/fleet.go
@@ -0,0 +1,209 @@
+package main
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"zinniapin/configuration"
+	"zinniapin/contract"
+	"zinniapin/control"
+	"zinniapin/controller"
+	"zinniapin/internal/standin/objects"
+	"zinniapin/link/memlink"
+	"zinniapin/platform"
+	"zinniapin/store"
+	"zinniapin/target"
+	"zinniapin/uplink"
+	"zinniapin/usage"
+)
+
+// fleet runs real controllers and uplinks over in-memory links.
+type fleet struct {
+	fabric  *memlink.Fabric
+	objects *objects.Store
+	targets *reports
+	demands []control.Demand
+	nodes   []*node
+}
+
+// node is a host with its controller and the uplink of its gateway.
+type node struct {
+	controller *controller.Controller
+	gateway    *listener
+	stop       context.CancelFunc
+	done       sync.WaitGroup
+}
+
+// newFleet returns a fleet that does not run, with an accepted configuration.
+func newFleet(targets, organisations, active int) (*fleet, error) {
+	f := &fleet{fabric: memlink.NewFabric(), objects: objects.New(), targets: &reports{hosts: hostsOf(targets), sequence: map[target.ID]uint64{}}}
+	described := describedFleet()
+	p := configuration.Proposal{ID: "first", Author: "operator", Summary: "first", Fleet: &described, Contracts: contractsOf(organisations)}
+	if _, err := configuration.Accept(context.Background(), f.objects, p, time.Now()); err != nil {
+		return nil, err
+	}
+	for i := range active {
+		f.demands = append(f.demands, control.Demand{Organisation: organisationName(i), RequestsPerSecond: 0.017, Concurrency: 1, TokensPerMinute: 1_000})
+	}
+	return f, nil
+}
+
+// start runs a host in an incarnation.
+func (f *fleet) start(i int, incarnation uint64) *node {
+	ctx, cancel := context.WithCancel(context.Background())
+	log := zerolog.Nop()
+	n := &node{gateway: &listener{demands: f.demands}, stop: cancel}
+	self := controllerOf(i, incarnation)
+	seeds := []string{controllerOf(0, 1).Address, controllerOf(1, 1).Address, controllerOf(2, 1).Address}
+	n.controller = controller.New(controller.Config{Self: self, Seeds: seeds, Network: f.fabric.Network(self),
+		Store: f.objects, Hosts: f.targets, Orders: f.targets, Seed: uint64(i), Log: &log})
+	gateway := gatewayOf(i, incarnation)
+	up := uplink.New(uplink.Config{Self: gateway, Own: self.Address, Seeds: seeds, Network: f.fabric.Network(gateway), Log: &log})
+	n.done.Go(func() { _ = n.controller.Run(ctx) })
+	n.done.Go(func() { _ = up.Run(ctx, n.gateway) })
+	return n
+}
+
+// grow starts hosts until there are n, over a second, so that their heartbeats
+// come at different moments.
+func (f *fleet) grow(n int) {
+	for i := len(f.nodes); i < n; i++ {
+		f.nodes = append(f.nodes, f.start(i, 1))
+		time.Sleep(time.Second / time.Duration(n))
+	}
+}
+
+// kill ends a host without a word.
+func (f *fleet) kill(i int) {
+	f.nodes[i].stop()
+	f.nodes[i].done.Wait()
+}
+
+// restart replaces a host.
+func (f *fleet) restart(i int, incarnation uint64) {
+	f.kill(i)
+	f.nodes[i] = f.start(i, incarnation)
+}
+
+// close ends every host.
+func (f *fleet) close() {
+	for _, n := range f.nodes {
+		n.stop()
+	}
+	for _, n := range f.nodes {
+		n.done.Wait()
+	}
+}
+
+// accept accepts the i-th change at the store.
+func (f *fleet) accept(i int) (contract.Revision, error) {
+	k := contractOf(0)
+	k.Limits.Concurrency = 100 + i
+	return configuration.Accept(context.Background(), f.objects, proposalOf(i, k), time.Now())
+}
+
+// behind returns the number of hosts whose gateway or controller has not put a
+// revision in force.
+func (f *fleet) behind(revision contract.Revision) int {
+	behind := 0
+	for _, n := range f.nodes {
+		s := n.controller.Snapshot()
+		if s == nil || s.Revision < revision || n.gateway.inForce() < revision {
+			behind++
+		}
+	}
+	return behind
+}
+
+// usageOf is what a fleet spent up to now.
+type usageOf struct {
+	processor time.Duration
+	bytes     uint64
+	calls     map[store.Purpose]int
+}
+
+// spent returns what the fleet spent so far.
+func (f *fleet) spent() usageOf {
+	return usageOf{processorTime(), f.fabric.Bytes(), f.objects.Calls()}
+}
+
+// reports lists and reports targets.
+type reports struct {
+	hosts    []platform.Host
+	mu       sync.Mutex
+	sequence map[target.ID]uint64
+	lists    int
+	polls    int
+}
+
+// List implements platform.Hosts.
+func (r *reports) List(context.Context) ([]platform.Host, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lists++
+	return r.hosts, nil
+}
+
+// Report implements target.Orders.
+func (r *reports) Report(_ context.Context, t target.Target) (target.Report, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.polls++
+	r.sequence[t.ID]++
+	answer := reportOf(0, r.sequence[t.ID])
+	answer.Target = t.ID
+	return answer, nil
+}
+
+// Send implements target.Orders.
+func (*reports) Send(context.Context, target.Target, target.Order) error { return nil }
+
+// listener is a gateway that only notes its configuration.
+type listener struct {
+	mu       sync.Mutex
+	revision contract.Revision
+	demands  []control.Demand
+}
+
+var _ control.Gateway = (*listener)(nil)
+
+// Configure implements control.Gateway.
+func (l *listener) Configure(s *contract.Snapshot) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.revision = s.Revision
+}
+
+// inForce returns the revision in force.
+func (l *listener) inForce() contract.Revision {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.revision
+}
+
+// Demands implements control.Gateway.
+func (l *listener) Demands() []control.Demand { return l.demands }
+
+// Observe implements control.Gateway.
+func (*listener) Observe([]control.TargetState) {}
+
+// Cordon implements control.Gateway.
+func (*listener) Cordon(target.ID, uint64, bool) int { return 0 }
+
+// Grant implements control.Gateway.
+func (*listener) Grant([]control.Grant) {}
+
+// Connected implements control.Gateway.
+func (*listener) Connected(control.Connectivity) {}
+
+// Usage implements control.Gateway.
+func (*listener) Usage() []usage.Counter { return nil }
+
+// UsageStored implements control.Gateway.
+func (*listener) UsageStored([]usage.Counter) {}
+
+// Explain implements control.Gateway.
+func (*listener) Explain(string) []byte { return nil }
