Order pointers to records, not the records, in lists of members and targets

A list of the live processes is made about ten times a second by a controller. With 780 processes it took 936 to 1,053 us of processor time, since the sort moved whole records; with pointers 778 to 795 us. The list of 720 targets went from 1,102 to 1,130 us to 738 to 746 us (go run ./internal/capacity "heartbeat cores", two runs each way, alternating, on a busy machine). The order and content are the same; tests of membership, targetview and controller pass.

--- a/membership/table.go
+++ b/membership/table.go
@@ -290,11 +290,15 @@
 			newest[p] = e
 		}
 	}
-	members := make([]Member, 0, len(newest))
+	ordered := make([]*entry, 0, len(newest))
 	for _, e := range newest {
-		members = append(members, e.Member)
+		ordered = append(ordered, e)
+	}
+	sort.Slice(ordered, func(i, j int) bool { return before(&ordered[i].Member, &ordered[j].Member) })
+	members := make([]Member, len(ordered))
+	for i, e := range ordered {
+		members[i] = e.Member
 	}
-	sort.Slice(members, func(i, j int) bool { return before(&members[i], &members[j]) })
 	return members
 }
 
--- a/targetview/table.go
+++ b/targetview/table.go
@@ -261,13 +261,17 @@
 
 // States returns every target that is not gone, in order of id.
 func (t *Table) States() []control.TargetState {
-	states := make([]control.TargetState, 0, len(t.entries))
+	ordered := make([]*entry, 0, len(t.entries))
 	for _, e := range t.entries {
 		if e.state.State == platform.Live || e.state.State == platform.Leaving {
-			states = append(states, e.state)
+			ordered = append(ordered, e)
 		}
 	}
-	sort.Slice(states, func(i, j int) bool { return states[i].Target.ID < states[j].Target.ID })
+	sort.Slice(ordered, func(i, j int) bool { return ordered[i].state.Target.ID < ordered[j].state.Target.ID })
+	states := make([]control.TargetState, len(ordered))
+	for i, e := range ordered {
+		states[i] = e.state
+	}
 	return states
 }
 
