--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 GOBIN := $(shell go env GOPATH)/bin
 export PATH := $(GOBIN):$(PATH)
 
-.PHONY: all build demo up test lint format-check docs generate tools bench
+.PHONY: all build demo up test lint format-check docs generate tools bench capacity
 
 all: build
 
@@ -46,3 +46,9 @@
 # Compares the policies with simpler ones in virtual time.
 bench:
 	go run ./cmd/zinnia-bench
+
+# Measures the slopes from which docs/CAPACITY.md works out the sums.
+capacity:
+	go run ./internal/capacity
+	ZINNIA_CAPACITY_SPREAD=7,30,60 ZINNIA_CAPACITY_STEADY=7,30,60 ZINNIA_CAPACITY_GRANTS=0,10,40,160 ZINNIA_CAPACITY_CHURN=30 \
+	go test -count=1 -v -run 'TestSpread|TestSteady|TestGrants|TestChurn' ./internal/capacity
--- a/internal/capacity/configure.go
+++ b/internal/capacity/configure.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"time"
 
@@ -115,6 +116,9 @@
 	if _, err := configuration.Accept(ctx, s, first, time.Now()); err != nil {
 		return changeCost{}, err
 	}
+	if err := fillRecent(ctx, s); err != nil {
+		return changeCost{}, err
+	}
 	watcher, err := loaded(ctx, s)
 	if err != nil {
 		return changeCost{}, err
@@ -133,16 +137,15 @@
 	return c, c.change(ctx, s, watcher, peer, n)
 }
 
-// warmChanges is the number of changes that an average is taken over. The
-// first ones fill the list of recent changes that the root keeps.
-const warmChanges = 64
+// rememberedChanges is the number of recent changes that a root keeps.
+const rememberedChanges = 64
 
 // averagedChanges is the number of changes measured.
 const averagedChanges = 8
 
 // change accepts changes and lets a watcher and a peer take them.
 func (c *changeCost) change(ctx context.Context, s *countingStore, watcher, peer *relay.Holder, n int) error {
-	for i := range warmChanges + averagedChanges {
+	for i := range averagedChanges {
 		l := &holderLink{holder: watcher}
 		k := contractOf(i % n)
 		k.Limits.Concurrency = 17 + i
@@ -162,9 +165,6 @@
 		if err != nil || peer.Revision() != watcher.Revision() {
 			return fmt.Errorf("a peer stayed behind: %w", err)
 		}
-		if i < warmChanges {
-			continue
-		}
 		c.accept += accept / averagedChanges
 		c.load += load / averagedChanges
 		c.fetch += fetch / averagedChanges
@@ -176,6 +176,28 @@
 	return nil
 }
 
+// fillRecent fills the list of recent changes of the root, as after many.
+func fillRecent(ctx context.Context, s store.Store) error {
+	object, err := s.Get(ctx, store.PurposeConfiguration, configuration.RootKey)
+	if err != nil {
+		return err
+	}
+	root := &configuration.Root{}
+	if err := json.Unmarshal(object.Value, root); err != nil {
+		return err
+	}
+	for len(root.Recent) < rememberedChanges {
+		old := proposalOf(1_000+len(root.Recent), contractOf(0))
+		root.Recent = append(root.Recent, configuration.Change{ID: old.ID, Revision: 1, Author: old.Author, Summary: old.Summary})
+	}
+	raw, err := json.Marshal(root)
+	if err != nil {
+		return err
+	}
+	_, err = s.Put(ctx, store.PurposeConfiguration, configuration.RootKey, raw, object.Version)
+	return err
+}
+
 // proposalOf returns the i-th change.
 func proposalOf(i int, k *contract.Contract) configuration.Proposal {
 	return configuration.Proposal{ID: fmt.Sprintf("change-%016d", i), Author: "operator", Summary: "set the concurrency of " + k.Organisation,
--- a/internal/capacity/main.go
+++ b/internal/capacity/main.go
@@ -22,6 +22,7 @@
 	{"peers", measurePeers},
 	{"links", measureLinks},
 	{"heartbeat cores", measureHeartbeats},
+	{"mesh", measureMesh},
 	{"state", measureState},
 	{"configuration", measureConfiguration},
 	{"decisions", measureDecisions},
--- a/internal/capacity/state.go
+++ b/internal/capacity/state.go
@@ -47,11 +47,13 @@
 	r.slope("admission, active: heap", "kB", "organisation", active)
 	r.slope("grantor, one gateway each: heap", "kB", "organisation", granted)
 	r.slope("usage counter: heap", "kB", "counter", counters)
-	var holders []point
+	var holders, asks []point
 	for _, n := range coreSizes {
+		asks = append(asks, point{float64(n), askTime(n)})
 		holders = append(holders, point{float64(n), retained(func() any { return grantHolders(n) }) / 1e3})
 	}
 	r.slope("grantor, one organisation: heap", "kB", "gateway", holders)
+	r.slope("grantor: one answer", "us", "gateway", asks)
 }
 
 // activeCore returns admission with n active organisations.
@@ -97,6 +99,22 @@
 	return all
 }
 
+// grantCalls is the number of answers that an average is taken over.
+const grantCalls = 2_000
+
+// askTime returns the processor time in microseconds in which a grantor answers
+// one of n gateways for one organisation.
+func askTime(n int) float64 {
+	start := time.Now()
+	o := askedOrganisation(start, n)
+	open := start.Add(2 * (grant.Term + grant.Margin))
+	limits := contractOf(0).Limits
+	return perCall(grantCalls, func(i int) {
+		at := open.Add(time.Duration(i) * time.Second / time.Duration(n))
+		o.Ask(at, gatewayOf(i%n, 1).ID(), limits, grant.Fleet{Live: n, Known: n}, control.Demand{RequestsPerSecond: 1, Concurrency: 1})
+	})
+}
+
 // grantHolders returns the state of one organisation with n gateways.
 func grantHolders(n int) *grant.Organisation {
 	return askedOrganisation(time.Now(), n)
