--- a/controller/peers.go
+++ b/controller/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -38,6 +39,7 @@
 	k.mu.Unlock()
 	controllers := membership.Controllers(live, "")
 	peers := membership.Peers(controllers, k.config.Self, k.config.Seed, linked)
+	k.setSources(membership.Sources(controllers, k.config.Self.Host, k.config.Seed, linked))
 	wanted := make(map[machine.HostID]bool, len(peers))
 	for _, p := range peers {
 		wanted[p.Process.Host] = true
@@ -127,33 +129,64 @@
 	defer k.links.removePeer(p)
 	defer func() { _ = l.Close() }()
 	missed := 0
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
 	for missed < maxMissed {
 		missed++
 		if k.heartbeat(ctx, p) == nil {
 			missed = 0
 		}
-		select {
-		case <-ticker.C:
-		case <-l.Done():
-			missed = maxMissed
-		case <-ctx.Done():
-			return
+		if !k.awaitHeartbeat(ctx, p) {
+			break
 		}
 	}
+	if ctx.Err() != nil {
+		return
+	}
 	k.mu.Lock()
 	k.members.Doubt(time.Now(), l.Peer().Incarnation)
 	k.mu.Unlock()
 }
 
+// awaitHeartbeat waits until the next heartbeat is due. It returns false when
+// the link or ctx has ended.
+func (k *Controller) awaitHeartbeat(ctx context.Context, p *peer) bool {
+	timer := time.NewTimer(k.heartbeatInterval())
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-p.news:
+		return true
+	case <-p.link.Done():
+		return false
+	case <-ctx.Done():
+		return false
+	}
+}
+
+const (
+	// maxHeartbeatInterval bounds the time between two heartbeats on a link.
+	maxHeartbeatInterval = 3 * time.Second
+	// heartbeatScale is the number of processes for each second between two
+	// heartbeats. An empty call takes about 270 bytes, so that 18 links with a
+	// call each way every second would take a third of what a node may spend.
+	heartbeatScale = 130
+)
+
+// heartbeatInterval returns the time between two heartbeats on a link. News of
+// the configuration does not wait for it.
+func (k *Controller) heartbeatInterval() time.Duration {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	scaled := time.Duration(k.members.Size()) * time.Second / heartbeatScale
+	return min(maxHeartbeatInterval, max(tickInterval, scaled))
+}
+
 // heartbeat asks a peer for what changed and takes it in.
 func (k *Controller) heartbeat(ctx context.Context, p *peer) error {
 	timed, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	request := k.heartbeatBase()
-	request.MembersVersion = p.members
-	request.TargetsVersion = p.targets
+	request.MembersVersion, request.TargetsVersion = k.versionsFor(p)
 	envelope, err := p.link.Call(timed, &wire.Envelope{Body: &wire.Envelope_Heartbeat{Heartbeat: request}})
 	if err != nil {
 		return err
@@ -169,6 +202,33 @@
 	return nil
 }
 
+const (
+	// noRecords is the version that asks for no records.
+	noRecords = math.MaxUint64
+	// fullEvery is the number of heartbeats on a link for each that asks for
+	// records although the peer is no source.
+	fullEvery = 40
+)
+
+// setSources sets the hosts whose records are taken; nil means all.
+func (k *Controller) setSources(sources map[machine.HostID]bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.sources = sources
+}
+
+// versionsFor returns the versions to ask a peer for. The first heartbeat of a
+// link asks for all.
+func (k *Controller) versionsFor(p *peer) (members, targets uint64) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	p.beats++
+	if k.sources == nil || k.sources[p.link.Peer().Host] || p.beats%fullEvery == 1 {
+		return p.members, p.targets
+	}
+	return noRecords, noRecords
+}
+
 // heartbeatBase returns what every heartbeat says.
 func (k *Controller) heartbeatBase() *wire.Heartbeat {
 	h := &wire.Heartbeat{ConfigRevision: uint64(k.holder.Revision()), ConfirmedAgeMs: -1}
@@ -197,8 +257,10 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.links.markHeard(p)
-	p.members = reply.MembersVersion
-	p.targets = reply.TargetsVersion
+	if reply.MembersVersion != noRecords {
+		p.members = reply.MembersVersion
+		p.targets = reply.TargetsVersion
+	}
 	for _, m := range reply.Members {
 		if !k.members.Merge(now, source, m) {
 			p.members = 0
--- a/placement/demand.go
+++ b/placement/demand.go
@@ -13,14 +13,15 @@
 const (
 	// tokenInterval is the longest wanted time between output tokens, seconds.
 	tokenInterval = 0.046
-	// stepBase is the part of tokenInterval that a decode step takes however
-	// small its batch is.
-	stepBase = 0.33
 	// shiftShare is how far the share of prefill must move to count as a
 	// shift of the mix.
 	shiftShare = 0.25
 	// longestStay bounds how long a mix is expected to last.
 	longestStay = 5 * time.Minute
+	// trendSpan is the time over which a trend is averaged, and trendLead how
+	// far it is looked ahead along, seconds.
+	trendSpan = 4.0
+	trendLead = 3.0
 	// backlogAllowed is the backlog that comes with ordinary use, seconds.
 	backlogAllowed = 0.5
 	// stayWeight is the weight of a new sample of the time between shifts.
@@ -41,17 +42,43 @@
 
 // demand estimates the work of one pool.
 type demand struct {
-	known    bool
-	last     time.Time
-	engines  float64
-	prefill  float64            // engines' worth of prefill work
-	decode   float64            // engines' worth of decode work
-	models   map[string]float64 // tokens a second, by model
-	share    float64            // of prefill, at the last shift
-	shiftAt  time.Time
-	mean     time.Duration // between shifts
-	wanted   change        // the change that looks right
-	wantedAt time.Time     // since when
+	known   bool
+	last    time.Time
+	engines float64
+	prefill float64 // engines' worth of prefill work
+	decode  float64 // engines' worth of decode work, as it is to be
+	// decodeLevel smooths the decode work; it follows arrivals by the length
+	// of an answer, so its trend is looked ahead along.
+	decodeLevel level
+	models      map[string]float64 // tokens a second, by model
+	share       float64            // of prefill, at the last shift
+	shiftAt     time.Time
+	mean        time.Duration // between shifts
+	wanted      change        // the change that looks right
+	wantedAt    time.Time     // since when
+}
+
+// level is a smoothed quantity with its smoothed trend.
+type level struct {
+	value float64
+	trend float64 // a second
+}
+
+// observe takes in a sample that comes step seconds after the last one.
+func (l *level) observe(sample, step, span float64, known bool) {
+	if !known || step <= 0 {
+		l.value = sample
+		return
+	}
+	before := l.value
+	l.value += (1 - math.Exp(-step/span)) * (sample - l.value)
+	l.trend += (1 - math.Exp(-step/trendSpan)) * ((l.value-before)/step - l.trend)
+}
+
+// ahead returns what the quantity will be after some seconds when it rises,
+// and the present value when it falls.
+func (l *level) ahead(seconds float64) float64 {
+	return l.value + max(0, l.trend)*seconds
 }
 
 // newDemand returns an estimate that knows nothing yet.
@@ -86,8 +113,9 @@
 	if d.known {
 		weight = 1 - math.Exp(-now.Sub(d.last).Seconds()/s.DemandSpan.Seconds())
 	}
+	d.decodeLevel.observe(decode, now.Sub(d.last).Seconds(), s.DemandSpan.Seconds(), d.known)
 	d.prefill += weight * (prefill - d.prefill)
-	d.decode += weight * (decode - d.decode)
+	d.decode = d.decodeLevel.ahead(trendLead)
 	d.engines = engines
 	d.observeModels(pool, v, weight)
 	d.last = now
@@ -143,7 +171,7 @@
 		engines++
 		r := &s.Report
 		if r.Role != target.Prefill {
-			decode += decodeShare(float64(r.Running) / batchLimit(r))
+			decode += float64(r.Running) / batchLimit(r)
 		}
 		if r.PrefillRate > 0 && r.PrefillTokens > 0 {
 			backlog := float64(r.PrefillTokens) / r.PrefillRate
@@ -153,12 +181,6 @@
 	return prefill, decode, engines
 }
 
-// decodeShare is the share of its full token rate that an engine gives with
-// part of its full batch: small batches have short steps.
-func decodeShare(batch float64) float64 {
-	return batch / (stepBase + (1-stepBase)*batch)
-}
-
 // busyShare is the share of an engine that prefill takes while it lasts.
 func busyShare(r *target.Report) float64 {
 	if r.Role == target.Prefill || r.Running <= 1 {
--- a/targetview/table.go
+++ b/targetview/table.go
@@ -8,11 +8,12 @@
 //
 // # Bytes
 //
-// A digest of a report takes about 35 bytes; the rest of an entry is sent
-// only when it changed. With n targets in a region a digest is sent on every
-// PublishInterval(n), so that about digestsPerSecond change in a second: 240
-// targets every 4 s, or 60 digests and about 2.1 KB a second, which crosses
-// each link in about one direction.
+// A digest of a report takes 29 bytes (BenchmarkDigestBytes); the rest of an
+// entry, 120 bytes with it, is sent only when it changed. With n targets in a
+// region a digest is sent on every PublishInterval(n), so that at most
+// digestsPerSecond change in a second: 240 targets every 4 s, or 60 digests and
+// 1.7 KB a second. A controller takes them from at most 5 sources of its region
+// and a gateway from one controller.
 package targetview
 
 import (
@@ -42,7 +43,8 @@
 // PublishInterval returns the time between two digests of a target when the
 // region has n.
 func PublishInterval(n int) time.Duration {
-	return max(time.Second, time.Duration(n)*time.Second/digestsPerSecond).Truncate(time.Second)
+	seconds := (n + digestsPerSecond - 1) / digestsPerSecond
+	return time.Duration(max(1, seconds)) * time.Second
 }
 
 // Table is the view of one process. It is not safe for concurrent use.
@@ -56,7 +58,7 @@
 	state      control.TargetState
 	absent     time.Time // since when it is missing from the list; zero if not
 	gone       time.Time // when it passed for gone
-	published  time.Time // when its report was last published
+	published  time.Time // when a report was last published, here or by a peer
 	changed    uint64    // version of the table at the last change
 	introduced uint64    // version at the last change of more than the load
 	source     uint64    // incarnation of the peer that told of the last change
@@ -170,7 +172,8 @@
 }
 
 // Reported takes in a report that this process read itself. It is published
-// at once when more than the load changed, else on its interval.
+// at once when more than the load changed, else on its interval, unless another
+// poller's report came in the meantime.
 func (t *Table) Reported(now time.Time, r target.Report) {
 	e, ok := t.entries[r.Target]
 	if !ok || !newer(&r, &e.state.Report) {
--- a/uplink/uplink.go
+++ b/uplink/uplink.go
@@ -89,6 +89,7 @@
 type upstream struct {
 	link    link.Link
 	targets uint64 // version of the controller's view seen so far
+	beats   uint64 // heartbeats so far
 	told    bool   // the controller named others
 }
 
@@ -113,6 +114,7 @@
 	}
 	group.Go(func() error { return u.every(ctx, func() { u.askGrants(ctx, g) }) })
 	group.Go(func() error { return u.every(ctx, func() { u.pushUsage(ctx, g) }) })
+	group.Go(func() error { return u.every(ctx, func() { u.pushLoads(ctx, g) }) })
 	group.Go(func() error { return u.every(ctx, func() { u.tellConnected(g) }) })
 	return group.Wait()
 }
