--- a/internal/capacity/fleet.go
+++ b/internal/capacity/fleet.go
@@ -205,5 +205,8 @@
 // UsageStored implements control.Gateway.
 func (*listener) UsageStored([]usage.Counter) {}
 
+// PoolLoads implements control.Gateway.
+func (*listener) PoolLoads() []control.PoolLoad { return nil }
+
 // Explain implements control.Gateway.
 func (*listener) Explain(string) []byte { return nil }
--- a/internal/capacity/main.go
+++ b/internal/capacity/main.go
@@ -28,6 +28,8 @@
 	{"decisions", measureDecisions},
 	{"data path", measureDataPath},
 	{"claims", measureClaims},
+	{"usage", measureUsage},
+	{"processes", measureProcesses},
 }
 
 func main() {
