Look for windows to close ten times a window, not every two seconds

Cause: each look costs two reads of the object API a shard; with 64 shards and a look every 2 s that is 64 reads a second in an idle fleet. Change: the pace follows the length of the window: with 60 s windows 21 reads a second, by the same sum. Run: go test ./controller -run Usage; the sum is worked out, not measured.

--- a/controller/usage.go
+++ b/controller/usage.go
@@ -26,8 +26,10 @@
 	usageAge = 30 * time.Second
 	// maxRelayed bounds the counters that wait to be stored.
 	maxRelayed = 100_000
-	// closeInterval is the interval at which windows are closed and reported.
-	closeInterval = 2 * time.Second
+	// closeInterval is the interval at which it is looked whether windows are
+	// to be closed and reported; each looks at closesAWindow times a window.
+	closeInterval = time.Second
+	closesAWindow = 10
 	// closeParallel bounds the shards that are closed at once.
 	closeParallel = 4
 	// maxGrace bounds how long after its end a window stays open.
@@ -41,6 +43,7 @@
 	mu      sync.Mutex
 	windows *usage.Windows // nil until the configuration tells their length
 	aged    time.Time
+	closed  time.Time // when windows were last closed
 }
 
 // newUsageWork returns a part that stores nothing yet.
@@ -174,7 +177,7 @@
 // controller owns.
 func (k *Controller) closeWindows(ctx context.Context) {
 	windows := k.usageWindows()
-	if windows == nil || k.executor == nil || k.config.Reports == nil {
+	if windows == nil || k.config.Reports == nil || !k.closingDue(time.Now()) {
 		return
 	}
 	controllers := membership.Controllers(k.Members(), "")
@@ -192,6 +195,19 @@
 	_ = group.Wait()
 }
 
+// closingDue tells whether windows are to be closed now. Every look costs two
+// reads of the object API a shard.
+func (k *Controller) closingDue(now time.Time) bool {
+	length := k.holder.Snapshot().Fleet.UsageWindow()
+	k.usage.mu.Lock()
+	defer k.usage.mu.Unlock()
+	if now.Sub(k.usage.closed) < length/closesAWindow {
+		return false
+	}
+	k.usage.closed = now
+	return true
+}
+
 // closeShard freezes and reports the windows of one shard. A failure is tried
 // again at the next interval.
 func (k *Controller) closeShard(ctx context.Context, windows *usage.Windows, shard int) {
