--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -7,6 +7,7 @@
 
 	"zinniapin/contract"
 	"zinniapin/controller"
+	"zinniapin/grant"
 	"zinniapin/internal/standin/objects"
 	"zinniapin/result"
 )
@@ -185,6 +186,8 @@
 	r.True(strings.Contains(out, "live, cordoned"))
 	r.True(strings.Contains(out, "never"))
 	r.Equal(len(decode[[]controller.MemberStatus](r, "status", "members")), 2)
+	r.status.documents[controller.TopicGrants] = []controller.GrantStatus{{Organisation: "acme", Held: grant.Amount{Concurrency: 3}}}
+	r.Equal(decode[[]grantRow](r, "status", "grants"), []grantRow{{Organisation: "acme", Concurrency: 3}})
 }
 
 func TestExplainMergesGateways(t *testing.T) {
--- a/operator/status.go
+++ b/operator/status.go
@@ -192,17 +192,27 @@
 	return c.app.print(s, t)
 }
 
+// grantRow is a row of status grants: what gateways hold together.
+type grantRow struct {
+	Organisation      string  `json:"organisation"`
+	RequestsPerSecond float64 `json:"requests_per_second"`
+	Concurrency       int     `json:"concurrency"`
+	TokensPerMinute   float64 `json:"tokens_per_minute"`
+}
+
 // grants shows the grants that the controller that answered handed out.
 func (c *statusCommand) grants(ctx context.Context, b *Backend) error {
 	grants, err := read[[]controller.GrantStatus](ctx, b, controller.TopicGrants, "")
 	if err != nil {
 		return err
 	}
-	t := &table{header: []string{"organisation", "held"}}
+	rows := make([]grantRow, 0, len(grants))
+	t := &table{header: []string{"organisation", "requests/s", "concurrency", "tokens/min"}}
 	for _, g := range grants {
-		t.add(g.Organisation, fmt.Sprintf("%+v", g.Held))
+		rows = append(rows, grantRow{g.Organisation, g.Held.RequestsPerSecond, g.Held.Concurrency, g.Held.TokensPerMinute})
+		t.add(g.Organisation, g.Held.RequestsPerSecond, g.Held.Concurrency, g.Held.TokensPerMinute)
 	}
-	return c.app.print(grants, t)
+	return c.app.print(rows, t)
 }
 
 // links shows the links of the controller that answered.
