Delete usage windows that nobody reads any more

Ruled out: deleting as soon as reported, since late use reads back up to 1,440 windows to find what is counted already. Change: a report deletes what is older than twice that, at most eight windows at a time. At most 2,882 objects a shard are kept.

--- a/usage/close.go
+++ b/usage/close.go
@@ -135,6 +135,7 @@
 			return nil
 		}
 		h.Unreported = start + w.seconds()
+		h.Oldest = w.collect(ctx, number, h)
 		err = w.writeHead(ctx, number, h, version)
 		if err == nil {
 			return nil
--- a/usage/head.go
+++ b/usage/head.go
@@ -18,6 +18,9 @@
 	Next int64 `json:"next"`
 	// Unreported is the oldest window that is not known to be reported.
 	Unreported int64 `json:"unreported"`
+	// Oldest is the oldest window that may still be there; those before are
+	// deleted.
+	Oldest int64 `json:"oldest,omitempty"`
 }
 
 // headKey returns the object key of a shard's head.
@@ -45,7 +48,7 @@
 		if !errors.Is(err, store.ErrNotFound) {
 			return err
 		}
-		err = w.writeHead(ctx, s.number, head{Next: start, Unreported: start}, store.Absent)
+		err = w.writeHead(ctx, s.number, head{Next: start, Unreported: start, Oldest: start}, store.Absent)
 		if err != nil && !errors.Is(err, store.ErrConflict) && !errors.Is(err, store.ErrUnknown) {
 			return err
 		}
--- a/usage/place.go
+++ b/usage/place.go
@@ -23,6 +23,9 @@
 // place writes counters of one window into it, or, once it is frozen, into
 // the first window after it that is not.
 func (w *Windows) place(ctx context.Context, s *shard, origin int64, counters map[counterID]Amount) error {
+	if w.due(origin) {
+		s.next = 0 // late use: read the head anew, since old windows are deleted
+	}
 	if err := w.ensureHead(ctx, s, origin); err != nil {
 		return err
 	}
