--- a/Makefile
+++ b/Makefile
@@ -50,5 +50,5 @@
 # Measures the slopes from which docs/CAPACITY.md works out the sums.
 capacity:
 	go run ./internal/capacity
-	ZINNIA_CAPACITY_SPREAD=7,30,60 ZINNIA_CAPACITY_STEADY=7,30,60 ZINNIA_CAPACITY_GRANTS=0,10,40,160 ZINNIA_CAPACITY_CHURN=30 \
-	go test -count=1 -v -run 'TestSpread|TestSteady|TestGrants|TestChurn' ./internal/capacity
+	ZINNIA_CAPACITY_SPREAD=7,30,60 ZINNIA_CAPACITY_STEADY=7,30,60 ZINNIA_CAPACITY_GRANTS=0,10,40,160 ZINNIA_CAPACITY_CHURN=30 ZINNIA_CAPACITY_USAGE=0,10,40,160 \
+	go test -count=1 -v -run 'TestSpread|TestSteady|TestGrants|TestUsage|TestChurn' ./internal/capacity
--- a/internal/capacity/counting.go
+++ b/internal/capacity/counting.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"sync/atomic"
 
@@ -52,7 +51,7 @@
 	for {
 		n, err := from.Read(buffer)
 		c.bytes.Add(int64(n))
-		if _, failed := to.Write(buffer[:n]); failed != nil || err == io.EOF || err != nil {
+		if _, failed := to.Write(buffer[:n]); failed != nil || err != nil {
 			return
 		}
 	}
--- a/internal/capacity/fleet.go
+++ b/internal/capacity/fleet.go
@@ -26,6 +26,7 @@
 	objects *objects.Store
 	targets *reports
 	demands []control.Demand
+	counts  bool // gateways count use
 	nodes   []*node
 }
 
@@ -55,11 +56,11 @@
 func (f *fleet) start(i int, incarnation uint64) *node {
 	ctx, cancel := context.WithCancel(context.Background())
 	log := zerolog.Nop()
-	n := &node{gateway: &listener{demands: f.demands}, stop: cancel}
+	n := &node{gateway: &listener{demands: f.demands, id: gatewayOf(i, incarnation).ID(), counts: f.counts}, stop: cancel}
 	self := controllerOf(i, incarnation)
 	seeds := []string{controllerOf(0, 1).Address, controllerOf(1, 1).Address, controllerOf(2, 1).Address}
 	n.controller = controller.New(controller.Config{Self: self, Seeds: seeds, Network: f.fabric.Network(self),
-		Store: f.objects, Hosts: f.targets, Orders: f.targets, Seed: uint64(i), Log: &log})
+		Store: f.objects, Hosts: f.targets, Orders: f.targets, Reports: usageReports{f.targets}, Seed: uint64(i), Log: &log})
 	gateway := gatewayOf(i, incarnation)
 	up := uplink.New(uplink.Config{Self: gateway, Own: self.Address, Seeds: seeds, Network: f.fabric.Network(gateway), Log: &log})
 	n.done.Go(func() { _ = n.controller.Run(ctx) })
@@ -118,6 +119,21 @@
 	return behind
 }
 
+// peers returns the mean and the highest number of links between controllers
+// that a host exchanges heartbeats over.
+func (f *fleet) peers() (mean float64, most int) {
+	for _, n := range f.nodes {
+		document, err := n.controller.Status(controller.TopicLinks)
+		links, ok := document.(controller.LinkStatus)
+		if err != nil || !ok {
+			continue
+		}
+		mean += float64(links.Peers) / float64(len(f.nodes))
+		most = max(most, links.Peers)
+	}
+	return mean, most
+}
+
 // usageOf is what a fleet spent up to now.
 type usageOf struct {
 	processor time.Duration
@@ -137,6 +153,7 @@
 	sequence map[target.ID]uint64
 	lists    int
 	polls    int
+	usages   int
 }
 
 // List implements platform.Hosts.
@@ -158,6 +175,17 @@
 	return answer, nil
 }
 
+// Report implements platform.Usage.
+func (u usageReports) Report(context.Context, string, uint64, []platform.UsageReport) error {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.usages++
+	return nil
+}
+
+// usageReports takes reports of use.
+type usageReports struct{ *reports }
+
 // Send implements target.Orders.
 func (*reports) Send(context.Context, target.Target, target.Order) error { return nil }
 
@@ -166,6 +194,8 @@
 	mu       sync.Mutex
 	revision contract.Revision
 	demands  []control.Demand
+	id       string
+	counts   bool
 }
 
 var _ control.Gateway = (*listener)(nil)
@@ -199,8 +229,21 @@
 // Connected implements control.Gateway.
 func (*listener) Connected(control.Connectivity) {}
 
-// Usage implements control.Gateway.
-func (*listener) Usage() []usage.Counter { return nil }
+// Usage implements control.Gateway: every active organisation had a request
+// since the last call.
+func (l *listener) Usage() []usage.Counter {
+	if !l.counts {
+		return nil
+	}
+	now := time.Now()
+	counters := make([]usage.Counter, len(l.demands))
+	for i := range counters {
+		n := uint64(now.Unix() % 60)
+		counters[i] = usage.Counter{Gateway: l.id, Organisation: l.demands[i].Organisation, Window: now.Truncate(time.Minute).UTC(),
+			Amount: usage.Amount{Requests: n + 1, PromptTokens: 800 * n, OutputTokens: 230 * n}}
+	}
+	return counters
+}
 
 // UsageStored implements control.Gateway.
 func (*listener) UsageStored([]usage.Counter) {}
--- a/internal/capacity/fleet_test.go
+++ b/internal/capacity/fleet_test.go
@@ -77,7 +77,7 @@
 func TestSteady(t *testing.T) {
 	for _, n := range sizes("ZINNIA_CAPACITY_STEADY", 7) {
 		t.Run(fmt.Sprint("hosts=", n), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { steady(t, n, 0) })
+			synctest.Test(t, func(t *testing.T) { steady(t, n, 0, false) })
 		})
 	}
 }
@@ -86,7 +86,17 @@
 func TestGrants(t *testing.T) {
 	for _, active := range sizes("ZINNIA_CAPACITY_GRANTS", 10) {
 		t.Run(fmt.Sprint("active=", active), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { steady(t, 7, active) })
+			synctest.Test(t, func(t *testing.T) { steady(t, 7, active, false) })
+		})
+	}
+}
+
+// TestUsage prints what usage adds for active organisations, each with a
+// request a second at every gateway.
+func TestUsage(t *testing.T) {
+	for _, active := range sizes("ZINNIA_CAPACITY_USAGE", 10) {
+		t.Run(fmt.Sprint("active=", active), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { steady(t, sizes("ZINNIA_CAPACITY_USAGE_HOSTS", 7)[0], active, true) })
 		})
 	}
 }
@@ -97,22 +107,33 @@
 }
 
 // steady runs a fleet without faults and prints what it spends.
-func steady(t *testing.T, n, active int) {
+func steady(t *testing.T, n, active int, counts bool) {
 	is := is.New(t)
 	f, err := newFleet(targetsFor(n), 200+active, active)
 	is.NoErr(err)
 	defer f.close()
+	f.counts = counts
 	f.fabric.SetDelay(time.Millisecond)
 	f.grow(n)
 	time.Sleep(warmTime(n))
 	is.Equal(f.behind(1), 0)
 	before, lists, polls := f.spent(), f.targets.lists, f.targets.polls
-	span := 20 * time.Second
+	span := steadySpan(counts)
 	time.Sleep(span)
 	f.print(t, fmt.Sprintf("steady, %d hosts, %d targets, %d active", n, targetsFor(n), active), n, span, before)
+	mean, most := f.peers()
+	t.Logf("  links with heartbeats to %.1f controllers on average, %d at most", mean, most)
 	t.Logf("  host lists %.2f/s, target reports %.2f/s a host", float64(f.targets.lists-lists)/span.Seconds(), float64(f.targets.polls-polls)/span.Seconds()/float64(n))
 }
 
+// steadySpan is how long a fleet is measured: with usage as long as windows.
+func steadySpan(counts bool) time.Duration {
+	if counts {
+		return 3 * time.Minute
+	}
+	return 20 * time.Second
+}
+
 // warmTime is how long a fleet needs until controllers are settled: four beats
 // and the allowance for their spread.
 func warmTime(n int) time.Duration {
--- a/internal/capacity/heartbeats.go
+++ b/internal/capacity/heartbeats.go
@@ -35,7 +35,7 @@
 
 // measureMembership measures the table of processes.
 func measureMembership(r *report) {
-	var heap, since, live, tick, merge, owns []point
+	var heap, since, live, tick, merge, owns, owners []point
 	for _, hosts := range coreSizes {
 		size := float64(2 * hosts)
 		now := time.Now()
@@ -51,6 +51,7 @@
 			t.Merge(now, 1, &wire.Member{Incarnation: gatewayOf(i%(hosts-1)+1, 1).Incarnation, Beat: beat})
 		})})
 		controllers := membership.Controllers(t.Members(now), "")
+		owners = append(owners, point{size, perCall(coreCalls, func(int) { membership.Owners(controllers, "usage/001", 1) })})
 		owns = append(owns, point{size, perCall(coreCalls, func(int) { membership.Owns(controllers, "engine-0001", 2, "host-001") })})
 	}
 	r.slope("membership table: heap", "kB", "process", heap)
@@ -58,6 +59,7 @@
 	r.slope("membership: list of the live", "us", "process", live)
 	r.slope("membership: tick", "us", "process", tick)
 	r.slope("membership: merge of a beat", "us", "process", merge)
+	r.slope("membership: owners of a key", "us", "process", owners)
 	r.slope("membership: ownership of a key", "us", "process", owns)
 }
 
