--- a/internal/capacity/fleet.go
+++ b/internal/capacity/fleet.go
@@ -134,6 +134,21 @@
 	return mean, most
 }
 
+// ages returns the mean and the highest age of the reports that controllers
+// see of the targets of their region.
+func (f *fleet) ages() (mean, highest time.Duration) {
+	n := 0
+	for _, node := range f.nodes {
+		for _, s := range node.controller.Targets() {
+			age := time.Since(s.Report.Taken)
+			mean += age
+			highest = max(highest, age)
+			n++
+		}
+	}
+	return mean / time.Duration(max(1, n)), highest
+}
+
 // usageOf is what a fleet spent up to now.
 type usageOf struct {
 	processor time.Duration
--- a/internal/capacity/fleet_test.go
+++ b/internal/capacity/fleet_test.go
@@ -123,6 +123,8 @@
 	f.print(t, fmt.Sprintf("steady, %d hosts, %d targets, %d active", n, targetsFor(n), active), n, span, before)
 	mean, most := f.peers()
 	t.Logf("  links with heartbeats to %.1f controllers on average, %d at most", mean, most)
+	young, oldest := f.ages()
+	t.Logf("  reports seen by controllers are %.1f s old on average, %.1f s at most", young.Seconds(), oldest.Seconds())
 	t.Logf("  host lists %.2f/s, target reports %.2f/s a host", float64(f.targets.lists-lists)/span.Seconds(), float64(f.targets.polls-polls)/span.Seconds()/float64(n))
 }
 
--- a/internal/capacity/mesh.go
+++ b/internal/capacity/mesh.go
@@ -25,6 +25,7 @@
 	polls      []int // targets that the controller polls
 	sequence   uint64
 	down       bool
+	sources    map[machine.HostID]bool // whose records are taken; nil means all
 }
 
 // meshLink is one direction of a link: from asks to.
@@ -33,6 +34,8 @@
 	gateway          bool // the asker is the gateway of the host from
 	members, targets uint64
 	phase            time.Duration
+	due              time.Time
+	beats            uint64
 }
 
 // mesh exchanges heartbeats between the real cores of many hosts, without
@@ -70,7 +73,9 @@
 		m.link(i, (i+zoneCount-1)%hosts, true)
 	}
 	m.assign(members, targets)
+	m.choose(members)
 	for _, l := range m.links {
+		l.beats = m.random.Uint64N(fullEvery)
 		to := m.hosts[l.to]
 		_, l.members = to.members.Since(0, 0, 1<<30)
 		l.targets = to.targets.Version()
@@ -92,7 +97,9 @@
 		for _, t := range []*targetview.Table{h.targets, h.view} {
 			t.Listed(m.now, hostsOf(targets), local)
 			for j := range targets {
-				t.Reported(m.now, reportOf(j, 1))
+				first := reportOf(j, 1)
+				first.Taken = m.now
+				t.Reported(m.now, first)
 			}
 		}
 	}
@@ -134,6 +141,50 @@
 	m.link(b, a, false)
 }
 
+// choose lets each host choose the sources of its records.
+func (m *mesh) choose(members []membership.Member) {
+	linked := map[int]map[machine.HostID]bool{}
+	for _, l := range m.links {
+		if linked[l.from] == nil {
+			linked[l.from] = map[machine.HostID]bool{}
+		}
+		if !l.gateway {
+			linked[l.from][m.hosts[l.to].controller.Host] = true
+		}
+	}
+	for i, h := range m.hosts {
+		h.sources = membership.Sources(members, h.controller.Host, uint64(i), linked[i])
+	}
+}
+
+// The pace at which a controller asks its peers, and an uplink for the view of
+// its second controller; both as package controller and package uplink have it.
+const (
+	maxInterval     = 3 * time.Second
+	intervalScale   = 130 // processes for each second
+	fullEvery       = 40  // heartbeats
+	secondViewEvery = 8   // heartbeats
+	smallFleet      = 64  // processes
+)
+
+// interval returns the time between two heartbeats of a link.
+func (m *mesh) interval(l *meshLink) time.Duration {
+	if l.gateway {
+		return time.Second
+	}
+	scaled := time.Duration(m.hosts[l.from].members.Size()) * time.Second / intervalScale
+	return min(maxInterval, max(time.Second, scaled))
+}
+
+// asks tells whether a heartbeat asks for records.
+func (m *mesh) asks(l *meshLink) bool {
+	from, to := m.hosts[l.from], m.hosts[l.to].controller.Host
+	if l.gateway {
+		return l.from == l.to || from.members.Size() <= smallFleet || l.beats%secondViewEvery == 1
+	}
+	return from.sources == nil || from.sources[to] || l.beats%fullEvery == 1
+}
+
 // joined tells whether two controllers are linked.
 func (m *mesh) joined(a, b int) bool {
 	for _, l := range m.links {
@@ -176,9 +227,13 @@
 	}
 	sent := make([]float64, len(m.hosts))
 	for _, l := range m.links {
-		if !m.hosts[l.from].down && !m.hosts[l.to].down {
-			m.ask(l, m.now.Add(l.phase), sent)
+		now := m.now.Add(l.phase)
+		if m.hosts[l.from].down || m.hosts[l.to].down || now.Before(l.due) {
+			continue
 		}
+		l.due = now.Add(m.interval(l))
+		l.beats++
+		m.ask(l, now, sent)
 	}
 	for _, bytes := range sent {
 		m.spent.highest = max(m.spent.highest, bytes)
@@ -206,6 +261,7 @@
 func (m *mesh) ask(l *meshLink, now time.Time, sent []float64) {
 	from, to := m.hosts[l.from], m.hosts[l.to]
 	question := heartbeatQuestion().GetHeartbeat()
+	asks := m.asks(l)
 	question.MembersVersion, question.TargetsVersion = l.members, l.targets
 	answer := heartbeatQuestion().GetHeartbeat()
 	reader := from.controller.Incarnation
@@ -213,10 +269,10 @@
 		reader = from.gateway.Process.Incarnation
 		question.Members = []*wire.Member{from.gateway.ToWire(false)}
 		to.members.Merge(now, reader, question.Members[0])
-	} else {
+	} else if asks {
 		answer.Members, l.members = to.members.Since(l.members, reader, replyBytes)
 	}
-	if from.controller.Zone.Region == to.controller.Zone.Region {
+	if asks && from.controller.Zone.Region == to.controller.Zone.Region {
 		answer.Targets, l.targets = to.targets.Since(now, l.targets, reader, replyBytes)
 	}
 	m.merge(l, now, answer)
@@ -281,6 +337,8 @@
 		sum := s.members + s.targets + s.gateways + s.rest
 		r.printf("%d hosts, steady: %.1f calls a second; sent %.2f kB/s a host: processes %.2f, targets %.2f, gateways %.2f, rest %.2f\n",
 			hosts, s.calls, sum/1e3, s.members/1e3, s.targets/1e3, s.gateways/1e3, s.rest/1e3)
+		mean, highest := m.ages()
+		r.printf("%d hosts: reports seen by gateways are %.1f s old on average, %.1f s at most\n", hosts, mean, highest)
 		calls = append(calls, point{float64(hosts), s.calls})
 		bytes = append(bytes, point{float64(hosts), sum / 1e3})
 		m.restart(hosts / 2)
@@ -295,6 +353,24 @@
 	return nil
 }
 
+// ages returns the mean and the highest age in seconds of the reports that
+// gateways see of the live targets of their region.
+func (m *mesh) ages() (mean, highest float64) {
+	n := 0.0
+	for _, h := range m.hosts {
+		if h.down {
+			continue
+		}
+		for _, s := range h.view.States() {
+			age := m.now.Sub(s.Report.Taken).Seconds()
+			mean += age
+			highest = max(highest, age)
+			n++
+		}
+	}
+	return mean / n, highest
+}
+
 // restart replaces a host: it knows nobody, and its links begin anew.
 func (m *mesh) restart(i int) {
 	old := m.hosts[i]
@@ -305,7 +381,7 @@
 		if l.from != i && l.to != i {
 			continue
 		}
-		l.members, l.targets = 0, 0
+		l.members, l.targets, l.beats, l.due = 0, 0, 0, m.now
 	}
 	for _, l := range m.links {
 		if l.from == i && !l.gateway {
@@ -344,5 +420,6 @@
 			m.join(i, m.indexOf(p.Process.Host), false)
 		}
 	}
+	m.choose(live)
 	m.assign(live, max(targetSizes[0], designTargets*len(live)/designNodes))
 }
