Let a deployment notice that one of its processes did not start

Cause: a second example run on the same addresses found the first run's platform answering, drove it and replaced its configuration. Change: waiting ends with the name and log of a process that ended with an error by itself.

--- a/internal/deploy/process.go
+++ b/internal/deploy/process.go
@@ -27,7 +27,8 @@
 
 	command *exec.Cmd
 	done    chan struct{}
-	err     error
+	err     error // valid once done is closed
+	stopped bool  // by Stop or Kill
 }
 
 // start starts a program in the deployment's folder.
@@ -106,6 +107,7 @@
 // Stop asks for a graceful shutdown and waits for the end; when ctx ends
 // first the process is killed.
 func (p *Process) Stop(ctx context.Context) error {
+	p.stopped = true
 	_ = p.Signal(syscall.SIGCONT)
 	_ = p.Signal(syscall.SIGTERM)
 	select {
@@ -119,6 +121,7 @@
 
 // Kill ends the process at once.
 func (p *Process) Kill() {
+	p.stopped = true
 	_ = p.command.Process.Kill()
 	<-p.done
 }
@@ -194,7 +197,7 @@
 	if err != nil {
 		return err
 	}
-	return waitFor(ctx, url+"/reports", func(status int) bool { return status < http.StatusInternalServerError })
+	return d.waitFor(ctx, url+"/reports", func(status int) bool { return status < http.StatusInternalServerError })
 }
 
 // WaitReady waits until the gateways of all hosts are ready.
@@ -213,12 +216,16 @@
 	if err != nil {
 		return err
 	}
-	return waitFor(ctx, "http://"+s.Operators+"/readyz", func(status int) bool { return status == http.StatusOK })
+	return d.waitFor(ctx, "http://"+s.Operators+"/readyz", func(status int) bool { return status == http.StatusOK })
 }
 
-// waitFor waits until a URL answers with a status that is good.
-func waitFor(ctx context.Context, url string, good func(status int) bool) error {
+// waitFor waits until a URL answers with a status that is good. A process that
+// failed to start ends the wait: another run may answer at its address.
+func (d *Deployment) waitFor(ctx context.Context, url string, good func(status int) bool) error {
 	for {
+		if err := d.failed(); err != nil {
+			return err
+		}
 		request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 		if err != nil {
 			return trace.Wrap(err)
@@ -227,7 +234,7 @@
 		if err == nil {
 			_ = response.Body.Close()
 			if good(response.StatusCode) {
-				return nil
+				return d.failed()
 			}
 		}
 		select {
@@ -238,6 +245,20 @@
 	}
 }
 
+// failed returns an error when a process ended by itself with one.
+func (d *Deployment) failed() error {
+	for _, p := range d.processes {
+		select {
+		case <-p.done:
+			if p.err != nil && !p.stopped {
+				return fmt.Errorf("%s ended: %w; see %s", p.Name, p.err, p.Log)
+			}
+		default:
+		}
+	}
+	return nil
+}
+
 // Operator runs the operators' command and returns its output.
 func (d *Deployment) Operator(ctx context.Context, arguments ...string) (string, error) {
 	binary, err := filepath.Abs(filepath.Join(d.Binaries, "zinniactl"))
