Take records from sources of the own region, so that reports of targets arrive

Views of targets are told within a region only, but sources were chosen, and links to successors opened, without regard to regions: many controllers had no source of their region, and nobody took the reports of some pollers. Below 9 hosts all links are sources, so fleets of today are not affected.

Each controller now links to its successor within the region too and takes records from both neighbours there.

TestSourcesReachAll also asks that news reach the whole region; it fails on the former choice. TestSpread bounds the age of reports at 12 s.

--- a/controller/peers.go
+++ b/controller/peers.go
@@ -39,7 +39,7 @@
 	k.mu.Unlock()
 	controllers := membership.Controllers(live, "")
 	peers := membership.Peers(controllers, k.config.Self, k.config.Seed, linked)
-	k.setSources(membership.Sources(controllers, k.config.Self.Host, k.config.Seed, linked))
+	k.setSources(membership.Sources(controllers, k.config.Self, k.config.Seed, linked))
 	wanted := make(map[machine.HostID]bool, len(peers))
 	for _, p := range peers {
 		wanted[p.Process.Host] = true
--- a/internal/capacity/fleet_test.go
+++ b/internal/capacity/fleet_test.go
@@ -18,6 +18,9 @@
 // everywhere.
 const spreadBound = 14 * time.Second
 
+// oldestReport bounds the age of the reports that controllers see.
+const oldestReport = 12 * time.Second
+
 // sizes returns the numbers of hosts to run: the small ones, or those that the
 // variable names, separated by commas.
 func sizes(variable string, small ...int) []int {
@@ -55,6 +58,8 @@
 	f.grow(n)
 	time.Sleep(30 * time.Second)
 	is.Equal(f.behind(1), 0)
+	_, oldest := f.ages()
+	is.True(oldest < oldestReport)
 	var worst, sum time.Duration
 	const changes = 6
 	for i := range changes {
--- a/internal/capacity/mesh.go
+++ b/internal/capacity/mesh.go
@@ -153,7 +153,7 @@
 		}
 	}
 	for i, h := range m.hosts {
-		h.sources = membership.Sources(members, h.controller.Host, uint64(i), linked[i])
+		h.sources = membership.Sources(members, h.controller, uint64(i), linked[i])
 	}
 }
 
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -234,7 +234,7 @@
 		readers := map[machine.HostID][]machine.HostID{}
 		for _, m := range members {
 			self := m.Process.Host
-			sources := Sources(members, self, 1, linked[self])
+			sources := Sources(members, m.Process, 1, linked[self])
 			if sources == nil {
 				sources = linked[self]
 			}
@@ -243,23 +243,51 @@
 				readers[source] = append(readers[source], self)
 			}
 		}
-		hops := map[machine.HostID]int{members[0].Process.Host: 0}
-		queue := []machine.HostID{members[0].Process.Host}
-		farthest := 0
-		for len(queue) > 0 {
-			for _, next := range readers[queue[0]] {
-				if _, reached := hops[next]; !reached {
-					hops[next] = hops[queue[0]] + 1
-					farthest = max(farthest, hops[next])
-					queue = append(queue, next)
-				}
+		farthest := reach(members[0].Process.Host, readers)
+		is.Equal(len(farthest), n)
+		for _, m := range members {
+			region := Controllers(members, m.Process.Zone.Region)
+			is.Equal(len(reach(m.Process.Host, within(readers, region))), len(region))
+		}
+		t.Logf("%d hosts: at most %d hops", n, most(farthest))
+		is.True(most(farthest) <= 8)
+	}
+}
+
+// reach returns the hops to each host that news from one reaches.
+func reach(from machine.HostID, readers map[machine.HostID][]machine.HostID) map[machine.HostID]int {
+	hops := map[machine.HostID]int{from: 0}
+	for queue := []machine.HostID{from}; len(queue) > 0; queue = queue[1:] {
+		for _, next := range readers[queue[0]] {
+			if _, reached := hops[next]; !reached {
+				hops[next] = hops[queue[0]] + 1
+				queue = append(queue, next)
 			}
-			queue = queue[1:]
 		}
-		is.Equal(len(hops), n)
-		t.Logf("%d hosts: at most %d hops", n, farthest)
-		is.True(farthest <= 8)
 	}
+	return hops
+}
+
+// within leaves only readers of one region, as views of targets do.
+func within(readers map[machine.HostID][]machine.HostID, region []Member) map[machine.HostID][]machine.HostID {
+	kept := map[machine.HostID][]machine.HostID{}
+	for _, m := range region {
+		for _, reader := range readers[m.Process.Host] {
+			if slices.ContainsFunc(region, func(other Member) bool { return other.Process.Host == reader }) {
+				kept[m.Process.Host] = append(kept[m.Process.Host], reader)
+			}
+		}
+	}
+	return kept
+}
+
+// most returns the highest number of hops.
+func most(hops map[machine.HostID]int) int {
+	highest := 0
+	for _, n := range hops {
+		highest = max(highest, n)
+	}
+	return highest
 }
 
 // TestPeersKeepGoodLinks checks that a new host moves few links.
--- a/membership/select.go
+++ b/membership/select.go
@@ -105,8 +105,8 @@
 }
 
 // Peers returns the controllers that self should open links to: its successor
-// in order of host, which keeps the mesh in one piece, then a share of its
-// own zone, of other zones of the region and of other regions. Linked peers
+// in order of host, which keeps the mesh in one piece, and that of its own
+// region, which keeps the region in one piece, then a share of its own zone, of other zones of the region and of other regions. Linked peers
 // go first within each share, so that a change of membership breaks no good
 // link. The result is the same for the same input.
 func Peers(controllers []Member, self machine.Process, seed uint64, linked map[machine.HostID]bool) []Member {
@@ -117,6 +117,9 @@
 	}
 	chosen := newChoice(want)
 	chosen.add(successor(others, self.Host))
+	if regional := inRegion(others, self.Zone.Region); len(regional) > 0 {
+		chosen.add(successor(regional, self.Host))
+	}
 	key := pairKey(seed, self.Host)
 	var near [zone.OtherRegion + 1][]Member
 	for _, m := range others {
@@ -208,34 +211,59 @@
 
 // sourceChords is the number of sources besides the neighbours in order of
 // host.
-const sourceChords = 3
+const sourceChords = 1
 
 // Sources returns the linked hosts that self should take the records of others
 // from, or nil when it should take them from all. They are its neighbours in
 // order of host, so that every process is the source of its own neighbours,
 // and a few others. Each record reaches a process once from each source, so few
-// sources keep the bytes low.
-func Sources(controllers []Member, self machine.HostID, seed uint64, linked map[machine.HostID]bool) map[machine.HostID]bool {
-	others := withoutHost(controllers, self)
+// sources keep the bytes low. Views of targets stay within a region, so the
+// neighbours in the region count too and the others are of the region if there
+// are any.
+func Sources(controllers []Member, self machine.Process, seed uint64, linked map[machine.HostID]bool) map[machine.HostID]bool {
+	others := withoutHost(controllers, self.Host)
 	if len(linked) <= minPeers || len(others) <= minPeers {
 		return nil
 	}
-	next := successor(others, self).Process.Host
-	previous := predecessor(others, self).Process.Host
-	sources := map[machine.HostID]bool{next: true, previous: true}
-	chords := make([]Member, 0, len(linked))
-	for _, m := range others {
-		if linked[m.Process.Host] && !sources[m.Process.Host] {
-			chords = append(chords, m)
+	sources := map[machine.HostID]bool{}
+	regional := inRegion(others, self.Zone.Region)
+	for _, ring := range [][]Member{others, regional} {
+		if len(ring) > 0 {
+			sources[successor(ring, self.Host).Process.Host] = true
+			sources[predecessor(ring, self.Host).Process.Host] = true
 		}
 	}
-	rank(chords, pairKey(seed, self), nil)
+	key := pairKey(seed, self.Host)
+	chords := append(chordsOf(regional, sources, linked, key), chordsOf(others, sources, linked, key)...)
 	for _, m := range chords[:min(sourceChords, len(chords))] {
 		sources[m.Process.Host] = true
 	}
 	return sources
 }
 
+// chordsOf returns the linked members that are no sources yet, by rank.
+func chordsOf(members []Member, sources, linked map[machine.HostID]bool, key string) []Member {
+	var chords []Member
+	for _, m := range members {
+		if linked[m.Process.Host] && !sources[m.Process.Host] {
+			chords = append(chords, m)
+		}
+	}
+	rank(chords, key, nil)
+	return chords
+}
+
+// inRegion returns the members of a region, in the same order.
+func inRegion(members []Member, region zone.Region) []Member {
+	var found []Member
+	for _, m := range members {
+		if m.Process.Zone.Region == region {
+			found = append(found, m)
+		}
+	}
+	return found
+}
+
 // predecessor returns the member before a host in order of host, around the
 // end.
 func predecessor(others []Member, host machine.HostID) Member {
