Add a randomised run of the joined system in virtual time

Cause: each part had tests of its own, and no run joined gateways, controllers, planning and usage under faults. Change: internal/soak runs them over memlink with stand-ins; the stand-in engine now tells cuts by a change from cuts by a crash.

--- /dev/null
+++ b/internal/soak/judge.go
@@ -0,0 +1,224 @@
+package soak
+
+import (
+	"net/http"
+	"strings"
+	"time"
+
+	"zinniapin/internal/standin/engine"
+	"zinniapin/target"
+)
+
+// leavingLimit is the time after which a leaving target gets no new work.
+const leavingLimit = 14 * time.Second
+
+// requestIDBytes is the length of a gateway's request id, with which the ids
+// of its attempts begin.
+const requestIDBytes = 32
+
+// seen is what targets saw of a gateway's request.
+type seen struct {
+	organisation string
+	first        bool // an attempt began with the first token
+}
+
+// judge checks what can be checked only at the end.
+func (w *world) judge() {
+	engines := w.judgeEngines()
+	w.judgePlatform()
+	w.judgeDesk()
+	w.judgeLeaving()
+	w.judgeRefusals(engines)
+	w.judgeUsage(engines)
+	w.judgeMemory()
+}
+
+// judgeEngines checks orders and requests of all engines and returns the
+// requests by id.
+func (w *world) judgeEngines() map[string]seen {
+	requests := map[string]seen{}
+	scopes := map[string]string{}
+	for id, e := range w.cloud.all() {
+		records := e.Records()
+		for _, o := range records.Conflicts() {
+			w.report.violation("engine %s received a conflicting order %+v", id, o)
+		}
+		w.report.note("orders received by engines", len(records.Orders))
+		w.report.note("attempts cut by a crash or change", records.Cut)
+		for _, o := range records.Orders {
+			w.report.note("orders "+string(o.Outcome), 1)
+		}
+		for _, r := range records.Requests {
+			w.judgeRequest(id, r, scopes, requests)
+		}
+		w.judgeCuts(id, e)
+	}
+	return requests
+}
+
+// judgeRequest checks whom a request ran for and that it held no key.
+func (w *world) judgeRequest(id target.ID, r target.GenerateRequest, scopes map[string]string, requests map[string]seen) {
+	_, content, _ := strings.Cut(r.Prompt, "\n")
+	organisation, _, _ := strings.Cut(content, "/")
+	if known, ok := scopes[r.CacheScope]; ok && known != organisation {
+		w.report.violation("engine %s ran a request of %s in the scope of %s", id, organisation, known)
+	}
+	scopes[r.CacheScope] = organisation
+	for _, field := range []string{r.Prompt, r.CacheScope, r.Attempt, r.Delivered, r.KVHandle} {
+		if strings.Contains(field, keyMark) {
+			w.report.violation("engine %s saw a key in attempt %s", id, r.Attempt)
+		}
+	}
+	request := r.Attempt[:min(len(r.Attempt), requestIDBytes)]
+	s := requests[request]
+	requests[request] = seen{organisation, s.first || r.Offset == 0}
+}
+
+// judgeCuts checks that no planned change cut what a caller was served.
+func (w *world) judgeCuts(id target.ID, e *engine.Engine) {
+	cut := e.Records().CutByChange
+	w.report.note("attempts cut by a planned change", len(cut))
+	if len(cut) == 0 {
+		return
+	}
+	byRequest := map[string]*attempt{}
+	attempts, _ := w.ledger.all()
+	for _, a := range attempts {
+		byRequest[a.request] = a
+	}
+	for _, name := range cut {
+		a := byRequest[name[:min(len(name), requestIDBytes)]]
+		if a != nil && !a.whole && a.code != "" && a.execution != "not_run" {
+			w.report.violation("a planned change of engine %s cut %s of %s, which ended with %s", id, a.kind, a.subject, a.code)
+		}
+	}
+}
+
+// judgePlatform collects what the platform found.
+func (w *world) judgePlatform() {
+	w.cloud.mu.Lock()
+	defer w.cloud.mu.Unlock()
+	for _, p := range w.cloud.problems {
+		w.report.violation("platform: %s", p)
+	}
+	w.report.note("orders taken by the platform", w.cloud.taken)
+	w.report.note("windows reported", w.cloud.reported)
+}
+
+// judgeDesk collects what the plain service found, and checks the outcomes of
+// non-repeatable calls against its books.
+func (w *world) judgeDesk() {
+	w.desk.mu.Lock()
+	defer w.desk.mu.Unlock()
+	for _, p := range w.desk.problems {
+		w.report.violation("service: %s", p)
+	}
+	attempts, _ := w.ledger.all()
+	whole, doubt := map[string]bool{}, map[string]bool{}
+	for _, a := range attempts {
+		if a.kind != "deposit" {
+			continue
+		}
+		whole[a.subject] = whole[a.subject] || a.whole
+		doubt[a.subject] = doubt[a.subject] || a.execution != "not_run"
+	}
+	for id, done := range whole {
+		if runs := w.desk.runs[id]; done && runs != 1 {
+			w.report.violation("service: %s was answered and ran %d times", id, runs)
+		}
+		if runs := w.desk.runs[id]; !done && !doubt[id] && runs != 0 {
+			w.report.violation("service: every attempt at %s was refused as not run, it ran %d times", id, runs)
+		}
+	}
+}
+
+// judgeLeaving checks that leaving targets got no new work.
+func (w *world) judgeLeaving() {
+	_, choices := w.ledger.all()
+	w.cloud.mu.Lock()
+	defer w.cloud.mu.Unlock()
+	for _, c := range choices {
+		noticed, leaving := w.cloud.noticed[c.target]
+		if leaving && c.at.Sub(noticed) > leavingLimit {
+			w.report.violation("%s chose %s %v after its notice", c.gateway, c.target, c.at.Sub(noticed))
+		}
+	}
+}
+
+// judgeRefusals checks that what was refused as not run did not run.
+func (w *world) judgeRefusals(engines map[string]seen) {
+	services := w.serviceRequests()
+	attempts, _ := w.ledger.all()
+	for _, a := range attempts {
+		if a.execution != "not_run" {
+			continue
+		}
+		_, atEngine := engines[a.request]
+		_, atService := services[a.request]
+		if atEngine || atService {
+			w.report.violation("%s refused %s %s as not run (%s), it ran", a.gateway, a.kind, a.subject, a.code)
+		}
+		w.report.note("refusals as not run checked", 1)
+	}
+}
+
+// serviceRequests returns the organisations of the gateways' requests that
+// ran at the plain service.
+func (w *world) serviceRequests() map[string]string {
+	w.desk.mu.Lock()
+	defer w.desk.mu.Unlock()
+	requests := map[string]string{}
+	for _, c := range w.desk.calls {
+		requests[c.request] = c.organisation
+	}
+	return requests
+}
+
+// judgeUsage compares what was reported with what ran and with what callers
+// received. The use that only a killed gateway knew may be missing; nothing
+// may be reported that did not run.
+func (w *world) judgeUsage(engines map[string]seen) {
+	services := w.serviceRequests()
+	lost := w.lostGateways()
+	attempts, _ := w.ledger.all()
+	for _, name := range organisations {
+		var ranRequests, ranCalls, gotRequests, gotCalls uint64
+		for _, s := range engines {
+			if s.organisation == name && s.first {
+				ranRequests++
+			}
+		}
+		for _, organisation := range services {
+			if organisation == name {
+				ranCalls++
+			}
+		}
+		for _, a := range attempts {
+			served := a.organisation == name && a.whole && !lost[a.gateway]
+			switch {
+			case served && (a.kind == "chat" || a.kind == "stream") && !a.resumed:
+				gotRequests++
+			case served && a.status == http.StatusCreated && !a.replayed:
+				gotCalls++
+			}
+		}
+		requests, calls := w.cloud.total(name)
+		w.report.note("reported requests of "+name, int(requests))
+		w.report.note("reported calls of "+name, int(calls))
+		if requests > ranRequests || calls > ranCalls {
+			w.report.violation("usage of %s: reported %d requests and %d calls, %d and %d ran", name, requests, calls, ranRequests, ranCalls)
+		}
+		if requests < gotRequests || calls < gotCalls {
+			w.report.violation("usage of %s: reported %d requests and %d calls, callers got %d and %d", name, requests, calls, gotRequests, gotCalls)
+		}
+	}
+}
+
+// judgeMemory checks that nothing is left that waits.
+func (w *world) judgeMemory() {
+	for _, p := range w.gateways() {
+		if left := p.serving.Usage(); len(left) > 0 {
+			w.report.violation("%s still holds %d counters", p.id, len(left))
+		}
+	}
+}
--- a/internal/standin/engine/records.go
+++ b/internal/standin/engine/records.go
@@ -46,6 +46,8 @@
 	HTTP     []HTTPRecord
 	// Cut is the number of requests that a change or a crash ended.
 	Cut int
+	// CutByChange are the attempts that a change ended.
+	CutByChange []string
 }
 
 // Records returns a copy of what the engine saw.
@@ -57,6 +59,8 @@
 		Requests: slices.Clone(e.records.Requests),
 		HTTP:     slices.Clone(e.records.HTTP),
 		Cut:      e.records.Cut,
+
+		CutByChange: slices.Clone(e.records.CutByChange),
 	}
 }
 
@@ -109,11 +113,15 @@
 	r.Orders[index].Outcome = outcome
 }
 
-// countCut counts a request that was cut.
-func (e *Engine) countCut() {
+// countCut counts an attempt that was cut, by a change unless the engine has
+// crashed since the attempt began.
+func (e *Engine) countCut(attempt string, boot uint64) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.records.Cut++
+	if !e.down && e.boot == boot && len(e.records.CutByChange) < maxRecords {
+		e.records.CutByChange = append(e.records.CutByChange, attempt)
+	}
 }
 
 // recordHTTP records a request that came over HTTP.
--- a/internal/standin/engine/run.go
+++ b/internal/standin/engine/run.go
@@ -23,6 +23,7 @@
 	ctx          context.Context
 	cancel       context.CancelFunc
 	life         context.Context
+	boot         uint64
 	chunks       chan target.Chunk
 	late         *target.Chunk
 	sent         int
@@ -40,6 +41,7 @@
 		request:    r,
 		prompt:     hashOf(r.Model, r.Prompt),
 		life:       e.cut,
+		boot:       e.boot,
 		chunks:     make(chan target.Chunk, chunkQueue),
 		breakAfter: -1,
 	}
@@ -62,7 +64,7 @@
 	err := a.answer()
 	a.engine.leave(a)
 	if err != nil && a.life.Err() != nil {
-		a.engine.countCut()
+		a.engine.countCut(a.request.Attempt, a.boot)
 	}
 	a.mu.Lock()
 	a.err = err
