Let the word that the store is down age at a gateway's uplink

The age of a confirmation was also counted from the receipt of the reply, which may have waited for a paused process. Change: the word counts for 5 s from the sending of its heartbeat; confirmations count from the sending.

--- a/uplink/link.go
+++ b/uplink/link.go
@@ -146,6 +146,7 @@
 func (u *Uplink) heartbeat(ctx context.Context, g control.Gateway, up *upstream) error {
 	timed, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	up.asked = time.Now()
 	envelope, err := up.link.Call(timed, &wire.Envelope{Body: &wire.Envelope_Heartbeat{Heartbeat: u.request(up)}})
 	if err != nil {
 		return err
@@ -217,7 +218,8 @@
 func (u *Uplink) takeIn(up *upstream, reply *wire.Heartbeat) {
 	now := time.Now()
 	if reply.ConfirmedAgeMs >= 0 {
-		at := now.Add(-time.Duration(reply.ConfirmedAgeMs) * time.Millisecond)
+		// From the sending on: the reply may have waited for a paused process.
+		at := up.asked.Add(-time.Duration(reply.ConfirmedAgeMs) * time.Millisecond)
 		u.holder.Confirm(contract.Revision(reply.ConfirmedRevision), at)
 	}
 	var named []membership.Member
@@ -229,6 +231,7 @@
 	defer u.mu.Unlock()
 	up.told = len(named) > 1 || up.told
 	u.fleet.take(now, reply)
+	u.fleet.asked = up.asked
 	if reply.TargetsVersion != math.MaxUint64 {
 		up.targets = reply.TargetsVersion
 	}
--- a/uplink/uplink.go
+++ b/uplink/uplink.go
@@ -83,14 +83,21 @@
 	counted   time.Time // when a controller last named that many gateways
 	processes int
 	storeDown bool
+	asked     time.Time // when the heartbeat that said so was sent
 }
 
+// wordAge is the age up to which the word that the store is down for most
+// counts: a process that was paused, or whose links bring no answers, must not
+// go by an old one.
+const wordAge = 5 * time.Second
+
 // upstream is a link to a controller.
 type upstream struct {
 	link    link.Link
-	targets uint64 // version of the controller's view seen so far
-	beats   uint64 // heartbeats so far
-	told    bool   // the controller named others
+	targets uint64    // version of the controller's view seen so far
+	beats   uint64    // heartbeats so far
+	told    bool      // the controller named others
+	asked   time.Time // when the last heartbeat was sent
 }
 
 var _ control.Uplink = (*Uplink)(nil)
@@ -167,7 +174,7 @@
 	u.mu.Lock()
 	c := control.Connectivity{
 		Controllers:      reached,
-		StoreDownForMost: reached > 0 && u.fleet.storeDown,
+		StoreDownForMost: reached > 0 && u.fleet.storeDown && time.Since(u.fleet.asked) < wordAge,
 		ConfirmedAt:      u.holder.ConfirmedAt(),
 		LiveGateways:     u.fleet.gateways,
 	}
--- a/uplink/uplink_test.go
+++ b/uplink/uplink_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/matryer/is"
 	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/proto"
 
 	"zinniapin/contract"
 	"zinniapin/control"
@@ -24,13 +25,14 @@
 
 // fakeController answers an uplink's calls.
 type fakeController struct {
-	mu      sync.Mutex
-	links   []link.Link
-	reply   *wire.Heartbeat
-	grants  []*wire.Grant
-	stores  bool
-	pushes  int
-	stopped func() error
+	mu        sync.Mutex
+	links     []link.Link
+	reply     *wire.Heartbeat
+	grants    []*wire.Grant
+	stores    bool
+	pushes    int
+	stopped   func() error
+	confirmed time.Time // when the store last confirmed; zero means never
 }
 
 // startController starts a controller that answers with reply.
@@ -80,7 +82,11 @@
 	defer k.mu.Unlock()
 	switch body := q.Body.(type) {
 	case *wire.Envelope_Heartbeat:
-		return &wire.Envelope{Body: &wire.Envelope_Heartbeat{Heartbeat: k.reply}}, nil
+		reply := proto.CloneOf(k.reply)
+		if !k.confirmed.IsZero() {
+			reply.ConfirmedAgeMs = time.Since(k.confirmed).Milliseconds()
+		}
+		return &wire.Envelope{Body: &wire.Envelope_Heartbeat{Heartbeat: reply}}, nil
 	case *wire.Envelope_GrantRequest:
 		return &wire.Envelope{Body: &wire.Envelope_GrantReply{GrantReply: &wire.GrantReply{Grants: k.grants}}}, nil
 	case *wire.Envelope_UsagePush:
