--- a/internal/soak/cloud.go
+++ b/internal/soak/cloud.go
@@ -268,7 +268,7 @@
 
 // freeze shows the list of now for some time, or ends that.
 func (c *cloud) freeze(frozen bool) {
-	list, _ := c.listed()
+	list := c.listed()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.stale = nil
@@ -278,10 +278,10 @@
 }
 
 // listed returns a copy of the list without faults.
-func (c *cloud) listed() ([]platform.Host, bool) {
+func (c *cloud) listed() []platform.Host {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return slices.Clone(c.hosts), c.stale != nil
+	return slices.Clone(c.hosts)
 }
 
 // total returns what was reported of an organisation.
--- a/internal/soak/fault.go
+++ b/internal/soak/fault.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -24,7 +25,7 @@
 type kind struct {
 	name   string
 	weight int
-	cause  func(f *faults, rng *rand.Rand)
+	cause  func(f *faults, rng *rand.Rand) bool
 }
 
 // kinds are the faults of a run.
@@ -73,32 +74,36 @@
 	f.healing.Wait()
 }
 
-// cause causes one fault, with draws of its own so that timing does not change
+// cause causes one fault unless one of its kind is under way, with draws of its own so that timing does not change
 // the draws of later ones.
 func (f *faults) cause(k kind, rng *rand.Rand) {
 	own := rand.New(rand.NewPCG(rng.Uint64(), 3))
-	f.world.report.fault(k.name)
-	k.cause(f, own)
+	if k.cause(f, own) {
+		f.world.report.fault(k.name)
+	}
 }
 
 // during makes a fault for some time, unless one is under way for the same
 // thing.
-func (f *faults) during(what string, begin func(), span time.Duration, end func()) {
+func (f *faults) during(what string, begin func(), span time.Duration, end func()) bool {
 	f.mu.Lock()
 	taken := f.held[what]
 	f.held[what] = true
 	f.mu.Unlock()
 	if taken {
-		return
+		return false
 	}
 	f.healing.Go(func() {
 		begin()
+		f.world.report.event("%s: begun for %v", what, span)
 		time.Sleep(span)
 		end()
+		f.world.report.event("%s: healed", what)
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		delete(f.held, what)
 	})
+	return true
 }
 
 // seconds draws a span.
@@ -113,10 +118,10 @@
 	return f.world.hosts[i]
 }
 
-func (f *faults) killController(rng *rand.Rand) {
+func (f *faults) killController(rng *rand.Rand) bool {
 	w, i := f.world, rng.IntN(hostCount)
 	h := f.at(i)
-	f.during("controller "+address(i), func() { w.end(h.controller) }, seconds(rng, 0, 12), func() {
+	return f.during("controller "+address(i), func() { w.end(h.controller) }, seconds(rng, 0, 12), func() {
 		p := w.startController(i)
 		w.mu.Lock()
 		defer w.mu.Unlock()
@@ -124,10 +129,10 @@
 	})
 }
 
-func (f *faults) killGateway(rng *rand.Rand) {
+func (f *faults) killGateway(rng *rand.Rand) bool {
 	w, i := f.world, rng.IntN(hostCount)
 	h := f.at(i)
-	f.during("gateway "+address(i), func() { w.end(h.gateway) }, seconds(rng, 0, 12), func() { w.replaceGateway(h) })
+	return f.during("gateway "+address(i), func() { w.end(h.gateway) }, seconds(rng, 0, 12), func() { w.replaceGateway(h) })
 }
 
 // replaceGateway starts the next incarnation of a gateway.
@@ -138,10 +143,10 @@
 	h.gateway = p
 }
 
-func (f *faults) stopGateway(rng *rand.Rand) {
+func (f *faults) stopGateway(rng *rand.Rand) bool {
 	w, i := f.world, rng.IntN(hostCount)
 	h := f.at(i)
-	f.during("gateway "+address(i), func() {
+	return f.during("gateway "+address(i), func() {
 		p := h.gateway
 		p.stop()
 		<-p.ended
@@ -155,21 +160,21 @@
 	}, seconds(rng, 0, 8), func() { w.replaceGateway(h) })
 }
 
-func (f *faults) freezeController(rng *rand.Rand) {
+func (f *faults) freezeController(rng *rand.Rand) bool {
 	i := rng.IntN(hostCount)
 	h := f.at(i)
-	f.during("controller "+address(i), func() { h.controller.gate.freeze() }, seconds(rng, 3, 150), func() { h.controller.gate.wake() })
+	return f.during("controller "+address(i), func() { h.controller.gate.freeze() }, seconds(rng, 3, 150), func() { h.controller.gate.wake() })
 }
 
-func (f *faults) freezeGateway(rng *rand.Rand) {
+func (f *faults) freezeGateway(rng *rand.Rand) bool {
 	i := rng.IntN(hostCount)
 	h := f.at(i)
-	f.during("gateway "+address(i), func() { h.gateway.gate.freeze() }, seconds(rng, 1, 30), func() { h.gateway.gate.wake() })
+	return f.during("gateway "+address(i), func() { h.gateway.gate.freeze() }, seconds(rng, 1, 30), func() { h.gateway.gate.wake() })
 }
 
 // cutOff cuts the hosts of a set off the others for some time.
-func (f *faults) cutOff(inside func(host int) bool, span time.Duration) {
-	f.during("cut", func() { f.setCut(inside, true) }, span, func() { f.setCut(inside, false) })
+func (f *faults) cutOff(inside func(host int) bool, span time.Duration) bool {
+	return f.during("cut", func() { f.setCut(inside, true) }, span, func() { f.setCut(inside, false) })
 }
 
 func (f *faults) setCut(inside func(host int) bool, cut bool) {
@@ -182,32 +187,32 @@
 	}
 }
 
-func (f *faults) cutPair(rng *rand.Rand) {
+func (f *faults) cutPair(rng *rand.Rand) bool {
 	a, b := rng.IntN(hostCount), rng.IntN(hostCount)
 	set := func(cut bool) { f.world.fabric.SetCut(hostID(a), hostID(b), cut && a != b) }
-	f.during("cut", func() { set(true) }, seconds(rng, 3, 60), func() { set(false) })
+	return f.during(fmt.Sprintf("cut %d from %d", a, b), func() { set(true) }, seconds(rng, 3, 60), func() { set(false) })
 }
 
-func (f *faults) cutHost(rng *rand.Rand) {
+func (f *faults) cutHost(rng *rand.Rand) bool {
 	i := rng.IntN(hostCount)
-	f.cutOff(func(host int) bool { return host == i }, seconds(rng, 3, 60))
+	return f.cutOff(func(host int) bool { return host == i }, seconds(rng, 3, 60))
 }
 
-func (f *faults) cutZone(rng *rand.Rand) {
+func (f *faults) cutZone(rng *rand.Rand) bool {
 	z := rng.IntN(len(zones))
-	f.cutOff(func(host int) bool { return host%len(zones) == z }, seconds(rng, 3, 60))
+	return f.cutOff(func(host int) bool { return host%len(zones) == z }, seconds(rng, 3, 60))
 }
 
-func (f *faults) losePair(rng *rand.Rand) {
+func (f *faults) losePair(rng *rand.Rand) bool {
 	a, b := rng.IntN(hostCount), rng.IntN(hostCount)
 	set := func(lossy bool) { f.world.fabric.SetLossy(hostID(a), hostID(b), lossy && a != b) }
-	f.during("lossy", func() { set(true) }, seconds(rng, 2, 30), func() { set(false) })
+	return f.during("lossy", func() { set(true) }, seconds(rng, 2, 30), func() { set(false) })
 }
 
 // storeFault sets a fault of the object API for some time.
-func (f *faults) storeFault(disturbs bool, span time.Duration, fault objects.Fault) {
+func (f *faults) storeFault(disturbs bool, span time.Duration, fault objects.Fault) bool {
 	w := f.world
-	f.during("store", func() {
+	return f.during("store", func() {
 		if disturbs {
 			w.disturb(true)
 		}
@@ -221,24 +226,24 @@
 	})
 }
 
-func (f *faults) storeOutage(rng *rand.Rand) {
-	f.storeFault(true, seconds(rng, 3, 90), func(objects.Operation, string) objects.Verdict { return objects.Refuse })
+func (f *faults) storeOutage(rng *rand.Rand) bool {
+	return f.storeFault(true, seconds(rng, 3, 90), func(objects.Operation, string) objects.Verdict { return objects.Refuse })
 }
 
 // hangTime is how long a call of a hanging store stays unanswered.
 const hangTime = 2 * time.Second
 
-func (f *faults) storeHang(rng *rand.Rand) {
-	f.storeFault(true, seconds(rng, 3, 40), func(objects.Operation, string) objects.Verdict {
+func (f *faults) storeHang(rng *rand.Rand) bool {
+	return f.storeFault(true, seconds(rng, 3, 40), func(objects.Operation, string) objects.Verdict {
 		time.Sleep(hangTime)
 		return objects.LoseRequest
 	})
 }
 
-func (f *faults) storeFlaky(rng *rand.Rand) {
+func (f *faults) storeFlaky(rng *rand.Rand) bool {
 	verdicts := []objects.Verdict{objects.Refuse, objects.LoseAnswer, objects.LoseRequest, objects.Late}
 	var mu sync.Mutex
-	f.storeFault(false, seconds(rng, 5, 60), func(objects.Operation, string) objects.Verdict {
+	return f.storeFault(false, seconds(rng, 5, 60), func(objects.Operation, string) objects.Verdict {
 		mu.Lock()
 		defer mu.Unlock()
 		if rng.IntN(5) != 0 {
@@ -248,26 +253,26 @@
 	})
 }
 
-func (f *faults) platformDown(rng *rand.Rand) {
+func (f *faults) platformDown(rng *rand.Rand) bool {
 	c := f.world.cloud
-	f.during("platform down", func() { c.set(func(c *cloud) { c.down = true }) }, seconds(rng, 3, 60),
+	return f.during("platform down", func() { c.set(func(c *cloud) { c.down = true }) }, seconds(rng, 3, 60),
 		func() { c.set(func(c *cloud) { c.down = false }) })
 }
 
-func (f *faults) platformHarsh(rng *rand.Rand) {
+func (f *faults) platformHarsh(rng *rand.Rand) bool {
 	c := f.world.cloud
-	f.during("platform harsh", func() { c.set(func(c *cloud) { c.harsh = true }) }, seconds(rng, 10, 120),
+	return f.during("platform harsh", func() { c.set(func(c *cloud) { c.harsh = true }) }, seconds(rng, 10, 120),
 		func() { c.set(func(c *cloud) { c.harsh = false }) })
 }
 
-func (f *faults) staleHosts(rng *rand.Rand) {
+func (f *faults) staleHosts(rng *rand.Rand) bool {
 	c := f.world.cloud
-	f.during("hosts", func() { c.freeze(true) }, seconds(rng, 5, 60), func() { c.freeze(false) })
+	return f.during("hosts", func() { c.freeze(true) }, seconds(rng, 5, 60), func() { c.freeze(false) })
 }
 
 // engine draws an engine.
 func (f *faults) engine(rng *rand.Rand) *engine.Engine {
-	hosts, _ := f.world.cloud.listed()
+	hosts := f.world.cloud.listed()
 	made := f.world.cloud.all()
 	for range 20 {
 		if e := made[hosts[rng.IntN(len(hosts))].Target.ID]; e != nil {
@@ -277,16 +282,19 @@
 	return nil
 }
 
-func (f *faults) crashEngine(rng *rand.Rand) {
-	if e := f.engine(rng); e != nil {
-		e.Crash()
+func (f *faults) crashEngine(rng *rand.Rand) bool {
+	e := f.engine(rng)
+	if e == nil {
+		return false
 	}
+	e.Crash()
+	return true
 }
 
-func (f *faults) engineFaults(rng *rand.Rand) {
+func (f *faults) engineFaults(rng *rand.Rand) bool {
 	e := f.engine(rng)
 	if e == nil {
-		return
+		return false
 	}
 	all := []engine.Faults{
 		{BreakStreams: 1 + rng.IntN(4), BreakAfter: rng.IntN(6)}, {CrashAfter: 1 + rng.IntN(30)}, {CrashInChange: 1},
@@ -294,36 +302,38 @@
 		{Refuse: 1 + rng.IntN(10)}, {DelayMillis: rng.IntN(8000)}, {ReportLagMillis: rng.IntN(3000), LoseCacheEvents: 20},
 	}
 	e.SetFaults(all[rng.IntN(len(all))])
+	return true
 }
 
-func (f *faults) serviceHarsh(rng *rand.Rand) {
+func (f *faults) serviceHarsh(rng *rand.Rand) bool {
 	d := f.world.desk
-	f.during("service", func() { d.setHarsh(true) }, seconds(rng, 5, 90), func() { d.setHarsh(false) })
+	return f.during("service", func() { d.setHarsh(true) }, seconds(rng, 5, 90), func() { d.setHarsh(false) })
 }
 
-func (f *faults) reclaimZone(rng *rand.Rand) {
+func (f *faults) reclaimZone(rng *rand.Rand) bool {
 	n := f.world.cloud.reclaim(zones[rng.IntN(len(zones))].Name, seconds(rng, 5, 30))
 	f.world.report.note("targets reclaimed", n)
+	return n > 0
 }
 
-func (f *faults) race(*rand.Rand) {
-	f.during("operator", f.world.operator.race, 0, func() {})
+func (f *faults) race(*rand.Rand) bool {
+	return f.during("operator", f.world.operator.race, 0, func() {})
 }
 
-func (f *faults) issueKey(rng *rand.Rand) {
+func (f *faults) issueKey(rng *rand.Rand) bool {
 	name := organisations[rng.IntN(len(organisations))]
-	f.during("operator", func() { f.world.operator.issue(name) }, 0, func() {})
+	return f.during("operator", func() { f.world.operator.issue(name) }, 0, func() {})
 }
 
-func (f *faults) withdrawKey(*rand.Rand) {
-	f.during("operator", f.world.operator.withdraw, 0, func() {})
+func (f *faults) withdrawKey(*rand.Rand) bool {
+	return f.during("operator", f.world.operator.withdraw, 0, func() {})
 }
 
-func (f *faults) drain(rng *rand.Rand) {
+func (f *faults) drain(rng *rand.Rand) bool {
 	ids := []target.ID{"engine-0", "engine-1", "engine-2", "engine-3"}
 	id := ids[rng.IntN(len(ids))]
 	o := f.world.operator
-	f.during("operator", func() { o.drain(id) }, seconds(rng, 5, 60), func() { o.drain() })
+	return f.during("operator", func() { o.drain(id) }, seconds(rng, 5, 60), func() { o.drain() })
 }
 
 // disturb notes the begin or end of an outage of the object API.
--- a/internal/soak/gate.go
+++ b/internal/soak/gate.go
@@ -238,10 +238,12 @@
 	return p.inner.List(ctx)
 }
 
-// gatedNetwork is the links of one process.
+// gatedNetwork is the links of one process. A frozen listener says no Hello,
+// so a dial to it waits.
 type gatedNetwork struct {
 	gate  *gate
 	inner link.Network
+	at    func(address string) *gate
 }
 
 func (n *gatedNetwork) Dial(ctx context.Context, address string, h link.Handler) (link.Link, error) {
@@ -252,6 +254,13 @@
 	if passed != ctx && ctx.Err() != nil {
 		return nil, ctx.Err()
 	}
+	if held := n.at(address).isFrozen(); held != nil {
+		select {
+		case <-held:
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
 	l, err := n.inner.Dial(ctx, address, n.serve(h))
 	if err != nil {
 		return nil, err
--- a/internal/soak/operator.go
+++ b/internal/soak/operator.go
@@ -161,6 +161,7 @@
 		withdraw.withdrawn = time.Now()
 	}
 	o.history = append(o.history, accepted{revision, time.Now()})
+	o.world.report.event("revision %d accepted", revision)
 }
 
 // state returns the present keys and drains.
--- a/internal/soak/report.go
+++ b/internal/soak/report.go
@@ -26,8 +26,21 @@
 	// Violations are the invariants found broken.
 	Violations []string
 
-	mu    sync.Mutex
-	began time.Time
+	mu       sync.Mutex
+	began    time.Time
+	timeline []string // begins and ends of faults
+}
+
+// event notes a moment, for the reader of a violation.
+func (r *Report) event(format string, args ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.timeline = append(r.timeline, r.stamp()+fmt.Sprintf(format, args...))
+}
+
+// stamp renders the time since the run began. The lock is held.
+func (r *Report) stamp() string {
+	return fmt.Sprintf("at %v: ", time.Since(r.began).Round(time.Millisecond))
 }
 
 // newReport returns an empty report.
@@ -40,7 +53,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if len(r.Violations) < maxViolations {
-		r.Violations = append(r.Violations, fmt.Sprintf("at %v: ", time.Since(r.began).Round(time.Millisecond))+fmt.Sprintf(format, args...))
+		r.Violations = append(r.Violations, r.stamp()+fmt.Sprintf(format, args...))
 	}
 }
 
@@ -81,6 +94,9 @@
 	for _, v := range r.Violations {
 		fmt.Fprintf(&b, "  VIOLATION %s\n", v)
 	}
+	if len(r.Violations) > 0 {
+		fmt.Fprintf(&b, "  %s\n", strings.Join(r.timeline, "\n  "))
+	}
 	return b.String()
 }
 
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -85,7 +85,7 @@
 // repair restarts engines that crashed, until ctx ends.
 func (w *world) repair(ctx context.Context) {
 	for wait(ctx, restartAfter) {
-		hosts, _ := w.cloud.listed()
+		hosts := w.cloud.listed()
 		made := w.cloud.all()
 		for _, h := range hosts {
 			if e := made[h.Target.ID]; e != nil && h.State != platform.Gone && e.Down() {
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -167,7 +167,7 @@
 	p.control = controller.New(controller.Config{
 		Self:         self,
 		Seeds:        []string{address(0), address(1), address(2)},
-		Network:      &gatedNetwork{p.gate, w.fabric.Network(self)},
+		Network:      &gatedNetwork{p.gate, w.fabric.Network(self), w.gateAt},
 		Store:        &gatedStore{p.gate, w.objects},
 		Hosts:        outside,
 		Orders:       &gatedOrders{p.gate, &orders{w}},
@@ -201,7 +201,7 @@
 	p := &process{gate: &gate{}, ended: make(chan struct{}), id: self.ID(), listener: newPipeListener()}
 	p.client = p.listener.client()
 	log := w.options.Log.With().Str("process", self.ID()).Logger()
-	network := &gatedNetwork{p.gate, w.fabric.Network(self)}
+	network := &gatedNetwork{p.gate, w.fabric.Network(self), w.gateAt}
 	links := uplink.New(uplink.Config{Self: self, Own: address(i), Seeds: []string{address((i + 1) % hostCount), address((i + 2) % hostCount)}, Network: network, Log: &log})
 	claims := claim.NewStored(&gatedStore{p.gate, w.objects}, claim.Options{OrphanAfter: 2 * time.Minute, Log: &log})
 	chose := func(id target.ID) { w.ledger.chose(p.id, id) }
@@ -306,3 +306,18 @@
 	}
 	return lost
 }
+
+// noGate is the gate of an address that nobody listens at.
+var noGate = &gate{}
+
+// gateAt returns the gate of the controller at an address.
+func (w *world) gateAt(at string) *gate {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for i, h := range w.hosts {
+		if h != nil && h.controller != nil && address(i) == at {
+			return h.controller.gate
+		}
+	}
+	return noGate
+}
