Let another author's open order to a fenced engine end before it is replaced

Two planners at once are expected: ownership is only a hint. Change: the open order is watched like one to an unfenced engine, and replaced without proof after a patience of 30 s. What remains: an author that wakes within the last seconds of the patience may still have its order received just before the new one; the fencing number decides then. Run: TestFencedEngineChangesOneAtATime fails without the change; authority, planning and usage pass.

--- a/authority/action.go
+++ b/authority/action.go
@@ -9,8 +9,12 @@
 // Policy says what an author must wait for before it replaces another's open
 // order.
 type Policy struct {
-	// Fenced targets refuse an old fencing number and are ordered at once.
+	// Fenced targets refuse an old fencing number, so that another author's
+	// order may be replaced without proof after Patience.
 	Fenced bool
+	// Patience is how long another author's open order to a fenced target is
+	// given to end.
+	Patience time.Duration
 	// Settle is how long an order may stay on its way to the target after its
 	// author has ended its connection or died.
 	Settle time.Duration
--- a/authority/agent.go
+++ b/authority/agent.go
@@ -185,9 +185,6 @@
 
 // meet decides on an open order that stands in the way.
 func (a *Agent) meet(now time.Time, open Order) Action {
-	if a.policy.Fenced {
-		return a.open(now)
-	}
 	if open.Author == a.self {
 		// The agent closes what it sent before it starts anew, so an own order
 		// found open was never sent.
@@ -195,7 +192,7 @@
 	}
 	a.follow(now, open)
 	a.waited = true
-	if a.watch.settled {
+	if a.watch.settled || a.outwaited(now) {
 		return a.open(now)
 	}
 	a.phase = blocked
@@ -206,12 +203,22 @@
 func (a *Agent) follow(now time.Time, open Order) {
 	if a.watch.id != open.ID {
 		a.watch = watch{id: open.ID}
+		if a.policy.Fenced {
+			a.watch.met = now
+		}
 	}
 	if open.Ended {
 		a.watch.end(now)
 	}
 }
 
+// outwaited reports whether another author's order to a fenced target has been
+// in the way for long enough. It may be under way at the target, which would
+// then receive two at once; the fencing number makes sure of the rest.
+func (a *Agent) outwaited(now time.Time) bool {
+	return a.policy.Fenced && now.Sub(a.watch.met) >= a.policy.Patience
+}
+
 // open asks for the update that opens the wanted order.
 func (a *Agent) open(now time.Time) Action {
 	record := a.base.Record
--- a/authority/executor.go
+++ b/authority/executor.go
@@ -40,6 +40,9 @@
 	// Settle is how long an order may stay on its way to a target after its
 	// author's connection is reset or its author has ended. Default 2 minutes.
 	Settle time.Duration
+	// Patience is how long another author's order to a fenced target is given
+	// to end before it is replaced; it should exceed a change. Default 30 s.
+	Patience time.Duration
 	// Poll is the pause between tries. Default 500 ms.
 	Poll time.Duration
 	// CallTimeout bounds one call. Default 30 s.
@@ -53,6 +56,7 @@
 // Defaults of Options.
 const (
 	defaultSettle      = 2 * time.Minute
+	defaultPatience    = 30 * time.Second
 	defaultPoll        = 500 * time.Millisecond
 	defaultCallTimeout = 30 * time.Second
 )
@@ -62,6 +66,9 @@
 	if o.Settle == 0 {
 		o.Settle = defaultSettle
 	}
+	if o.Patience == 0 {
+		o.Patience = defaultPatience
+	}
 	if o.Poll == 0 {
 		o.Poll = defaultPoll
 	}
@@ -197,7 +204,7 @@
 func (x *Executor) agent(unit string, number uint64, fenced bool) Agent {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	policy := Policy{Fenced: fenced, Settle: x.options.Settle}
+	policy := Policy{Fenced: fenced, Settle: x.options.Settle, Patience: x.options.Patience}
 	agent, known := x.agents[unit]
 	if !known {
 		return NewAgent(x.author, number, policy)
--- a/authority/watch.go
+++ b/authority/watch.go
@@ -4,7 +4,8 @@
 
 // watch follows an order that may still be on its way.
 type watch struct {
-	id string
+	id  string
+	met time.Time // when it was first found open; only for a fenced target
 	// ended is set once the order can no longer be sent; since is when that
 	// became known and boot the target's first boot id seen afterwards.
 	ended   bool
