--- a/internal/soak/cloud.go
+++ b/internal/soak/cloud.go
@@ -172,9 +172,6 @@
 		}
 		h.State = platform.Leaving
 		h.LeavesAt = time.Now().Add(notice)
-		if c.stale == nil {
-			c.noticed[id] = time.Now()
-		}
 		time.AfterFunc(notice, func() { c.gone(id) })
 	}
 }
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -41,7 +41,7 @@
 	for id, e := range w.cloud.all() {
 		records := e.Records()
 		for _, o := range records.Conflicts() {
-			w.report.violation("engine %s received a conflicting order %+v", id, o)
+			w.report.violation("engine %s received a conflicting order %+v among %+v", id, o, records.Orders)
 		}
 		w.report.note("orders received by engines", len(records.Orders))
 		w.report.note("attempts cut by a crash or change", records.Cut)
