Fuzz stored windows and roots, and add make fuzz

Cause: what parses input from outside had fuzz targets at the gateway only. Change: FuzzDecodeWindow, FuzzBundle; make fuzz runs the five targets in turn.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 GOBIN := $(shell go env GOPATH)/bin
 export PATH := $(GOBIN):$(PATH)
 
-.PHONY: all build demo up test lint format-check docs generate tools bench capacity
+.PHONY: all build demo up test lint format-check docs generate tools bench capacity fuzz
 
 all: build
 
@@ -52,3 +52,14 @@
 	go run ./internal/capacity
 	ZINNIA_CAPACITY_SPREAD=7,30,60 ZINNIA_CAPACITY_STEADY=7,30,60 ZINNIA_CAPACITY_GRANTS=0,10,40,160 ZINNIA_CAPACITY_CHURN=30 ZINNIA_CAPACITY_USAGE=0,10,40,160 \
 	go test -count=1 -v -run 'TestSpread|TestSteady|TestGrants|TestUsage|TestChurn' ./internal/capacity
+
+# Seconds for each fuzz target.
+FUZZ_SECONDS ?= 10
+
+# Fuzzes what parses input from outside, each target in turn.
+fuzz:
+	go test ./gateway -run '^$$' -fuzz FuzzChatBody -fuzztime $(FUZZ_SECONDS)s
+	go test ./gateway -run '^$$' -fuzz FuzzResumeToken -fuzztime $(FUZZ_SECONDS)s
+	go test ./strictjson -run '^$$' -fuzz FuzzDecode -fuzztime $(FUZZ_SECONDS)s
+	go test ./usage -run '^$$' -fuzz FuzzDecodeWindow -fuzztime $(FUZZ_SECONDS)s
+	go test ./configuration -run '^$$' -fuzz FuzzBundle -fuzztime $(FUZZ_SECONDS)s
