Tell beats and loads in columns and targets along their region

A beat took 23 bytes as a record with its whole incarnation, a load 29 with its id. Both now go in columns (wire.Beats, wire.Loads) that name processes and targets by 32-bit tags: 7.3 bytes a beat and 16.4 a load (BenchmarkBytes in membership and targetview). Entries whose tags collide are told in full.

The sources of targets were those of members, most of which lie in other regions and tell no targets, so views crossed a region by the rare full asks only. Targets now have sources of their own region, and a controller links to its successor in the region.

A gateway learns in the reply to its heartbeat that it is doubted.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -70,7 +70,8 @@
 	members       *membership.Table
 	targets       *targetview.Table
 	book          *addressBook
-	sources       map[machine.HostID]bool // whose records are taken; nil means all
+	sources       map[machine.HostID]bool // whose records of members are taken; nil means all
+	targetSources map[machine.HostID]bool // whose records of targets are taken; nil means all
 	storeRead     bool                    // the root was read since the start
 	storeUp       bool                    // the last call of the store succeeded
 	leaving       bool
--- a/controller/peers.go
+++ b/controller/peers.go
@@ -39,7 +39,7 @@
 	k.mu.Unlock()
 	controllers := membership.Controllers(live, "")
 	peers := membership.Peers(controllers, k.config.Self, k.config.Seed, linked)
-	k.setSources(membership.Sources(controllers, k.config.Self.Host, k.config.Seed, linked))
+	k.setSources(controllers, linked)
 	wanted := make(map[machine.HostID]bool, len(peers))
 	for _, p := range peers {
 		wanted[p.Process.Host] = true
@@ -210,11 +210,22 @@
 	fullEvery = 40
 )
 
-// setSources sets the hosts whose records are taken; nil means all.
-func (k *Controller) setSources(sources map[machine.HostID]bool) {
+// setSources sets the hosts whose records are taken: of members from any
+// region, of targets from the own one.
+func (k *Controller) setSources(controllers []membership.Member, linked map[machine.HostID]bool) {
+	self := k.config.Self
+	near := membership.Controllers(controllers, self.Zone.Region)
+	linkedNear := map[machine.HostID]bool{}
+	for _, m := range near {
+		if linked[m.Process.Host] {
+			linkedNear[m.Process.Host] = true
+		}
+	}
+	members := membership.Sources(controllers, self.Host, k.config.Seed, linked)
+	targets := membership.Sources(near, self.Host, k.config.Seed, linkedNear)
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.sources = sources
+	k.sources, k.targetSources = members, targets
 }
 
 // versionsFor returns the versions to ask a peer for. The first heartbeat of a
@@ -223,10 +234,38 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	p.beats++
-	if k.sources == nil || k.sources[p.link.Peer().Host] || p.beats%fullEvery == 1 {
+	if p.beats%fullEvery == 1 {
 		return p.members, p.targets
 	}
-	return noRecords, noRecords
+	members, targets = noRecords, noRecords
+	host := p.link.Peer().Host
+	if k.sources == nil || k.sources[host] {
+		members = p.members
+	}
+	if k.targetSources == nil || k.targetSources[host] {
+		targets = p.targets
+	}
+	return members, targets
+}
+
+// fillMembers adds what a peer has not seen of the members. The lock is held.
+func (k *Controller) fillMembers(q, reply *wire.Heartbeat, peer machine.Process) {
+	news := k.members.Since(q.MembersVersion, peer.Incarnation, heartbeatBytes)
+	reply.Members, reply.Beats, reply.MembersVersion = news.Members, news.Beats, news.Version
+}
+
+// fillTargets adds what a peer has not seen of the targets. The lock is held.
+func (k *Controller) fillTargets(now time.Time, q, reply *wire.Heartbeat, peer machine.Process) {
+	news := k.targets.Since(now, q.TargetsVersion, peer.Incarnation, heartbeatBytes)
+	reply.Targets, reply.Loads, reply.TargetsVersion = news.Targets, news.Loads, news.Version
+}
+
+// tellDoubt tells a gateway that it is doubted, so that it raises its beat. The
+// lock is held.
+func (k *Controller) tellDoubt(gateway machine.Process, reply *wire.Heartbeat) {
+	if k.members.Doubted(gateway.Incarnation) {
+		reply.Members = append(reply.Members, &wire.Member{Incarnation: gateway.Incarnation, Doubted: true})
+	}
 }
 
 // heartbeatBase returns what every heartbeat says.
@@ -259,6 +298,8 @@
 	k.links.markHeard(p)
 	if reply.MembersVersion != noRecords {
 		p.members = reply.MembersVersion
+	}
+	if reply.TargetsVersion != noRecords {
 		p.targets = reply.TargetsVersion
 	}
 	for _, m := range reply.Members {
@@ -266,13 +307,19 @@
 			p.members = 0
 		}
 	}
+	for _, b := range reply.Beats {
+		if !k.members.MergeBeats(now, source, b) {
+			p.members = 0
+		}
+	}
 	if !local {
 		return
 	}
 	for _, t := range reply.Targets {
-		if !k.targets.Merge(now, source, t) {
-			p.targets = 0
-		}
+		k.targets.Merge(now, source, t)
+	}
+	if !k.targets.MergeLoads(now, source, reply.Loads) {
+		p.targets = 0
 	}
 }
 
--- a/controller/serve.go
+++ b/controller/serve.go
@@ -71,13 +71,14 @@
 	if gateway {
 		k.noteGateway(now, peer, q)
 		k.fillGateway(now, q, reply)
+		k.tellDoubt(peer, reply)
 	}
 	if peer.Role == machine.Controller {
-		reply.Members, reply.MembersVersion = k.members.Since(q.MembersVersion, peer.Incarnation, heartbeatBytes)
+		k.fillMembers(q, reply, peer)
 	}
 	reply.TargetsVersion = q.TargetsVersion
 	if peer.Zone.Region == k.config.Self.Zone.Region {
-		reply.Targets, reply.TargetsVersion = k.targets.Since(now, q.TargetsVersion, peer.Incarnation, heartbeatBytes)
+		k.fillTargets(now, q, reply, peer)
 	}
 	return &wire.Envelope{Body: &wire.Envelope_Heartbeat{Heartbeat: reply}}
 }
@@ -104,7 +105,7 @@
 	if q.MembersVersion == 0 {
 		near := membership.Controllers(members, k.config.Self.Zone.Region)
 		for _, m := range membership.Owners(near, string(k.config.Self.Host), alternatives) {
-			reply.Members = append(reply.Members, m.ToWire(false))
+			reply.Members = append(reply.Members, m.ToWire())
 		}
 	}
 }
--- a/link/memlink/memlink.go
+++ b/link/memlink/memlink.go
@@ -36,6 +36,7 @@
 	lossy     map[pair]bool
 	delay     time.Duration
 	bytes     uint64
+	observe   func(from, to machine.Process, e *wire.Envelope, bytes int)
 }
 
 // listener takes links at one address.
@@ -80,6 +81,14 @@
 	return f.bytes
 }
 
+// Observe calls f for each message with its size in bytes. It must be set
+// before links are made and must be safe for concurrent use.
+func (f *Fabric) Observe(observe func(from, to machine.Process, e *wire.Envelope, bytes int)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.observe = observe
+}
+
 // Network returns the network of one process.
 func (f *Fabric) Network(self machine.Process) link.Network {
 	return &network{f, self}
@@ -100,7 +109,7 @@
 }
 
 // pass copies a message on its way and counts it.
-func (f *Fabric) pass(ctx context.Context, e *wire.Envelope) (*wire.Envelope, error) {
+func (f *Fabric) pass(ctx context.Context, from, to machine.Process, e *wire.Envelope) (*wire.Envelope, error) {
 	raw, err := proto.Marshal(e)
 	if err != nil {
 		return nil, err
@@ -110,8 +119,11 @@
 	}
 	f.mu.Lock()
 	f.bytes += uint64(len(raw))
-	delay := f.delay
+	delay, observe := f.delay, f.observe
 	f.mu.Unlock()
+	if observe != nil {
+		observe(from, to, e, len(raw))
+	}
 	if err := sleep(ctx, delay); err != nil {
 		return nil, err
 	}
@@ -227,7 +239,7 @@
 	if err := e.travel(ctx); err != nil {
 		return nil, err
 	}
-	arrived, err := e.fabric.pass(ctx, request)
+	arrived, err := e.fabric.pass(ctx, e.self, e.peer, request)
 	if err != nil {
 		return nil, err
 	}
@@ -242,7 +254,7 @@
 	if err := e.travel(ctx); err != nil {
 		return nil, err
 	}
-	return e.fabric.pass(ctx, reply)
+	return e.fabric.pass(ctx, e.peer, e.self, reply)
 }
 
 // travel fails when the link has ended and waits while it is cut.
--- a/membership/member.go
+++ b/membership/member.go
@@ -42,10 +42,15 @@
 	Via []string
 }
 
-// ToWire returns the message of a record. A compact one holds only what
-// changes, for a reader that knows the process.
-func (m *Member) ToWire(compact bool) *wire.Member {
-	w := &wire.Member{
+// ToWire returns the message of a record.
+func (m *Member) ToWire() *wire.Member {
+	return &wire.Member{
+		Host:           string(m.Process.Host),
+		Role:           string(m.Process.Role),
+		Zone:           string(m.Process.Zone.Name),
+		Region:         string(m.Process.Zone.Region),
+		Address:        m.Process.Address,
+		Via:            m.Via,
 		Incarnation:    m.Process.Incarnation,
 		Beat:           m.Beat,
 		ConfigRevision: uint64(m.Revision),
@@ -53,16 +58,6 @@
 		StoreReachable: m.StoreReachable,
 		Settled:        m.Settled,
 	}
-	if compact {
-		return w
-	}
-	w.Host = string(m.Process.Host)
-	w.Role = string(m.Process.Role)
-	w.Zone = string(m.Process.Zone.Name)
-	w.Region = string(m.Process.Zone.Region)
-	w.Address = m.Process.Address
-	w.Via = m.Via
-	return w
 }
 
 // FromWire returns the record of a message.
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -34,7 +34,7 @@
 	table := New(controllerOn(0, 1), now)
 	now = now.Add(time.Hour)
 	dead := controllerOn(1, 2)
-	is.True(table.Merge(now, 2, dead.ToWire(false)))
+	is.True(table.Merge(now, 2, dead.ToWire()))
 	for range 20 {
 		now = now.Add(time.Second)
 		table.Tick(now)
@@ -66,7 +66,11 @@
 // start starts or restarts a host.
 func (m *mesh) start(i int) {
 	m.next++
-	m.tables[i] = New(controllerOn(i, m.next), m.now)
+	incarnation := m.next
+	if m.next%3 == 0 {
+		incarnation = m.next<<32 | 1 // shares its tag with others
+	}
+	m.tables[i] = New(controllerOn(i, incarnation), m.now)
 }
 
 // pull lets host a ask host b.
@@ -76,16 +80,21 @@
 		return
 	}
 	c := cursor{from.Self().Process.Incarnation, to.Self().Process.Incarnation}
-	records, reached := to.Since(m.seen[c], c.from, 300)
+	news := to.Since(m.seen[c], c.from, 300)
 	if lossy {
 		return
 	}
-	m.seen[c] = reached
-	for _, r := range records {
+	m.seen[c] = news.Version
+	for _, r := range news.Members {
 		if !from.Merge(m.now, c.to, proto.Clone(r).(*wire.Member)) {
 			m.seen[c] = 0
 		}
 	}
+	for _, b := range news.Beats {
+		if !from.MergeBeats(m.now, c.to, proto.Clone(b).(*wire.Beats)) {
+			m.seen[c] = 0
+		}
+	}
 }
 
 // second lets a second pass in which every host asks every other.
@@ -293,18 +302,26 @@
 	}
 }
 
-// BenchmarkRecordBytes measures the bytes of a record, and of a second of
-// heartbeats at 780 processes.
-func BenchmarkRecordBytes(b *testing.B) {
-	m := controllerOn(389, rand.New(rand.NewPCG(1, 2)).Uint64())
+// BenchmarkBytes measures the bytes of a record, and of a beat among the 39
+// that a heartbeat every second carries.
+func BenchmarkBytes(b *testing.B) {
+	random := rand.New(rand.NewPCG(1, 2))
+	m := controllerOn(389, random.Uint64())
 	m.Beat, m.Revision, m.StoreReachable = 90_000, 100_000, true
-	heartbeat := func(compact bool) int {
-		return proto.Size(&wire.Heartbeat{Members: []*wire.Member{m.ToWire(compact)}})
+	const beats = 39
+	news := News{}
+	for range beats {
+		other := controllerOn(389, random.Uint64())
+		other.Beat, other.Revision = 90_000, 100_000
+		beatsOf := beatsOf{}
+		if len(news.Beats) > 0 {
+			beatsOf[shared{revision: 100_000}] = news.Beats[0]
+		}
+		beatsOf.add(&entry{Member: other}, &news)
 	}
 	for b.Loop() {
-		_ = heartbeat(true)
+		_ = proto.Size(&wire.Heartbeat{Beats: news.Beats})
 	}
-	b.ReportMetric(float64(heartbeat(true)), "B/compact")
-	b.ReportMetric(float64(heartbeat(false)), "B/full")
-	b.ReportMetric(float64(heartbeat(true))*780/BeatInterval(780).Seconds(), "B/s_at_780")
+	b.ReportMetric(float64(proto.Size(&wire.Heartbeat{Members: []*wire.Member{m.ToWire()}})), "B/record")
+	b.ReportMetric(float64(proto.Size(&wire.Heartbeat{Beats: news.Beats}))/beats, "B/beat")
 }
--- a/membership/select.go
+++ b/membership/select.go
@@ -105,8 +105,8 @@
 }
 
 // Peers returns the controllers that self should open links to: its successor
-// in order of host, which keeps the mesh in one piece, then a share of its
-// own zone, of other zones of the region and of other regions. Linked peers
+// in order of host, which keeps the mesh in one piece, its successor in its
+// region, which keeps the region in one piece, then a share of its own zone, of other zones of the region and of other regions. Linked peers
 // go first within each share, so that a change of membership breaks no good
 // link. The result is the same for the same input.
 func Peers(controllers []Member, self machine.Process, seed uint64, linked map[machine.HostID]bool) []Member {
@@ -117,6 +117,9 @@
 	}
 	chosen := newChoice(want)
 	chosen.add(successor(others, self.Host))
+	if near := Controllers(others, self.Zone.Region); len(near) > 0 {
+		chosen.add(successor(near, self.Host))
+	}
 	key := pairKey(seed, self.Host)
 	var near [zone.OtherRegion + 1][]Member
 	for _, m := range others {
@@ -208,13 +211,14 @@
 
 // sourceChords is the number of sources besides the neighbours in order of
 // host.
-const sourceChords = 3
+const sourceChords = 2
 
 // Sources returns the linked hosts that self should take the records of others
 // from, or nil when it should take them from all. They are its neighbours in
 // order of host, so that every process is the source of its own neighbours,
 // and a few others. Each record reaches a process once from each source, so few
-// sources keep the bytes low.
+// sources keep the bytes low. With the controllers of one region only, they
+// are the sources of what concerns that region.
 func Sources(controllers []Member, self machine.HostID, seed uint64, linked map[machine.HostID]bool) map[machine.HostID]bool {
 	others := withoutHost(controllers, self)
 	if len(linked) <= minPeers || len(others) <= minPeers {
--- a/membership/table.go
+++ b/membership/table.go
@@ -15,6 +15,8 @@
 type Table struct {
 	self     *entry
 	entries  map[uint64]*entry // by incarnation
+	tags     map[uint32]int    // number of entries by the tag of the incarnation
+	byTag    map[uint32]*entry // the last entry added with the tag
 	version  uint64
 	ticked   time.Time
 	started  time.Time
@@ -34,9 +36,9 @@
 // New returns a table that knows the process itself. The incarnation of self
 // must be unique.
 func New(self Member, now time.Time) *Table {
-	t := &Table{entries: map[uint64]*entry{}, ticked: now, started: now, nextBeat: now}
+	t := &Table{entries: map[uint64]*entry{}, tags: map[uint32]int{}, byTag: map[uint32]*entry{}, ticked: now, started: now, nextBeat: now}
 	t.self = &entry{Member: self, rose: now}
-	t.entries[self.Process.Incarnation] = t.self
+	t.add(t.self)
 	t.touch(t.self, 0, true)
 	return t
 }
@@ -98,9 +100,9 @@
 		t.touch(t.self, 0, false)
 		t.nextBeat = now.Add(BeatInterval(len(t.entries)))
 	}
-	for incarnation, e := range t.entries {
+	for _, e := range t.entries {
 		if now.Sub(e.rose) > forgetAfter {
-			delete(t.entries, incarnation)
+			t.remove(e)
 		}
 	}
 }
@@ -184,7 +186,7 @@
 		return true
 	}
 	e := &entry{Member: FromWire(w), rose: now}
-	t.entries[w.Incarnation] = e
+	t.add(e)
 	t.touch(e, source, true)
 	return true
 }
@@ -198,6 +200,12 @@
 	}
 }
 
+// Doubted tells whether a process is doubted at its present beat.
+func (t *Table) Doubted(incarnation uint64) bool {
+	e, ok := t.entries[incarnation]
+	return ok && !e.doubted.IsZero()
+}
+
 // doubt marks an entry as doubted, once for each beat.
 func (t *Table) doubt(now time.Time, e *entry, source uint64) {
 	if !e.doubted.IsZero() {
@@ -207,34 +215,6 @@
 	t.touch(e, source, false)
 }
 
-// Since returns the records that changed after a version, oldest change
-// first and about maxBytes at most, and the version that they reach. What the
-// reader itself was the source of is left out.
-func (t *Table) Since(version, reader uint64, maxBytes int) ([]*wire.Member, uint64) {
-	var changed []*entry
-	for _, e := range t.entries {
-		if e.changed > version {
-			changed = append(changed, e)
-		}
-	}
-	sort.Slice(changed, func(i, j int) bool { return changed[i].due(version) < changed[j].due(version) })
-	var records []*wire.Member
-	reached, used := version, 0
-	for _, e := range changed {
-		if used >= maxBytes {
-			return records, reached
-		}
-		reached = e.due(version)
-		if e.source == reader || e.Process.Incarnation == reader && e.doubted.IsZero() {
-			continue
-		}
-		compact := e.introduced <= version
-		records = append(records, e.record(compact))
-		used += recordBytes(compact)
-	}
-	return records, max(reached, t.version)
-}
-
 // due returns the version at which a reader that has seen the given one must
 // be told of the entry. What is more than the beat counts from its own change,
 // however often the beat changed since: a reader that has seen a version knows
@@ -246,27 +226,6 @@
 	return e.changed
 }
 
-// record returns the message of an entry.
-func (e *entry) record(compact bool) *wire.Member {
-	w := e.ToWire(compact)
-	w.Doubted = !e.doubted.IsZero()
-	return w
-}
-
-// Sizes of records, rounded up, in bytes.
-const (
-	compactBytes = 24
-	fullBytes    = 110
-)
-
-// recordBytes returns the rounded size of a record.
-func recordBytes(compact bool) int {
-	if compact {
-		return compactBytes
-	}
-	return fullBytes
-}
-
 // Size returns the number of processes known, silent ones included.
 func (t *Table) Size() int {
 	return len(t.entries)
--- a/targetview/table.go
+++ b/targetview/table.go
@@ -17,6 +17,7 @@
 package targetview
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -50,6 +51,7 @@
 // Table is the view of one process. It is not safe for concurrent use.
 type Table struct {
 	entries map[target.ID]*entry
+	tags    map[uint32][]*entry // by the tag of the id
 	version uint64
 }
 
@@ -67,7 +69,7 @@
 
 // New returns an empty table.
 func New() *Table {
-	return &Table{entries: map[target.ID]*entry{}}
+	return &Table{entries: map[target.ID]*entry{}, tags: map[uint32][]*entry{}}
 }
 
 // Version returns the number of changes so far.
@@ -98,6 +100,7 @@
 	e := &entry{}
 	e.state.Target.ID = id
 	t.entries[id] = e
+	t.tags[tagOf(id)] = append(t.tags[tagOf(id)], e)
 	return e
 }
 
@@ -257,11 +260,22 @@
 func (t *Table) Forget(now time.Time) {
 	for id, e := range t.entries {
 		if !e.gone.IsZero() && now.Sub(e.gone) > forgetAfter {
-			delete(t.entries, id)
+			t.remove(id)
 		}
 	}
 }
 
+// remove takes an entry out of the table and of the index of tags.
+func (t *Table) remove(id target.ID) {
+	tag := tagOf(id)
+	e := t.entries[id]
+	delete(t.entries, id)
+	t.tags[tag] = slices.DeleteFunc(t.tags[tag], func(other *entry) bool { return other == e })
+	if len(t.tags[tag]) == 0 {
+		delete(t.tags, tag)
+	}
+}
+
 // States returns every target that is not gone, in order of id.
 func (t *Table) States() []control.TargetState {
 	states := make([]control.TargetState, 0, len(t.entries))
@@ -274,10 +288,19 @@
 	return states
 }
 
-// Since returns the states that changed after a version, oldest change first
-// and about maxBytes at most, and the version that they reach. What the reader
-// itself was the source of is left out.
-func (t *Table) Since(now time.Time, version, reader uint64, maxBytes int) ([]*wire.TargetState, uint64) {
+// News is what a table tells a reader.
+type News struct {
+	// Targets are the states that the reader lacks.
+	Targets []*wire.TargetState
+	// Loads are those of targets that the reader knows; nil if there are none.
+	Loads *wire.Loads
+	// Version is the version of the table that the two reach.
+	Version uint64
+}
+
+// Since returns what changed after a version, oldest change first and about
+// maxBytes at most. What the reader itself was the source of is left out.
+func (t *Table) Since(now time.Time, version, reader uint64, maxBytes int) News {
 	var changed []*entry
 	for _, e := range t.entries {
 		if e.changed > version {
@@ -285,21 +308,26 @@
 		}
 	}
 	sort.Slice(changed, func(i, j int) bool { return changed[i].due(version) < changed[j].due(version) })
-	var states []*wire.TargetState
-	reached, used := version, 0
+	news := News{Version: version}
+	used := 0
 	for _, e := range changed {
 		if used >= maxBytes {
-			return states, reached
+			return news
 		}
-		reached = e.due(version)
+		news.Version = e.due(version)
 		if e.knownTo(reader, version) {
 			continue
 		}
-		compact := e.introduced <= version
-		states = append(states, toWire(now, &e.state, compact))
-		used += stateBytes(compact)
+		if e.introduced <= version && len(t.tags[tagOf(e.state.Target.ID)]) == 1 {
+			news.addLoad(now, &e.state)
+			used += loadBytes
+			continue
+		}
+		news.Targets = append(news.Targets, toWire(now, &e.state))
+		used += stateBytes
 	}
-	return states, max(reached, t.version)
+	news.Version = max(news.Version, t.version)
+	return news
 }
 
 // due returns the version at which a reader that has seen the given one must
@@ -319,16 +347,8 @@
 	return e.source == reader && (e.introduced <= version || e.origin == reader)
 }
 
-// Sizes of states, rounded up, in bytes.
+// Sizes of what a heartbeat tells of a target, rounded up, in bytes.
 const (
-	compactBytes = 40
-	fullBytes    = 250
+	loadBytes  = 24
+	stateBytes = 250
 )
-
-// stateBytes returns the rounded size of a state.
-func stateBytes(compact bool) int {
-	if compact {
-		return compactBytes
-	}
-	return fullBytes
-}
--- a/targetview/table_test.go
+++ b/targetview/table_test.go
@@ -48,15 +48,16 @@
 		tables := []*Table{New(), New(), New()}
 		var seen [3][3]uint64
 		pull := func(a, b int, lost bool) {
-			states, reached := tables[b].Since(now, seen[a][b], uint64(a+1), 600)
+			news := tables[b].Since(now, seen[a][b], uint64(a+1), 600)
 			if lost || a == b {
 				return
 			}
-			seen[a][b] = reached
-			for _, s := range states {
-				if !tables[a].Merge(now, uint64(b+1), proto.Clone(s).(*wire.TargetState)) {
-					seen[a][b] = 0
-				}
+			seen[a][b] = news.Version
+			for _, s := range news.Targets {
+				tables[a].Merge(now, uint64(b+1), proto.Clone(s).(*wire.TargetState))
+			}
+			if !tables[a].MergeLoads(now, uint64(b+1), news.Loads) {
+				seen[a][b] = 0
 			}
 		}
 		sequence, epoch := uint64(0), uint64(0)
@@ -157,9 +158,9 @@
 	var atB uint64
 	for range 5 {
 		a.Listed(now, []platform.Host{leaving}, everyZone)
-		states, reached := a.Since(now, atB, 2, 1<<20)
-		atB = reached
-		for _, s := range states {
+		news := a.Since(now, atB, 2, 1<<20)
+		atB = news.Version
+		for _, s := range news.Targets {
 			b.Merge(now, 1, s)
 		}
 		b.Listed(now, []platform.Host{leaving}, everyZone)
@@ -168,21 +169,30 @@
 	is.Equal(b.Version(), uint64(1))
 }
 
-// BenchmarkDigestBytes measures the bytes of a target in a heartbeat.
-func BenchmarkDigestBytes(b *testing.B) {
+// BenchmarkBytes measures the bytes of a target's state, and of a load among
+// the 60 that a heartbeat every second carries.
+func BenchmarkBytes(b *testing.B) {
+	const loads = 60
 	now := time.Unix(1000, 0)
 	table := New()
-	table.Listed(now, []platform.Host{hostWith(7, platform.Live)}, everyZone)
-	table.Reported(now, reportOn(7, 1<<60, 100_000, now))
-	full, reached := table.Since(now, 0, 1, 1<<20)
+	var listed []platform.Host
+	for i := range loads {
+		listed = append(listed, hostWith(i, platform.Live))
+	}
+	table.Listed(now, listed, everyZone)
+	report := func(sequence uint64) {
+		for i := range loads {
+			table.Reported(now, reportOn(i, 1<<60, sequence, now))
+		}
+	}
+	report(100_000)
+	first := table.Since(now, 0, 1, 1<<20)
 	now = now.Add(time.Minute)
-	table.Reported(now, reportOn(7, 1<<60, 100_001, now))
-	compact, _ := table.Since(now, reached, 1, 1<<20)
+	report(100_001)
+	later := table.Since(now.Add(time.Second), first.Version, 1, 1<<20)
 	for b.Loop() {
-		_, _ = table.Since(now, reached, 1, 1<<20)
+		_ = table.Since(now, first.Version, 1, 1<<20)
 	}
-	digest := proto.Size(&wire.Heartbeat{Targets: compact})
-	b.ReportMetric(float64(digest), "B/digest")
-	b.ReportMetric(float64(proto.Size(&wire.Heartbeat{Targets: full})), "B/full")
-	b.ReportMetric(float64(digest)*240/PublishInterval(240).Seconds(), "B/s_at_240")
+	b.ReportMetric(float64(proto.Size(&wire.Heartbeat{Targets: first.Targets}))/loads, "B/state")
+	b.ReportMetric(float64(proto.Size(&wire.Heartbeat{Loads: later.Loads}))/loads, "B/load")
 }
--- a/targetview/wire.go
+++ b/targetview/wire.go
@@ -1,8 +1,11 @@
 package targetview
 
 import (
+	"math"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"zinniapin/control"
 	"zinniapin/platform"
 	"zinniapin/target"
@@ -10,29 +13,51 @@
 	"zinniapin/zone"
 )
 
-// toWire returns the message of a state. A compact one holds only the load,
-// for a reader that knows the rest.
-func toWire(now time.Time, s *control.TargetState, compact bool) *wire.TargetState {
+// toWire returns the message of a state.
+func toWire(now time.Time, s *control.TargetState) *wire.TargetState {
 	r := &s.Report
 	w := &wire.TargetState{
 		Id:            string(s.Target.ID),
+		AgeMs:         age(now, r),
 		Sequence:      r.Sequence,
 		Running:       int32(r.Running),
 		Waiting:       int32(r.Waiting),
 		PrefillTokens: int32(r.PrefillTokens),
 		KvPiecesUsed:  int32(r.KVPiecesUsed),
 	}
-	if !r.Taken.IsZero() {
-		w.AgeMs = max(0, now.Sub(r.Taken).Milliseconds())
-	}
-	if compact {
-		w.BootTag = bootTag(r.Boot)
-		return w
-	}
 	describe(w, s)
 	return w
 }
 
+// age returns the age of a report in milliseconds, 0 if there is none.
+func age(now time.Time, r *target.Report) int64 {
+	if r.Taken.IsZero() {
+		return 0
+	}
+	return max(0, now.Sub(r.Taken).Milliseconds())
+}
+
+// tagOf returns the hash of an id by which a load names its target.
+func tagOf(id target.ID) uint32 {
+	return uint32(xxhash.Sum64String(string(id)))
+}
+
+// addLoad adds the load of a target to news.
+func (n *News) addLoad(now time.Time, s *control.TargetState) {
+	if n.Loads == nil {
+		n.Loads = &wire.Loads{}
+	}
+	r, l := &s.Report, n.Loads
+	l.Tags = append(l.Tags, tagOf(s.Target.ID))
+	l.BootTags = append(l.BootTags, bootTag(r.Boot))
+	l.Sequences = append(l.Sequences, r.Sequence)
+	l.AgesMs = append(l.AgesMs, uint32(min(age(now, r), math.MaxUint32)))
+	l.Running = append(l.Running, int32(r.Running))
+	l.Waiting = append(l.Waiting, int32(r.Waiting))
+	l.PrefillTokens = append(l.PrefillTokens, int32(r.PrefillTokens))
+	l.KvPiecesUsed = append(l.KvPiecesUsed, int32(r.KVPiecesUsed))
+}
+
 // bootTagMask selects the bits of a boot that go with the load.
 const bootTagMask = 1<<14 - 1
 
@@ -69,21 +94,11 @@
 	w.Capacity = int32(r.Capacity)
 }
 
-// isCompact tells whether a message holds only the load.
-func isCompact(w *wire.TargetState) bool {
-	return w.State == "" && w.Kind == "" && w.CordonEpoch == 0
-}
-
-// Merge takes in a state that a peer told of. It returns false when the
-// message is compact and the target is not known as the peer knows it, so that
-// the peer must tell it in full.
-func (t *Table) Merge(now time.Time, source uint64, w *wire.TargetState) bool {
-	if isCompact(w) {
-		return t.mergeLoad(now, source, w)
-	}
+// Merge takes in a state that a peer told of.
+func (t *Table) Merge(now time.Time, source uint64, w *wire.TargetState) {
 	e := t.add(target.ID(w.Id))
 	if e == nil {
-		return true
+		return
 	}
 	version := t.version
 	if w.State != "" {
@@ -101,7 +116,6 @@
 	if t.version != version && !agrees(e, w) {
 		e.source, e.origin = 0, 0 // the peer lacks a part of what is known here
 	}
-	return true
 }
 
 // agrees tells whether a peer knows all that is known here.
@@ -113,27 +127,43 @@
 	return s.Report.Boot == w.Boot && s.Report.Sequence == w.Sequence
 }
 
-// mergeLoad takes in a compact message. One of another boot is left aside: the
+// MergeLoads takes in the loads that a peer told of. It returns false when one
+// is of a target that is not known, so that the peer must tell all in full.
+func (t *Table) MergeLoads(now time.Time, source uint64, l *wire.Loads) bool {
+	n := len(l.GetTags())
+	for _, length := range []int{len(l.GetBootTags()), len(l.GetSequences()), len(l.GetAgesMs()), len(l.GetRunning()),
+		len(l.GetWaiting()), len(l.GetPrefillTokens()), len(l.GetKvPiecesUsed())} {
+		if length != n {
+			return false
+		}
+	}
+	understood := true
+	for i, tag := range l.GetTags() {
+		if len(t.tags[tag]) != 1 {
+			understood = false
+			continue
+		}
+		t.mergeLoad(now, source, t.tags[tag][0], l, i)
+	}
+	return understood
+}
+
+// mergeLoad takes in row i of loads. One of another boot is left aside: the
 // newer of the two boots is on its way in full, one way or the other.
-func (t *Table) mergeLoad(now time.Time, source uint64, w *wire.TargetState) bool {
-	e, ok := t.entries[target.ID(w.Id)]
-	if !ok {
-		return false
-	}
+func (t *Table) mergeLoad(now time.Time, source uint64, e *entry, l *wire.Loads, i int) {
 	r := e.state.Report
-	if bootTag(r.Boot) != w.BootTag || w.Sequence <= r.Sequence {
-		return true
-	}
-	r.Sequence = w.Sequence
-	r.Taken = now.Add(-time.Duration(w.AgeMs) * time.Millisecond)
-	r.Running = int(w.Running)
-	r.Waiting = int(w.Waiting)
-	r.PrefillTokens = int(w.PrefillTokens)
-	r.KVPiecesUsed = int(w.KvPiecesUsed)
+	if bootTag(r.Boot) != l.BootTags[i] || l.Sequences[i] <= r.Sequence {
+		return
+	}
+	r.Sequence = l.Sequences[i]
+	r.Taken = now.Add(-time.Duration(l.AgesMs[i]) * time.Millisecond)
+	r.Running = int(l.Running[i])
+	r.Waiting = int(l.Waiting[i])
+	r.PrefillTokens = int(l.PrefillTokens[i])
+	r.KVPiecesUsed = int(l.KvPiecesUsed[i])
 	e.state.Report = r
 	e.published = now
 	t.touch(e, source, false)
-	return true
 }
 
 // describedBy returns the target of a full message.
--- a/uplink/link.go
+++ b/uplink/link.go
@@ -169,7 +169,7 @@
 	u.beat(time.Now())
 	request := &wire.Heartbeat{
 		ConfigRevision: uint64(u.self.Revision),
-		Members:        []*wire.Member{u.self.ToWire(false)},
+		Members:        []*wire.Member{u.self.ToWire()},
 		TargetsVersion: up.targets,
 		ConfirmedAgeMs: -1,
 	}
@@ -221,21 +221,29 @@
 		u.holder.Confirm(contract.Revision(reply.ConfirmedRevision), at)
 	}
 	var named []membership.Member
+	doubted := false
 	for _, m := range reply.Members {
+		if m.Incarnation == u.config.Self.Incarnation {
+			doubted = doubted || m.Doubted
+			continue
+		}
 		named = append(named, membership.FromWire(m))
 	}
 	u.candidates.learnAll(named)
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	up.told = len(named) > 1 || up.told
+	u.changed = u.changed || doubted // the next beat refutes the doubt
 	u.fleet.take(now, reply)
 	if reply.TargetsVersion != math.MaxUint64 {
 		up.targets = reply.TargetsVersion
 	}
+	source := up.link.Peer().Incarnation
 	for _, t := range reply.Targets {
-		if !u.targets.Merge(now, up.link.Peer().Incarnation, t) {
-			up.targets = 0
-		}
+		u.targets.Merge(now, source, t)
+	}
+	if !u.targets.MergeLoads(now, source, reply.Loads) {
+		up.targets = 0
 	}
 	u.targets.Forget(now)
 }
--- a/uplink/uplink_test.go
+++ b/uplink/uplink_test.go
@@ -105,7 +105,7 @@
 	order     []string
 }
 
-func (g *fakeGateway) Configure(*contract.Snapshot) {}
+func (g *fakeGateway) Configure(*contract.Snapshot)  {}
 func (g *fakeGateway) PoolLoads() []control.PoolLoad { return nil }
 
 func (g *fakeGateway) Demands() []control.Demand {
