Use safe shares at gateways without grants and let settled grantors grant at once

Gateways now use grant.SafeShare, and an nth only when no controller was reached for a term and a margin: by then no grant is in force for them. A fleet of one gateway uses the whole contract.

A grantor made every organisation that became active wait 5 s. It now waits from the last change of the controllers that take part or of their doubt in it.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -10,6 +10,7 @@
 
 	"zinniapin/contract"
 	"zinniapin/control"
+	"zinniapin/grant"
 	"zinniapin/invariant"
 	"zinniapin/result"
 )
@@ -92,6 +93,7 @@
 type Core struct {
 	queueLength   int
 	gateways      int
+	reached       time.Time // when a controller was last linked
 	organisations map[string]*organisation
 	pools         map[string]*pool
 	sequence      uint64
@@ -120,6 +122,18 @@
 	c.gateways = max(1, n)
 }
 
+// Reached notes that a controller was linked at a time. While it is not much
+// longer ago than a grant lasts, other gateways may hold grants.
+func (c *Core) Reached(now time.Time) {
+	c.reached = now
+}
+
+// othersMayHold tells whether grants of other gateways may be in force that
+// leave this one no more than its safe share.
+func (c *Core) othersMayHold(now time.Time) bool {
+	return c.gateways > 1 && now.Sub(c.reached) <= grant.Term+grant.Margin
+}
+
 // SetCapacity sets how many requests may be dispatched to a pool at once.
 func (c *Core) SetCapacity(name string, n int) {
 	c.pool(name).capacity = n
@@ -166,11 +180,18 @@
 }
 
 // share returns what an organisation may use here: its grant while that
-// lasts, never above the contract; else the contract divided by the live
-// gateways. The divided concurrency and burst are rounded up to 1, so that
-// every gateway can serve every organisation: without grants a fleet of n
-// gateways may therefore run up to max(concurrency, n) requests of one
-// organisation at once, that is n minus concurrency too many at most.
+// lasts, never above the contract; else its safe share, which the grantor
+// leaves to every gateway. So the rates, and likewise the tokens, of all
+// gateways sum to the contract at most, but for the cases that package grant
+// names. A gateway that has reached no controller for as long as grants last
+// uses an nth of the contract: with m of n gateways cut off so, rates and
+// tokens may exceed the contract by the part (1-grant.SafePart)*m/n of it until
+// the others take these for dead, and by nothing from then on; when all are cut
+// off they sum to the contract.
+//
+// Concurrency and burst are rounded up to 1, so that every gateway can serve
+// every organisation: each gateway without a grant may run one request too
+// many. A request that runs is never ended when a share falls.
 func (c *Core) share(now time.Time, o *organisation, k *contract.Contract) limits {
 	full := k.Limits
 	tokens := float64(full.TokensPerMinute) / secondsPerMinute
@@ -187,12 +208,18 @@
 			tokens:      math.Min(o.grant.TokensPerMinute/secondsPerMinute, tokens),
 		}
 	}
-	n := float64(c.gateways)
+	part := 1 / float64(c.gateways)
+	concurrency := int(math.Ceil(float64(full.Concurrency) * part))
+	if c.othersMayHold(now) {
+		safe := grant.SafeShare(full, c.gateways)
+		part *= grant.SafePart
+		concurrency = safe.Concurrency
+	}
 	return limits{
-		rate:        full.RequestsPerSecond / n,
-		burst:       math.Max(1, burst/n),
-		concurrency: int(math.Ceil(float64(full.Concurrency) / n)),
-		tokens:      tokens / n,
+		rate:        full.RequestsPerSecond * part,
+		burst:       math.Max(1, burst*part),
+		concurrency: concurrency,
+		tokens:      tokens * part,
 	}
 }
 
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -155,7 +155,7 @@
 		}
 	}
 	k.mu.Unlock()
-	k.grants.prune(now)
+	k.grants.prune(now, k.grantorViews())
 	k.keepPeers(ctx, now)
 }
 
--- a/controller/grants.go
+++ b/controller/grants.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"zinniapin/event"
 	"zinniapin/grant"
 	"zinniapin/link"
@@ -32,6 +35,8 @@
 type grantor struct {
 	mu            sync.Mutex
 	organisations map[string]*granted
+	views         uint64    // hash of what selects the grantors
+	since         time.Time // when that last changed
 }
 
 // granted is the state of one organisation.
@@ -50,9 +55,10 @@
 const keepGranted = time.Minute
 
 // organisation returns the state of an organisation. A grantor that was not
-// asked for longer than a term may have been replaced in the meantime, so it
-// begins anew with a wait.
-func (g *grantor) organisation(now time.Time, name string) (*grant.Organisation, bool) {
+// asked for longer than a term may have been replaced in the meantime, unless
+// nothing that selects the grantors changed: the state begins anew with a wait
+// from the last change.
+func (g *grantor) organisation(now time.Time, name string, views func() uint64) (*grant.Organisation, bool) {
 	known, ok := g.organisations[name]
 	if ok && now.Sub(known.asked) <= grant.Term {
 		known.asked = now
@@ -61,15 +67,48 @@
 	if !ok && len(g.organisations) >= maxGranted {
 		return nil, false
 	}
-	fresh := &granted{grant.NewOrganisation(now), now}
+	g.observe(now, views())
+	fresh := &granted{grant.NewOrganisation(g.since), now}
 	g.organisations[name] = fresh
 	return fresh.state, true
 }
 
+// observe notes when what selects the grantors changes. The lock is held.
+func (g *grantor) observe(now time.Time, views uint64) {
+	if g.since.IsZero() || views != g.views {
+		g.views, g.since = views, now
+	}
+}
+
+// grantorViews returns a hash of what selects the grantors: the controllers
+// that take part, and how often this one had to show others that it lives, who
+// may have asked another grantor until then.
+func (k *Controller) grantorViews() uint64 {
+	k.mu.Lock()
+	members, refuted := k.members.Members(time.Now()), k.members.Refuted()
+	k.mu.Unlock()
+	var d xxhash.Digest
+	d.Reset()
+	var number [8]byte
+	write := func(n uint64) {
+		binary.LittleEndian.PutUint64(number[:], n)
+		_, _ = d.Write(number[:]) // never fails
+	}
+	write(refuted)
+	for i := range members {
+		m := &members[i]
+		if m.Process.Role == machine.Controller && !m.Leaving && m.Settled {
+			write(m.Process.Incarnation)
+		}
+	}
+	return d.Sum64()
+}
+
 // prune drops organisations that nobody asks for.
-func (g *grantor) prune(now time.Time) {
+func (g *grantor) prune(now time.Time, views uint64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.observe(now, views)
 	for name, known := range g.organisations {
 		if now.Sub(known.asked) > keepGranted {
 			delete(g.organisations, name)
@@ -179,7 +218,7 @@
 	if !ok {
 		return nil
 	}
-	state, fresh := k.grants.organisation(now, d.Organisation)
+	state, fresh := k.grants.organisation(now, d.Organisation, k.grantorViews)
 	if state == nil {
 		return nil
 	}
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -101,6 +101,7 @@
 	}
 	switch {
 	case c.Controllers > 0:
+		g.admission.Reached(now)
 		g.aloneSince = time.Time{}
 	case !wasAlone:
 		g.aloneSince = now
--- a/grant/grant.go
+++ b/grant/grant.go
@@ -18,7 +18,8 @@
 // force, so the larger of the two is counted until the earlier one ends.
 //
 // A new grantor, started or taken over, grants nothing for one term and a
-// margin, in which the predecessor's grants end. The sum holds when no gateway
+// margin, in which the predecessor's grants end. One that was the grantor all
+// along, though nobody asked it, need not wait. The sum holds when no gateway
 // has the predecessor asked for longer than the margin after the takeover;
 // while two grantors are asked side by side for longer, the sum is at most 2*L.
 //
@@ -171,10 +172,10 @@
 	holders map[string]*holder // by machine.Process.ID of the gateway
 }
 
-// NewOrganisation returns the grantor's state for an organisation that it
-// became responsible for now.
-func NewOrganisation(now time.Time) *Organisation {
-	return &Organisation{opens: now.Add(Term + Margin), holders: map[string]*holder{}}
+// NewOrganisation returns the grantor's state for an organisation for which no
+// other grantor was asked since a time.
+func NewOrganisation(since time.Time) *Organisation {
+	return &Organisation{opens: since.Add(Term + Margin), holders: map[string]*holder{}}
 }
 
 // Idle tells whether no grant is in force.
--- a/membership/table.go
+++ b/membership/table.go
@@ -21,6 +21,7 @@
 	ticked   time.Time
 	started  time.Time
 	nextBeat time.Time
+	refuted  uint64
 	shape    uint64 // rises when more than beats and silences changed
 	view     view
 }
@@ -197,10 +198,17 @@
 	}
 	if w.Doubted && w.Beat == t.self.Beat {
 		t.self.Beat++
+		t.refuted++
 		t.touch(t.self, 0, false)
 	}
 }
 
+// Refuted returns how often this process raised its beat because others
+// doubted it.
+func (t *Table) Refuted() uint64 {
+	return t.refuted
+}
+
 // introduce adds a process that was not known.
 func (t *Table) introduce(now time.Time, source uint64, w *wire.Member, full bool) bool {
 	if !full {
