Show links, members, grants and heartbeats of a controller as metrics

Registered by zinnia-controller. Labels are kinds, roles, directions and outcomes only, so that the number of series is fixed.

--- a/cmd/zinnia-controller/main.go
+++ b/cmd/zinnia-controller/main.go
@@ -105,7 +105,11 @@
 	graceful, immediate, stopSignals := daemon.Signals(context.Background())
 	defer stopSignals()
 	k := controller.New(config)
-	operators, err := daemon.NewOperators(s.Operators, daemon.NewRegistry(), k.Ready)
+	metrics := daemon.NewRegistry()
+	if err := k.Register(metrics); err != nil {
+		return err
+	}
+	operators, err := daemon.NewOperators(s.Operators, metrics, k.Ready)
 	if err != nil {
 		return err
 	}
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -61,10 +61,11 @@
 
 // Controller is a running controller. It is safe for concurrent use.
 type Controller struct {
-	config Config
-	holder *relay.Holder
-	links  *registry
-	grants *grantor
+	config  Config
+	holder  *relay.Holder
+	links   *registry
+	grants  *grantor
+	metrics *metrics
 
 	mu            sync.Mutex
 	members       *membership.Table
@@ -87,6 +88,7 @@
 		holder:        &relay.Holder{},
 		links:         newRegistry(),
 		grants:        newGrantor(),
+		metrics:       newMetrics(),
 		members:       membership.New(self, now),
 		targets:       targetview.New(),
 		book:          newAddressBook(c.Seeds, c.Seed^c.Self.Incarnation),
--- a/controller/cost_test.go
+++ b/controller/cost_test.go
@@ -28,10 +28,10 @@
 	defaultMeshHosts = 22
 	// budgetBytes is what a node may spend on control in a second.
 	budgetBytes = 16 << 10
-	// callOverhead is what a call takes on a link over yamux and TLS besides its
-	// messages, in bytes, both ways together; see BenchmarkCallBytes in
-	// yamuxlink.
-	callOverhead = 230
+	// callOverhead is what a call takes on a link over yamux and TLS, in bytes,
+	// both ways together: BenchmarkCallBytes in yamuxlink, short messages
+	// included.
+	callOverhead = 272
 	// maxConfirmationAge leaves room below the age at which a gateway refuses.
 	maxConfirmationAge = 10 * time.Second
 	// maxTargetSpread is the time in which a region must learn that a target
--- a/controller/grants.go
+++ b/controller/grants.go
@@ -197,7 +197,9 @@
 	k.grants.mu.Lock()
 	defer k.grants.mu.Unlock()
 	for _, d := range q.Demands {
-		if g := k.grantOne(now, q.Gateway, fleet, d); g != nil {
+		g := k.grantOne(now, q.Gateway, fleet, d)
+		k.metrics.granted(g != nil)
+		if g != nil {
 			reply.Grants = append(reply.Grants, g)
 		}
 	}
--- a/controller/peers.go
+++ b/controller/peers.go
@@ -135,7 +135,9 @@
 	missed := 0
 	for missed < maxMissed {
 		missed++
-		if k.heartbeat(ctx, p) == nil {
+		err := k.heartbeat(ctx, p)
+		k.metrics.heartbeatEnded(err)
+		if err == nil {
 			missed = 0
 		}
 		if !k.awaitHeartbeat(ctx, p) {
@@ -204,6 +206,7 @@
 	if reply == nil {
 		return result.New(result.UnknownMessage, "the reply is no heartbeat")
 	}
+	k.metrics.exchanged(request, reply)
 	k.takeIn(p, request, reply)
 	if contract.Revision(reply.ConfigRevision) > k.holder.Revision() {
 		go k.fetchFrom(ctx, p.link)
--- a/controller/serve.go
+++ b/controller/serve.go
@@ -80,6 +80,7 @@
 	if peer.Zone.Region == k.config.Self.Zone.Region {
 		k.fillTargets(now, q, reply, peer)
 	}
+	k.metrics.exchanged(reply, q)
 	return &wire.Envelope{Body: &wire.Envelope_Heartbeat{Heartbeat: reply}}
 }
 
