--- a/targetview/table_test.go
+++ b/targetview/table_test.go
@@ -196,3 +196,45 @@
 	b.ReportMetric(float64(proto.Size(&wire.Heartbeat{Targets: first.Targets}))/loads, "B/state")
 	b.ReportMetric(float64(proto.Size(&wire.Heartbeat{Loads: later.Loads}))/loads, "B/load")
 }
+
+// TestUrgentNews checks that only the leaving and end of a known target are
+// urgent, and that they are not told back to whom they came from.
+func TestUrgentNews(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	a, b := New(), New()
+	a.Listed(now, []platform.Host{hostWith(0, platform.Live), hostWith(1, platform.Leaving)}, everyZone)
+	states, version := a.Urgent(now, 0, 2)
+	is.Equal(len(states), 0) // nobody relied on what was not known before
+	for _, s := range a.Since(now, 0, 2, 1<<20).Targets {
+		b.Merge(now, 1, s)
+	}
+	a.Listed(now, []platform.Host{hostWith(0, platform.Leaving), hostWith(1, platform.Leaving)}, everyZone)
+	states, reached := a.Urgent(now, version, 2)
+	is.Equal(len(states), 1)
+	b.Merge(now, 1, states[0])
+	back, _ := b.Urgent(now, 0, 1)
+	is.Equal(len(back), 0)
+	onward, _ := b.Urgent(now, 0, 3)
+	is.Equal(len(onward), 1)
+	states, _ = a.Urgent(now, reached, 2)
+	is.Equal(len(states), 0)
+}
+
+// TestForwardedLoadStaysSmall checks that a newer load that came in a full
+// state is passed on as a load to a reader that knows the rest.
+func TestForwardedLoadStaysSmall(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	a, b := New(), New()
+	a.Listed(now, []platform.Host{hostWith(0, platform.Live)}, everyZone)
+	a.Reported(now, reportOn(0, 1, 1, now))
+	b.Merge(now, 1, a.Since(now, 0, 2, 1<<20).Targets[0])
+	seen := b.Since(now, 0, 3, 1<<20).Version
+	now = now.Add(time.Minute)
+	a.Reported(now, reportOn(0, 1, 2, now))
+	b.Merge(now, 1, a.Since(now, 0, 2, 1<<20).Targets[0])
+	news := b.Since(now, seen, 3, 1<<20)
+	is.Equal(len(news.Targets), 0)
+	is.Equal(len(news.Loads.GetTags()), 1)
+}
