--- a/internal/soak/fault.go
+++ b/internal/soak/fault.go
@@ -213,16 +213,12 @@
 func (f *faults) storeFault(disturbs bool, span time.Duration, fault objects.Fault) bool {
 	w := f.world
 	return f.during("store", func() {
-		if disturbs {
-			w.disturb(true)
-		}
+		w.disturb(disturbs)
 		w.objects.SetFault(fault)
 	}, span, func() {
 		w.objects.SetFault(nil)
 		w.objects.DeliverLate()
-		if disturbs {
-			w.disturb(false)
-		}
+		w.calm()
 	})
 }
 
@@ -336,25 +332,49 @@
 	return f.during("operator", func() { o.drain(id) }, seconds(rng, 5, 60), func() { o.drain() })
 }
 
-// disturb notes the begin or end of an outage of the object API.
-func (w *world) disturb(begins bool) {
+// disturb notes the begin of a fault of the object API, which takes it down
+// as a whole or fails single calls.
+func (w *world) disturb(down bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.disturbed = append(w.disturbed, span{from: time.Now(), down: down})
+}
+
+// calm notes its end.
+func (w *world) calm() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if begins {
-		w.disturbed = append(w.disturbed, span{from: time.Now()})
-		return
-	}
 	w.disturbed[len(w.disturbed)-1].to = time.Now()
 }
 
-// storeDisturbed tells whether the object API was down at any time of a span.
-func (w *world) storeDisturbed(from, to time.Time) bool {
+// storeDisturbed tells whether the object API was down, or faulty at all, at
+// any time of a span.
+func (w *world) storeDisturbed(from, to time.Time, faulty bool) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, s := range w.disturbed {
-		if s.from.Before(to) && (s.to.IsZero() || s.to.After(from)) {
+		if (s.down || faulty) && s.from.Before(to) && (s.to.IsZero() || s.to.After(from)) {
 			return true
 		}
 	}
 	return false
 }
+
+// staleWord is the tag of a known fault: the word of other controllers that
+// the object API is down counts until they pass for silent.
+const staleWord = "stale-word"
+
+// staleWordSpan is how long after a fault of the object API that fault shows.
+const staleWordSpan = time.Minute
+
+// older judges that a gateway served by an older configuration than is due.
+func (w *world) older(at time.Time, format string, args ...any) {
+	switch {
+	case w.storeDisturbed(at.Add(-inForce), at, false):
+		w.report.note("older configuration served while the object API was down", 1)
+	case w.storeDisturbed(at.Add(-staleWordSpan), at, true):
+		w.report.tagged(staleWord, format, args...)
+	default:
+		w.report.violation(format, args...)
+	}
+}
--- a/internal/soak/gate.go
+++ b/internal/soak/gate.go
@@ -23,9 +23,10 @@
 // whatever their contexts say: a paused process is stopped between its check
 // and its send. Nothing leaves a dead process.
 type gate struct {
-	mu     sync.Mutex
-	frozen chan struct{} // closed by waking; nil while running
-	dead   bool
+	mu      sync.Mutex
+	frozen  chan struct{} // closed by waking; nil while running
+	dead    bool
+	noStore bool // this process alone does not reach the object API
 }
 
 // freeze stops the outward calls.
@@ -77,6 +78,24 @@
 	return ctx, nil
 }
 
+// setNoStore cuts this process off the object API, or joins it again.
+func (g *gate) setNoStore(cut bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.noStore = cut
+}
+
+// toStore passes a call of the object API.
+func (g *gate) toStore(ctx context.Context) (context.Context, error) {
+	ctx, err := g.out(ctx)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.noStore {
+		err = errDead
+	}
+	return ctx, err
+}
+
 // gatedStore is the object API as one process reaches it.
 type gatedStore struct {
 	gate  *gate
@@ -87,7 +106,7 @@
 func unsent(error) error { return store.ErrUnavailable }
 
 func (s *gatedStore) Get(ctx context.Context, p store.Purpose, key string) (store.Object, error) {
-	ctx, err := s.gate.out(ctx)
+	ctx, err := s.gate.toStore(ctx)
 	if err != nil {
 		return store.Object{}, unsent(err)
 	}
@@ -95,7 +114,7 @@
 }
 
 func (s *gatedStore) Put(ctx context.Context, p store.Purpose, key string, value []byte, ifVersion store.Version) (store.Version, error) {
-	ctx, err := s.gate.out(ctx)
+	ctx, err := s.gate.toStore(ctx)
 	if err != nil {
 		return store.Absent, unsent(err)
 	}
@@ -103,7 +122,7 @@
 }
 
 func (s *gatedStore) Delete(ctx context.Context, p store.Purpose, key string, ifVersion store.Version) error {
-	ctx, err := s.gate.out(ctx)
+	ctx, err := s.gate.toStore(ctx)
 	if err != nil {
 		return unsent(err)
 	}
@@ -111,7 +130,7 @@
 }
 
 func (s *gatedStore) List(ctx context.Context, p store.Purpose, prefix string) ([]store.Object, error) {
-	ctx, err := s.gate.out(ctx)
+	ctx, err := s.gate.toStore(ctx)
 	if err != nil {
 		return nil, unsent(err)
 	}
@@ -119,7 +138,7 @@
 }
 
 func (s *gatedStore) Watch(ctx context.Context, p store.Purpose, key string, after store.Version) (store.Object, error) {
-	passed, err := s.gate.out(ctx)
+	passed, err := s.gate.toStore(ctx)
 	if err != nil {
 		return store.Object{}, unsent(err)
 	}
--- a/internal/soak/operator.go
+++ b/internal/soak/operator.go
@@ -229,12 +229,7 @@
 		if k.key != key || k.withdrawn.IsZero() || a.sent.Sub(k.withdrawn) <= inForce {
 			continue
 		}
-		late := a.sent.Sub(k.withdrawn)
-		if o.world.storeDisturbed(a.sent.Add(-inForce), a.sent) {
-			o.world.report.note("withdrawn key served while the object API was down", 1)
-			continue
-		}
-		o.world.report.violation("%s served key %s %v after its withdrawal", a.gateway, k.key, late)
+		o.world.older(a.sent, "%s served key %s %v after its withdrawal", a.gateway, k.key, a.sent.Sub(k.withdrawn))
 	}
 }
 
--- a/internal/soak/report.go
+++ b/internal/soak/report.go
@@ -25,6 +25,9 @@
 	Notes map[string]int
 	// Violations are the invariants found broken.
 	Violations []string
+	// Known are violations by the tag of a fault that may be on the list of
+	// known ones.
+	Known map[string][]string
 
 	mu       sync.Mutex
 	began    time.Time
@@ -45,7 +48,7 @@
 
 // newReport returns an empty report.
 func newReport(seed uint64) *Report {
-	return &Report{Seed: seed, Faults: map[string]int{}, Outcomes: map[string]int{}, Notes: map[string]int{}, began: time.Now()}
+	return &Report{Seed: seed, Faults: map[string]int{}, Outcomes: map[string]int{}, Notes: map[string]int{}, Known: map[string][]string{}, began: time.Now()}
 }
 
 // violation notes a broken invariant.
@@ -57,6 +60,15 @@
 	}
 }
 
+// tagged notes a violation that a fault with this tag explains.
+func (r *Report) tagged(tag, format string, args ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.Known[tag]) < maxViolations {
+		r.Known[tag] = append(r.Known[tag], r.stamp()+fmt.Sprintf(format, args...))
+	}
+}
+
 // fault counts a fault.
 func (r *Report) fault(kind string) {
 	r.mu.Lock()
@@ -94,6 +106,9 @@
 	for _, v := range r.Violations {
 		fmt.Fprintf(&b, "  VIOLATION %s\n", v)
 	}
+	for tag, list := range r.Known {
+		fmt.Fprintf(&b, "  %s (%d):\n    %s\n", tag, len(list), strings.Join(list, "\n    "))
+	}
 	if len(r.Violations) > 0 {
 		fmt.Fprintf(&b, "  %s\n", strings.Join(r.timeline, "\n  "))
 	}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -162,13 +162,8 @@
 // current checks that a gateway that serves does not serve by an old
 // configuration.
 func (w *world) current(p *process, shown contract.Revision, asked time.Time) {
-	due := w.operator.due(asked)
-	switch {
-	case shown >= due:
-	case w.storeDisturbed(asked.Add(-inForce), asked):
-		w.report.note("older configuration served while the object API was down", 1)
-	default:
-		w.report.violation("%s serves by revision %d, due is %d", p.id, shown, due)
+	if due := w.operator.due(asked); shown < due {
+		w.older(asked, "%s serves by revision %d, due is %d", p.id, shown, due)
 	}
 }
 
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -102,7 +102,10 @@
 }
 
 // span is a stretch of time; an open one has no end.
-type span struct{ from, to time.Time }
+type span struct {
+	from, to time.Time
+	down     bool // for all
+}
 
 // newWorld makes a world whose processes do not run yet.
 func newWorld(o Options) *world {
