Check in the joined runs that a graceful shutdown cuts nobody

The caller's end of a connection in memory now has a buffer: without it a refusal before the whole body was read failed the caller's write, which looked like a cut.

--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strings"
 	"time"
@@ -80,6 +81,8 @@
 	response, err := p.client.Do(request)
 	if err != nil {
 		a.gaveUp = ctx.Err() != nil
+		a.failed = err
+		a.unreached = errors.Is(err, net.ErrClosed)
 		return
 	}
 	defer func() { _ = response.Body.Close() }()
@@ -303,8 +306,8 @@
 		outcome = "whole"
 	case a.gaveUp:
 		outcome = "caller timeout"
-	case a.status == 0:
-		outcome = "not reached or cut"
+	case a.unreached:
+		outcome = "not reached"
 	case a.code == "":
 		outcome = "cut"
 	}
--- a/internal/soak/fault.go
+++ b/internal/soak/fault.go
@@ -150,6 +150,9 @@
 		p := h.gateway
 		p.stop()
 		<-p.ended
+		w.mu.Lock()
+		p.stopped = true
+		w.mu.Unlock()
 		if left := len(p.serving.Usage()); left > 0 {
 			w.report.note("counters left at a stopped gateway", left)
 			w.mu.Lock()
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -31,6 +31,7 @@
 	w.judgeRefusals(engines)
 	w.judgeUsage(engines)
 	w.judgeMemory()
+	w.judgeShutdowns()
 }
 
 // judgeEngines checks orders and requests of all engines and returns the
@@ -222,3 +223,23 @@
 		}
 	}
 }
+
+// judgeShutdowns checks that a gateway that was asked to end cut nobody.
+func (w *world) judgeShutdowns() {
+	w.mu.Lock()
+	stopped := map[string]bool{}
+	for _, p := range w.past {
+		stopped[p.id] = p.stopped
+	}
+	w.mu.Unlock()
+	attempts, _ := w.ledger.all()
+	for _, a := range attempts {
+		if !stopped[a.gateway] {
+			continue
+		}
+		w.report.note("attempts at gateways that were stopped", 1)
+		if !a.whole && a.code == "" && !a.gaveUp && !a.unreached {
+			w.report.violation("%s cut %s of %s, sent at %v, by its shutdown: status %d, %v", a.gateway, a.kind, a.subject, a.sent, a.status, a.failed)
+		}
+	}
+}
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -21,7 +21,9 @@
 	whole        bool
 	resumed      bool
 	replayed     bool
-	gaveUp       bool // the caller's own time ran out
+	failed       error // of the transport
+	gaveUp       bool  // the caller's own time ran out
+	unreached    bool  // nobody took the connection
 }
 
 // choice is a gateway's choice of a target.
--- a/internal/soak/pipe.go
+++ b/internal/soak/pipe.go
@@ -15,6 +15,54 @@
 	once   sync.Once
 }
 
+// clientConn is the caller's end. A pipe has no buffer, so a server that
+// answers before it has read the whole request would make the caller's write
+// fail; over TCP the write has long ended.
+type clientConn struct {
+	net.Conn
+	writes chan []byte
+	done   chan struct{}
+	once   sync.Once
+}
+
+// maxWrites is the number of writes that wait for the server.
+const maxWrites = 256
+
+// newClientConn returns an end whose writes wait in a buffer.
+func newClientConn(c net.Conn) *clientConn {
+	b := &clientConn{Conn: c, writes: make(chan []byte, maxWrites), done: make(chan struct{})}
+	go b.pump()
+	return b
+}
+
+// pump sends what waits; what nobody reads is dropped.
+func (c *clientConn) pump() {
+	for {
+		select {
+		case b := <-c.writes:
+			_, _ = c.Conn.Write(b)
+		case <-c.done:
+			return
+		}
+	}
+}
+
+// Write implements net.Conn.
+func (c *clientConn) Write(b []byte) (int, error) {
+	select {
+	case c.writes <- append([]byte(nil), b...):
+		return len(b), nil
+	case <-c.done:
+		return 0, net.ErrClosed
+	}
+}
+
+// Close implements net.Conn.
+func (c *clientConn) Close() error {
+	c.once.Do(func() { close(c.done) })
+	return c.Conn.Close()
+}
+
 // newPipeListener returns an open listener.
 func newPipeListener() *pipeListener {
 	return &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
@@ -44,7 +92,7 @@
 	near, far := net.Pipe()
 	select {
 	case l.conns <- far:
-		return near, nil
+		return newClientConn(near), nil
 	case <-l.closed:
 		return nil, net.ErrClosed
 	case <-ctx.Done():
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -75,7 +75,8 @@
 	listener *pipeListener
 	client   *http.Client
 	id       string
-	killed   bool
+	killed   bool // it ended with use, or requests, that only it knew
+	stopped  bool // it was asked to end and ended by itself
 	highest  contract.Revision
 }
 
