--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 GOBIN := $(shell go env GOPATH)/bin
 export PATH := $(GOBIN):$(PATH)
 
-.PHONY: all build demo up test lint format-check docs generate tools bench capacity fuzz
+.PHONY: all build demo up test lint format-check docs generate tools bench capacity fuzz soak
 
 all: build
 
@@ -64,3 +64,11 @@
 	go test ./strictjson -run '^$$' -fuzz FuzzDecode -fuzztime $(FUZZ_SECONDS)s
 	go test ./usage -run '^$$' -fuzz FuzzDecodeWindow -fuzztime $(FUZZ_SECONDS)s
 	go test ./configuration -run '^$$' -fuzz FuzzBundle -fuzztime $(FUZZ_SECONDS)s
+
+# Runs the joined system under faults in virtual time and prints what was done
+# and found. MINUTES are virtual minutes of faults. The seed fixes faults and
+# load; the order of goroutines varies, the invariants do not.
+SEED ?= 1
+MINUTES ?= 30
+soak:
+	go test ./internal/soak -count=1 -v -timeout 0 -run TestLongRun -soak.seed $(SEED) -soak.minutes $(MINUTES)
--- a/control/control.go
+++ b/control/control.go
@@ -49,6 +49,8 @@
 	// StoreDownForMost is set when most members say that they too cannot
 	// reach the object API.
 	StoreDownForMost bool
+	// StoreDownAge is how old that word is.
+	StoreDownAge time.Duration
 	// ConfirmedAt is when the configuration was last known to be the newest,
 	// by word of the store through any controller.
 	ConfirmedAt time.Time
--- a/controller/serve.go
+++ b/controller/serve.go
@@ -102,7 +102,8 @@
 	controllers := membership.Controllers(members, "")
 	reply.LiveControllers = uint32(len(controllers))
 	reply.LiveGateways = uint32(len(gatewaysOf(members)))
-	reply.StoreDownForMost = storeDownForMost(controllers, k.members.Known(now, machine.Controller))
+	age, down := k.members.StoreDown(now)
+	reply.StoreDownForMost, reply.StoreDownAgeMs = down, age.Milliseconds()
 	if q.MembersVersion == 0 {
 		near := membership.Controllers(members, k.config.Self.Zone.Region)
 		for _, m := range membership.Owners(near, string(k.config.Self.Host), alternatives) {
@@ -111,19 +112,6 @@
 	}
 }
 
-// storeDownForMost tells whether most of the known controllers, the silent ones
-// included, say that the store is down. A few that are cut off with a gateway
-// are no majority.
-func storeDownForMost(controllers []membership.Member, known int) bool {
-	down := 0
-	for i := range controllers {
-		if !controllers[i].StoreReachable {
-			down++
-		}
-	}
-	return 2*down > known
-}
-
 // gatewaysOf returns the gateways among live processes.
 func gatewaysOf(members []membership.Member) []membership.Member {
 	var gateways []membership.Member
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -113,11 +113,12 @@
 
 // confirm notes until when the configuration needs no doubt. The lock is held.
 func (g *Gateway) confirm(now time.Time, c control.Connectivity) {
-	switch {
-	case c.Controllers > 0 && c.StoreDownForMost:
-		g.confirmed = now
-	case c.ConfirmedAt.After(g.confirmed):
-		g.confirmed = c.ConfirmedAt
+	at := c.ConfirmedAt
+	if c.Controllers > 0 && c.StoreDownForMost {
+		at = now.Add(-c.StoreDownAge)
+	}
+	if at.After(g.confirmed) {
+		g.confirmed = at
 	}
 }
 
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -75,7 +75,8 @@
 	listener *pipeListener
 	client   *http.Client
 	id       string
-	killed   bool
+	killed   bool // it ended with use, or requests, that only it knew
+	stopped  bool // it was asked to end and ended by itself
 	highest  contract.Revision
 }
 
@@ -102,7 +103,10 @@
 }
 
 // span is a stretch of time; an open one has no end.
-type span struct{ from, to time.Time }
+type span struct {
+	from, to time.Time
+	down     bool // for all
+}
 
 // newWorld makes a world whose processes do not run yet.
 func newWorld(o Options) *world {
--- a/membership/table.go
+++ b/membership/table.go
@@ -41,6 +41,7 @@
 type entry struct {
 	Member
 	rose       time.Time // when the beat last rose, by the local clock
+	spoke      time.Time // the same, but a pause of this process counts; zero: never
 	changed    uint64    // version of the table at the last change
 	introduced uint64    // version of the table at which the static part came
 	source     uint64    // incarnation of the peer that told of the change
@@ -176,6 +177,7 @@
 	}
 	e.Member = m
 	e.rose = now
+	e.spoke = now
 	e.doubted = time.Time{}
 	t.touch(e, source, static)
 	if w.Doubted {
--- a/uplink/link.go
+++ b/uplink/link.go
@@ -265,6 +265,7 @@
 	}
 	f.processes = int(reply.LiveGateways + reply.LiveControllers)
 	f.storeDown = reply.StoreDownForMost
+	f.storeDownAge = time.Duration(reply.StoreDownAgeMs) * time.Millisecond
 }
 
 // tellObserved hands the view of targets to the gateway when it changed.
--- a/uplink/uplink.go
+++ b/uplink/uplink.go
@@ -83,7 +83,9 @@
 	counted   time.Time // when a controller last named that many gateways
 	processes int
 	storeDown bool
-	asked     time.Time // when the heartbeat that said so was sent
+	// storeDownAge is how old the word of most was when the reply was given.
+	storeDownAge time.Duration
+	asked        time.Time // when the heartbeat that said so was sent
 }
 
 // wordAge is the age up to which the word that the store is down for most
@@ -178,6 +180,9 @@
 		ConfirmedAt:      u.holder.ConfirmedAt(),
 		LiveGateways:     u.fleet.gateways,
 	}
+	if c.StoreDownForMost {
+		c.StoreDownAge = u.fleet.storeDownAge + time.Since(u.fleet.asked)
+	}
 	u.mu.Unlock()
 	if reached == 0 {
 		event.UplinkControllersGone.Log(u.config.Log).Send()
