Bound a pool's dispatch by a window and time its places

Cause: the estimate of the wait used the time of whole requests, but with a window of prompts a place opens at a first token, long before the end.

Change: a pool may have a window besides its capacity. The estimate is the average time between places that opened while none was free; a place that is overdue counts for as long as it has been waited for. A place that opens while nothing waits counts too: otherwise an estimate that refuses all would never be corrected. The service time is used until the first place opens.

Run: go test ./admission.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -65,6 +65,7 @@
 	start    float64 // virtual start time in the queue
 	sequence uint64
 	began    time.Time
+	starting bool // counted in the pool's window
 }
 
 // organisation is the state of an active organisation.
@@ -86,6 +87,8 @@
 	running  int
 	queue    fairQueue
 	service  float64 // average seconds from dispatch to end
+	window   Window  // nil when the capacity alone bounds the pool
+	pace     pace
 }
 
 // Core is the admission of one gateway. It is not safe for concurrent use.
@@ -257,7 +260,7 @@
 // inTime refuses a request that cannot be dispatched by its deadline.
 func (c *Core) inTime(now time.Time, r Request) error {
 	p := c.pool(r.Pool)
-	wait := p.wait(r.Organisation, weight(r.Contract))
+	wait := p.wait(now, r.Organisation, weight(r.Contract))
 	if p.queue.length >= c.queueLength {
 		return result.New(result.QueueFull, "%d requests wait", p.queue.length).Retry(atLeast(wait))
 	}
@@ -270,25 +273,11 @@
 	return nil
 }
 
-// wait estimates how long a new ticket of the organisation waits.
-func (p *pool) wait(organisation string, weight float64) time.Duration {
-	if p.running < p.capacity && p.queue.length == 0 {
-		return 0
-	}
-	service := p.service
-	if service == 0 {
-		service = firstServiceTime.Seconds()
-	}
-	ahead := p.queue.ahead(organisation, weight) + 1
-	seconds := float64(ahead) * service / float64(max(1, p.capacity))
-	return time.Duration(math.Min(seconds, maxRetryAfter.Seconds()) * float64(time.Second))
-}
-
 // Dispatch returns the tickets of a pool that run from now on, in order.
 func (c *Core) Dispatch(now time.Time, name string) []*Ticket {
 	p := c.pool(name)
 	var ready []*Ticket
-	for p.running < p.capacity {
+	for p.open() {
 		t := p.queue.next()
 		if t == nil {
 			break
@@ -296,8 +285,10 @@
 		t.state = running
 		t.began = now
 		p.running++
+		p.sent(t)
 		ready = append(ready, t)
 	}
+	p.dispatched(now, len(ready))
 	return ready
 }
 
@@ -318,9 +309,11 @@
 		p.queue.remove(t)
 	} else {
 		p.running--
+		p.ended(t)
 		p.observe(now.Sub(t.began).Seconds())
 	}
 	t.state = left
+	p.freed(now)
 	invariant.Check(o.running >= 0, "admission_organisation_running", "%d", o.running)
 	invariant.Check(p.running >= 0, "admission_pool_running", "%d", p.running)
 }
