Dispatch by window and share of streams at the gateway

Change: admission dispatches within a window for pools of engines, with capacity routing.StreamShare of routing.Router.Streams; a first token is told to it. Plain services keep their capacity.

--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -50,3 +50,12 @@
 	g.admission.Leave(now, t, outputTokens)
 	g.dispatch(now, pool)
 }
+
+// started takes in a ticket's first token and dispatches what may run now.
+func (g *Gateway) started(t *admission.Ticket, pool string) {
+	now := time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.admission.First(now, t)
+	g.dispatch(now, pool)
+}
--- a/gateway/chat.go
+++ b/gateway/chat.go
@@ -126,6 +126,7 @@
 		return err
 	}
 	n.emit = answer.emit
+	n.started = func() { g.started(ticket, n.query.Pool) }
 	err = n.run(ctx)
 	tokens := n.assembly.have - start
 	g.leave(ticket, n.query.Pool, tokens)
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -6,6 +6,7 @@
 	"zinniapin/contract"
 	"zinniapin/control"
 	"zinniapin/event"
+	"zinniapin/routing"
 	"zinniapin/target"
 	"zinniapin/usage"
 )
@@ -51,9 +52,12 @@
 func (g *Gateway) setCapacities(now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for pool, n := range g.fleet.capacities(g.gateways) {
-		g.admission.SetCapacity(pool, n)
-		g.dispatch(now, pool)
+	for name, p := range g.fleet.capacities(now, g.gateways) {
+		g.admission.SetCapacity(name, p.requests)
+		if p.engines && !g.admission.Windowed(name) {
+			g.admission.SetWindow(name, routing.NewWindow(routing.LateFirst))
+		}
+		g.dispatch(now, name)
 	}
 }
 
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -20,12 +20,12 @@
 	moveMargin = 2 * time.Second
 	// defaultTargetCapacity is presumed of a target that reports none.
 	defaultTargetCapacity = 16
-	// dispatchFactor is how many requests are out at a pool for each that its
-	// targets run at once; the targets' own queues hold the rest.
+	// dispatchFactor is how many calls are out at a pool of plain services for
+	// each that they run at once; their own queues hold the rest.
 	dispatchFactor = 2
-	// minPoolShare is the least number of requests that one gateway may have
-	// out at a pool.
-	minPoolShare = 4
+	// minServiceShare is the least number of calls that one gateway may have
+	// out at a pool of plain services.
+	minServiceShare = 4
 	// cordonMemory is how long a cordon of a target is remembered that no
 	// view lists.
 	cordonMemory = 10 * time.Minute
@@ -257,22 +257,37 @@
 	return moves
 }
 
-// capacities returns how many requests this gateway may have out at each
-// pool, given the number of live gateways.
-func (f *fleet) capacities(gateways int) map[string]int {
+// poolCapacity is how many requests this gateway may have out at a pool.
+type poolCapacity struct {
+	engines  bool // model engines, not plain services
+	requests int
+}
+
+// capacities returns the capacity of each pool, given the number of live
+// gateways. That of engines is a share of the streams that come in time; that
+// of plain services a share of the calls that they run, and as many again.
+func (f *fleet) capacities(now time.Time, gateways int) map[string]poolCapacity {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	total := map[string]int{}
+	pools := map[string]poolCapacity{}
 	for i := range f.view {
 		s := &f.view[i]
-		total[s.Target.Pool] += capacity(s)
+		p := pools[s.Target.Pool]
+		p.engines = p.engines || s.Target.Kind == target.Engine
+		p.requests += capacity(s)
+		pools[s.Target.Pool] = p
 	}
-	for name, n := range total {
-		if n > 0 {
-			total[name] = max(minPoolShare, (n*dispatchFactor+gateways-1)/max(1, gateways))
+	for name, p := range pools {
+		switch {
+		case p.requests == 0:
+		case p.engines:
+			p.requests = routing.StreamShare(f.router.Streams(now, name), gateways)
+		default:
+			p.requests = max(minServiceShare, (p.requests*dispatchFactor+gateways-1)/max(1, gateways))
 		}
+		pools[name] = p
 	}
-	return total
+	return pools
 }
 
 // capacity returns how many requests a target runs at once, 0 when it takes
--- a/gateway/generation.go
+++ b/gateway/generation.go
@@ -35,6 +35,7 @@
 	priority   int
 	query      routing.Request
 	emit       func(text string, have int) error
+	started    func() // called at the first token; nil from then on
 	assembly   assembly
 	text       strings.Builder
 	execution  execution
@@ -318,6 +319,10 @@
 	}
 	if fresh {
 		n.text.WriteString(c.Text)
+		if n.started != nil {
+			n.started()
+			n.started = nil
+		}
 		if err := n.emit(c.Text, n.assembly.have); err != nil {
 			return false, err
 		}
--- a/routing/window.go
+++ b/routing/window.go
@@ -22,6 +22,10 @@
 	windowFloor = 100
 )
 
+// LateFirst is the time from dispatch to first token above which a window
+// shrinks. It leaves the rest of the wanted time, 1.5 s, to the queue.
+const LateFirst = 900 * time.Millisecond
+
 // Window bounds the prompt tokens that a gateway has sent to a pool and that
 // brought no first token yet. It grows while first tokens come in time and
 // shrinks when they do not, so that work waits in the gateway's fair queue
