Count on others' turns in the estimate of the wait

Cause: with several organisations near the pool's limit the estimate took the queue's length, while organisations that go on sending are served in between.

Change: where an organisation's fair turn comes after all that wait, the estimate is the middle of both, and a quarter of it is added as a margin.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -29,6 +29,9 @@
 	firstServiceTime = time.Second
 	// serviceSmoothing is the weight of a new service time in the average.
 	serviceSmoothing = 0.1
+	// waitMargin is by how much an expected wait must fall below the time that
+	// is left: others that come later may still be served before.
+	waitMargin = 1.25
 	// secondsPerMinute converts limits of tokens.
 	secondsPerMinute = 60
 )
@@ -267,7 +270,8 @@
 	if p.capacity <= 0 {
 		return result.New(result.NoTarget, "no live target").Retry(minRetryAfter)
 	}
-	if slack := r.Deadline.Sub(now); wait > slack {
+	slack := r.Deadline.Sub(now)
+	if time.Duration(waitMargin*float64(wait)) > slack {
 		return result.New(result.CannotMakeIt, "the expected wait is %s", wait.Round(time.Millisecond)).Retry(atLeast(wait - slack))
 	}
 	return nil
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -150,12 +150,17 @@
 }
 
 // ahead estimates how many tickets are served before a new one of the
-// organisation, given its weight.
+// organisation, given its weight: at least those that wait, up to its turn,
+// and at most one organisation's turn after the other, when all of them keep
+// sending. It takes the middle.
 func (q *fairQueue) ahead(organisation string, weight float64) int {
 	own, weights := 0, q.weights+weight
 	if f := q.flows[organisation]; f != nil && len(f.waiting) > 0 {
 		own, weights = len(f.waiting), q.weights
 	}
-	fair := float64(own+1) * weights / weight
-	return min(q.length, int(fair))
+	fair := int(float64(own+1) * weights / weight)
+	if fair <= q.length {
+		return fair
+	}
+	return (fair + q.length) / 2
 }
