Let a claim be read without claiming

Look reads what became of a request and writes nothing, so that a call that is refused for other reasons can still be answered from its claim.

Run: go test ./claim.

--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -246,3 +246,41 @@
 	is.NoErr(err)
 	is.Equal(len(left), 1)
 }
+
+// TestLookClaimsNothing checks what a look tells in each state, and that it
+// writes nothing.
+func TestLookClaimsNothing(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	api := objects.New()
+	r := NewStored(api, Options{})
+	look := func(id ID) (Outcome, bool) {
+		api.SetFault(func(op objects.Operation, _ string) objects.Verdict {
+			is.True(op != objects.Put)
+			return objects.Pass
+		})
+		defer api.SetFault(nil)
+		o, found, err := r.Look(ctx, id, [32]byte{1})
+		is.NoErr(err)
+		return o, found
+	}
+	_, found := look(testID)
+	is.True(!found)
+	first, err := r.Begin(ctx, testID, [32]byte{1})
+	is.NoErr(err)
+	o, found := look(testID)
+	is.True(found && o.State == Claimed && o.RetryAfter > 0 && o.Ticket == nil)
+	is.NoErr(r.Release(ctx, *first.Ticket))
+	_, found = look(testID)
+	is.True(!found)
+	second, err := r.Begin(ctx, testID, [32]byte{1})
+	is.NoErr(err)
+	is.NoErr(r.Finish(ctx, *second.Ticket, Answer{Status: 201}))
+	o, found = look(testID)
+	is.True(found && o.State == Done && o.Answer.Status == 201)
+	_, _, err = r.Look(ctx, testID, [32]byte{2})
+	is.Equal(result.CodeOf(err), result.ClaimMismatch)
+	api.SetFault(func(objects.Operation, string) objects.Verdict { return objects.Refuse })
+	_, _, err = r.Look(ctx, testID, [32]byte{1})
+	is.Equal(result.CodeOf(err), result.StoreUnavailable)
+}
--- a/claim/stored.go
+++ b/claim/stored.go
@@ -156,6 +156,39 @@
 	return Outcome{}, s.unavailable(store.ErrUnknown)
 }
 
+// Look implements Registry. It leaves a claim that is too old as it is.
+func (s *Stored) Look(ctx context.Context, id ID, digest [32]byte) (Outcome, bool, error) {
+	object, err := s.objects.Get(ctx, store.PurposeClaim, objectKey(id))
+	if errors.Is(err, store.ErrNotFound) {
+		return Outcome{}, false, nil
+	}
+	if err != nil {
+		return Outcome{}, false, s.unavailable(err)
+	}
+	found, err := decodeRecord(object.Value)
+	if err != nil {
+		return Outcome{}, false, trace.Wrap(err)
+	}
+	if found.Digest != hex.EncodeToString(digest[:]) {
+		return Outcome{}, false, mismatch()
+	}
+	switch found.State {
+	case NotRun:
+		return Outcome{}, false, nil
+	case Done:
+		return s.replay(found)
+	case Claimed:
+		return Outcome{State: Claimed, RetryAfter: s.options.RetryAfter}, true, nil
+	default:
+		return Outcome{State: Unknown}, true, nil
+	}
+}
+
+// mismatch returns the refusal of another request under the same key.
+func mismatch() error {
+	return result.New(result.ClaimMismatch, "the key belongs to another request").At("Idempotency-Key")
+}
+
 // unavailable returns the refusal of a request that was not claimed.
 func (s *Stored) unavailable(err error) error {
 	return result.Wrap(err, result.StoreUnavailable, "the claim was not confirmed").Retry(s.options.RetryAfter)
@@ -209,7 +242,7 @@
 		return s.ticket(b, object.Version), true, nil
 	}
 	if found.Digest != b.digest {
-		return Outcome{}, false, result.New(result.ClaimMismatch, "the key belongs to another request").At("Idempotency-Key")
+		return Outcome{}, false, mismatch()
 	}
 	return s.judge(ctx, b, object, found)
 }
