Admit non-repeatable calls before claiming them

Cause: the claim came before admission, so a call refused by a limit cost the object API two writes, and a call queued holding a claim.

Change: admission first, then the claim, then the call; a call that is not admitted reads its claim and is answered from it if there is one. Found on the way: a repeat of a call that ran but whose answer was not kept was told as not run, since the gateway's stamp overwrote the registry's word; it says ran now.

--- a/gateway/rig_test.go
+++ b/gateway/rig_test.go
@@ -254,6 +254,16 @@
 	return claim.Outcome{Ticket: &claim.Ticket{ID: id, Attempt: "a"}}, nil
 }
 
+func (m *memoryClaims) Look(_ context.Context, id claim.ID, _ [32]byte) (claim.Outcome, bool, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	found, ok := m.states[id]
+	if m.down {
+		return claim.Outcome{}, false, errors.New("down")
+	}
+	return found, ok && found.State != claim.NotRun, nil
+}
+
 func (m *memoryClaims) set(t claim.Ticket, o claim.Outcome) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -45,6 +45,7 @@
 	request   ServiceRequest
 	query     routing.Request
 	execution execution
+	earlier   result.Execution // what the claim tells of an earlier call
 	attempts  int
 }
 
@@ -80,7 +81,7 @@
 	if err != nil {
 		return err
 	}
-	return s.once(w, key)
+	return s.once(r.Context(), w, key)
 }
 
 // matchService finds the service and route of a call and checks that the
--- a/gateway/servicerun.go
+++ b/gateway/servicerun.go
@@ -19,6 +19,10 @@
 	// maxKeptAnswerBytes bounds an answer that is kept for replay: the object
 	// API holds a megabyte for each claim, answer included.
 	maxKeptAnswerBytes = 256 << 10
+	// claimTimeout bounds the claiming of an admitted call, which holds a place
+	// meanwhile, and lookTimeout the reading of the claim of a refused one.
+	claimTimeout = 5 * time.Second
+	lookTimeout  = time.Second
 	// claimCloseTimeout bounds the recording of an outcome.
 	claimCloseTimeout = 10 * time.Second
 )
@@ -102,37 +106,77 @@
 	}
 }
 
-// once runs a call that may run at most once. The claim comes before anything
-// is sent. A caller that goes away does not end the call: its outcome would
-// then be unknown for nothing.
-func (s *serviceCall) once(w http.ResponseWriter, key string) error {
-	ctx := context.Background()
-	begin, cancel := context.WithTimeout(ctx, s.timeout())
-	defer cancel()
+// once runs a call that may run at most once. It is admitted first, so that
+// it queues holding nothing and a refusal writes nothing; the claim comes then,
+// before anything is sent.
+func (s *serviceCall) once(ctx context.Context, w http.ResponseWriter, key string) error {
 	id := claim.ID{Organisation: s.organisation(), IdempotencyKey: key}
-	outcome, err := s.gateway.options.Claims.Begin(begin, id, s.digest())
+	digest := s.digest()
+	admitted := false
+	answer, err := s.admitted(ctx, func(ctx context.Context) (ServiceAnswer, error) {
+		admitted = true
+		return s.claimed(context.WithoutCancel(ctx), w, id, digest)
+	})
+	if !admitted {
+		answer, err = s.refused(w, id, digest, err)
+	}
+	if err != nil {
+		return s.known(err)
+	}
+	return s.answer(w, answer, nil)
+}
+
+// claimed claims an admitted call and runs it, or answers from an earlier
+// claim. A caller that goes away does not end the call: its outcome would
+// then be unknown for nothing.
+func (s *serviceCall) claimed(ctx context.Context, w http.ResponseWriter, id claim.ID, digest [32]byte) (ServiceAnswer, error) {
+	begin, cancelBegin := context.WithTimeout(ctx, min(claimTimeout, s.timeout()))
+	defer cancelBegin()
+	outcome, err := s.gateway.options.Claims.Begin(begin, id, digest)
 	if err != nil {
-		return s.execution.stamp(claimError(err))
+		return ServiceAnswer{}, s.claimError(err)
 	}
 	if outcome.Ticket == nil {
-		return s.earlier(w, outcome)
+		return s.answered(w, outcome)
 	}
-	s.request.Header.Set(headerTargetIdempotency, key)
-	answer, err := s.admitted(ctx, s.guarded)
+	s.request.Header.Set(headerTargetIdempotency, id.IdempotencyKey)
+	run, cancelRun := context.WithTimeout(ctx, s.timeout())
+	defer cancelRun()
+	answer, err := s.guarded(run)
 	closed := s.closeClaim(*outcome.Ticket, answer, err)
 	if closed != nil {
 		event.ClaimNotClosed.Log(&s.gateway.log).Str("request", s.call.id).Str("organisation", id.Organisation).
 			Str("execution", s.execution.state.String()).Err(closed).Send()
 	}
-	return s.answer(w, answer, err)
+	return answer, err
+}
+
+// refused answers a call that was not admitted: from its claim when an
+// earlier call has one, else with the refusal. When the claim cannot be read
+// the refusal speaks of this call alone, which did not run.
+func (s *serviceCall) refused(w http.ResponseWriter, id claim.ID, digest [32]byte, refusal error) (ServiceAnswer, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), lookTimeout)
+	defer cancel()
+	outcome, found, err := s.gateway.options.Claims.Look(ctx, id, digest)
+	switch {
+	case err == nil && found:
+		return s.answered(w, outcome)
+	case err != nil && result.CodeOf(err) != result.StoreUnavailable && result.Of(err) != nil:
+		return ServiceAnswer{}, s.claimError(err)
+	default:
+		return ServiceAnswer{}, refusal
+	}
 }
 
-// claimError returns a failure of the registry as a refusal.
-func claimError(err error) error {
-	if result.Of(err) != nil {
-		return err
+// claimError returns a failure of the registry as a refusal. One that tells
+// of an earlier call's execution keeps it.
+func (s *serviceCall) claimError(err error) error {
+	found := result.Of(err)
+	if found == nil {
+		return result.Wrap(err, result.StoreUnavailable, "the claim could not be confirmed").Retry(retryElsewhere)
 	}
-	return result.Wrap(err, result.StoreUnavailable, "the claim could not be confirmed").Retry(retryElsewhere)
+	s.earlier = found.Execution
+	return err
 }
 
 // closeClaim records what became of a claimed call, by the attempts' states
@@ -153,28 +197,31 @@
 	}
 }
 
-// earlier answers a call whose key was claimed before.
-func (s *serviceCall) earlier(w http.ResponseWriter, o claim.Outcome) error {
+// answered answers a call whose key was claimed before.
+func (s *serviceCall) answered(w http.ResponseWriter, o claim.Outcome) (ServiceAnswer, error) {
 	switch {
 	case o.State == claim.Done && o.Answer != nil:
 		w.Header().Set(headerReplayed, "true")
-		return s.answer(w, ServiceAnswer{
+		return ServiceAnswer{
 			Status: o.Answer.Status,
 			Header: http.Header{"Content-Type": {o.Answer.ContentType}},
 			Body:   o.Answer.Body,
-		}, nil)
+		}, nil
 	case o.State == claim.Claimed:
+		s.earlier = result.Unknown
 		retry := max(o.RetryAfter, retryElsewhere)
-		return s.known(result.Unknown, result.New(result.ClaimRunning, "the first call has not ended").Retry(retry))
+		return ServiceAnswer{}, result.New(result.ClaimRunning, "the first call has not ended").Retry(retry)
 	case o.State == claim.NotRun:
-		return s.execution.stamp(result.New(result.ClaimNotRun, "the claim was given back").Retry(retryElsewhere))
+		return ServiceAnswer{}, result.New(result.ClaimNotRun, "the claim was given back").Retry(retryElsewhere)
 	default:
-		return s.known(result.Unknown, result.New(result.ClaimUnknown, "an earlier call under this key was cut off"))
+		s.earlier = result.Unknown
+		return ServiceAnswer{}, result.New(result.ClaimUnknown, "an earlier call under this key was cut off")
 	}
 }
 
-// known returns err with what the claim tells of an earlier call's execution.
-func (s *serviceCall) known(earlier result.Execution, err *result.Error) error {
-	e := execution{max(s.execution.state, earlier)}
+// known returns err with what is known of the execution, this call's and, by
+// the claim, an earlier one's.
+func (s *serviceCall) known(err error) error {
+	e := execution{max(s.execution.state, s.earlier)}
 	return e.stamp(err)
 }
