--- a/gateway/chatanswer.go
+++ b/gateway/chatanswer.go
@@ -38,7 +38,8 @@
 	resumed      bool
 	signer       *resumeSigner
 	head         []byte    // of a chunk with text, up to the text
-	buffer       []byte    // of the event being written
+	buffer       []byte    // of the events being written
+	holding      bool      // the next event goes out with the one after it
 	limited      time.Time // when the write deadline was last set
 }
 
@@ -165,7 +166,8 @@
 	return a.identified(a.head, encoded, []byte(textTail))
 }
 
-// begin sends the head of a stream and the event that names the role.
+// begin sends the head of a stream. The event that names the role goes out with
+// the first token, in one write.
 func (a *chatAnswer) begin() {
 	if !a.stream {
 		return
@@ -176,7 +178,8 @@
 	h.Set("X-Accel-Buffering", "no")
 	a.w.WriteHeader(http.StatusOK)
 	empty := ""
-	_ = a.event(a.chunk(&chatDelta{Role: "assistant", Content: &empty}, nil)) // the next event fails likewise
+	a.holding = true
+	_ = a.event(a.chunk(&chatDelta{Role: "assistant", Content: &empty}, nil)) // nothing is sent that could fail
 }
 
 // completion returns the head of an answer.
@@ -203,7 +206,7 @@
 // identified writes an event that holds the document's parts, with the resume
 // token of the point after it.
 func (a *chatAnswer) identified(document ...[]byte) error {
-	event := append(a.buffer[:0], "id: "...)
+	event := append(a.buffer, "id: "...)
 	event = a.signer.appendToken(event, resumePoint{
 		expires:      time.Now().Add(settings.Millis(a.gateway.options.Settings.ResumeMillis)),
 		offset:       uint32(max(0, a.have)),
@@ -216,7 +219,11 @@
 		event = append(event, part...)
 	}
 	event = append(event, "\n\n"...)
-	a.buffer = event
+	if a.holding {
+		a.holding, a.buffer = false, event
+		return nil
+	}
+	a.buffer = event[:0]
 	return a.write(event)
 }
 
