Let a request wait 900 ms for its dispatch by default

Cause: the default of first_token_ms was 10 s, so an overloaded gateway held requests up to ten times longer than the wanted first token and then refused them or answered too late. Plain services queue by the same setting.

Run: go test ./settings ./e2e ./gateway ./operator ./internal/capacity ./internal/docgen.

--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -23,8 +23,8 @@
 	// controller but hears neither that its configuration is the newest nor
 	// that the object API is down for most. Default 12000.
 	ConfirmMillis int `json:"confirm_ms,omitempty"`
-	// FirstTokenMillis is how long a request may wait for its dispatch.
-	// Default 10000.
+	// FirstTokenMillis is how long a request may wait for its dispatch. Default
+	// 900, which leaves an engine 600 for a first token within 1500.
 	FirstTokenMillis int `json:"first_token_ms,omitempty"`
 	// FirstChunkMillis is how long an engine may take to begin an answer, its
 	// own queue and a long prompt included. Default 60000.
@@ -51,7 +51,7 @@
 	defaultDrainDelayMillis = 5_000
 	defaultAloneMillis      = 5_000
 	defaultConfirmMillis    = 12_000
-	defaultFirstTokenMillis = 10_000
+	defaultFirstTokenMillis = 900
 	defaultFirstChunkMillis = 60_000
 	defaultStallMillis      = 10_000
 	defaultQueueLength      = 2_048
