--- a/admission/wait.go
+++ b/admission/wait.go
@@ -59,6 +59,12 @@
 	}
 }
 
+// RetryAfter returns when a request like this one, which waited in vain,
+// should come back.
+func (c *Core) RetryAfter(now time.Time, r Request) time.Duration {
+	return atLeast(c.pool(r.Pool).wait(now, r.Organisation, weight(r.Contract)))
+}
+
 // wait estimates how long a new ticket of the organisation waits for its
 // dispatch.
 func (p *pool) wait(now time.Time, organisation string, weight float64) time.Duration {
--- a/admission/window_test.go
+++ b/admission/window_test.go
@@ -169,6 +169,8 @@
 		p.step()
 	}
 	is.Equal(result.CodeOf(p.arrive(k)), result.CannotMakeIt)
+	late := p.core.RetryAfter(p.now, request(k, p.now, 1))
+	is.True(late > minRetryAfter && late < 5*time.Second) // as long again as it stands still
 	for range 3500 {
 		p.step()
 	}
--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -27,7 +27,7 @@
 		return nil, canceled(ctx)
 	case <-expired.C:
 		g.leave(ticket, r.Pool, 0)
-		return nil, result.New(result.CannotMakeIt, "the request waited too long").Retry(retryElsewhere)
+		return nil, result.New(result.CannotMakeIt, "the request waited too long").Retry(g.retryAfter(r))
 	}
 }
 
@@ -59,3 +59,10 @@
 	g.admission.First(now, t)
 	g.dispatch(now, pool)
 }
+
+// retryAfter returns when a request that waited in vain should come back.
+func (g *Gateway) retryAfter(r admission.Request) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.admission.RetryAfter(time.Now(), r)
+}
