--- a/admission/admission.go
+++ b/admission/admission.go
@@ -34,6 +34,9 @@
 	firstServiceTime = time.Second
 	// serviceSmoothing is the weight of a new service time in the average.
 	serviceSmoothing = 0.1
+	// waitMargin is by how much an expected wait must fall below the time that
+	// is left: others that come later may still be served before.
+	waitMargin = 1.25
 	// secondsPerMinute converts limits of tokens.
 	secondsPerMinute = 60
 )
@@ -70,6 +73,7 @@
 	start    float64 // virtual start time in the queue
 	sequence uint64
 	began    time.Time
+	starting bool // counted in the pool's window
 }
 
 // organisation is the state of an active organisation.
@@ -92,6 +96,8 @@
 	running  int
 	queue    fairQueue
 	service  float64 // average seconds from dispatch to end
+	window   Window  // nil when the capacity alone bounds the pool
+	pace     pace
 }
 
 // Core is the admission of one gateway. It is not safe for concurrent use.
@@ -294,38 +300,25 @@
 // inTime refuses a request that cannot be dispatched by its deadline.
 func (c *Core) inTime(now time.Time, r Request) error {
 	p := c.pool(r.Pool)
-	wait := p.wait(r.Organisation, weight(r.Contract))
+	wait := p.wait(now, r.Organisation, weight(r.Contract))
 	if p.queue.length >= c.queueLength {
 		return result.New(result.QueueFull, "%d requests wait", p.queue.length).Retry(atLeast(wait))
 	}
 	if p.capacity <= 0 {
 		return result.New(result.NoTarget, "no live target").Retry(minRetryAfter)
 	}
-	if slack := r.Deadline.Sub(now); wait > slack {
+	slack := r.Deadline.Sub(now)
+	if time.Duration(waitMargin*float64(wait)) > slack {
 		return result.New(result.CannotMakeIt, "the expected wait is %s", wait.Round(time.Millisecond)).Retry(atLeast(wait - slack))
 	}
 	return nil
 }
 
-// wait estimates how long a new ticket of the organisation waits.
-func (p *pool) wait(organisation string, weight float64) time.Duration {
-	if p.running < p.capacity && p.queue.length == 0 {
-		return 0
-	}
-	service := p.service
-	if service == 0 {
-		service = firstServiceTime.Seconds()
-	}
-	ahead := p.queue.ahead(organisation, weight) + 1
-	seconds := float64(ahead) * service / float64(max(1, p.capacity))
-	return time.Duration(math.Min(seconds, maxRetryAfter.Seconds()) * float64(time.Second))
-}
-
 // Dispatch returns the tickets of a pool that run from now on, in order.
 func (c *Core) Dispatch(now time.Time, name string) []*Ticket {
 	p := c.pool(name)
 	var ready []*Ticket
-	for p.running < p.capacity {
+	for p.open() {
 		t := p.queue.next()
 		if t == nil {
 			break
@@ -333,8 +326,10 @@
 		t.state = running
 		t.began = now
 		p.running++
+		p.sent(t)
 		ready = append(ready, t)
 	}
+	p.dispatched(now, len(ready))
 	return ready
 }
 
@@ -355,9 +350,11 @@
 		p.queue.remove(t)
 	} else {
 		p.running--
+		p.ended(t)
 		p.observe(now.Sub(t.began).Seconds())
 	}
 	t.state = left
+	p.freed(now)
 	invariant.Check(o.running >= 0, "admission_organisation_running", "%d", o.running)
 	invariant.Check(p.running >= 0, "admission_pool_running", "%d", p.running)
 }
