Close an order whose doubtful opening took effect when its caller gives up

Cause: an agent whose first update had no answer, and whose repeat met a conflict, reads to learn which update came first. A caller that gave up just then ended the agent at once. If the first update had taken effect, the order stayed open although it was never sent, and other authors waited for it for as long as this process lived.

Ruled out: the same while the update is under way and when the read fails; both withdraw already.

Change: giving up during that read withdraws too.

Run: TestCancelAfterDoubtfulOpening failed before (the agent did nothing instead of an update) and passes now; go test ./authority passes, with the exploration of all states.

--- a/authority/agent.go
+++ b/authority/agent.go
@@ -117,7 +117,7 @@
 func (a *Agent) cancel() Action {
 	switch a.phase {
 	case reading:
-		return a.finish(Unavailable)
+		return a.withdrawOr(Unavailable)
 	case blocked:
 		return a.finish(Blocked)
 	case opening:
--- /dev/null
+++ b/authority/cancel_test.go
@@ -0,0 +1,35 @@
+package authority
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// TestCancelAfterDoubtfulOpening checks that a caller that gives up while the
+// agent reads after a doubtful update leaves no open order behind.
+func TestCancelAfterDoubtfulOpening(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_800_000_000, 0)
+	a := NewAgent("a", 1, Policy{})
+	a.Step(now, Event{Kind: Start})
+	opening := a.Step(now, Event{Kind: ReadDone})
+	is.Equal(opening.Kind, DoPut)
+	a.Step(now, Event{Kind: PutDone, Answer: Doubtful})
+	read := a.Step(now, Event{Kind: PutDone, Answer: Conflict}) // the first took effect
+	is.Equal(read.Kind, DoRead)
+
+	is.True(a.Cancellable())
+	withdrawal := a.Step(now, Event{Kind: Cancelled})
+	is.Equal(withdrawal.Kind, DoPut)
+	is.Equal(withdrawal.Put.Record.Open.ID, "")
+	is.Equal(a.Step(now, Event{Kind: PutDone, Answer: Conflict}).Kind, DoRead)
+	closing := a.Step(now, Event{Kind: ReadDone, Found: Snapshot{Version: 1, Record: opening.Put.Record}})
+	is.Equal(closing.Kind, DoPut)
+	is.Equal(closing.Put.Version, Snapshot{Version: 1}.Version)
+	is.Equal(closing.Put.Record.Open.ID, "")
+	a.Step(now, Event{Kind: PutDone, Answer: Confirmed, Version: 2})
+	is.True(a.Idle())
+	is.Equal(a.Outcome(), NotSent)
+}
