Keep a target cordoned while an order may yet take it away

Cause: three ways in which work could reach a target that an order then cut. A released target was given back to the gateways right after the platform took it, since the lagging list of hosts still showed it live. A release without an answer was not waited for once its time was over. And a controller that ended lifted the cordon of a change or release whose order was still open.

Ruled out: a change of role without an answer while the controller runs; it waited already.

Change: a release lifts the cordon only when the platform did not take the target, and both wait until the order is closed.

--- /dev/null
+++ b/planning/cordon_test.go
@@ -0,0 +1,84 @@
+package planning
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"zinniapin/spending"
+	"zinniapin/target"
+)
+
+// release is the order that gives the engine back to the platform.
+var release = spending.Step{Pool: "pool", Zone: "zone", Class: target.Reclaimable, Count: -1, Release: engineID}
+
+// TestReleasedTargetStaysCordoned keeps new work off a target that the
+// platform takes back, although the lagging list still shows it live.
+func TestReleasedTargetStaysCordoned(t *testing.T) {
+	run(t, func(t *testing.T, r *rig) {
+		is := is.New(t)
+		r.buy(t.Context(), release)
+		r.tasks.Wait()
+		is.Equal(len(r.targets.orders), 1)
+		is.True(r.fleet.cordoned())
+	})
+}
+
+// TestRefusedReleaseLiftsTheCordon gives a target that the platform does not
+// take back to the gateways.
+func TestRefusedReleaseLiftsTheCordon(t *testing.T) {
+	run(t, func(t *testing.T, r *rig) {
+		is := is.New(t)
+		r.targets.refuse = true
+		r.buy(t.Context(), release)
+		r.tasks.Wait()
+		is.Equal(len(r.targets.orders), 1)
+		is.True(!r.fleet.cordoned())
+	})
+}
+
+// TestUnansweredReleaseKeepsTheCordon keeps work off a target while the order
+// that gives it back may yet take effect.
+func TestUnansweredReleaseKeepsTheCordon(t *testing.T) {
+	run(t, func(t *testing.T, r *rig) {
+		is := is.New(t)
+		r.options.ChangeLimit = 10 * time.Second
+		r.targets.err = target.ErrBroken
+		r.buy(t.Context(), release)
+		time.Sleep(60 * time.Second)
+		is.Equal(len(r.targets.orders), 1)
+		is.True(r.fleet.cordoned())
+		r.tasks.Wait()
+		open, err := r.executor.List(t.Context())
+		is.NoErr(err)
+		is.Equal(len(open), 0)
+		is.True(!r.fleet.cordoned()) // only once the order is closed
+	})
+}
+
+// TestShutdownKeepsTheCordonOfAnOpenOrder leaves a target cordoned whose order
+// is still open when planning ends.
+func TestShutdownKeepsTheCordonOfAnOpenOrder(t *testing.T) {
+	for _, begin := range []func(context.Context, *rig){
+		func(ctx context.Context, r *rig) { r.start(ctx, step) },
+		func(ctx context.Context, r *rig) { r.buy(ctx, release) },
+	} {
+		run(t, func(t *testing.T, r *rig) {
+			is := is.New(t)
+			r.orders.err, r.targets.err = target.ErrBroken, target.ErrBroken
+			ctx, stop := context.WithCancel(t.Context())
+			defer stop()
+			begin(ctx, r)
+			time.Sleep(10 * time.Second)
+			is.Equal(r.orders.count()+len(r.targets.orders), 1)
+			stop()
+			r.tasks.Wait()
+			open, err := r.executor.List(t.Context())
+			is.NoErr(err)
+			is.Equal(len(open), 1)
+			is.True(r.fleet.cordoned())
+		})
+	}
+}
--- a/planning/planning_test.go
+++ b/planning/planning_test.go
@@ -131,13 +131,18 @@
 type fakeTargets struct {
 	mu     sync.Mutex
 	orders []platform.TargetOrder
+	refuse bool  // accept nothing
+	err    error // of every order
 }
 
 func (p *fakeTargets) Order(_ context.Context, o platform.TargetOrder) (platform.TargetOrderResult, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.orders = append(p.orders, o)
-	return platform.TargetOrderResult{Accepted: o.Count}, nil
+	if p.refuse || p.err != nil {
+		return platform.TargetOrderResult{}, p.err
+	}
+	return platform.TargetOrderResult{Accepted: max(o.Count, 1)}, nil
 }
 
 func (p *fakeTargets) Lookup(context.Context, string) (platform.TargetOrderResult, bool, error) {
--- a/planning/purchases.go
+++ b/planning/purchases.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"zinniapin/authority"
 	"zinniapin/contract"
 	"zinniapin/control"
 	"zinniapin/event"
@@ -94,18 +95,39 @@
 // drained first.
 func (p *Planning) order(ctx context.Context, step spending.Step) {
 	if step.Release != "" {
-		s, ok := p.state(step.Release)
-		if !ok || !p.claim(step.Release) {
-			return
-		}
-		defer p.unclaim(step.Release)
-		c, err := p.drain(ctx, s)
-		if err != nil {
-			event.ChangeGivenUp.Log(p.options.Log).Str("target", string(step.Release)).Err(err).Send()
-			return
-		}
-		defer p.liftUnlessGiven(c)
+		p.release(ctx, step)
+		return
+	}
+	granted, _ := p.askPlatform(ctx, step)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.purchases.Ordered(time.Now(), step, granted.Accepted)
+}
+
+// release drains a target and gives it back. It returns to the gateways only
+// when the platform did not take it: the list of hosts, which lags, may show a
+// target live that is about to end.
+func (p *Planning) release(ctx context.Context, step spending.Step) {
+	s, ok := p.state(step.Release)
+	if !ok || !p.claim(step.Release) {
+		return
+	}
+	defer p.unclaim(step.Release)
+	c, err := p.drain(ctx, s)
+	if err != nil {
+		event.ChangeGivenUp.Log(p.options.Log).Str("target", string(step.Release)).Err(err).Send()
+		return
+	}
+	granted, err := p.askPlatform(ctx, step)
+	if granted.Accepted > 0 || !p.closed(ctx, authority.PoolUnit(step.Pool, step.Zone), err) {
+		return
 	}
+	p.liftIfLive(c)
+}
+
+// askPlatform orders targets from the platform, or gives one back, and logs
+// the answer.
+func (p *Planning) askPlatform(ctx context.Context, step spending.Step) (platform.TargetOrderResult, error) {
 	bounded, cancel := context.WithTimeout(ctx, p.options.ChangeLimit)
 	defer cancel()
 	granted, outcome, err := p.executor.Platform(bounded, p.targets, platform.TargetOrder{
@@ -113,17 +135,11 @@
 	})
 	event.PurchaseAnswered.Log(p.options.Log).Str("pool", step.Pool).Str("zone", string(step.Zone)).
 		Str("outcome", string(outcome)).Int("accepted", granted.Accepted).Str("reason", granted.Reason).Err(err).Send()
-	if step.Release != "" {
-		return
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.purchases.Ordered(time.Now(), step, granted.Accepted)
+	return granted, err
 }
 
-// liftUnlessGiven lifts the cordon of a target that the platform still lists
-// as live after its release was refused.
-func (p *Planning) liftUnlessGiven(c cordoned) {
+// liftIfLive lifts the cordon of a target that the platform lists as live.
+func (p *Planning) liftIfLive(c cordoned) {
 	if s, ok := p.state(c.id); ok && s.State == platform.Live {
 		p.lift(c)
 	}
--- a/planning/roles.go
+++ b/planning/roles.go
@@ -13,6 +13,7 @@
 	"zinniapin/control"
 	"zinniapin/event"
 	"zinniapin/placement"
+	"zinniapin/result"
 	"zinniapin/target"
 )
 
@@ -110,16 +111,29 @@
 	if err != nil {
 		return err
 	}
-	defer p.lift(c)
 	bounded, cancel := context.WithTimeout(ctx, p.options.ChangeLimit)
 	defer cancel()
 	change := authority.Change{Kind: step.Kind, Role: step.Role, Model: step.Model, Unload: step.Unload}
 	_, err = p.executor.Engine(bounded, p.orders, s.Target, change)
-	if err != nil {
-		_ = p.executor.Closed(ctx, authority.EngineUnit(step.Target))
-		return trace.Wrap(err)
+	if err == nil {
+		err = p.changed(bounded, s.Target, step)
+	}
+	if p.closed(ctx, authority.EngineUnit(step.Target), err) {
+		p.lift(c)
+	}
+	return trace.Wrap(err)
+}
+
+// closed waits until this process has no open order to a unit, and returns
+// false when ctx ends first. It need not wait after an error that tells the
+// outcome: such an order can no longer take effect.
+func (p *Planning) closed(ctx context.Context, unit string, err error) bool {
+	switch result.CodeOf(err) {
+	case result.OrderUnknown, result.OrderOpen:
+		return p.executor.Closed(ctx, unit) == nil
+	default:
+		return true
 	}
-	return p.changed(bounded, s.Target, step)
 }
 
 // changed waits until the engine reports the change.
