Don't take the cordon of a target being given back for an orphan

Cause: a cordon that stands for long without an open order is lifted as an orphan of an author that died. Only orders to engines were looked at, so the cordon of a target whose release was still open was lifted too.

Change: open orders to the platform that give a target back count as well.

Run: TestOpenReleaseOfAnotherKeepsTheCordon fails without the look at releases and passes with it; go test ./planning passes.

--- a/authority/drivers.go
+++ b/authority/drivers.go
@@ -16,9 +16,14 @@
 // EngineUnit returns the unit of an engine.
 func EngineUnit(id target.ID) string { return "engine/" + string(id) }
 
+// PlatformUnits begins the units of the platform's target interface.
+const PlatformUnits = "platform/"
+
 // PoolUnit returns the unit of the platform's target interface for a pool in
 // a zone.
-func PoolUnit(pool string, z zone.Name) string { return fmt.Sprintf("platform/%s/%s", pool, z) }
+func PoolUnit(pool string, z zone.Name) string {
+	return fmt.Sprintf("%s%s/%s", PlatformUnits, pool, z)
+}
 
 // Change is what an order makes an engine do.
 type Change struct {
--- a/planning/cordon_test.go
+++ b/planning/cordon_test.go
@@ -7,6 +7,9 @@
 
 	"github.com/matryer/is"
 
+	"zinniapin/authority"
+	"zinniapin/platform"
+	"zinniapin/result"
 	"zinniapin/spending"
 	"zinniapin/target"
 )
@@ -82,3 +85,27 @@
 		})
 	}
 }
+
+// TestOpenReleaseOfAnotherKeepsTheCordon does not take the cordon of a target
+// for an orphan while another author's order may yet give the target back.
+func TestOpenReleaseOfAnotherKeepsTheCordon(t *testing.T) {
+	run(t, func(t *testing.T, r *rig) {
+		is := is.New(t)
+		r.fleet.state.Cordoned, r.fleet.state.CordonEpoch = true, 7
+		other := authority.NewExecutor(r.store, "other", alive{}, authority.Options{Settle: time.Hour})
+		defer other.Close()
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		_, _, err := other.Platform(ctx, &fakeTargets{err: target.ErrBroken},
+			platform.TargetOrder{Zone: "zone", Pool: "pool", Count: -1, Release: engineID})
+		is.Equal(result.CodeOf(err), result.OrderUnknown)
+		pools := r.fleet.Snapshot().Fleet.Pools
+		look := func() int {
+			r.list(t.Context(), time.Now())
+			return len(r.findOrphans(time.Now(), pools, r.fleet.Targets()))
+		}
+		is.Equal(look(), 0)
+		time.Sleep(r.options.OrphanAfter)
+		is.Equal(look(), 0)
+	})
+}
--- a/planning/drain.go
+++ b/planning/drain.go
@@ -25,8 +25,9 @@
 
 // drain stops new work to a target and waits until nothing runs on it: every
 // live gateway has acknowledged the cordon and counts none, and the target's
-// own reports since show none; then the gateways are asked once more. A gateway that does not answer delays the
-// change, which may wait. On an error the cordon is lifted.
+// own reports since show none; then the gateways are asked once more. A gateway
+// that does not answer delays the change, which may wait. On an error the
+// cordon is lifted.
 func (p *Planning) drain(ctx context.Context, s control.TargetState) (cordoned, error) {
 	c := cordoned{id: s.Target.ID, epoch: s.CordonEpoch + 1}
 	bounded, cancel := context.WithTimeout(ctx, p.options.DrainLimit)
@@ -132,8 +133,8 @@
 	for i := range targets {
 		s := &targets[i]
 		id := s.Target.ID
-		_, ordered := p.open[id]
-		if !s.Cordoned || p.working[id] || ordered || !holds(pools, s.Target.Pool) {
+		_, changing := p.open[id]
+		if !s.Cordoned || p.working[id] || changing || p.releases[id] || !holds(pools, s.Target.Pool) {
 			continue
 		}
 		known, ok := p.orphans[id]
--- a/planning/planning.go
+++ b/planning/planning.go
@@ -110,6 +110,7 @@
 	working   map[target.ID]bool // targets that a task of this process changes
 	ordering  map[zone.Name]bool // zones with an order for targets under way
 	open      map[target.ID]target.Order
+	releases  map[target.ID]bool // targets that an open order gives back
 	listed    time.Time
 	orphans   map[target.ID]orphan
 	status    Status
@@ -192,10 +193,11 @@
 	if err != nil {
 		return
 	}
-	open := engineOrders(orders)
+	open, releases := engineOrders(orders), openReleases(orders)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.open = open
+	p.releases = releases
 }
 
 // loads returns what gateways saw of pools.
--- a/planning/roles.go
+++ b/planning/roles.go
@@ -13,6 +13,7 @@
 	"zinniapin/control"
 	"zinniapin/event"
 	"zinniapin/placement"
+	"zinniapin/platform"
 	"zinniapin/result"
 	"zinniapin/target"
 )
@@ -47,6 +48,21 @@
 	return open
 }
 
+// openReleases returns the targets that an open order gives back.
+func openReleases(orders []authority.OpenOrder) map[target.ID]bool {
+	open := map[target.ID]bool{}
+	for _, o := range orders {
+		var released platform.TargetOrder
+		if !strings.HasPrefix(o.Unit, authority.PlatformUnits) || json.Unmarshal([]byte(o.Order.Payload), &released) != nil {
+			continue
+		}
+		if released.Release != "" {
+			open[released.Release] = true
+		}
+	}
+	return open
+}
+
 // arrivals returns the work that gateways took in.
 func arrivals(loads []control.PoolLoad) []placement.Arrival {
 	all := make([]placement.Arrival, 0, len(loads))
