--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -115,7 +115,8 @@
 
 // Signals returns two contexts: the first ends with the first SIGTERM or
 // SIGINT, which asks for a graceful shutdown; the second ends with the next
-// one, which asks to end at once.
+// one, which asks to end at once. Both end with parent and with stop, which
+// must be called to give the signals back.
 func Signals(parent context.Context) (graceful, immediate context.Context, stop func()) {
 	caught := make(chan os.Signal, 2)
 	signal.Notify(caught, syscall.SIGTERM, syscall.SIGINT)
@@ -126,7 +127,7 @@
 			select {
 			case <-caught:
 				end()
-			case <-parent.Done():
+			case <-immediate.Done():
 				return
 			}
 		}
