Read under which a process was stopped without a race

Cause: Process.stopped was written by Stop and Kill and read by a wait on another goroutine without synchronisation.

Change: it is an atomic.Bool.

Run: go build and go vet of internal/deploy; the package runs processes and has no test of its own.

--- a/internal/deploy/process.go
+++ b/internal/deploy/process.go
@@ -10,6 +10,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -27,8 +28,8 @@
 
 	command *exec.Cmd
 	done    chan struct{}
-	err     error // valid once done is closed
-	stopped bool  // by Stop or Kill
+	err     error       // valid once done is closed
+	stopped atomic.Bool // by Stop or Kill
 }
 
 // start starts a program in the deployment's folder.
@@ -107,7 +108,7 @@
 // Stop asks for a graceful shutdown and waits for the end; when ctx ends
 // first the process is killed.
 func (p *Process) Stop(ctx context.Context) error {
-	p.stopped = true
+	p.stopped.Store(true)
 	_ = p.Signal(syscall.SIGCONT)
 	_ = p.Signal(syscall.SIGTERM)
 	select {
@@ -121,7 +122,7 @@
 
 // Kill ends the process at once.
 func (p *Process) Kill() {
-	p.stopped = true
+	p.stopped.Store(true)
 	_ = p.command.Process.Kill()
 	<-p.done
 }
@@ -250,7 +251,7 @@
 	for _, p := range d.processes {
 		select {
 		case <-p.done:
-			if p.err != nil && !p.stopped {
+			if p.err != nil && !p.stopped.Load() {
 				return fmt.Errorf("%s ended: %w; see %s", p.Name, p.err, p.Log)
 			}
 		default:
