Store what waits when the last controller leaves

Cause: a leaving controller hands its counters to the owners of their shards, and takes no work itself. When no other controller takes work, as when all hosts stop at once, there was no owner: the counters were lost, and until its time was over the controller looped without a pause. An owner that refused at once had it loop likewise.

Ruled out: a store that is down, where the pace of commits holds the loop.

--- /dev/null
+++ b/controller/leave_test.go
@@ -0,0 +1,39 @@
+package controller
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"zinniapin/usage"
+)
+
+// TestLastControllerStoresItsUsage checks that a controller that leaves when
+// no other takes over stores the counters that wait there.
+func TestLastControllerStoresItsUsage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 1)
+		r := f.accept(0, 100)
+		f.within(14*time.Second, "configured", func() bool { return f.everywhere(r, 0) })
+		k := f.running[0]
+		ctx, cancel := context.WithTimeout(f.ctx, 30*time.Second)
+		defer cancel()
+		left := make(chan struct{})
+		go func() {
+			k.Leave(ctx)
+			close(left)
+		}()
+		time.Sleep(leaveSpread - time.Millisecond)
+		k.usage.relay.Add([]usage.Counter{{
+			Gateway: "host-0/gateway/1", Organisation: "svetki",
+			Window: time.Now().Truncate(time.Minute), Amount: usage.Amount{Requests: 1},
+		}})
+		<-left
+		is.NoErr(ctx.Err())
+		is.Equal(k.usage.relay.Len(), 0)
+	})
+}
--- a/controller/usage.go
+++ b/controller/usage.go
@@ -119,11 +119,7 @@
 	controllers := membership.Controllers(k.Members(), "")
 	byOwner := map[machine.Process][]usage.Counter{}
 	for shard, counters := range k.usage.relay.Pending() {
-		owners := membership.Owners(controllers, usage.ReportUnit(shard), 1)
-		if len(owners) == 0 {
-			continue
-		}
-		owner := owners[0].Process
+		owner := k.usageOwner(controllers, shard)
 		byOwner[owner] = append(byOwner[owner], counters...)
 	}
 	var group errgroup.Group
@@ -136,6 +132,17 @@
 	_ = group.Wait()
 }
 
+// usageOwner returns the controller that stores the counters of a shard. When
+// none takes work, as when all leave at once, this one does so itself: which
+// controller stores matters only for the number of conflicts.
+func (k *Controller) usageOwner(controllers []membership.Member, shard int) machine.Process {
+	owners := membership.Owners(controllers, usage.ReportUnit(shard), 1)
+	if len(owners) == 0 {
+		return k.config.Self
+	}
+	return owners[0].Process
+}
+
 // ageUsage forgets old confirmations.
 func (k *Controller) ageUsage(now time.Time) {
 	k.usage.mu.Lock()
@@ -222,8 +229,17 @@
 
 // leaveUsage hands over what waits before this controller ends.
 func (k *Controller) leaveUsage(ctx context.Context) {
+	retry := time.NewTicker(usageInterval)
+	defer retry.Stop()
 	for k.usage.relay.Len() > 0 && ctx.Err() == nil {
 		k.relayUsage(ctx)
+		if k.usage.relay.Len() == 0 {
+			break
+		}
+		select {
+		case <-retry.C:
+		case <-ctx.Done():
+		}
 	}
 	if windows := k.usageWindows(); windows != nil {
 		_ = windows.Flush(ctx)
