--- a/internal/soak/cloud.go
+++ b/internal/soak/cloud.go
@@ -76,7 +76,7 @@
 func (c *cloud) startEngine(id target.ID, class target.Class, z zone.Name, fenced bool, seed uint64) {
 	e := c.engines.Add(string(id), engine.Options{
 		ID: id, Seed: seed, Models: []string{modelName}, ChecksFence: fenced,
-		PrefillRate: 20_000, DecodeRate: 400, RoleChange: 3 * time.Second,
+		PrefillRate: 20_000, DecodeRate: 80, RoleChange: 3 * time.Second,
 	})
 	c.made[id] = e
 	x := target.Target{ID: id, Kind: target.Engine, Class: class, Pool: poolName, Zone: z, Address: string(id), ChecksFence: fenced}
@@ -176,6 +176,18 @@
 	}
 }
 
+// returnAfter is the time after which a target that was taken comes back under
+// another id.
+const returnAfter = 15 * time.Second
+
+// comeBack starts a cheap target in place of one that was taken.
+func (c *cloud) comeBack(z zone.Name) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.bought++
+	c.startEngine(target.ID(fmt.Sprintf("back-%d", c.bought)), target.Reclaimable, z, c.bought%2 == 0, uint64(2000+c.bought))
+}
+
 // gone ends a target.
 func (c *cloud) gone(id target.ID) {
 	c.engines.Remove(string(id))
@@ -197,6 +209,7 @@
 	for _, h := range slices.Clone(c.hosts) {
 		if h.Zone == z && h.State == platform.Live && h.Target.Class == target.Reclaimable {
 			c.leave(h.Target.ID, notice)
+			time.AfterFunc(notice+returnAfter, func() { c.comeBack(z) })
 			n++
 		}
 	}
--- a/internal/soak/fault.go
+++ b/internal/soak/fault.go
@@ -48,7 +48,7 @@
 	{"engine crash", 3, (*faults).crashEngine},
 	{"engine faults", 8, (*faults).engineFaults},
 	{"service harsh", 4, (*faults).serviceHarsh},
-	{"zone reclaimed", 1, (*faults).reclaimZone},
+	{"zone reclaimed", 3, (*faults).reclaimZone},
 	{"operators race", 2, (*faults).race},
 	{"key issued", 3, (*faults).issueKey},
 	{"key withdrawn", 3, (*faults).withdrawKey},
@@ -106,6 +106,13 @@
 	return true
 }
 
+// unheard makes a fault by which a gateway, or any if none is named, may not
+// be heard.
+func (f *faults) unheard(gateway, what string, begin func(), span time.Duration, end func()) bool {
+	var s *silence
+	return f.during(what, func() { s = f.world.silent(gateway); begin() }, span, func() { end(); f.world.heard(s) })
+}
+
 // seconds draws a span.
 func seconds(rng *rand.Rand, from, to int) time.Duration {
 	return time.Duration(from*1000+rng.IntN((to-from)*1000)) * time.Millisecond
@@ -172,12 +179,12 @@
 func (f *faults) freezeGateway(rng *rand.Rand) bool {
 	i := rng.IntN(hostCount)
 	h := f.at(i)
-	return f.during("gateway "+address(i), func() { h.gateway.gate.freeze() }, seconds(rng, 1, 30), func() { h.gateway.gate.wake() })
+	return f.unheard(h.gateway.id, "gateway "+address(i), func() { h.gateway.gate.freeze() }, seconds(rng, 1, 30), func() { h.gateway.gate.wake() })
 }
 
 // cutOff cuts the hosts of a set off the others for some time.
 func (f *faults) cutOff(inside func(host int) bool, span time.Duration) bool {
-	return f.during("cut", func() { f.setCut(inside, true) }, span, func() { f.setCut(inside, false) })
+	return f.unheard("", "cut", func() { f.setCut(inside, true) }, span, func() { f.setCut(inside, false) })
 }
 
 func (f *faults) setCut(inside func(host int) bool, cut bool) {
@@ -193,7 +200,7 @@
 func (f *faults) cutPair(rng *rand.Rand) bool {
 	a, b := rng.IntN(hostCount), rng.IntN(hostCount)
 	set := func(cut bool) { f.world.fabric.SetCut(hostID(a), hostID(b), cut && a != b) }
-	return f.during(fmt.Sprintf("cut %d from %d", a, b), func() { set(true) }, seconds(rng, 3, 60), func() { set(false) })
+	return f.unheard("", fmt.Sprintf("cut %d from %d", a, b), func() { set(true) }, seconds(rng, 3, 60), func() { set(false) })
 }
 
 func (f *faults) cutHost(rng *rand.Rand) bool {
@@ -209,7 +216,7 @@
 func (f *faults) losePair(rng *rand.Rand) bool {
 	a, b := rng.IntN(hostCount), rng.IntN(hostCount)
 	set := func(lossy bool) { f.world.fabric.SetLossy(hostID(a), hostID(b), lossy && a != b) }
-	return f.during("lossy", func() { set(true) }, seconds(rng, 2, 30), func() { set(false) })
+	return f.unheard("", "lossy", func() { set(true) }, seconds(rng, 2, 30), func() { set(false) })
 }
 
 // storeFault sets a fault of the object API for some time.
@@ -310,7 +317,7 @@
 }
 
 func (f *faults) reclaimZone(rng *rand.Rand) bool {
-	n := f.world.cloud.reclaim(zones[rng.IntN(len(zones))].Name, seconds(rng, 5, 30))
+	n := f.world.cloud.reclaim(zones[rng.IntN(len(zones))].Name, seconds(rng, 5, 60))
 	f.world.report.note("targets reclaimed", n)
 	return n > 0
 }
@@ -329,7 +336,7 @@
 }
 
 func (f *faults) drain(rng *rand.Rand) bool {
-	ids := []target.ID{"engine-0", "engine-1", "engine-2", "engine-3"}
+	ids := []target.ID{"engine-0", "engine-1", "engine-2"}
 	id := ids[rng.IntN(len(ids))]
 	o := f.world.operator
 	return f.during("operator", func() { o.drain(id) }, seconds(rng, 5, 60), func() { o.drain() })
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -75,7 +75,8 @@
 	requests[request] = seen{organisation, s.first || r.Offset == 0}
 }
 
-// judgeCuts checks that no planned change cut what a caller was served.
+// judgeCuts checks that no planned change cut an attempt of a gateway that the
+// planner could hear, and that no caller was left without its answer by one.
 func (w *world) judgeCuts(id target.ID, e *engine.Engine) {
 	cut := e.Records().CutByChange
 	w.report.note("attempts cut by a planned change", len(cut))
@@ -87,14 +88,39 @@
 	for _, a := range attempts {
 		byRequest[a.request] = a
 	}
-	for _, name := range cut {
-		a := byRequest[name[:min(len(name), requestIDBytes)]]
-		if a != nil && !a.whole && a.code != "" && a.execution != "not_run" {
+	for _, c := range cut {
+		a := byRequest[c.Attempt[:min(len(c.Attempt), requestIDBytes)]]
+		if a == nil {
+			continue
+		}
+		if !w.unheard(a.gateway, c.At) {
+			w.report.violation("a planned change of engine %s cut %s of %s through %s at %v", id, a.kind, a.subject, a.gateway, c.At)
+		} else if !a.whole && a.code != "" && a.execution != "not_run" {
 			w.report.violation("a planned change of engine %s cut %s of %s, which ended with %s", id, a.kind, a.subject, a.code)
 		}
 	}
 }
 
+const (
+	// goneAfter is the least silence after which a gateway passes for gone.
+	goneAfter = 8 * time.Second
+	// backAfter is how long it may do so after the fault has healed.
+	backAfter = 5 * time.Second
+)
+
+// unheard tells whether a gateway was frozen, or any hosts were cut off each
+// other, for so long before a time that the gateway may pass for gone.
+func (w *world) unheard(gateway string, at time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, f := range w.silences {
+		if (f.gateway == "" || f.gateway == gateway) && at.Sub(f.from) > goneAfter && (f.to.IsZero() || f.to.Add(backAfter).After(at)) {
+			return true
+		}
+	}
+	return false
+}
+
 // judgePlatform collects what the platform found.
 func (w *world) judgePlatform() {
 	w.cloud.mu.Lock()
@@ -140,10 +166,29 @@
 	defer w.cloud.mu.Unlock()
 	for _, c := range choices {
 		noticed, leaving := w.cloud.noticed[c.target]
-		if leaving && c.at.Sub(noticed) > leavingLimit {
-			w.report.violation("%s chose %s %v after its notice", c.gateway, c.target, c.at.Sub(noticed))
+		switch {
+		case !leaving || c.at.Sub(noticed) <= leavingLimit:
+		case w.wokeJustBefore(c.gateway, c.at):
+			w.report.note("leaving targets chosen just after a pause", 1)
+		default:
+			w.report.violation("%s chose %s %v after its notice, at %v", c.gateway, c.target, c.at.Sub(noticed), c.at)
+		}
+	}
+}
+
+// wakingSpan is how long after a pause a gateway may go by its old view.
+const wakingSpan = 3 * time.Second
+
+// wokeJustBefore tells whether a gateway was frozen just before a time, or is.
+func (w *world) wokeJustBefore(gateway string, at time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, s := range w.silences {
+		if s.gateway == gateway && !s.from.After(at) && (s.to.IsZero() || !s.to.Add(wakingSpan).Before(at)) {
+			return true
 		}
 	}
+	return false
 }
 
 // judgeRefusals checks that what was refused as not run did not run.
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -100,6 +100,7 @@
 	disturbed   []span // outages of the object API
 	sequence    map[target.ID]uint64
 	past        []*process // every gateway ever started
+	silences    []*silence
 }
 
 // span is a stretch of time; an open one has no end.
@@ -108,6 +109,29 @@
 	down     bool // for all
 }
 
+// silence is a span in which a gateway, or any if none is named, may not have
+// been heard.
+type silence struct {
+	gateway  string
+	from, to time.Time
+}
+
+// silent notes the begin of a silence.
+func (w *world) silent(gateway string) *silence {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	s := &silence{gateway: gateway, from: time.Now()}
+	w.silences = append(w.silences, s)
+	return s
+}
+
+// heard notes its end.
+func (w *world) heard(s *silence) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	s.to = time.Now()
+}
+
 // newWorld makes a world whose processes do not run yet.
 func newWorld(o Options) *world {
 	w := &world{
@@ -133,9 +157,9 @@
 func (w *world) listTargets() {
 	w.cloud.mu.Lock()
 	defer w.cloud.mu.Unlock()
-	for i := range 6 {
+	for i := range 7 {
 		class := target.Reserved
-		if i >= 4 {
+		if i >= 3 {
 			class = target.Reclaimable
 		}
 		id := target.ID(fmt.Sprintf("engine-%d", i))
--- a/internal/standin/engine/records.go
+++ b/internal/standin/engine/records.go
@@ -47,7 +47,13 @@
 	// Cut is the number of requests that a change or a crash ended.
 	Cut int
 	// CutByChange are the attempts that a change ended.
-	CutByChange []string
+	CutByChange []CutRecord
+}
+
+// CutRecord is an attempt that a change ended.
+type CutRecord struct {
+	Attempt string
+	At      time.Time
 }
 
 // Records returns a copy of what the engine saw.
@@ -120,7 +126,7 @@
 	defer e.mu.Unlock()
 	e.records.Cut++
 	if !e.down && e.boot == boot && len(e.records.CutByChange) < maxRecords {
-		e.records.CutByChange = append(e.records.CutByChange, attempt)
+		e.records.CutByChange = append(e.records.CutByChange, CutRecord{attempt, time.Now()})
 	}
 }
 
