--- a/admission/admission.go
+++ b/admission/admission.go
@@ -10,6 +10,7 @@
 
 	"zinniapin/contract"
 	"zinniapin/control"
+	"zinniapin/grant"
 	"zinniapin/invariant"
 	"zinniapin/result"
 )
@@ -24,6 +25,10 @@
 	averageSpan = 10 * time.Second
 	// idleSpan is how long an organisation's state outlives its last request.
 	idleSpan = 60 * time.Second
+	// freshSpan is how long an organisation that becomes active here uses more
+	// than its safe share: until its first grant comes, which is asked for each
+	// second.
+	freshSpan = 1500 * time.Millisecond
 	// firstServiceTime is the presumed time of a request at a pool that has
 	// finished none yet.
 	firstServiceTime = time.Second
@@ -74,8 +79,9 @@
 	running  int // waiting ones included
 	grant    *control.Grant
 	arrivals average
-	spent    average // tokens
-	wanted   int     // highest concurrency asked for since the last Demands
+	spent    average   // tokens
+	wanted   int       // highest concurrency asked for since the last Demands
+	first    time.Time // the request that made it active here; zero if a grant did
 	lastSeen time.Time
 	last     limits // as of the last request
 }
@@ -92,6 +98,7 @@
 type Core struct {
 	queueLength   int
 	gateways      int
+	reached       time.Time // when a controller was last linked
 	organisations map[string]*organisation
 	pools         map[string]*pool
 	sequence      uint64
@@ -120,6 +127,19 @@
 	c.gateways = max(1, n)
 }
 
+// Reached notes that a controller was linked at a time. While it is not much
+// longer ago than a grant lasts, other gateways may hold grants.
+func (c *Core) Reached(now time.Time) {
+	c.reached = now
+}
+
+// othersMayHold tells whether grants of other gateways are likely to be in
+// force that leave this one no more than its safe share.
+func (c *Core) othersMayHold(now time.Time, o *organisation) bool {
+	fresh := o.grant == nil && now.Sub(o.first) < freshSpan
+	return c.gateways > 1 && !fresh && now.Sub(c.reached) <= grant.Term+grant.Margin
+}
+
 // SetCapacity sets how many requests may be dispatched to a pool at once.
 func (c *Core) SetCapacity(name string, n int) {
 	c.pool(name).capacity = n
@@ -166,11 +186,19 @@
 }
 
 // share returns what an organisation may use here: its grant while that
-// lasts, never above the contract; else the contract divided by the live
-// gateways. The divided concurrency and burst are rounded up to 1, so that
-// every gateway can serve every organisation: without grants a fleet of n
-// gateways may therefore run up to max(concurrency, n) requests of one
-// organisation at once, that is n minus concurrency too many at most.
+// lasts, never above the contract; else its safe share, which the grantor
+// leaves to every gateway. So the rates, and likewise the tokens, of all
+// gateways sum to the contract at most, but for the cases that package grant
+// names. A gateway uses an nth of the contract instead when it has reached no
+// controller for as long as grants last, and for freshSpan when the organisation
+// becomes active here, so that a burst of callers is not refused for want of a
+// first grant. With m of n gateways in these cases, rates and tokens may exceed
+// the contract by the part (1-grant.SafePart)*m/n of it: for gateways that are
+// cut off until the others take them for dead, and by nothing when all n are.
+//
+// Concurrency and burst are rounded up to 1, so that every gateway can serve
+// every organisation: each gateway without a grant may run one request too
+// many. A request that runs is never ended when a share falls.
 func (c *Core) share(now time.Time, o *organisation, k *contract.Contract) limits {
 	full := k.Limits
 	tokens := float64(full.TokensPerMinute) / secondsPerMinute
@@ -187,12 +215,18 @@
 			tokens:      math.Min(o.grant.TokensPerMinute/secondsPerMinute, tokens),
 		}
 	}
-	n := float64(c.gateways)
+	part := 1 / float64(c.gateways)
+	concurrency := int(math.Ceil(float64(full.Concurrency) * part))
+	if c.othersMayHold(now, o) {
+		safe := grant.SafeShare(full, c.gateways)
+		part *= grant.SafePart
+		concurrency = safe.Concurrency
+	}
 	return limits{
-		rate:        full.RequestsPerSecond / n,
-		burst:       math.Max(1, burst/n),
-		concurrency: int(math.Ceil(float64(full.Concurrency) / n)),
-		tokens:      tokens / n,
+		rate:        full.RequestsPerSecond * part,
+		burst:       math.Max(1, burst*part),
+		concurrency: concurrency,
+		tokens:      tokens * part,
 	}
 }
 
@@ -200,6 +234,9 @@
 // held back. An admitted one runs when Dispatch returns its ticket.
 func (c *Core) Arrive(now time.Time, r Request) (*Ticket, error) {
 	o := c.organisation(r.Organisation)
+	if o.lastSeen.IsZero() {
+		o.first = now
+	}
 	o.lastSeen = now
 	o.arrivals.add(now, 1)
 	o.spent.add(now, float64(r.PromptTokens))
--- a/cmd/zinnia-controller/main.go
+++ b/cmd/zinnia-controller/main.go
@@ -55,9 +55,13 @@
 		return err
 	}
 	config, err := configure(s)
-	if err != nil || o.Check {
+	if err != nil {
 		return err
 	}
+	if o.Check {
+		fmt.Println(settings.Valid)
+		return nil
+	}
 	return serve(s, config)
 }
 
@@ -105,7 +109,11 @@
 	graceful, immediate, stopSignals := daemon.Signals(context.Background())
 	defer stopSignals()
 	k := controller.New(config)
-	operators, err := daemon.NewOperators(s.Operators, daemon.NewRegistry(), k.Ready)
+	metrics := daemon.NewRegistry()
+	if err := k.Register(metrics); err != nil {
+		return err
+	}
+	operators, err := daemon.NewOperators(s.Operators, metrics, k.Ready)
 	if err != nil {
 		return err
 	}
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -57,11 +57,12 @@
 
 // Controller is a running controller. It is safe for concurrent use.
 type Controller struct {
-	config Config
-	holder *relay.Holder
-	links  *registry
-	grants *grantor
-	usage  *usageWork
+	config  Config
+	metrics *metrics
+	holder  *relay.Holder
+	links   *registry
+	grants  *grantor
+	usage   *usageWork
 
 	gatewayLoads *loadTable // of the gateways linked here
 	planLoads    *loadTable // of the pools that this controller plans for
@@ -73,7 +74,9 @@
 	members       *membership.Table
 	targets       *targetview.Table
 	book          *addressBook
-	sources       map[machine.HostID]bool // whose records are taken; nil means all
+	sources       map[machine.HostID]bool // whose records of members are taken; nil means all
+	targetSources map[machine.HostID]bool // whose records of targets are taken; nil means all
+	urgentTold    uint64                  // version of targets whose urgent news was told
 	storeRead     bool                    // the root was read since the start
 	storeUp       bool                    // the last call of the store succeeded
 	reachable     bool                    // the store is, by own or a watcher's word
@@ -90,6 +93,7 @@
 		holder:        &relay.Holder{},
 		links:         newRegistry(),
 		grants:        newGrantor(),
+		metrics:       newMetrics(),
 		members:       membership.New(self, now),
 		targets:       targetview.New(),
 		book:          newAddressBook(c.Seeds, c.Seed^c.Self.Incarnation),
@@ -174,7 +178,7 @@
 		}
 	}
 	k.mu.Unlock()
-	k.grants.prune(now)
+	k.grants.prune(now, k.grantorViews())
 	k.keepPeers(ctx, now)
 }
 
--- a/controller/peers.go
+++ b/controller/peers.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"math/rand/v2"
 	"time"
 
@@ -39,7 +38,7 @@
 	k.mu.Unlock()
 	controllers := membership.Controllers(live, "")
 	peers := membership.Peers(controllers, k.config.Self, k.config.Seed, linked)
-	k.setSources(membership.Sources(controllers, k.config.Self.Host, k.config.Seed, linked))
+	k.setSources(controllers, linked)
 	wanted := make(map[machine.HostID]bool, len(peers))
 	for _, p := range peers {
 		wanted[p.Process.Host] = true
@@ -55,6 +54,9 @@
 		_ = l.Close()
 	}
 	k.links.closeIdle(now)
+	for _, gateway := range k.links.silentGateways(now) {
+		k.doubt(gateway)
+	}
 }
 
 // controllersOf returns the controllers among live processes, leaving ones
@@ -101,10 +103,12 @@
 func (k *Controller) accepted(ctx context.Context, l link.Link) {
 	event.LinkOpened.Log(k.config.Log).Str("peer", l.Peer().ID()).Send()
 	if l.Peer().Role == machine.Gateway {
-		k.links.addGateway(l)
+		k.links.addGateway(time.Now(), l)
 		go func() {
 			<-l.Done()
-			k.links.removeGateway(l)
+			if k.links.removeGateway(l) && ctx.Err() == nil {
+				k.doubt(l.Peer())
+			}
 			event.LinkClosed.Log(k.config.Log).Str("peer", l.Peer().ID()).Send()
 		}()
 	}
@@ -126,12 +130,17 @@
 		}
 		return
 	}
+	k.mu.Lock()
+	p.urgent = k.targets.UrgentVersion()
+	k.mu.Unlock()
 	defer k.links.removePeer(p)
 	defer func() { _ = l.Close() }()
 	missed := 0
 	for missed < maxMissed {
 		missed++
-		if k.heartbeat(ctx, p) == nil {
+		err := k.heartbeat(ctx, p)
+		k.metrics.heartbeatEnded(err)
+		if err == nil {
 			missed = 0
 		}
 		if !k.awaitHeartbeat(ctx, p) {
@@ -141,9 +150,14 @@
 	if ctx.Err() != nil {
 		return
 	}
+	k.doubt(l.Peer())
+}
+
+// doubt tells the mesh that a process is not reached any more from here.
+func (k *Controller) doubt(p machine.Process) {
 	k.mu.Lock()
-	k.members.Doubt(time.Now(), l.Peer().Incarnation)
-	k.mu.Unlock()
+	defer k.mu.Unlock()
+	k.members.Doubt(time.Now(), p.Incarnation)
 }
 
 // awaitHeartbeat waits until the next heartbeat is due. It returns false when
@@ -165,7 +179,7 @@
 
 const (
 	// maxHeartbeatInterval bounds the time between two heartbeats on a link.
-	maxHeartbeatInterval = 3 * time.Second
+	maxHeartbeatInterval = 2 * time.Second
 	// heartbeatScale is the number of processes for each second between two
 	// heartbeats. An empty call takes about 270 bytes, so that 18 links with a
 	// call each way every second would take a third of what a node may spend.
@@ -187,6 +201,7 @@
 	defer cancel()
 	request := k.heartbeatBase()
 	request.MembersVersion, request.TargetsVersion = k.versionsFor(p)
+	urgent := k.addUrgent(p, request)
 	envelope, err := p.link.Call(timed, &wire.Envelope{Body: &wire.Envelope_Heartbeat{Heartbeat: request}})
 	if err != nil {
 		return err
@@ -195,38 +210,71 @@
 	if reply == nil {
 		return result.New(result.UnknownMessage, "the reply is no heartbeat")
 	}
-	k.takeIn(p, reply)
+	k.metrics.exchanged(request, reply)
+	k.takeIn(p, request, reply)
+	p.urgent = urgent
 	if contract.Revision(reply.ConfigRevision) > k.holder.Revision() {
 		go k.fetchFrom(ctx, p.link)
 	}
 	return nil
 }
 
-const (
-	// noRecords is the version that asks for no records.
-	noRecords = math.MaxUint64
-	// fullEvery is the number of heartbeats on a link for each that asks for
-	// records although the peer is no source.
-	fullEvery = 40
-)
-
-// setSources sets the hosts whose records are taken; nil means all.
-func (k *Controller) setSources(sources map[machine.HostID]bool) {
+// setSources sets the hosts whose records are taken: of members from any
+// region, of targets from the own one.
+func (k *Controller) setSources(controllers []membership.Member, linked map[machine.HostID]bool) {
+	self := k.config.Self
+	near := membership.Controllers(controllers, self.Zone.Region)
+	linkedNear := map[machine.HostID]bool{}
+	for _, m := range near {
+		if linked[m.Process.Host] {
+			linkedNear[m.Process.Host] = true
+		}
+	}
+	members := membership.Sources(controllers, self.Host, k.config.Seed, linked)
+	targets := membership.Sources(near, self.Host, k.config.Seed, linkedNear)
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.sources = sources
+	k.sources, k.targetSources = members, targets
 }
 
-// versionsFor returns the versions to ask a peer for. The first heartbeat of a
-// link asks for all.
+// versionsFor returns the versions to ask a peer for.
 func (k *Controller) versionsFor(p *peer) (members, targets uint64) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	p.beats++
-	if k.sources == nil || k.sources[p.link.Peer().Host] || p.beats%fullEvery == 1 {
-		return p.members, p.targets
+	guard := p.beats%guardEvery == 0
+	host := p.link.Peer().Host
+	members = p.members.ask(k.sources == nil || k.sources[host], guard)
+	targets = p.targets.ask(k.targetSources == nil || k.targetSources[host], guard)
+	return members, targets
+}
+
+// fillMembers adds what a peer has not seen of the members. The lock is held.
+func (k *Controller) fillMembers(q, reply *wire.Heartbeat, peer machine.Process) {
+	news := k.members.Since(q.MembersVersion, peer.Incarnation, heartbeatBytes)
+	reply.Members, reply.Beats, reply.MembersVersion = news.Members, news.Beats, news.Version
+}
+
+// fillTargets takes in the urgent news of a peer of the region and adds what it
+// has not seen of the targets. The lock is held.
+func (k *Controller) fillTargets(now time.Time, q, reply *wire.Heartbeat, peer machine.Process) {
+	if peer.Role == machine.Controller {
+		for _, t := range q.Targets {
+			k.targets.Merge(now, peer.Incarnation, t)
+		}
+		k.tellUrgent()
+	}
+	news := k.targets.Since(now, q.TargetsVersion, peer.Incarnation, heartbeatBytes)
+	reply.Targets, reply.Loads, reply.TargetsVersion = news.Targets, news.Loads, news.Version
+}
+
+// tellDoubt notes that a gateway was heard and tells it if it is doubted, so
+// that it raises its beat. The lock is held.
+func (k *Controller) tellDoubt(now time.Time, gateway machine.Process, reply *wire.Heartbeat) {
+	k.links.heardGateway(now, gateway)
+	if k.members.Doubted(gateway.Incarnation) {
+		reply.Members = append(reply.Members, &wire.Member{Incarnation: gateway.Incarnation, Doubted: true})
 	}
-	return noRecords, noRecords
 }
 
 // heartbeatBase returns what every heartbeat says.
@@ -249,7 +297,7 @@
 
 // takeIn merges the answer to a heartbeat. A record that cannot be understood
 // makes the next heartbeat ask for everything.
-func (k *Controller) takeIn(p *peer, reply *wire.Heartbeat) {
+func (k *Controller) takeIn(p *peer, request, reply *wire.Heartbeat) {
 	k.confirm(reply)
 	now := time.Now()
 	source := p.link.Peer().Incarnation
@@ -257,22 +305,51 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.links.markHeard(p)
-	if reply.MembersVersion != noRecords {
-		p.members = reply.MembersVersion
-		p.targets = reply.TargetsVersion
+	p.members.took(request.MembersVersion, reply.MembersVersion)
+	if local {
+		p.targets.took(request.TargetsVersion, reply.TargetsVersion)
 	}
 	for _, m := range reply.Members {
 		if !k.members.Merge(now, source, m) {
-			p.members = 0
+			p.members.lost()
+		}
+	}
+	for _, b := range reply.Beats {
+		if !k.members.MergeBeats(now, source, b) {
+			p.members.lost()
 		}
 	}
 	if !local {
 		return
 	}
 	for _, t := range reply.Targets {
-		if !k.targets.Merge(now, source, t) {
-			p.targets = 0
-		}
+		k.targets.Merge(now, source, t)
+	}
+	if !k.targets.MergeLoads(now, source, reply.Loads) {
+		p.targets.lost()
+	}
+	k.tellUrgent()
+}
+
+// addUrgent adds the urgent news of targets that a peer of the region was not
+// told of, and returns the version that they reach.
+func (k *Controller) addUrgent(p *peer, request *wire.Heartbeat) uint64 {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if p.link.Peer().Zone.Region != k.config.Self.Zone.Region {
+		return p.urgent
+	}
+	states, version := k.targets.Urgent(time.Now(), p.urgent, p.link.Peer().Incarnation)
+	request.Targets = states
+	return version
+}
+
+// tellUrgent makes the heartbeats to all peers due now when there is urgent
+// news of targets. The lock is held.
+func (k *Controller) tellUrgent() {
+	if version := k.targets.UrgentVersion(); version != k.urgentTold {
+		k.urgentTold = version
+		k.links.tellNews()
 	}
 }
 
--- a/controller/serve.go
+++ b/controller/serve.go
@@ -71,14 +71,16 @@
 	if gateway {
 		k.noteGateway(now, peer, q)
 		k.fillGateway(now, q, reply)
+		k.tellDoubt(now, peer, reply)
 	}
 	if peer.Role == machine.Controller {
-		reply.Members, reply.MembersVersion = k.members.Since(q.MembersVersion, peer.Incarnation, heartbeatBytes)
+		k.fillMembers(q, reply, peer)
 	}
 	reply.TargetsVersion = q.TargetsVersion
 	if peer.Zone.Region == k.config.Self.Zone.Region {
-		reply.Targets, reply.TargetsVersion = k.targets.Since(now, q.TargetsVersion, peer.Incarnation, heartbeatBytes)
+		k.fillTargets(now, q, reply, peer)
 	}
+	k.metrics.exchanged(reply, q)
 	return &wire.Envelope{Body: &wire.Envelope_Heartbeat{Heartbeat: reply}}
 }
 
@@ -100,11 +102,11 @@
 	controllers := membership.Controllers(members, "")
 	reply.LiveControllers = uint32(len(controllers))
 	reply.LiveGateways = uint32(len(gatewaysOf(members)))
-	reply.StoreDownForMost = storeDownForMost(controllers, k.members.Known(machine.Controller))
+	reply.StoreDownForMost = storeDownForMost(controllers, k.members.Known(now, machine.Controller))
 	if q.MembersVersion == 0 {
 		near := membership.Controllers(members, k.config.Self.Zone.Region)
 		for _, m := range membership.Owners(near, string(k.config.Self.Host), alternatives) {
-			reply.Members = append(reply.Members, m.ToWire(false))
+			reply.Members = append(reply.Members, m.ToWire())
 		}
 	}
 }
@@ -139,7 +141,7 @@
 	defer k.mu.Unlock()
 	return grant.Fleet{
 		Live:  len(gatewaysOf(k.members.Members(now))),
-		Known: k.members.Known(machine.Gateway),
+		Known: k.members.Known(now, machine.Gateway),
 	}
 }
 
--- a/membership/member.go
+++ b/membership/member.go
@@ -5,14 +5,16 @@
 //
 // # Bytes
 //
-// A member's record takes 80 bytes in full and 23 bytes when only its beat rose
-// (BenchmarkRecordBytes). With n processes a process raises its beat every
-// BeatInterval(n), so that beatsPerSecond records change in a second over the
-// whole mesh: 780 processes (390 hosts with two each) raise their beats every
-// 20 s, 39 records a second or 900 bytes. A process takes the records of others
-// from its sources only, two neighbours and sourceChords more, and each sends
-// it what the source itself did not have from it: at most 5 times 900 bytes or
-// 4.5 KB a second received, and as much sent on average.
+// A member's record takes 80 bytes in full. When no more changed than what many
+// have in common, a process is told of by a tag and its beat, 7.3 bytes
+// (BenchmarkBytes). With n processes each raises its beat every
+// BeatInterval(n), so that at most beatsPerSecond of them change in a second
+// over the whole mesh. A process takes the beats of others from its sources
+// only, two neighbours and sourceChords more.
+//
+// TestCostOfTheMesh in package controller measures it: with 780 processes a
+// host sends and receives 3.7 KB of members a second, of which 1.8 KB are
+// records in full that links which became sources ask for.
 package membership
 
 import (
@@ -35,17 +37,21 @@
 	Leaving bool
 	// StoreReachable tells whether the process reaches the object API.
 	StoreReachable bool
-	// Settled processes run long enough to tell the live from the dead: what a
-	// process is told of another at first passes for live until it stays silent.
+	// Settled processes run long enough to tell the live from the dead.
 	Settled bool
 	// Via holds the addresses of the controllers that a gateway is linked to.
 	Via []string
 }
 
-// ToWire returns the message of a record. A compact one holds only what
-// changes, for a reader that knows the process.
-func (m *Member) ToWire(compact bool) *wire.Member {
-	w := &wire.Member{
+// ToWire returns the message of a record.
+func (m *Member) ToWire() *wire.Member {
+	return &wire.Member{
+		Host:           string(m.Process.Host),
+		Role:           string(m.Process.Role),
+		Zone:           string(m.Process.Zone.Name),
+		Region:         string(m.Process.Zone.Region),
+		Address:        m.Process.Address,
+		Via:            m.Via,
 		Incarnation:    m.Process.Incarnation,
 		Beat:           m.Beat,
 		ConfigRevision: uint64(m.Revision),
@@ -53,16 +59,6 @@
 		StoreReachable: m.StoreReachable,
 		Settled:        m.Settled,
 	}
-	if compact {
-		return w
-	}
-	w.Host = string(m.Process.Host)
-	w.Role = string(m.Process.Role)
-	w.Zone = string(m.Process.Zone.Name)
-	w.Region = string(m.Process.Zone.Region)
-	w.Address = m.Process.Address
-	w.Via = m.Via
-	return w
 }
 
 // FromWire returns the record of a message.
@@ -88,14 +84,14 @@
 	// minBeatInterval is the shortest time between two beats of a process.
 	minBeatInterval = time.Second
 	// beatsPerSecond bounds the beats of the whole mesh.
-	beatsPerSecond = 39
+	beatsPerSecond = 78
 	// suspectBeats is the number of missed beats after which a process is no
 	// longer taken for live.
 	suspectBeats = 4
-	// spreadAllowance is the time that a beat may take through the mesh.
-	spreadAllowance = 5 * time.Second
-	// doubtGrace is the time in which a doubted process may raise its beat.
-	doubtGrace = 6 * time.Second
+	// minSpread is the time that news may take through a small mesh, and
+	// spreadScale the number of processes for each further second.
+	minSpread   = 5 * time.Second
+	spreadScale = 78
 	// forgetAfter is how long a silent process is remembered.
 	forgetAfter = 15 * time.Minute
 	// maxTickGap is the largest time between two ticks that passes for time
@@ -115,5 +111,23 @@
 // SuspectAfter returns the silence after which a process is no longer taken
 // for live when the mesh has n processes.
 func SuspectAfter(n int) time.Duration {
-	return suspectBeats*BeatInterval(n) + spreadAllowance
+	return suspectBeats*BeatInterval(n) + spreadTime(n)
+}
+
+// settleTime returns the time after which a process that started can tell the
+// live from the dead when the mesh has n processes: it was told by then whom
+// others take for live, or waited for as long as a silence lasts.
+func settleTime(n int) time.Duration {
+	return min(SuspectAfter(n), 2*spreadTime(n))
+}
+
+// spreadTime returns the time that news may take through a mesh of n processes.
+func spreadTime(n int) time.Duration {
+	return minSpread + time.Duration(n)*time.Second/spreadScale
+}
+
+// doubtGrace returns the time in which a doubted process may raise its beat
+// when the mesh has n processes.
+func doubtGrace(n int) time.Duration {
+	return time.Second + spreadTime(n)
 }
--- a/membership/table.go
+++ b/membership/table.go
@@ -15,12 +15,28 @@
 type Table struct {
 	self     *entry
 	entries  map[uint64]*entry // by incarnation
+	tags     map[uint32]int    // number of entries by the tag of the incarnation
+	byTag    map[uint32]*entry // the last entry added with the tag
 	version  uint64
 	ticked   time.Time
 	started  time.Time
 	nextBeat time.Time
+	refuted  uint64
+	shape    uint64 // rises when more than beats and silences changed
+	view     view
 }
 
+// view is the answer of Members and Known as of a time.
+type view struct {
+	shape   uint64
+	at      time.Time
+	members []Member
+	known   map[machine.Role]int
+}
+
+// viewAge is how long an answer serves while only beats rise.
+const viewAge = time.Second
+
 // entry is a record with what this process observed of it.
 type entry struct {
 	Member
@@ -34,9 +50,9 @@
 // New returns a table that knows the process itself. The incarnation of self
 // must be unique.
 func New(self Member, now time.Time) *Table {
-	t := &Table{entries: map[uint64]*entry{}, ticked: now, started: now, nextBeat: now}
+	t := &Table{entries: map[uint64]*entry{}, tags: map[uint32]int{}, byTag: map[uint32]*entry{}, ticked: now, started: now, nextBeat: now}
 	t.self = &entry{Member: self, rose: now}
-	t.entries[self.Process.Incarnation] = t.self
+	t.add(t.self)
 	t.touch(t.self, 0, true)
 	return t
 }
@@ -64,6 +80,7 @@
 		return
 	}
 	t.self.Beat++
+	t.shape++
 	t.touch(t.self, 0, static)
 }
 
@@ -90,7 +107,7 @@
 	}
 	t.ticked = now
 	t.self.rose = now
-	if !t.self.Settled && now.Sub(t.started) > SuspectAfter(len(t.entries)) {
+	if !t.self.Settled && now.Sub(t.started) > settleTime(len(t.entries)) {
 		t.Update(func(m *Member) { m.Settled = true })
 	}
 	if !now.Before(t.nextBeat) {
@@ -98,9 +115,9 @@
 		t.touch(t.self, 0, false)
 		t.nextBeat = now.Add(BeatInterval(len(t.entries)))
 	}
-	for incarnation, e := range t.entries {
+	for _, e := range t.entries {
 		if now.Sub(e.rose) > forgetAfter {
-			delete(t.entries, incarnation)
+			t.remove(e)
 		}
 	}
 }
@@ -108,6 +125,7 @@
 // shift moves all observations by a gap in this process's own time, but none
 // into the future: what was observed after the gap stays as it is.
 func (t *Table) shift(now time.Time, gap time.Duration) {
+	t.shape++
 	for _, e := range t.entries {
 		e.rose = earlier(e.rose.Add(gap), now)
 		if !e.doubted.IsZero() {
@@ -153,6 +171,9 @@
 	}
 	m.Revision = max(m.Revision, e.Revision)
 	m.Leaving = m.Leaving || e.Leaving
+	if !t.live(e, now) || !sameState(&m, &e.Member) {
+		t.shape++
+	}
 	e.Member = m
 	e.rose = now
 	e.doubted = time.Time{}
@@ -163,6 +184,12 @@
 	return true
 }
 
+// sameState tells whether two records of a process differ in the beat at most.
+func sameState(a, b *Member) bool {
+	return a.Revision == b.Revision && a.Leaving == b.Leaving && a.StoreReachable == b.StoreReachable &&
+		a.Settled == b.Settled && sameStrings(a.Via, b.Via)
+}
+
 // refute raises the own beat above one that this process never gave, or that
 // was doubted.
 func (t *Table) refute(w *wire.Member) {
@@ -171,11 +198,19 @@
 	}
 	if w.Doubted && w.Beat == t.self.Beat {
 		t.self.Beat++
+		t.refuted++
 		t.touch(t.self, 0, false)
 	}
 }
 
-// introduce adds a process that was not known.
+// Refuted returns how often this process raised its beat because others
+// doubted it.
+func (t *Table) Refuted() uint64 {
+	return t.refuted
+}
+
+// introduce adds a process that was not known. One that the peer does not take
+// for live passes for live only once its beat rises.
 func (t *Table) introduce(now time.Time, source uint64, w *wire.Member, full bool) bool {
 	if !full {
 		return false
@@ -184,7 +219,10 @@
 		return true
 	}
 	e := &entry{Member: FromWire(w), rose: now}
-	t.entries[w.Incarnation] = e
+	if w.Silent {
+		e.rose = now.Add(-SuspectAfter(maxMembers) - time.Second)
+	}
+	t.add(e)
 	t.touch(e, source, true)
 	return true
 }
@@ -198,43 +236,22 @@
 	}
 }
 
+// Doubted tells whether a process is doubted at its present beat.
+func (t *Table) Doubted(incarnation uint64) bool {
+	e, ok := t.entries[incarnation]
+	return ok && !e.doubted.IsZero()
+}
+
 // doubt marks an entry as doubted, once for each beat.
 func (t *Table) doubt(now time.Time, e *entry, source uint64) {
 	if !e.doubted.IsZero() {
 		return
 	}
 	e.doubted = now
+	t.shape++
 	t.touch(e, source, false)
 }
 
-// Since returns the records that changed after a version, oldest change
-// first and about maxBytes at most, and the version that they reach. What the
-// reader itself was the source of is left out.
-func (t *Table) Since(version, reader uint64, maxBytes int) ([]*wire.Member, uint64) {
-	var changed []*entry
-	for _, e := range t.entries {
-		if e.changed > version {
-			changed = append(changed, e)
-		}
-	}
-	sort.Slice(changed, func(i, j int) bool { return changed[i].due(version) < changed[j].due(version) })
-	var records []*wire.Member
-	reached, used := version, 0
-	for _, e := range changed {
-		if used >= maxBytes {
-			return records, reached
-		}
-		reached = e.due(version)
-		if e.source == reader || e.Process.Incarnation == reader && e.doubted.IsZero() {
-			continue
-		}
-		compact := e.introduced <= version
-		records = append(records, e.record(compact))
-		used += recordBytes(compact)
-	}
-	return records, max(reached, t.version)
-}
-
 // due returns the version at which a reader that has seen the given one must
 // be told of the entry. What is more than the beat counts from its own change,
 // however often the beat changed since: a reader that has seen a version knows
@@ -246,27 +263,6 @@
 	return e.changed
 }
 
-// record returns the message of an entry.
-func (e *entry) record(compact bool) *wire.Member {
-	w := e.ToWire(compact)
-	w.Doubted = !e.doubted.IsZero()
-	return w
-}
-
-// Sizes of records, rounded up, in bytes.
-const (
-	compactBytes = 24
-	fullBytes    = 110
-)
-
-// recordBytes returns the rounded size of a record.
-func recordBytes(compact bool) int {
-	if compact {
-		return compactBytes
-	}
-	return fullBytes
-}
-
 // Size returns the number of processes known, silent ones included.
 func (t *Table) Size() int {
 	return len(t.entries)
@@ -278,9 +274,33 @@
 }
 
 // Members returns every record of live processes in order of host and role.
-// Of two incarnations on a host only the one whose beat rose last counts.
+// Of two incarnations on a host only the one whose beat rose last counts. The
+// beats and the silences are up to viewAge old. The caller must not change the
+// records.
 func (t *Table) Members(now time.Time) []Member {
-	newest := map[place]*entry{}
+	t.look(now)
+	return t.view.members
+}
+
+// Known returns the number of hosts with the role that are remembered, live
+// or not. It is up to viewAge old.
+func (t *Table) Known(now time.Time, role machine.Role) int {
+	t.look(now)
+	return t.view.known[role]
+}
+
+// look renews the view if need be.
+func (t *Table) look(now time.Time) {
+	age := now.Sub(t.view.at)
+	if t.view.members != nil && t.view.shape == t.shape && age >= 0 && age < viewAge {
+		return
+	}
+	t.view = view{shape: t.shape, at: now, members: t.listLive(now), known: t.countKnown()}
+}
+
+// listLive returns the records of live processes.
+func (t *Table) listLive(now time.Time) []Member {
+	newest := make(map[place]*entry, len(t.entries))
 	for _, e := range t.entries {
 		if !t.live(e, now) {
 			continue
@@ -290,14 +310,32 @@
 			newest[p] = e
 		}
 	}
-	members := make([]Member, 0, len(newest))
+	sorted := make([]*entry, 0, len(newest))
 	for _, e := range newest {
-		members = append(members, e.Member)
+		sorted = append(sorted, e)
+	}
+	sort.Slice(sorted, func(i, j int) bool { return before(&sorted[i].Member, &sorted[j].Member) })
+	members := make([]Member, len(sorted))
+	for i, e := range sorted {
+		members[i] = e.Member
 	}
-	sort.Slice(members, func(i, j int) bool { return before(&members[i], &members[j]) })
 	return members
 }
 
+// countKnown returns the numbers of hosts by role that are remembered.
+func (t *Table) countKnown() map[machine.Role]int {
+	hosts := make(map[place]bool, len(t.entries))
+	known := map[machine.Role]int{}
+	for _, e := range t.entries {
+		p := place{e.Process.Host, e.Process.Role}
+		if !e.Leaving && !hosts[p] {
+			hosts[p] = true
+			known[p.role]++
+		}
+	}
+	return known
+}
+
 // place is a role on a host.
 type place struct {
 	host machine.HostID
@@ -309,7 +347,7 @@
 	if e == t.self {
 		return true
 	}
-	if !e.doubted.IsZero() && now.Sub(e.doubted) > doubtGrace {
+	if !e.doubted.IsZero() && now.Sub(e.doubted) > doubtGrace(len(t.entries)) {
 		return false
 	}
 	return now.Sub(e.rose) <= SuspectAfter(len(t.entries))
@@ -334,18 +372,6 @@
 	return a.Process.Role < b.Process.Role
 }
 
-// Known returns the number of hosts with the role that are remembered, live
-// or not.
-func (t *Table) Known(role machine.Role) int {
-	hosts := map[machine.HostID]bool{}
-	for _, e := range t.entries {
-		if e.Process.Role == role && !e.Leaving {
-			hosts[e.Process.Host] = true
-		}
-	}
-	return len(hosts)
-}
-
 // HighestRevision returns the highest revision that any live process shows.
 func (t *Table) HighestRevision(now time.Time) contract.Revision {
 	highest := t.self.Revision
--- a/operator/status.go
+++ b/operator/status.go
@@ -14,6 +14,7 @@
 	"zinniapin/controller"
 	"zinniapin/machine"
 	"zinniapin/result"
+	"zinniapin/target"
 )
 
 // waitPoll is how often a waiting command asks for the state of the hosts.
@@ -72,7 +73,7 @@
 type statusCommand struct {
 	app  *app
 	Args struct {
-		Topic string `positional-arg-name:"TOPIC" required:"yes" description:"members, targets, config, grants, links, orders or windows"`
+		Topic string `positional-arg-name:"TOPIC" required:"yes" description:"members, targets, config, grants, links, orders, windows or plans"`
 	} `positional-args:"yes"`
 }
 
@@ -80,7 +81,7 @@
 func (c *statusCommand) Execute([]string) error {
 	show, ok := c.topics()[c.Args.Topic]
 	if !ok {
-		return result.New(result.BadUsage, "want members, targets, config, grants, links, orders or windows").At(c.Args.Topic)
+		return result.New(result.BadUsage, "want members, targets, config, grants, links, orders, windows or plans").At(c.Args.Topic)
 	}
 	return c.app.run(show)
 }
@@ -93,6 +94,9 @@
 		controller.TopicConfig:  c.config,
 		controller.TopicGrants:  c.grants,
 		controller.TopicLinks:   c.links,
+		topicOrders:             c.orders,
+		topicWindows:            c.windows,
+		controller.TopicPlans:   c.plans,
 	}
 }
 
@@ -104,11 +108,20 @@
 	}
 	t := &table{header: []string{"host", "role", "zone", "address", "revision", "leaving", "store"}}
 	for _, m := range members {
-		t.add(m.Host, m.Role, m.Zone, m.Address, m.Revision, m.Leaving, reachable(m.StoreReachable))
+		t.add(m.Host, m.Role, m.Zone, m.Address, m.Revision, m.Leaving, storeOf(m))
 	}
 	return c.app.print(members, t)
 }
 
+// storeOf names whether a process reaches the store. Gateways say nothing of
+// it: they call it for claims only.
+func storeOf(m controller.MemberStatus) string {
+	if m.Role != string(machine.Controller) {
+		return "-"
+	}
+	return reachable(m.StoreReachable)
+}
+
 // reachable names whether the store is reached.
 func reachable(yes bool) string {
 	if yes {
@@ -117,22 +130,40 @@
 	return "not reached"
 }
 
+// targetRow is a row of status targets.
+type targetRow struct {
+	controller.TargetStatus
+	// Drained says that the accepted configuration keeps new work off the
+	// target; false also when the object API cannot be read.
+	Drained bool `json:"drained"`
+}
+
 // targets shows the targets.
 func (c *statusCommand) targets(ctx context.Context, b *Backend) error {
-	targets, err := read[[]controller.TargetStatus](ctx, b, controller.TopicTargets, "")
+	seen, err := read[[]controller.TargetStatus](ctx, b, controller.TopicTargets, "")
 	if err != nil {
 		return err
 	}
+	var drained []target.ID
+	if s, err := snapshot(ctx, b); err == nil {
+		drained = s.Fleet.Drained
+	}
+	rows := make([]targetRow, 0, len(seen))
 	t := &table{header: []string{"target", "kind", "class", "pool", "zone", "state", "role", "running", "waiting", "report age"}}
-	for _, x := range targets {
-		t.add(x.ID, x.Kind, x.Class, x.Pool, x.Zone, stateOf(x), x.Role, x.Running, x.Waiting, age(x.ReportAgeMS))
+	for _, x := range seen {
+		row := targetRow{x, slices.Contains(drained, target.ID(x.ID))}
+		rows = append(rows, row)
+		t.add(x.ID, x.Kind, x.Class, x.Pool, x.Zone, stateOf(row), x.Role, x.Running, x.Waiting, age(x.ReportAgeMS))
 	}
-	return c.app.print(targets, t)
+	return c.app.print(rows, t)
 }
 
 // stateOf names the state of a target with what keeps work off it.
-func stateOf(t controller.TargetStatus) string {
+func stateOf(t targetRow) string {
 	state := t.State
+	if t.Drained {
+		state += ", drained"
+	}
 	if t.Cordoned {
 		state += ", cordoned"
 	}
@@ -161,17 +192,27 @@
 	return c.app.print(s, t)
 }
 
+// grantRow is a row of status grants: what gateways hold together.
+type grantRow struct {
+	Organisation      string  `json:"organisation"`
+	RequestsPerSecond float64 `json:"requests_per_second"`
+	Concurrency       int     `json:"concurrency"`
+	TokensPerMinute   float64 `json:"tokens_per_minute"`
+}
+
 // grants shows the grants that the controller that answered handed out.
 func (c *statusCommand) grants(ctx context.Context, b *Backend) error {
 	grants, err := read[[]controller.GrantStatus](ctx, b, controller.TopicGrants, "")
 	if err != nil {
 		return err
 	}
-	t := &table{header: []string{"organisation", "held"}}
+	rows := make([]grantRow, 0, len(grants))
+	t := &table{header: []string{"organisation", "requests/s", "concurrency", "tokens/min"}}
 	for _, g := range grants {
-		t.add(g.Organisation, fmt.Sprintf("%+v", g.Held))
+		rows = append(rows, grantRow{g.Organisation, g.Held.RequestsPerSecond, g.Held.Concurrency, g.Held.TokensPerMinute})
+		t.add(g.Organisation, g.Held.RequestsPerSecond, g.Held.Concurrency, g.Held.TokensPerMinute)
 	}
-	return c.app.print(grants, t)
+	return c.app.print(rows, t)
 }
 
 // links shows the links of the controller that answered.
@@ -189,7 +230,7 @@
 type explainCommand struct {
 	app  *app
 	Args struct {
-		Request string `positional-arg-name:"REQUEST-ID" required:"yes" description:"the header X-Request-Id of the answer"`
+		Request string `positional-arg-name:"REQUEST-ID" required:"yes" description:"the header Zinnia-Request-Id of the answer"`
 	} `positional-args:"yes"`
 }
 
