--- a/gateway/control.go
+++ b/gateway/control.go
@@ -117,11 +117,13 @@
 
 // confirm notes until when the configuration needs no doubt. The lock is held.
 func (g *Gateway) confirm(now time.Time, c control.Connectivity) {
-	at := c.ConfirmedAt
-	if c.Controllers > 0 && c.StoreDownForMost {
-		at = now.Add(-c.StoreDownAge)
+	if c.ConfirmedAt.After(g.confirmed) {
+		g.confirmed = c.ConfirmedAt
 	}
-	if at.After(g.confirmed) {
+	if c.Controllers == 0 || !c.StoreDownForMost {
+		return
+	}
+	if at := now.Add(-c.StoreDownAge); at.After(g.confirmed) {
 		g.confirmed = at
 	}
 }
--- a/gateway/run_test.go
+++ b/gateway/run_test.go
@@ -160,6 +160,11 @@
 		is.True(g.Ready() != nil) // its controller is cut off with it
 		g.Connected(control.Connectivity{Controllers: 1, ConfirmedAt: time.Now()})
 		is.NoErr(g.Ready())
+		time.Sleep(11 * time.Minute)
+		g.Connected(control.Connectivity{Controllers: 1, StoreDownForMost: true, StoreDownAge: 11 * time.Minute})
+		is.True(g.Ready() != nil) // the word is from before a cut
+		g.Connected(control.Connectivity{Controllers: 1, StoreDownForMost: true, StoreDownAge: 11 * time.Minute, ConfirmedAt: time.Now()})
+		is.NoErr(g.Ready()) // an old word does not outweigh the store's own
 		g.Connected(control.Connectivity{})
 		time.Sleep(59 * time.Second)
 		is.NoErr(g.Ready())
--- a/membership/words.go
+++ b/membership/words.go
@@ -15,11 +15,10 @@
 // pause of this process, words from before a cut grow old.
 func (t *Table) StoreDown(now time.Time) (age time.Duration, forMost bool) {
 	var ages []time.Duration
-	for _, e := range t.entries {
-		if e.Process.Role != machine.Controller || e.Leaving || e.StoreReachable {
-			continue
+	for _, m := range Controllers(t.Members(now), "") {
+		if !m.StoreReachable {
+			ages = append(ages, t.wordAge(t.entries[m.Process.Incarnation], now))
 		}
-		ages = append(ages, t.wordAge(e, now))
 	}
 	needed := t.Known(now, machine.Controller)/2 + 1
 	if len(ages) < needed {
--- a/membership/words_test.go
+++ b/membership/words_test.go
@@ -40,6 +40,15 @@
 	age, down = table.StoreDown(now)
 	is.True(down)
 	is.Equal(age, time.Duration(0))
+	for i := range others {
+		next := controllerOn(i+1, uint64(i+100)) // restarted
+		next.StoreReachable = true
+		table.Merge(now, 9, next.ToWire())
+		next.Beat++
+		table.Merge(now.Add(time.Second), 9, next.ToWire())
+	}
+	_, down = table.StoreDown(now.Add(2 * time.Second))
+	is.True(!down) // what former incarnations said does not count
 	_, down = New(controllerOn(0, 1), now).StoreDown(now)
 	is.True(down) // alone in the fleet
 }
