Hold parts of the configuration compressed and contracts compactly

Cause: a process with 16,000 organisations held the raw parts (7.5 MB) and contracts whose lists had room for four entries each (11.2 MB). Ruled out: re-encoding contracts on demand, since a part written by another release need not re-encode to the same digest.

--- a/configuration/accept.go
+++ b/configuration/accept.go
@@ -59,7 +59,7 @@
 func accept(ctx context.Context, s store.Store, p Proposal, now time.Time) (contract.Revision, error) {
 	current, version, err := Load(ctx, s, nil)
 	if errors.Is(err, store.ErrNotFound) {
-		current, version, err = &Bundle{Root: &Root{}, Parts: map[Digest][]byte{}}, store.Absent, nil
+		current, version, err = &Bundle{Root: &Root{}, Parts: Parts{}}, store.Absent, nil
 	}
 	if err != nil {
 		return 0, trace.Wrap(err)
--- a/configuration/bundle.go
+++ b/configuration/bundle.go
@@ -2,8 +2,11 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"sort"
 
+	"github.com/gravitational/trace"
+
 	"zinniapin/contract"
 	"zinniapin/result"
 )
@@ -11,22 +14,36 @@
 // Bundle is a root with all its parts. It is immutable once complete.
 type Bundle struct {
 	Root  *Root
-	Raw   []byte            // the root object as stored
-	Parts map[Digest][]byte // by digest; whole
+	Raw   []byte // the root object as stored
+	Parts Parts  // whole
 }
 
 // NewBundle joins a root object with its parts and checks every digest.
 // Parts that the root does not name are left out.
 func NewBundle(rawRoot []byte, parts map[Digest][]byte) (*Bundle, error) {
+	checked := make(Parts, len(parts))
+	for d, plain := range parts {
+		part, err := newPart(plain)
+		if err != nil {
+			return nil, err
+		}
+		checked[d] = part
+	}
+	return Join(rawRoot, checked)
+}
+
+// Join is NewBundle for parts whose digests are known: each must be the one
+// that the root names. Parts that the root does not name are left out.
+func Join(rawRoot []byte, parts Parts) (*Bundle, error) {
 	root, err := decodeRoot(rawRoot)
 	if err != nil {
 		return nil, err
 	}
-	b := &Bundle{Root: root, Raw: rawRoot, Parts: make(map[Digest][]byte, len(root.Buckets)+1)}
+	b := &Bundle{Root: root, Raw: rawRoot, Parts: make(Parts, len(root.Buckets)+1)}
 	for _, d := range root.digests() {
-		part, ok := parts[d]
-		if !ok || DigestOf(part) != d {
-			return nil, result.New(result.BadConfiguration, "a part is missing or damaged").At(d.key())
+		part := parts[d]
+		if err := part.check(d); err != nil {
+			return nil, err
 		}
 		b.Parts[d] = part
 	}
@@ -34,7 +51,7 @@
 }
 
 // Missing returns the digests that the root names and have does not hold.
-func Missing(rawRoot []byte, have map[Digest][]byte) ([]Digest, error) {
+func Missing(rawRoot []byte, have Parts) ([]Digest, error) {
 	root, err := decodeRoot(rawRoot)
 	if err != nil {
 		return nil, err
@@ -51,8 +68,11 @@
 // Fleet decodes the description of the fleet.
 func (b *Bundle) Fleet() (contract.Fleet, error) {
 	var f contract.Fleet
-	err := json.Unmarshal(b.Parts[b.Root.Fleet], &f)
+	part, err := b.Parts[b.Root.Fleet].Bytes()
 	if err != nil {
+		return f, trace.Wrap(err)
+	}
+	if err := json.Unmarshal(part, &f); err != nil {
 		return f, result.Wrap(err, result.BadConfiguration, "the description of the fleet is damaged")
 	}
 	return f, nil
@@ -62,7 +82,7 @@
 func (b *Bundle) Contracts() ([]*contract.Contract, error) {
 	var all []*contract.Contract
 	for _, bucket := range b.Root.Buckets {
-		contracts, err := decodeBucket(b.Parts[bucket.Part])
+		contracts, err := b.Bucket(bucket.Part, nil)
 		if err != nil {
 			return nil, err
 		}
@@ -85,13 +105,20 @@
 	return contract.NewSnapshot(b.Root.Revision, fleet, contracts), nil
 }
 
-// decodeBucket decodes the contracts of one bucket.
-func decodeBucket(part []byte) ([]*contract.Contract, error) {
+// Bucket decodes the contracts of one bucket; shared may be nil.
+func (b *Bundle) Bucket(d Digest, shared *contract.Sharing) ([]*contract.Contract, error) {
+	part, err := b.Parts[d].Bytes()
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
 	var contracts []*contract.Contract
 	if err := json.Unmarshal(part, &contracts); err != nil {
 		return nil, result.Wrap(err, result.BadConfiguration, "a bucket of contracts is damaged")
 	}
-	return contracts, nil
+	if slices.Contains(contracts, nil) {
+		return nil, result.New(result.BadConfiguration, "a bucket of contracts holds an empty one").At(d.key())
+	}
+	return shared.Compact(contracts), nil
 }
 
 // encodeBucket encodes contracts in order of organisation, so that the same
--- a/configuration/load.go
+++ b/configuration/load.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"maps"
 
 	"github.com/gravitational/trace"
+	"golang.org/x/sync/errgroup"
 
 	"zinniapin/store"
 )
@@ -23,24 +25,45 @@
 
 // Complete fetches the parts of a root object that have does not hold.
 func Complete(ctx context.Context, s store.Store, rawRoot []byte, have *Bundle) (*Bundle, error) {
-	parts := map[Digest][]byte{}
+	parts := Parts{}
 	if have != nil {
-		for d, part := range have.Parts {
-			parts[d] = part
-		}
+		parts = maps.Clone(have.Parts)
 	}
 	missing, err := Missing(rawRoot, parts)
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	for _, d := range missing {
-		object, err := s.Get(ctx, store.PurposeConfiguration, d.key())
-		if err != nil {
-			return nil, trace.Wrap(err)
-		}
-		parts[d] = object.Value
+	if err := readParts(ctx, s, missing, parts); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	return Join(rawRoot, parts)
+}
+
+// parallelReads bounds the reads of parts under way at once.
+const parallelReads = 8
+
+// readParts reads parts from the store into parts.
+func readParts(ctx context.Context, s store.Store, missing []Digest, parts Parts) error {
+	read := make([]Part, len(missing))
+	readers, ctx := errgroup.WithContext(ctx)
+	readers.SetLimit(parallelReads)
+	for i, d := range missing {
+		readers.Go(func() error {
+			object, err := s.Get(ctx, store.PurposeConfiguration, d.key())
+			if err != nil {
+				return trace.Wrap(err)
+			}
+			read[i], err = partOf(d, object.Value)
+			return err
+		})
+	}
+	if err := readers.Wait(); err != nil {
+		return err
+	}
+	for i, d := range missing {
+		parts[d] = read[i]
 	}
-	return NewBundle(rawRoot, parts)
+	return nil
 }
 
 // putPart stores a part. A part that is there already is left alone, since
--- a/internal/capacity/configure.go
+++ b/internal/capacity/configure.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"sync"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -21,6 +22,12 @@
 // countingStore counts the calls and bytes of a store.
 type countingStore struct {
 	store.Store
+	mu *sync.Mutex
+	counts
+}
+
+// counts are the calls of a store and their bytes.
+type counts struct {
 	reads, writes         int
 	readBytes, wroteBytes int
 }
@@ -28,6 +35,8 @@
 // Get implements store.Store.
 func (c *countingStore) Get(ctx context.Context, p store.Purpose, key string) (store.Object, error) {
 	o, err := c.Store.Get(ctx, p, key)
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.reads++
 	c.readBytes += len(o.Value)
 	return o, err
@@ -35,8 +44,10 @@
 
 // Put implements store.Store.
 func (c *countingStore) Put(ctx context.Context, p store.Purpose, key string, value []byte, v store.Version) (store.Version, error) {
+	c.mu.Lock()
 	c.writes++
 	c.wroteBytes += len(value)
+	c.mu.Unlock()
 	return c.Store.Put(ctx, p, key, value, v)
 }
 
@@ -110,7 +121,7 @@
 // changeAmong accepts and spreads one changed contract among n.
 func changeAmong(n int) (changeCost, error) {
 	ctx := context.Background()
-	s := &countingStore{Store: objects.New()}
+	s := &countingStore{Store: objects.New(), mu: &sync.Mutex{}}
 	fleet := describedFleet()
 	first := configuration.Proposal{ID: "first", Author: "operator", Summary: "first", Fleet: &fleet, Contracts: contractsOf(n)}
 	if _, err := configuration.Accept(ctx, s, first, time.Now()); err != nil {
@@ -149,14 +160,14 @@
 		l := &holderLink{holder: watcher}
 		k := contractOf(i % n)
 		k.Limits.Concurrency = 17 + i
-		*s = countingStore{Store: s.Store}
+		s.counts = counts{}
 		var err error
 		accept := milliseconds(func() { _, err = configuration.Accept(ctx, s, proposalOf(i, k), time.Now()) })
 		if err != nil {
 			return err
 		}
-		accepted := *s
-		*s = countingStore{Store: s.Store}
+		accepted := s.counts
+		s.counts = counts{}
 		load := milliseconds(func() { err = reload(ctx, s, watcher) })
 		if err != nil {
 			return err
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -6,7 +6,7 @@
 import (
 	"context"
 	"encoding/hex"
-	"encoding/json"
+	"maps"
 	"sync"
 	"time"
 
@@ -23,7 +23,7 @@
 const (
 	// replyBytes bounds the parts in one reply; the asker repeats until it has
 	// them all.
-	replyBytes = 4 << 20
+	replyBytes = 1 << 20
 	// maxRounds bounds the replies of one fetch.
 	maxRounds = 64
 )
@@ -31,11 +31,15 @@
 // Holder keeps the configuration in force at one process. It is safe for
 // concurrent use.
 type Holder struct {
+	fetching sync.Mutex
+
+	adopting sync.Mutex // held while decoding; the fields down to mu belong to it
+	decoded  map[configuration.Digest][]*contract.Contract
+	shared   contract.Sharing
+
 	mu        sync.Mutex
-	fetching  sync.Mutex
 	bundle    *configuration.Bundle
 	snapshot  *contract.Snapshot
-	decoded   map[configuration.Digest][]*contract.Contract
 	confirmed Confirmation
 }
 
@@ -70,26 +74,30 @@
 // Adopt puts a configuration in force unless it is not newer. It returns the
 // new snapshot, or nil when nothing changed.
 func (h *Holder) Adopt(b *configuration.Bundle) (*contract.Snapshot, error) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.snapshot != nil && b.Root.Revision <= h.snapshot.Revision {
+	h.adopting.Lock()
+	defer h.adopting.Unlock()
+	before := h.Snapshot()
+	if before != nil && b.Root.Revision <= before.Revision {
 		return nil, nil
 	}
-	s, decoded, err := decode(b, h.decoded)
+	s, decoded, err := h.decode(b)
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	if h.snapshot != nil {
-		invariant.Check(s.Revision > h.snapshot.Revision, "configuration_rises",
-			"from revision %d to %d", h.snapshot.Revision, s.Revision)
+	if before != nil {
+		invariant.Check(s.Revision > before.Revision, "configuration_rises",
+			"from revision %d to %d", before.Revision, s.Revision)
 	}
-	h.bundle, h.snapshot, h.decoded = b, s, decoded
+	h.decoded = decoded
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.bundle, h.snapshot = b, s
 	return s, nil
 }
 
 // decode returns the snapshot of a bundle; buckets that were decoded before
 // are taken as they are.
-func decode(b *configuration.Bundle, before map[configuration.Digest][]*contract.Contract) (*contract.Snapshot, map[configuration.Digest][]*contract.Contract, error) {
+func (h *Holder) decode(b *configuration.Bundle) (*contract.Snapshot, map[configuration.Digest][]*contract.Contract, error) {
 	fleet, err := b.Fleet()
 	if err != nil {
 		return nil, nil, err
@@ -97,10 +105,10 @@
 	decoded := make(map[configuration.Digest][]*contract.Contract, len(b.Root.Buckets))
 	var all []*contract.Contract
 	for _, bucket := range b.Root.Buckets {
-		contracts, ok := before[bucket.Part]
+		contracts, ok := h.decoded[bucket.Part]
 		if !ok {
-			if err := json.Unmarshal(b.Parts[bucket.Part], &contracts); err != nil {
-				return nil, nil, result.Wrap(err, result.BadConfiguration, "a bucket of contracts is damaged")
+			if contracts, err = b.Bucket(bucket.Part, &h.shared); err != nil {
+				return nil, nil, err
 			}
 		}
 		decoded[bucket.Part] = contracts
@@ -153,8 +161,12 @@
 		if err != nil || have[string(raw)] || size > replyBytes {
 			continue
 		}
-		reply.Parts = append(reply.Parts, part)
-		size += len(part)
+		plain, err := part.Bytes()
+		if err != nil {
+			continue
+		}
+		reply.Parts = append(reply.Parts, plain)
+		size += part.Size()
 	}
 	return reply
 }
@@ -176,13 +188,11 @@
 
 // fetch gathers the root and the parts that are missing.
 func fetch(ctx context.Context, from link.Link, have *configuration.Bundle) (*configuration.Bundle, error) {
-	parts := map[configuration.Digest][]byte{}
+	parts := configuration.Parts{}
 	var revision contract.Revision
 	if have != nil {
 		revision = have.Root.Revision
-		for d, part := range have.Parts {
-			parts[d] = part
-		}
+		parts = maps.Clone(have.Parts)
 	}
 	for range maxRounds {
 		reply, err := ask(ctx, from, revision, parts)
@@ -190,14 +200,16 @@
 			return nil, trace.Wrap(err)
 		}
 		for _, part := range reply.Parts {
-			parts[configuration.DigestOf(part)] = part
+			if err := parts.Add(part); err != nil {
+				return nil, trace.Wrap(err)
+			}
 		}
 		missing, err := configuration.Missing(reply.Root, parts)
 		if err != nil {
 			return nil, trace.Wrap(err)
 		}
 		if len(missing) == 0 {
-			return configuration.NewBundle(reply.Root, parts)
+			return configuration.Join(reply.Root, parts)
 		}
 		if len(reply.Parts) == 0 {
 			break
@@ -207,7 +219,7 @@
 }
 
 // ask sends one request for configuration.
-func ask(ctx context.Context, from link.Link, revision contract.Revision, parts map[configuration.Digest][]byte) (*wire.ConfigReply, error) {
+func ask(ctx context.Context, from link.Link, revision contract.Revision, parts configuration.Parts) (*wire.ConfigReply, error) {
 	q := &wire.ConfigRequest{HaveRevision: uint64(revision)}
 	for d := range parts {
 		raw, err := hex.DecodeString(string(d))
