--- a/contract/contract.go
+++ b/contract/contract.go
@@ -155,31 +155,31 @@
 	Fleet     Fleet
 	Contracts map[string]*Contract // by organisation
 
-	keys     map[string]keyOwner // by fingerprint
+	keys     *keyIndex
 	models   map[string]*Model
 	services map[string]*Service
 	zones    map[zone.Name]zone.Zone
 }
 
-// keyOwner is whom a key belongs to.
-type keyOwner struct {
-	contract *Contract
-	key      *Key
-}
-
 // NewSnapshot indexes a configuration. The parts must have been validated.
 func NewSnapshot(r Revision, f Fleet, contracts []*Contract) *Snapshot {
-	s := &Snapshot{
-		Revision:  r,
-		Fleet:     f,
-		Contracts: make(map[string]*Contract, len(contracts)),
-		keys:      make(map[string]keyOwner, len(contracts)),
-		models:    make(map[string]*Model, len(f.Models)),
-		services:  make(map[string]*Service, len(f.Services)),
-		zones:     make(map[zone.Name]zone.Zone, len(f.Zones)),
-	}
+	s := newSnapshot(r, f)
+	s.Contracts = make(map[string]*Contract, len(contracts))
 	for _, c := range contracts {
-		s.addContract(c)
+		s.Contracts[c.Organisation] = c
+	}
+	s.keys = newKeyIndex(contracts)
+	return s
+}
+
+// newSnapshot indexes the description of a fleet.
+func newSnapshot(r Revision, f Fleet) *Snapshot {
+	s := &Snapshot{
+		Revision: r,
+		Fleet:    f,
+		models:   make(map[string]*Model, len(f.Models)),
+		services: make(map[string]*Service, len(f.Services)),
+		zones:    make(map[zone.Name]zone.Zone, len(f.Zones)),
 	}
 	for i := range f.Models {
 		s.models[f.Models[i].Name] = &f.Models[i]
@@ -193,14 +193,6 @@
 	return s
 }
 
-// addContract indexes a contract and its keys.
-func (s *Snapshot) addContract(c *Contract) {
-	s.Contracts[c.Organisation] = c
-	for i := range c.Keys {
-		s.keys[c.Keys[i].Fingerprint] = keyOwner{c, &c.Keys[i]}
-	}
-}
-
 // Model returns the model, or nil.
 func (s *Snapshot) Model(name string) *Model {
 	return s.models[name]
--- a/contract/key.go
+++ b/contract/key.go
@@ -3,7 +3,6 @@
 import (
 	"crypto/rand"
 	"crypto/sha256"
-	"crypto/subtle"
 	"encoding/base64"
 	"encoding/hex"
 
@@ -33,13 +32,9 @@
 // belongs to. It refuses unknown and withdrawn keys with one and the same
 // code, so that a caller learns nothing about other keys.
 func (s *Snapshot) Authenticate(fingerprint string) (*Contract, error) {
-	owner, ok := s.keys[fingerprint]
-	if !ok {
+	owner, key := s.keys.find(fingerprint)
+	if key == nil || key.Withdrawn {
 		return nil, result.New(result.BadKey, "the key is not valid").At("header Authorization")
 	}
-	same := subtle.ConstantTimeCompare([]byte(owner.key.Fingerprint), []byte(fingerprint)) == 1
-	if !same || owner.key.Withdrawn {
-		return nil, result.New(result.BadKey, "the key is not valid").At("header Authorization")
-	}
-	return owner.contract, nil
+	return owner, nil
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -34,7 +34,7 @@
 	fetching sync.Mutex
 
 	adopting sync.Mutex // held while decoding; the fields down to mu belong to it
-	decoded  map[configuration.Digest][]*contract.Contract
+	decoded  buckets
 	shared   contract.Sharing
 
 	mu        sync.Mutex
@@ -80,7 +80,7 @@
 	if before != nil && b.Root.Revision <= before.Revision {
 		return nil, nil
 	}
-	s, decoded, err := h.decode(b)
+	s, decoded, err := h.decode(b, before)
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
@@ -95,28 +95,6 @@
 	return s, nil
 }
 
-// decode returns the snapshot of a bundle; buckets that were decoded before
-// are taken as they are.
-func (h *Holder) decode(b *configuration.Bundle) (*contract.Snapshot, map[configuration.Digest][]*contract.Contract, error) {
-	fleet, err := b.Fleet()
-	if err != nil {
-		return nil, nil, err
-	}
-	decoded := make(map[configuration.Digest][]*contract.Contract, len(b.Root.Buckets))
-	var all []*contract.Contract
-	for _, bucket := range b.Root.Buckets {
-		contracts, ok := h.decoded[bucket.Part]
-		if !ok {
-			if contracts, err = b.Bucket(bucket.Part, &h.shared); err != nil {
-				return nil, nil, err
-			}
-		}
-		decoded[bucket.Part] = contracts
-		all = append(all, contracts...)
-	}
-	return contract.NewSnapshot(b.Root.Revision, fleet, all), decoded, nil
-}
-
 // Confirm takes in that a revision was the newest at the store at a time.
 func (h *Holder) Confirm(revision contract.Revision, at time.Time) {
 	h.mu.Lock()
