Read each part once for a change by an operator

Cause: a command loaded the configuration for its edit, and the acceptance loaded it again from nothing, as did each following up of a lost answer: at 16,000 organisations 2 x 257 parts. Change: the backend remembers the newest configuration read and a proposal carries it (Proposal.Known); its digests are checked already. Ruled out: one List of the parts, which would also return those that no root names any more.

--- a/configuration/accept.go
+++ b/configuration/accept.go
@@ -28,6 +28,9 @@
 	Contracts []*contract.Contract
 	// Remove names organisations whose contracts end.
 	Remove []string
+	// Known is a configuration that the caller holds, of any revision; its
+	// parts are not read again. It may be nil.
+	Known *Bundle
 }
 
 // acceptAttempts bounds how often a lost answer is followed up.
@@ -41,7 +44,7 @@
 func Accept(ctx context.Context, s store.Store, p Proposal, now time.Time) (contract.Revision, error) {
 	var unknown error
 	for range acceptAttempts {
-		revision, err := accept(ctx, s, p, now)
+		revision, err := accept(ctx, s, &p, now)
 		if errors.Is(err, store.ErrUnknown) {
 			unknown = err
 			continue
@@ -55,15 +58,16 @@
 	return 0, store.Describe(unknown)
 }
 
-// accept makes one attempt at a proposal.
-func accept(ctx context.Context, s store.Store, p Proposal, now time.Time) (contract.Revision, error) {
-	current, version, err := Load(ctx, s, nil)
+// accept makes one attempt at a proposal. What it reads becomes known.
+func accept(ctx context.Context, s store.Store, p *Proposal, now time.Time) (contract.Revision, error) {
+	current, version, err := Load(ctx, s, p.Known)
 	if errors.Is(err, store.ErrNotFound) {
 		current, version, err = &Bundle{Root: &Root{}, Parts: Parts{}}, store.Absent, nil
 	}
 	if err != nil {
 		return 0, trace.Wrap(err)
 	}
+	p.Known = current
 	if done := current.Root.change(p.ID); done != nil {
 		return done.Revision, nil
 	}
@@ -73,7 +77,7 @@
 	if current.Root.Revision != p.Base {
 		return 0, raceLost(current.Root, p.Base)
 	}
-	next, err := apply(ctx, s, current, p, now)
+	next, err := apply(ctx, s, current, *p, now)
 	if err != nil {
 		return 0, trace.Wrap(err)
 	}
--- a/operator/change.go
+++ b/operator/change.go
@@ -28,13 +28,18 @@
 	InForce  bool              `json:"in_force"`
 }
 
-// load reads the accepted configuration; none yet is an empty one.
+// load reads the accepted configuration; none yet is an empty one. The backend
+// remembers it, so that its parts are not read again.
 func load(ctx context.Context, b *Backend) (*configuration.Bundle, error) {
-	bundle, _, err := configuration.Load(ctx, b.Store, nil)
+	bundle, _, err := configuration.Load(ctx, b.Store, b.known.Load())
 	if errors.Is(err, store.ErrNotFound) {
 		return nil, nil
 	}
-	return bundle, store.Describe(err)
+	if err != nil {
+		return nil, store.Describe(err)
+	}
+	b.known.Store(bundle)
+	return bundle, nil
 }
 
 // snapshot reads the accepted configuration and indexes it.
@@ -76,6 +81,7 @@
 func (a *app) propose(ctx context.Context, b *Backend, p configuration.Proposal, w waitOptions) (accepted, error) {
 	p.ID = newChangeID()
 	p.Author = b.Author
+	p.Known = b.known.Load()
 	call, cancel := context.WithTimeout(ctx, b.Timeout)
 	defer cancel()
 	revision, err := configuration.Accept(call, b.Store, p, a.now())
--- a/operator/command.go
+++ b/operator/command.go
@@ -9,10 +9,12 @@
 	"fmt"
 	"io"
 	"os"
+	"sync/atomic"
 	"time"
 
 	"github.com/jessevdk/go-flags"
 
+	"zinniapin/configuration"
 	"zinniapin/result"
 	"zinniapin/settings"
 	"zinniapin/store"
@@ -43,6 +45,8 @@
 	Author  string
 	Timeout time.Duration // of one command without --wait
 	Close   func()
+
+	known atomic.Pointer[configuration.Bundle] // the newest configuration read, or nil
 }
 
 // Connect makes the backend that the settings name.
