Delete parts that no root has named for long

Cause: parts that a change left behind stayed in the store for ever. A change that leaves the fleet alone no longer writes its part. Ruled out: listing the parts, which reads 7.5 MB and more; ages by the clock alone, since a writer may name an old part again at any time. Parts written for a change that was then refused are not noted and stay.

--- a/configuration/accept.go
+++ b/configuration/accept.go
@@ -125,8 +125,10 @@
 	next := *current.Root
 	next.Buckets = append([]Bucket(nil), current.Root.Buckets...)
 	next.Revision++
-	if next.Fleet, err = putJSON(ctx, s, fleet); err != nil {
-		return nil, err
+	if p.Fleet != nil {
+		if next.Fleet, err = putJSON(ctx, s, fleet); err != nil {
+			return nil, err
+		}
 	}
 	if err := putBuckets(ctx, s, &next, contracts, touched(p)); err != nil {
 		return nil, err
--- a/configuration/load.go
+++ b/configuration/load.go
@@ -66,13 +66,26 @@
 	return nil
 }
 
-// putPart stores a part. A part that is there already is left alone, since
-// its name is the digest of its content.
+// renewAttempts bounds how often a part that others write or delete at the
+// same time is written.
+const renewAttempts = 8
+
+// putPart stores a part. One that is there already gets a new version with the
+// same content, so that no collection begun before deletes it.
 func putPart(ctx context.Context, s store.Store, part []byte) (Digest, error) {
 	d := DigestOf(part)
-	_, err := s.Put(ctx, store.PurposeConfiguration, d.key(), part, store.Absent)
-	if errors.Is(err, store.ErrConflict) {
-		return d, nil
+	version := store.Absent
+	var err error
+	for range renewAttempts {
+		_, err = s.Put(ctx, store.PurposeConfiguration, d.key(), part, version)
+		if !errors.Is(err, store.ErrConflict) {
+			return d, trace.Wrap(err)
+		}
+		object, err := s.Get(ctx, store.PurposeConfiguration, d.key())
+		if err != nil && !errors.Is(err, store.ErrNotFound) {
+			return d, trace.Wrap(err)
+		}
+		version = object.Version
 	}
 	return d, trace.Wrap(err)
 }
--- a/operator/change.go
+++ b/operator/change.go
@@ -88,6 +88,11 @@
 	if err != nil {
 		return accepted{}, err
 	}
+	if p.Known != nil && p.Known.Root.Revision == p.Base {
+		// What is not collected stays in the store and harms nothing, so the
+		// change is reported as accepted all the same.
+		_ = configuration.Collect(call, b.Store, p.Known, a.now())
+	}
 	done := accepted{Revision: revision, Change: p.Summary}
 	if !w.Wait {
 		return done, nil
