--- a/configuration/collect.go
+++ b/configuration/collect.go
@@ -31,7 +31,7 @@
 	age       time.Duration
 }
 
-// kept is the retention in use. A reader of a root has all its parts within 65
+// kept is the retention in use. A reader of a root has all its parts within 66
 // seconds or gives up: 257 reads, 8 at a time, of 2 s each at most.
 var kept = retention{revisions: recentChanges, age: time.Hour}
 
