Send no heartbeats over links that were opened for single calls

Cause: a controller exchanged heartbeats over every link that another one opened, also those for grants, loads and usage. Ruled out: a mark in the Hello, which older processes would not understand. Change: an accepted link becomes a peer's once the opener sent a heartbeat. The bytes saved at 390 hosts were not measured.

--- a/controller/peers.go
+++ b/controller/peers.go
@@ -113,7 +113,22 @@
 		}()
 	}
 	if l.Peer().Role == machine.Controller {
-		go k.keepPeer(ctx, l, false)
+		first := k.links.awaitHeartbeat(l)
+		go k.keepAccepted(ctx, l, first)
+	}
+}
+
+// keepAccepted exchanges heartbeats over a link that another controller opened
+// once that one has sent the first. A link that was opened for single calls
+// never becomes that of a peer, and its end says nothing of its process.
+func (k *Controller) keepAccepted(ctx context.Context, l link.Link, first <-chan struct{}) {
+	select {
+	case <-first:
+		k.keepPeer(ctx, l, false)
+	case <-l.Done():
+		k.links.forgetSilent(l)
+	case <-ctx.Done():
+		_ = l.Close()
 	}
 }
 
--- a/controller/registry.go
+++ b/controller/registry.go
@@ -16,6 +16,8 @@
 	peers    map[machine.HostID]*peer
 	dialling map[string]time.Time // addresses, and when to try again
 	direct   map[string]*directLink
+	// silent are links that controllers opened and sent no heartbeat over yet.
+	silent map[link.Link]chan struct{}
 }
 
 // peer is a link to another controller.
@@ -43,6 +45,7 @@
 		peers:    map[machine.HostID]*peer{},
 		dialling: map[string]time.Time{},
 		direct:   map[string]*directLink{},
+		silent:   map[link.Link]chan struct{}{},
 	}
 }
 
@@ -122,6 +125,33 @@
 	return p
 }
 
+// awaitHeartbeat notes a link that another controller opened and returns what
+// is closed with the first heartbeat over it.
+func (r *registry) awaitHeartbeat(l link.Link) <-chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	first := make(chan struct{})
+	r.silent[l] = first
+	return first
+}
+
+// heardFirst notes a heartbeat over a link that another controller opened.
+func (r *registry) heardFirst(l link.Link) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if first, ok := r.silent[l]; ok {
+		close(first)
+		delete(r.silent, l)
+	}
+}
+
+// forgetSilent forgets a link that ended without a heartbeat.
+func (r *registry) forgetSilent(l link.Link) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.silent, l)
+}
+
 // alive tells whether a link has not ended.
 func alive(l link.Link) bool {
 	select {
--- a/controller/serve.go
+++ b/controller/serve.go
@@ -62,6 +62,7 @@
 	if contract.Revision(q.ConfigRevision) > k.holder.Revision() {
 		go k.fetchNewer(from)
 	}
+	k.links.heardFirst(from)
 	reply := k.heartbeatBase()
 	peer := from.Peer()
 	now := time.Now()
--- /dev/null
+++ b/controller/temporary_test.go
@@ -0,0 +1,61 @@
+package controller
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"zinniapin/membership"
+)
+
+// unlinkedPair returns a controller and one that it knows but is not linked
+// to, or nil.
+func (f *fleet) unlinkedPair() (*Controller, membership.Member) {
+	for _, k := range f.running {
+		linked := k.links.linked()
+		for _, m := range membership.Controllers(k.Members(), "") {
+			if !linked[m.Process.Host] && m.Process.Host != k.config.Self.Host {
+				return k, m
+			}
+		}
+	}
+	return nil, membership.Member{}
+}
+
+// TestLinkForSingleCallsIsNoPeer opens a link for a call between controllers
+// of a fleet in which not all are linked: the other side sends no heartbeats
+// over it, and its end casts no doubt on this process.
+func TestLinkForSingleCallsIsNoPeer(t *testing.T) {
+	const hosts = 22
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, hosts)
+		r := f.accept(0, 100)
+		all := make([]int, hosts)
+		for i := range all {
+			all[i] = i
+		}
+		f.within(14*time.Second, "configured", func() bool { return f.everywhere(r, all...) })
+		time.Sleep(2 * time.Minute) // the choice of links settles
+		var self *Controller
+		var other membership.Member
+		f.within(time.Minute, "two are not linked", func() bool {
+			self, other = f.unlinkedPair()
+			return self != nil
+		})
+		l, err := self.direct(f.ctx, other.Process)
+		is.NoErr(err)
+		time.Sleep(5 * time.Second)
+		for _, k := range f.running {
+			if k != nil && k.config.Self.Host == other.Process.Host {
+				is.True(!k.links.linked()[self.config.Self.Host])
+			}
+		}
+		refuted := self.members.Refuted()
+		is.NoErr(l.Close())
+		time.Sleep(5 * time.Second)
+		is.Equal(self.members.Refuted(), refuted) // nobody doubted it
+	})
+}
