--- a/authority/executor.go
+++ b/authority/executor.go
@@ -1,6 +1,7 @@
 package authority
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"sync"
@@ -63,18 +64,10 @@
 
 // withDefaults fills the zero values.
 func (o Options) withDefaults() Options {
-	if o.Settle == 0 {
-		o.Settle = defaultSettle
-	}
-	if o.Patience == 0 {
-		o.Patience = defaultPatience
-	}
-	if o.Poll == 0 {
-		o.Poll = defaultPoll
-	}
-	if o.CallTimeout == 0 {
-		o.CallTimeout = defaultCallTimeout
-	}
+	o.Settle = cmp.Or(o.Settle, defaultSettle)
+	o.Patience = cmp.Or(o.Patience, defaultPatience)
+	o.Poll = cmp.Or(o.Poll, defaultPoll)
+	o.CallTimeout = cmp.Or(o.CallTimeout, defaultCallTimeout)
 	if o.Now == nil {
 		o.Now = time.Now
 	}
--- a/claim/stored.go
+++ b/claim/stored.go
@@ -1,6 +1,7 @@
 package claim
 
 import (
+	"cmp"
 	"context"
 	"crypto/rand"
 	"encoding/hex"
@@ -57,12 +58,12 @@
 
 // withDefaults fills the zero values.
 func (o Options) withDefaults() Options {
-	setDefault(&o.OrphanAfter, defaultOrphanAfter)
-	setDefault(&o.RetryAfter, defaultRetryAfter)
-	setDefault(&o.MaxAnswerBytes, defaultMaxAnswerBytes)
-	setDefault(&o.MaxPending, defaultMaxPending)
-	setDefault(&o.MaxPendingBytes, defaultMaxPendingBytes)
-	setDefault(&o.RetryEvery, defaultRetryEvery)
+	o.OrphanAfter = cmp.Or(o.OrphanAfter, defaultOrphanAfter)
+	o.RetryAfter = cmp.Or(o.RetryAfter, defaultRetryAfter)
+	o.MaxAnswerBytes = cmp.Or(o.MaxAnswerBytes, defaultMaxAnswerBytes)
+	o.MaxPending = cmp.Or(o.MaxPending, defaultMaxPending)
+	o.MaxPendingBytes = cmp.Or(o.MaxPendingBytes, defaultMaxPendingBytes)
+	o.RetryEvery = cmp.Or(o.RetryEvery, defaultRetryEvery)
 	if o.Now == nil {
 		o.Now = time.Now
 	}
@@ -73,14 +74,6 @@
 	return o
 }
 
-// setDefault replaces a zero value.
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // held is a claim that this process holds a ticket for.
 type held struct {
 	key     string
--- a/planning/planning.go
+++ b/planning/planning.go
@@ -8,6 +8,7 @@
 package planning
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"time"
@@ -74,12 +75,12 @@
 
 // withDefaults fills the zero values.
 func (o Options) withDefaults() Options {
-	setDefault(&o.Tick, defaultTick)
-	setDefault(&o.DrainLimit, defaultDrainLimit)
-	setDefault(&o.ChangeLimit, defaultChangeLimit)
-	setDefault(&o.IdlePoll, defaultIdlePoll)
-	setDefault(&o.OrphanAfter, defaultOrphanAfter)
-	setDefault(&o.ListEvery, defaultListEvery)
+	o.Tick = cmp.Or(o.Tick, defaultTick)
+	o.DrainLimit = cmp.Or(o.DrainLimit, defaultDrainLimit)
+	o.ChangeLimit = cmp.Or(o.ChangeLimit, defaultChangeLimit)
+	o.IdlePoll = cmp.Or(o.IdlePoll, defaultIdlePoll)
+	o.OrphanAfter = cmp.Or(o.OrphanAfter, defaultOrphanAfter)
+	o.ListEvery = cmp.Or(o.ListEvery, defaultListEvery)
 	if o.Log == nil {
 		none := zerolog.Nop()
 		o.Log = &none
@@ -87,13 +88,6 @@
 	return o
 }
 
-// setDefault replaces a zero duration.
-func setDefault(field *time.Duration, value time.Duration) {
-	if *field == 0 {
-		*field = value
-	}
-}
-
 // Planning plans for the pools that its controller owns. It is safe for
 // concurrent use.
 type Planning struct {
--- a/result/codes_authority.go
+++ b/result/codes_authority.go
@@ -9,5 +9,4 @@
 	OrderUnknown       = define(4101, "order_outcome_unknown", http.StatusServiceUnavailable, exitTimeout, "The order was sent and its outcome is not yet known; it stays open.", "The engine's own state settles it; ask again.")
 	OrderStale         = define(4102, "order_stale", http.StatusConflict, exitConflict, "The order's author has lost its authority; the order had no effect.", "Read the present state and decide again.")
 	OrderNone          = define(4103, "no_open_order", http.StatusNotFound, exitNotFound, "No order is open there.", "List the open orders.")
-	WindowFrozen       = define(4150, "window_frozen", http.StatusConflict, exitConflict, "The usage window is frozen; its figures no longer change.", "Count the usage into an open window.")
 )
--- a/usage/windows.go
+++ b/usage/windows.go
@@ -1,6 +1,7 @@
 package usage
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"maps"
@@ -46,11 +47,11 @@
 
 // withDefaults fills the zero values.
 func (o Options) withDefaults() Options {
-	setDefault(&o.Length, defaultLength)
-	setDefault(&o.Shards, DefaultShards)
-	setDefault(&o.Grace, defaultGrace)
-	setDefault(&o.CommitEvery, defaultCommitEvery)
-	setDefault(&o.MaxPending, defaultMaxPending)
+	o.Length = cmp.Or(o.Length, defaultLength)
+	o.Shards = cmp.Or(o.Shards, DefaultShards)
+	o.Grace = cmp.Or(o.Grace, defaultGrace)
+	o.CommitEvery = cmp.Or(o.CommitEvery, defaultCommitEvery)
+	o.MaxPending = cmp.Or(o.MaxPending, defaultMaxPending)
 	if o.Now == nil {
 		o.Now = time.Now
 	}
@@ -61,14 +62,6 @@
 	return o
 }
 
-// setDefault replaces a zero value.
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // Windows is a controller's part in usage: it merges counters into the
 // windows in the object API and freezes windows. Any number of controllers
 // may do so at once. It is safe for concurrent use.
