Mend what a reading of claims and planning found

Causes, each found by reading: - claims were kept without a logger, so events 4000 to 4003 never appeared; - a flush at shutdown could say that nothing is pending while a pass had the last end in hand, and it tried once, not for as long as flush_ms allows; - a controller's calls of the object API were not counted in its metrics; - a change refused because another author's order is open lifted the cordon while that order could still cut what runs; when the caller gave up during a read, the refusal read as an unavailable store; - a purchase whose outcome is unknown counted as refused and could be repeated; - a probe of another author's order read the list of hosts every 500 ms. Change: passes go one at a time and Drain flushes until time is up; a caller that gives up while another's order is followed is told that it is blocked; the rest as named. Proof of an author's end is looked for every 5 s at most. The metrics, the log line and the unknown purchase have no test.

--- a/authority/agent.go
+++ b/authority/agent.go
@@ -117,6 +117,9 @@
 func (a *Agent) cancel() Action {
 	switch a.phase {
 	case reading:
+		if a.watch.id != "" && !a.watch.settled {
+			return a.withdrawOr(Blocked)
+		}
 		return a.withdrawOr(Unavailable)
 	case blocked:
 		return a.finish(Blocked)
--- a/claim/ending.go
+++ b/claim/ending.go
@@ -105,8 +105,15 @@
 	return s.pending.len()
 }
 
-// Flush tries every pending end once. It returns ErrPending when some remain.
+// Flush tries every pending end once, those included that Run has in hand. It
+// returns ErrPending when some remain.
 func (s *Stored) Flush(ctx context.Context) error {
+	select {
+	case s.passing <- struct{}{}:
+		defer func() { <-s.passing }()
+	case <-ctx.Done():
+		return trace.Wrap(ErrPending)
+	}
 	for range s.pending.len() {
 		e, ok := s.pending.next()
 		if !ok {
@@ -127,6 +134,24 @@
 	return nil
 }
 
+// Drain flushes until no end is pending, or until ctx ends: then it returns
+// ErrPending.
+func (s *Stored) Drain(ctx context.Context) error {
+	for {
+		err := s.Flush(ctx)
+		if err == nil {
+			return nil
+		}
+		pause := time.NewTimer(s.options.RetryEvery)
+		select {
+		case <-pause.C:
+		case <-ctx.Done():
+			pause.Stop()
+			return err
+		}
+	}
+}
+
 // Run retries pending ends until the context ends.
 func (s *Stored) Run(ctx context.Context) {
 	tick := time.NewTicker(s.options.RetryEvery)
--- a/claim/stored.go
+++ b/claim/stored.go
@@ -90,6 +90,7 @@
 	mu      sync.Mutex
 	tickets map[string]held // by attempt
 	pending *backlog
+	passing chan struct{} // holds the one right to pass over the pending ends
 }
 
 var _ Registry = (*Stored)(nil)
@@ -102,6 +103,7 @@
 		options: options,
 		tickets: map[string]held{},
 		pending: newBacklog(options.MaxPending, options.MaxPendingBytes),
+		passing: make(chan struct{}, 1),
 	}
 }
 
--- a/cmd/zinnia-controller/main.go
+++ b/cmd/zinnia-controller/main.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/jessevdk/go-flags"
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
 	"zinniapin/controller"
@@ -54,7 +55,8 @@
 	if err := settings.Load(o.Settings, s); err != nil {
 		return err
 	}
-	config, err := configure(s)
+	metrics := daemon.NewRegistry()
+	config, err := configure(s, metrics)
 	if err != nil {
 		return err
 	}
@@ -63,7 +65,7 @@
 		return nil
 	}
 	daemon.SetGCPercent(s.GCPercent)
-	return serve(s, config)
+	return serve(s, config, metrics)
 }
 
 // Share of one controller in the calls of the object API.
@@ -73,7 +75,7 @@
 )
 
 // configure builds the controller's configuration.
-func configure(s *settings.Controller) (controller.Config, error) {
+func configure(s *settings.Controller, metrics *prometheus.Registry) (controller.Config, error) {
 	log := daemon.NewLogger(os.Stderr, s.Log.Level, "zinnia-controller", s.Host)
 	secured, err := yamuxlink.LoadTLS(s.TLS)
 	if err != nil {
@@ -89,6 +91,7 @@
 	seed := rand.Uint64()
 	timeout := time.Duration(s.Platform.TimeoutMillis) * time.Millisecond
 	objects := budget.New(httpstore.New(s.Platform.Objects, timeout), budget.Options{Rate: storeRate, Burst: storeBurst, Seed: seed})
+	metrics.MustRegister(objects.Collector())
 	return controller.Config{
 		Self:         self,
 		Seeds:        s.Seeds,
@@ -104,13 +107,12 @@
 }
 
 // serve runs the controller until a signal ends it.
-func serve(s *settings.Controller, config controller.Config) error {
+func serve(s *settings.Controller, config controller.Config, metrics *prometheus.Registry) error {
 	log := config.Log
 	invariant.SetLogger(log)
 	graceful, immediate, stopSignals := daemon.Signals(context.Background())
 	defer stopSignals()
 	k := controller.New(config)
-	metrics := daemon.NewRegistry()
 	if err := k.Register(metrics); err != nil {
 		return err
 	}
--- a/cmd/zinnia-controller/main_test.go
+++ b/cmd/zinnia-controller/main_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
 	"zinniapin/configuration"
@@ -112,7 +113,7 @@
 	for i, address := range seeds {
 		host := fmt.Sprint("host-", i)
 		is.NoErr(authority.WriteHost(directory, host))
-		config, err := configure(settingsOf(t, directory, host, address, seeds))
+		config, err := configure(settingsOf(t, directory, host, address, seeds), prometheus.NewRegistry())
 		is.NoErr(err)
 		log := zerolog.Nop()
 		config.Store, config.Hosts, config.Log = kept, nil, &log
--- a/cmd/zinnia-gateway/serve.go
+++ b/cmd/zinnia-gateway/serve.go
@@ -71,7 +71,7 @@
 func (p *parts) end(immediate context.Context, s settings.Gateway) error {
 	ctx, cancel := context.WithTimeout(immediate, settings.Millis(s.FlushMillis))
 	defer cancel()
-	err := p.claims.Flush(ctx)
+	err := p.claims.Drain(ctx)
 	p.engines.Close()
 	p.objects.Close()
 	return trace.Wrap(err)
@@ -103,7 +103,7 @@
 		OnState: func(reachable bool) { event.StoreStateChanged.Log(&log).Bool("reachable", reachable).Send() },
 	})
 	registry.MustRegister(limited.Collector())
-	claims := claim.NewStored(limited, claim.Options{})
+	claims := claim.NewStored(limited, claim.Options{Log: &log})
 	links := uplink.New(uplink.Config{
 		Self:    self,
 		Own:     s.Controllers[0],
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -102,7 +102,7 @@
 		gatewayLoads:  newLoadTable(),
 		planLoads:     newLoadTable(),
 	}
-	proofs := &liveness{controller: k, ended: map[string]bool{}}
+	proofs := &liveness{controller: k, ended: map[string]bool{}, looked: map[string]time.Time{}}
 	k.executor = authority.NewExecutor(c.Store, c.Self.ID(), proofs, authority.Options{Log: c.Log})
 	if c.TargetOrders != nil && c.Orders != nil {
 		k.plan = planning.New(planFleet{k}, k.executor, c.Orders, c.TargetOrders, planning.Options{Log: c.Log})
--- a/controller/liveness.go
+++ b/controller/liveness.go
@@ -24,8 +24,29 @@
 type liveness struct {
 	controller *Controller
 
-	mu    sync.Mutex
-	ended map[string]bool // proofs do not expire
+	mu     sync.Mutex
+	ended  map[string]bool      // proofs do not expire
+	looked map[string]time.Time // when no proof was found last
+}
+
+// proofInterval is how often it is looked for proof; each look costs a read of
+// the list of hosts and a dial.
+const proofInterval = 5 * time.Second
+
+// due tells whether to look for proof now, and notes that it is looked.
+func (v *liveness) due(author string, now time.Time) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if now.Sub(v.looked[author]) < proofInterval {
+		return false
+	}
+	for id, at := range v.looked {
+		if now.Sub(at) >= proofInterval {
+			delete(v.looked, id)
+		}
+	}
+	v.looked[author] = now
+	return true
 }
 
 var _ authority.Liveness = (*liveness)(nil)
@@ -38,6 +59,9 @@
 	if known {
 		return true
 	}
+	if !v.due(author, time.Now()) {
+		return false
+	}
 	host, _, _ := strings.Cut(author, "/")
 	if !v.hostGone(host) && !v.replaced(host, author) {
 		return false
--- a/planning/planning_test.go
+++ b/planning/planning_test.go
@@ -16,6 +16,7 @@
 	"zinniapin/internal/standin/objects"
 	"zinniapin/placement"
 	"zinniapin/platform"
+	"zinniapin/result"
 	"zinniapin/spending"
 	"zinniapin/target"
 	"zinniapin/zone"
@@ -318,3 +319,22 @@
 		is.True(r.targets.orders[0].ID != "" && r.targets.orders[0].Fence > 0)
 	})
 }
+
+// TestForeignOpenOrderKeepsTheCordon is refused by another author's open
+// order, which may yet take effect: the engine stays cordoned.
+func TestForeignOpenOrderKeepsTheCordon(t *testing.T) {
+	run(t, func(t *testing.T, r *rig) {
+		is := is.New(t)
+		other := authority.NewExecutor(r.store, "other", alive{}, authority.Options{})
+		defer other.Close()
+		silent := &fakeOrders{fleet: r.fleet, err: target.ErrBroken}
+		held, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		_, _ = other.Engine(held, silent, r.fleet.state.Target, authority.Change{Kind: target.OrderRole, Role: target.Decode})
+		r.options.ChangeLimit = 30 * time.Second // less than the other's order takes to settle
+		err := r.change(t.Context(), step)
+		is.Equal(result.CodeOf(err), result.OrderOpen)
+		is.Equal(r.orders.count(), 0)
+		is.True(r.fleet.cordoned())
+	})
+}
--- a/planning/purchases.go
+++ b/planning/purchases.go
@@ -9,6 +9,7 @@
 	"zinniapin/control"
 	"zinniapin/event"
 	"zinniapin/platform"
+	"zinniapin/result"
 	"zinniapin/spending"
 	"zinniapin/zone"
 )
@@ -98,10 +99,14 @@
 		p.release(ctx, step)
 		return
 	}
-	granted, _ := p.askPlatform(ctx, step)
+	granted, err := p.askPlatform(ctx, step)
+	accepted := granted.Accepted
+	if result.CodeOf(err) == result.OrderUnknown {
+		accepted = step.Count // they may come; nothing is bought twice for them
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.purchases.Ordered(time.Now(), step, granted.Accepted)
+	p.purchases.Ordered(time.Now(), step, accepted)
 }
 
 // release drains a target and gives it back. It returns to the gateways only
--- a/planning/roles.go
+++ b/planning/roles.go
@@ -141,12 +141,16 @@
 }
 
 // closed waits until this process has no open order to a unit, and returns
-// false when ctx ends first. It need not wait after an error that tells the
-// outcome: such an order can no longer take effect.
+// false when ctx ends first or when the open order is another author's: the
+// cordon then stands until nobody has an order open, see liftOrphans. It need
+// not wait after an error that tells the outcome: such an order can no longer
+// take effect.
 func (p *Planning) closed(ctx context.Context, unit string, err error) bool {
 	switch result.CodeOf(err) {
-	case result.OrderUnknown, result.OrderOpen:
+	case result.OrderUnknown:
 		return p.executor.Closed(ctx, unit) == nil
+	case result.OrderOpen:
+		return false
 	default:
 		return true
 	}
