Plan on without the list of open orders, and count work that was taken in

Cause: in a live run under load planning stood still for good 20 s after a swing: it waited in the budget of the object API for a call of the lowest purpose, which usage starved. Demand was 20 times too high, since a caller that is refused comes back and its prompt counted each time. Ruled out: a deadlock (the stack of the controller shows the wait in budget). Change: the list of open orders has the purpose of orders and one second; prompt tokens count once a request is dispatched.

--- a/authority/operate.go
+++ b/authority/operate.go
@@ -19,32 +19,38 @@
 	Record Record
 }
 
-// Units reads the records of all units, in order of name. Errors are those of
-// package store.
+// Units reads the records of all units, in order of name, for operators.
+// Errors are those of package store.
 func Units(ctx context.Context, objects store.Store) ([]Unit, error) {
-	found, err := objects.List(ctx, store.PurposeStatus, Prefix)
+	return units(ctx, objects, store.PurposeStatus)
+}
+
+// units reads the records of all units, in order of name.
+func units(ctx context.Context, objects store.Store, purpose store.Purpose) ([]Unit, error) {
+	found, err := objects.List(ctx, purpose, Prefix)
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	units := make([]Unit, 0, len(found))
+	all := make([]Unit, 0, len(found))
 	for _, object := range found {
 		record, err := decodeRecord(object.Value)
 		if err != nil {
 			return nil, trace.Wrap(err)
 		}
-		units = append(units, Unit{strings.TrimPrefix(object.Key, Prefix), record})
+		all = append(all, Unit{strings.TrimPrefix(object.Key, Prefix), record})
 	}
-	return units, nil
+	return all, nil
 }
 
-// List returns the open orders of all units.
+// List returns the open orders of all units. Planning rests on it, so it goes
+// before calls for usage and status.
 func (x *Executor) List(ctx context.Context) ([]OpenOrder, error) {
-	units, err := Units(ctx, x.objects)
+	all, err := units(ctx, x.objects, store.PurposeOrder)
 	if err != nil {
 		return nil, err
 	}
 	var open []OpenOrder
-	for _, u := range units {
+	for _, u := range all {
 		if u.Record.Open.ID == "" {
 			continue
 		}
--- a/gateway/chat.go
+++ b/gateway/chat.go
@@ -112,7 +112,7 @@
 func (g *Gateway) generate(ctx context.Context, n *generation, answer *chatAnswer) error {
 	start := n.assembly.have
 	begun := time.Now()
-	g.loads.arrived(n.query.Pool, n.query.Model, n.query.PromptTokens, n.query.StableOnly)
+	g.loads.arrived(n.query.Pool, n.query.Model, n.query.StableOnly)
 	ticket, err := g.admit(ctx, admission.Request{
 		Organisation: n.contract.Organisation,
 		Contract:     n.contract,
@@ -121,7 +121,7 @@
 		PromptTokens: n.query.PromptTokens,
 		Deadline:     n.call.arrived.Add(settings.Millis(g.options.Settings.FirstTokenMillis)),
 	})
-	g.loads.admitted(n.query.Pool, n.query.Model, time.Since(begun), err)
+	g.loads.admitted(n.query.Pool, n.query.Model, n.query.PromptTokens, time.Since(begun), err)
 	if err != nil {
 		return err
 	}
--- a/gateway/loads.go
+++ b/gateway/loads.go
@@ -49,12 +49,11 @@
 }
 
 // arrived counts a request for a model.
-func (l *loads) arrived(pool, model string, promptTokens int, stable bool) {
+func (l *loads) arrived(pool, model string, stable bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.sum(pool, model)
 	s.requests++
-	s.promptTokens += float64(promptTokens)
 	if stable {
 		s.stable++
 	}
@@ -62,13 +61,16 @@
 
 // admitted counts how a request came through admission: dispatched after a
 // wait, or refused. Only refusals for want of capacity say anything about the
-// pool; those of a contract's limits do not.
-func (l *loads) admitted(pool, model string, waited time.Duration, err error) {
+// pool; those of a contract's limits do not. Prompt tokens count once a request
+// is dispatched: a caller that is refused comes back, and its work would count
+// again and again.
+func (l *loads) admitted(pool, model string, promptTokens int, waited time.Duration, err error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.sum(pool, model)
 	if err == nil {
 		s.dispatched++
+		s.promptTokens += float64(promptTokens)
 		s.waited += waited.Seconds()
 		return
 	}
--- a/planning/planning.go
+++ b/planning/planning.go
@@ -171,6 +171,10 @@
 	return pools
 }
 
+// listTimeout bounds the reading of the open orders, which planning goes on
+// without.
+const listTimeout = time.Second
+
 // list reads the open orders of all authors at its own pace. While the object
 // API is down the former list stands; no order can be opened then.
 func (p *Planning) list(ctx context.Context, now time.Time) {
@@ -183,7 +187,9 @@
 	if !due {
 		return
 	}
-	orders, err := p.executor.List(ctx)
+	bounded, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	orders, err := p.executor.List(bounded)
 	if err != nil {
 		return
 	}
--- a/planning/planning_test.go
+++ b/planning/planning_test.go
@@ -18,6 +18,7 @@
 	"zinniapin/platform"
 	"zinniapin/result"
 	"zinniapin/spending"
+	"zinniapin/store"
 	"zinniapin/target"
 	"zinniapin/zone"
 )
@@ -338,3 +339,35 @@
 		is.True(r.fleet.cordoned())
 	})
 }
+
+// TestPlanningGoesOnWithoutTheOpenOrders plans while the object API leaves the
+// list of open orders unanswered.
+func TestPlanningGoesOnWithoutTheOpenOrders(t *testing.T) {
+	run(t, func(t *testing.T, r *rig) {
+		is := is.New(t)
+		x := authority.NewExecutor(hangingList{r.store}, "self", alive{}, authority.Options{})
+		defer x.Close()
+		r.executor = x
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan struct{})
+		go func() {
+			r.Run(ctx)
+			close(ended)
+		}()
+		time.Sleep(5 * time.Second)
+		is.Equal(len(r.Status().Pools), 1) // planned all the same
+		cancel()
+		<-ended
+	})
+}
+
+// hangingList leaves lists unanswered until their caller gives up.
+type hangingList struct {
+	*objects.Store
+}
+
+// List implements store.Store.
+func (hangingList) List(ctx context.Context, _ store.Purpose, _ string) ([]store.Object, error) {
+	<-ctx.Done()
+	return nil, store.ErrUnavailable
+}
