Read what the fake platform received under its lock

Cause: go test -race ./planning found the tests reading the orders while an executor wrote them; no race in the code under test.

--- a/planning/cordon_test.go
+++ b/planning/cordon_test.go
@@ -24,7 +24,7 @@
 		is := is.New(t)
 		r.buy(t.Context(), release)
 		r.tasks.Wait()
-		is.Equal(len(r.targets.orders), 1)
+		is.Equal(len(r.targets.received()), 1)
 		is.True(r.fleet.cordoned())
 	})
 }
@@ -37,7 +37,7 @@
 		r.targets.refuse = true
 		r.buy(t.Context(), release)
 		r.tasks.Wait()
-		is.Equal(len(r.targets.orders), 1)
+		is.Equal(len(r.targets.received()), 1)
 		is.True(!r.fleet.cordoned())
 	})
 }
@@ -51,7 +51,7 @@
 		r.targets.err = target.ErrBroken
 		r.buy(t.Context(), release)
 		time.Sleep(60 * time.Second)
-		is.Equal(len(r.targets.orders), 1)
+		is.Equal(len(r.targets.received()), 1)
 		is.True(r.fleet.cordoned())
 		r.tasks.Wait()
 		open, err := r.executor.List(t.Context())
@@ -75,7 +75,7 @@
 			defer stop()
 			begin(ctx, r)
 			time.Sleep(10 * time.Second)
-			is.Equal(r.orders.count()+len(r.targets.orders), 1)
+			is.Equal(r.orders.count()+len(r.targets.received()), 1)
 			stop()
 			r.tasks.Wait()
 			open, err := r.executor.List(t.Context())
--- a/planning/planning_test.go
+++ b/planning/planning_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -147,6 +148,13 @@
 	return platform.TargetOrderResult{Accepted: max(o.Count, 1)}, nil
 }
 
+// received returns the orders received so far.
+func (p *fakeTargets) received() []platform.TargetOrder {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Clone(p.orders)
+}
+
 func (p *fakeTargets) Lookup(context.Context, string) (platform.TargetOrderResult, bool, error) {
 	return platform.TargetOrderResult{}, false, nil
 }
@@ -300,11 +308,11 @@
 		r.fleet.running = 1
 		r.buy(t.Context(), spending.Step{Pool: "pool", Zone: "zone", Class: target.Reclaimable, Release: engineID})
 		time.Sleep(10 * time.Second)
-		is.Equal(len(r.targets.orders), 0)
+		is.Equal(len(r.targets.received()), 0)
 		r.fleet.set(func(f *fakeFleet) { f.running = 0 })
 		r.tasks.Wait()
-		is.Equal(len(r.targets.orders), 1)
-		is.Equal(r.targets.orders[0].Release, engineID)
+		is.Equal(len(r.targets.received()), 1)
+		is.Equal(r.targets.received()[0].Release, engineID)
 	})
 }
 
@@ -316,8 +324,8 @@
 		r.buy(t.Context(), spending.Step{Pool: "pool", Zone: "zone", Class: target.Reclaimable, Count: 1})
 		r.buy(t.Context(), spending.Step{Pool: "pool", Zone: "zone", Class: target.Reclaimable, Count: 1})
 		r.tasks.Wait()
-		is.Equal(len(r.targets.orders), 1) // one order a zone at a time
-		is.True(r.targets.orders[0].ID != "" && r.targets.orders[0].Fence > 0)
+		is.Equal(len(r.targets.received()), 1) // one order a zone at a time
+		is.True(r.targets.received()[0].ID != "" && r.targets.received()[0].Fence > 0)
 	})
 }
 
