Wait until an order is closed before its record is read in a test

Cause: TestReleaseByOperator read the record as soon as the order's outcome was told; the record is closed after that. Ruled out: a lost update, since the record has the role once it is closed. Change: the test drains first; what it asks for is the same.

--- a/authority/executor_test.go
+++ b/authority/executor_test.go
@@ -309,10 +309,10 @@
 		for err = errors.New("none"); err != nil; {
 			_, err = other.Engine(ctx, r, e, change)
 		}
+		is.NoErr(other.Drain(ctx)) // the outcome is told before the order is closed
 		found, err = readRecord(ctx, api, open[0].Unit)
 		is.NoErr(err)
 		is.Equal(found.Record.Role, string(target.Decode))
-		is.NoErr(other.Drain(ctx))
 	})
 }
 
