Let gateways tell restarted controllers of leaving targets

The restarted one learned 'live' from those that had been cut off, and a restarted gateway chose the target 66 s after its notice, although other gateways knew. Ruled out: a view that goes back (leaving ranks above live in every table, a print of each table each second shows it lost with its processes). Change: a heartbeat of a gateway tells its controller what urgent news of targets that one was not told; controllers take it from gateways of the region as they do from each other.

--- a/controller/peers.go
+++ b/controller/peers.go
@@ -273,12 +273,10 @@
 // fillTargets takes in the urgent news of a peer of the region and adds what it
 // has not seen of the targets. The lock is held.
 func (k *Controller) fillTargets(now time.Time, q, reply *wire.Heartbeat, peer machine.Process) {
-	if peer.Role == machine.Controller {
-		for _, t := range q.Targets {
-			k.targets.Merge(now, peer.Incarnation, t)
-		}
-		k.tellUrgent()
+	for _, t := range q.Targets {
+		k.targets.Merge(now, peer.Incarnation, t)
 	}
+	k.tellUrgent()
 	news := k.targets.Since(now, q.TargetsVersion, peer.Incarnation, heartbeatBytes)
 	reply.Targets, reply.Loads, reply.TargetsVersion = news.Targets, news.Loads, news.Version
 }
--- a/uplink/link.go
+++ b/uplink/link.go
@@ -147,7 +147,7 @@
 	timed, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	up.asked = time.Now()
-	request := u.request(up)
+	request, urgent := u.request(up)
 	envelope, err := up.link.Call(timed, &wire.Envelope{Body: &wire.Envelope_Heartbeat{Heartbeat: request}})
 	if err != nil {
 		return err
@@ -156,6 +156,7 @@
 	if reply == nil {
 		return result.New(result.UnknownMessage, "the reply is no heartbeat")
 	}
+	up.urgent = urgent
 	u.takeIn(up, reply, request.TargetsVersion != noTargets)
 	u.tellObserved(g)
 	if contract.Revision(reply.ConfigRevision) > u.holder.Revision() {
@@ -164,8 +165,10 @@
 	return nil
 }
 
-// request returns the heartbeat of this gateway.
-func (u *Uplink) request(up *upstream) *wire.Heartbeat {
+// request returns the heartbeat of this gateway, and the version of its view
+// up to which it tells urgent news: a controller that was restarted may know
+// of a leaving target from nobody else.
+func (u *Uplink) request(up *upstream) (*wire.Heartbeat, uint64) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.beat(time.Now())
@@ -181,7 +184,9 @@
 	if !u.asksTargets(up) {
 		request.TargetsVersion = noTargets
 	}
-	return request
+	states, urgent := u.targets.Urgent(time.Now(), up.urgent, up.link.Peer().Incarnation)
+	request.Targets = states
+	return request, urgent
 }
 
 const (
--- a/uplink/uplink.go
+++ b/uplink/uplink.go
@@ -97,6 +97,7 @@
 type upstream struct {
 	link    link.Link
 	targets uint64    // version of the controller's view seen so far
+	urgent  uint64    // version of the own view whose urgent news it was told
 	beats   uint64    // heartbeats so far
 	told    bool      // the controller named others
 	asked   time.Time // when the last heartbeat was sent
--- a/uplink/uplink_test.go
+++ b/uplink/uplink_test.go
@@ -304,12 +304,16 @@
 	up := &upstream{link: peerOnly{process: controller}}
 	reply := &wire.Heartbeat{LiveGateways: 390, LiveControllers: 390, ConfirmedAgeMs: -1}
 	u.takeIn(up, reply, false)
-	first := u.request(up).Members[0].Beat
-	is.Equal(u.request(up).Members[0].Beat, first)
+	beat := func() uint64 {
+		request, _ := u.request(up)
+		return request.Members[0].Beat
+	}
+	first := beat()
+	is.Equal(beat(), first)
 	reply.Members = []*wire.Member{{Incarnation: self.Incarnation, Doubted: true}}
 	u.takeIn(up, reply, false)
-	is.Equal(u.request(up).Members[0].Beat, first+1)
-	is.Equal(u.request(up).Members[0].Beat, first+1)
+	is.Equal(beat(), first+1)
+	is.Equal(beat(), first+1)
 }
 
 // peerOnly is a link that only names its peer.
--- /dev/null
+++ b/uplink/urgent_test.go
@@ -0,0 +1,36 @@
+package uplink
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"zinniapin/machine"
+	"zinniapin/platform"
+	"zinniapin/target"
+	"zinniapin/zone"
+)
+
+// TestControllerIsToldOfLeavingTargets opens a link to a controller that may
+// have been restarted: the first heartbeat tells it what this gateway knows of
+// leaving targets, and the next does not repeat it.
+func TestControllerIsToldOfLeavingTargets(t *testing.T) {
+	is := is.New(t)
+	log := zerolog.Nop()
+	u := New(Config{Self: machine.Process{Host: "host-1", Role: machine.Gateway, Incarnation: 7}, Log: &log})
+	local := func(zone.Name) bool { return true }
+	host := platform.Host{ID: "server", State: platform.Live, Zone: "zone",
+		Target: &target.Target{ID: "engine", Kind: target.Engine, Zone: "zone", Pool: "pool"}}
+	u.targets.Listed(time.Now(), []platform.Host{host}, local)
+	host.State, host.LeavesAt = platform.Leaving, time.Now().Add(time.Minute)
+	u.targets.Listed(time.Now(), []platform.Host{host}, local)
+	up := &upstream{link: peerOnly{process: machine.Process{Host: "host-2", Role: machine.Controller, Incarnation: 8}}}
+	request, urgent := u.request(up)
+	is.Equal(len(request.Targets), 1)
+	is.Equal(request.Targets[0].State, string(platform.Leaving))
+	up.urgent = urgent
+	request, _ = u.request(up)
+	is.Equal(len(request.Targets), 0)
+}
