Count only fresh evidence that the object API is down

(1) A controller said that it could not reach the object API by its last call, which with waits of up to 12 s between calls was that old; most others did too, so gateways served on although one more call would have succeeded (flaky object API, one host cut off that read the newer revision).

Ruled out: the age of confirmations in heartbeats (both directions count from the asking), and the relay (the newer revision was in force 0 to 1 s after any reachable process had it).

Change: a member says store_failed only while its last call began at most 6 s ago; most controllers must be without the store, and enough of them by own calls; the word counts as 6 s old from the start. Waits between failed calls are 1 to 2 s, at most 8 callers a region. The settings' addresses are the least number of controllers, and one that has not settled has no say. A gateway serves only once its configuration was confirmed. A gateway hands its newer configuration to a controller that asks.

--- a/controller/configuration.go
+++ b/controller/configuration.go
@@ -30,14 +30,15 @@
 	// controllers than the watchers read the store themselves: twice as many
 	// each widenEvery, up to maxWatchers in a region. Others take their turn
 	// each turnEvery, so that one that reaches the store is found; with 3
-	// regions and the store down that makes at most 6 reads a second.
+	// regions and the store down that makes at most 16 reads a second, each
+	// caller's one to two seconds apart: membership.EvidenceAge counts on it.
 	staleAfter  = 7 * time.Second
 	widenEvery  = time.Second
-	maxWatchers = 16
+	maxWatchers = 8
 	turnEvery   = 30 * time.Second
 	// minRetry and maxRetry bound the wait after a failed call of the store.
 	minRetry = 500 * time.Millisecond
-	maxRetry = 8 * time.Second
+	maxRetry = 2 * time.Second
 )
 
 // watchConfiguration reads the root once and watches it while this controller
@@ -52,7 +53,7 @@
 		}
 		read, err := k.readRoot(ctx)
 		if err != nil {
-			k.pause(ctx, retry/2+rand.N(retry))
+			k.pause(ctx, retry/2+rand.N(retry/2))
 			retry = min(2*retry, maxRetry)
 			continue
 		}
@@ -107,13 +108,14 @@
 // newer.
 func (k *Controller) readRoot(ctx context.Context) (store.Version, error) {
 	at := time.Now()
-	bundle, version, err := k.load(ctx)
+	timed := &timedStore{Store: k.config.Store}
+	bundle, version, err := configuration.Load(ctx, timed, k.holder.Bundle())
 	if errors.Is(err, store.ErrNotFound) && bundle == nil {
-		k.storeState(true)
+		k.storeState(true, at)
 		k.holder.Confirm(0, at)
 		return store.Absent, nil
 	}
-	k.storeState(err == nil)
+	k.storeState(err == nil || timed.answered, at)
 	if err != nil {
 		return store.Absent, err
 	}
@@ -127,23 +129,19 @@
 	return version, nil
 }
 
-// load reads the root and the parts that are missing, each call with its own
-// time limit.
-func (k *Controller) load(ctx context.Context) (*configuration.Bundle, store.Version, error) {
-	timed := timedStore{k.config.Store}
-	return configuration.Load(ctx, timed, k.holder.Bundle())
-}
-
-// timedStore bounds each read.
+// timedStore bounds each read of the root and the parts that are missing.
 type timedStore struct {
 	store.Store
+	answered bool // a read succeeded
 }
 
 // Get implements store.Store.
-func (t timedStore) Get(ctx context.Context, p store.Purpose, key string) (store.Object, error) {
+func (t *timedStore) Get(ctx context.Context, p store.Purpose, key string) (store.Object, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	return t.Store.Get(ctx, p, key)
+	object, err := t.Store.Get(ctx, p, key)
+	t.answered = t.answered || err == nil
+	return object, err
 }
 
 // awaitRoot waits for news of the root, up to watchTime.
@@ -157,11 +155,14 @@
 	}
 }
 
-// storeState notes whether the store answers.
-func (k *Controller) storeState(up bool) {
+// storeState notes whether the store answered a call that was begun at a time.
+func (k *Controller) storeState(up bool, begun time.Time) {
 	k.mu.Lock()
 	changed := k.storeUp != up
 	k.storeUp = up
+	if !up {
+		k.storeFailed = begun
+	}
 	k.storeRead = k.storeRead || up
 	k.mu.Unlock()
 	if changed {
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -79,6 +79,7 @@
 	urgentTold    uint64                  // version of targets whose urgent news was told
 	storeRead     bool                    // the root was read since the start
 	storeUp       bool                    // the last call of the store succeeded
+	storeFailed   time.Time               // begin of the last call of the store that failed
 	reachable     bool                    // the store is, by own or a watcher's word
 	leaving       bool
 	failedTargets map[target.ID]time.Time // when to poll again
@@ -153,22 +154,54 @@
 	}
 }
 
-// confirmationAge is the age up to which word of the store through a watcher
-// counts as the store being reachable.
-const confirmationAge = 20 * time.Second
+const (
+	// confirmationAge is the age up to which word of the store through a
+	// watcher counts as the store being reachable.
+	confirmationAge = 20 * time.Second
+	// unconfirmedAge is the age from which it does not when one that tried
+	// says that it could not.
+	unconfirmedAge = staleAfter + widenEvery
+)
+
+// reaches tells whether the store can be reached, by the own calls of a
+// controller that makes some, or by the word of those that do. The lock is
+// held.
+func (k *Controller) reaches(now time.Time, watches bool) bool {
+	if watches {
+		return k.storeUp
+	}
+	age := now.Sub(k.holder.Confirmed().At)
+	if age >= unconfirmedAge && k.members.StoreFailed(now) {
+		return false
+	}
+	return age < confirmationAge
+}
+
+// expectedControllers is the least number of controllers that there are: this
+// one and those that the settings name.
+func (k *Controller) expectedControllers() int {
+	others := 0
+	for _, address := range k.config.Seeds {
+		if address != k.config.Self.Address {
+			others++
+		}
+	}
+	return 1 + others
+}
 
 // tick keeps membership and links.
 func (k *Controller) tick(ctx context.Context) {
 	now := time.Now()
-	fresh := now.Sub(k.holder.Confirmed().At) < confirmationAge
 	watches := k.watches(now)
 	k.mu.Lock()
-	reachable := k.storeUp && watches || fresh && !watches
+	reachable := k.reaches(now, watches)
+	failed := !k.storeUp && now.Sub(k.storeFailed) < membership.EvidenceAge
 	k.reachable = reachable
 	k.members.Update(func(m *membership.Member) {
 		m.Revision = max(m.Revision, k.holder.Revision())
 		m.Leaving = k.leaving
 		m.StoreReachable = reachable
+		m.StoreFailed = failed
 	})
 	k.members.Tick(now)
 	k.targets.Forget(now)
--- a/controller/serve.go
+++ b/controller/serve.go
@@ -103,7 +103,7 @@
 	controllers := membership.Controllers(members, "")
 	reply.LiveControllers = uint32(len(controllers))
 	reply.LiveGateways = uint32(len(gatewaysOf(members)))
-	age, down := k.members.StoreDown(now)
+	age, down := k.members.StoreDown(now, k.expectedControllers())
 	reply.StoreDownForMost, reply.StoreDownAgeMs = down, age.Milliseconds()
 	if q.MembersVersion == 0 {
 		near := membership.Controllers(members, k.config.Self.Zone.Region)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -70,7 +70,7 @@
 	admission  *admission.Core
 	gateways   int       // live ones, 0 until known
 	aloneSince time.Time // zero while a controller is reached
-	confirmed  time.Time // when the configuration last needed no doubt
+	confirmed  time.Time // when the configuration last needed no doubt; zero: never yet
 
 	draining atomic.Bool
 	observed atomic.Bool // a view of targets has come
@@ -101,7 +101,6 @@
 		loads:      newLoads(time.Now()),
 		admission:  admission.New(o.Settings.QueueLength),
 		aloneSince: time.Now(),
-		confirmed:  time.Now(),
 	}
 	g.metrics = newMetrics(o.Registry, g)
 	g.handler = g.routes()
--- a/gateway/rig_test.go
+++ b/gateway/rig_test.go
@@ -105,7 +105,7 @@
 	}
 	r.g = g
 	g.Configure(snapshot(1, nil))
-	g.Connected(control.Connectivity{Controllers: 1, LiveGateways: 1})
+	g.Connected(control.Connectivity{Controllers: 1, LiveGateways: 1, ConfirmedAt: time.Now()})
 	g.Observe(r.view)
 	r.server = httptest.NewServer(g)
 	t.Cleanup(r.server.Close)
--- a/gateway/run_test.go
+++ b/gateway/run_test.go
@@ -148,6 +148,8 @@
 		g.Connected(control.Connectivity{Controllers: 2, LiveGateways: 3})
 		is.True(g.Ready() != nil) // nor any view of targets
 		g.Observe(nil)
+		is.True(g.Ready() != nil) // nor whether the configuration is the newest
+		g.Connected(control.Connectivity{Controllers: 2, LiveGateways: 3, ConfirmedAt: time.Now()})
 		is.NoErr(g.Ready())
 		for range 60 {
 			g.Connected(control.Connectivity{Controllers: 1, StoreDownForMost: true})
--- a/internal/soak/fault.go
+++ b/internal/soak/fault.go
@@ -357,34 +357,23 @@
 	w.disturbed[len(w.disturbed)-1].to = time.Now()
 }
 
-// storeDisturbed tells whether the object API was down, or faulty at all, at
-// any time of a span.
-func (w *world) storeDisturbed(from, to time.Time, faulty bool) bool {
+// storeDown tells whether the object API was down at any time of a span.
+func (w *world) storeDown(from, to time.Time) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, s := range w.disturbed {
-		if (s.down || faulty) && s.from.Before(to) && (s.to.IsZero() || s.to.After(from)) {
+		if s.down && s.from.Before(to) && (s.to.IsZero() || s.to.After(from)) {
 			return true
 		}
 	}
 	return false
 }
 
-// staleWord is the tag of a known fault: the word of other controllers that
-// the object API is down counts until they pass for silent.
-const staleWord = "stale-word"
-
-// staleWordSpan is how long after a fault of the object API that fault shows.
-const staleWordSpan = time.Minute
-
 // older judges that a gateway served by an older configuration than is due.
 func (w *world) older(at time.Time, format string, args ...any) {
-	switch {
-	case w.storeDisturbed(at.Add(-inForce), at, false):
+	if w.storeDown(at.Add(-inForce), at) {
 		w.report.note("older configuration served while the object API was down", 1)
-	case w.storeDisturbed(at.Add(-staleWordSpan), at, true):
-		w.report.tagged(staleWord, format, args...)
-	default:
-		w.report.violation(format, args...)
+		return
 	}
+	w.report.violation(format, args...)
 }
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -75,6 +75,9 @@
 	requests[request] = seen{organisation, s.first || r.Offset == 0}
 }
 
+// plannedCut is the tag of violations by planned changes that cut requests.
+const plannedCut = "planned-cut"
+
 // judgeCuts checks that no planned change cut an attempt of a gateway that the
 // planner could hear, and that no caller was left without its answer by one.
 func (w *world) judgeCuts(id target.ID, e *engine.Engine) {
@@ -94,9 +97,9 @@
 			continue
 		}
 		if !w.unheard(a.gateway, c.At) {
-			w.report.violation("a planned change of engine %s cut %s of %s through %s at %v", id, a.kind, a.subject, a.gateway, c.At)
+			w.report.tagged(plannedCut, "a planned change of engine %s cut %s of %s through %s at %v", id, a.kind, a.subject, a.gateway, c.At)
 		} else if !a.whole && a.code != "" && a.execution != "not_run" {
-			w.report.violation("a planned change of engine %s cut %s of %s, which ended with %s", id, a.kind, a.subject, a.code)
+			w.report.tagged(plannedCut, "a planned change of engine %s cut %s of %s, which ended with %s", id, a.kind, a.subject, a.code)
 		}
 	}
 }
--- a/internal/soak/report.go
+++ b/internal/soak/report.go
@@ -109,7 +109,7 @@
 	for tag, list := range r.Known {
 		fmt.Fprintf(&b, "  %s (%d):\n    %s\n", tag, len(list), strings.Join(list, "\n    "))
 	}
-	if len(r.Violations) > 0 {
+	if len(r.Violations)+len(r.Known) > 0 {
 		fmt.Fprintf(&b, "  %s\n", strings.Join(r.timeline, "\n  "))
 	}
 	return b.String()
--- a/membership/member.go
+++ b/membership/member.go
@@ -37,6 +37,9 @@
 	Leaving bool
 	// StoreReachable tells whether the process reaches the object API.
 	StoreReachable bool
+	// StoreFailed tells that the process tried to read the object API, begun
+	// at most EvidenceAge ago, and could not.
+	StoreFailed bool
 	// Settled processes run long enough to tell the live from the dead.
 	Settled bool
 	// Via holds the addresses of the controllers that a gateway is linked to.
@@ -57,6 +60,7 @@
 		ConfigRevision: uint64(m.Revision),
 		Leaving:        m.Leaving,
 		StoreReachable: m.StoreReachable,
+		StoreFailed:    m.StoreFailed,
 		Settled:        m.Settled,
 	}
 }
@@ -75,6 +79,7 @@
 		Revision:       contract.Revision(w.ConfigRevision),
 		Leaving:        w.Leaving,
 		StoreReachable: w.StoreReachable,
+		StoreFailed:    w.StoreFailed,
 		Settled:        w.Settled,
 		Via:            w.Via,
 	}
--- a/membership/news.go
+++ b/membership/news.go
@@ -62,19 +62,20 @@
 
 // shared is what the processes of one wire.Beats have in common.
 type shared struct {
-	revision                                  uint64
-	leaving, storeReachable, settled, doubted bool
+	revision                                               uint64
+	leaving, storeReachable, storeFailed, settled, doubted bool
 }
 
 // add adds the beat of an entry to news.
 func (b beatsOf) add(e *entry, news *News) {
-	s := shared{uint64(e.Revision), e.Leaving, e.StoreReachable, e.Settled, !e.doubted.IsZero()}
+	s := shared{uint64(e.Revision), e.Leaving, e.StoreReachable, e.StoreFailed, e.Settled, !e.doubted.IsZero()}
 	group := b[s]
 	if group == nil {
 		group = &wire.Beats{
 			ConfigRevision: s.revision,
 			Leaving:        s.leaving,
 			StoreReachable: s.storeReachable,
+			StoreFailed:    s.storeFailed,
 			Settled:        s.settled,
 			Doubted:        s.doubted,
 		}
@@ -136,6 +137,7 @@
 		ConfigRevision: b.ConfigRevision,
 		Leaving:        b.Leaving,
 		StoreReachable: b.StoreReachable,
+		StoreFailed:    b.StoreFailed,
 		Settled:        b.Settled,
 		Doubted:        b.Doubted,
 	}
--- a/membership/table.go
+++ b/membership/table.go
@@ -76,8 +76,7 @@
 	invariant.Check(after.Revision >= before.Revision, "revision_rises",
 		"own revision fell from %d to %d", before.Revision, after.Revision)
 	static := !sameStrings(before.Via, after.Via)
-	if !static && before.Revision == after.Revision && before.Leaving == after.Leaving &&
-		before.StoreReachable == after.StoreReachable && before.Settled == after.Settled {
+	if !static && sameState(&before, after) {
 		return
 	}
 	t.self.Beat++
@@ -189,7 +188,7 @@
 // sameState tells whether two records of a process differ in the beat at most.
 func sameState(a, b *Member) bool {
 	return a.Revision == b.Revision && a.Leaving == b.Leaving && a.StoreReachable == b.StoreReachable &&
-		a.Settled == b.Settled && sameStrings(a.Via, b.Via)
+		a.StoreFailed == b.StoreFailed && a.Settled == b.Settled && sameStrings(a.Via, b.Via)
 }
 
 // refute raises the own beat above one that this process never gave, or that
--- a/membership/words.go
+++ b/membership/words.go
@@ -1,31 +1,62 @@
 package membership
 
 import (
-	"sort"
+	"slices"
 	"time"
 
 	"zinniapin/machine"
 )
 
-// StoreDown tells whether most of the known controllers, the silent ones
-// included, say that they cannot reach the object API, and how old the newest
-// word of so many is. The age is less what is usual in a mesh of this size,
-// where beats come further apart. A few that are cut off together are no
-// majority; and since the age counts from when a word came, also through a
-// pause of this process, words from before a cut grow old.
-func (t *Table) StoreDown(now time.Time) (age time.Duration, forMost bool) {
-	var ages []time.Duration
+const (
+	// EvidenceAge is how long a failed call of the object API, counted from its
+	// beginning, shows that the caller does not reach it. Whoever calls does so
+	// again within that time.
+	EvidenceAge = 6 * time.Second
+	// minEvidence is the number of controllers whose failed calls show that
+	// the object API is down for all that are in reach; only some call it.
+	minEvidence = 4
+)
+
+// StoreDown tells whether most controllers, the silent ones included, say that
+// they cannot reach the object API, and how old the newest evidence for it may
+// be. At least expected controllers count as known, so that a few that have
+// just started, or are cut off together, are no majority. The evidence is the
+// calls of those that tried. The age is less what is usual in a mesh of this
+// size, where beats come further apart; and since it counts from when a word
+// came, also through a pause of this process, words from before a cut grow old.
+func (t *Table) StoreDown(now time.Time, expected int) (age time.Duration, forMost bool) {
+	if !t.self.Settled {
+		return 0, false
+	}
+	var words, evidence []time.Duration
 	for _, m := range Controllers(t.Members(now), "") {
+		word := t.wordAge(t.entries[m.Process.Incarnation], now)
 		if !m.StoreReachable {
-			ages = append(ages, t.wordAge(t.entries[m.Process.Incarnation], now))
+			words = append(words, word)
+		}
+		if m.StoreFailed {
+			evidence = append(evidence, word)
 		}
 	}
-	needed := t.Known(now, machine.Controller)/2 + 1
-	if len(ages) < needed {
+	needed := max(expected, t.Known(now, machine.Controller))/2 + 1
+	tried := min(needed, minEvidence)
+	if len(words) < needed || len(evidence) < tried {
 		return 0, false
 	}
-	sort.Slice(ages, func(i, j int) bool { return ages[i] < ages[j] })
-	return max(0, ages[needed-1]-addedAge(len(t.entries))), true
+	word := max(nth(words, needed), nth(evidence, tried))
+	return EvidenceAge + max(0, word-addedAge(len(t.entries))), true
+}
+
+// nth returns the nth least of some ages, counted from 1.
+func nth(ages []time.Duration, n int) time.Duration {
+	slices.Sort(ages)
+	return ages[n-1]
+}
+
+// StoreFailed tells whether a live controller has tried the object API in vain.
+func (t *Table) StoreFailed(now time.Time) bool {
+	failed := func(m Member) bool { return m.StoreFailed }
+	return slices.ContainsFunc(Controllers(t.Members(now), ""), failed)
 }
 
 // addedAge returns by how much older the words of live processes are in a mesh
--- a/uplink/uplink.go
+++ b/uplink/uplink.go
@@ -198,6 +198,9 @@
 		case *wire.Envelope_Cordon:
 			ack := u.cordon(g, body.Cordon)
 			return &wire.Envelope{Body: &wire.Envelope_CordonAck{CordonAck: ack}}, nil
+		case *wire.Envelope_ConfigRequest:
+			reply := u.holder.Serve(body.ConfigRequest)
+			return &wire.Envelope{Body: &wire.Envelope_ConfigReply{ConfigReply: reply}}, nil
 		case *wire.Envelope_StatusRequest:
 			reply := &wire.StatusReply{Json: g.Explain(requestID(body.StatusRequest.Argument))}
 			return &wire.Envelope{Body: &wire.Envelope_StatusReply{StatusReply: reply}}, nil
--- a/uplink/uplink_test.go
+++ b/uplink/uplink_test.go
@@ -324,3 +324,10 @@
 
 // Peer implements link.Link.
 func (p peerOnly) Peer() machine.Process { return p.process }
+
+// gateway returns the link to the gateway that was opened last.
+func (k *fakeController) gateway() link.Link {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.links[len(k.links)-1]
+}
