Let only answers to own heartbeats confirm the configuration

Heartbeats of others that had waited in its links said how old a confirmation was, or that the object API failed, and both counted from the receipt, so words from before the pause passed for new.

Change: a heartbeat that is asked confirms nothing; the answer to an own one confirms, and speaks for processes, as of the asking.

--- a/controller/peers.go
+++ b/controller/peers.go
@@ -214,6 +214,7 @@
 func (k *Controller) heartbeat(ctx context.Context, p *peer) error {
 	timed, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	asked := time.Now()
 	request := k.heartbeatBase()
 	request.MembersVersion, request.TargetsVersion = k.versionsFor(p)
 	urgent := k.addUrgent(p, request)
@@ -226,7 +227,7 @@
 		return result.New(result.UnknownMessage, "the reply is no heartbeat")
 	}
 	k.metrics.exchanged(request, reply)
-	k.takeIn(p, request, reply)
+	k.takeIn(p, asked, request, reply)
 	p.urgent = urgent
 	if contract.Revision(reply.ConfigRevision) > k.holder.Revision() {
 		go k.fetchFrom(ctx, p.link)
@@ -300,18 +301,22 @@
 	return h
 }
 
-// confirm takes in what a heartbeat says of the store's newest revision.
-func (k *Controller) confirm(h *wire.Heartbeat) {
+// confirm takes in what the answer to a heartbeat says of the store's newest
+// revision. It counts from the asking: the answer may have waited for this
+// process, which was paused. What a request says does not count, since nobody
+// can tell how long it waited.
+func (k *Controller) confirm(asked time.Time, h *wire.Heartbeat) {
 	if h.ConfirmedAgeMs >= 0 {
-		at := time.Now().Add(-time.Duration(h.ConfirmedAgeMs) * time.Millisecond)
+		at := asked.Add(-time.Duration(h.ConfirmedAgeMs) * time.Millisecond)
 		k.holder.Confirm(contract.Revision(h.ConfirmedRevision), at)
 	}
 }
 
-// takeIn merges the answer to a heartbeat. A record that cannot be understood
+// takeIn merges the answer to a heartbeat. What it says of processes is as old
+// as the asking. A record that cannot be understood
 // makes the next heartbeat ask for everything.
-func (k *Controller) takeIn(p *peer, request, reply *wire.Heartbeat) {
-	k.confirm(reply)
+func (k *Controller) takeIn(p *peer, asked time.Time, request, reply *wire.Heartbeat) {
+	k.confirm(asked, reply)
 	now := time.Now()
 	source := p.link.Peer().Incarnation
 	local := p.link.Peer().Zone.Region == k.config.Self.Zone.Region
@@ -323,12 +328,12 @@
 		p.targets.took(request.TargetsVersion, reply.TargetsVersion)
 	}
 	for _, m := range reply.Members {
-		if !k.members.Merge(now, source, m) {
+		if !k.members.Merge(asked, source, m) {
 			p.members.lost()
 		}
 	}
 	for _, b := range reply.Beats {
-		if !k.members.MergeBeats(now, source, b) {
+		if !k.members.MergeBeats(asked, source, b) {
 			p.members.lost()
 		}
 	}
--- a/controller/serve.go
+++ b/controller/serve.go
@@ -58,7 +58,6 @@
 // serveHeartbeat answers a heartbeat with what changed since the versions
 // that the asker has seen.
 func (k *Controller) serveHeartbeat(from link.Link, q *wire.Heartbeat) *wire.Envelope {
-	k.confirm(q)
 	if contract.Revision(q.ConfigRevision) > k.holder.Revision() {
 		go k.fetchNewer(from)
 	}
