Take notices in wherever the list of hosts is read

Cause: a controller that looks whether an author's host is gone reads the list of hosts too, and threw away what it showed of targets. Ruled out: a view that goes back, links that lose urgent news (a print of every view each second and of every reading of the list: no controller that polls the list was shown the notice). Change: the look takes in what is shown. It concludes nothing from what the list lacks, since it reads now and then (Table.Shown; Listed is as before). TestLookForProofTakesNoticesIn, red without the call. go test ./controller ./targetview passes. A notice that reached only a process that then died is still lost until the list answers again.

--- a/controller/liveness.go
+++ b/controller/liveness.go
@@ -82,7 +82,8 @@
 	return false
 }
 
-// hostGone tells whether the platform says that an entry host is gone.
+// hostGone tells whether the platform says that an entry host is gone. What
+// the list shows of targets is taken in: nobody else may get to read it after.
 func (v *liveness) hostGone(host string) bool {
 	k := v.controller
 	if k.config.Hosts == nil {
@@ -94,6 +95,7 @@
 	if err != nil {
 		return false
 	}
+	k.shown(hosts)
 	for _, h := range hosts {
 		if h.ID == host {
 			return h.State == platform.Gone
@@ -102,6 +104,14 @@
 	return false
 }
 
+// shown takes in the targets that a list of hosts shows.
+func (k *Controller) shown(hosts []platform.Host) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.targets.Shown(time.Now(), hosts, k.local)
+	k.tellUrgent()
+}
+
 // noCalls serves no calls.
 var noCalls = link.HandlerFunc(func(context.Context, link.Link, *wire.Envelope) (*wire.Envelope, error) {
 	return nil, result.New(result.UnknownMessage, "this link serves no calls")
--- /dev/null
+++ b/controller/shown_test.go
@@ -0,0 +1,43 @@
+package controller
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"zinniapin/machine"
+	"zinniapin/platform"
+	"zinniapin/target"
+)
+
+// TestLookForProofTakesNoticesIn lets the look at whether an author's host is
+// gone be the only reading of the list that shows a notice: the view of targets
+// has it, and what that list lacks does not pass for gone.
+func TestLookForProofTakesNoticesIn(t *testing.T) {
+	is := is.New(t)
+	log := zerolog.Nop()
+	row := func(id target.ID, s platform.HostState) platform.Host {
+		x := target.Target{ID: id, Kind: target.Engine, Pool: "pool", Zone: zones[0].Name}
+		return platform.Host{ID: "host-of-" + string(id), State: s, Zone: zones[0].Name, Target: &x}
+	}
+	list := &fakeHosts{list: []platform.Host{row("engine-1", platform.Live), row("engine-2", platform.Live)}}
+	self := machine.Process{Host: "host-1", Role: machine.Controller, Incarnation: 1, Zone: zones[0]}
+	k := New(Config{Self: self, Hosts: list, Log: &log})
+	looking := &liveness{controller: k}
+	is.True(!looking.hostGone("host-2"))
+	is.Equal(len(k.Targets()), 2)
+	urgent := k.targets.UrgentVersion()
+
+	leaving := row("engine-1", platform.Leaving)
+	leaving.LeavesAt = time.Now().Add(time.Minute)
+	list.list = []platform.Host{leaving, {ID: "host-2", State: platform.Gone, Zone: zones[0].Name}}
+	is.True(looking.hostGone("host-2"))
+	states := k.Targets()
+	is.Equal(len(states), 2)
+	is.Equal(states[0].State, platform.Leaving)
+	is.Equal(states[1].State, platform.Live)
+	is.True(k.targets.UrgentVersion() > urgent)
+	is.Equal(k.urgentTold, k.targets.UrgentVersion())
+}
--- a/targetview/table.go
+++ b/targetview/table.go
@@ -110,16 +110,23 @@
 // Listed takes in the platform's list. Targets of zones that local refuses
 // are left out.
 func (t *Table) Listed(now time.Time, hosts []platform.Host, local func(zone.Name) bool) {
-	listed := map[target.ID]bool{}
+	t.missing(now, t.Shown(now, hosts, local))
+}
+
+// Shown takes in the targets that the list shows and returns them. Unlike
+// Listed it concludes nothing from those that are absent, so that it also fits
+// a process that reads the list now and then.
+func (t *Table) Shown(now time.Time, hosts []platform.Host, local func(zone.Name) bool) map[target.ID]bool {
+	shown := map[target.ID]bool{}
 	for i := range hosts {
 		h := &hosts[i]
 		if h.Target == nil || !local(h.Zone) {
 			continue
 		}
-		listed[h.Target.ID] = true
+		shown[h.Target.ID] = true
 		t.list(now, 0, *h.Target, h.State, h.LeavesAt)
 	}
-	t.missing(now, listed)
+	return shown
 }
 
 // missing lets targets that are absent from the list pass for gone after a
