Replace hosts, lose zones and compare tokens in joined runs

Cause: joined runs had no host that goes for good, no zone that is lost with its targets, and compared requests and calls only, not tokens. Change: a second schedule of faults with draws of its own, so that the draws of a seed's other faults stay (-soak.losses=false leaves it out). Entry hosts stand in the platform's list. What the list shows as gone counts as a notice. Tokens reported are compared with what the engines' answers told each gateway: never more; less only by what ended gateways held in memory.

--- a/internal/soak/cloud.go
+++ b/internal/soak/cloud.go
@@ -11,6 +11,7 @@
 	"zinniapin/internal/standin/engine"
 	"zinniapin/platform"
 	"zinniapin/target"
+	"zinniapin/usage"
 	"zinniapin/zone"
 )
 
@@ -31,8 +32,11 @@
 	down     bool // refuses every call
 	harsh    bool // loses, delays and refuses calls
 	stale    []platform.Host
-	hosts    []platform.Host
-	noticed  map[target.ID]time.Time // when the list first showed a target as leaving
+	hosts    []platform.Host         // of targets
+	entries  []platform.Host         // entry hosts
+	lost     map[zone.Name]bool      // zones without power
+	returns  map[zone.Name][]func()  // what comes back with a zone
+	noticed  map[target.ID]time.Time // when the list first showed a target as leaving or gone
 	made     map[target.ID]*engine.Engine
 	orders   map[string]platform.TargetOrderResult
 	authors  map[string]uint64 // highest fencing number by unit
@@ -50,6 +54,8 @@
 	return &cloud{
 		engines: engines,
 		rng:     rand.New(rand.NewPCG(seed, 7)),
+		lost:    map[zone.Name]bool{},
+		returns: map[zone.Name][]func(){},
 		noticed: map[target.ID]time.Time{},
 		made:    map[target.ID]*engine.Engine{},
 		orders:  map[string]platform.TargetOrderResult{},
@@ -152,6 +158,8 @@
 	granted := platform.TargetOrderResult{Accepted: 1}
 	if o.Release != "" {
 		c.leave(o.Release, 0)
+	} else if c.lost[o.Zone] {
+		granted = platform.TargetOrderResult{Reason: "the zone is lost"}
 	} else {
 		granted.Accepted = o.Count
 		for range o.Count {
@@ -184,8 +192,17 @@
 func (c *cloud) comeBack(z zone.Name) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.lost[z] {
+		c.returns[z] = append(c.returns[z], func() { c.startAgain(z, target.Reclaimable) })
+		return
+	}
+	c.startAgain(z, target.Reclaimable)
+}
+
+// startAgain starts an engine in place of one that is gone. The lock is held.
+func (c *cloud) startAgain(z zone.Name, class target.Class) {
 	c.bought++
-	c.startEngine(target.ID(fmt.Sprintf("back-%d", c.bought)), target.Reclaimable, z, c.bought%2 == 0, uint64(2000+c.bought))
+	c.startEngine(target.ID(fmt.Sprintf("back-%d", c.bought)), class, z, c.bought%2 == 0, uint64(2000+c.bought))
 }
 
 // gone ends a target.
@@ -264,12 +281,12 @@
 	if c.stale != nil {
 		return c.stale, nil
 	}
-	shown := make([]platform.Host, len(c.hosts))
-	for i, h := range c.hosts {
-		shown[i] = h
+	shown := slices.Clone(c.entries)
+	for _, h := range c.hosts {
 		x := *h.Target
-		shown[i].Target = &x
-		if _, known := c.noticed[x.ID]; h.State == platform.Leaving && !known {
+		h.Target = &x
+		shown = append(shown, h)
+		if _, known := c.noticed[x.ID]; h.State != platform.Live && !known {
 			c.noticed[x.ID] = time.Now()
 		}
 	}
@@ -283,7 +300,7 @@
 	defer c.mu.Unlock()
 	c.stale = nil
 	if frozen {
-		c.stale = list
+		c.stale = append(list, c.entries...)
 	}
 }
 
@@ -295,16 +312,16 @@
 }
 
 // total returns what was reported of an organisation.
-func (c *cloud) total(organisation string) (requests, calls uint64) {
+func (c *cloud) total(organisation string) usage.Amount {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	var sum usage.Amount
 	for key, r := range c.reports {
 		if key.organisation == organisation {
-			requests += r.Requests
-			calls += r.Calls
+			sum = sum.Add(usage.Amount{Requests: r.Requests, PromptTokens: r.PromptTokens, OutputTokens: r.OutputTokens, Calls: r.Calls})
 		}
 	}
-	return requests, calls
+	return sum
 }
 
 // all returns the engines ever made.
--- a/internal/soak/desk.go
+++ b/internal/soak/desk.go
@@ -28,13 +28,14 @@
 	rng      *rand.Rand
 	harsh    bool
 	runs     map[string]int // by body
+	gone     map[target.ID]bool
 	calls    []deskCall
 	problems []string
 }
 
 // newDesk returns a service that works.
 func newDesk(seed uint64) *desk {
-	return &desk{rng: rand.New(rand.NewPCG(seed, 11)), runs: map[string]int{}}
+	return &desk{rng: rand.New(rand.NewPCG(seed, 11)), runs: map[string]int{}, gone: map[target.ID]bool{}}
 }
 
 // setHarsh turns the faults on or off.
@@ -65,8 +66,11 @@
 )
 
 // Call implements gateway.Services.
-func (d *desk) Call(ctx context.Context, _ target.Target, r gateway.ServiceRequest) (gateway.ServiceAnswer, error) {
+func (d *desk) Call(ctx context.Context, at target.Target, r gateway.ServiceRequest) (gateway.ServiceAnswer, error) {
 	fate, delay := d.fate()
+	if d.isGone(at.ID) {
+		return gateway.ServiceAnswer{}, target.ErrNotSent
+	}
 	switch fate {
 	case fateNotSent:
 		return gateway.ServiceAnswer{}, target.ErrNotSent
@@ -76,13 +80,27 @@
 		return gateway.ServiceAnswer{}, target.ErrBroken
 	}
 	d.run(r)
-	if !wait(ctx, delay) || fate == fateLost {
+	if !wait(ctx, delay) || fate == fateLost || d.isGone(at.ID) {
 		return gateway.ServiceAnswer{}, target.ErrBroken
 	}
 	header := http.Header{"Content-Type": {"text/plain"}}
 	return gateway.ServiceAnswer{Status: http.StatusCreated, Header: header, Body: []byte("done " + string(r.Body))}, nil
 }
 
+// lose ends an instance for good; calls under way there get no answer.
+func (d *desk) lose(id target.ID) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.gone[id] = true
+}
+
+// isGone tells whether an instance is gone.
+func (d *desk) isGone(id target.ID) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.gone[id]
+}
+
 // run books a call.
 func (d *desk) run(r gateway.ServiceRequest) {
 	d.mu.Lock()
--- a/internal/soak/fault.go
+++ b/internal/soak/fault.go
@@ -61,6 +61,9 @@
 	for _, k := range kinds {
 		total += k.weight
 	}
+	if f.world.options.Losses {
+		f.healing.Go(func() { f.losses(ctx) })
+	}
 	rng := f.world.rng
 	for wait(ctx, time.Duration(500+rng.IntN(5000))*time.Millisecond) {
 		n := rng.IntN(total)
@@ -83,14 +86,26 @@
 	}
 }
 
-// during makes a fault for some time, unless one is under way for the same
-// thing.
-func (f *faults) during(what string, begin func(), span time.Duration, end func()) bool {
+// hold keeps other faults off a thing, unless one is under way for it.
+func (f *faults) hold(what string) bool {
 	f.mu.Lock()
+	defer f.mu.Unlock()
 	taken := f.held[what]
 	f.held[what] = true
-	f.mu.Unlock()
-	if taken {
+	return !taken
+}
+
+// release lets faults cause harm to a thing again.
+func (f *faults) release(what string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.held, what)
+}
+
+// during makes a fault for some time, unless one is under way for the same
+// thing.
+func (f *faults) during(what string, begin func(), span time.Duration, end func()) bool {
+	if !f.hold(what) {
 		return false
 	}
 	f.healing.Go(func() {
@@ -99,9 +114,7 @@
 		time.Sleep(span)
 		end()
 		f.world.report.event("%s: healed", what)
-		f.mu.Lock()
-		defer f.mu.Unlock()
-		delete(f.held, what)
+		f.release(what)
 	})
 	return true
 }
@@ -128,7 +141,7 @@
 func (f *faults) killController(rng *rand.Rand) bool {
 	w, i := f.world, rng.IntN(hostCount)
 	h := f.at(i)
-	return f.during("controller "+address(i), func() { w.end(h.controller) }, seconds(rng, 0, 12), func() {
+	return f.during("controller "+f.world.address(i), func() { w.end(h.controller) }, seconds(rng, 0, 12), func() {
 		p := w.startController(i)
 		w.mu.Lock()
 		defer w.mu.Unlock()
@@ -139,7 +152,7 @@
 func (f *faults) killGateway(rng *rand.Rand) bool {
 	w, i := f.world, rng.IntN(hostCount)
 	h := f.at(i)
-	return f.during("gateway "+address(i), func() { w.end(h.gateway) }, seconds(rng, 0, 12), func() { w.replaceGateway(h) })
+	return f.during("gateway "+f.world.address(i), func() { w.end(h.gateway) }, seconds(rng, 0, 12), func() { w.replaceGateway(h) })
 }
 
 // replaceGateway starts the next incarnation of a gateway.
@@ -153,7 +166,7 @@
 func (f *faults) stopGateway(rng *rand.Rand) bool {
 	w, i := f.world, rng.IntN(hostCount)
 	h := f.at(i)
-	return f.during("gateway "+address(i), func() {
+	return f.during("gateway "+f.world.address(i), func() {
 		p := h.gateway
 		p.stop()
 		<-p.ended
@@ -163,8 +176,9 @@
 		if left := len(p.serving.Usage()); left > 0 {
 			w.report.note("counters left at a stopped gateway", left)
 			w.mu.Lock()
-			defer w.mu.Unlock()
 			p.killed = true
+			w.mu.Unlock()
+			w.forgotten(p)
 		}
 		p.kill()
 	}, seconds(rng, 0, 8), func() { w.replaceGateway(h) })
@@ -173,13 +187,13 @@
 func (f *faults) freezeController(rng *rand.Rand) bool {
 	i := rng.IntN(hostCount)
 	h := f.at(i)
-	return f.during("controller "+address(i), func() { h.controller.gate.freeze() }, seconds(rng, 3, 150), func() { h.controller.gate.wake() })
+	return f.during("controller "+f.world.address(i), func() { h.controller.gate.freeze() }, seconds(rng, 3, 150), func() { h.controller.gate.wake() })
 }
 
 func (f *faults) freezeGateway(rng *rand.Rand) bool {
 	i := rng.IntN(hostCount)
 	h := f.at(i)
-	return f.unheard(h.gateway.id, "gateway "+address(i), func() { h.gateway.gate.freeze() }, seconds(rng, 1, 30), func() { h.gateway.gate.wake() })
+	return f.unheard(h.gateway.id, "gateway "+f.world.address(i), func() { h.gateway.gate.freeze() }, seconds(rng, 1, 30), func() { h.gateway.gate.wake() })
 }
 
 // cutOff cuts the hosts of a set off the others for some time.
@@ -191,7 +205,7 @@
 	for a := range hostCount {
 		for b := range a {
 			if inside(a) != inside(b) {
-				f.world.fabric.SetCut(hostID(a), hostID(b), cut)
+				f.world.fabric.SetCut(f.world.hostID(a), f.world.hostID(b), cut)
 			}
 		}
 	}
@@ -199,7 +213,7 @@
 
 func (f *faults) cutPair(rng *rand.Rand) bool {
 	a, b := rng.IntN(hostCount), rng.IntN(hostCount)
-	set := func(cut bool) { f.world.fabric.SetCut(hostID(a), hostID(b), cut && a != b) }
+	set := func(cut bool) { f.world.fabric.SetCut(f.world.hostID(a), f.world.hostID(b), cut && a != b) }
 	return f.unheard("", fmt.Sprintf("cut %d from %d", a, b), func() { set(true) }, seconds(rng, 3, 60), func() { set(false) })
 }
 
@@ -215,7 +229,7 @@
 
 func (f *faults) losePair(rng *rand.Rand) bool {
 	a, b := rng.IntN(hostCount), rng.IntN(hostCount)
-	set := func(lossy bool) { f.world.fabric.SetLossy(hostID(a), hostID(b), lossy && a != b) }
+	set := func(lossy bool) { f.world.fabric.SetLossy(f.world.hostID(a), f.world.hostID(b), lossy && a != b) }
 	return f.unheard("", "lossy", func() { set(true) }, seconds(rng, 2, 30), func() { set(false) })
 }
 
--- a/internal/soak/gate.go
+++ b/internal/soak/gate.go
@@ -171,11 +171,12 @@
 }
 
 // gatedRequests is target.Requests as one gateway reaches it. The time of a
-// choice is noted before the gate.
+// choice is noted before the gate, what engines answer after it.
 type gatedRequests struct {
-	gate  *gate
-	inner target.Requests
-	chose func(target.ID)
+	gate   *gate
+	inner  target.Requests
+	chose  func(target.ID)
+	ledger *ledger
 }
 
 func (r *gatedRequests) Generate(ctx context.Context, t target.Target, q target.GenerateRequest) (target.Stream, error) {
@@ -183,24 +184,30 @@
 	if _, err := r.gate.out(ctx); err != nil {
 		return nil, target.ErrNotSent
 	}
+	r.ledger.asked(&q)
 	s, err := r.inner.Generate(ctx, t, q)
 	if err != nil {
 		return nil, err
 	}
-	return &gatedStream{r.gate, s}, nil
+	return &gatedStream{r.gate, s, func(c target.Chunk) { r.ledger.told(&q, c) }}, nil
 }
 
 // gatedStream holds up the chunks of a frozen gateway.
 type gatedStream struct {
 	gate *gate
 	target.Stream
+	told func(target.Chunk)
 }
 
 func (s *gatedStream) Next() (target.Chunk, error) {
 	if _, err := s.gate.out(context.Background()); err != nil {
 		return target.Chunk{}, target.ErrBroken
 	}
-	return s.Stream.Next()
+	c, err := s.Stream.Next()
+	if err == nil {
+		s.told(c)
+	}
+	return c, err
 }
 
 // gatedServices is the plain services as one gateway reaches them.
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -9,7 +9,8 @@
 	"zinniapin/target"
 )
 
-// leavingLimit is the time after which a leaving target gets no new work.
+// leavingLimit is the time after which a target that is leaving or gone gets
+// no new work.
 const leavingLimit = 14 * time.Second
 
 // requestIDBytes is the length of a gateway's request id, with which the ids
@@ -30,6 +31,7 @@
 	w.judgeLeaving()
 	w.judgeRefusals(engines)
 	w.judgeUsage(engines)
+	w.judgeTokens(engines)
 	w.judgeMemory()
 	w.judgeShutdowns()
 }
@@ -248,7 +250,8 @@
 				gotCalls++
 			}
 		}
-		requests, calls := w.cloud.total(name)
+		total := w.cloud.total(name)
+		requests, calls := total.Requests, total.Calls
 		w.report.note("reported requests of "+name, int(requests))
 		w.report.note("reported calls of "+name, int(calls))
 		if requests > ranRequests || calls > ranCalls {
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -38,11 +38,12 @@
 	mu       sync.Mutex
 	attempts []*attempt
 	choices  []choice
+	answers  map[string]*answered // of engines, by the gateway's request id
 }
 
 // newLedger returns an empty ledger.
 func newLedger() *ledger {
-	return &ledger{}
+	return &ledger{answers: map[string]*answered{}}
 }
 
 // add keeps an attempt.
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -58,14 +58,20 @@
 func (w *world) disturbAndLoad() {
 	ctx, cancel := context.WithTimeout(context.Background(), w.options.Span)
 	defer cancel()
-	var running sync.WaitGroup
+	running := w.load(ctx)
+	f := &faults{world: w, held: map[string]bool{}}
+	f.run(ctx)
+	running.Wait()
+}
+
+// load starts callers, which send requests until ctx ends.
+func (w *world) load(ctx context.Context) *sync.WaitGroup {
+	running := &sync.WaitGroup{}
 	for i := range callerCount {
 		c := &caller{world: w, rng: rand.New(rand.NewPCG(w.options.Seed, uint64(100+i))), organisation: organisations[i%len(organisations)], name: fmt.Sprint("c", i)}
 		running.Go(func() { c.run(ctx) })
 	}
-	f := &faults{world: w, held: map[string]bool{}}
-	f.run(ctx)
-	running.Wait()
+	return running
 }
 
 // unchanged proposes the present state under a new revision.
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -17,6 +17,7 @@
 var (
 	seed    = flag.Uint64("soak.seed", 0, "seed of the long run; without it there is none")
 	minutes = flag.Int("soak.minutes", 10, "virtual minutes of faults of the long run")
+	losses  = flag.Bool("soak.losses", true, "replace hosts and lose zones in the long run")
 )
 
 // testLog shows the events of a run with ZINNIA_TEST_LOG set.
@@ -91,9 +92,9 @@
 }
 
 // check runs a seed and fails on every violation.
-func check(t *testing.T, seed uint64, span time.Duration) {
+func check(t *testing.T, seed uint64, span time.Duration, losses bool) {
 	synctest.Test(t, func(t *testing.T) {
-		report := Run(Options{Seed: seed, Span: span, Log: testLog()})
+		report := Run(Options{Seed: seed, Span: span, Losses: losses, Log: testLog()})
 		verdict(t, report)
 	})
 }
@@ -101,7 +102,7 @@
 // TestSystemUnderFaults runs fixed seeds of the joined system.
 func TestSystemUnderFaults(t *testing.T) {
 	for _, seed := range []uint64{1, 2} {
-		check(t, seed, 3*time.Minute)
+		check(t, seed, 3*time.Minute, true)
 	}
 }
 
@@ -110,5 +111,5 @@
 	if *seed == 0 {
 		t.Skip("runs with -soak.seed")
 	}
-	check(t, *seed, time.Duration(*minutes)*time.Minute)
+	check(t, *seed, time.Duration(*minutes)*time.Minute, *losses)
 }
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -29,6 +29,7 @@
 	"zinniapin/settings"
 	"zinniapin/target"
 	"zinniapin/uplink"
+	"zinniapin/usage"
 	"zinniapin/zone"
 )
 
@@ -53,6 +54,8 @@
 	// Span is how long faults and load last, in virtual time. Settling comes
 	// on top.
 	Span time.Duration
+	// Losses adds hosts that are replaced and zones that are lost.
+	Losses bool
 	// Log takes the events of all processes.
 	Log zerolog.Logger
 }
@@ -96,11 +99,14 @@
 
 	mu          sync.Mutex
 	hosts       [hostCount]*host
+	numbers     [hostCount]int // of the machine that is the host now
+	machines    int            // number of machines ever used
 	incarnation uint64
 	disturbed   []span // outages of the object API
 	sequence    map[target.ID]uint64
 	past        []*process // every gateway ever started
 	silences    []*silence
+	forgone     map[string]usage.Amount // use that ended gateways never handed over, by organisation
 }
 
 // span is a stretch of time; an open one has no end.
@@ -143,11 +149,17 @@
 		desk:     newDesk(o.Seed),
 		report:   newReport(o.Seed),
 		sequence: map[target.ID]uint64{},
+		forgone:  map[string]usage.Amount{},
 	}
 	w.fabric.SetDelay(500 * time.Microsecond)
 	w.cloud = newCloud(o.Seed, w.engines)
 	w.ledger = newLedger()
 	w.operator = newOperator(w)
+	for i := range w.numbers {
+		w.numbers[i] = i
+		w.cloud.join(string(w.hostID(i)), zoneOf(i).Name)
+	}
+	w.machines = hostCount
 	w.listTargets()
 	return w
 }
@@ -172,11 +184,25 @@
 	}
 }
 
-// hostID returns the id of a host.
-func hostID(i int) machine.HostID { return machine.HostID(fmt.Sprintf("host-%d", i)) }
+// hostID returns the id of the machine that is a host now.
+func (w *world) hostID(i int) machine.HostID {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return machine.HostID(fmt.Sprintf("host-%d", w.numbers[i]))
+}
 
 // address returns the address of a host's controller.
-func address(i int) string { return fmt.Sprintf("10.0.0.%d:7000", i+1) }
+func (w *world) address(i int) string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.addressNow(i)
+}
+
+// addressNow does so with the lock held.
+func (w *world) addressNow(i int) string { return fmt.Sprintf("10.0.0.%d:7000", w.numbers[i]+1) }
+
+// zoneOf returns the zone of a host.
+func zoneOf(i int) zone.Zone { return zones[i%len(zones)] }
 
 // next returns an incarnation that no process has.
 func (w *world) next() uint64 {
@@ -188,13 +214,13 @@
 
 // startController starts the controller of a host.
 func (w *world) startController(i int) *process {
-	self := machine.Process{Host: hostID(i), Role: machine.Controller, Incarnation: w.next(), Zone: zones[i%len(zones)], Address: address(i)}
+	self := machine.Process{Host: w.hostID(i), Role: machine.Controller, Incarnation: w.next(), Zone: zoneOf(i), Address: w.address(i)}
 	p := &process{gate: &gate{}, ended: make(chan struct{}), id: self.ID()}
 	outside := &gatedPlatform{p.gate, w.cloud}
 	log := w.options.Log.With().Str("process", self.ID()).Logger()
 	p.control = controller.New(controller.Config{
 		Self:         self,
-		Seeds:        []string{address(0), address(1), address(2)},
+		Seeds:        []string{w.address(0), w.address(1), w.address(2)},
 		Network:      &gatedNetwork{p.gate, w.fabric.Network(self), w.gateAt},
 		Store:        &gatedStore{p.gate, w.objects},
 		Hosts:        outside,
@@ -225,17 +251,18 @@
 
 // startGateway starts the gateway of a host.
 func (w *world) startGateway(i int) *process {
-	self := machine.Process{Host: hostID(i), Role: machine.Gateway, Incarnation: w.next(), Zone: zones[i%len(zones)]}
+	self := machine.Process{Host: w.hostID(i), Role: machine.Gateway, Incarnation: w.next(), Zone: zoneOf(i)}
 	p := &process{gate: &gate{}, ended: make(chan struct{}), id: self.ID(), listener: newPipeListener()}
 	p.client = p.listener.client()
 	log := w.options.Log.With().Str("process", self.ID()).Logger()
 	network := &gatedNetwork{p.gate, w.fabric.Network(self), w.gateAt}
-	links := uplink.New(uplink.Config{Self: self, Own: address(i), Seeds: []string{address((i + 1) % hostCount), address((i + 2) % hostCount)}, Network: network, Log: &log})
+	seeds := []string{w.address((i + 1) % hostCount), w.address((i + 2) % hostCount)}
+	links := uplink.New(uplink.Config{Self: self, Own: w.address(i), Seeds: seeds, Network: network, Log: &log})
 	claims := claim.NewStored(&gatedStore{p.gate, w.objects}, claim.Options{OrphanAfter: 2 * time.Minute, Log: &log})
 	chose := func(id target.ID) { w.ledger.chose(p.id, id) }
 	g, err := gateway.New(gateway.Options{
 		Process: self, Settings: gatewaySettings(), ResumeKey: bytes.Repeat([]byte("k"), gateway.MinResumeKeyBytes),
-		Engines: &gatedRequests{p.gate, w.engines, chose}, Services: &gatedServices{p.gate, w.desk, chose},
+		Engines: &gatedRequests{p.gate, w.engines, chose, w.ledger}, Services: &gatedServices{p.gate, w.desk, chose},
 		Claims: claims, Uplink: links, Log: log, Seed: self.Incarnation,
 	})
 	if err != nil {
@@ -276,6 +303,19 @@
 	p.gate.kill()
 	p.kill()
 	<-p.ended
+	w.forgotten(p)
+}
+
+// forgotten notes the use that a gateway that ended never handed over.
+func (w *world) forgotten(p *process) {
+	if p.serving == nil {
+		return
+	}
+	for _, c := range p.serving.Usage() {
+		w.mu.Lock()
+		w.forgone[c.Organisation] = w.forgone[c.Organisation].Add(c.Amount)
+		w.mu.Unlock()
+	}
 }
 
 // gateways returns the gateways that run now.
@@ -343,7 +383,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for i, h := range w.hosts {
-		if h != nil && h.controller != nil && address(i) == at {
+		if h != nil && h.controller != nil && w.addressNow(i) == at {
 			return h.controller.gate
 		}
 	}
