--- a/internal/soak/loss_test.go
+++ b/internal/soak/loss_test.go
@@ -33,7 +33,7 @@
 		w := newWorld(Options{Seed: 1, Log: testLog()})
 		w.start()
 		w.operator.change(w.operator.unchanged)
-		if !w.serves(settling) {
+		if !w.serves() {
 			t.Error("not everything served at the start")
 		}
 		f := &faults{world: w, held: map[string]bool{}}
@@ -54,7 +54,7 @@
 			t.Errorf("%d hosts replaced, want %d", replaced, wanted)
 		}
 		w.cloud.set(func(c *cloud) { c.harsh = false })
-		if !w.serves(settling) {
+		if !w.serves() {
 			t.Errorf("not everything serves %v after the last loss", settling)
 		}
 		time.Sleep(reporting)
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -32,7 +32,7 @@
 	w := newWorld(o)
 	w.start()
 	w.operator.change(w.operator.unchanged)
-	if !w.serves(settling) {
+	if !w.serves() {
 		w.report.violation("not everything served at the start")
 	}
 	background, stop := context.WithCancel(context.Background())
@@ -43,7 +43,7 @@
 	}
 	w.disturbAndLoad()
 	w.heal()
-	if !w.serves(settling) {
+	if !w.serves() {
 		w.report.violation("not everything serves %v after the last fault", settling)
 	}
 	time.Sleep(reporting)
@@ -173,10 +173,10 @@
 	}
 }
 
-// serves waits until every gateway serves both organisations by the latest
+// serves waits, for settling at most, until every gateway serves both organisations by the latest
 // configuration.
-func (w *world) serves(limit time.Duration) bool {
-	for began := time.Now(); time.Since(began) < limit; time.Sleep(time.Second) {
+func (w *world) serves() bool {
+	for began := time.Now(); time.Since(began) < settling; time.Sleep(time.Second) {
 		if w.allServe() {
 			return true
 		}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -66,7 +66,7 @@
 		w := newWorld(Options{Seed: 1, Log: testLog()})
 		w.start()
 		w.operator.change(w.operator.unchanged)
-		if !w.serves(settling) {
+		if !w.serves() {
 			t.Error("not everything served at the start")
 		}
 		const cut = 3
