--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -173,8 +173,8 @@
 	}
 }
 
-// serves waits, for settling at most, until every gateway serves both organisations by the latest
-// configuration.
+// serves waits, for settling at most, until every gateway serves both
+// organisations by the latest configuration.
 func (w *world) serves() bool {
 	for began := time.Now(); time.Since(began) < settling; time.Sleep(time.Second) {
 		if w.allServe() {
