--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -32,7 +32,7 @@
 	w := newWorld(o)
 	w.start()
 	w.operator.change(w.operator.unchanged)
-	if !w.serves(settling) {
+	if !w.serves() {
 		w.report.violation("not everything served at the start")
 	}
 	background, stop := context.WithCancel(context.Background())
@@ -43,7 +43,7 @@
 	}
 	w.disturbAndLoad()
 	w.heal()
-	if !w.serves(settling) {
+	if !w.serves() {
 		w.report.violation("not everything serves %v after the last fault", settling)
 	}
 	time.Sleep(reporting)
@@ -58,14 +58,20 @@
 func (w *world) disturbAndLoad() {
 	ctx, cancel := context.WithTimeout(context.Background(), w.options.Span)
 	defer cancel()
-	var running sync.WaitGroup
+	running := w.load(ctx)
+	f := &faults{world: w, held: map[string]bool{}}
+	f.run(ctx)
+	running.Wait()
+}
+
+// load starts callers, which send requests until ctx ends.
+func (w *world) load(ctx context.Context) *sync.WaitGroup {
+	running := &sync.WaitGroup{}
 	for i := range callerCount {
 		c := &caller{world: w, rng: rand.New(rand.NewPCG(w.options.Seed, uint64(100+i))), organisation: organisations[i%len(organisations)], name: fmt.Sprint("c", i)}
 		running.Go(func() { c.run(ctx) })
 	}
-	f := &faults{world: w, held: map[string]bool{}}
-	f.run(ctx)
-	running.Wait()
+	return running
 }
 
 // unchanged proposes the present state under a new revision.
@@ -167,10 +173,10 @@
 	}
 }
 
-// serves waits until every gateway serves both organisations by the latest
-// configuration.
-func (w *world) serves(limit time.Duration) bool {
-	for began := time.Now(); time.Since(began) < limit; time.Sleep(time.Second) {
+// serves waits, for settling at most, until every gateway serves both
+// organisations by the latest configuration.
+func (w *world) serves() bool {
+	for began := time.Now(); time.Since(began) < settling; time.Sleep(time.Second) {
 		if w.allServe() {
 			return true
 		}
