Grant no gateway less than it may use without a grant

Cause: when a gateway is lost its grant still counts for a term and a margin, and the part live/known of the limit is set aside for it as well. Ruled out: the limit itself (60,000,000 tokens a minute, a few thousand used) and the safe share, which the gateway would have used without a grant. Change: a grant is never below the safe share. The grantor counts every gateway with at least that much already, so the sums of the package comment stay. After: it passes, and so do the randomised sums (go test ./grant ./admission ./controller).

--- a/grant/grant.go
+++ b/grant/grant.go
@@ -7,7 +7,8 @@
 // SafePart*L/n of a limit L among n gateways, and a gateway with one uses only
 // the grant. A grantor counts each gateway that holds grants with the larger of
 // its grants and a safe share, and each other gateway with a safe share, and
-// grants no more than what that leaves of L. So grants and safe shares together
+// grants no more than what that leaves of L, or a safe share where that is more,
+// as after the loss of a gateway whose grant still counts. So grants and safe shares together
 // stay within L as long as there is one grantor and every gateway counts the
 // same n, and when all n gateways hold grants these may sum to L.
 //
@@ -224,7 +225,9 @@
 }
 
 // share returns a gateway's part of what may be granted: in proportion to the
-// demands, above an equal floor, and within what the others leave.
+// demands, above an equal floor, and within what the others leave. It is never
+// below the safe share, which the others leave to each gateway: a gateway that
+// asks is not worse off than one that does not.
 func (o *Organisation) share(gateway string, limits contract.Limits, f Fleet) Amount {
 	reserve := f.reserve(limits)
 	var wanted, others Amount
@@ -238,11 +241,12 @@
 	pool := limitsOf(limits).scale(f.presence()).less(reserve, idle)
 	mine := o.holders[gateway].wanted
 	n := float64(len(o.holders))
-	return Amount{
+	granted := Amount{
 		RequestsPerSecond: within(pool.RequestsPerSecond, others.RequestsPerSecond, part(mine.RequestsPerSecond, wanted.RequestsPerSecond, n)),
 		Concurrency:       o.whole(gateway, pool.Concurrency, others.Concurrency, wanted.Concurrency),
 		TokensPerMinute:   within(pool.TokensPerMinute, others.TokensPerMinute, part(mine.TokensPerMinute, wanted.TokensPerMinute, n)),
 	}
+	return granted.max(reserve)
 }
 
 // less returns an amount less n times another, and 0 at least.
--- a/grant/grant_test.go
+++ b/grant/grant_test.go
@@ -165,3 +165,30 @@
 	is.True(a.RequestsPerSecond+b.RequestsPerSecond > 97)
 	is.Equal(a.Concurrency+b.Concurrency, 8)
 }
+
+// TestLostGatewayStarvesNobody loses one of three gateways that hold the whole
+// limit: its grant still counts and its part is set aside, but the others are
+// granted no less than they could use without a grant.
+func TestLostGatewayStarvesNobody(t *testing.T) {
+	is := is.New(t)
+	limits := contract.Limits{RequestsPerSecond: 90, Concurrency: 30, TokensPerMinute: 9000}
+	demand := control.Demand{RequestsPerSecond: 10, Concurrency: 3, TokensPerMinute: 100}
+	now := time.Unix(1000, 0)
+	o := NewOrganisation(now.Add(-time.Minute))
+	for range 10 {
+		for _, gateway := range []string{"a", "b", "c"} {
+			o.Ask(now, gateway, limits, Fleet{Live: 3, Known: 3}, demand)
+		}
+		now = now.Add(time.Second)
+	}
+	safe := SafeShare(limits, 2)
+	for range 10 {
+		for _, gateway := range []string{"a", "b"} {
+			share, _ := o.Ask(now, gateway, limits, Fleet{Live: 2, Known: 3}, demand)
+			is.True(share.RequestsPerSecond >= safe.RequestsPerSecond)
+			is.True(share.Concurrency >= safe.Concurrency)
+			is.True(share.TokensPerMinute >= safe.TokensPerMinute)
+		}
+		now = now.Add(time.Second)
+	}
+}
