Read certificates again when their files change

Cause: daemons read certificates at their start only, so that a rotation needed a restart of every host, and none had been run. Ruled out: a signal or a timer; files are looked at when a link opens and when the metrics are read, which needs no goroutine and no order between files. The check for a peer without a certificate in TestForeignPeersAreRefused now takes it away through GetClientCertificate, since the configuration no longer holds a fixed list; it expects the same refusal. Regions or zones apart stay unproved at the process level (docs/PROOFS.md).

--- a/cmd/zinnia-controller/main.go
+++ b/cmd/zinnia-controller/main.go
@@ -77,10 +77,11 @@
 // configure builds the controller's configuration.
 func configure(s *settings.Controller, metrics *prometheus.Registry) (controller.Config, error) {
 	log := daemon.NewLogger(os.Stderr, s.Log.Level, "zinnia-controller", s.Host)
-	secured, err := yamuxlink.LoadTLS(s.TLS)
+	certificates, err := yamuxlink.LoadCertificates(s.TLS, &log)
 	if err != nil {
 		return controller.Config{}, err
 	}
+	metrics.MustRegister(certificates)
 	self := machine.Process{
 		Host:        machine.HostID(s.Host),
 		Role:        machine.Controller,
@@ -95,7 +96,7 @@
 	return controller.Config{
 		Self:         self,
 		Seeds:        s.Seeds,
-		Network:      &yamuxlink.Network{Self: self, TLS: secured, Log: &log},
+		Network:      &yamuxlink.Network{Self: self, TLS: certificates.TLS(), Log: &log},
 		Store:        objects,
 		Hosts:        httpapi.NewHosts(s.Platform.Hosts, timeout),
 		Orders:       httpengine.New(httpengine.Options{}),
--- a/cmd/zinnia-controller/main_test.go
+++ b/cmd/zinnia-controller/main_test.go
@@ -128,9 +128,10 @@
 
 	g := &quietGateway{}
 	self := machine.Process{Host: "host-0", Role: machine.Gateway, Incarnation: 7, Zone: zone.Zone{Name: "riga-a", Region: "baltic"}}
-	secured, err := yamuxlink.LoadTLS(settingsOf(t, directory, "host-0", seeds[0], seeds).TLS)
-	is.NoErr(err)
 	log := zerolog.Nop()
+	certificates, err := yamuxlink.LoadCertificates(settingsOf(t, directory, "host-0", seeds[0], seeds).TLS, &log)
+	is.NoErr(err)
+	secured := certificates.TLS()
 	network := &yamuxlink.Network{Self: self, TLS: secured, Log: &log}
 	u := uplink.New(uplink.Config{Self: self, Own: seeds[0], Seeds: seeds[1:], Network: network, Log: &log})
 	loops.Go(func() { is.NoErr(u.Run(ctx, g)) })
--- a/cmd/zinnia-gateway/serve.go
+++ b/cmd/zinnia-gateway/serve.go
@@ -91,10 +91,11 @@
 		Zone:        zone.Zone{Name: s.Zone, Region: s.Region},
 		Address:     s.Listen,
 	}
-	secured, err := yamuxlink.LoadTLS(s.TLS)
+	certificates, err := yamuxlink.LoadCertificates(s.TLS, &log)
 	if err != nil {
 		return nil, err
 	}
+	registry.MustRegister(certificates)
 	objects := httpstore.New(s.Platform.Objects, settings.Millis(s.Platform.TimeoutMillis))
 	limited := budget.New(objects, budget.Options{
 		Rate:    s.ObjectCallsPerSecond,
@@ -108,7 +109,7 @@
 		Self:    self,
 		Own:     s.Controllers[0],
 		Seeds:   s.Controllers[1:],
-		Network: &yamuxlink.Network{Self: self, TLS: secured, Log: &log},
+		Network: &yamuxlink.Network{Self: self, TLS: certificates.TLS(), Log: &log},
 		Log:     &log,
 	})
 	engines := httpengine.New(httpengine.Options{})
--- a/internal/deploy/deploy.go
+++ b/internal/deploy/deploy.go
@@ -121,17 +121,28 @@
 	return []byte(text)
 }
 
+// CertificateFolder is where the certificates are.
+func (d *Deployment) CertificateFolder() string {
+	return d.path("certs")
+}
+
+// CertificateNames are those who have a certificate: the operator and the
+// entry hosts.
+func (d *Deployment) CertificateNames() []string {
+	return append([]string{operatorName}, d.Hosts...)
+}
+
 // makeSecrets makes the certificates and the resume key.
 func (d *Deployment) makeSecrets() error {
 	authority, err := certs.NewAuthority()
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	folder := d.path("certs")
+	folder := d.CertificateFolder()
 	if err := os.MkdirAll(folder, 0o700); err != nil {
 		return trace.Wrap(err)
 	}
-	for _, name := range append([]string{operatorName}, d.Hosts...) {
+	for _, name := range d.CertificateNames() {
 		if err := authority.WriteHost(folder, name); err != nil {
 			return trace.Wrap(err)
 		}
--- /dev/null
+++ b/link/yamuxlink/certificates.go
@@ -0,0 +1,192 @@
+package yamuxlink
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+
+	"zinniapin/event"
+	"zinniapin/result"
+	"zinniapin/settings"
+)
+
+// material is what the certificate files held at one time.
+type material struct {
+	certificate *tls.Certificate
+	roots       *x509.CertPool
+}
+
+// Certificates are the certificate files of a process. They are read again
+// when they have changed, so that certificates are rotated without a restart:
+// every handshake uses the newest files that fit together. Links that are open
+// stay open. It is safe for concurrent use.
+type Certificates struct {
+	files settings.TLS
+	log   *zerolog.Logger
+
+	mu      sync.Mutex
+	stamps  []os.FileInfo // of the last try to read the files
+	current material
+}
+
+// LoadCertificates reads the certificate files of the settings. It returns nil
+// when the settings ask for plaintext. The error is a result.BadSettings that
+// names the field.
+func LoadCertificates(files settings.TLS, log *zerolog.Logger) (*Certificates, error) {
+	if files.Plaintext {
+		return nil, nil
+	}
+	c := &Certificates{files: files, log: log}
+	c.stamps = c.stat()
+	var err error
+	c.current, err = readMaterial(files)
+	if err != nil {
+		return nil, err
+	}
+	return c, nil
+}
+
+// readMaterial reads the certificate files.
+func readMaterial(files settings.TLS) (material, error) {
+	certificate, err := tls.LoadX509KeyPair(files.Certificate, files.Key)
+	if err != nil {
+		return material{}, result.Wrap(err, result.BadSettings, "cannot load the certificate").At("tls.certificate")
+	}
+	authority, err := os.ReadFile(files.Authority)
+	if err != nil {
+		return material{}, result.Wrap(err, result.BadSettings, "cannot read the authority").At("tls.authority")
+	}
+	roots := x509.NewCertPool()
+	if !roots.AppendCertsFromPEM(authority) {
+		return material{}, result.New(result.BadSettings, "the file holds no certificate").At("tls.authority")
+	}
+	return material{&certificate, roots}, nil
+}
+
+// stat returns the present state of the files; nil stands for one that cannot
+// be looked at.
+func (c *Certificates) stat() []os.FileInfo {
+	names := []string{c.files.Certificate, c.files.Key, c.files.Authority}
+	stamps := make([]os.FileInfo, len(names))
+	for i, name := range names {
+		if info, err := os.Stat(name); err == nil {
+			stamps[i] = info
+		}
+	}
+	return stamps
+}
+
+// changed tells whether files differ from when they were last looked at.
+func changed(before, now []os.FileInfo) bool {
+	for i := range now {
+		if (before[i] == nil) != (now[i] == nil) {
+			return true
+		}
+		if now[i] == nil {
+			continue
+		}
+		if !os.SameFile(before[i], now[i]) || !before[i].ModTime().Equal(now[i].ModTime()) || before[i].Size() != now[i].Size() {
+			return true
+		}
+	}
+	return false
+}
+
+// newest returns the material of the files as they are. While they do not fit
+// together, as in the middle of a rotation, the last that did stays in use.
+func (c *Certificates) newest() material {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.stat()
+	if !changed(c.stamps, now) {
+		return c.current
+	}
+	c.stamps = now
+	read, err := readMaterial(c.files)
+	if err != nil {
+		event.LinkCertificatesUnreadable.Log(c.log).Err(err).Send()
+		return c.current
+	}
+	c.current = read
+	event.LinkCertificatesReread.Log(c.log).Time("not_after", read.certificate.Leaf.NotAfter).Send()
+	return c.current
+}
+
+// TLS returns a configuration that shows the newest certificate and takes the
+// peers that descend from the newest authorities; nil for plaintext.
+func (c *Certificates) TLS() *tls.Config {
+	if c == nil {
+		return nil
+	}
+	return mutualTLS(c.newest)
+}
+
+// expiryMetric is when the certificate that new links show ends.
+var expiryMetric = prometheus.NewDesc("zinnia_link_certificate_not_after_seconds",
+	"End of validity of the certificate that links show, as Unix time in seconds.", nil, nil)
+
+// Describe implements prometheus.Collector.
+func (c *Certificates) Describe(into chan<- *prometheus.Desc) {
+	into <- expiryMetric
+}
+
+// Collect implements prometheus.Collector. It looks at the files, so that a
+// rotation takes effect no later than the next look at the metrics.
+func (c *Certificates) Collect(into chan<- prometheus.Metric) {
+	if c == nil {
+		return
+	}
+	end := c.newest().certificate.Leaf.NotAfter
+	into <- prometheus.MustNewConstMetric(expiryMetric, prometheus.GaugeValue, float64(end.UnixNano())/float64(time.Second))
+}
+
+// mutualTLS returns a configuration in which both sides show a certificate
+// that descends from known authorities. Addresses are not checked, since
+// processes move; host and role are checked against the Hello instead.
+func mutualTLS(newest func() material) *tls.Config {
+	return &tls.Config{
+		MinVersion: tls.VersionTLS13,
+		GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) {
+			return newest().certificate, nil
+		},
+		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
+			return newest().certificate, nil
+		},
+		ClientAuth:         tls.RequireAnyClientCert, // verified by VerifyConnection
+		InsecureSkipVerify: true,                     // replaced by VerifyConnection
+		VerifyConnection: func(state tls.ConnectionState) error {
+			return verify(state, newest().roots)
+		},
+		SessionTicketsDisabled: true, // each handshake shows the certificate anew
+	}
+}
+
+// verify checks the peer's chain.
+func verify(state tls.ConnectionState, roots *x509.CertPool) error {
+	if len(state.PeerCertificates) == 0 {
+		return result.New(result.LinkRefused, "the peer shows no certificate")
+	}
+	intermediates := x509.NewCertPool()
+	for _, c := range state.PeerCertificates[1:] {
+		intermediates.AddCert(c)
+	}
+	_, err := state.PeerCertificates[0].Verify(x509.VerifyOptions{
+		Roots:         roots,
+		Intermediates: intermediates,
+		KeyUsages:     []x509.ExtKeyUsage{x509.ExtKeyUsageAny},
+	})
+	return trace.Wrap(err)
+}
+
+// MutualTLS returns a configuration with one certificate and one set of
+// authorities for good.
+func MutualTLS(certificate tls.Certificate, roots *x509.CertPool) *tls.Config {
+	fixed := material{&certificate, roots}
+	return mutualTLS(func() material { return fixed })
+}
--- a/link/yamuxlink/network_test.go
+++ b/link/yamuxlink/network_test.go
@@ -36,21 +36,27 @@
 	return &Network{Self: self, TLS: secured, Log: &log}
 }
 
+// filesOf names the certificate files of a host.
+func filesOf(directory, host string) settings.TLS {
+	return settings.TLS{
+		Certificate: filepath.Join(directory, host+".pem"),
+		Key:         filepath.Join(directory, host+"-key.pem"),
+		Authority:   filepath.Join(directory, "authority.pem"),
+	}
+}
+
 // issue returns the TLS configuration of a host.
 func issue(t testing.TB, a *certs.Authority, host string) *tls.Config {
 	directory := t.TempDir()
 	if err := a.WriteHost(directory, host); err != nil {
 		t.Fatal(err)
 	}
-	c, err := LoadTLS(settings.TLS{
-		Certificate: filepath.Join(directory, host+".pem"),
-		Key:         filepath.Join(directory, host+"-key.pem"),
-		Authority:   filepath.Join(directory, "authority.pem"),
-	})
+	log := zerolog.Nop()
+	c, err := LoadCertificates(filesOf(directory, host), &log)
 	if err != nil {
 		t.Fatal(err)
 	}
-	return c
+	return c.TLS()
 }
 
 // echo answers a status request with its argument and refuses the rest.
@@ -141,7 +147,9 @@
 	is.NoErr(err)
 	address, accepted := listen(t, networkOf("host-b", issue(t, ours, "host-b")))
 	bare := issue(t, ours, "host-a")
-	bare.Certificates = nil
+	bare.GetClientCertificate = func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
+		return &tls.Certificate{}, nil // shows none
+	}
 	for name, n := range map[string]*Network{
 		"foreign authority": networkOf("host-a", issue(t, foreign, "host-a")),
 		"other host's name": networkOf("host-a", issue(t, ours, "host-c")),
--- a/operator/connect.go
+++ b/operator/connect.go
@@ -21,14 +21,14 @@
 // controllers over links. The host of the operator is the name in its
 // certificate, which must be the operator's name.
 func Dial(s *settings.Operator) (*Backend, error) {
-	secured, err := yamuxlink.LoadTLS(s.TLS)
+	quiet := zerolog.Nop()
+	certificates, err := yamuxlink.LoadCertificates(s.TLS, &quiet)
 	if err != nil {
 		return nil, err
 	}
-	quiet := zerolog.Nop()
 	network := &yamuxlink.Network{
 		Self: machine.Process{Host: machine.HostID(s.Name), Role: machine.Operator, Incarnation: rand.Uint64()},
-		TLS:  secured,
+		TLS:  certificates.TLS(),
 		Log:  &quiet,
 	}
 	timeout := time.Duration(s.TimeoutMillis) * time.Millisecond
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -44,7 +44,8 @@
 
 // TLS secures the links between processes by mutual TLS.
 type TLS struct {
-	// Certificate is the path of the process's certificate, PEM.
+	// Certificate is the path of the process's certificate, PEM. The three files
+	// are read again when they have changed; new links then use them.
 	Certificate string `json:"certificate,omitempty"`
 	// Key is the path of the certificate's private key, PEM.
 	Key string `json:"key,omitempty"`
