Bind host and role of a link's peer to its certificate

Cause: a certificate gave the host alone; its holder could claim any role, so that an operator's certificate could act as a controller. Change: a certificate names its roles by URI (urn:zinniapin:role:...). A Hello with a host or role that the peer's certificate does not give is refused on either side with 1106 and event 3006, and only controllers may be dialled. Certificates without roles are refused from now on. Existing tests get certificates with roles; a false host is now 1106 in place of 1101.

--- a/cmd/zinnia-controller/main.go
+++ b/cmd/zinnia-controller/main.go
@@ -77,11 +77,6 @@
 // configure builds the controller's configuration.
 func configure(s *settings.Controller, metrics *prometheus.Registry) (controller.Config, error) {
 	log := daemon.NewLogger(os.Stderr, s.Log.Level, "zinnia-controller", s.Host)
-	certificates, err := yamuxlink.LoadCertificates(s.TLS, &log)
-	if err != nil {
-		return controller.Config{}, err
-	}
-	metrics.MustRegister(certificates)
 	self := machine.Process{
 		Host:        machine.HostID(s.Host),
 		Role:        machine.Controller,
@@ -89,6 +84,11 @@
 		Zone:        zone.Zone{Name: s.Zone, Region: s.Region},
 		Address:     s.Links,
 	}
+	certificates, err := yamuxlink.LoadCertificates(s.TLS, self, &log)
+	if err != nil {
+		return controller.Config{}, err
+	}
+	metrics.MustRegister(certificates)
 	seed := rand.Uint64()
 	timeout := time.Duration(s.Platform.TimeoutMillis) * time.Millisecond
 	objects := budget.New(httpstore.New(s.Platform.Objects, timeout), budget.Options{Rate: storeRate, Burst: storeBurst, Seed: seed})
--- a/cmd/zinnia-controller/main_test.go
+++ b/cmd/zinnia-controller/main_test.go
@@ -112,7 +112,7 @@
 	var stops []context.CancelFunc
 	for i, address := range seeds {
 		host := fmt.Sprint("host-", i)
-		is.NoErr(authority.WriteHost(directory, host))
+		is.NoErr(authority.WriteHost(directory, host, machine.Gateway, machine.Controller, machine.Operator))
 		config, err := configure(settingsOf(t, directory, host, address, seeds), prometheus.NewRegistry())
 		is.NoErr(err)
 		log := zerolog.Nop()
@@ -129,7 +129,7 @@
 	g := &quietGateway{}
 	self := machine.Process{Host: "host-0", Role: machine.Gateway, Incarnation: 7, Zone: zone.Zone{Name: "riga-a", Region: "baltic"}}
 	log := zerolog.Nop()
-	certificates, err := yamuxlink.LoadCertificates(settingsOf(t, directory, "host-0", seeds[0], seeds).TLS, &log)
+	certificates, err := yamuxlink.LoadCertificates(settingsOf(t, directory, "host-0", seeds[0], seeds).TLS, self, &log)
 	is.NoErr(err)
 	secured := certificates.TLS()
 	network := &yamuxlink.Network{Self: self, TLS: secured, Log: &log}
--- a/cmd/zinnia-gateway/serve.go
+++ b/cmd/zinnia-gateway/serve.go
@@ -91,7 +91,7 @@
 		Zone:        zone.Zone{Name: s.Zone, Region: s.Region},
 		Address:     s.Listen,
 	}
-	certificates, err := yamuxlink.LoadCertificates(s.TLS, &log)
+	certificates, err := yamuxlink.LoadCertificates(s.TLS, self, &log)
 	if err != nil {
 		return nil, err
 	}
--- a/e2e/rotation_test.go
+++ b/e2e/rotation_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"context"
 	"crypto/tls"
 	"crypto/x509"
 	"fmt"
@@ -25,7 +24,8 @@
 // load, as docs/OPERATIONS.md says, without a restart for it. After each step
 // a controller is stopped and started, so that links open anew with what the
 // files hold by then. No caller notices, and in the end a certificate of the
-// old authority opens no link.
+// old authority opens no link, and the operator's new one none as a
+// controller.
 func TestCertificateRotation(t *testing.T) {
 	t.Parallel()
 	r := start(t, 3)
@@ -42,7 +42,7 @@
 	r.replace("authority.pem", append(bytes.Clone(before), after.PEM...))
 	r.relink(l, "host-1", 1)
 	for _, name := range r.CertificateNames() {
-		certificate, private, err := after.Issue(name)
+		certificate, private, err := after.Issue(name, r.CertificateRoles(name)...)
 		r.is.NoErr(err)
 		r.replace(name+"-key.pem", private)
 		r.replace(name+".pem", certificate)
@@ -63,8 +63,13 @@
 	t.Logf("%d chats and %d deposits", len(l.chats), len(l.deposits))
 	roots := x509.NewCertPool()
 	r.is.True(roots.AppendCertsFromPEM(after.PEM))
+	fresh, err := tls.LoadX509KeyPair(r.certificatePath("operator.pem"), r.certificatePath("operator-key.pem"))
+	r.is.NoErr(err)
 	for _, host := range r.Hosts {
-		r.refusesOperator(host, stolen, roots)
+		code := r.dial(host, machine.Operator, yamuxlink.MutualTLS(stolen, roots))
+		r.is.True(code == result.LinkRefused || code == result.LinkFailed)
+		code = r.dial(host, machine.Controller, yamuxlink.MutualTLS(fresh, roots))
+		r.is.Equal(code, result.LinkIdentityRefused)
 	}
 }
 
@@ -134,20 +139,16 @@
 	return string(body)
 }
 
-// refusesOperator checks that a controller refuses an operator's certificate.
-func (r *rig) refusesOperator(host string, certificate tls.Certificate, roots *x509.CertPool) {
+// dial opens a link to a controller in the operator's name, closes it and
+// returns the result.
+func (r *rig) dial(host string, role machine.Role, secured *tls.Config) result.Code {
 	s, err := r.ControllerSettings(host)
 	r.is.NoErr(err)
 	quiet := zerolog.Nop()
-	n := &yamuxlink.Network{
-		Self: machine.Process{Host: "operator", Role: machine.Operator, Incarnation: 1},
-		TLS:  yamuxlink.MutualTLS(certificate, roots),
-		Log:  &quiet,
-	}
-	l, err := n.Dial(context.Background(), s.Links, nil)
+	self := machine.Process{Host: "operator", Role: role, Incarnation: 1}
+	l, err := (&yamuxlink.Network{Self: self, TLS: secured, Log: &quiet}).Dial(r.ctx, s.Links, nil)
 	if err == nil {
 		_ = l.Close()
 	}
-	r.is.True(err != nil)
-	r.is.True(result.CodeOf(err) == result.LinkRefused || result.CodeOf(err) == result.LinkFailed)
+	return result.CodeOf(err)
 }
--- a/internal/capacity/links.go
+++ b/internal/capacity/links.go
@@ -14,6 +14,7 @@
 	"zinniapin/internal/certs"
 	"zinniapin/link"
 	"zinniapin/link/yamuxlink"
+	"zinniapin/machine"
 	"zinniapin/wire"
 )
 
@@ -49,7 +50,7 @@
 	if err != nil {
 		return nil, err
 	}
-	certificate, key, err := authority.Issue("host-000")
+	certificate, key, err := authority.Issue("host-000", machine.Controller)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/certs/certs.go
+++ b/internal/certs/certs.go
@@ -15,6 +15,9 @@
 	"time"
 
 	"github.com/gravitational/trace"
+
+	"zinniapin/link"
+	"zinniapin/machine"
 )
 
 // validity is how long certificates hold.
@@ -55,8 +58,9 @@
 	return &Authority{certificate, key, encode("CERTIFICATE", der)}, nil
 }
 
-// Issue returns the certificate and private key of a host, PEM.
-func (a *Authority) Issue(host string) (certificate, key []byte, err error) {
+// Issue returns the certificate and private key of a host, PEM. It gives the
+// holder the roles.
+func (a *Authority) Issue(host string, roles ...machine.Role) (certificate, key []byte, err error) {
 	hostKey, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	if err != nil {
 		return nil, nil, trace.Wrap(err)
@@ -66,6 +70,9 @@
 		return nil, nil, trace.Wrap(err)
 	}
 	template.DNSNames = []string{host}
+	for _, role := range roles {
+		template.URIs = append(template.URIs, link.RoleURI(role))
+	}
 	template.KeyUsage = x509.KeyUsageDigitalSignature
 	template.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth, x509.ExtKeyUsageServerAuth}
 	der, err := x509.CreateCertificate(rand.Reader, template, a.certificate, &hostKey.PublicKey, a.key)
@@ -80,8 +87,8 @@
 }
 
 // WriteHost writes authority.pem, HOST.pem and HOST-key.pem into a directory.
-func (a *Authority) WriteHost(directory, host string) error {
-	certificate, key, err := a.Issue(host)
+func (a *Authority) WriteHost(directory, host string, roles ...machine.Role) error {
+	certificate, key, err := a.Issue(host, roles...)
 	if err != nil {
 		return err
 	}
--- a/internal/deploy/deploy.go
+++ b/internal/deploy/deploy.go
@@ -12,6 +12,7 @@
 	"github.com/gravitational/trace"
 
 	"zinniapin/internal/certs"
+	"zinniapin/machine"
 	"zinniapin/operator"
 )
 
@@ -132,6 +133,15 @@
 	return append([]string{operatorName}, d.Hosts...)
 }
 
+// CertificateRoles are the roles that the certificate of a name gives. The
+// gateway and the controller of a host share one.
+func (d *Deployment) CertificateRoles(name string) []machine.Role {
+	if name == operatorName {
+		return []machine.Role{machine.Operator}
+	}
+	return []machine.Role{machine.Gateway, machine.Controller}
+}
+
 // makeSecrets makes the certificates and the resume key.
 func (d *Deployment) makeSecrets() error {
 	authority, err := certs.NewAuthority()
@@ -143,7 +153,7 @@
 		return trace.Wrap(err)
 	}
 	for _, name := range d.CertificateNames() {
-		if err := authority.WriteHost(folder, name); err != nil {
+		if err := authority.WriteHost(folder, name, d.CertificateRoles(name)...); err != nil {
 			return trace.Wrap(err)
 		}
 	}
--- a/link/yamuxlink/certificates.go
+++ b/link/yamuxlink/certificates.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"zinniapin/event"
+	"zinniapin/machine"
 	"zinniapin/result"
 	"zinniapin/settings"
 )
@@ -28,6 +29,7 @@
 // stay open. It is safe for concurrent use.
 type Certificates struct {
 	files settings.TLS
+	self  machine.Process
 	log   *zerolog.Logger
 
 	mu      sync.Mutex
@@ -35,29 +37,32 @@
 	current material
 }
 
-// LoadCertificates reads the certificate files of the settings. It returns nil
-// when the settings ask for plaintext. The error is a result.BadSettings that
-// names the field.
-func LoadCertificates(files settings.TLS, log *zerolog.Logger) (*Certificates, error) {
+// LoadCertificates reads the certificate files of the settings, which must give
+// this process its host and role. It returns nil when the settings ask for
+// plaintext. The error is a result.BadSettings that names the field.
+func LoadCertificates(files settings.TLS, self machine.Process, log *zerolog.Logger) (*Certificates, error) {
 	if files.Plaintext {
 		return nil, nil
 	}
-	c := &Certificates{files: files, log: log}
+	c := &Certificates{files: files, self: self, log: log}
 	c.stamps = c.stat()
 	var err error
-	c.current, err = readMaterial(files)
+	c.current, err = readMaterial(files, self)
 	if err != nil {
 		return nil, err
 	}
 	return c, nil
 }
 
-// readMaterial reads the certificate files.
-func readMaterial(files settings.TLS) (material, error) {
+// readMaterial reads the certificate files of a process.
+func readMaterial(files settings.TLS, self machine.Process) (material, error) {
 	certificate, err := tls.LoadX509KeyPair(files.Certificate, files.Key)
 	if err != nil {
 		return material{}, result.Wrap(err, result.BadSettings, "cannot load the certificate").At("tls.certificate")
 	}
+	if err := identify(self, certificate.Leaf); err != nil {
+		return material{}, result.New(result.BadSettings, "%s", result.Of(err).Message).At("tls.certificate")
+	}
 	authority, err := os.ReadFile(files.Authority)
 	if err != nil {
 		return material{}, result.Wrap(err, result.BadSettings, "cannot read the authority").At("tls.authority")
@@ -108,7 +113,7 @@
 		return c.current
 	}
 	c.stamps = now
-	read, err := readMaterial(c.files)
+	read, err := readMaterial(c.files, c.self)
 	if err != nil {
 		event.LinkCertificatesUnreadable.Log(c.log).Err(err).Send()
 		return c.current
--- a/link/yamuxlink/certificates_test.go
+++ b/link/yamuxlink/certificates_test.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"zinniapin/internal/certs"
+	"zinniapin/machine"
 	"zinniapin/result"
 	"zinniapin/settings"
 )
@@ -26,13 +27,13 @@
 	directory := t.TempDir()
 	hosts := []string{"host-a", "host-b"}
 	for _, host := range hosts {
-		is.NoErr(before.WriteHost(directory, host))
+		is.NoErr(before.WriteHost(directory, host, machine.Controller))
 	}
 	old := issue(t, before, "host-a")
 	authorities := filesOf(directory, "host-a").Authority
 	networks := map[string]*Network{}
 	for _, host := range hosts {
-		certificates, err := LoadCertificates(filesOf(directory, host), new(zerolog.Nop()))
+		certificates, err := LoadCertificates(filesOf(directory, host), networkOf(host, nil).Self, new(zerolog.Nop()))
 		is.NoErr(err)
 		networks[host] = networkOf(host, certificates.TLS())
 	}
@@ -52,11 +53,11 @@
 
 	is.NoErr(os.WriteFile(authorities, append(bytes.Clone(before.PEM), after.PEM...), 0o600))
 	is.NoErr(dial(networks["host-a"]))
-	is.NoErr(after.WriteHost(directory, "host-a")) // writes its own authority alone
+	is.NoErr(after.WriteHost(directory, "host-a", machine.Controller)) // writes its own authority alone
 	is.NoErr(os.WriteFile(authorities, append(bytes.Clone(before.PEM), after.PEM...), 0o600))
 	is.NoErr(dial(networks["host-a"])) // one side has the new certificate
 	is.NoErr(dial(networkOf("host-a", old)))
-	is.NoErr(after.WriteHost(directory, "host-b"))
+	is.NoErr(after.WriteHost(directory, "host-b", machine.Controller))
 	is.NoErr(dial(networks["host-a"])) // both, and the old authority is out
 	is.True(dial(networkOf("host-a", old)) != nil)
 	_, err = first.Call(context.Background(), ask("echo", "still open"))
@@ -70,14 +71,14 @@
 	authority, err := certs.NewAuthority()
 	is.NoErr(err)
 	directory := t.TempDir()
-	is.NoErr(authority.WriteHost(directory, "host-a"))
+	is.NoErr(authority.WriteHost(directory, "host-a", machine.Controller))
 	files := filesOf(directory, "host-a")
 	var log bytes.Buffer
 	logger := zerolog.New(&log)
-	c, err := LoadCertificates(files, &logger)
+	c, err := LoadCertificates(files, networkOf("host-a", nil).Self, &logger)
 	is.NoErr(err)
 	first := c.newest()
-	certificate, key, err := authority.Issue("host-a")
+	certificate, key, err := authority.Issue("host-a", machine.Controller)
 	is.NoErr(err)
 	is.NoErr(os.WriteFile(files.Certificate, certificate, 0o600))
 	is.Equal(c.newest(), first)
@@ -96,17 +97,23 @@
 	authority, err := certs.NewAuthority()
 	is.NoErr(err)
 	directory := t.TempDir()
-	is.NoErr(authority.WriteHost(directory, "host-a"))
+	is.NoErr(authority.WriteHost(directory, "host-a", machine.Controller))
 	whole := filesOf(directory, "host-a")
+	self := networkOf("host-a", nil).Self
 	for place, files := range map[string]settings.TLS{
 		"tls.certificate": {Certificate: whole.Certificate, Key: whole.Authority, Authority: whole.Authority},
 		"tls.authority":   {Certificate: whole.Certificate, Key: whole.Key, Authority: whole.Key},
 	} {
-		_, err := LoadCertificates(files, new(zerolog.Nop()))
+		_, err := LoadCertificates(files, self, new(zerolog.Nop()))
 		is.Equal(result.CodeOf(err), result.BadSettings)
 		is.Equal(result.Of(err).Place, place)
 	}
-	plain, err := LoadCertificates(settings.TLS{Plaintext: true}, nil)
+	for _, other := range []machine.Process{{Host: "host-a", Role: machine.Gateway}, {Host: "host-b", Role: machine.Controller}} {
+		_, err := LoadCertificates(whole, other, new(zerolog.Nop()))
+		is.Equal(result.CodeOf(err), result.BadSettings)
+		is.Equal(result.Of(err).Place, "tls.certificate")
+	}
+	plain, err := LoadCertificates(settings.TLS{Plaintext: true}, self, nil)
 	is.NoErr(err)
 	is.True(plain.TLS() == nil)
 }
--- a/link/yamuxlink/network.go
+++ b/link/yamuxlink/network.go
@@ -5,10 +5,10 @@
 import (
 	"context"
 	"crypto/tls"
+	"crypto/x509"
 	"errors"
 	"io"
 	"net"
-	"slices"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -66,27 +66,34 @@
 
 // open makes a link of a connection that this process dialled.
 func (n *Network) open(ctx context.Context, conn net.Conn, h link.Handler) (*session, error) {
-	conn, names, err := n.secure(ctx, conn, tls.Client)
+	conn, shown, err := n.secure(ctx, conn, tls.Client)
 	if err != nil {
 		return nil, err
 	}
 	if err := n.sendHello(conn); err != nil {
 		return nil, err
 	}
-	peer, err := receiveHello(conn, names)
+	peer, err := receiveHello(conn)
 	if err != nil {
 		return nil, err
 	}
+	if err := identifyListener(peer, shown); err != nil {
+		n.refused(conn, err)
+		return nil, err
+	}
 	return start(conn, peer, h, yamux.Client)
 }
 
 // take makes a link of a connection that a peer dialled.
 func (n *Network) take(ctx context.Context, conn net.Conn, h link.Handler) (*session, error) {
-	conn, names, err := n.secure(ctx, conn, tls.Server)
+	conn, shown, err := n.secure(ctx, conn, tls.Server)
 	if err != nil {
 		return nil, err
 	}
-	peer, err := receiveHello(conn, names)
+	peer, err := receiveHello(conn)
+	if err == nil {
+		err = identify(peer, shown)
+	}
 	if err != nil {
 		_ = writeMessage(conn, link.FailureOf(err), helloBytes)
 		return nil, err
@@ -97,9 +104,9 @@
 	return start(conn, peer, h, yamux.Server)
 }
 
-// secure runs the TLS handshake and returns the names of the peer's
-// certificate; without TLS the names are nil.
-func (n *Network) secure(ctx context.Context, conn net.Conn, side func(net.Conn, *tls.Config) *tls.Conn) (net.Conn, []string, error) {
+// secure runs the TLS handshake and returns the peer's certificate, nil without
+// TLS.
+func (n *Network) secure(ctx context.Context, conn net.Conn, side func(net.Conn, *tls.Config) *tls.Conn) (net.Conn, *x509.Certificate, error) {
 	_ = conn.SetDeadline(time.Now().Add(helloTimeout))
 	if n.TLS == nil {
 		return conn, nil, nil
@@ -108,8 +115,7 @@
 	if err := secured.HandshakeContext(ctx); err != nil {
 		return nil, nil, result.Wrap(err, result.LinkRefused, "the TLS handshake failed")
 	}
-	peer := secured.ConnectionState().PeerCertificates[0]
-	return secured, append([]string{}, peer.DNSNames...), nil
+	return secured, secured.ConnectionState().PeerCertificates[0], nil
 }
 
 // sendHello says who this process is.
@@ -118,9 +124,8 @@
 	return writeMessage(conn, hello, helloBytes)
 }
 
-// receiveHello reads who the peer is. With TLS its host must be among the
-// names of its certificate.
-func receiveHello(conn net.Conn, names []string) (machine.Process, error) {
+// receiveHello reads who the peer says it is.
+func receiveHello(conn net.Conn) (machine.Process, error) {
 	message, err := readMessage(conn, helloBytes)
 	if err != nil {
 		return machine.Process{}, err
@@ -128,14 +133,7 @@
 	if err := link.ErrorOf(message); err != nil {
 		return machine.Process{}, err
 	}
-	peer, err := link.ProcessOf(message.GetHello())
-	if err != nil {
-		return machine.Process{}, err
-	}
-	if names != nil && !slices.Contains(names, string(peer.Host)) {
-		return machine.Process{}, result.New(result.LinkRefused, "the certificate is not that of host %q", peer.Host)
-	}
-	return peer, nil
+	return link.ProcessOf(message.GetHello())
 }
 
 // start begins the yamux session and serves the peer's calls.
@@ -164,6 +162,16 @@
 	return listener.Addr().String(), stop, nil
 }
 
+// refused logs why a connection became no link. A false identity has an event
+// of its own.
+func (n *Network) refused(conn net.Conn, err error) {
+	kind := event.LinkPeerRefused
+	if result.CodeOf(err) == result.LinkIdentityRefused {
+		kind = event.LinkIdentityRefused
+	}
+	kind.Log(n.Log).Str("from", conn.RemoteAddr().String()).Err(err).Send()
+}
+
 // acceptAll takes connections until the listener closes.
 func (n *Network) acceptAll(listener net.Listener, h link.Handler, accept func(link.Link)) {
 	handshakes := make(chan struct{}, maxHandshakes)
@@ -194,7 +202,7 @@
 	defer cancel()
 	s, err := n.take(ctx, conn, h)
 	if err != nil {
-		event.LinkPeerRefused.Log(n.Log).Str("from", conn.RemoteAddr().String()).Err(err).Send()
+		n.refused(conn, err)
 		_ = conn.Close()
 		return
 	}
--- a/link/yamuxlink/network_test.go
+++ b/link/yamuxlink/network_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"crypto/tls"
+	"crypto/x509"
 	"errors"
 	"net"
 	"path/filepath"
@@ -47,16 +48,24 @@
 
 // issue returns the TLS configuration of a host.
 func issue(t testing.TB, a *certs.Authority, host string) *tls.Config {
+	return issueRoles(t, a, host, machine.Controller)
+}
+
+// issueRoles returns the TLS configuration of a host whose certificate gives
+// it the roles.
+func issueRoles(t testing.TB, a *certs.Authority, host string, roles ...machine.Role) *tls.Config {
 	directory := t.TempDir()
-	if err := a.WriteHost(directory, host); err != nil {
+	if err := a.WriteHost(directory, host, roles...); err != nil {
 		t.Fatal(err)
 	}
-	log := zerolog.Nop()
-	c, err := LoadCertificates(filesOf(directory, host), &log)
+	files := filesOf(directory, host)
+	pair, err := tls.LoadX509KeyPair(files.Certificate, files.Key)
 	if err != nil {
 		t.Fatal(err)
 	}
-	return c.TLS()
+	roots := x509.NewCertPool()
+	roots.AppendCertsFromPEM(a.PEM)
+	return MutualTLS(pair, roots)
 }
 
 // echo answers a status request with its argument and refuses the rest.
--- a/operator/connect.go
+++ b/operator/connect.go
@@ -22,12 +22,13 @@
 // certificate, which must be the operator's name.
 func Dial(s *settings.Operator) (*Backend, error) {
 	quiet := zerolog.Nop()
-	certificates, err := yamuxlink.LoadCertificates(s.TLS, &quiet)
+	self := machine.Process{Host: machine.HostID(s.Name), Role: machine.Operator, Incarnation: rand.Uint64()}
+	certificates, err := yamuxlink.LoadCertificates(s.TLS, self, &quiet)
 	if err != nil {
 		return nil, err
 	}
 	network := &yamuxlink.Network{
-		Self: machine.Process{Host: machine.HostID(s.Name), Role: machine.Operator, Incarnation: rand.Uint64()},
+		Self: self,
 		TLS:  certificates.TLS(),
 		Log:  &quiet,
 	}
