Set the format of log times once, and count refusals without a race

Cause: go test -race found that NewLogger wrote a global of zerolog while another controller of the same test process logged, which it does since certificates are read again; and that TestIdentityIsThatOfTheCertificate read a buffer that the listener wrote. Change: the format is set at the package's start; the test counts event 3006 and waits for all six.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -31,6 +31,11 @@
 // endpoint.
 const operatorsTimeout = 5 * time.Second
 
+// init sets the format of times in logs, which is one for the whole process.
+func init() {
+	zerolog.TimeFieldFormat = time.RFC3339Nano
+}
+
 // NewLogger returns a logger that writes JSON lines to w. The level must have
 // been checked.
 func NewLogger(w io.Writer, level, process, host string) zerolog.Logger {
@@ -38,7 +43,6 @@
 	if err != nil {
 		parsed = zerolog.InfoLevel
 	}
-	zerolog.TimeFieldFormat = time.RFC3339Nano
 	return zerolog.New(w).Level(parsed).With().Timestamp().Str("process", process).Str("host", host).Logger()
 }
 
--- a/link/yamuxlink/identity_test.go
+++ b/link/yamuxlink/identity_test.go
@@ -3,7 +3,9 @@
 import (
 	"bytes"
 	"context"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"github.com/rs/zerolog"
@@ -19,12 +21,13 @@
 	is := is.New(t)
 	a, err := certs.NewAuthority()
 	is.NoErr(err)
-	var log bytes.Buffer
-	logger := zerolog.New(zerolog.SyncWriter(&log))
+	var logged identityEvents
+	logger := zerolog.New(&logged)
 	listener := networkOf("host-b", issue(t, a, "host-b"))
 	listener.Log = &logger
 	address, accepted := listen(t, listener)
 	daemon := []machine.Role{machine.Gateway, machine.Controller}
+	refused := int32(0)
 	for name, c := range map[string]struct {
 		holder string // whose certificate it is
 		roles  []machine.Role
@@ -50,12 +53,29 @@
 			is.NoErr(l.Close())
 			continue
 		}
+		refused++
 		if result.CodeOf(err) != result.LinkIdentityRefused {
 			t.Errorf("%s: %v", name, err)
 		}
 	}
 	is.Equal(len(accepted), 0)
-	is.True(bytes.Contains(log.Bytes(), []byte(`"event":3006`)))
+	for end := time.Now().Add(generous); logged.Load() < refused; time.Sleep(time.Millisecond) {
+		is.True(time.Now().Before(end)) // each refusal is logged
+	}
+	is.Equal(logged.Load(), refused)
+}
+
+// identityEvents counts the lines of event 3006.
+type identityEvents struct {
+	atomic.Int32
+}
+
+// Write implements io.Writer.
+func (e *identityEvents) Write(line []byte) (int, error) {
+	if bytes.Contains(line, []byte(`"event":3006`)) {
+		e.Add(1)
+	}
+	return len(line), nil
 }
 
 // TestDiallerTakesControllersOnly lets processes listen that are none: with
