Serve callers and monitoring over HTTPS where settings ask for it

Cause: TLS towards callers could only be the balancer's, and operators' addresses had none at all. The long assemble of the gateway is split by part and lies in a file of its own. Plaintext stays the default; HTTP/2 is not offered.

--- a/cmd/zinnia-controller/main.go
+++ b/cmd/zinnia-controller/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"math/rand/v2"
@@ -60,12 +61,16 @@
 	if err != nil {
 		return err
 	}
+	secured, err := daemon.ServerTLS("operators_tls", s.OperatorsTLS, config.Log)
+	if err != nil {
+		return err
+	}
 	if o.Check {
 		fmt.Println(settings.Valid)
 		return nil
 	}
 	daemon.SetGCPercent(s.GCPercent)
-	return serve(s, config, metrics)
+	return serve(s, config, secured, metrics)
 }
 
 // Share of one controller in the calls of the object API.
@@ -107,8 +112,9 @@
 	}, nil
 }
 
-// serve runs the controller until a signal ends it.
-func serve(s *settings.Controller, config controller.Config, metrics *prometheus.Registry) error {
+// serve runs the controller until a signal ends it. The operators' address has
+// TLS unless secured is nil.
+func serve(s *settings.Controller, config controller.Config, secured *tls.Config, metrics *prometheus.Registry) error {
 	log := config.Log
 	invariant.SetLogger(log)
 	graceful, immediate, stopSignals := daemon.Signals(context.Background())
@@ -117,7 +123,7 @@
 	if err := k.Register(metrics); err != nil {
 		return err
 	}
-	operators, err := daemon.NewOperators(s.Operators, metrics, k.Ready)
+	operators, err := daemon.NewOperators(s.Operators, secured, metrics, k.Ready)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/cmd/zinnia-gateway/assemble.go
@@ -0,0 +1,132 @@
+package main
+
+import (
+	"context"
+	"crypto/tls"
+	"math/rand/v2"
+	"os"
+
+	"github.com/gravitational/trace"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+
+	"zinniapin/claim"
+	"zinniapin/daemon"
+	"zinniapin/event"
+	"zinniapin/gateway"
+	"zinniapin/link/yamuxlink"
+	"zinniapin/machine"
+	"zinniapin/result"
+	"zinniapin/settings"
+	"zinniapin/store/budget"
+	"zinniapin/store/httpstore"
+	"zinniapin/target/httpengine"
+	"zinniapin/uplink"
+	"zinniapin/zone"
+)
+
+// secrets are what the files hold that the settings name.
+type secrets struct {
+	resumeKey []byte
+	links     *yamuxlink.Certificates // nil for plaintext
+	callers   *tls.Config             // nil for plaintext
+	operators *tls.Config             // nil for plaintext
+}
+
+// loadSecrets reads the files that the settings name. The error names the
+// field.
+func loadSecrets(s settings.Gateway, self machine.Process, log *zerolog.Logger) (*secrets, error) {
+	key, err := os.ReadFile(s.ResumeKeyFile)
+	if err != nil {
+		return nil, result.Wrap(err, result.BadSettings, "cannot read the key").At("resume_key_file")
+	}
+	links, err := yamuxlink.LoadCertificates(s.TLS, self, log)
+	if err != nil {
+		return nil, err
+	}
+	callers, err := daemon.ServerTLS("listen_tls", s.ListenTLS, log)
+	if err != nil {
+		return nil, err
+	}
+	operators, err := daemon.ServerTLS("operators_tls", s.OperatorsTLS, log)
+	if err != nil {
+		return nil, err
+	}
+	return &secrets{key, links, callers, operators}, nil
+}
+
+// processOf returns what the gateway says of itself.
+func processOf(s settings.Gateway) machine.Process {
+	return machine.Process{
+		Host:        machine.HostID(s.Host),
+		Role:        machine.Gateway,
+		Incarnation: rand.Uint64(),
+		Zone:        zone.Zone{Name: s.Zone, Region: s.Region},
+		Address:     s.Listen,
+	}
+}
+
+// parts are what the daemon keeps of the gateway's parts.
+type parts struct {
+	options gateway.Options
+	claims  *claim.Stored
+	engines *httpengine.Client
+	objects *httpstore.Store
+}
+
+// end records the outcomes of claims that the object API has not confirmed
+// yet and closes the adapters.
+func (p *parts) end(immediate context.Context, s settings.Gateway) error {
+	ctx, cancel := context.WithTimeout(immediate, settings.Millis(s.FlushMillis))
+	defer cancel()
+	err := p.claims.Drain(ctx)
+	p.engines.Close()
+	p.objects.Close()
+	return trace.Wrap(err)
+}
+
+// assemble makes the parts of the gateway. It is the one place that names the
+// adapters of the outside systems.
+func assemble(s settings.Gateway, self machine.Process, files *secrets, log zerolog.Logger, registry *prometheus.Registry) *parts {
+	registry.MustRegister(files.links)
+	p := &parts{
+		engines: httpengine.New(httpengine.Options{}),
+		objects: httpstore.New(s.Platform.Objects, settings.Millis(s.Platform.TimeoutMillis)),
+	}
+	p.claims = newClaims(s, p.objects, &log, registry)
+	p.options = gateway.Options{
+		Process:   self,
+		Settings:  s,
+		ResumeKey: files.resumeKey,
+		Engines:   p.engines,
+		Claims:    p.claims,
+		Uplink:    newUplink(s, self, files.links, &log),
+		Log:       log,
+		Registry:  registry,
+		Seed:      rand.Uint64(),
+	}
+	return p
+}
+
+// newClaims returns the claims, whose calls of the object API are bounded.
+func newClaims(s settings.Gateway, objects *httpstore.Store, log *zerolog.Logger, registry *prometheus.Registry) *claim.Stored {
+	limited := budget.New(objects, budget.Options{
+		Rate:    s.ObjectCallsPerSecond,
+		Burst:   int(s.ObjectCallsPerSecond) + 1,
+		Seed:    rand.Uint64(),
+		OnState: func(reachable bool) { event.StoreStateChanged.Log(log).Bool("reachable", reachable).Send() },
+	})
+	registry.MustRegister(limited.Collector())
+	return claim.NewStored(limited, claim.Options{Log: log})
+}
+
+// newUplink returns the links to controllers.
+func newUplink(s settings.Gateway, self machine.Process, certificates *yamuxlink.Certificates, log *zerolog.Logger) *uplink.Uplink {
+	return uplink.New(uplink.Config{
+		Self:    self,
+		Own:     s.Controllers[0],
+		Seeds:   s.Controllers[1:],
+		Network: &yamuxlink.Network{Self: self, TLS: certificates.TLS(), Log: log},
+		Log:     log,
+	})
+}
--- a/cmd/zinnia-gateway/main.go
+++ b/cmd/zinnia-gateway/main.go
@@ -42,6 +42,9 @@
 		return err
 	}
 	if line.Check {
+		if err := check(s); err != nil {
+			return err
+		}
 		fmt.Println(settings.Valid)
 		return nil
 	}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"io"
@@ -72,10 +73,10 @@
 	listener net.Listener
 }
 
-// NewOperators listens at address. The function ready returns why the process
+// NewOperators listens at address, with TLS unless secured is nil. The function ready returns why the process
 // is not ready, or nil.
-func NewOperators(address string, r *prometheus.Registry, ready func() error) (*Operators, error) {
-	listener, err := Listen("operators", address)
+func NewOperators(address string, secured *tls.Config, r *prometheus.Registry, ready func() error) (*Operators, error) {
+	listener, err := ListenTLS("operators", address, secured)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/docgen/settings.go
+++ b/internal/docgen/settings.go
@@ -72,11 +72,26 @@
 	return []error{model, contract.Validate(fleet, []*contract.Contract{{Keys: []contract.Key{{}}}})}
 }
 
+// emptyGateway returns the settings of a gateway with one of each and no values.
+func emptyGateway() *settings.Gateway {
+	return &settings.Gateway{Common: emptyCommon(), ListenTLS: &settings.ServerTLS{}}
+}
+
+// emptyController returns the settings of a controller, likewise.
+func emptyController() *settings.Controller {
+	return &settings.Controller{Common: emptyCommon()}
+}
+
+// emptyCommon returns the settings of every daemon, likewise.
+func emptyCommon() settings.Common {
+	return settings.Common{OperatorsTLS: &settings.ServerTLS{}}
+}
+
 // sections returns the sections of the page.
 func sections() []section {
 	return []section{
-		{"Gateway", "Read by `zinnia-gateway --settings FILE`.", "settings.Gateway", mistakes(&settings.Gateway{}), restart},
-		{"Controller", "Read by `zinnia-controller --settings FILE`.", "settings.Controller", mistakes(&settings.Controller{}), restart},
+		{"Gateway", "Read by `zinnia-gateway --settings FILE`.", "settings.Gateway", mistakes(emptyGateway()), restart},
+		{"Controller", "Read by `zinnia-controller --settings FILE`.", "settings.Controller", mistakes(emptyController()), restart},
 		{"Operator", "Read by `zinniactl --settings FILE`, or the file that `ZINNIACTL_SETTINGS` names, or `zinniactl.json`. Each command reads it anew.", "settings.Operator", mistakes(&settings.Operator{}), none},
 		{"Stand-ins", "Read by `zinnia-standin --settings FILE`, for tests and the examples only.", "settings.Standin", mistakes(emptyStandin()), restart},
 		{"Configuration", "The file of `zinniactl config apply`. It is checked as a whole and in force on every host within seconds; `zinniactl config check FILE` checks it without changing anything.", "operator.Document", emptyConfigurations(), none},
--- a/link/yamuxlink/certificates.go
+++ b/link/yamuxlink/certificates.go
@@ -4,13 +4,13 @@
 	"crypto/tls"
 	"crypto/x509"
 	"os"
-	"sync"
 	"time"
 
 	"github.com/gravitational/trace"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
+	"zinniapin/certfile"
 	"zinniapin/event"
 	"zinniapin/machine"
 	"zinniapin/result"
@@ -28,30 +28,29 @@
 // every handshake uses the newest files that fit together. Links that are open
 // stay open. It is safe for concurrent use.
 type Certificates struct {
-	files settings.TLS
-	self  machine.Process
-	log   *zerolog.Logger
-
-	mu      sync.Mutex
-	stamps  []os.FileInfo // of the last try to read the files
-	current material
+	files *certfile.Files[material]
 }
 
 // LoadCertificates reads the certificate files of the settings, which must give
 // this process its host and role. It returns nil when the settings ask for
 // plaintext. The error is a result.BadSettings that names the field.
-func LoadCertificates(files settings.TLS, self machine.Process, log *zerolog.Logger) (*Certificates, error) {
-	if files.Plaintext {
+func LoadCertificates(s settings.TLS, self machine.Process, log *zerolog.Logger) (*Certificates, error) {
+	if s.Plaintext {
 		return nil, nil
 	}
-	c := &Certificates{files: files, self: self, log: log}
-	c.stamps = c.stat()
-	var err error
-	c.current, err = readMaterial(files, self)
+	read := func() (material, error) { return readMaterial(s, self) }
+	reread := func(m material, err error) {
+		if err != nil {
+			event.LinkCertificatesUnreadable.Log(log).Err(err).Send()
+			return
+		}
+		event.LinkCertificatesReread.Log(log).Time("not_after", m.certificate.Leaf.NotAfter).Send()
+	}
+	files, err := certfile.Open([]string{s.Certificate, s.Key, s.Authority}, read, reread)
 	if err != nil {
 		return nil, err
 	}
-	return c, nil
+	return &Certificates{files}, nil
 }
 
 // readMaterial reads the certificate files of a process.
@@ -74,62 +73,13 @@
 	return material{&certificate, roots}, nil
 }
 
-// stat returns the present state of the files; nil stands for one that cannot
-// be looked at.
-func (c *Certificates) stat() []os.FileInfo {
-	names := []string{c.files.Certificate, c.files.Key, c.files.Authority}
-	stamps := make([]os.FileInfo, len(names))
-	for i, name := range names {
-		if info, err := os.Stat(name); err == nil {
-			stamps[i] = info
-		}
-	}
-	return stamps
-}
-
-// changed tells whether files differ from when they were last looked at.
-func changed(before, now []os.FileInfo) bool {
-	for i := range now {
-		if (before[i] == nil) != (now[i] == nil) {
-			return true
-		}
-		if now[i] == nil {
-			continue
-		}
-		if !os.SameFile(before[i], now[i]) || !before[i].ModTime().Equal(now[i].ModTime()) || before[i].Size() != now[i].Size() {
-			return true
-		}
-	}
-	return false
-}
-
-// newest returns the material of the files as they are. While they do not fit
-// together, as in the middle of a rotation, the last that did stays in use.
-func (c *Certificates) newest() material {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	now := c.stat()
-	if !changed(c.stamps, now) {
-		return c.current
-	}
-	c.stamps = now
-	read, err := readMaterial(c.files, c.self)
-	if err != nil {
-		event.LinkCertificatesUnreadable.Log(c.log).Err(err).Send()
-		return c.current
-	}
-	c.current = read
-	event.LinkCertificatesReread.Log(c.log).Time("not_after", read.certificate.Leaf.NotAfter).Send()
-	return c.current
-}
-
 // TLS returns a configuration that shows the newest certificate and takes the
 // peers that descend from the newest authorities; nil for plaintext.
 func (c *Certificates) TLS() *tls.Config {
 	if c == nil {
 		return nil
 	}
-	return mutualTLS(c.newest)
+	return mutualTLS(c.files.Newest)
 }
 
 // expiryMetric is when the certificate that new links show ends.
@@ -147,7 +97,7 @@
 	if c == nil {
 		return
 	}
-	end := c.newest().certificate.Leaf.NotAfter
+	end := c.files.Newest().certificate.Leaf.NotAfter
 	into <- prometheus.MustNewConstMetric(expiryMetric, prometheus.GaugeValue, float64(end.UnixNano())/float64(time.Second))
 }
 
--- a/link/yamuxlink/certificates_test.go
+++ b/link/yamuxlink/certificates_test.go
@@ -77,18 +77,18 @@
 	logger := zerolog.New(&log)
 	c, err := LoadCertificates(files, networkOf("host-a", nil).Self, &logger)
 	is.NoErr(err)
-	first := c.newest()
+	first := c.files.Newest()
 	certificate, key, err := authority.Issue("host-a", machine.Controller)
 	is.NoErr(err)
 	is.NoErr(os.WriteFile(files.Certificate, certificate, 0o600))
-	is.Equal(c.newest(), first)
-	is.Equal(c.newest(), first)
+	is.Equal(c.files.Newest(), first)
+	is.Equal(c.files.Newest(), first)
 	is.Equal(bytes.Count(log.Bytes(), []byte("link_certificates_unreadable")), 1) // once a change
 	is.NoErr(os.WriteFile(files.Key, key, 0o600))
-	is.True(c.newest() != first)
+	is.True(c.files.Newest() != first)
 	is.True(bytes.Contains(log.Bytes(), []byte("link_certificates_reread")))
 	is.NoErr(os.Remove(files.Authority))
-	is.True(c.newest().roots != nil)
+	is.True(c.files.Newest().roots != nil)
 }
 
 // TestLoadCertificatesNamesTheField covers files that cannot be used at start.
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -7,6 +7,9 @@
 	Common
 	// Listen is the IP:port for callers.
 	Listen string `json:"listen"`
+	// ListenTLS makes the address for callers one of HTTPS; without it, it is
+	// plaintext.
+	ListenTLS *ServerTLS `json:"listen_tls,omitempty"`
 	// Controllers are the IP:port of the controllers to link to, nearest
 	// first: the host's own and one in another zone.
 	Controllers []string `json:"controllers"`
@@ -65,6 +68,7 @@
 func (g *Gateway) Check(p *Problems) {
 	g.Common.Check(p)
 	p.Address("listen", g.Listen)
+	g.ListenTLS.check(p, "listen_tls")
 	p.Required("resume_key_file", g.ResumeKeyFile)
 	if len(g.Controllers) == 0 {
 		p.Add("controllers", "there must be at least one")
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -28,6 +28,9 @@
 	Region zone.Region `json:"region"`
 	// Operators is the IP:port of /healthz, /readyz and /metrics.
 	Operators string `json:"operators"`
+	// OperatorsTLS makes the operators' address one of HTTPS; without it, it is
+	// plaintext.
+	OperatorsTLS *ServerTLS `json:"operators_tls,omitempty"`
 	// Log says what is logged.
 	Log Log `json:"log"`
 	// TLS secures the links between processes.
@@ -57,6 +60,16 @@
 	Plaintext bool `json:"plaintext,omitempty"`
 }
 
+// ServerTLS are the certificate files of a server that anybody may reach who
+// trusts its certificate.
+type ServerTLS struct {
+	// Certificate is the path of the server's certificate and of those between
+	// it and the authority, PEM. It is read again when it has changed.
+	Certificate string `json:"certificate"`
+	// Key is the path of the certificate's private key, PEM.
+	Key string `json:"key"`
+}
+
 // Platform says where the platform's interfaces are, as http or https URLs.
 type Platform struct {
 	// Objects is the base URL of the object API.
@@ -116,6 +129,7 @@
 	p.Required("zone", string(c.Zone))
 	p.Required("region", string(c.Region))
 	p.Address("operators", c.Operators)
+	c.OperatorsTLS.check(p, "operators_tls")
 	c.Log.check(p)
 	c.TLS.check(p)
 	c.Platform.check(p)
@@ -144,6 +158,15 @@
 	p.Required("tls.authority", t.Authority)
 }
 
+// check notes the mistakes of a server's certificate files in a field.
+func (t *ServerTLS) check(p *Problems, field string) {
+	if t == nil {
+		return
+	}
+	p.Required(field+".certificate", t.Certificate)
+	p.Required(field+".key", t.Key)
+}
+
 // defaultPlatformTimeoutMillis bounds a call of the platform.
 const defaultPlatformTimeoutMillis = 2000
 
