--- a/cmd/zinnia-controller/main.go
+++ b/cmd/zinnia-controller/main.go
@@ -5,13 +5,11 @@
 import (
 	"context"
 	"crypto/tls"
-	"errors"
 	"fmt"
 	"math/rand/v2"
 	"os"
 	"time"
 
-	"github.com/jessevdk/go-flags"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
@@ -22,7 +20,6 @@
 	"zinniapin/link/yamuxlink"
 	"zinniapin/machine"
 	"zinniapin/platform/httpapi"
-	"zinniapin/result"
 	"zinniapin/settings"
 	"zinniapin/store/budget"
 	"zinniapin/store/httpstore"
@@ -30,30 +27,18 @@
 	"zinniapin/zone"
 )
 
-// options are the command line.
-type options struct {
-	Settings string `long:"settings" required:"true" description:"settings file, JSON"`
-	Check    bool   `long:"check" description:"check the settings and exit"`
-}
-
 func main() {
 	os.Exit(daemon.Exit(run(os.Args[1:])))
 }
 
 // run reads the command line and runs the controller.
 func run(arguments []string) error {
-	var o options
-	parser := flags.NewParser(&o, flags.Default&^flags.PrintErrors)
-	if _, err := parser.ParseArgs(arguments); err != nil {
-		var wrong *flags.Error
-		if errors.As(err, &wrong) && wrong.Type == flags.ErrHelp {
-			fmt.Println(wrong.Message)
-			return nil
-		}
-		return result.New(result.BadUsage, "%s", err)
+	line, err := daemon.ParseCommandLine(arguments)
+	if err != nil || line == nil {
+		return err
 	}
 	s := &settings.Controller{}
-	if err := settings.Load(o.Settings, s); err != nil {
+	if err := settings.Load(line.Settings, s); err != nil {
 		return err
 	}
 	metrics := daemon.NewRegistry()
@@ -65,7 +50,7 @@
 	if err != nil {
 		return err
 	}
-	if o.Check {
+	if line.Check {
 		fmt.Println(settings.Valid)
 		return nil
 	}
--- a/cmd/zinnia-gateway/main.go
+++ b/cmd/zinnia-gateway/main.go
@@ -3,23 +3,13 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"os"
 
-	"github.com/jessevdk/go-flags"
-
 	"zinniapin/daemon"
-	"zinniapin/result"
 	"zinniapin/settings"
 )
 
-// commandLine is the command line of zinnia-gateway.
-type commandLine struct {
-	Settings string `long:"settings" required:"true" description:"JSON settings file"`
-	Check    bool   `long:"check" description:"check the settings and exit"`
-}
-
 // main runs the gateway and exits with the code of its result.
 func main() {
 	os.Exit(daemon.Exit(run(os.Args[1:])))
@@ -27,15 +17,9 @@
 
 // run parses the command line and runs the gateway.
 func run(arguments []string) error {
-	var line commandLine
-	_, err := flags.NewParser(&line, flags.HelpFlag|flags.PassDoubleDash).ParseArgs(arguments)
-	var flagError *flags.Error
-	if errors.As(err, &flagError) && flagError.Type == flags.ErrHelp {
-		fmt.Println(flagError.Message)
-		return nil
-	}
-	if err != nil {
-		return result.Wrap(err, result.BadUsage, "cannot read the command line")
+	line, err := daemon.ParseCommandLine(arguments)
+	if err != nil || line == nil {
+		return err
 	}
 	var s settings.Gateway
 	if err := settings.Load(line.Settings, &s); err != nil {
--- a/cmd/zinnia-standin/main.go
+++ b/cmd/zinnia-standin/main.go
@@ -4,47 +4,31 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"os"
 
-	"github.com/jessevdk/go-flags"
-
 	"zinniapin/daemon"
 	"zinniapin/event"
 	"zinniapin/internal/standin/process"
-	"zinniapin/result"
 	"zinniapin/settings"
 )
 
-// options are the options of the command line.
-type options struct {
-	Settings string `long:"settings" value-name:"FILE" required:"true" description:"settings, JSON"`
-	Check    bool   `long:"check" description:"check the settings and end"`
-}
-
-// main parses the command line and exits with the code of the result.
+// main runs the stand-ins and exits with the code of the result.
 func main() {
-	var o options
-	_, err := flags.NewParser(&o, flags.HelpFlag|flags.PassDoubleDash).Parse()
-	var wrong *flags.Error
-	if errors.As(err, &wrong) && wrong.Type == flags.ErrHelp {
-		fmt.Println(wrong.Message)
-		return
-	}
-	if err != nil {
-		os.Exit(daemon.Exit(result.Wrap(err, result.BadUsage, "the command line is wrong")))
-	}
-	os.Exit(daemon.Exit(run(&o)))
+	os.Exit(daemon.Exit(run(os.Args[1:])))
 }
 
 // run runs the stand-ins until a signal comes.
-func run(o *options) error {
+func run(arguments []string) error {
+	line, err := daemon.ParseCommandLine(arguments)
+	if err != nil || line == nil {
+		return err
+	}
 	var s settings.Standin
-	if err := settings.Load(o.Settings, &s); err != nil {
+	if err := settings.Load(line.Settings, &s); err != nil {
 		return err
 	}
-	if o.Check {
+	if line.Check {
 		fmt.Println(settings.Valid)
 		return nil
 	}
