--- a/cmd/zinnia-controller/main.go
+++ b/cmd/zinnia-controller/main.go
@@ -4,13 +4,12 @@
 
 import (
 	"context"
-	"errors"
+	"crypto/tls"
 	"fmt"
 	"math/rand/v2"
 	"os"
 	"time"
 
-	"github.com/jessevdk/go-flags"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
@@ -21,7 +20,6 @@
 	"zinniapin/link/yamuxlink"
 	"zinniapin/machine"
 	"zinniapin/platform/httpapi"
-	"zinniapin/result"
 	"zinniapin/settings"
 	"zinniapin/store/budget"
 	"zinniapin/store/httpstore"
@@ -29,30 +27,18 @@
 	"zinniapin/zone"
 )
 
-// options are the command line.
-type options struct {
-	Settings string `long:"settings" required:"true" description:"settings file, JSON"`
-	Check    bool   `long:"check" description:"check the settings and exit"`
-}
-
 func main() {
 	os.Exit(daemon.Exit(run(os.Args[1:])))
 }
 
 // run reads the command line and runs the controller.
 func run(arguments []string) error {
-	var o options
-	parser := flags.NewParser(&o, flags.Default&^flags.PrintErrors)
-	if _, err := parser.ParseArgs(arguments); err != nil {
-		var wrong *flags.Error
-		if errors.As(err, &wrong) && wrong.Type == flags.ErrHelp {
-			fmt.Println(wrong.Message)
-			return nil
-		}
-		return result.New(result.BadUsage, "%s", err)
+	line, err := daemon.ParseCommandLine(arguments)
+	if err != nil || line == nil {
+		return err
 	}
 	s := &settings.Controller{}
-	if err := settings.Load(o.Settings, s); err != nil {
+	if err := settings.Load(line.Settings, s); err != nil {
 		return err
 	}
 	metrics := daemon.NewRegistry()
@@ -60,12 +46,16 @@
 	if err != nil {
 		return err
 	}
-	if o.Check {
+	secured, err := daemon.ServerTLS("operators_tls", s.OperatorsTLS, config.Log)
+	if err != nil {
+		return err
+	}
+	if line.Check {
 		fmt.Println(settings.Valid)
 		return nil
 	}
 	daemon.SetGCPercent(s.GCPercent)
-	return serve(s, config, metrics)
+	return serve(s, config, secured, metrics)
 }
 
 // Share of one controller in the calls of the object API.
@@ -77,10 +67,6 @@
 // configure builds the controller's configuration.
 func configure(s *settings.Controller, metrics *prometheus.Registry) (controller.Config, error) {
 	log := daemon.NewLogger(os.Stderr, s.Log.Level, "zinnia-controller", s.Host)
-	secured, err := yamuxlink.LoadTLS(s.TLS)
-	if err != nil {
-		return controller.Config{}, err
-	}
 	self := machine.Process{
 		Host:        machine.HostID(s.Host),
 		Role:        machine.Controller,
@@ -88,6 +74,11 @@
 		Zone:        zone.Zone{Name: s.Zone, Region: s.Region},
 		Address:     s.Links,
 	}
+	certificates, err := yamuxlink.LoadCertificates(s.TLS, self, &log)
+	if err != nil {
+		return controller.Config{}, err
+	}
+	metrics.MustRegister(certificates)
 	seed := rand.Uint64()
 	timeout := time.Duration(s.Platform.TimeoutMillis) * time.Millisecond
 	objects := budget.New(httpstore.New(s.Platform.Objects, timeout), budget.Options{Rate: storeRate, Burst: storeBurst, Seed: seed})
@@ -95,7 +86,7 @@
 	return controller.Config{
 		Self:         self,
 		Seeds:        s.Seeds,
-		Network:      &yamuxlink.Network{Self: self, TLS: secured, Log: &log},
+		Network:      &yamuxlink.Network{Self: self, TLS: certificates.TLS(), Log: &log},
 		Store:        objects,
 		Hosts:        httpapi.NewHosts(s.Platform.Hosts, timeout),
 		Orders:       httpengine.New(httpengine.Options{}),
@@ -106,8 +97,9 @@
 	}, nil
 }
 
-// serve runs the controller until a signal ends it.
-func serve(s *settings.Controller, config controller.Config, metrics *prometheus.Registry) error {
+// serve runs the controller until a signal ends it. The operators' address has
+// TLS unless secured is nil.
+func serve(s *settings.Controller, config controller.Config, secured *tls.Config, metrics *prometheus.Registry) error {
 	log := config.Log
 	invariant.SetLogger(log)
 	graceful, immediate, stopSignals := daemon.Signals(context.Background())
@@ -116,7 +108,7 @@
 	if err := k.Register(metrics); err != nil {
 		return err
 	}
-	operators, err := daemon.NewOperators(s.Operators, metrics, k.Ready)
+	operators, err := daemon.NewOperators(s.Operators, secured, metrics, k.Ready)
 	if err != nil {
 		return err
 	}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"io"
@@ -31,6 +32,11 @@
 // endpoint.
 const operatorsTimeout = 5 * time.Second
 
+// init sets the format of times in logs, which is one for the whole process.
+func init() {
+	zerolog.TimeFieldFormat = time.RFC3339Nano
+}
+
 // NewLogger returns a logger that writes JSON lines to w. The level must have
 // been checked.
 func NewLogger(w io.Writer, level, process, host string) zerolog.Logger {
@@ -38,7 +44,6 @@
 	if err != nil {
 		parsed = zerolog.InfoLevel
 	}
-	zerolog.TimeFieldFormat = time.RFC3339Nano
 	return zerolog.New(w).Level(parsed).With().Timestamp().Str("process", process).Str("host", host).Logger()
 }
 
@@ -68,10 +73,10 @@
 	listener net.Listener
 }
 
-// NewOperators listens at address. The function ready returns why the process
+// NewOperators listens at address, with TLS unless secured is nil. The function ready returns why the process
 // is not ready, or nil.
-func NewOperators(address string, r *prometheus.Registry, ready func() error) (*Operators, error) {
-	listener, err := Listen("operators", address)
+func NewOperators(address string, secured *tls.Config, r *prometheus.Registry, ready func() error) (*Operators, error) {
+	listener, err := ListenTLS("operators", address, secured)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/deploy/deploy.go
+++ b/internal/deploy/deploy.go
@@ -12,6 +12,7 @@
 	"github.com/gravitational/trace"
 
 	"zinniapin/internal/certs"
+	"zinniapin/machine"
 	"zinniapin/operator"
 )
 
@@ -121,18 +122,38 @@
 	return []byte(text)
 }
 
+// CertificateFolder is where the certificates are.
+func (d *Deployment) CertificateFolder() string {
+	return d.path("certs")
+}
+
+// CertificateNames are those who have a certificate: the operator and the
+// entry hosts.
+func (d *Deployment) CertificateNames() []string {
+	return append([]string{operatorName}, d.Hosts...)
+}
+
+// CertificateRoles are the roles that the certificate of a name gives. The
+// gateway and the controller of a host share one.
+func (d *Deployment) CertificateRoles(name string) []machine.Role {
+	if name == operatorName {
+		return []machine.Role{machine.Operator}
+	}
+	return []machine.Role{machine.Gateway, machine.Controller}
+}
+
 // makeSecrets makes the certificates and the resume key.
 func (d *Deployment) makeSecrets() error {
 	authority, err := certs.NewAuthority()
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	folder := d.path("certs")
+	folder := d.CertificateFolder()
 	if err := os.MkdirAll(folder, 0o700); err != nil {
 		return trace.Wrap(err)
 	}
-	for _, name := range append([]string{operatorName}, d.Hosts...) {
-		if err := authority.WriteHost(folder, name); err != nil {
+	for _, name := range d.CertificateNames() {
+		if err := authority.WriteHost(folder, name, d.CertificateRoles(name)...); err != nil {
 			return trace.Wrap(err)
 		}
 	}
