--- a/admission/admission.go
+++ b/admission/admission.go
@@ -82,8 +82,8 @@
 	tokens   bucket
 	running  int // waiting ones included
 	grant    *control.Grant
-	arrivals average
-	spent    average   // tokens
+	recently rates     // over averageSpan
+	lately   rates     // over idleSpan
 	wanted   int       // highest concurrency asked for since the last Demands
 	first    time.Time // the request that made it active here; zero if a grant did
 	lastSeen time.Time
@@ -143,7 +143,7 @@
 // force that leave this one no more than its safe share.
 func (c *Core) othersMayHold(now time.Time, o *organisation) bool {
 	fresh := o.grant == nil && now.Sub(o.first) < freshSpan
-	return c.gateways > 1 && !fresh && now.Sub(c.reached) <= grant.Term+grant.Margin
+	return c.gateways > 1 && !fresh && now.Sub(c.reached) <= grant.LongestTerm(c.gateways)+grant.Margin
 }
 
 // SetCapacity sets how many requests may be dispatched to a pool at once.
@@ -203,8 +203,7 @@
 // cut off until the others take them for dead, and by nothing when all n are.
 //
 // Concurrency and burst are rounded up to 1, so that every gateway can serve
-// every organisation: each gateway without a grant may run one request too
-// many. A request that runs is never ended when a share falls.
+// every organisation: each gateway may run one request too many. A request that runs is never ended when a share falls.
 func (c *Core) share(now time.Time, o *organisation, k *contract.Contract) limits {
 	full := k.Limits
 	tokens := float64(full.TokensPerMinute) / secondsPerMinute
@@ -217,7 +216,7 @@
 		return limits{
 			rate:        math.Min(o.grant.RequestsPerSecond, full.RequestsPerSecond),
 			burst:       math.Max(1, burst*part),
-			concurrency: min(o.grant.Concurrency, full.Concurrency),
+			concurrency: min(max(1, o.grant.Concurrency), full.Concurrency),
 			tokens:      math.Min(o.grant.TokensPerMinute/secondsPerMinute, tokens),
 		}
 	}
@@ -244,8 +243,7 @@
 		o.first = now
 	}
 	o.lastSeen = now
-	o.arrivals.add(now, 1)
-	o.spent.add(now, float64(r.PromptTokens))
+	o.count(now, 1, float64(r.PromptTokens))
 	o.wanted = max(o.wanted, o.running+1)
 	l := c.share(now, o, r.Contract)
 	if err := c.withinLimits(now, o, l, r.Contract); err != nil {
@@ -345,7 +343,7 @@
 	o.running--
 	o.lastSeen = now
 	o.charge(float64(outputTokens))
-	o.spent.add(now, float64(outputTokens))
+	o.count(now, 0, float64(outputTokens))
 	if t.state == waiting {
 		p.queue.remove(t)
 	} else {
--- a/admission/bucket.go
+++ b/admission/bucket.go
@@ -38,23 +38,24 @@
 	return min(maxRetryAfter, time.Duration(wait*float64(time.Second)))
 }
 
-// average is a moving average of a rate per second, with exponential decay.
+// average is a moving average of a rate per second, with exponential decay
+// over a span that is the same in each call.
 type average struct {
 	rate float64
 	last time.Time
 }
 
 // add counts n at now.
-func (a *average) add(now time.Time, n float64) {
-	a.rate = a.at(now) + n/averageSpan.Seconds()
+func (a *average) add(now time.Time, n float64, span time.Duration) {
+	a.rate = a.at(now, span) + n/span.Seconds()
 	a.last = now
 }
 
 // at returns the rate per second at now.
-func (a *average) at(now time.Time) float64 {
+func (a *average) at(now time.Time, span time.Duration) float64 {
 	if a.last.IsZero() {
 		return 0
 	}
 	elapsed := max(0, now.Sub(a.last).Seconds())
-	return a.rate * math.Exp(-elapsed/averageSpan.Seconds())
+	return a.rate * math.Exp(-elapsed/span.Seconds())
 }
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -178,7 +178,7 @@
 		}
 	}
 	k.mu.Unlock()
-	k.grants.prune(now, k.grantorViews())
+	k.grants.prune(now, k.ownership)
 	k.keepPeers(ctx, now)
 }
 
--- a/controller/grants.go
+++ b/controller/grants.go
@@ -2,41 +2,42 @@
 
 import (
 	"context"
-	"encoding/binary"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"zinniapin/event"
 	"zinniapin/grant"
 	"zinniapin/link"
 	"zinniapin/machine"
 	"zinniapin/membership"
+	"zinniapin/usage"
 	"zinniapin/wire"
 )
 
 const (
-	// grantors is the number of controllers of the fleet that grant. Few, so
-	// that each controller needs links to few: with 390 gateways that each ask
-	// every second a grantor serves at most 390 calls a second.
-	grantors = 16
-	// grantorKey selects the grantors.
-	grantorKey = "grantors"
 	// grantTimeout bounds the call to another grantor; it is shorter than the
 	// interval at which gateways ask.
 	grantTimeout = 800 * time.Millisecond
 	// maxGranted bounds the organisations that a grantor keeps.
 	maxGranted = 20_000
+	// keepGranted is how long the state of an organisation is kept without being
+	// asked for: until no grant can be in force.
+	keepGranted = grant.LongTerm + 2*grant.Margin
+	// observeInterval is how old the knowledge of the own shards may be.
+	observeInterval = time.Second
 )
 
 // grantor holds the state of the organisations that this controller grants
-// for.
+// for: those of the shards of usage that it owns, so that controllers keep links
+// to the same owners for both.
 type grantor struct {
 	mu            sync.Mutex
 	organisations map[string]*granted
-	views         uint64    // hash of what selects the grantors
-	since         time.Time // when that last changed
+	observed      time.Time
+	refuted       uint64
+	since         [usage.DefaultShards]time.Time // when shards became its own; zero: not its own
 }
 
 // granted is the state of one organisation.
@@ -45,70 +46,95 @@
 	asked time.Time // when a gateway last asked
 }
 
+// ownership is what makes a controller the grantor of shards.
+type ownership struct {
+	owns [usage.DefaultShards]bool
+	// refuted is how often this controller had to show others that it lives,
+	// who may have asked another grantor until then.
+	refuted uint64
+}
+
 // newGrantor returns an empty grantor.
 func newGrantor() *grantor {
 	return &grantor{organisations: map[string]*granted{}}
 }
 
-// keepGranted is how long the state of an organisation is kept without being
-// asked for.
-const keepGranted = time.Minute
-
 // organisation returns the state of an organisation. A grantor that was not
 // asked for longer than a term may have been replaced in the meantime, unless
-// nothing that selects the grantors changed: the state begins anew with a wait
-// from the last change.
-func (g *grantor) organisation(now time.Time, name string, views func() uint64) (*grant.Organisation, bool) {
+// the shard was its own all along: the state begins anew with a wait from the
+// moment at which it became its own.
+func (g *grantor) organisation(now time.Time, name string, look func() ownership) (*grant.Organisation, bool) {
 	known, ok := g.organisations[name]
 	if ok && now.Sub(known.asked) <= grant.Term {
 		known.asked = now
 		return known.state, false
 	}
+	if now.Sub(g.observed) >= observeInterval {
+		g.observe(now, look())
+	}
+	since := g.since[usage.ShardOf(name, usage.DefaultShards)]
+	if ok && !since.IsZero() && !since.After(known.asked) {
+		known.asked = now
+		return known.state, false
+	}
 	if !ok && len(g.organisations) >= maxGranted {
 		return nil, false
 	}
-	g.observe(now, views())
-	fresh := &granted{grant.NewOrganisation(g.since), now}
+	if since.IsZero() {
+		since = now // another sees this controller as owner
+	}
+	fresh := &granted{grant.NewOrganisation(since), now}
 	g.organisations[name] = fresh
 	return fresh.state, true
 }
 
-// observe notes when what selects the grantors changes. The lock is held.
-func (g *grantor) observe(now time.Time, views uint64) {
-	if g.since.IsZero() || views != g.views {
-		g.views, g.since = views, now
+// observe notes when shards become this controller's own. The lock is held.
+func (g *grantor) observe(now time.Time, o ownership) {
+	if o.refuted != g.refuted {
+		g.refuted = o.refuted
+		clear(g.since[:])
+	}
+	g.observed = now
+	for shard, own := range o.owns {
+		switch {
+		case !own:
+			g.since[shard] = time.Time{}
+		case g.since[shard].IsZero():
+			g.since[shard] = now
+		}
 	}
 }
 
-// grantorViews returns a hash of what selects the grantors: the controllers
-// that take part, and how often this one had to show others that it lives, who
-// may have asked another grantor until then.
-func (k *Controller) grantorViews() uint64 {
+// ownership returns which shards are this controller's own.
+func (k *Controller) ownership() ownership {
 	k.mu.Lock()
 	members, refuted := k.members.Members(time.Now()), k.members.Refuted()
 	k.mu.Unlock()
-	var d xxhash.Digest
-	d.Reset()
-	var number [8]byte
-	write := func(n uint64) {
-		binary.LittleEndian.PutUint64(number[:], n)
-		_, _ = d.Write(number[:]) // never fails
-	}
-	write(refuted)
-	for i := range members {
-		m := &members[i]
-		if m.Process.Role == machine.Controller && !m.Leaving && m.Settled {
-			write(m.Process.Incarnation)
-		}
+	division := membership.Divide(grantorsOf(members), k.config.Self.Host)
+	o := ownership{refuted: refuted}
+	for shard := range o.owns {
+		o.owns[shard] = division.Owns(usage.ReportUnit(shard), 1)
 	}
-	return d.Sum64()
+	return o
+}
+
+// grantorsOf returns the controllers that may be grantors: those that can tell
+// the live from the dead, or all while there are none.
+func grantorsOf(members []membership.Member) []membership.Member {
+	controllers := membership.Controllers(members, "")
+	if settled := membership.Settled(controllers); len(settled) > 0 {
+		return settled
+	}
+	return controllers
 }
 
 // prune drops organisations that nobody asks for.
-func (g *grantor) prune(now time.Time, views uint64) {
+func (g *grantor) prune(now time.Time, look func() ownership) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.observe(now, views)
+	if now.Sub(g.observed) >= observeInterval {
+		g.observe(now, look())
+	}
 	for name, known := range g.organisations {
 		if now.Sub(known.asked) > keepGranted {
 			delete(g.organisations, name)
@@ -120,6 +146,11 @@
 // Demands that belong to other grantors are passed on; a grantor that does not
 // answer leaves its organisations out of the reply.
 func (k *Controller) serveGrants(ctx context.Context, from link.Link, q *wire.GrantRequest) *wire.GrantReply {
+	if q.Columns != nil {
+		plain := &wire.GrantRequest{Gateway: q.Gateway, Gateways: q.Gateways, Demands: q.Columns.ToDemands()}
+		reply := k.serveGrants(ctx, from, plain)
+		return &wire.GrantReply{Columns: wire.FromGrants(q.Columns.Organisations, reply.Grants)}
+	}
 	if from.Peer().Role == machine.Controller {
 		return k.grantAll(q)
 	}
@@ -143,33 +174,31 @@
 }
 
 // divide splits a request by grantor.
-func (k *Controller) divide(q *wire.GrantRequest) []grantPart {
-	controllers := membership.Controllers(k.Members(), "")
-	if settled := membership.Settled(controllers); len(settled) > 0 {
-		controllers = settled
-	}
-	eligible := membership.Owners(controllers, grantorKey, grantors)
-	byHost := map[machine.HostID]int{}
-	var parts []grantPart
+func (k *Controller) divide(q *wire.GrantRequest) []*grantPart {
+	controllers := grantorsOf(k.Members())
+	parts := map[int]*grantPart{} // by shard
+	byHost := map[machine.HostID]*grantPart{}
 	for _, d := range q.Demands {
-		owners := membership.Owners(eligible, d.Organisation, 1)
-		if len(owners) == 0 {
-			continue
-		}
-		owner := owners[0].Process
-		i, ok := byHost[owner.Host]
-		if !ok {
-			i = len(parts)
-			byHost[owner.Host] = i
-			parts = append(parts, grantPart{owner, &wire.GrantRequest{Gateway: q.Gateway, Gateways: q.Gateways}})
+		shard := usage.ShardOf(d.Organisation, usage.DefaultShards)
+		if parts[shard] == nil {
+			owners := membership.Owners(controllers, usage.ReportUnit(shard), 1)
+			if len(owners) == 0 {
+				continue
+			}
+			owner := owners[0].Process
+			if byHost[owner.Host] == nil {
+				byHost[owner.Host] = &grantPart{owner, &wire.GrantRequest{Gateway: q.Gateway, Gateways: q.Gateways}}
+			}
+			parts[shard] = byHost[owner.Host]
 		}
-		parts[i].request.Demands = append(parts[i].request.Demands, d)
+		request := parts[shard].request
+		request.Demands = append(request.Demands, d)
 	}
-	return parts
+	return slices.Collect(maps.Values(byHost))
 }
 
 // grantPart asks one grantor, which may be this process.
-func (k *Controller) grantPart(ctx context.Context, p grantPart) *wire.GrantReply {
+func (k *Controller) grantPart(ctx context.Context, p *grantPart) *wire.GrantReply {
 	if p.grantor.Host == k.config.Self.Host {
 		return k.grantAll(p.request)
 	}
@@ -179,11 +208,17 @@
 	if err != nil {
 		return &wire.GrantReply{}
 	}
-	reply, err := l.Call(timed, &wire.Envelope{Body: &wire.Envelope_GrantRequest{GrantRequest: p.request}})
-	if err != nil || reply.GetGrantReply() == nil {
+	request := p.request
+	if request.Gateways >= grant.LongFrom {
+		request = &wire.GrantRequest{Gateway: request.Gateway, Gateways: request.Gateways, Columns: wire.ColumnsOf(request.Demands)}
+	}
+	envelope, err := l.Call(timed, &wire.Envelope{Body: &wire.Envelope_GrantRequest{GrantRequest: request}})
+	reply := envelope.GetGrantReply()
+	if err != nil || reply == nil {
 		return &wire.GrantReply{}
 	}
-	return reply.GetGrantReply()
+	reply.Grants = append(reply.Grants, reply.Columns.ToGrants(request.Columns.GetOrganisations())...)
+	return reply
 }
 
 // grantAll answers the demands of one gateway as their grantor. Whoever asks
@@ -220,7 +255,7 @@
 	if !ok {
 		return nil
 	}
-	state, fresh := k.grants.organisation(now, d.Organisation, k.grantorViews)
+	state, fresh := k.grants.organisation(now, d.Organisation, k.ownership)
 	if state == nil {
 		return nil
 	}
@@ -240,6 +275,6 @@
 		RequestsPerSecond: share.RequestsPerSecond,
 		Concurrency:       int32(share.Concurrency),
 		TokensPerMinute:   share.TokensPerMinute,
-		TermMs:            grant.Term.Milliseconds(),
+		TermMs:            share.Term.Milliseconds(),
 	}
 }
--- a/grant/grant.go
+++ b/grant/grant.go
@@ -17,8 +17,17 @@
 // repeated request replaces a grant, but the earlier one may still be in
 // force, so the larger of the two is counted until the earlier one ends.
 //
+// In a fleet of LongFrom gateways and more a demand that leaves room for
+// others is granted with a little headroom for LongTerm, so that it need not be
+// asked for again soon; together such grants take up LongPart*L at most. Where
+// demands exceed that, the whole of what is left is shared out for Term.
+//
 // A new grantor, started or taken over, grants nothing for one term and a
-// margin, in which the predecessor's grants end. One that was the grantor all
+// margin, in which the predecessor's short grants end. For LongTerm and a
+// margin it leaves LongPart*L alone and gives no long term, since the
+// predecessor's long grants may be in force, and those of its predecessors:
+// all of one of them, since none gives a long term before those before it
+// ended. One that was the grantor all
 // along, though nobody asked it, need not wait. The sum holds when no gateway
 // has the predecessor asked for longer than the margin after the takeover;
 // while two grantors are asked side by side for longer, the sum is at most 2*L.
@@ -126,6 +135,7 @@
 type issue struct {
 	amount  Amount
 	expires time.Time
+	long    bool // with the long term
 }
 
 // holder is what one gateway asked for and holds.
@@ -162,7 +172,10 @@
 	}
 	last := &h.issues[len(h.issues)-1]
 	last.amount = last.amount.max(i.amount)
-	last.expires = i.expires
+	last.long = last.long || i.long
+	if i.expires.After(last.expires) {
+		last.expires = i.expires
+	}
 }
 
 // Organisation shares out the limits of one organisation. It is not safe for
@@ -201,16 +214,20 @@
 
 // Ask answers a gateway's demand with its share. It returns false while the
 // grantor waits for earlier grants to end.
-func (o *Organisation) Ask(now time.Time, gateway string, limits contract.Limits, f Fleet, d control.Demand) (Amount, bool) {
+func (o *Organisation) Ask(now time.Time, gateway string, limits contract.Limits, f Fleet, d control.Demand) (Share, bool) {
 	if now.Before(o.opens) {
-		return Amount{}, false
+		return Share{}, false
 	}
 	o.Idle(now)
 	h := o.holder(gateway)
-	h.wanted = Amount{d.RequestsPerSecond, d.Concurrency, d.TokensPerMinute}
-	share := o.share(gateway, limits, f)
-	h.add(issue{share, now.Add(Term + Margin)})
-	return share, true
+	h.wanted = AmountOf(d)
+	if amount, ok := o.long(now, gateway, limits, f); ok {
+		h.add(issue{amount, now.Add(LongTerm + Margin), true})
+		return Share{amount, LongTerm}, true
+	}
+	amount := o.share(now, gateway, limits, f)
+	h.add(issue{amount, now.Add(Term + Margin), false})
+	return Share{amount, Term}, true
 }
 
 // holder returns the state of a gateway.
@@ -225,7 +242,7 @@
 
 // share returns a gateway's part of what may be granted: in proportion to the
 // demands, above an equal floor, and within what the others leave.
-func (o *Organisation) share(gateway string, limits contract.Limits, f Fleet) Amount {
+func (o *Organisation) share(now time.Time, gateway string, limits contract.Limits, f Fleet) Amount {
 	reserve := f.reserve(limits)
 	var wanted, others Amount
 	for name, h := range o.holders {
@@ -236,6 +253,9 @@
 	}
 	idle := max(0, f.Live-len(o.holders))
 	pool := limitsOf(limits).scale(f.presence()).less(reserve, idle)
+	if f.mayBeLong() && now.Before(o.opens.Add(LongTerm-Term)) {
+		pool = pool.less(limitsOf(limits).scale(LongPart), 1)
+	}
 	mine := o.holders[gateway].wanted
 	n := float64(len(o.holders))
 	return Amount{
--- a/uplink/push.go
+++ b/uplink/push.go
@@ -7,7 +7,9 @@
 
 	"github.com/gravitational/trace"
 
+	"zinniapin/contract"
 	"zinniapin/control"
+	"zinniapin/grant"
 	"zinniapin/usage"
 	"zinniapin/wire"
 )
@@ -23,29 +25,59 @@
 	flushPause = 200 * time.Millisecond
 )
 
-// askGrants asks for shares of the limits of the organisations that are
-// active, first the own host's controller, then the other one.
+// askGrants asks for shares of the limits of the organisations that are due,
+// first the own host's controller, then the other one.
 func (u *Uplink) askGrants(ctx context.Context, g control.Gateway) {
-	demands := g.Demands()
+	gateways := u.gateways()
+	demands := u.asker.due(time.Now(), g.Demands(), int(gateways), u.limitsOf)
 	if len(demands) == 0 {
 		return
 	}
-	request := &wire.GrantRequest{Gateway: u.config.Self.ID(), Gateways: u.gateways()}
-	for _, d := range demands[:min(len(demands), maxDemands)] {
-		request.Demands = append(request.Demands, wire.FromDemand(d))
-	}
+	request := grantRequest(demands[:min(len(demands), maxDemands)], gateways)
+	request.Gateway = u.config.Self.ID()
 	for _, up := range u.upstreams() {
 		sent := time.Now()
 		timed, cancel := context.WithTimeout(ctx, interval)
 		reply, err := up.link.Call(timed, &wire.Envelope{Body: &wire.Envelope_GrantRequest{GrantRequest: request}})
 		cancel()
 		if err == nil && reply.GetGrantReply() != nil {
-			tellGrants(g, sent, reply.GetGrantReply())
+			grants := grantsOf(sent, request, reply.GetGrantReply())
+			u.asker.take(sent, grants)
+			if len(grants) > 0 {
+				g.Grant(grants)
+			}
 			return
 		}
 	}
 }
 
+// grantRequest returns a request for demands, in columns in a large fleet.
+func grantRequest(demands []control.Demand, gateways uint32) *wire.GrantRequest {
+	request := &wire.GrantRequest{Gateways: gateways}
+	if gateways >= grant.LongFrom {
+		request.Columns = wire.FromDemands(demands)
+		return request
+	}
+	for _, d := range demands {
+		request.Demands = append(request.Demands, wire.FromDemand(d))
+	}
+	return request
+}
+
+// limitsOf returns the limits of an organisation in the configuration in
+// force, if it has any.
+func (u *Uplink) limitsOf(organisation string) (contract.Limits, bool) {
+	s := u.holder.Snapshot()
+	if s == nil {
+		return contract.Limits{}, false
+	}
+	k, ok := s.Contracts[organisation]
+	if !ok {
+		return contract.Limits{}, false
+	}
+	return k.Limits, true
+}
+
 // gateways returns the number of gateways that this one remembers.
 func (u *Uplink) gateways() uint32 {
 	u.mu.Lock()
@@ -53,16 +85,15 @@
 	return uint32(u.fleet.gateways)
 }
 
-// tellGrants hands grants to the gateway. A grant counts from the moment at
+// grantsOf returns the grants of a reply. A grant counts from the moment at
 // which it was asked for.
-func tellGrants(g control.Gateway, sent time.Time, reply *wire.GrantReply) {
-	grants := make([]control.Grant, 0, len(reply.Grants))
-	for _, granted := range reply.Grants {
-		grants = append(grants, granted.ToGrant(sent))
-	}
-	if len(grants) > 0 {
-		g.Grant(grants)
+func grantsOf(sent time.Time, request *wire.GrantRequest, reply *wire.GrantReply) []control.Grant {
+	granted := append(reply.Grants, reply.Columns.ToGrants(request.Columns.GetOrganisations())...)
+	grants := make([]control.Grant, 0, len(granted))
+	for _, g := range granted {
+		grants = append(grants, g.ToGrant(sent))
 	}
+	return grants
 }
 
 // pushUsage hands the counters that are not safe yet to both controllers.
--- a/uplink/uplink.go
+++ b/uplink/uplink.go
@@ -62,6 +62,7 @@
 type Uplink struct {
 	config     Config
 	holder     *relay.Holder
+	asker      *asker // used by askGrants alone
 	candidates *candidates
 	configure  sync.Mutex // orders the calls of Gateway.Configure
 	observe    sync.Mutex // orders the calls of Gateway.Observe
@@ -110,6 +111,7 @@
 	return &Uplink{
 		config:     c,
 		holder:     &relay.Holder{},
+		asker:      newAsker(c.Self.ID()),
 		candidates: newCandidates(c),
 		self:       membership.Member{Process: c.Self},
 		targets:    targetview.New(),
