--- a/grant/term.go
+++ b/grant/term.go
@@ -21,8 +21,12 @@
 	// with grants of the long term: those who saw more gateways than it does may
 	// have given them.
 	cautiousFrom = 17
-	// headroom is by how much a grant with the long term exceeds the demand.
+	// headroom is by how much a grant with the long term exceeds the demand at
+	// least.
 	headroom = 1.25
+	// roomPart is the part of the room left for grants with the long term that
+	// each gives at least, so that a bucket refills soon after a request or two.
+	roomPart = 0.125
 )
 
 // Share is a gateway's share of an organisation's limits and how long it is in
@@ -90,7 +94,7 @@
 	room := limit.scale(LongPart).less(lent, 1)
 	left := limit.less(reserve, max(0, f.Live-len(o.holders))).less(others, 1)
 	room = room.min(left)
-	share := o.holders[gateway].wanted.scale(headroom).max(reserve)
+	share := o.holders[gateway].wanted.scale(headroom).max(reserve).max(room.scale(roomPart))
 	if o.holders[gateway].wanted.Concurrency > max(1, room.Concurrency) {
 		return Amount{}, false
 	}
--- a/internal/capacity/fleet.go
+++ b/internal/capacity/fleet.go
@@ -27,7 +27,11 @@
 	targets *reports
 	demands []control.Demand
 	counts  bool // gateways count use
-	nodes   []*node
+	// contracts and rate, in requests a second at each gateway, are of callers;
+	// no callers come while the rate is 0.
+	contracts []*contract.Contract
+	rate      float64
+	nodes     []*node
 }
 
 // node is a host with its controller and the uplink of its gateway.
@@ -40,9 +44,14 @@
 
 // newFleet returns a fleet that does not run, with an accepted configuration.
 func newFleet(targets, organisations, active int) (*fleet, error) {
-	f := &fleet{fabric: memlink.NewFabric(), objects: objects.New(), targets: &reports{hosts: hostsOf(targets), sequence: map[target.ID]uint64{}}}
+	return newFleetOf(targets, contractsOf(organisations), active)
+}
+
+// newFleetOf returns a fleet like newFleet with contracts.
+func newFleetOf(targets int, contracts []*contract.Contract, active int) (*fleet, error) {
+	f := &fleet{contracts: contracts, fabric: memlink.NewFabric(), objects: objects.New(), targets: &reports{hosts: hostsOf(targets), sequence: map[target.ID]uint64{}}}
 	described := describedFleet()
-	p := configuration.Proposal{ID: "first", Author: "operator", Summary: "first", Fleet: &described, Contracts: contractsOf(organisations)}
+	p := configuration.Proposal{ID: "first", Author: "operator", Summary: "first", Fleet: &described, Contracts: contracts}
 	if _, err := configuration.Accept(context.Background(), f.objects, p, time.Now()); err != nil {
 		return nil, err
 	}
@@ -57,6 +66,9 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	log := zerolog.Nop()
 	n := &node{gateway: &listener{demands: f.demands, id: gatewayOf(i, incarnation).ID(), counts: f.counts}, stop: cancel}
+	if f.rate > 0 {
+		n.gateway.callers = newCallers(f.contracts, f.rate, uint64(i))
+	}
 	self := controllerOf(i, incarnation)
 	seeds := []string{controllerOf(0, 1).Address, controllerOf(1, 1).Address, controllerOf(2, 1).Address}
 	n.controller = controller.New(controller.Config{Self: self, Seeds: seeds, Network: f.fabric.Network(self),
@@ -211,6 +223,7 @@
 	demands  []control.Demand
 	id       string
 	counts   bool
+	callers  *callers // nil: the demands are fixed
 }
 
 var _ control.Gateway = (*listener)(nil)
@@ -230,7 +243,12 @@
 }
 
 // Demands implements control.Gateway.
-func (l *listener) Demands() []control.Demand { return l.demands }
+func (l *listener) Demands() []control.Demand {
+	if l.callers != nil {
+		return l.callers.second()
+	}
+	return l.demands
+}
 
 // Observe implements control.Gateway.
 func (*listener) Observe([]control.TargetState) {}
@@ -239,10 +257,18 @@
 func (*listener) Cordon(target.ID, uint64, bool) int { return 0 }
 
 // Grant implements control.Gateway.
-func (*listener) Grant([]control.Grant) {}
+func (l *listener) Grant(grants []control.Grant) {
+	if l.callers != nil {
+		l.callers.grant(grants)
+	}
+}
 
 // Connected implements control.Gateway.
-func (*listener) Connected(control.Connectivity) {}
+func (l *listener) Connected(c control.Connectivity) {
+	if l.callers != nil {
+		l.callers.connected(c)
+	}
+}
 
 // Usage implements control.Gateway: every active organisation had a request
 // since the last call.
--- a/internal/capacity/fleet_test.go
+++ b/internal/capacity/fleet_test.go
@@ -106,6 +106,42 @@
 	}
 }
 
+// callersOrganisations is the number of organisations whose callers come.
+const callersOrganisations = 2_000
+
+// TestCallers prints what grants add where each gateway serves many
+// organisations that each send it a request now and then. The variable names
+// rates, in tenths of requests a second at each gateway; each organisation sends
+// as much as at the size to design for at 23.
+func TestCallers(t *testing.T) {
+	hosts := sizes("ZINNIA_CAPACITY_CALLERS_HOSTS", 7)[0]
+	for _, tenths := range sizes("ZINNIA_CAPACITY_CALLERS", 6) {
+		t.Run(fmt.Sprint("rate=", float64(tenths)/10), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { called(t, hosts, float64(tenths)/10) })
+		})
+	}
+}
+
+// called runs a fleet with callers.
+func called(t *testing.T, n int, rate float64) {
+	is := is.New(t)
+	f, err := newFleetOf(targetsFor(n), smallContracts(callersOrganisations, n), 0)
+	is.NoErr(err)
+	defer f.close()
+	f.rate = rate
+	f.fabric.SetDelay(time.Millisecond)
+	f.grow(n)
+	time.Sleep(warmTime(n) + 2*time.Minute) // the first grantors have waited
+	is.Equal(f.behind(1), 0)
+	before := f.spent()
+	arrivedBefore, refusedBefore := f.refusals()
+	span := time.Minute
+	time.Sleep(span)
+	f.print(t, fmt.Sprintf("callers, %d hosts, %.1f requests a second a gateway", n, rate), n, span, before)
+	arrived, refused := f.refusals()
+	t.Logf("  %d requests, %.1f%% refused", arrived-arrivedBefore, 100*float64(refused-refusedBefore)/float64(max(1, arrived-arrivedBefore)))
+}
+
 // targetsFor returns the number of targets that n hosts stand before.
 func targetsFor(n int) int {
 	return max(16, designTargets*n/designNodes)
