--- a/Makefile
+++ b/Makefile
@@ -52,7 +52,7 @@
 	go run ./internal/capacity
 	ZINNIA_MESH_HOSTS=130 go test -count=1 -v -run TestCostOfTheMesh ./controller
 	ZINNIA_CAPACITY_SPREAD=7,30,60 ZINNIA_CAPACITY_STEADY=7,30,60 ZINNIA_CAPACITY_GRANTS=0,10,40,160 ZINNIA_CAPACITY_CHURN=30 ZINNIA_CAPACITY_USAGE=0,10,40,160 \
-	go test -count=1 -v -run 'TestSpread|TestSteady|TestGrants|TestUsage|TestChurn' ./internal/capacity
+	go test -count=1 -v -run 'TestSpread|TestSteady|TestGrants|TestCallers|TestUsage|TestChurn' ./internal/capacity
 
 # Seconds for each fuzz target.
 FUZZ_SECONDS ?= 10
--- a/grant/term.go
+++ b/grant/term.go
@@ -25,7 +25,8 @@
 	// least.
 	headroom = 1.25
 	// roomPart is the part of the room left for grants with the long term that
-	// each gives at least, so that a bucket refills soon after a request or two.
+	// each gives at least, so that a bucket refills soon after a request or two,
+	// while the demands of all leave room.
 	roomPart = 0.125
 )
 
@@ -83,8 +84,9 @@
 		return Amount{}, false
 	}
 	reserve := f.reserve(limits)
-	var lent, others Amount
+	var wanted, lent, others Amount
 	for name, h := range o.holders {
+		wanted = wanted.add(h.wanted)
 		if name != gateway {
 			lent = lent.add(h.heldLong())
 			others = others.add(h.held().max(reserve))
@@ -94,7 +96,11 @@
 	room := limit.scale(LongPart).less(lent, 1)
 	left := limit.less(reserve, max(0, f.Live-len(o.holders))).less(others, 1)
 	room = room.min(left)
-	share := o.holders[gateway].wanted.scale(headroom).max(reserve).max(room.scale(roomPart))
+	share := o.holders[gateway].wanted.scale(headroom).max(reserve)
+	wanted.Concurrency = 0 // each gateway may run one request at any time
+	if wanted.Within(limit.scale(LongPart), limits) {
+		share = share.max(room.scale(roomPart))
+	}
 	if o.holders[gateway].wanted.Concurrency > max(1, room.Concurrency) {
 		return Amount{}, false
 	}
--- a/internal/capacity/heartbeats.go
+++ b/internal/capacity/heartbeats.go
@@ -5,6 +5,8 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"zinniapin/control"
+	"zinniapin/grant"
 	"zinniapin/membership"
 	"zinniapin/targetview"
 	"zinniapin/wire"
@@ -123,6 +125,34 @@
 	r.printf("record of a target: %d bytes in full, %d when only its load changed\n", proto.Size(full.Targets[0]), proto.Size(&wire.Heartbeat{Loads: compact.Loads}))
 	r.printf("heartbeat without news: %d bytes\n", proto.Size(heartbeatQuestion()))
 	r.printf("demand: %d bytes, grant: %d bytes, usage counter: %d bytes\n", proto.Size(demandMessage()), proto.Size(grantMessage()), proto.Size(counterMessage()))
+	measureColumns(r)
+}
+
+// columnSizes are the numbers of organisations in one request for grants.
+var columnSizes = []int{1, 6, 20}
+
+// measureColumns prints the encoded sizes of a request for grants in columns
+// and of its reply.
+func measureColumns(r *report) {
+	var requests, replies []point
+	for _, n := range columnSizes {
+		var demands []control.Demand
+		var grants []*wire.Grant
+		for i := range n {
+			d := demandMessage()
+			d.Organisation = organisationName(i)
+			demands = append(demands, d.ToDemand())
+			g := grantMessage()
+			g.Organisation, g.TermMs = d.Organisation, grant.LongTerm.Milliseconds()
+			grants = append(grants, g)
+		}
+		request := &wire.GrantRequest{Gateway: gatewayOf(123, 1).ID(), Gateways: designNodes, Columns: wire.FromDemands(demands)}
+		reply := &wire.GrantReply{Columns: wire.FromGrants(request.Columns.Organisations, grants)}
+		requests = append(requests, point{float64(n), float64(proto.Size(&wire.Envelope{Body: &wire.Envelope_GrantRequest{GrantRequest: request}}))})
+		replies = append(replies, point{float64(n), float64(proto.Size(&wire.Envelope{Body: &wire.Envelope_GrantReply{GrantReply: reply}}))})
+	}
+	r.slope("request for grants", "bytes", "organisation", requests)
+	r.slope("reply with grants", "bytes", "organisation", replies)
 }
 
 // demandMessage returns a demand of ordinary size.
--- a/internal/capacity/state.go
+++ b/internal/capacity/state.go
@@ -54,6 +54,11 @@
 	}
 	r.slope("grantor, one organisation: heap", "kB", "gateway", holders)
 	r.slope("grantor: one answer", "us", "gateway", asks)
+	var long []point
+	for _, n := range holderSizes {
+		long = append(long, point{float64(n), longAskTime(n)})
+	}
+	r.slope("grantor: one answer with the long term", "us", "gateway", long)
 }
 
 // activeCore returns admission with n active organisations.
@@ -89,6 +94,9 @@
 	return c
 }
 
+// holderSizes are the numbers of gateways that hold grants of one organisation.
+var holderSizes = []int{7, 26, 60}
+
 // grantsOf returns a grantor's state for n organisations with one gateway.
 func grantsOf(n int) map[string]*grant.Organisation {
 	now := time.Now()
@@ -115,6 +123,23 @@
 	})
 }
 
+// longAskTime returns the processor time in microseconds in which a grantor
+// answers one of n gateways, of those of the size to design for, for an
+// organisation that leaves room.
+func longAskTime(n int) float64 {
+	start := time.Now()
+	o := grant.NewOrganisation(start.Add(-time.Hour))
+	limits, fleet := contractOf(0).Limits, grant.Fleet{Live: designNodes, Known: designNodes}
+	demand := control.Demand{RequestsPerSecond: limits.RequestsPerSecond / designNodes, Concurrency: 1}
+	for i := range n {
+		o.Ask(start, gatewayOf(i, 1).ID(), limits, fleet, demand)
+	}
+	return perCall(grantCalls, func(i int) {
+		at := start.Add(time.Duration(i) * grant.LongTerm / time.Duration(n))
+		o.Ask(at, gatewayOf(i%n, 1).ID(), limits, fleet, demand)
+	})
+}
+
 // grantHolders returns the state of one organisation with n gateways.
 func grantHolders(n int) *grant.Organisation {
 	return askedOrganisation(time.Now(), n)
