--- /dev/null
+++ b/admission/demand_test.go
@@ -0,0 +1,46 @@
+package admission
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"zinniapin/contract"
+	"zinniapin/control"
+	"zinniapin/grant"
+)
+
+// TestGrantWithoutWholeRequestRunsOne checks that a gateway whose grant has no
+// whole request at once may run one, as it may without a grant, and not two.
+func TestGrantWithoutWholeRequestRunsOne(t *testing.T) {
+	is := is.New(t)
+	c := New(10)
+	c.SetCapacity("p", 10)
+	c.SetGateways(grant.LongFrom)
+	terms := &contract.Contract{Organisation: "a", Limits: contract.Limits{RequestsPerSecond: 100, Concurrency: 16}}
+	c.Grant(start, []control.Grant{{Organisation: "a", RequestsPerSecond: 5, Expires: start.Add(time.Minute)}})
+	_, err := c.Arrive(start, request(terms, start, 1))
+	is.NoErr(err)
+	_, err = c.Arrive(start.Add(time.Second), request(terms, start.Add(time.Second), 1))
+	is.True(err != nil)
+}
+
+// TestDemandOfLargeFleet checks that a single request tells one request a
+// minute in a large fleet, and many their rate at every size.
+func TestDemandOfLargeFleet(t *testing.T) {
+	is := is.New(t)
+	terms := &contract.Contract{Organisation: "a", Limits: contract.Limits{RequestsPerSecond: 100, Concurrency: 1000}}
+	told := func(gateways, requests int) float64 {
+		c := New(1000)
+		c.SetCapacity("p", 1000)
+		c.SetGateways(gateways)
+		for range requests {
+			_, _ = c.Arrive(start, request(terms, start, 1)) // a refused one counts
+		}
+		return c.Demands(start)[0].RequestsPerSecond
+	}
+	is.Equal(told(grant.LongFrom-1, 1), 1/averageSpan.Seconds())
+	is.Equal(told(grant.LongFrom, 1), 1/idleSpan.Seconds())
+	is.True(told(grant.LongFrom, 20) > 1.99)
+}
