Log an order as closed once the object API holds it closed

Cause: event 4051 was logged where the outcome is handed to the caller, which is before the update that closes the order. While that update failed, the log said "closed" of an order that others still found open. Orders that were never opened (another author's was in the way, or the object API was down) were logged as closed as well.

Change: the line is logged when the agent goes from closing to idle: the update was confirmed, or a read showed the order gone from the record. What was never opened logs nothing; 4052 tells of another author's order.

Tests: TestClosedIsLoggedOnceClosed and TestUnopenedIsNotLoggedAsClosed, both seen failing before (1 line, want 0).

--- a/authority/agent.go
+++ b/authority/agent.go
@@ -62,11 +62,14 @@
 	return a.phase == reading || a.phase == blocked || a.phase == opening
 }
 
+// Closing reports whether the order is being closed: its outcome is known, and
+// the object API may still hold it open.
+func (a *Agent) Closing() bool { return a.phase == closing || a.phase == rereading }
+
 // Settled returns the outcome once it is known, which may be before the
 // order is closed.
 func (a *Agent) Settled() (Outcome, bool) {
-	known := a.phase == idle || a.phase == closing || a.phase == rereading
-	return a.outcome, known
+	return a.outcome, a.Idle() || a.Closing()
 }
 
 // Step takes an event and returns what to do next. Cancelled may only be
--- a/authority/run.go
+++ b/authority/run.go
@@ -52,7 +52,11 @@
 			continue
 		}
 		e := r.carryOut(action)
+		wasClosing := r.agent.Closing()
 		action = r.agent.Step(x.options.Now(), e)
+		if wasClosing && r.agent.Idle() {
+			r.logClosed()
+		}
 		r.tell()
 	}
 }
@@ -70,8 +74,12 @@
 	}
 	r.told = true
 	r.known <- outcome
+}
+
+// logClosed logs that the object API holds the order closed.
+func (r *run) logClosed() {
 	event.OrderClosed.Log(r.executor.options.Log).Str("unit", r.unit).
-		Str("order", r.agent.Order().ID).Str("outcome", string(outcome)).Send()
+		Str("order", r.agent.Order().ID).Str("outcome", string(r.agent.Outcome())).Send()
 }
 
 // carryOut does what the agent wants and returns what happened.
--- a/event/authority.go
+++ b/event/authority.go
@@ -9,7 +9,7 @@
 	ClaimOrphaned      = define(4002, "claim_orphaned", zerolog.WarnLevel, "A claim's holder did not end it in time; its outcome is now unknown.", "Ask the service whether the call took effect.")
 	ClaimPendingLost   = define(4003, "claim_pending_lost", zerolog.ErrorLevel, "Too many ends of claims wait for the object API; one was given up and its claim stays open until it becomes unknown.", "See docs/OPERATIONS.md, platform outage.")
 	OrderOpened        = define(4050, "order_opened", zerolog.InfoLevel, "An order to an engine or the platform was opened.", "none")
-	OrderClosed        = define(4051, "order_closed", zerolog.InfoLevel, "An order was closed; the line says why.", "none")
+	OrderClosed        = define(4051, "order_closed", zerolog.InfoLevel, "An order was closed in the object API; the line says how it ended.", "none")
 	OrderStuck         = define(4052, "order_stuck", zerolog.WarnLevel, "An order of another author is open, and an order has to wait for it.", "If the author is known to be gone, release it.")
 	OrderReleased      = define(4053, "order_released", zerolog.WarnLevel, "An operator released an open order.", "none")
 	WindowFrozen       = define(4100, "usage_window_frozen", zerolog.InfoLevel, "A usage window was closed; its figures no longer change.", "none")
