Measure usage alone, and temporary links, with real counters

The gateways of the capacity bench counted use by a formula and never learnt that it was stored. They count with usage.Ledger now, one request a second of each active organisation, and drop what is stored. TestUsageAlone leaves grants out; the links that are opened for single calls are printed. Nothing of the product changes.

--- a/internal/capacity/fleet.go
+++ b/internal/capacity/fleet.go
@@ -27,6 +27,7 @@
 	targets *reports
 	demands []control.Demand
 	counts  bool // gateways count use
+	asks    bool // gateways ask for grants
 	nodes   []*node
 }
 
@@ -56,7 +57,7 @@
 func (f *fleet) start(i int, incarnation uint64) *node {
 	ctx, cancel := context.WithCancel(context.Background())
 	log := zerolog.Nop()
-	n := &node{gateway: &listener{demands: f.demands, id: gatewayOf(i, incarnation).ID(), counts: f.counts}, stop: cancel}
+	n := &node{gateway: &listener{demands: f.demands, ledger: usage.NewLedger(gatewayOf(i, incarnation).ID()), counts: f.counts, asks: f.asks}, stop: cancel}
 	self := controllerOf(i, incarnation)
 	seeds := []string{controllerOf(0, 1).Address, controllerOf(1, 1).Address, controllerOf(2, 1).Address}
 	n.controller = controller.New(controller.Config{Self: self, Seeds: seeds, Network: f.fabric.Network(self),
@@ -120,8 +121,8 @@
 }
 
 // peers returns the mean and the highest number of links between controllers
-// that a host exchanges heartbeats over.
-func (f *fleet) peers() (mean float64, most int) {
+// that a host exchanges heartbeats over, and the same of temporary links.
+func (f *fleet) peers() (mean float64, most int, temporary float64, mostTemporary int) {
 	for _, n := range f.nodes {
 		document, err := n.controller.Status(controller.TopicLinks)
 		links, ok := document.(controller.LinkStatus)
@@ -130,8 +131,10 @@
 		}
 		mean += float64(links.Peers) / float64(len(f.nodes))
 		most = max(most, links.Peers)
+		temporary += float64(links.Temporary) / float64(len(f.nodes))
+		mostTemporary = max(mostTemporary, links.Temporary)
 	}
-	return mean, most
+	return mean, most, temporary, mostTemporary
 }
 
 // ages returns the mean and the highest age of the reports that controllers
@@ -209,8 +212,10 @@
 	mu       sync.Mutex
 	revision contract.Revision
 	demands  []control.Demand
-	id       string
+	ledger   *usage.Ledger
+	counted  time.Time // up to when use was counted
 	counts   bool
+	asks     bool // for grants
 }
 
 var _ control.Gateway = (*listener)(nil)
@@ -230,7 +235,12 @@
 }
 
 // Demands implements control.Gateway.
-func (l *listener) Demands() []control.Demand { return l.demands }
+func (l *listener) Demands() []control.Demand {
+	if !l.asks {
+		return nil
+	}
+	return l.demands
+}
 
 // Observe implements control.Gateway.
 func (*listener) Observe([]control.TargetState) {}
@@ -245,23 +255,24 @@
 func (*listener) Connected(control.Connectivity) {}
 
 // Usage implements control.Gateway: every active organisation had a request
-// since the last call.
+// in every second.
 func (l *listener) Usage() []usage.Counter {
 	if !l.counts {
 		return nil
 	}
-	now := time.Now()
-	counters := make([]usage.Counter, len(l.demands))
-	for i := range counters {
-		n := uint64(now.Unix() % 60)
-		counters[i] = usage.Counter{Gateway: l.id, Organisation: l.demands[i].Organisation, Window: now.Truncate(time.Minute).UTC(),
-			Amount: usage.Amount{Requests: n + 1, PromptTokens: 800 * n, OutputTokens: 230 * n}}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if now := time.Now(); now.Sub(l.counted) >= time.Second {
+		l.counted = now
+		for _, d := range l.demands {
+			l.ledger.Add(now, d.Organisation, usage.Amount{Requests: 1, PromptTokens: 800, OutputTokens: 230})
+		}
 	}
-	return counters
+	return l.ledger.Unstored()
 }
 
 // UsageStored implements control.Gateway.
-func (*listener) UsageStored([]usage.Counter) {}
+func (l *listener) UsageStored(counters []usage.Counter) { l.ledger.Stored(time.Now(), counters) }
 
 // PoolLoads implements control.Gateway.
 func (*listener) PoolLoads() []control.PoolLoad { return nil }
--- a/internal/capacity/fleet_test.go
+++ b/internal/capacity/fleet_test.go
@@ -82,7 +82,7 @@
 func TestSteady(t *testing.T) {
 	for _, n := range sizes("ZINNIA_CAPACITY_STEADY", 7) {
 		t.Run(fmt.Sprint("hosts=", n), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { steady(t, n, 0, false) })
+			synctest.Test(t, func(t *testing.T) { steady(t, n, 0, load{}) })
 		})
 	}
 }
@@ -91,7 +91,7 @@
 func TestGrants(t *testing.T) {
 	for _, active := range sizes("ZINNIA_CAPACITY_GRANTS", 10) {
 		t.Run(fmt.Sprint("active=", active), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { steady(t, 7, active, false) })
+			synctest.Test(t, func(t *testing.T) { steady(t, 7, active, load{asks: true}) })
 		})
 	}
 }
@@ -101,33 +101,51 @@
 func TestUsage(t *testing.T) {
 	for _, active := range sizes("ZINNIA_CAPACITY_USAGE", 10) {
 		t.Run(fmt.Sprint("active=", active), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { steady(t, sizes("ZINNIA_CAPACITY_USAGE_HOSTS", 7)[0], active, true) })
+			synctest.Test(t, func(t *testing.T) { steady(t, sizes("ZINNIA_CAPACITY_USAGE_HOSTS", 7)[0], active, load{asks: true, counts: true}) })
 		})
 	}
 }
 
+// TestUsageAlone prints what usage adds without grants.
+func TestUsageAlone(t *testing.T) {
+	for _, active := range sizes("ZINNIA_CAPACITY_USAGE", 10) {
+		t.Run(fmt.Sprint("active=", active), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				steady(t, sizes("ZINNIA_CAPACITY_USAGE_HOSTS", 7)[0], active, load{counts: true})
+			})
+		})
+	}
+}
+
+// load is what the gateways of a fleet hand to their controllers for the
+// organisations that are active.
+type load struct {
+	asks   bool // for grants
+	counts bool // use
+}
+
 // targetsFor returns the number of targets that n hosts stand before.
 func targetsFor(n int) int {
 	return max(16, designTargets*n/designNodes)
 }
 
 // steady runs a fleet without faults and prints what it spends.
-func steady(t *testing.T, n, active int, counts bool) {
+func steady(t *testing.T, n, active int, l load) {
 	is := is.New(t)
 	f, err := newFleet(targetsFor(n), 200+active, active)
 	is.NoErr(err)
 	defer f.close()
-	f.counts = counts
+	f.counts, f.asks = l.counts, l.asks
 	f.fabric.SetDelay(time.Millisecond)
 	f.grow(n)
 	time.Sleep(warmTime(n))
 	is.Equal(f.behind(1), 0)
 	before, lists, polls := f.spent(), f.targets.lists, f.targets.polls
-	span := steadySpan(counts)
+	span := steadySpan(l.counts)
 	time.Sleep(span)
 	f.print(t, fmt.Sprintf("steady, %d hosts, %d targets, %d active", n, targetsFor(n), active), n, span, before)
-	mean, most := f.peers()
-	t.Logf("  links with heartbeats to %.1f controllers on average, %d at most", mean, most)
+	mean, most, temporary, mostTemporary := f.peers()
+	t.Logf("  links with heartbeats to %.1f controllers on average, %d at most; %.1f temporary ones, %d at most", mean, most, temporary, mostTemporary)
 	young, oldest := f.ages()
 	t.Logf("  reports seen by controllers are %.1f s old on average, %.1f s at most", young.Seconds(), oldest.Seconds())
 	t.Logf("  host lists %.2f/s, target reports %.2f/s a host", float64(f.targets.lists-lists)/span.Seconds(), float64(f.targets.polls-polls)/span.Seconds()/float64(n))
