Push usage on change, and hand it on once

Cause: a gateway sent every counter that the object API did not hold to two controllers each second, both handed all of it to the owners of the shards, and every message named gateway and window of every counter and got all back as acknowledgement.

Change: a gateway sends each controller what grew beyond what that one holds; the controllers answer at once by index what they hold, refuse or know to be stored. The first hands counters on, the other one holds them for 15 s and forgets the pushes that the gateway says are stored. A gateway still keeps all until the object API holds it, so a shutdown waits for that as before. Messages name gateway and window once. Fields are added only; a process that does not answer by index is sent and answered in the old form. A push with a foreign gateway's counter is now refused whole. pushTimeout falls from 6 s to 2 s: an answer does not wait for a commit any more.

Tests: TestRelayLosesNothing draws delays and releases too and checks refusals; its other checks are as before. TestRelayIsBounded also checks who is refused. New: TestRelayWaitsForTheOtherController, TestRelayPausesBetweenHandovers, TestPushesOnChange, TestLearnsThatUsageIsStored.

(2) A mutex held over a push stopped a test in virtual time; a channel now.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -132,7 +132,9 @@
 	group.Go(func() error { return k.watchConfiguration(ctx) })
 	group.Go(func() error { return k.every(ctx, hostListInterval, k.pollHosts) })
 	group.Go(func() error { return k.every(ctx, pollInterval, k.pollTargets) })
-	group.Go(func() error { return k.every(ctx, usageInterval, k.relayUsage) })
+	group.Go(func() error {
+		return k.every(ctx, usageInterval, func(ctx context.Context) { k.relayUsage(ctx, time.Now()) })
+	})
 	group.Go(func() error { return k.every(ctx, closeInterval, k.closeWindows) })
 	group.Go(func() error { return k.every(ctx, loadsInterval, k.spreadLoads) })
 	group.Go(func() error { return k.runPlanning(ctx) })
--- a/controller/leave_test.go
+++ b/controller/leave_test.go
@@ -28,10 +28,10 @@
 			close(left)
 		}()
 		time.Sleep(leaveSpread - time.Millisecond)
-		k.usage.relay.Add([]usage.Counter{{
+		k.usage.relay.Add(time.Now(), []usage.Counter{{
 			Gateway: "host-0/gateway/1", Organisation: "svetki",
 			Window: time.Now().Truncate(time.Minute), Amount: usage.Amount{Requests: 1},
-		}})
+		}}, usage.Handover{})
 		<-left
 		is.NoErr(ctx.Err())
 		is.Equal(k.usage.relay.Len(), 0)
--- a/controller/registry.go
+++ b/controller/registry.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -18,6 +19,8 @@
 	direct   map[string]*directLink
 	// silent are links that controllers opened and sent no heartbeat over yet.
 	silent map[link.Link]chan struct{}
+	// indexed are links over which usage is acknowledged by index.
+	indexed map[link.Link]bool
 }
 
 // peer is a link to another controller.
@@ -46,6 +49,7 @@
 		dialling: map[string]time.Time{},
 		direct:   map[string]*directLink{},
 		silent:   map[link.Link]chan struct{}{},
+		indexed:  map[link.Link]bool{},
 	}
 }
 
@@ -194,6 +198,20 @@
 	return hosts
 }
 
+// noteIndexed notes that usage is acknowledged by index over a link.
+func (r *registry) noteIndexed(l link.Link) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.indexed[l] = true
+}
+
+// answersByIndex tells whether usage is acknowledged by index over a link.
+func (r *registry) answersByIndex(l link.Link) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.indexed[l]
+}
+
 // heardControllers returns the number of controllers that answered a
 // heartbeat.
 func (r *registry) heardControllers() int {
@@ -274,10 +292,12 @@
 // directIdle is how long a temporary link is kept without use.
 const directIdle = 30 * time.Second
 
-// closeIdle closes temporary links that were not used for a while.
+// closeIdle closes temporary links that were not used for a while, and forgets
+// what was noted of links that ended.
 func (r *registry) closeIdle(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	maps.DeleteFunc(r.indexed, func(l link.Link, _ bool) bool { return !alive(l) })
 	for address, d := range r.direct {
 		if !alive(d.link) || now.Sub(d.used) > directIdle {
 			delete(r.direct, address)
--- a/controller/usage.go
+++ b/controller/usage.go
@@ -9,23 +9,11 @@
 
 	"zinniapin/contract"
 	"zinniapin/event"
-	"zinniapin/link"
-	"zinniapin/machine"
 	"zinniapin/membership"
 	"zinniapin/usage"
-	"zinniapin/wire"
 )
 
 const (
-	// usageInterval is the interval at which counters go to those who store
-	// them.
-	usageInterval = time.Second
-	// usageTimeout bounds one hand-over; it exceeds the pace of commits.
-	usageTimeout = 5 * time.Second
-	// usageAge is how long confirmations are remembered.
-	usageAge = 30 * time.Second
-	// maxRelayed bounds the counters that wait to be stored.
-	maxRelayed = 100_000
 	// closeInterval is the interval at which it is looked whether windows are
 	// to be closed and reported; each looks at closesAWindow times a window.
 	closeInterval = time.Second
@@ -48,7 +36,9 @@
 
 // newUsageWork returns a part that stores nothing yet.
 func newUsageWork() *usageWork {
-	return &usageWork{relay: usage.NewRelay(usage.DefaultShards, maxRelayed)}
+	return &usageWork{
+		relay: usage.NewRelay(usage.DefaultShards, maxRelayed),
+	}
 }
 
 // usageWindows returns the windows, or nil while their length is not known.
@@ -74,32 +64,6 @@
 	})
 }
 
-// serveUsage takes in counters. Those of a gateway, which may push only its
-// own, are relayed to the owners of their shards; those that another
-// controller relays are stored here.
-func (k *Controller) serveUsage(ctx context.Context, from link.Link, q *wire.UsagePush) *wire.UsageAck {
-	peer := from.Peer()
-	counters := make([]usage.Counter, 0, len(q.Counters))
-	for _, c := range q.Counters {
-		if peer.Role == machine.Controller || c.Gateway == peer.ID() {
-			counters = append(counters, c.ToCounter())
-		}
-	}
-	if peer.Role == machine.Controller {
-		return usageAck(k.storeUsage(ctx, counters))
-	}
-	return usageAck(k.usage.relay.Add(counters))
-}
-
-// usageAck acknowledges what is stored.
-func usageAck(stored []usage.Counter) *wire.UsageAck {
-	ack := &wire.UsageAck{}
-	for _, c := range stored {
-		ack.Stored = append(ack.Stored, wire.FromCounter(c))
-	}
-	return ack
-}
-
 // storeUsage stores counters and returns those that the object API holds.
 func (k *Controller) storeUsage(ctx context.Context, counters []usage.Counter) []usage.Counter {
 	windows := k.usageWindows()
@@ -113,73 +77,6 @@
 	return stored
 }
 
-// relayUsage hands the counters that wait to the owners of their shards.
-func (k *Controller) relayUsage(ctx context.Context) {
-	k.ageUsage(time.Now())
-	controllers := membership.Controllers(k.Members(), "")
-	byOwner := map[machine.Process][]usage.Counter{}
-	for shard, counters := range k.usage.relay.Pending() {
-		owner := k.usageOwner(controllers, shard)
-		byOwner[owner] = append(byOwner[owner], counters...)
-	}
-	var group errgroup.Group
-	for owner, counters := range byOwner {
-		group.Go(func() error {
-			k.usage.relay.Stored(k.handUsage(ctx, owner, counters))
-			return nil
-		})
-	}
-	_ = group.Wait()
-}
-
-// usageOwner returns the controller that stores the counters of a shard. When
-// none takes work, as when all leave at once, this one does so itself: which
-// controller stores matters only for the number of conflicts.
-func (k *Controller) usageOwner(controllers []membership.Member, shard int) machine.Process {
-	owners := membership.Owners(controllers, usage.ReportUnit(shard), 1)
-	if len(owners) == 0 {
-		return k.config.Self
-	}
-	return owners[0].Process
-}
-
-// ageUsage forgets old confirmations.
-func (k *Controller) ageUsage(now time.Time) {
-	k.usage.mu.Lock()
-	defer k.usage.mu.Unlock()
-	if now.Sub(k.usage.aged) >= usageAge {
-		k.usage.aged = now
-		k.usage.relay.Age()
-	}
-}
-
-// handUsage hands counters to the owner of their shards, which may be this
-// process, and returns those that are stored.
-func (k *Controller) handUsage(ctx context.Context, owner machine.Process, counters []usage.Counter) []usage.Counter {
-	timed, cancel := context.WithTimeout(ctx, usageTimeout)
-	defer cancel()
-	if owner.ID() == k.config.Self.ID() {
-		return k.storeUsage(timed, counters)
-	}
-	l, err := k.direct(timed, owner)
-	if err != nil {
-		return nil
-	}
-	push := &wire.UsagePush{}
-	for _, c := range counters {
-		push.Counters = append(push.Counters, wire.FromCounter(c))
-	}
-	reply, err := l.Call(timed, &wire.Envelope{Body: &wire.Envelope_UsagePush{UsagePush: push}})
-	if err != nil {
-		return nil
-	}
-	var stored []usage.Counter
-	for _, c := range reply.GetUsageAck().GetStored() {
-		stored = append(stored, c.ToCounter())
-	}
-	return stored
-}
-
 // closeWindows freezes and reports the windows of the shards that this
 // controller owns.
 func (k *Controller) closeWindows(ctx context.Context) {
@@ -226,25 +123,3 @@
 		event.UsageNotReported.Log(k.config.Log).Int("shard", shard).Err(err).Send()
 	}
 }
-
-// leaveUsage hands over what waits before this controller ends.
-func (k *Controller) leaveUsage(ctx context.Context) {
-	retry := time.NewTicker(usageInterval)
-	defer retry.Stop()
-	for k.usage.relay.Len() > 0 && ctx.Err() == nil {
-		k.relayUsage(ctx)
-		if k.usage.relay.Len() == 0 {
-			break
-		}
-		select {
-		case <-retry.C:
-		case <-ctx.Done():
-		}
-	}
-	if windows := k.usageWindows(); windows != nil {
-		_ = windows.Flush(ctx)
-	}
-	if waiting := k.usage.relay.Len(); waiting > 0 {
-		event.UsageNotStored.Log(k.config.Log).Int("counters", waiting).Send()
-	}
-}
--- a/internal/capacity/fleet_test.go
+++ b/internal/capacity/fleet_test.go
@@ -101,7 +101,9 @@
 func TestUsage(t *testing.T) {
 	for _, active := range sizes("ZINNIA_CAPACITY_USAGE", 10) {
 		t.Run(fmt.Sprint("active=", active), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { steady(t, sizes("ZINNIA_CAPACITY_USAGE_HOSTS", 7)[0], active, load{asks: true, counts: true}) })
+			synctest.Test(t, func(t *testing.T) {
+				steady(t, sizes("ZINNIA_CAPACITY_USAGE_HOSTS", 7)[0], active, load{asks: true, counts: true})
+			})
 		})
 	}
 }
--- a/uplink/link.go
+++ b/uplink/link.go
@@ -87,7 +87,7 @@
 // run exchanges heartbeats over a link until it ends or a better one can be
 // had, which it returns when it is open already.
 func (u *Uplink) run(ctx context.Context, g control.Gateway, slot int, l link.Link) link.Link {
-	up := &upstream{link: l}
+	up := &upstream{link: l, usage: newUsageHeld()}
 	u.setLink(slot, up)
 	event.LinkOpened.Log(u.config.Log).Str("peer", l.Peer().ID()).Send()
 	defer func() {
--- a/uplink/push.go
+++ b/uplink/push.go
@@ -2,26 +2,14 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
-	"github.com/gravitational/trace"
-
 	"zinniapin/control"
-	"zinniapin/usage"
 	"zinniapin/wire"
 )
 
-const (
-	// maxDemands bounds the organisations of one grant request.
-	maxDemands = 4096
-	// maxCounters bounds the counters of one push; the next push carries more.
-	maxCounters = 4096
-	// pushTimeout bounds a push, which waits for the next commit of the store.
-	pushTimeout = 6 * time.Second
-	// flushPause is the wait between two pushes of a flush.
-	flushPause = 200 * time.Millisecond
-)
+// maxDemands bounds the organisations of one grant request.
+const maxDemands = 4096
 
 // askGrants asks for shares of the limits of the organisations that are
 // active, first the own host's controller, then the other one.
@@ -65,55 +53,6 @@
 	}
 }
 
-// pushUsage hands the counters that are not safe yet to both controllers.
-func (u *Uplink) pushUsage(ctx context.Context, g control.Gateway) {
-	counters := g.Usage()
-	if len(counters) == 0 {
-		return
-	}
-	push := &wire.UsagePush{}
-	for _, c := range counters[:min(len(counters), maxCounters)] {
-		push.Counters = append(push.Counters, wire.FromCounter(c))
-	}
-	var pushes sync.WaitGroup
-	for _, up := range u.upstreams() {
-		pushes.Go(func() { pushTo(ctx, g, up, push) })
-	}
-	pushes.Wait()
-}
-
-// pushTo hands counters to one controller and takes its acknowledgement.
-func pushTo(ctx context.Context, g control.Gateway, up *upstream, push *wire.UsagePush) {
-	timed, cancel := context.WithTimeout(ctx, pushTimeout)
-	defer cancel()
-	reply, err := up.link.Call(timed, &wire.Envelope{Body: &wire.Envelope_UsagePush{UsagePush: push}})
-	if err != nil || reply.GetUsageAck() == nil {
-		return
-	}
-	var stored []usage.Counter
-	for _, c := range reply.GetUsageAck().Stored {
-		stored = append(stored, c.ToCounter())
-	}
-	if len(stored) > 0 {
-		g.UsageStored(stored)
-	}
-}
-
-// Flush implements control.Uplink. Run must be running.
-func (u *Uplink) Flush(ctx context.Context, g control.Gateway) error {
-	for len(g.Usage()) > 0 {
-		u.pushUsage(ctx, g)
-		if len(g.Usage()) == 0 {
-			break
-		}
-		pause(ctx, flushPause)
-		if ctx.Err() != nil {
-			return trace.Wrap(ctx.Err())
-		}
-	}
-	return nil
-}
-
 // Leave tells the controllers that this gateway leaves.
 func (u *Uplink) Leave() {
 	u.mu.Lock()
--- a/uplink/uplink.go
+++ b/uplink/uplink.go
@@ -63,8 +63,10 @@
 	config     Config
 	holder     *relay.Holder
 	candidates *candidates
-	configure  sync.Mutex // orders the calls of Gateway.Configure
-	observe    sync.Mutex // orders the calls of Gateway.Observe
+	configure  sync.Mutex    // orders the calls of Gateway.Configure
+	observe    sync.Mutex    // orders the calls of Gateway.Observe
+	pushing    chan struct{} // holds the one right to push usage, which guards what controllers hold of it
+	pushes     uint64        // of usage, so far; guarded by pushing
 
 	mu         sync.Mutex
 	links      [linkCount]*upstream
@@ -96,11 +98,12 @@
 // upstream is a link to a controller.
 type upstream struct {
 	link    link.Link
-	targets uint64    // version of the controller's view seen so far
-	urgent  uint64    // version of the own view whose urgent news it was told
-	beats   uint64    // heartbeats so far
-	told    bool      // the controller named others
-	asked   time.Time // when the last heartbeat was sent
+	targets uint64     // version of the controller's view seen so far
+	urgent  uint64     // version of the own view whose urgent news it was told
+	beats   uint64     // heartbeats so far
+	told    bool       // the controller named others
+	asked   time.Time  // when the last heartbeat was sent
+	usage   *usageHeld // guarded by Uplink.pushing
 }
 
 var _ control.Uplink = (*Uplink)(nil)
@@ -113,6 +116,7 @@
 		candidates: newCandidates(c),
 		self:       membership.Member{Process: c.Self},
 		targets:    targetview.New(),
+		pushing:    make(chan struct{}, 1),
 	}
 }
 
--- a/wire/convert.go
+++ b/wire/convert.go
@@ -5,37 +5,8 @@
 
 	"zinniapin/contract"
 	"zinniapin/control"
-	"zinniapin/usage"
 )
 
-// FromCounter returns the message of a usage counter.
-func FromCounter(c usage.Counter) *UsageCounter {
-	return &UsageCounter{
-		Gateway:      c.Gateway,
-		Organisation: c.Organisation,
-		WindowMs:     c.Window.UnixMilli(),
-		Requests:     c.Amount.Requests,
-		PromptTokens: c.Amount.PromptTokens,
-		OutputTokens: c.Amount.OutputTokens,
-		Calls:        c.Amount.Calls,
-	}
-}
-
-// ToCounter returns the usage counter of a message.
-func (x *UsageCounter) ToCounter() usage.Counter {
-	return usage.Counter{
-		Gateway:      x.Gateway,
-		Organisation: x.Organisation,
-		Window:       time.UnixMilli(x.WindowMs).UTC(),
-		Amount: usage.Amount{
-			Requests:     x.Requests,
-			PromptTokens: x.PromptTokens,
-			OutputTokens: x.OutputTokens,
-			Calls:        x.Calls,
-		},
-	}
-}
-
 // FromDemand returns the message of a demand.
 func FromDemand(d control.Demand) *Demand {
 	return &Demand{
