--- a/cmd/zinnia-bench/main.go
+++ b/cmd/zinnia-bench/main.go
@@ -16,7 +16,7 @@
 
 // options are the command line.
 type options struct {
-	Set    string `long:"set" choice:"tuned" choice:"held out" choice:"fresh" description:"run one set of traces only"`
+	Set    string `long:"set" choice:"tuned" choice:"held out" choice:"fresh" choice:"long prompts" choice:"long prompts held out" description:"run one set of traces only"`
 	Policy string `long:"policy" description:"run one policy only, by its name in the table"`
 	Totals bool   `long:"totals" description:"print no rows of single traces"`
 }
--- a/internal/policybench/clairvoyant.go
+++ b/internal/policybench/clairvoyant.go
@@ -22,7 +22,7 @@
 	prefill, decode := 0.0, 0.0
 	for i := w.next; i < len(w.requests) && w.requests[i].at < now+int64(foresight); i++ {
 		r := w.requests[i]
-		prefill += uncachedShare * float64(r.prompt) / prefillRate
+		prefill += uncachedShare * float64(r.prompt) / w.s.prefillRate()
 		decode += float64(r.output) / decodeRate
 	}
 	var engines []*engine
@@ -32,7 +32,7 @@
 		}
 		engines = append(engines, e)
 		for _, j := range append(append([]*job(nil), e.prefills...), e.waiting...) {
-			prefill += j.prefill / prefillRate
+			prefill += j.prefill / w.s.prefillRate()
 		}
 	}
 	w.assign(engines, prefill, decode)
@@ -90,7 +90,7 @@
 		if r.service {
 			continue
 		}
-		least := workOf(float64(r.prompt)*(1-cachedShare), float64(r.output))
+		least := s.workOf(float64(r.prompt)*(1-cachedShare), float64(r.output))
 		work[int(time.Duration(r.at).Seconds()/slice)] += least
 		heaviest = max(heaviest, least)
 		longest = max(longest, r.output)
--- a/internal/policybench/engine.go
+++ b/internal/policybench/engine.go
@@ -57,6 +57,7 @@
 // engine is a fake engine or plain service.
 type engine struct {
 	target   target.Target
+	rate     float64 // prompt tokens a second when it does nothing else
 	role     target.Role
 	boot     uint64
 	sequence uint64
@@ -124,10 +125,10 @@
 		return
 	}
 	step := stepBase + stepPerRequest*float64(len(e.running))
-	rate := prefillRate
+	rate := e.rate
 	if len(e.prefills) > 0 && len(e.running) > 0 {
 		step += chunkTime
-		rate = prefillRate * chunkTime / step
+		rate = e.rate * chunkTime / step
 	}
 	e.decode(now, tick.Seconds()/step, w)
 	e.process(now, rate*tick.Seconds(), w)
@@ -241,7 +242,7 @@
 		return r
 	}
 	r.Models = modelsOf
-	r.PrefillRate, r.DecodeRate = prefillRate, decodeRate
+	r.PrefillRate, r.DecodeRate = e.rate, decodeRate
 	left := 0.0
 	for _, j := range e.prefills {
 		left += j.prefill
--- a/internal/policybench/policy.go
+++ b/internal/policybench/policy.go
@@ -230,7 +230,7 @@
 		}
 		if s.Report.Role == target.Prefill {
 			prefill = append(prefill, s)
-			backlog += float64(s.Report.PrefillTokens) / prefillRate
+			backlog += float64(s.Report.PrefillTokens) / s.Report.PrefillRate
 			continue
 		}
 		decode = append(decode, s)
--- a/internal/policybench/table.go
+++ b/internal/policybench/table.go
@@ -163,6 +163,8 @@
 		{Name: "tuned", scenarios: tunedScenarios(), seeds: []uint64{11, 12}},
 		{Name: "held out", scenarios: heldOutScenarios(), seeds: []uint64{71, 72}},
 		{Name: "fresh", scenarios: freshScenarios(), seeds: []uint64{901, 902}},
+		{Name: "long prompts", scenarios: longTunedScenarios(), seeds: []uint64{11, 12}},
+		{Name: "long prompts held out", scenarios: longHeldOutScenarios(), seeds: []uint64{71, 72}},
 	}
 }
 
--- a/internal/policybench/trace.go
+++ b/internal/policybench/trace.go
@@ -116,6 +116,33 @@
 	reclaim  float64 // all reclaimable targets of a zone get notice; 0 never
 	scarce   float64 // for how long none can be had after that
 	outage   span    // the platform takes no orders
+	prompt   float64 // mean tokens of long prompts; 0 for longPrompt
+	rate     float64 // prompt tokens a second of an engine; 0 for prefillRate
+	spread   float64 // standard deviation of the prefixes of an organisation; 0 for prefixSpread
+}
+
+// prefixes is the standard deviation of the prefixes of an organisation.
+func (s *scenario) prefixes() float64 {
+	if s.spread == 0 {
+		return prefixSpread
+	}
+	return s.spread
+}
+
+// longTokens is the mean length of long prompts, in tokens.
+func (s *scenario) longTokens() float64 {
+	if s.prompt == 0 {
+		return longPrompt
+	}
+	return s.prompt
+}
+
+// prefillRate is the prompt tokens a second of an engine.
+func (s *scenario) prefillRate() float64 {
+	if s.rate == 0 {
+		return prefillRate
+	}
+	return s.rate
 }
 
 // span is a time from and to.
@@ -160,6 +187,51 @@
 	}
 }
 
+// Size of the prompts of long reports, tokens, and the prompt tokens a second
+// of the engines that serve them.
+const (
+	reportPrompt = 11_000
+	reportRate   = 20_000
+)
+
+// newPrefixes is a spread so wide that hardly a prefix comes twice: no engine
+// has it cached.
+const newPrefixes = 1e6
+
+// reports fills in what long reports have in common.
+func reports(all []scenario) []scenario {
+	for i := range all {
+		all[i].length = 360
+		all[i].rate = reportRate
+		if all[i].prompt == 0 {
+			all[i].prompt = reportPrompt
+		}
+	}
+	return all
+}
+
+// longTunedScenarios have prompts that take an engine half a second each; over
+// them constants may be set.
+func longTunedScenarios() []scenario {
+	return reports([]scenario{
+		{name: "reports", gateways: 6, period: 90, ramp: 20, low: 0.2, high: 0.6, level: 1.2},
+		{name: "new reports", gateways: 6, period: 90, ramp: 20, low: 0.4, high: 0.8, level: 0.9, spread: newPrefixes},
+		{name: "new reports alone", gateways: 6, period: 90, ramp: 20, low: 0.95, high: 1, level: 1.1, spread: newPrefixes},
+		{name: "too many new reports", gateways: 6, period: 90, ramp: 20, low: 0.95, high: 1, level: 1.8, spread: newPrefixes},
+		{name: "new reports, 24 gateways", gateways: 24, period: 90, ramp: 20, low: 0.4, high: 0.8, level: 0.9, spread: newPrefixes},
+	})
+}
+
+// longHeldOutScenarios are the same in kind; over them no constant is set.
+func longHeldOutScenarios() []scenario {
+	return reports([]scenario{
+		{name: "longer reports", gateways: 7, period: 75, ramp: 15, low: 0.1, high: 0.6, level: 0.9, prompt: 13_000},
+		{name: "longer new reports", gateways: 7, period: 75, ramp: 15, low: 0.3, high: 0.9, level: 0.9, prompt: 13_000, spread: newPrefixes},
+		{name: "new reports and crowd", gateways: 6, period: 110, ramp: 25, low: 0.2, high: 0.6, level: 0.8, crowd: span{150, 210}, crowdBy: 0.6, spread: newPrefixes},
+		{name: "new reports, 48 gateways", gateways: 48, period: 100, ramp: 20, low: 0.3, high: 0.7, level: 0.9, spread: newPrefixes},
+	})
+}
+
 // longShare is the share of long prompts at a time: it swings between the low
 // and the high end.
 func (s *scenario) longShare(t float64) float64 {
@@ -177,9 +249,12 @@
 	shortPrompt, shortOutput = 350, 260
 )
 
+// prefixSpread is the usual spread of an organisation's prefixes.
+const prefixSpread = 8
+
 // workOf is the work of a request, in engine-seconds.
-func workOf(prompt, output float64) float64 {
-	return prompt/prefillRate + output/decodeRate
+func (s *scenario) workOf(prompt, output float64) float64 {
+	return prompt/s.prefillRate() + output/decodeRate
 }
 
 // trace draws the requests of a scenario.
@@ -193,18 +268,18 @@
 	const slice = 0.05 // seconds
 	for t := 0.0; t < s.length; t += slice {
 		long := s.longShare(t)
-		mean := long*workOf(longPrompt, longOutput) + (1-long)*workOf(shortPrompt, shortOutput)
+		mean := long*s.workOf(s.longTokens(), longOutput) + (1-long)*s.workOf(shortPrompt, shortOutput)
 		rate := d.load * s.level / mean
 		for range poisson(random, rate*slice) {
-			add(draw(random, d, pickOrg(random, d), long, t+random.Float64()*slice))
+			add(draw(random, d, s, pickOrg(random, d), long, t+random.Float64()*slice))
 		}
 		if s.crowd.holds(t) {
 			for range poisson(random, rate*s.crowdBy*slice) {
-				add(draw(random, d, 2, long, t+random.Float64()*slice))
+				add(draw(random, d, s, 2, long, t+random.Float64()*slice))
 			}
 		}
 		for range poisson(random, d.calls*slice) {
-			r := draw(random, d, pickOrg(random, d), 0, t+random.Float64()*slice)
+			r := draw(random, d, s, pickOrg(random, d), 0, t+random.Float64()*slice)
 			r.service, r.prompt, r.output, r.left, r.stable, r.affinity = true, 0, 1, 1, true, 0
 			add(r)
 		}
@@ -226,16 +301,16 @@
 }
 
 // draw draws the size and prefix of a request.
-func draw(random *rand.Rand, d *deployment, org int, long, t float64) *request {
-	prompt, output := shortPrompt, shortOutput
+func draw(random *rand.Rand, d *deployment, s *scenario, org int, long, t float64) *request {
+	prompt, output := float64(shortPrompt), shortOutput
 	if random.Float64() < long {
-		prompt, output = longPrompt, longOutput
+		prompt, output = s.longTokens(), longOutput
 	}
-	prompt = int(float64(prompt) * (0.5 + random.Float64()))
+	length := int(prompt * (0.5 + random.Float64()))
 	output = int(float64(output) * (0.5 + random.Float64()))
-	prefix := int(math.Abs(random.NormFloat64()) * 8)
+	prefix := int(math.Abs(random.NormFloat64()) * s.prefixes())
 	return &request{
-		at: int64(t * float64(time.Second)), org: org, prompt: prompt, output: output,
+		at: int64(t * float64(time.Second)), org: org, prompt: length, output: output,
 		left: float64(output), affinity: uint64(org+1)<<32 | uint64(prefix+1)*2654435761&0xffffffff,
 		stable: d.orgs[org].stable,
 	}
--- a/internal/policybench/world.go
+++ b/internal/policybench/world.go
@@ -118,7 +118,7 @@
 
 // add adds a target.
 func (w *world) add(now int64, t target.Target, r target.Role) {
-	e := &engine{target: t, role: r, boot: uint64(len(w.engines) + 1), cache: map[uint64]int64{}, joinedAt: now}
+	e := &engine{target: t, rate: w.s.prefillRate(), role: r, boot: uint64(len(w.engines) + 1), cache: map[uint64]int64{}, joinedAt: now}
 	w.engines = append(w.engines, e)
 	w.byID[t.ID] = e
 	w.reports = append(w.reports, nil)
