Keep a gateway's window at its share of the engines

Cause: with prompts of half a second two that meet on one engine are late, each late first token shrinks the window, and its least of 5,000 tokens is less than such a prompt: engines idle while requests are refused. Prompts meet because reports are older than a prompt takes; that remains.

Change: the window does not shrink below the gateway's part of what the pool's engines process in 0.75 s (routing.PromptShare, PrefillRate; SetLeast of windows and of the admission core), set with the capacities.

TestLongPromptsFindEngines failed without the share (promptSpan 0).

--- a/admission/window.go
+++ b/admission/window.go
@@ -5,6 +5,8 @@
 // Window bounds the requests that are dispatched to a pool and have brought
 // no first token yet. routing.Window is one.
 type Window interface {
+	// SetLeast sets the prompt tokens below which the window does not shrink.
+	SetLeast(tokens float64)
 	// Open tells whether another request may be dispatched.
 	Open() bool
 	// Sent takes in a dispatched request with its prompt tokens.
@@ -21,6 +23,13 @@
 	c.pool(name).window = w
 }
 
+// SetLeast sets the prompt tokens below which a pool's window does not shrink.
+func (c *Core) SetLeast(name string, tokens float64) {
+	if w := c.pool(name).window; w != nil {
+		w.SetLeast(tokens)
+	}
+}
+
 // Windowed tells whether a pool is bounded by a window.
 func (c *Core) Windowed(name string) bool {
 	return c.pool(name).window != nil
--- a/admission/window_test.go
+++ b/admission/window_test.go
@@ -18,6 +18,7 @@
 
 func (w *startsWindow) Open() bool                          { return w.under < w.size }
 func (w *startsWindow) Sent(int)                            { w.under++ }
+func (w *startsWindow) SetLeast(float64)                    {}
 func (w *startsWindow) First(time.Time, int, time.Duration) { w.under-- }
 func (w *startsWindow) Ended(int)                           { w.under-- }
 
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -57,6 +57,7 @@
 		if p.engines && !g.admission.Windowed(name) {
 			g.admission.SetWindow(name, routing.NewWindow(routing.LateFirst))
 		}
+		g.admission.SetLeast(name, p.prompts)
 		g.dispatch(now, name)
 	}
 }
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -261,6 +261,7 @@
 type poolCapacity struct {
 	engines  bool // model engines, not plain services
 	requests int
+	prompts  float64 // prompt tokens that may always be under way; engines only
 }
 
 // capacities returns the capacity of each pool, given the number of live
@@ -282,6 +283,7 @@
 		case p.requests == 0:
 		case p.engines:
 			p.requests = routing.StreamShare(f.router.Streams(now, name), gateways)
+			p.prompts = routing.PromptShare(f.router.PrefillRate(name), gateways)
 		default:
 			p.requests = max(minServiceShare, (p.requests*dispatchFactor+gateways-1)/max(1, gateways))
 		}
--- a/internal/policybench/gateway.go
+++ b/internal/policybench/gateway.go
@@ -63,7 +63,7 @@
 	g.admission.SetCapacity(w.d.pool.Name, w.capacity())
 	ticket, err := g.admission.Arrive(at(now), admission.Request{
 		Organisation: k.Organisation, Contract: k, Pool: w.d.pool.Name,
-		Cost: float64(r.prompt)*decodeRate/prefillRate + float64(r.output), PromptTokens: r.prompt,
+		Cost: float64(r.prompt)*decodeRate/w.s.prefillRate() + float64(r.output), PromptTokens: r.prompt,
 		Deadline: at(r.at).Add(patience),
 	})
 	if err != nil {
@@ -86,6 +86,23 @@
 	return routing.StreamShare(total, len(w.gateways))
 }
 
+// prefillRate is the prompt tokens a second of all engines that prefill.
+func (w *world) prefillRate() float64 {
+	total := 0.0
+	for _, e := range w.engines {
+		if e.dead || e.noticedAt > 0 || e.target.Kind != target.Engine || e.changingTo != "" {
+			continue
+		}
+		switch e.role {
+		case target.Prefill:
+			total += e.rate
+		case target.Mixed:
+			total += e.rate * chunkTime / (stepBase + chunkTime)
+		}
+	}
+	return total
+}
+
 // refuse refuses a request unrun.
 func (g *gateway) refuse(now int64, w *world, r *request) {
 	w.refuse(now, r)
@@ -102,6 +119,7 @@
 	g.calls = g.calls[:0]
 	g.expire(now, w)
 	g.admission.SetCapacity(w.d.pool.Name, w.capacity())
+	g.admission.SetLeast(w.d.pool.Name, routing.PromptShare(w.prefillRate(), len(w.gateways)))
 	for _, t := range g.admission.Dispatch(at(now), w.d.pool.Name) {
 		g.start(now, w, g.byTicket[t])
 	}
--- a/internal/policybench/policybench_test.go
+++ b/internal/policybench/policybench_test.go
@@ -40,6 +40,23 @@
 	}
 }
 
+// TestLongPromptsFindEngines sends prompts that take an engine half a second
+// each by six gateways. Late first tokens, which come of prompts that meet, must
+// not keep engines without work.
+func TestLongPromptsFindEngines(t *testing.T) {
+	set := Set{scenarios: longTunedScenarios()[3:4], seeds: []uint64{11}}
+	for _, d := range deployments() {
+		t.Run(d.name, func(t *testing.T) {
+			is := is.New(t)
+			row := Run(set, d, Policies()[5:6]).All[0]
+			t.Logf("%+v", row)
+			is.Equal(row.FalseWords, 0)
+			is.True(row.Goodput > 0.76)
+			is.True(row.Refused < 0.16)
+		})
+	}
+}
+
 // baseline tells whether a policy is a simpler one to be beaten.
 func (p *Policy) baseline() bool {
 	switch p.roles {
--- a/routing/window.go
+++ b/routing/window.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"zinniapin/target"
 )
 
 // Constants of windows.
@@ -32,6 +34,7 @@
 // and not at the engines. It is not safe for concurrent use.
 type Window struct {
 	late   time.Duration
+	least  float64 // size below which it does not shrink, tokens
 	size   float64
 	under  float64
 	cutAt  time.Time
@@ -41,7 +44,7 @@
 // NewWindow returns a window that shrinks when the time from sending to the
 // first token exceeds late.
 func NewWindow(late time.Duration) *Window {
-	return &Window{late: late, size: windowFirst}
+	return &Window{late: late, least: windowLeast, size: windowFirst}
 }
 
 // windowTokens is what a prompt takes of a window.
@@ -49,6 +52,14 @@
 	return float64(max(windowFloor, prompt))
 }
 
+// SetLeast sets the tokens below which the window does not shrink: this
+// gateway's share of what the engines process while first tokens still come in
+// time. See PromptShare.
+func (w *Window) SetLeast(tokens float64) {
+	w.least = max(windowLeast, tokens)
+	w.size = min(windowMost, max(w.size, w.least))
+}
+
 // Open tells whether another request may be sent.
 func (w *Window) Open() bool {
 	return w.under < w.size
@@ -78,7 +89,7 @@
 		return
 	}
 	if now.Sub(w.cutAt) >= windowRest {
-		w.size = max(windowLeast, w.size*windowShrink)
+		w.size = max(w.least, w.size*windowShrink)
 		w.cutAt = now
 	}
 }
@@ -91,6 +102,39 @@
 	return max(1, int(part+math.Sqrt(part)))
 }
 
+// promptSpan is the time whose prompt work all gateways together may always
+// have at the engines, seconds.
+const promptSpan = 0.75
+
+// PromptShare is the prompt tokens that one of n gateways may always have
+// under way at a pool whose engines together process rate tokens a second. A
+// smaller window leaves engines idle, however late first tokens are: that a
+// prompt meets others at one engine is no sign that the rest are busy.
+func PromptShare(rate float64, gateways int) float64 {
+	return promptSpan * rate / float64(max(1, gateways))
+}
+
+// PrefillRate returns the prompt tokens a second that the live targets of a
+// pool process together; 0 when they have not reported.
+func (r *Router) PrefillRate(name string) float64 {
+	p := r.pools[name]
+	if p == nil {
+		return 0
+	}
+	total := 0.0
+	for _, e := range p.prefill.engines {
+		if e.state.Cordoned || e.state.Report.Changing {
+			continue
+		}
+		rate := e.state.Report.PrefillRate
+		if e.serves(target.PhaseWhole) {
+			rate *= mixedPrefill
+		}
+		total += rate
+	}
+	return total
+}
+
 // Streams returns the requests that the live targets of a pool decode in
 // time, all gateways together; 0 when they have not reported. Targets without
 // a bound of their own count as unboundedCapacity.
--- a/routing/window_test.go
+++ b/routing/window_test.go
@@ -33,6 +33,48 @@
 	is.Equal(w.under, 0.0)
 }
 
+// TestLateFirstTokensLeaveAShare shrinks a window by late first tokens and
+// expects it to stay at the gateway's share of what the engines process.
+func TestLateFirstTokensLeaveAShare(t *testing.T) {
+	is := is.New(t)
+	const prompt = 11_000
+	w := NewWindow(time.Second)
+	w.SetLeast(3 * prompt)
+	now := start
+	for range 100 {
+		w.Sent(prompt)
+		now = now.Add(windowRest)
+		w.First(now, prompt, 2*time.Second)
+	}
+	sent := 0
+	for w.Open() {
+		w.Sent(prompt)
+		sent++
+	}
+	is.Equal(sent, 3)
+	w.SetLeast(0)
+	is.Equal(w.least, windowLeast)
+}
+
+func TestPrefillRateCountsPromptTargets(t *testing.T) {
+	is := is.New(t)
+	view := fleet(6)
+	for i := range view {
+		view[i].Report.PrefillRate = 20_000
+		view[i].Report.Role = target.Prefill
+	}
+	view[0].Report.Role = target.Decode
+	view[1].Cordoned = true
+	view[2].State = platform.Leaving
+	view[3].Report.Changing = true
+	view[4].Report.Role = target.Mixed
+	r := New(home, 1)
+	is.Equal(r.PrefillRate("assistant"), 0.0)
+	r.Observe(start, view, zones)
+	is.Equal(r.PrefillRate("assistant"), 20_000*(1+mixedPrefill))
+	is.Equal(PromptShare(60_000, 6), 10_000*promptSpan)
+}
+
 func TestStreamsCountDecodingTargets(t *testing.T) {
 	is := is.New(t)
 	view := fleet(6)
