State where rounding lets gateways run one request more

Cause of the known red of TestJoinedLimitsStayWithinBounds with 5000 checks: a gateway that uses an nth of the contract rounds its concurrency up, and the grantor rounds down what it leaves aside for it.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -203,7 +203,8 @@
 // cut off until the others take them for dead, and by nothing when all n are.
 //
 // Concurrency and burst are rounded up to 1, so that every gateway can serve
-// every organisation: each gateway may run one request too many. A request that runs is never ended when a share falls.
+// every organisation: each gateway may run one request too many, and one that
+// uses an nth of the contract up to one more, since that is rounded up. A request that runs is never ended when a share falls.
 func (c *Core) share(now time.Time, o *organisation, k *contract.Contract) limits {
 	full := k.Limits
 	tokens := float64(full.TokensPerMinute) / secondsPerMinute
