Count the known gateways for the floor of grants

Cause: the floor of a grant was the safe share by the live gateways. Change: the floor counts the known gateways, as gateways without a grant do, which remember the highest count for 15 minutes.

--- a/grant/grant.go
+++ b/grant/grant.go
@@ -243,8 +243,10 @@
 
 // share returns a gateway's part of what may be granted: in proportion to the
 // demands, above an equal floor, and within what the others leave. It is never
-// below the safe share, which the others leave to each gateway: a gateway that
-// asks is not worse off than one that does not.
+// below the safe share by the known gateways, by which those count that have
+// no grant: a gateway that asks is not worse off than one that does not. By the
+// live ones it could be more, and the parts of a split mesh would add up to more
+// than the bound.
 func (o *Organisation) share(now time.Time, gateway string, limits contract.Limits, f Fleet) Amount {
 	reserve := f.reserve(limits)
 	var wanted, others Amount
@@ -266,7 +268,7 @@
 		Concurrency:       o.whole(gateway, pool.Concurrency, others.Concurrency, wanted.Concurrency),
 		TokensPerMinute:   within(pool.TokensPerMinute, others.TokensPerMinute, part(mine.TokensPerMinute, wanted.TokensPerMinute, n)),
 	}
-	return granted.max(reserve)
+	return granted.max(limitsOf(limits).scale(SafePart / float64(max(1, f.Live, f.Known))))
 }
 
 // less returns an amount less n times another, and 0 at least.
