Let planned changes wait for gateways that may run unheard

Cause: a gateway that is cut off from all other hosts, but reaches the object API and the targets, serves on. Ruled out: a late order (the epoch was acknowledged by all that were asked), the engine's report (taken after the cordon, nothing ran). Change: such a gateway is missing for 90 s from its last beat, unless it leaves or its next incarnation is heard, and no role change is planned meanwhile.

--- a/controller/cordon.go
+++ b/controller/cordon.go
@@ -29,9 +29,10 @@
 // lift wins over a cordon. The error is a result.ShuttingDown or the end of
 // ctx.
 //
-// A gateway that has been silent for so long that it no longer passes for
-// live is not asked. It may still send; the target's own refusal while it
-// changes and its report before the change guard against that.
+// A gateway that no longer passes for live is not asked, and is missing while
+// it may still run unheard: one that is cut off from the others may serve on.
+// After that the target's own refusal while it changes and its report before
+// the change guard against what it sends.
 func (k *Controller) CordonEverywhere(ctx context.Context, id target.ID, epoch uint64, lift bool) (running int, missing []string, err error) {
 	k.mu.Lock()
 	known := k.targets.Cordon(id, epoch, lift)
@@ -50,6 +51,9 @@
 		})
 	}
 	_ = group.Wait()
+	if !lift {
+		missing = k.unheardGateways()
+	}
 	for i, ack := range answers {
 		if ack == nil {
 			missing = append(missing, gateways[i].Process.ID())
@@ -74,6 +78,21 @@
 	return gateways
 }
 
+// unheardGateways returns the ids of the gateways of the region that may run
+// although they are not heard.
+func (k *Controller) unheardGateways() []string {
+	k.mu.Lock()
+	unheard := k.members.Unheard(time.Now(), machine.Gateway)
+	k.mu.Unlock()
+	var ids []string
+	for _, m := range unheard {
+		if m.Process.Zone.Region == k.config.Self.Zone.Region {
+			ids = append(ids, m.Process.ID())
+		}
+	}
+	return ids
+}
+
 // cordonGateway asks one gateway, through any controller that it is linked to.
 // It returns nil when none reaches it.
 func (k *Controller) cordonGateway(ctx context.Context, m *membership.Member, c *wire.Cordon) *wire.CordonAck {
--- a/controller/planning.go
+++ b/controller/planning.go
@@ -39,6 +39,11 @@
 	return f.reachable
 }
 
+// GatewaysHeard implements planning.Fleet.
+func (f planFleet) GatewaysHeard() bool {
+	return len(f.unheardGateways()) == 0
+}
+
 // CordonEverywhere implements planning.Fleet.
 func (f planFleet) CordonEverywhere(ctx context.Context, id target.ID, epoch uint64, lift bool) (int, []string, error) {
 	return f.Controller.CordonEverywhere(ctx, id, epoch, lift)
--- a/membership/table.go
+++ b/membership/table.go
@@ -354,6 +354,29 @@
 	return now.Sub(e.rose) <= SuspectAfter(len(t.entries))
 }
 
+// UnheardFor is how long a process that fell silent may still run as far as
+// this one can tell; after that it passes for ended.
+const UnheardFor = 90 * time.Second
+
+// Unheard returns the records of processes with the role that do not pass for
+// live, yet may run: they fell silent at most UnheardFor ago, did not say that
+// they leave, and no other incarnation has taken their place.
+func (t *Table) Unheard(now time.Time, role machine.Role) []Member {
+	taken := map[place]bool{}
+	for _, m := range t.Members(now) {
+		taken[place{m.Process.Host, m.Process.Role}] = true
+	}
+	var unheard []Member
+	for _, e := range t.entries {
+		silent := e.Process.Role == role && !e.Leaving && now.Sub(e.rose) <= UnheardFor
+		if silent && !taken[place{e.Process.Host, role}] {
+			unheard = append(unheard, e.Member)
+		}
+	}
+	sort.Slice(unheard, func(i, j int) bool { return before(&unheard[i], &unheard[j]) })
+	return unheard
+}
+
 // supersedes tells whether a takes the place of b.
 func (t *Table) supersedes(a, b *entry) bool {
 	if a == t.self || b == t.self {
--- /dev/null
+++ b/membership/unheard_test.go
@@ -0,0 +1,61 @@
+package membership
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"zinniapin/machine"
+)
+
+// TestSilentGatewayMayRun lets a gateway fall silent: it passes for live, then
+// for one that may run unheard, then for ended; at once for ended when it said
+// that it leaves or when its next incarnation is heard.
+func TestSilentGatewayMayRun(t *testing.T) {
+	gateway := func(incarnation uint64) Member {
+		m := controllerOn(1, incarnation)
+		m.Process.Role = machine.Gateway
+		return m
+	}
+	began := time.Unix(1000, 0)
+	silent := func(m Member) (*Table, time.Time) {
+		table := New(controllerOn(0, 1), began)
+		now := began
+		for _, beat := range []uint64{1, 2} {
+			m.Beat = beat
+			table.Merge(now, 9, m.ToWire())
+			now = now.Add(time.Second)
+		}
+		for now.Sub(began) < 60*time.Second {
+			table.Tick(now)
+			now = now.Add(time.Second)
+		}
+		return table, now
+	}
+	t.Run("cut off", func(t *testing.T) {
+		is := is.New(t)
+		table, now := silent(gateway(7))
+		is.Equal(len(table.Unheard(began.Add(2*time.Second), machine.Gateway)), 0)
+		is.Equal(len(table.Unheard(now, machine.Gateway)), 1)
+		is.Equal(len(table.Unheard(now, machine.Controller)), 0)
+		is.Equal(len(table.Unheard(now.Add(UnheardFor), machine.Gateway)), 0)
+	})
+	t.Run("leaving", func(t *testing.T) {
+		m := gateway(7)
+		m.Leaving = true
+		table, now := silent(m)
+		is.New(t).Equal(len(table.Unheard(now, machine.Gateway)), 0)
+	})
+	t.Run("restarted", func(t *testing.T) {
+		is := is.New(t)
+		table, now := silent(gateway(7))
+		next := gateway(8)
+		for _, beat := range []uint64{1, 2} {
+			next.Beat = beat
+			table.Merge(now, 9, next.ToWire())
+			now = now.Add(time.Second)
+		}
+		is.Equal(len(table.Unheard(now, machine.Gateway)), 0)
+	})
+}
--- a/planning/planning.go
+++ b/planning/planning.go
@@ -40,6 +40,9 @@
 	CordonEverywhere(ctx context.Context, id target.ID, epoch uint64, lift bool) (running int, missing []string, err error)
 	// StoreReachable tells whether the object API answers.
 	StoreReachable() bool
+	// GatewaysHeard tells whether every gateway that may run is heard. A planned
+	// change waits for that, since it must cut no request.
+	GatewaysHeard() bool
 }
 
 // Options are the settings of planning. Zero values take defaults.
--- a/planning/planning_test.go
+++ b/planning/planning_test.go
@@ -36,6 +36,7 @@
 	missing  []string
 	cordons  int
 	storeOff bool
+	unheard  bool
 }
 
 // newFakeFleet returns a fleet with one live engine.
@@ -62,6 +63,7 @@
 func (f *fakeFleet) Loads(string) []control.PoolLoad { return nil }
 func (f *fakeFleet) Owns(string) bool                { return true }
 func (f *fakeFleet) StoreReachable() bool            { return !f.storeOff }
+func (f *fakeFleet) GatewaysHeard() bool             { return !f.unheard }
 
 func (f *fakeFleet) CordonEverywhere(ctx context.Context, _ target.ID, epoch uint64, lift bool) (int, []string, error) {
 	f.mu.Lock()
--- a/planning/roles.go
+++ b/planning/roles.go
@@ -81,7 +81,7 @@
 		Arrivals:       arrivals(p.loads(pools)),
 		Open:           p.open,
 		Unreachable:    p.working,
-		OrdersPossible: p.fleet.StoreReachable(),
+		OrdersPossible: p.fleet.StoreReachable() && p.fleet.GatewaysHeard(),
 	})
 	steps := p.roles.Plan(now)
 	held := p.status.roles(now, steps, p.roles.Held())
