--- a/controller/configuration.go
+++ b/controller/configuration.go
@@ -30,8 +30,8 @@
 	// controllers than the watchers read the store themselves: twice as many
 	// each widenEvery, up to maxWatchers in a region. Others take their turn
 	// each turnEvery, so that one that reaches the store is found; with 3
-	// regions and the store down that makes at most 16 reads a second, each
-	// caller's one to two seconds apart: membership.EvidenceAge counts on it.
+	// regions and the store down that makes some 16 reads a second, 24 at most,
+	// each caller's one to two seconds apart: membership.EvidenceAge counts on it.
 	staleAfter  = 7 * time.Second
 	widenEvery  = time.Second
 	maxWatchers = 8
