--- a/authority/drivers.go
+++ b/authority/drivers.go
@@ -8,7 +8,7 @@
 
 	"github.com/gravitational/trace"
 
-	"zinniapin/platform"
+	"zinniapin/provider"
 	"zinniapin/target"
 	"zinniapin/zone"
 )
@@ -90,24 +90,24 @@
 
 // Platform orders targets from the platform. ID and Fence of the order are
 // filled in.
-func (x *Executor) Platform(ctx context.Context, targets platform.Targets, o platform.TargetOrder) (platform.TargetOrderResult, Outcome, error) {
+func (x *Executor) Platform(ctx context.Context, targets provider.Targets, o provider.TargetOrder) (provider.TargetOrderResult, Outcome, error) {
 	payload, err := json.Marshal(o)
 	if err != nil {
-		return platform.TargetOrderResult{}, NotSent, trace.Wrap(err)
+		return provider.TargetOrderResult{}, NotSent, trace.Wrap(err)
 	}
-	d := &platformDriver{targets: targets, order: o, granted: make(chan platform.TargetOrderResult, 1)}
+	d := &platformDriver{targets: targets, order: o, granted: make(chan provider.TargetOrderResult, 1)}
 	outcome, err := x.Do(ctx, PoolUnit(o.Pool, o.Zone), false, d, Order{Payload: string(payload)})
 	if outcome != Applied {
-		return platform.TargetOrderResult{}, outcome, err
+		return provider.TargetOrderResult{}, outcome, err
 	}
 	return <-d.granted, outcome, err
 }
 
 // platformDriver sends one order to the target interface.
 type platformDriver struct {
-	targets platform.Targets
-	order   platform.TargetOrder
-	granted chan platform.TargetOrderResult // holds the answer to our own order
+	targets provider.Targets
+	order   provider.TargetOrder
+	granted chan provider.TargetOrderResult // holds the answer to our own order
 	mine    string
 }
 
--- a/authority/executor_test.go
+++ b/authority/executor_test.go
@@ -13,7 +13,7 @@
 	"github.com/matryer/is"
 
 	"zinniapin/internal/standin/objects"
-	"zinniapin/platform"
+	"zinniapin/provider"
 	"zinniapin/result"
 	"zinniapin/target"
 )
@@ -127,15 +127,15 @@
 	return target.Report{Target: t.ID, Boot: r.boot, Fence: r.fence, LastOrder: r.last}, nil
 }
 
-func (r *receiver) Order(ctx context.Context, o platform.TargetOrder) (platform.TargetOrderResult, error) {
+func (r *receiver) Order(ctx context.Context, o provider.TargetOrder) (provider.TargetOrderResult, error) {
 	author := o.ID[:1]
-	return platform.TargetOrderResult{Accepted: o.Count}, r.send(ctx, o.ID, author, o.Fence)
+	return provider.TargetOrderResult{Accepted: o.Count}, r.send(ctx, o.ID, author, o.Fence)
 }
 
-func (r *receiver) Lookup(_ context.Context, id string) (platform.TargetOrderResult, bool, error) {
+func (r *receiver) Lookup(_ context.Context, id string) (provider.TargetOrderResult, bool, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return platform.TargetOrderResult{Accepted: 1}, r.took[id], nil
+	return provider.TargetOrderResult{Accepted: 1}, r.took[id], nil
 }
 
 // register is a Liveness that tests fill in.
@@ -233,7 +233,7 @@
 // platformOrder buys targets for one pool in one zone.
 func platformOrder(r *receiver) order {
 	return func(ctx context.Context, x *Executor) error {
-		_, _, err := x.Platform(ctx, r, platform.TargetOrder{Pool: "p", Zone: "z", Count: 1})
+		_, _, err := x.Platform(ctx, r, provider.TargetOrder{Pool: "p", Zone: "z", Count: 1})
 		return err
 	}
 }
--- a/cmd/zinnia-controller/main.go
+++ b/cmd/zinnia-controller/main.go
@@ -19,7 +19,7 @@
 	"zinniapin/invariant"
 	"zinniapin/link/yamuxlink"
 	"zinniapin/machine"
-	"zinniapin/platform/httpapi"
+	"zinniapin/provider/httpapi"
 	"zinniapin/settings"
 	"zinniapin/store/budget"
 	"zinniapin/store/httpstore"
--- a/control/control.go
+++ b/control/control.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"zinniapin/contract"
-	"zinniapin/platform"
+	"zinniapin/provider"
 	"zinniapin/target"
 	"zinniapin/usage"
 )
@@ -15,7 +15,7 @@
 // TargetState is what a gateway knows of one target.
 type TargetState struct {
 	Target   target.Target
-	State    platform.HostState
+	State    provider.HostState
 	LeavesAt time.Time // zero unless leaving
 	// Cordoned targets get no new work; CordonEpoch orders cordons.
 	Cordoned    bool
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -21,7 +21,7 @@
 	"zinniapin/machine"
 	"zinniapin/membership"
 	"zinniapin/planning"
-	"zinniapin/platform"
+	"zinniapin/provider"
 	"zinniapin/relay"
 	"zinniapin/result"
 	"zinniapin/store"
@@ -41,14 +41,14 @@
 	// Store is the object API.
 	Store store.Store
 	// Hosts is the platform's list of hosts.
-	Hosts platform.Hosts
+	Hosts provider.Hosts
 	// Orders reads the reports of targets.
 	Orders target.Orders
 	// Reports takes usage reports; nil reports none.
-	Reports platform.Usage
+	Reports provider.Usage
 	// TargetOrders takes orders for targets; nil means that this controller
 	// plans nothing.
-	TargetOrders platform.Targets
+	TargetOrders provider.Targets
 	// Seed selects peers and jitter.
 	Seed uint64
 	// Log takes the events.
--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -20,7 +20,7 @@
 	"zinniapin/internal/standin/objects"
 	"zinniapin/link/memlink"
 	"zinniapin/machine"
-	"zinniapin/platform"
+	"zinniapin/provider"
 	"zinniapin/target"
 	"zinniapin/uplink"
 	"zinniapin/usage"
@@ -222,7 +222,7 @@
 		f.hosts.mu.Lock()
 		for i := range 5 {
 			id := target.ID(fmt.Sprint("engine-", i))
-			f.hosts.list = append(f.hosts.list, platform.Host{ID: string(id), State: platform.Live, Zone: zones[i%4].Name,
+			f.hosts.list = append(f.hosts.list, provider.Host{ID: string(id), State: provider.Live, Zone: zones[i%4].Name,
 				Target: &target.Target{ID: id, Kind: target.Engine, Zone: zones[i%4].Name, Pool: "assistant"}})
 		}
 		f.hosts.mu.Unlock()
--- a/controller/cost_test.go
+++ b/controller/cost_test.go
@@ -16,7 +16,7 @@
 	"zinniapin/control"
 	"zinniapin/machine"
 	"zinniapin/membership"
-	"zinniapin/platform"
+	"zinniapin/provider"
 	"zinniapin/target"
 	"zinniapin/wire"
 	"zinniapin/zone"
@@ -116,7 +116,7 @@
 	for i := range hosts * 720 / 390 {
 		id := target.ID(fmt.Sprintf("engine-%03d", i))
 		z := f.zones[i%len(f.zones)].Name
-		f.hosts.list = append(f.hosts.list, platform.Host{ID: string(id), State: platform.Live, Zone: z,
+		f.hosts.list = append(f.hosts.list, provider.Host{ID: string(id), State: provider.Live, Zone: z,
 			Target: &target.Target{ID: id, Kind: target.Engine, Zone: z, Pool: "assistant", Address: "10.9.9.9:8000"}})
 	}
 }
@@ -134,7 +134,7 @@
 
 // seenLeaving tells whether every gateway of the target's region takes it for
 // leaving.
-func (f *fleet) seenLeaving(h platform.Host) bool {
+func (f *fleet) seenLeaving(h provider.Host) bool {
 	region := f.regionOf(h.Zone)
 	for i, g := range f.gateways {
 		if f.zones[i%len(f.zones)].Region != region {
@@ -142,7 +142,7 @@
 		}
 		g.mu.Lock()
 		seen := slices.ContainsFunc(g.view, func(s control.TargetState) bool {
-			return s.Target.ID == h.Target.ID && s.State == platform.Leaving
+			return s.Target.ID == h.Target.ID && s.State == provider.Leaving
 		})
 		g.mu.Unlock()
 		if !seen {
@@ -220,7 +220,7 @@
 		}
 		f.within(60*time.Second, "all see all", f.allSeeAll)
 		f.hosts.mu.Lock()
-		f.hosts.list[0].State = platform.Leaving
+		f.hosts.list[0].State = provider.Leaving
 		leaving := f.hosts.list[0]
 		f.hosts.mu.Unlock()
 		f.within(maxTargetSpread, "a leaving target", func() bool { return f.seenLeaving(leaving) })
--- a/controller/fakes_test.go
+++ b/controller/fakes_test.go
@@ -6,7 +6,7 @@
 
 	"zinniapin/contract"
 	"zinniapin/control"
-	"zinniapin/platform"
+	"zinniapin/provider"
 	"zinniapin/store"
 	"zinniapin/target"
 	"zinniapin/usage"
@@ -52,13 +52,13 @@
 // fakeHosts is a list of hosts.
 type fakeHosts struct {
 	mu   sync.Mutex
-	list []platform.Host
+	list []provider.Host
 }
 
-func (f *fakeHosts) List(context.Context) ([]platform.Host, error) {
+func (f *fakeHosts) List(context.Context) ([]provider.Host, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return append([]platform.Host(nil), f.list...), nil
+	return append([]provider.Host(nil), f.list...), nil
 }
 
 // fakeOrders answers with rising reports.
--- a/controller/liveness.go
+++ b/controller/liveness.go
@@ -9,7 +9,7 @@
 	"zinniapin/authority"
 	"zinniapin/link"
 	"zinniapin/machine"
-	"zinniapin/platform"
+	"zinniapin/provider"
 	"zinniapin/result"
 	"zinniapin/wire"
 )
@@ -76,7 +76,7 @@
 func (v *liveness) TargetGone(unit string) bool {
 	for _, s := range v.controller.Targets() {
 		if authority.EngineUnit(s.Target.ID) == unit {
-			return s.State == platform.Gone
+			return s.State == provider.Gone
 		}
 	}
 	return false
@@ -98,14 +98,14 @@
 	k.shown(hosts)
 	for _, h := range hosts {
 		if h.ID == host {
-			return h.State == platform.Gone
+			return h.State == provider.Gone
 		}
 	}
 	return false
 }
 
 // shown takes in the targets that a list of hosts shows.
-func (k *Controller) shown(hosts []platform.Host) {
+func (k *Controller) shown(hosts []provider.Host) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.targets.Shown(time.Now(), hosts, k.local)
--- a/controller/shown_test.go
+++ b/controller/shown_test.go
@@ -8,7 +8,7 @@
 	"github.com/rs/zerolog"
 
 	"zinniapin/machine"
-	"zinniapin/platform"
+	"zinniapin/provider"
 	"zinniapin/target"
 )
 
@@ -18,11 +18,11 @@
 func TestLookForProofTakesNoticesIn(t *testing.T) {
 	is := is.New(t)
 	log := zerolog.Nop()
-	row := func(id target.ID, s platform.HostState) platform.Host {
+	row := func(id target.ID, s provider.HostState) provider.Host {
 		x := target.Target{ID: id, Kind: target.Engine, Pool: "pool", Zone: zones[0].Name}
-		return platform.Host{ID: "host-of-" + string(id), State: s, Zone: zones[0].Name, Target: &x}
+		return provider.Host{ID: "host-of-" + string(id), State: s, Zone: zones[0].Name, Target: &x}
 	}
-	list := &fakeHosts{list: []platform.Host{row("engine-1", platform.Live), row("engine-2", platform.Live)}}
+	list := &fakeHosts{list: []provider.Host{row("engine-1", provider.Live), row("engine-2", provider.Live)}}
 	self := machine.Process{Host: "host-1", Role: machine.Controller, Incarnation: 1, Zone: zones[0]}
 	k := New(Config{Self: self, Hosts: list, Log: &log})
 	looking := &liveness{controller: k}
@@ -30,14 +30,14 @@
 	is.Equal(len(k.Targets()), 2)
 	urgent := k.targets.UrgentVersion()
 
-	leaving := row("engine-1", platform.Leaving)
+	leaving := row("engine-1", provider.Leaving)
 	leaving.LeavesAt = time.Now().Add(time.Minute)
-	list.list = []platform.Host{leaving, {ID: "host-2", State: platform.Gone, Zone: zones[0].Name}}
+	list.list = []provider.Host{leaving, {ID: "host-2", State: provider.Gone, Zone: zones[0].Name}}
 	is.True(looking.hostGone("host-2"))
 	states := k.Targets()
 	is.Equal(len(states), 2)
-	is.Equal(states[0].State, platform.Leaving)
-	is.Equal(states[1].State, platform.Live)
+	is.Equal(states[0].State, provider.Leaving)
+	is.Equal(states[1].State, provider.Live)
 	is.True(k.targets.UrgentVersion() > urgent)
 	is.Equal(k.urgentTold, k.targets.UrgentVersion())
 }
--- a/gateway/drained_test.go
+++ b/gateway/drained_test.go
@@ -8,7 +8,7 @@
 
 	"zinniapin/contract"
 	"zinniapin/control"
-	"zinniapin/platform"
+	"zinniapin/provider"
 	"zinniapin/routing"
 	"zinniapin/target"
 	"zinniapin/zone"
@@ -24,7 +24,7 @@
 	f := newFleet(routing.New(home, 1))
 	f.configure(now, contract.NewSnapshot(1, fleet, nil))
 	view := []control.TargetState{{
-		State:  platform.Live,
+		State:  provider.Live,
 		Target: target.Target{ID: "a", Kind: target.Service, Pool: "pool", Zone: "zone"},
 	}}
 	f.observe(now, view)
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -8,7 +8,7 @@
 	"zinniapin/contract"
 	"zinniapin/control"
 	"zinniapin/invariant"
-	"zinniapin/platform"
+	"zinniapin/provider"
 	"zinniapin/routing"
 	"zinniapin/target"
 	"zinniapin/zone"
@@ -98,7 +98,7 @@
 	for i := range p.fleet.view {
 		s := &p.fleet.view[i]
 		if s.Target.ID == p.choice.Target.ID {
-			return s.State == platform.Live && !s.Cordoned && !p.fleet.drained[s.Target.ID]
+			return s.State == provider.Live && !s.Cordoned && !p.fleet.drained[s.Target.ID]
 		}
 	}
 	return false
@@ -243,8 +243,8 @@
 	ends := map[target.ID]bool{}
 	for i := range f.view {
 		s := &f.view[i]
-		soon := s.State == platform.Leaving && !now.Before(s.LeavesAt.Add(-moveMargin))
-		if soon || s.State == platform.Gone {
+		soon := s.State == provider.Leaving && !now.Before(s.LeavesAt.Add(-moveMargin))
+		if soon || s.State == provider.Gone {
 			ends[s.Target.ID] = true
 		}
 	}
@@ -295,7 +295,7 @@
 // capacity returns how many requests a target runs at once, 0 when it takes
 // no new work.
 func capacity(s *control.TargetState) int {
-	if s.State != platform.Live || s.Cordoned {
+	if s.State != provider.Live || s.Cordoned {
 		return 0
 	}
 	if s.Report.Capacity <= 0 {
--- a/gateway/generation_test.go
+++ b/gateway/generation_test.go
@@ -17,7 +17,7 @@
 	"zinniapin/contract"
 	"zinniapin/control"
 	"zinniapin/internal/standin/engine"
-	"zinniapin/platform"
+	"zinniapin/provider"
 	"zinniapin/routing"
 	"zinniapin/target"
 )
@@ -339,7 +339,7 @@
 	}()
 	eventually(t, func() bool { return s.count() == 1 })
 	leaving := r.view[0]
-	leaving.State = platform.Leaving
+	leaving.State = provider.Leaving
 	leaving.LeavesAt = time.Now().Add(time.Second)
 	r.g.Observe([]control.TargetState{leaving})
 	is.Equal(s.count(), 1)
--- a/gateway/joined_test.go
+++ b/gateway/joined_test.go
@@ -22,7 +22,7 @@
 	"zinniapin/internal/standin/objects"
 	"zinniapin/link/memlink"
 	"zinniapin/machine"
-	"zinniapin/platform"
+	"zinniapin/provider"
 	"zinniapin/target"
 	"zinniapin/uplink"
 )
@@ -30,13 +30,13 @@
 // hostList is a list of hosts that tests change.
 type hostList struct {
 	mu   sync.Mutex
-	list []platform.Host
+	list []provider.Host
 }
 
-func (h *hostList) List(context.Context) ([]platform.Host, error) {
+func (h *hostList) List(context.Context) ([]provider.Host, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return append([]platform.Host(nil), h.list...), nil
+	return append([]provider.Host(nil), h.list...), nil
 }
 
 // joinedFleet is a fleet of gateways and controllers in virtual time.
@@ -61,7 +61,7 @@
 	for i, name := range []string{"e1", "e2"} {
 		j.engines.Add(name, engine.Options{ID: target.ID(name), Seed: uint64(i + 1), Models: []string{testModel}})
 		x := target.Target{ID: target.ID(name), Kind: target.Engine, Class: target.Reserved, Pool: "p", Zone: home.Name, Address: name}
-		j.hosts.list = append(j.hosts.list, platform.Host{ID: "h-" + name, State: platform.Live, Zone: home.Name, Target: &x})
+		j.hosts.list = append(j.hosts.list, provider.Host{ID: "h-" + name, State: provider.Live, Zone: home.Name, Target: &x})
 	}
 	log := zerolog.Nop()
 	address := func(i int) string { return fmt.Sprintf("10.0.0.%d:7000", i+1) }
@@ -156,7 +156,7 @@
 		is.True(j.everyAnswer(otherKey, 200))
 
 		j.hosts.mu.Lock()
-		j.hosts.list[0].State = platform.Leaving
+		j.hosts.list[0].State = provider.Leaving
 		j.hosts.list[0].LeavesAt = time.Now().Add(20 * time.Second)
 		j.hosts.mu.Unlock()
 		within(t, 10*time.Second, "no new work to a leaving engine", func() bool {
--- a/gateway/rig_test.go
+++ b/gateway/rig_test.go
@@ -21,7 +21,7 @@
 	"zinniapin/control"
 	"zinniapin/internal/standin/engine"
 	"zinniapin/machine"
-	"zinniapin/platform"
+	"zinniapin/provider"
 	"zinniapin/settings"
 	"zinniapin/target"
 	"zinniapin/zone"
@@ -77,7 +77,7 @@
 // live returns the state of a live target.
 func live(id string, kind target.Kind, pool, address string) control.TargetState {
 	t := target.Target{ID: target.ID(id), Kind: kind, Class: target.Reserved, Pool: pool, Zone: home.Name, Address: address}
-	return control.TargetState{Target: t, State: platform.Live, Report: target.Report{
+	return control.TargetState{Target: t, State: provider.Live, Report: target.Report{
 		Target: t.ID, Boot: 1, Sequence: 1, Taken: time.Now(), Role: target.Mixed, Models: []string{testModel}, Capacity: 16}}
 }
 
--- a/internal/capacity/fixtures.go
+++ b/internal/capacity/fixtures.go
@@ -7,7 +7,7 @@
 	"zinniapin/contract"
 	"zinniapin/control"
 	"zinniapin/machine"
-	"zinniapin/platform"
+	"zinniapin/provider"
 	"zinniapin/target"
 	"zinniapin/zone"
 )
@@ -95,7 +95,7 @@
 
 // stateOf returns the state of the i-th target.
 func stateOf(i int) control.TargetState {
-	return control.TargetState{Target: targetOf(i), State: platform.Live, Report: reportOf(i, 1)}
+	return control.TargetState{Target: targetOf(i), State: provider.Live, Report: reportOf(i, 1)}
 }
 
 // statesOf returns the states of n targets.
@@ -108,11 +108,11 @@
 }
 
 // hostsOf returns the platform's list of n targets.
-func hostsOf(n int) []platform.Host {
-	hosts := make([]platform.Host, n)
+func hostsOf(n int) []provider.Host {
+	hosts := make([]provider.Host, n)
 	for i := range hosts {
 		t := targetOf(i)
-		hosts[i] = platform.Host{ID: "target-" + string(t.ID), Zone: t.Zone, State: platform.Live, Target: &t}
+		hosts[i] = provider.Host{ID: "target-" + string(t.ID), Zone: t.Zone, State: provider.Live, Target: &t}
 	}
 	return hosts
 }
--- a/internal/capacity/fleet.go
+++ b/internal/capacity/fleet.go
@@ -13,7 +13,7 @@
 	"zinniapin/controller"
 	"zinniapin/internal/standin/objects"
 	"zinniapin/link/memlink"
-	"zinniapin/platform"
+	"zinniapin/provider"
 	"zinniapin/store"
 	"zinniapin/target"
 	"zinniapin/uplink"
@@ -178,7 +178,7 @@
 
 // reports lists and reports targets.
 type reports struct {
-	hosts    []platform.Host
+	hosts    []provider.Host
 	mu       sync.Mutex
 	sequence map[target.ID]uint64
 	lists    int
@@ -186,8 +186,8 @@
 	usages   int
 }
 
-// List implements platform.Hosts.
-func (r *reports) List(context.Context) ([]platform.Host, error) {
+// List implements provider.Hosts.
+func (r *reports) List(context.Context) ([]provider.Host, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.lists++
@@ -205,8 +205,8 @@
 	return answer, nil
 }
 
-// Report implements platform.Usage.
-func (u usageReports) Report(context.Context, string, uint64, []platform.UsageReport) error {
+// Report implements provider.Usage.
+func (u usageReports) Report(context.Context, string, uint64, []provider.UsageReport) error {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.usages++
--- a/internal/policybench/policy.go
+++ b/internal/policybench/policy.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"zinniapin/control"
-	"zinniapin/platform"
+	"zinniapin/provider"
 	"zinniapin/routing"
 	"zinniapin/target"
 	"zinniapin/zone"
@@ -175,7 +175,7 @@
 
 // usable tells whether a target comes into question at all.
 func usable(s *control.TargetState, q *routing.Request, role target.Role) bool {
-	if s.State != platform.Live || s.Cordoned || s.Report.Changing || s.Target.Pool != q.Pool {
+	if s.State != provider.Live || s.Cordoned || s.Report.Changing || s.Target.Pool != q.Pool {
 		return false
 	}
 	if q.StableOnly && s.Target.Class == target.Reclaimable {
@@ -225,7 +225,7 @@
 	backlog, batch := 0.0, 0.0
 	for i := range view {
 		s := &view[i]
-		if s.Target.Pool != pool || s.State != platform.Live || s.Cordoned || s.Report.Changing {
+		if s.Target.Pool != pool || s.State != provider.Live || s.Cordoned || s.Report.Changing {
 			continue
 		}
 		if s.Report.Role == target.Prefill {
--- a/internal/policybench/world.go
+++ b/internal/policybench/world.go
@@ -7,7 +7,7 @@
 	"zinniapin/control"
 	"zinniapin/invariant"
 	"zinniapin/placement"
-	"zinniapin/platform"
+	"zinniapin/provider"
 	"zinniapin/spending"
 	"zinniapin/target"
 	"zinniapin/zone"
@@ -306,15 +306,15 @@
 }
 
 // state is what the platform's list says of a target.
-func (e *engine) state(now int64) platform.HostState {
+func (e *engine) state(now int64) provider.HostState {
 	lag := int64(hostListLag)
 	switch {
 	case e.dead && now >= e.leftAt+lag:
-		return platform.Gone
+		return provider.Gone
 	case e.noticedAt > 0 && now >= e.noticedAt+lag:
-		return platform.Leaving
+		return provider.Leaving
 	default:
-		return platform.Live
+		return provider.Live
 	}
 }
 
--- a/internal/soak/cloud.go
+++ b/internal/soak/cloud.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"zinniapin/internal/standin/engine"
-	"zinniapin/platform"
+	"zinniapin/provider"
 	"zinniapin/target"
 	"zinniapin/usage"
 	"zinniapin/zone"
@@ -31,17 +31,17 @@
 	rng      *rand.Rand
 	down     bool // refuses every call
 	harsh    bool // loses, delays and refuses calls
-	stale    []platform.Host
-	hosts    []platform.Host         // of targets
-	entries  []platform.Host         // entry hosts
+	stale    []provider.Host
+	hosts    []provider.Host         // of targets
+	entries  []provider.Host         // entry hosts
 	lost     map[zone.Name]bool      // zones without power
 	returns  map[zone.Name][]func()  // what comes back with a zone
 	noticed  map[target.ID]time.Time // when the list first showed a target as leaving or gone
 	made     map[target.ID]*engine.Engine
-	orders   map[string]platform.TargetOrderResult
+	orders   map[string]provider.TargetOrderResult
 	authors  map[string]uint64 // highest fencing number by unit
 	sending  map[string]string // order or author under way, by unit
-	reports  map[reportKey]platform.UsageReport
+	reports  map[reportKey]provider.UsageReport
 	fences   map[reportKey]uint64
 	bought   int
 	taken    int // orders that took effect
@@ -58,10 +58,10 @@
 		returns: map[zone.Name][]func(){},
 		noticed: map[target.ID]time.Time{},
 		made:    map[target.ID]*engine.Engine{},
-		orders:  map[string]platform.TargetOrderResult{},
+		orders:  map[string]provider.TargetOrderResult{},
 		authors: map[string]uint64{},
 		sending: map[string]string{},
-		reports: map[reportKey]platform.UsageReport{},
+		reports: map[reportKey]provider.UsageReport{},
 		fences:  map[reportKey]uint64{},
 	}
 }
@@ -86,7 +86,7 @@
 	})
 	c.made[id] = e
 	x := target.Target{ID: id, Kind: target.Engine, Class: class, Pool: poolName, Zone: z, Address: string(id), ChecksFence: fenced}
-	c.hosts = append(c.hosts, platform.Host{ID: "host-of-" + string(id), State: platform.Live, Zone: z, Target: &x})
+	c.hosts = append(c.hosts, provider.Host{ID: "host-of-" + string(id), State: provider.Live, Zone: z, Target: &x})
 }
 
 // fate draws what happens to a call.
@@ -141,25 +141,25 @@
 	return nil
 }
 
-// Order implements platform.Targets.
-func (c *cloud) Order(ctx context.Context, o platform.TargetOrder) (platform.TargetOrderResult, error) {
-	var granted platform.TargetOrderResult
+// Order implements provider.Targets.
+func (c *cloud) Order(ctx context.Context, o provider.TargetOrder) (provider.TargetOrderResult, error) {
+	var granted provider.TargetOrderResult
 	unit := fmt.Sprintf("%s/%s", o.Pool, o.Zone)
 	err := c.exchange(ctx, unit, o.ID, o.Fence, func() { granted = c.carryOut(o) })
 	return granted, err
 }
 
 // carryOut carries out an order once. The lock is held.
-func (c *cloud) carryOut(o platform.TargetOrder) platform.TargetOrderResult {
+func (c *cloud) carryOut(o provider.TargetOrder) provider.TargetOrderResult {
 	if known, ok := c.orders[o.ID]; ok {
 		return known
 	}
 	c.taken++
-	granted := platform.TargetOrderResult{Accepted: 1}
+	granted := provider.TargetOrderResult{Accepted: 1}
 	if o.Release != "" {
 		c.leave(o.Release, 0)
 	} else if c.lost[o.Zone] {
-		granted = platform.TargetOrderResult{Reason: "the zone is lost"}
+		granted = provider.TargetOrderResult{Reason: "the zone is lost"}
 	} else {
 		granted.Accepted = o.Count
 		for range o.Count {
@@ -175,10 +175,10 @@
 func (c *cloud) leave(id target.ID, notice time.Duration) {
 	for i := range c.hosts {
 		h := &c.hosts[i]
-		if h.Target == nil || h.Target.ID != id || h.State != platform.Live {
+		if h.Target == nil || h.Target.ID != id || h.State != provider.Live {
 			continue
 		}
-		h.State = platform.Leaving
+		h.State = provider.Leaving
 		h.LeavesAt = time.Now().Add(notice)
 		time.AfterFunc(notice, func() { c.gone(id) })
 	}
@@ -212,7 +212,7 @@
 	defer c.mu.Unlock()
 	for i := range c.hosts {
 		if h := &c.hosts[i]; h.Target != nil && h.Target.ID == id {
-			h.State = platform.Gone
+			h.State = provider.Gone
 		}
 	}
 }
@@ -224,7 +224,7 @@
 	defer c.mu.Unlock()
 	n := 0
 	for _, h := range slices.Clone(c.hosts) {
-		if h.Zone == z && h.State == platform.Live && h.Target.Class == target.Reclaimable {
+		if h.Zone == z && h.State == provider.Live && h.Target.Class == target.Reclaimable {
 			c.leave(h.Target.ID, notice)
 			time.AfterFunc(notice+returnAfter, func() { c.comeBack(z) })
 			n++
@@ -233,11 +233,11 @@
 	return n
 }
 
-// Lookup implements platform.Targets.
-func (c *cloud) Lookup(_ context.Context, id string) (platform.TargetOrderResult, bool, error) {
+// Lookup implements provider.Targets.
+func (c *cloud) Lookup(_ context.Context, id string) (provider.TargetOrderResult, bool, error) {
 	fate, _, down := c.fate()
 	if down || fate == fateRefused {
-		return platform.TargetOrderResult{}, false, target.ErrNotSent
+		return provider.TargetOrderResult{}, false, target.ErrNotSent
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -245,9 +245,9 @@
 	return granted, ok, nil
 }
 
-// Report implements platform.Usage. Reports of one organisation's window must
+// Report implements provider.Usage. Reports of one organisation's window must
 // not come from two authors at once, nor fall back to an older author.
-func (c *cloud) Report(ctx context.Context, author string, fence uint64, reports []platform.UsageReport) error {
+func (c *cloud) Report(ctx context.Context, author string, fence uint64, reports []provider.UsageReport) error {
 	unit := "usage/" + reports[0].Organisation
 	return c.exchange(ctx, unit, author, fence, func() {
 		for _, r := range reports {
@@ -257,7 +257,7 @@
 }
 
 // take takes one report. The lock is held.
-func (c *cloud) take(author string, fence uint64, r platform.UsageReport) {
+func (c *cloud) take(author string, fence uint64, r provider.UsageReport) {
 	key := reportKey{r.Organisation, r.Window.Unix()}
 	if old, known := c.reports[key]; known && old != r {
 		c.problem("%s reported %v after %v", author, r, old)
@@ -270,8 +270,8 @@
 	c.reported++
 }
 
-// List implements platform.Hosts.
-func (c *cloud) List(context.Context) ([]platform.Host, error) {
+// List implements provider.Hosts.
+func (c *cloud) List(context.Context) ([]provider.Host, error) {
 	fate, _, down := c.fate()
 	if down || fate == fateRefused {
 		return nil, target.ErrNotSent
@@ -286,7 +286,7 @@
 		x := *h.Target
 		h.Target = &x
 		shown = append(shown, h)
-		if _, known := c.noticed[x.ID]; h.State != platform.Live && !known {
+		if _, known := c.noticed[x.ID]; h.State != provider.Live && !known {
 			c.noticed[x.ID] = time.Now()
 		}
 	}
@@ -305,7 +305,7 @@
 }
 
 // listed returns a copy of the list without faults.
-func (c *cloud) listed() []platform.Host {
+func (c *cloud) listed() []provider.Host {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return slices.Clone(c.hosts)
@@ -337,5 +337,5 @@
 
 // listService lists an instance of the plain service. The lock is held.
 func (c *cloud) listService(x target.Target) {
-	c.hosts = append(c.hosts, platform.Host{ID: "host-of-" + string(x.ID), State: platform.Live, Zone: x.Zone, Target: &x})
+	c.hosts = append(c.hosts, provider.Host{ID: "host-of-" + string(x.ID), State: provider.Live, Zone: x.Zone, Target: &x})
 }
--- a/internal/soak/gate.go
+++ b/internal/soak/gate.go
@@ -8,7 +8,7 @@
 	"zinniapin/gateway"
 	"zinniapin/link"
 	"zinniapin/machine"
-	"zinniapin/platform"
+	"zinniapin/provider"
 	"zinniapin/store"
 	"zinniapin/target"
 	"zinniapin/wire"
@@ -232,23 +232,23 @@
 	inner *cloud
 }
 
-func (p *gatedPlatform) Order(ctx context.Context, o platform.TargetOrder) (platform.TargetOrderResult, error) {
+func (p *gatedPlatform) Order(ctx context.Context, o provider.TargetOrder) (provider.TargetOrderResult, error) {
 	ctx, err := p.gate.out(ctx)
 	if err != nil {
-		return platform.TargetOrderResult{}, target.ErrNotSent
+		return provider.TargetOrderResult{}, target.ErrNotSent
 	}
 	return p.inner.Order(ctx, o)
 }
 
-func (p *gatedPlatform) Lookup(ctx context.Context, id string) (platform.TargetOrderResult, bool, error) {
+func (p *gatedPlatform) Lookup(ctx context.Context, id string) (provider.TargetOrderResult, bool, error) {
 	ctx, err := p.gate.out(ctx)
 	if err != nil {
-		return platform.TargetOrderResult{}, false, target.ErrNotSent
+		return provider.TargetOrderResult{}, false, target.ErrNotSent
 	}
 	return p.inner.Lookup(ctx, id)
 }
 
-func (p *gatedPlatform) Report(ctx context.Context, author string, fence uint64, reports []platform.UsageReport) error {
+func (p *gatedPlatform) Report(ctx context.Context, author string, fence uint64, reports []provider.UsageReport) error {
 	ctx, err := p.gate.out(ctx)
 	if err != nil {
 		return target.ErrNotSent
@@ -256,7 +256,7 @@
 	return p.inner.Report(ctx, author, fence, reports)
 }
 
-func (p *gatedPlatform) List(ctx context.Context) ([]platform.Host, error) {
+func (p *gatedPlatform) List(ctx context.Context) ([]provider.Host, error) {
 	ctx, err := p.gate.out(ctx)
 	if err != nil {
 		return nil, target.ErrNotSent
--- a/internal/soak/loss.go
+++ b/internal/soak/loss.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"zinniapin/platform"
+	"zinniapin/provider"
 	"zinniapin/target"
 	"zinniapin/zone"
 )
@@ -136,7 +136,7 @@
 func (c *cloud) join(id string, z zone.Name) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.entries = append(c.entries, platform.Host{ID: id, State: platform.Live, Zone: z})
+	c.entries = append(c.entries, provider.Host{ID: id, State: provider.Live, Zone: z})
 }
 
 // endEntry shows an entry host as gone.
@@ -145,7 +145,7 @@
 	defer c.mu.Unlock()
 	for i := range c.entries {
 		if c.entries[i].ID == id {
-			c.entries[i].State = platform.Gone
+			c.entries[i].State = provider.Gone
 		}
 	}
 }
@@ -158,14 +158,14 @@
 	c.lost[z] = true
 	var services []target.ID
 	for _, h := range slices.Clone(c.hosts) {
-		if h.Zone != z || h.State == platform.Gone {
+		if h.Zone != z || h.State == provider.Gone {
 			continue
 		}
 		x := *h.Target
 		if x.Kind == target.Service {
 			services = append(services, x.ID)
 		}
-		if h.State == platform.Live {
+		if h.State == provider.Live {
 			c.returns[z] = append(c.returns[z], func() { c.returnAs(x) })
 		}
 		c.endTarget(x.ID)
@@ -178,7 +178,7 @@
 	c.engines.Remove(string(id))
 	for i := range c.hosts {
 		if h := &c.hosts[i]; h.Target.ID == id {
-			h.State = platform.Gone
+			h.State = provider.Gone
 		}
 	}
 }
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -12,7 +12,7 @@
 
 	"zinniapin/contract"
 	"zinniapin/internal/standin/engine"
-	"zinniapin/platform"
+	"zinniapin/provider"
 	"zinniapin/target"
 )
 
@@ -94,7 +94,7 @@
 		hosts := w.cloud.listed()
 		made := w.cloud.all()
 		for _, h := range hosts {
-			if e := made[h.Target.ID]; e != nil && h.State != platform.Gone && e.Down() {
+			if e := made[h.Target.ID]; e != nil && h.State != provider.Gone && e.Down() {
 				e.Restart()
 			}
 		}
--- a/internal/standin/platform/faults.go
+++ b/internal/standin/platform/faults.go
@@ -5,7 +5,7 @@
 	"net/http/httptest"
 	"time"
 
-	"zinniapin/platform/httpapi"
+	"zinniapin/provider/httpapi"
 	"zinniapin/target"
 	"zinniapin/zone"
 )
--- a/internal/standin/platform/hosts.go
+++ b/internal/standin/platform/hosts.go
@@ -5,8 +5,8 @@
 	"slices"
 	"time"
 
-	seam "zinniapin/platform"
-	"zinniapin/platform/httpapi"
+	seam "zinniapin/provider"
+	"zinniapin/provider/httpapi"
 	"zinniapin/target"
 	"zinniapin/zone"
 )
--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -15,8 +15,8 @@
 	"golang.org/x/time/rate"
 
 	"zinniapin/internal/standin/objects"
-	seam "zinniapin/platform"
-	"zinniapin/platform/httpapi"
+	seam "zinniapin/provider"
+	"zinniapin/provider/httpapi"
 	"zinniapin/store"
 	"zinniapin/store/httpstore"
 	"zinniapin/target"
--- a/internal/standin/platform/targets.go
+++ b/internal/standin/platform/targets.go
@@ -8,8 +8,8 @@
 
 	"github.com/gorilla/mux"
 
-	seam "zinniapin/platform"
-	"zinniapin/platform/httpapi"
+	seam "zinniapin/provider"
+	"zinniapin/provider/httpapi"
 	"zinniapin/target"
 )
 
--- a/internal/standin/process/process.go
+++ b/internal/standin/process/process.go
@@ -15,7 +15,7 @@
 	"zinniapin/internal/standin/engine"
 	"zinniapin/internal/standin/platform"
 	"zinniapin/internal/standin/service"
-	seam "zinniapin/platform"
+	seam "zinniapin/provider"
 	"zinniapin/result"
 	"zinniapin/settings"
 	"zinniapin/target"
--- a/internal/standin/process/process_test.go
+++ b/internal/standin/process/process_test.go
@@ -8,7 +8,7 @@
 	"github.com/matryer/is"
 	"github.com/rs/zerolog"
 
-	seam "zinniapin/platform"
+	seam "zinniapin/provider"
 	"zinniapin/settings"
 	"zinniapin/target"
 )
--- a/placement/demand.go
+++ b/placement/demand.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"zinniapin/control"
-	"zinniapin/platform"
+	"zinniapin/provider"
 	"zinniapin/target"
 	"zinniapin/zone"
 )
@@ -88,7 +88,7 @@
 
 // serving tells whether an engine is there to stay.
 func serving(s *control.TargetState) bool {
-	return s.State == platform.Live && s.Target.Kind == target.Engine && !s.Report.Taken.IsZero()
+	return s.State == provider.Live && s.Target.Kind == target.Engine && !s.Report.Taken.IsZero()
 }
 
 // batchLimit is the number of requests whose tokens come in time.
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -11,7 +11,7 @@
 	"zinniapin/contract"
 	"zinniapin/control"
 	_ "zinniapin/internal/fixedseed"
-	"zinniapin/platform"
+	"zinniapin/provider"
 	"zinniapin/target"
 	"zinniapin/zone"
 )
@@ -36,7 +36,7 @@
 		}
 		v.Targets = append(v.Targets, control.TargetState{
 			Target: target.Target{ID: id, Kind: target.Engine, Class: target.Reserved, Pool: "reports", Zone: names[i%3]},
-			State:  platform.Live,
+			State:  provider.Live,
 			Report: target.Report{
 				Target: id, Boot: 1, Taken: start, Role: role, Models: []string{"m"},
 				PrefillRate: 8000, DecodeRate: 1100, Capacity: 64,
--- a/planning/cordon_test.go
+++ b/planning/cordon_test.go
@@ -8,7 +8,7 @@
 	"github.com/matryer/is"
 
 	"zinniapin/authority"
-	"zinniapin/platform"
+	"zinniapin/provider"
 	"zinniapin/result"
 	"zinniapin/spending"
 	"zinniapin/target"
@@ -97,7 +97,7 @@
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
 		_, _, err := other.Platform(ctx, &fakeTargets{err: target.ErrBroken},
-			platform.TargetOrder{Zone: "zone", Pool: "pool", Count: -1, Release: engineID})
+			provider.TargetOrder{Zone: "zone", Pool: "pool", Count: -1, Release: engineID})
 		is.Equal(result.CodeOf(err), result.OrderUnknown)
 		pools := r.fleet.Snapshot().Fleet.Pools
 		look := func() int {
--- a/planning/planning.go
+++ b/planning/planning.go
@@ -19,7 +19,7 @@
 	"zinniapin/contract"
 	"zinniapin/control"
 	"zinniapin/placement"
-	"zinniapin/platform"
+	"zinniapin/provider"
 	"zinniapin/spending"
 	"zinniapin/target"
 	"zinniapin/zone"
@@ -97,7 +97,7 @@
 	fleet    Fleet
 	executor *authority.Executor
 	orders   target.Orders
-	targets  platform.Targets
+	targets  provider.Targets
 	options  Options
 	tasks    sync.WaitGroup
 
@@ -114,7 +114,7 @@
 }
 
 // New returns planning for a fleet. The executor carries out its orders.
-func New(f Fleet, x *authority.Executor, orders target.Orders, targets platform.Targets, o Options) *Planning {
+func New(f Fleet, x *authority.Executor, orders target.Orders, targets provider.Targets, o Options) *Planning {
 	return &Planning{
 		fleet:     f,
 		executor:  x,
--- a/planning/planning_test.go
+++ b/planning/planning_test.go
@@ -16,7 +16,7 @@
 	"zinniapin/control"
 	"zinniapin/internal/standin/objects"
 	"zinniapin/placement"
-	"zinniapin/platform"
+	"zinniapin/provider"
 	"zinniapin/result"
 	"zinniapin/spending"
 	"zinniapin/store"
@@ -42,7 +42,7 @@
 // newFakeFleet returns a fleet with one live engine.
 func newFakeFleet() *fakeFleet {
 	return &fakeFleet{state: control.TargetState{
-		State:  platform.Live,
+		State:  provider.Live,
 		Target: target.Target{ID: engineID, Kind: target.Engine, Pool: "pool", Zone: "zone", Class: target.Reclaimable},
 	}}
 }
@@ -135,30 +135,30 @@
 // fakeTargets is the platform's target interface.
 type fakeTargets struct {
 	mu     sync.Mutex
-	orders []platform.TargetOrder
+	orders []provider.TargetOrder
 	refuse bool  // accept nothing
 	err    error // of every order
 }
 
-func (p *fakeTargets) Order(_ context.Context, o platform.TargetOrder) (platform.TargetOrderResult, error) {
+func (p *fakeTargets) Order(_ context.Context, o provider.TargetOrder) (provider.TargetOrderResult, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.orders = append(p.orders, o)
 	if p.refuse || p.err != nil {
-		return platform.TargetOrderResult{}, p.err
+		return provider.TargetOrderResult{}, p.err
 	}
-	return platform.TargetOrderResult{Accepted: max(o.Count, 1)}, nil
+	return provider.TargetOrderResult{Accepted: max(o.Count, 1)}, nil
 }
 
 // received returns the orders received so far.
-func (p *fakeTargets) received() []platform.TargetOrder {
+func (p *fakeTargets) received() []provider.TargetOrder {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return slices.Clone(p.orders)
 }
 
-func (p *fakeTargets) Lookup(context.Context, string) (platform.TargetOrderResult, bool, error) {
-	return platform.TargetOrderResult{}, false, nil
+func (p *fakeTargets) Lookup(context.Context, string) (provider.TargetOrderResult, bool, error) {
+	return provider.TargetOrderResult{}, false, nil
 }
 
 // alive is a liveness that proves no end.
--- a/planning/purchases.go
+++ b/planning/purchases.go
@@ -8,7 +8,7 @@
 	"zinniapin/contract"
 	"zinniapin/control"
 	"zinniapin/event"
-	"zinniapin/platform"
+	"zinniapin/provider"
 	"zinniapin/result"
 	"zinniapin/spending"
 	"zinniapin/zone"
@@ -132,10 +132,10 @@
 
 // askPlatform orders targets from the platform, or gives one back, and logs
 // the answer.
-func (p *Planning) askPlatform(ctx context.Context, step spending.Step) (platform.TargetOrderResult, error) {
+func (p *Planning) askPlatform(ctx context.Context, step spending.Step) (provider.TargetOrderResult, error) {
 	bounded, cancel := context.WithTimeout(ctx, p.options.ChangeLimit)
 	defer cancel()
-	granted, outcome, err := p.executor.Platform(bounded, p.targets, platform.TargetOrder{
+	granted, outcome, err := p.executor.Platform(bounded, p.targets, provider.TargetOrder{
 		Zone: step.Zone, Class: step.Class, Pool: step.Pool, Count: step.Count, Release: step.Release,
 	})
 	event.PurchaseAnswered.Log(p.options.Log).Str("pool", step.Pool).Str("zone", string(step.Zone)).
@@ -145,7 +145,7 @@
 
 // liftIfLive lifts the cordon of a target that the platform lists as live.
 func (p *Planning) liftIfLive(c cordoned) {
-	if s, ok := p.state(c.id); ok && s.State == platform.Live {
+	if s, ok := p.state(c.id); ok && s.State == provider.Live {
 		p.lift(c)
 	}
 }
--- a/planning/roles.go
+++ b/planning/roles.go
@@ -13,7 +13,7 @@
 	"zinniapin/control"
 	"zinniapin/event"
 	"zinniapin/placement"
-	"zinniapin/platform"
+	"zinniapin/provider"
 	"zinniapin/result"
 	"zinniapin/target"
 )
@@ -52,7 +52,7 @@
 func openReleases(orders []authority.OpenOrder) map[target.ID]bool {
 	open := map[target.ID]bool{}
 	for _, o := range orders {
-		var released platform.TargetOrder
+		var released provider.TargetOrder
 		if !strings.HasPrefix(o.Unit, authority.PlatformUnits) || json.Unmarshal([]byte(o.Order.Payload), &released) != nil {
 			continue
 		}
--- a/platform/httpapi/httpapi.go
+++ b/provider/httpapi/httpapi.go
@@ -19,7 +19,7 @@
 	"time"
 
 	"zinniapin/internal/oncehttp"
-	"zinniapin/platform"
+	"zinniapin/provider"
 	"zinniapin/store"
 )
 
@@ -92,12 +92,12 @@
 	}
 }
 
-// Targets implements platform.Targets over HTTP.
+// Targets implements provider.Targets over HTTP.
 type Targets struct {
 	caller
 }
 
-var _ platform.Targets = (*Targets)(nil)
+var _ provider.Targets = (*Targets)(nil)
 
 // NewTargets returns the target interface at a base URL. The timeout bounds
 // one call.
@@ -105,32 +105,32 @@
 	return &Targets{newCaller(base, timeout)}
 }
 
-// Order implements platform.Targets.
-func (t *Targets) Order(ctx context.Context, o platform.TargetOrder) (platform.TargetOrderResult, error) {
+// Order implements provider.Targets.
+func (t *Targets) Order(ctx context.Context, o provider.TargetOrder) (provider.TargetOrderResult, error) {
 	var wire TargetOrderResult
 	err := t.call(ctx, http.MethodPost, OrdersPath, TargetOrder(o), &wire)
-	return platform.TargetOrderResult(wire), err
+	return provider.TargetOrderResult(wire), err
 }
 
-// Lookup implements platform.Targets.
-func (t *Targets) Lookup(ctx context.Context, orderID string) (platform.TargetOrderResult, bool, error) {
+// Lookup implements provider.Targets.
+func (t *Targets) Lookup(ctx context.Context, orderID string) (provider.TargetOrderResult, bool, error) {
 	var wire TargetOrderResult
 	err := t.call(ctx, http.MethodGet, OrdersPath+"/"+url.PathEscape(orderID), nil, &wire)
 	if errors.Is(err, store.ErrNotFound) {
-		return platform.TargetOrderResult{}, false, nil
+		return provider.TargetOrderResult{}, false, nil
 	}
 	if err != nil {
-		return platform.TargetOrderResult{}, false, err
+		return provider.TargetOrderResult{}, false, err
 	}
-	return platform.TargetOrderResult(wire), true, nil
+	return provider.TargetOrderResult(wire), true, nil
 }
 
-// Usage implements platform.Usage over HTTP.
+// Usage implements provider.Usage over HTTP.
 type Usage struct {
 	caller
 }
 
-var _ platform.Usage = (*Usage)(nil)
+var _ provider.Usage = (*Usage)(nil)
 
 // NewUsage returns the usage-report interface at a base URL. The timeout
 // bounds one call.
@@ -138,8 +138,8 @@
 	return &Usage{newCaller(base, timeout)}
 }
 
-// Report implements platform.Usage.
-func (u *Usage) Report(ctx context.Context, author string, fence uint64, reports []platform.UsageReport) error {
+// Report implements provider.Usage.
+func (u *Usage) Report(ctx context.Context, author string, fence uint64, reports []provider.UsageReport) error {
 	wire := UsageReports{Author: author, Fence: fence, Reports: make([]UsageReport, len(reports))}
 	for i, r := range reports {
 		wire.Reports[i] = FromUsageReport(r)
@@ -148,12 +148,12 @@
 	return u.call(ctx, http.MethodPost, ReportsPath, wire, &done)
 }
 
-// Hosts implements platform.Hosts over HTTP.
+// Hosts implements provider.Hosts over HTTP.
 type Hosts struct {
 	caller
 }
 
-var _ platform.Hosts = (*Hosts)(nil)
+var _ provider.Hosts = (*Hosts)(nil)
 
 // NewHosts returns the list of hosts at a base URL. The timeout bounds one
 // call.
@@ -161,13 +161,13 @@
 	return &Hosts{newCaller(base, timeout)}
 }
 
-// List implements platform.Hosts.
-func (h *Hosts) List(ctx context.Context) ([]platform.Host, error) {
+// List implements provider.Hosts.
+func (h *Hosts) List(ctx context.Context) ([]provider.Host, error) {
 	var wire []Host
 	if err := h.call(ctx, http.MethodGet, HostsPath, nil, &wire); err != nil {
 		return nil, err
 	}
-	hosts := make([]platform.Host, len(wire))
+	hosts := make([]provider.Host, len(wire))
 	for i, host := range wire {
 		hosts[i] = host.Host()
 	}
--- a/platform/httpapi/httpapi_test.go
+++ b/provider/httpapi/httpapi_test.go
@@ -8,8 +8,8 @@
 	"github.com/matryer/is"
 
 	"zinniapin/internal/standin/platform"
-	seam "zinniapin/platform"
-	"zinniapin/platform/httpapi"
+	seam "zinniapin/provider"
+	"zinniapin/provider/httpapi"
 	"zinniapin/store"
 	"zinniapin/target"
 )
--- a/platform/httpapi/wire.go
+++ b/provider/httpapi/wire.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"zinniapin/platform"
+	"zinniapin/provider"
 	"zinniapin/target"
 	"zinniapin/zone"
 )
@@ -68,7 +68,7 @@
 // Host is a row of the answer to GET HostsPath.
 type Host struct {
 	ID       string             `json:"id"`
-	State    platform.HostState `json:"state"`
+	State    provider.HostState `json:"state"`
 	Zone     zone.Name          `json:"zone"`
 	LeavesAt time.Time          `json:"leaves_at,omitzero"`
 	Target   *Target            `json:"target,omitempty"`
@@ -82,7 +82,7 @@
 }
 
 // FromUsageReport returns the wire form of a report.
-func FromUsageReport(r platform.UsageReport) UsageReport {
+func FromUsageReport(r provider.UsageReport) UsageReport {
 	return UsageReport{
 		Organisation: r.Organisation, Window: r.Window, LengthSeconds: r.Length.Seconds(),
 		Requests: r.Requests, PromptTokens: r.PromptTokens, OutputTokens: r.OutputTokens,
@@ -91,8 +91,8 @@
 }
 
 // UsageReport returns the report that the wire form stands for.
-func (r UsageReport) UsageReport() platform.UsageReport {
-	return platform.UsageReport{
+func (r UsageReport) UsageReport() provider.UsageReport {
+	return provider.UsageReport{
 		Organisation: r.Organisation, Window: r.Window.UTC(),
 		Length:   time.Duration(r.LengthSeconds * float64(time.Second)),
 		Requests: r.Requests, PromptTokens: r.PromptTokens, OutputTokens: r.OutputTokens,
@@ -101,7 +101,7 @@
 }
 
 // FromHost returns the wire form of a host.
-func FromHost(h platform.Host) Host {
+func FromHost(h provider.Host) Host {
 	wire := Host{ID: h.ID, State: h.State, Zone: h.Zone, LeavesAt: h.LeavesAt}
 	if h.Target != nil {
 		t := Target(*h.Target)
@@ -111,8 +111,8 @@
 }
 
 // Host returns the host that the wire form stands for.
-func (h Host) Host() platform.Host {
-	host := platform.Host{ID: h.ID, State: h.State, Zone: h.Zone, LeavesAt: h.LeavesAt}
+func (h Host) Host() provider.Host {
+	host := provider.Host{ID: h.ID, State: h.State, Zone: h.Zone, LeavesAt: h.LeavesAt}
 	if h.Target != nil {
 		t := target.Target(*h.Target)
 		host.Target = &t
--- a/platform/platform.go
+++ b/provider/provider.go
@@ -1,7 +1,7 @@
-// Package platform is the seam to the platform's own services besides the
+// Package provider is the seam to the platform's own services besides the
 // object API: the target interface, the usage-report interface and the list
 // of hosts.
-package platform
+package provider
 
 import (
 	"context"
--- a/routing/candidate.go
+++ b/routing/candidate.go
@@ -3,7 +3,7 @@
 import (
 	"math/rand/v2"
 
-	"zinniapin/platform"
+	"zinniapin/provider"
 	"zinniapin/target"
 )
 
@@ -48,7 +48,7 @@
 // allows tells whether a target comes into question.
 func (r *rule) allows(e *engine) bool {
 	s := &e.state
-	if s.State != platform.Live || s.Cordoned || s.Report.Changing {
+	if s.State != provider.Live || s.Cordoned || s.Report.Changing {
 		return false
 	}
 	if r.q.StableOnly && s.Target.Class == target.Reclaimable {
--- a/routing/pool.go
+++ b/routing/pool.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"zinniapin/platform"
+	"zinniapin/provider"
 	"zinniapin/target"
 )
 
@@ -76,7 +76,7 @@
 		return int(a.distance) - int(b.distance)
 	})
 	for _, e := range p.engines {
-		if e.state.State != platform.Live {
+		if e.state.State != provider.Live {
 			continue
 		}
 		p.all.add(e)
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -8,7 +8,7 @@
 	"github.com/matryer/is"
 
 	"zinniapin/control"
-	"zinniapin/platform"
+	"zinniapin/provider"
 	"zinniapin/target"
 	"zinniapin/zone"
 )
@@ -29,7 +29,7 @@
 		id := target.ID(fmt.Sprintf("engine-%d", i))
 		view[i] = control.TargetState{
 			Target: target.Target{ID: id, Kind: target.Engine, Class: target.Reserved, Pool: "assistant", Zone: names[i%4]},
-			State:  platform.Live,
+			State:  provider.Live,
 			Report: target.Report{
 				Target: id, Boot: 1, Taken: start, Role: target.Mixed, Models: []string{"m"},
 				PrefillRate: 8000, DecodeRate: 1000, Capacity: 48, KVPiecesTotal: 400,
@@ -45,8 +45,8 @@
 
 func TestExclusions(t *testing.T) {
 	for name, change := range map[string]func(*control.TargetState, *Request){
-		"leaving":     func(s *control.TargetState, _ *Request) { s.State = platform.Leaving },
-		"gone":        func(s *control.TargetState, _ *Request) { s.State = platform.Gone },
+		"leaving":     func(s *control.TargetState, _ *Request) { s.State = provider.Leaving },
+		"gone":        func(s *control.TargetState, _ *Request) { s.State = provider.Gone },
 		"cordoned":    func(s *control.TargetState, _ *Request) { s.Cordoned = true },
 		"changing":    func(s *control.TargetState, _ *Request) { s.Report.Changing = true },
 		"other model": func(s *control.TargetState, _ *Request) { s.Report.Models = nil },
@@ -175,7 +175,7 @@
 	view[0].Report.Role = target.Prefill
 	view[1].Report.Role = target.Decode
 	view[2].Report.Role = target.Decode
-	view[3].State = platform.Gone
+	view[3].State = provider.Gone
 	r, q := New(home, 1), request()
 	r.Observe(start, view, zones)
 	c, ok := r.Choose(start, &q)
@@ -185,7 +185,7 @@
 	r.Prefilled(start, &c)
 	is.Equal(r.InFlight("engine-0"), 0)
 	r.Done(start, &c, false)
-	view[0].State = platform.Gone
+	view[0].State = provider.Gone
 	r.Observe(start, view, zones)
 	c, ok = r.Choose(start, &q) // only decode engines: one runs it whole
 	is.True(ok)
--- a/routing/window_test.go
+++ b/routing/window_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/matryer/is"
 
-	"zinniapin/platform"
+	"zinniapin/provider"
 	"zinniapin/target"
 )
 
@@ -65,7 +65,7 @@
 	}
 	view[0].Report.Role = target.Decode
 	view[1].Cordoned = true
-	view[2].State = platform.Leaving
+	view[2].State = provider.Leaving
 	view[3].Report.Changing = true
 	view[4].Report.Role = target.Mixed
 	r := New(home, 1)
@@ -80,7 +80,7 @@
 	view := fleet(6)
 	view[0].Report.Role = target.Prefill
 	view[1].Cordoned = true
-	view[2].State = platform.Leaving
+	view[2].State = provider.Leaving
 	view[3].Report.Changing = true
 	r := New(home, 1)
 	is.Equal(r.Streams(start, "assistant"), 0.0)
--- a/spending/pool.go
+++ b/spending/pool.go
@@ -6,7 +6,7 @@
 
 	"zinniapin/contract"
 	"zinniapin/control"
-	"zinniapin/platform"
+	"zinniapin/provider"
 	"zinniapin/target"
 	"zinniapin/zone"
 )
@@ -82,7 +82,7 @@
 	s.counts = map[place]int{}
 	for i := range v.Targets {
 		t := &v.Targets[i]
-		if t.Target.Pool != pool || t.State != platform.Live {
+		if t.Target.Pool != pool || t.State != provider.Live {
 			continue
 		}
 		s.counts[place{t.Target.Zone, t.Target.Class}]++
--- a/spending/spending.go
+++ b/spending/spending.go
@@ -9,7 +9,7 @@
 
 	"zinniapin/contract"
 	"zinniapin/control"
-	"zinniapin/platform"
+	"zinniapin/provider"
 	"zinniapin/target"
 	"zinniapin/zone"
 )
@@ -333,7 +333,7 @@
 	var best *control.TargetState
 	for i := range p.view.Targets {
 		t := &p.view.Targets[i]
-		if t.Target.Pool != pool || t.Target.Class != class || t.State != platform.Live || t.Cordoned {
+		if t.Target.Pool != pool || t.Target.Class != class || t.State != provider.Live || t.Cordoned {
 			continue
 		}
 		if best == nil || s.missedLess(t, best, class) {
--- a/spending/spending_test.go
+++ b/spending/spending_test.go
@@ -11,7 +11,7 @@
 	"zinniapin/contract"
 	"zinniapin/control"
 	_ "zinniapin/internal/fixedseed"
-	"zinniapin/platform"
+	"zinniapin/provider"
 	"zinniapin/target"
 	"zinniapin/zone"
 )
@@ -41,7 +41,7 @@
 func (v *View) add(id string, z zone.Name, c target.Class) {
 	v.Targets = append(v.Targets, control.TargetState{
 		Target: target.Target{ID: target.ID(id), Kind: target.Engine, Class: c, Pool: "assistant", Zone: z},
-		State:  platform.Live,
+		State:  provider.Live,
 		Report: target.Report{Boot: 1, Taken: start, PrefillRate: 8000, DecodeRate: 1100, Capacity: 64},
 	})
 }
--- a/targetview/table.go
+++ b/targetview/table.go
@@ -23,7 +23,7 @@
 	"time"
 
 	"zinniapin/control"
-	"zinniapin/platform"
+	"zinniapin/provider"
 	"zinniapin/target"
 	"zinniapin/wire"
 	"zinniapin/zone"
@@ -109,14 +109,14 @@
 
 // Listed takes in the platform's list. Targets of zones that local refuses
 // are left out.
-func (t *Table) Listed(now time.Time, hosts []platform.Host, local func(zone.Name) bool) {
+func (t *Table) Listed(now time.Time, hosts []provider.Host, local func(zone.Name) bool) {
 	t.missing(now, t.Shown(now, hosts, local))
 }
 
 // Shown takes in the targets that the list shows and returns them. Unlike
 // Listed it concludes nothing from those that are absent, so that it also fits
 // a process that reads the list now and then.
-func (t *Table) Shown(now time.Time, hosts []platform.Host, local func(zone.Name) bool) map[target.ID]bool {
+func (t *Table) Shown(now time.Time, hosts []provider.Host, local func(zone.Name) bool) map[target.ID]bool {
 	shown := map[target.ID]bool{}
 	for i := range hosts {
 		h := &hosts[i]
@@ -134,24 +134,24 @@
 func (t *Table) missing(now time.Time, listed map[target.ID]bool) {
 	for id, e := range t.entries {
 		switch {
-		case listed[id] || e.state.State == "" || e.state.State == platform.Gone:
+		case listed[id] || e.state.State == "" || e.state.State == provider.Gone:
 			e.absent = time.Time{}
 		case e.absent.IsZero():
 			e.absent = now
 		case now.Sub(e.absent) >= absentFor:
-			t.list(now, 0, e.state.Target, platform.Gone, time.Time{})
+			t.list(now, 0, e.state.Target, provider.Gone, time.Time{})
 		}
 	}
 }
 
 // rank orders the listed states; a target only moves up.
-func rank(s platform.HostState) int {
+func rank(s provider.HostState) int {
 	switch s {
-	case platform.Live:
+	case provider.Live:
 		return 1
-	case platform.Leaving:
+	case provider.Leaving:
 		return 2
-	case platform.Gone:
+	case provider.Gone:
 		return 3
 	default:
 		return 0
@@ -159,7 +159,7 @@
 }
 
 // list takes in the listed part of a target.
-func (t *Table) list(now time.Time, source uint64, described target.Target, s platform.HostState, leavesAt time.Time) {
+func (t *Table) list(now time.Time, source uint64, described target.Target, s provider.HostState, leavesAt time.Time) {
 	leavesAt = leavesAt.Truncate(time.Millisecond) // as peers tell it
 	e := t.add(described.ID)
 	if e == nil || rank(s) < rank(e.state.State) {
@@ -168,7 +168,7 @@
 	if rank(s) == rank(e.state.State) && described == e.state.Target && leavesAt.Equal(e.state.LeavesAt) {
 		return
 	}
-	if s == platform.Gone && e.gone.IsZero() {
+	if s == provider.Gone && e.gone.IsZero() {
 		e.gone = now
 	}
 	urgent := rank(e.state.State) > 0 && rank(s) > rank(e.state.State)
@@ -184,7 +184,7 @@
 // Leaving tells that a target was found to be leaving, before the list says so.
 func (t *Table) Leaving(now time.Time, id target.ID, leavesAt time.Time) {
 	if e, ok := t.entries[id]; ok {
-		t.list(now, 0, e.state.Target, platform.Leaving, leavesAt)
+		t.list(now, 0, e.state.Target, provider.Leaving, leavesAt)
 	}
 }
 
@@ -294,7 +294,7 @@
 func (t *Table) States() []control.TargetState {
 	ordered := make([]*entry, 0, len(t.entries))
 	for _, e := range t.entries {
-		if e.state.State == platform.Live || e.state.State == platform.Leaving {
+		if e.state.State == provider.Live || e.state.State == provider.Leaving {
 			ordered = append(ordered, e)
 		}
 	}
--- a/targetview/table_test.go
+++ b/targetview/table_test.go
@@ -11,7 +11,7 @@
 	"pgregory.net/rapid"
 
 	_ "zinniapin/internal/fixedseed"
-	"zinniapin/platform"
+	"zinniapin/provider"
 	"zinniapin/target"
 	"zinniapin/wire"
 	"zinniapin/zone"
@@ -28,9 +28,9 @@
 func everyZone(zone.Name) bool { return true }
 
 // hostWith returns a row of the list.
-func hostWith(i int, s platform.HostState) platform.Host {
+func hostWith(i int, s provider.HostState) provider.Host {
 	id := target.ID(fmt.Sprintf("engine-%03d", i))
-	return platform.Host{ID: string(id), State: s, Zone: "riga-a", Target: &target.Target{
+	return provider.Host{ID: string(id), State: s, Zone: "riga-a", Target: &target.Target{
 		ID: id, Kind: target.Engine, Class: target.Reserved, Pool: "assistant", Zone: "riga-a", Address: fmt.Sprintf("10.2.0.%d:8000", i)}}
 }
 
@@ -68,8 +68,8 @@
 				now = now.Add(time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond)
 			},
 			"listed": func(t *rapid.T) {
-				s := rapid.SampledFrom([]platform.HostState{platform.Live, platform.Leaving}).Draw(t, "state")
-				tables[table(t)].Listed(now, []platform.Host{hostWith(engine(t), s)}, everyZone)
+				s := rapid.SampledFrom([]provider.HostState{provider.Live, provider.Leaving}).Draw(t, "state")
+				tables[table(t)].Listed(now, []provider.Host{hostWith(engine(t), s)}, everyZone)
 			},
 			"reported": func(t *rapid.T) {
 				sequence++
@@ -129,15 +129,15 @@
 	is := is.New(t)
 	now := time.Unix(1000, 0)
 	table := New()
-	table.Listed(now, []platform.Host{hostWith(0, platform.Leaving), hostWith(1, platform.Live)}, everyZone)
-	table.Listed(now, []platform.Host{hostWith(0, platform.Live), hostWith(1, platform.Live)}, everyZone)
-	is.Equal(table.States()[0].State, platform.Leaving)
+	table.Listed(now, []provider.Host{hostWith(0, provider.Leaving), hostWith(1, provider.Live)}, everyZone)
+	table.Listed(now, []provider.Host{hostWith(0, provider.Live), hostWith(1, provider.Live)}, everyZone)
+	is.Equal(table.States()[0].State, provider.Leaving)
 	for range 7 {
 		now = now.Add(2 * time.Second)
-		table.Listed(now, []platform.Host{hostWith(0, platform.Leaving)}, everyZone)
+		table.Listed(now, []provider.Host{hostWith(0, provider.Leaving)}, everyZone)
 	}
 	is.Equal(len(table.States()), 1) // engine-001 is gone
-	table.Listed(now, []platform.Host{hostWith(1, platform.Live)}, everyZone)
+	table.Listed(now, []provider.Host{hostWith(1, provider.Live)}, everyZone)
 	is.Equal(len(table.States()), 1) // and does not come back
 	is.True(table.Cordon("engine-000", 5, false))
 	is.True(!table.Cordon("engine-000", 4, true))
@@ -153,17 +153,17 @@
 	is := is.New(t)
 	now := time.Unix(1000, 123456789)
 	a, b := New(), New()
-	leaving := hostWith(0, platform.Leaving)
+	leaving := hostWith(0, provider.Leaving)
 	leaving.LeavesAt = now.Add(time.Minute)
 	var atB uint64
 	for range 5 {
-		a.Listed(now, []platform.Host{leaving}, everyZone)
+		a.Listed(now, []provider.Host{leaving}, everyZone)
 		news := a.Since(now, atB, 2, 1<<20)
 		atB = news.Version
 		for _, s := range news.Targets {
 			b.Merge(now, 1, s)
 		}
-		b.Listed(now, []platform.Host{leaving}, everyZone)
+		b.Listed(now, []provider.Host{leaving}, everyZone)
 	}
 	is.Equal(a.Version(), uint64(1))
 	is.Equal(b.Version(), uint64(1))
@@ -175,9 +175,9 @@
 	const loads = 60
 	now := time.Unix(1000, 0)
 	table := New()
-	var listed []platform.Host
+	var listed []provider.Host
 	for i := range loads {
-		listed = append(listed, hostWith(i, platform.Live))
+		listed = append(listed, hostWith(i, provider.Live))
 	}
 	table.Listed(now, listed, everyZone)
 	report := func(sequence uint64) {
@@ -203,13 +203,13 @@
 	is := is.New(t)
 	now := time.Unix(1000, 0)
 	a, b := New(), New()
-	a.Listed(now, []platform.Host{hostWith(0, platform.Live), hostWith(1, platform.Leaving)}, everyZone)
+	a.Listed(now, []provider.Host{hostWith(0, provider.Live), hostWith(1, provider.Leaving)}, everyZone)
 	states, version := a.Urgent(now, 0, 2)
 	is.Equal(len(states), 0) // nobody relied on what was not known before
 	for _, s := range a.Since(now, 0, 2, 1<<20).Targets {
 		b.Merge(now, 1, s)
 	}
-	a.Listed(now, []platform.Host{hostWith(0, platform.Leaving), hostWith(1, platform.Leaving)}, everyZone)
+	a.Listed(now, []provider.Host{hostWith(0, provider.Leaving), hostWith(1, provider.Leaving)}, everyZone)
 	states, reached := a.Urgent(now, version, 2)
 	is.Equal(len(states), 1)
 	b.Merge(now, 1, states[0])
@@ -227,7 +227,7 @@
 	is := is.New(t)
 	now := time.Unix(1000, 0)
 	a, b := New(), New()
-	a.Listed(now, []platform.Host{hostWith(0, platform.Live)}, everyZone)
+	a.Listed(now, []provider.Host{hostWith(0, provider.Live)}, everyZone)
 	a.Reported(now, reportOn(0, 1, 1, now))
 	b.Merge(now, 1, a.Since(now, 0, 2, 1<<20).Targets[0])
 	seen := b.Since(now, 0, 3, 1<<20).Version
--- a/targetview/wire.go
+++ b/targetview/wire.go
@@ -7,7 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"zinniapin/control"
-	"zinniapin/platform"
+	"zinniapin/provider"
 	"zinniapin/target"
 	"zinniapin/wire"
 	"zinniapin/zone"
@@ -102,7 +102,7 @@
 	}
 	version := t.version
 	if w.State != "" {
-		t.list(now, source, describedBy(w), platform.HostState(w.State), leavesAt(w))
+		t.list(now, source, describedBy(w), provider.HostState(w.State), leavesAt(w))
 	}
 	if w.CordonEpoch > 0 {
 		t.cordon(e, source, w.CordonEpoch, w.Cordoned)
--- a/uplink/urgent_test.go
+++ b/uplink/urgent_test.go
@@ -8,7 +8,7 @@
 	"github.com/rs/zerolog"
 
 	"zinniapin/machine"
-	"zinniapin/platform"
+	"zinniapin/provider"
 	"zinniapin/target"
 	"zinniapin/zone"
 )
@@ -21,15 +21,15 @@
 	log := zerolog.Nop()
 	u := New(Config{Self: machine.Process{Host: "host-1", Role: machine.Gateway, Incarnation: 7}, Log: &log})
 	local := func(zone.Name) bool { return true }
-	host := platform.Host{ID: "server", State: platform.Live, Zone: "zone",
+	host := provider.Host{ID: "server", State: provider.Live, Zone: "zone",
 		Target: &target.Target{ID: "engine", Kind: target.Engine, Zone: "zone", Pool: "pool"}}
-	u.targets.Listed(time.Now(), []platform.Host{host}, local)
-	host.State, host.LeavesAt = platform.Leaving, time.Now().Add(time.Minute)
-	u.targets.Listed(time.Now(), []platform.Host{host}, local)
+	u.targets.Listed(time.Now(), []provider.Host{host}, local)
+	host.State, host.LeavesAt = provider.Leaving, time.Now().Add(time.Minute)
+	u.targets.Listed(time.Now(), []provider.Host{host}, local)
 	up := &upstream{link: peerOnly{process: machine.Process{Host: "host-2", Role: machine.Controller, Incarnation: 8}}}
 	request, urgent := u.request(up)
 	is.Equal(len(request.Targets), 1)
-	is.Equal(request.Targets[0].State, string(platform.Leaving))
+	is.Equal(request.Targets[0].State, string(provider.Leaving))
 	up.urgent = urgent
 	request, _ = u.request(up)
 	is.Equal(len(request.Targets), 0)
--- a/usage/close.go
+++ b/usage/close.go
@@ -12,7 +12,7 @@
 	"zinniapin/authority"
 	"zinniapin/event"
 	"zinniapin/invariant"
-	"zinniapin/platform"
+	"zinniapin/provider"
 	"zinniapin/store"
 	"zinniapin/target"
 )
@@ -83,7 +83,7 @@
 // Report sends the frozen windows of a shard that are not yet reported, in
 // order, and returns how many. Only one process sends at a time: each report
 // is an order of the executor. A repeat sends the same figures.
-func (w *Windows) Report(ctx context.Context, number int, x *authority.Executor, to platform.Usage) (int, error) {
+func (w *Windows) Report(ctx context.Context, number int, x *authority.Executor, to provider.Usage) (int, error) {
 	for reported := 0; ; reported++ {
 		h, _, err := w.readHead(ctx, number)
 		if errors.Is(err, store.ErrNotFound) {
@@ -103,7 +103,7 @@
 }
 
 // reportWindow sends the figures of one frozen window, if it has any.
-func (w *Windows) reportWindow(ctx context.Context, number int, start int64, x *authority.Executor, to platform.Usage) error {
+func (w *Windows) reportWindow(ctx context.Context, number int, start int64, x *authority.Executor, to provider.Usage) error {
 	c, err := w.fetch(ctx, number, start)
 	if err != nil {
 		return err
@@ -152,8 +152,8 @@
 	windows *Windows
 	number  int
 	start   int64
-	figures []platform.UsageReport
-	to      platform.Usage
+	figures []provider.UsageReport
+	to      provider.Usage
 	already atomic.Bool // another process has reported the window
 }
 
--- a/usage/usage_test.go
+++ b/usage/usage_test.go
@@ -16,7 +16,7 @@
 	"zinniapin/authority"
 	_ "zinniapin/internal/fixedseed"
 	"zinniapin/internal/standin/objects"
-	"zinniapin/platform"
+	"zinniapin/provider"
 	"zinniapin/store"
 	"zinniapin/target"
 )
@@ -26,17 +26,17 @@
 type desk struct {
 	mu       sync.Mutex
 	rng      *rand.Rand
-	taken    map[string]platform.UsageReport
+	taken    map[string]provider.UsageReport
 	sending  [2]string // author by shard
 	problems []string
 	late     uint64
 }
 
 func newDesk(seed uint64) *desk {
-	return &desk{rng: rand.New(rand.NewPCG(seed, 5)), taken: map[string]platform.UsageReport{}}
+	return &desk{rng: rand.New(rand.NewPCG(seed, 5)), taken: map[string]provider.UsageReport{}}
 }
 
-func (d *desk) Report(_ context.Context, author string, _ uint64, reports []platform.UsageReport) error {
+func (d *desk) Report(_ context.Context, author string, _ uint64, reports []provider.UsageReport) error {
 	shard := ShardOf(reports[0].Organisation, len(d.sending))
 	d.mu.Lock()
 	if other := d.sending[shard]; other != "" && other != author {
--- a/usage/window.go
+++ b/usage/window.go
@@ -12,7 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/gravitational/trace"
 
-	"zinniapin/platform"
+	"zinniapin/provider"
 )
 
 // Prefix begins the keys of all usage objects in the object API.
@@ -86,12 +86,12 @@
 }
 
 // figures returns the reports of a window, by organisation.
-func (w *window) figures(length time.Duration) []platform.UsageReport {
-	byOrganisation := map[string]*platform.UsageReport{}
+func (w *window) figures(length time.Duration) []provider.UsageReport {
+	byOrganisation := map[string]*provider.UsageReport{}
 	for id, e := range w.entries {
 		report := byOrganisation[id.organisation]
 		if report == nil {
-			report = &platform.UsageReport{
+			report = &provider.UsageReport{
 				Organisation: id.organisation,
 				Window:       time.Unix(w.start, 0).UTC(),
 				Length:       length,
@@ -107,11 +107,11 @@
 			report.Late += used.Requests + used.Calls
 		}
 	}
-	reports := make([]platform.UsageReport, 0, len(byOrganisation))
+	reports := make([]provider.UsageReport, 0, len(byOrganisation))
 	for _, report := range byOrganisation {
 		reports = append(reports, *report)
 	}
-	slices.SortFunc(reports, func(a, b platform.UsageReport) int {
+	slices.SortFunc(reports, func(a, b provider.UsageReport) int {
 		return strings.Compare(a.Organisation, b.Organisation)
 	})
 	return reports
