Forward requests on the prepared machines by one daemon, zinnia-node

Cause: nothing of zinniapin spoke the platform's protocol. Change: cmd/zinnia-node composes new libraries: ingress (callers), upstream (targets), forward (a request's way), route (configuration), roster (targets), dispatch (where a request runs, what is refused), retrybudget, metering, truetime, duty, scaling, peers and node. platform/ translates; the settings come by a template, so that it reads none.

--- /dev/null
+++ b/cmd/zinnia-node/main.go
@@ -0,0 +1,63 @@
+// Command zinnia-node forwards callers' requests to targets on the platform of
+// prepared machines: one runs on every entry host.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"zinniapin/daemon"
+	"zinniapin/event"
+	"zinniapin/node"
+	"zinniapin/platform"
+	"zinniapin/settings"
+)
+
+// main runs the node and exits with the code of its result.
+func main() {
+	os.Exit(daemon.Exit(run(os.Args[1:])))
+}
+
+// run parses the command line and runs the node.
+func run(arguments []string) error {
+	line, err := daemon.ParseCommandLine(arguments)
+	if err != nil || line == nil {
+		return err
+	}
+	var s settings.Node
+	if err := settings.Load(line.Settings, &s); err != nil {
+		return err
+	}
+	if line.Check {
+		fmt.Println(settings.Valid)
+		return nil
+	}
+	return serve(s, line.Settings)
+}
+
+// serve runs the node until it is asked to stop.
+func serve(s settings.Node, file string) error {
+	output := node.NewOutput(os.Stdout)
+	defer output.Close()
+	log := daemon.NewLogger(output, s.Log.Level, "node", s.Host)
+	graceful, _, stop := daemon.Signals(context.Background())
+	defer stop()
+	reread := make(chan os.Signal, 1)
+	signal.Notify(reread, syscall.SIGHUP)
+	go func() {
+		for range reread {
+			var next settings.Node
+			err := settings.Load(file, &next)
+			event.SettingsReread.Log(&log).Bool("changed", err == nil && !next.Equal(&s)).Err(err).Send()
+		}
+	}()
+	n := node.New(s, node.Platform{
+		Objects: platform.NewObjects(s.Objects), Duties: platform.NewDuties(s.Orders), Protocol: platform.Protocol{},
+		Targets: platform.Targets, Configurations: platform.Configurations, Configuration: platform.Configuration,
+		Target: platform.Target, DecodeConfiguration: platform.DecodeConfiguration,
+	}, output, &log)
+	return n.Run(graceful)
+}
--- /dev/null
+++ b/dispatch/dispatch.go
@@ -0,0 +1,462 @@
+// Package dispatch decides where a request runs, and which requests are
+// refused. It answers loads at which prompts arrive faster than they can be
+// processed: every target's unread prompt tokens, own and of peers, are counted
+// the moment that they are sent, so the time to the first token can be forecast
+// without waiting for the lagging reports of targets.
+//
+// A Planner has no I/O, no goroutine and no clock of its own; it is not safe
+// for concurrent use.
+package dispatch
+
+import (
+	"hash/fnv"
+	"math/rand/v2"
+	"sort"
+	"time"
+
+	"zinniapin/roster"
+	"zinniapin/route"
+	"zinniapin/target"
+	"zinniapin/zone"
+)
+
+// Policy are the weights and bounds of the decisions.
+type Policy struct {
+	// PrefillSpeed and DecodeSpeed are the first estimates of how fast a target
+	// of the role processes prompts, in tokens a millisecond. Observation
+	// replaces them.
+	PrefillSpeed, DecodeSpeed float64
+	// MoveCost is what moving KV cache costs, as time to the first token that
+	// it is worth, for each GB.
+	MoveCost time.Duration
+	// ZoneCost is what a kilobyte sent to another availability zone costs, as
+	// time to the answer that it is worth.
+	ZoneCost time.Duration
+	// CacheLife is how long a target is taken to keep a part of a prompt after
+	// its last use.
+	CacheLife time.Duration
+	// WaitShare is the share of the objective that a request may wait before
+	// its own prompt is processed.
+	WaitShare float64
+	// ReturnWaitShare is the same for a caller that was refused before.
+	ReturnWaitShare float64
+}
+
+// DefaultPolicy returns the policy that is used where settings say nothing.
+// docs/POLICY.md has the figures behind it.
+func DefaultPolicy() Policy {
+	return Policy{
+		PrefillSpeed:    80,
+		DecodeSpeed:     36,
+		MoveCost:        100 * time.Millisecond,
+		ZoneCost:        2 * time.Millisecond,
+		CacheLife:       10 * time.Second,
+		WaitShare:       0.7,
+		ReturnWaitShare: 3,
+	}
+}
+
+// Part is a leading part of a prompt: the hash of it and of all before it, and
+// the tokens that they have together.
+type Part struct {
+	Chain  uint32
+	Tokens int
+}
+
+// Job is what is known of a request before it is sent.
+type Job struct {
+	Service string
+	// Prompt is the number of prompt tokens; 0 for plain services.
+	Prompt int
+	// Parts are the leading parts of the prompt, shortest first.
+	Parts []Part
+	// Bytes is the size of the request.
+	Bytes int
+	// Objective is the time left until the answer is late; Left the time until
+	// it is useless.
+	Objective, Left time.Duration
+	// Returning is set for a caller that was refused before.
+	Returning bool
+	// Urgent jobs go before others: lower is more urgent.
+	Priority int
+}
+
+// Decision is what becomes of a job.
+type Decision struct {
+	// Target takes the job; its ID is empty when the job is refused.
+	Target roster.Target
+	// Unread is the number of prompt tokens that the target has to process.
+	Unread int
+	// Wait is the forecast of the time until the target begins with the job,
+	// Forecast of that until its first token.
+	Wait, Forecast time.Duration
+	// RetryAfter is when a refused caller should come back.
+	RetryAfter time.Duration
+	// Reason says why the job was refused.
+	Reason Reason
+	// LoadAge is the age of the oldest load of a peer that was used.
+	LoadAge time.Duration
+	// Candidates is the number of targets that could take the job.
+	Candidates int
+}
+
+// Reason says why a job is refused.
+type Reason string
+
+// Reasons of refusals.
+const (
+	// NoTarget means that no target of the service is in use.
+	NoTarget Reason = "no_target"
+	// Overload means that every target's queue is too long.
+	Overload Reason = "overload"
+)
+
+// Refused tells whether no target takes the job.
+func (d *Decision) Refused() bool { return d.Target.ID == "" }
+
+// Load is what one host has under way at a target.
+type Load struct {
+	Unread int // prompt tokens not yet processed
+	Active int // requests sent and not ended
+}
+
+const (
+	// firstTokenTime is what a target takes beside processing the prompt: one
+	// step, and the way there and back.
+	firstTokenTime = 12 * time.Millisecond
+	// fetchTime is what the fetching of KV cache takes beside the transfer.
+	fetchTime = 10 * time.Millisecond
+	// loadLife is how long a peer's load counts without news of it.
+	loadLife = 3 * time.Second
+	// nearTie is the difference in cost within which targets are drawn by lot,
+	// so that hosts with the same view do not all pick the same target.
+	nearTie = 8 * time.Millisecond
+	// fullSlotTime is the wait for each request beyond a target's slots.
+	fullSlotTime = 150 * time.Millisecond
+	// minRetryAfter and maxRetryAfter bound the time that refused callers are
+	// told to stay away.
+	minRetryAfter = 150 * time.Millisecond
+	maxRetryAfter = 3 * time.Second
+	// noTargetRetryAfter is when to come back when a service has no target:
+	// a replaced one is listed within about a second.
+	noTargetRetryAfter = 500 * time.Millisecond
+)
+
+// KeyOf returns the key by which hosts name a target to each other.
+func KeyOf(id target.ID) uint32 {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(id)) // never fails
+	return h.Sum32()
+}
+
+// Planner keeps the loads of targets and decides.
+type Planner struct {
+	policy   Policy
+	zone     zone.Name
+	random   *rand.Rand
+	targets  map[target.ID]*state
+	byKey    map[uint32]*state
+	services map[string][]*state
+	engines  map[string]*route.Engine
+	speed    map[target.Role]float64
+	latency  map[string]float64 // of plain services, milliseconds
+	failing  map[string]float64 // share of failures of a service
+	nextJob  uint64
+	sent     []Sent
+}
+
+// New returns a planner of a host in an availability zone.
+func New(p Policy, z zone.Name, seed uint64) *Planner {
+	return &Planner{
+		policy:   p,
+		zone:     z,
+		random:   rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)),
+		targets:  make(map[target.ID]*state),
+		byKey:    make(map[uint32]*state),
+		services: make(map[string][]*state),
+		engines:  make(map[string]*route.Engine),
+		speed:    map[target.Role]float64{target.Prefill: p.PrefillSpeed, target.Decode: p.DecodeSpeed},
+		latency:  make(map[string]float64),
+		failing:  make(map[string]float64),
+	}
+}
+
+// SetTargets replaces the targets. What is known of those that stay is kept,
+// unless they started anew.
+func (p *Planner) SetTargets(all []roster.Target) {
+	kept := make(map[target.ID]*state, len(all))
+	p.byKey = make(map[uint32]*state, len(all))
+	p.services = make(map[string][]*state)
+	for _, t := range all {
+		s := p.targets[t.ID]
+		if s == nil || s.target.Born != t.Born || s.target.Address != t.Address {
+			s = newState()
+		}
+		s.target = t
+		kept[t.ID] = s
+		p.byKey[KeyOf(t.ID)] = s
+		p.services[t.Service] = append(p.services[t.Service], s)
+	}
+	p.targets = kept
+}
+
+// SetServices replaces what is known of services.
+func (p *Planner) SetServices(all []route.Service) {
+	p.engines = make(map[string]*route.Engine, len(all))
+	for i := range all {
+		if all[i].Engine != nil {
+			p.engines[all[i].Name] = all[i].Engine
+		}
+	}
+}
+
+// PeerLoads replaces what a peer has under way.
+func (p *Planner) PeerLoads(now time.Time, host string, loads map[uint32]Load) {
+	for key, s := range p.byKey {
+		l, ok := loads[key]
+		if !ok {
+			delete(s.peers, host)
+			continue
+		}
+		s.peers[host] = peerLoad{l, now}
+	}
+}
+
+// DropPeer forgets what a peer had under way.
+func (p *Planner) DropPeer(host string) {
+	for _, s := range p.targets {
+		delete(s.peers, host)
+	}
+}
+
+// Cached notes that a target has processed the leading parts of a prompt.
+func (p *Planner) Cached(now time.Time, key uint32, chains []uint32) {
+	if s := p.byKey[key]; s != nil {
+		s.note(now, chains, p.policy.CacheLife)
+	}
+}
+
+// Loads returns what this host has under way, by target.
+func (p *Planner) Loads() map[uint32]Load {
+	all := make(map[uint32]Load)
+	for id, s := range p.targets {
+		if l := s.own(); l.Active > 0 {
+			all[KeyOf(id)] = l
+		}
+	}
+	return all
+}
+
+// candidate is a target with its forecast for a job.
+type candidate struct {
+	state    *state
+	unread   int
+	wait     time.Duration
+	forecast time.Duration
+	cost     time.Duration
+	loadAge  time.Duration
+}
+
+// Plan decides where a job's prompt is processed, or refuses the job. Targets
+// in exclude are not used.
+func (p *Planner) Plan(now time.Time, j Job, exclude map[target.ID]bool) Decision {
+	all := p.candidates(now, j, exclude)
+	if len(all) == 0 {
+		return Decision{Reason: NoTarget, RetryAfter: noTargetRetryAfter}
+	}
+	best := p.pick(all)
+	d := Decision{Unread: best.unread, Wait: best.wait, Forecast: best.forecast, LoadAge: best.loadAge, Candidates: len(all)}
+	if wait, refuse := p.refuses(j, best); refuse {
+		d.Reason, d.RetryAfter = Overload, p.retryAfter(wait)
+		return d
+	}
+	d.Target = best.state.target
+	return d
+}
+
+// refuses tells whether a job's wait is too long, and by how much.
+func (p *Planner) refuses(j Job, best candidate) (time.Duration, bool) {
+	share := p.policy.WaitShare
+	if j.Returning {
+		share = p.policy.ReturnWaitShare
+	}
+	bound := time.Duration(float64(j.Objective) * share)
+	if j.Objective <= 0 {
+		bound = j.Left / 2
+	}
+	if best.wait > bound {
+		return best.wait - bound/2, true
+	}
+	if j.Left > 0 && best.forecast > j.Left {
+		return best.forecast - j.Left/2, true
+	}
+	return 0, false
+}
+
+// retryAfter returns when to come back after a wait that is too long. The lot
+// keeps refused callers from coming back together.
+func (p *Planner) retryAfter(wait time.Duration) time.Duration {
+	drawn := time.Duration(float64(wait) * (1 + 0.5*p.random.Float64()))
+	return min(max(drawn, minRetryAfter), maxRetryAfter)
+}
+
+// pick returns the candidate of least cost, drawn by lot among near ties.
+func (p *Planner) pick(all []candidate) candidate {
+	sort.Slice(all, func(i, j int) bool { return all[i].cost < all[j].cost })
+	n := 1
+	for n < len(all) && all[n].cost-all[0].cost < nearTie {
+		n++
+	}
+	return all[p.random.IntN(n)]
+}
+
+// candidates returns the targets that could take a job. Where none is sound,
+// those that fail are tried.
+func (p *Planner) candidates(now time.Time, j Job, exclude map[target.ID]bool) []candidate {
+	var sound, failing []candidate
+	for _, s := range p.services[j.Service] {
+		if s.target.Draining || exclude[s.target.ID] {
+			continue
+		}
+		c := p.forecast(now, j, s)
+		if s.quarantined(now) {
+			failing = append(failing, c)
+		} else {
+			sound = append(sound, c)
+		}
+	}
+	if len(sound) == 0 {
+		return failing
+	}
+	return sound
+}
+
+// forecast returns what a job would meet at a target.
+func (p *Planner) forecast(now time.Time, j Job, s *state) candidate {
+	if j.Prompt > 0 {
+		return p.forecastPrompt(now, j, s)
+	}
+	return p.forecastCall(now, j, s)
+}
+
+// forecastPrompt forecasts the first token of a prompt.
+func (p *Planner) forecastPrompt(now time.Time, j Job, s *state) candidate {
+	backlog, active, age := s.load(now, p.speedOf(s))
+	speed := p.speedOf(s)
+	unread := max(j.Prompt-s.cached(now, j.Parts, p.policy.CacheLife), 1)
+	c := candidate{state: s, unread: unread, loadAge: age}
+	c.wait = time.Duration(float64(backlog) / speed * float64(time.Millisecond))
+	if s.target.Slots > 0 && active >= s.target.Slots {
+		c.wait += time.Duration(active-s.target.Slots+1) * fullSlotTime
+	}
+	c.forecast = c.wait + time.Duration(float64(unread)/speed*float64(time.Millisecond)) + firstTokenTime
+	c.cost = c.forecast + p.zoneCost(j.Bytes, s)
+	if s.target.Role == target.Prefill {
+		gigabytes, transfer := p.move(j)
+		c.forecast += transfer + fetchTime
+		c.cost += transfer + fetchTime + time.Duration(gigabytes*float64(p.policy.MoveCost))
+	}
+	return c
+}
+
+// forecastCall forecasts the answer of a plain service.
+func (p *Planner) forecastCall(now time.Time, j Job, s *state) candidate {
+	_, active, age := s.load(now, 1)
+	typical := p.latency[s.target.Service]
+	if typical == 0 {
+		typical = 20
+	}
+	latency := s.latencyOr(now, typical)
+	slots := max(s.target.Slots, 1)
+	c := candidate{state: s, loadAge: age}
+	c.wait = time.Duration(float64(max(active-slots+1, 0)) / float64(slots) * latency * float64(time.Millisecond))
+	busy := time.Duration(latency * (1 + 0.3*float64(active)/float64(slots)) * float64(time.Millisecond))
+	c.forecast = c.wait + busy
+	c.cost = c.forecast + p.zoneCost(j.Bytes+1024, s)
+	return c
+}
+
+// zoneCost is the cost of sending bytes to a target's availability zone.
+func (p *Planner) zoneCost(bytes int, s *state) time.Duration {
+	if s.target.Zone == p.zone {
+		return 0
+	}
+	return time.Duration(float64(bytes) / 1024 * float64(p.policy.ZoneCost))
+}
+
+// move returns the size of a prompt's KV cache in GB and the time of moving it.
+func (p *Planner) move(j Job) (float64, time.Duration) {
+	e := p.engines[j.Service]
+	if e == nil || e.LinkMbps <= 0 {
+		return 0, 0
+	}
+	bytes := float64(j.Prompt) * float64(e.TokenBytes)
+	seconds := bytes * 8 / (e.LinkMbps * 1e6)
+	return bytes / 1e9, time.Duration(seconds * float64(time.Second))
+}
+
+// PlanDecode decides where the output of a processed prompt is produced.
+func (p *Planner) PlanDecode(now time.Time, j Job, from roster.Target, exclude map[target.ID]bool) (roster.Target, bool) {
+	var best *state
+	bestCost := 0.0
+	for _, s := range p.services[j.Service] {
+		if s.target.Draining || exclude[s.target.ID] || s.target.Role == target.Prefill {
+			continue
+		}
+		backlog, active, _ := s.load(now, p.speedOf(s))
+		cost := float64(backlog)/p.speedOf(s) + 3*float64(active) + p.random.Float64()
+		if s.target.Zone != from.Zone {
+			cost += 30
+		}
+		if s.target.Zone != p.zone {
+			cost += 15
+		}
+		if s.target.Slots > 0 && active >= s.target.Slots {
+			cost += 500
+		}
+		if s.quarantined(now) {
+			cost += 2000
+		}
+		if best == nil || cost < bestCost {
+			best, bestCost = s, cost
+		}
+	}
+	if best == nil {
+		return roster.Target{}, false
+	}
+	return best.target, true
+}
+
+// speedOf returns the estimated speed of a target in tokens a millisecond.
+func (p *Planner) speedOf(s *state) float64 {
+	role := s.target.Role
+	if role != target.Prefill {
+		role = target.Decode
+	}
+	return max(p.speed[role]*s.factor, 1)
+}
+
+// Sent is a prompt that was sent to a target, for peers.
+type Sent struct {
+	Target uint32
+	Chains []uint32
+}
+
+// maxSent bounds the prompts that are kept for peers.
+const maxSent = 256
+
+// TakePrompts returns the prompts sent since the last call.
+func (p *Planner) TakePrompts() []Sent {
+	taken := p.sent
+	p.sent = nil
+	return taken
+}
+
+// tell keeps a prompt for peers. Its last part is its own, so that other hosts
+// have no use for it.
+func (p *Planner) tell(t target.ID, parts []Part) {
+	if len(parts) < 2 || len(p.sent) >= maxSent {
+		return
+	}
+	p.sent = append(p.sent, Sent{KeyOf(t), chainsOf(parts[:len(parts)-1])})
+}
--- a/internal/docgen/settings.go
+++ b/internal/docgen/settings.go
@@ -93,6 +93,7 @@
 		{"Gateway", "Read by `zinnia-gateway --settings FILE`.", "settings.Gateway", mistakes(emptyGateway()), restart},
 		{"Controller", "Read by `zinnia-controller --settings FILE`.", "settings.Controller", mistakes(emptyController()), restart},
 		{"Operator", "Read by `zinniactl --settings FILE`, or the file that `ZINNIACTL_SETTINGS` names, or `zinniactl.json`. Each command reads it anew.", "settings.Operator", mistakes(&settings.Operator{}), none},
+		{"Node", "Read by `zinnia-node --settings FILE`.", "settings.Node", mistakes(&settings.Node{}), restart},
 		{"Stand-ins", "Read by `zinnia-standin --settings FILE`, for tests and the examples only.", "settings.Standin", mistakes(emptyStandin()), restart},
 		{"Configuration", "The file of `zinniactl config apply`. It is checked as a whole and in force on every host within seconds; `zinniactl config check FILE` checks it without changing anything.", "operator.Document", emptyConfigurations(), none},
 	}
@@ -184,6 +185,9 @@
 var units = []struct{ end, unit string }{
 	{"_ms", "ms"},
 	{"tokens_per_second", "tokens/s"},
+	{"retry_ratio", "repeats for each request"},
+	{"retry_slack", "repeats"},
+	{"memory_mb", "MB"},
 	{"requests_per_second", "requests/s"},
 	{"_per_second", "calls/s"},
 	{"tokens_per_minute", "tokens/min"},
--- /dev/null
+++ b/node/follow.go
@@ -0,0 +1,256 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"zinniapin/event"
+	"zinniapin/roster"
+	"zinniapin/route"
+	"zinniapin/store"
+)
+
+// reach tells whether a part of the store is reached.
+type reach struct {
+	mu       sync.Mutex
+	failing  time.Time // since when calls fail; zero when the last one did not
+	doubtful bool      // the next watch must be a list
+	reached  bool      // ever
+}
+
+// failed notes a failed call and returns whether it is the first in a row.
+func (r *reach) failed(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.failing.IsZero() {
+		return false
+	}
+	r.failing = now
+	return true
+}
+
+// succeeded notes a call that was answered and returns for how long calls
+// failed before.
+func (r *reach) succeeded(now time.Time) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.reached = true
+	if r.failing.IsZero() {
+		return 0
+	}
+	lasted := now.Sub(r.failing)
+	r.failing = time.Time{}
+	return lasted
+}
+
+// doubt asks for a list: what is known may be old.
+func (r *reach) doubt() {
+	r.mu.Lock()
+	r.doubtful = true
+	r.mu.Unlock()
+}
+
+// takeDoubt returns whether a list was asked for.
+func (r *reach) takeDoubt() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	d := r.doubtful
+	r.doubtful = false
+	return d
+}
+
+// ok tells whether the last call was answered.
+func (r *reach) ok() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.reached && r.failing.IsZero()
+}
+
+// follower follows one collection.
+type follower struct {
+	name    string
+	reach   *reach
+	list    func(store.Listing, bool)
+	changed func(store.Changes)
+}
+
+const (
+	// watchWait bounds a watch: a connection that fell silent is noticed after
+	// it. Shorter waits cost calls.
+	watchWait = 2 * time.Second
+	// retryLeast and retryMost bound the wait after a failed call.
+	retryLeast = 80 * time.Millisecond
+	retryMost  = 400 * time.Millisecond
+	// outageTime is how long calls must fail before entries may have lapsed for
+	// that reason; targets write theirs about once a second.
+	outageTime = time.Second
+)
+
+// follow keeps what is known of a collection up to date.
+func (n *Node) follow(ctx context.Context, f follower) {
+	listed, wait := false, retryLeast
+	var revision uint64
+	for ctx.Err() == nil {
+		if f.reach.takeDoubt() {
+			listed = false
+		}
+		next, err := n.followOnce(ctx, f, listed, revision)
+		if err == nil {
+			listed, revision, wait = true, next, retryLeast
+			continue
+		}
+		listed = false
+		if errors.Is(err, store.ErrCompacted) {
+			continue
+		}
+		if ctx.Err() == nil && f.reach.failed(time.Now()) {
+			event.StoreLost.Log(n.log).Str("collection", f.name).Uint64("revision", revision).Err(err).Send()
+		}
+		time.Sleep(wait/2 + time.Duration(rand.Int64N(int64(wait))))
+		wait = min(2*wait, retryMost)
+	}
+}
+
+// followOnce lists the collection or waits for its changes.
+func (n *Node) followOnce(ctx context.Context, f follower, listed bool, revision uint64) (uint64, error) {
+	if listed {
+		changes, err := n.platform.Objects.Watch(ctx, f.name, revision, watchWait)
+		if err != nil {
+			return 0, err
+		}
+		f.reach.succeeded(time.Now())
+		f.changed(changes)
+		return max(changes.Revision, revision), nil
+	}
+	listing, err := n.platform.Objects.List(ctx, f.name)
+	if err != nil {
+		return 0, err
+	}
+	failed := f.reach.succeeded(time.Now())
+	if failed > 0 {
+		event.StoreBack.Log(n.log).Str("collection", f.name).Uint64("revision", listing.Revision).Float64("seconds", failed.Seconds()).Send()
+	}
+	f.list(listing, failed > outageTime && !n.peersReach())
+	return listing.Revision, nil
+}
+
+// peersReach tells whether a peer reaches the store: then an outage was this
+// host's own, and no entry has lapsed for it.
+func (n *Node) peersReach() bool {
+	for _, p := range n.mesh.Live(time.Now()) {
+		if p.Digest.StoreReachable {
+			return true
+		}
+	}
+	return false
+}
+
+// configurationFollower follows the configuration.
+func (n *Node) configurationFollower() follower {
+	take := func(m store.Member) {
+		if m.Name != n.platform.Configuration {
+			return
+		}
+		c, err := n.platform.DecodeConfiguration(m)
+		if err != nil {
+			event.ConfigurationBad.Log(n.log).Uint64("revision", m.Revision).Err(err).Send()
+			return
+		}
+		n.takeConfiguration(c, "store")
+	}
+	return follower{
+		name: n.platform.Configurations, reach: &n.configurationLink,
+		list: func(l store.Listing, _ bool) {
+			for _, m := range l.Members {
+				take(m)
+			}
+		},
+		changed: func(c store.Changes) {
+			for _, change := range c.Changes {
+				if !change.Ended {
+					take(change.Member)
+				}
+			}
+		},
+	}
+}
+
+// takeConfiguration puts a configuration in force unless it is not newer.
+func (n *Node) takeConfiguration(c *route.Configuration, from string) {
+	n.rosterMu.Lock()
+	defer n.rosterMu.Unlock()
+	held := n.table.Load()
+	if held != nil && c.Version <= held.Version() {
+		return
+	}
+	t, err := route.NewTable(c)
+	if err != nil {
+		event.ConfigurationBad.Log(n.log).Uint64("configuration", c.Version).Str("from", from).Err(err).Send()
+		return
+	}
+	n.handler.Planning.Lock()
+	n.handler.Planner.SetServices(c.Services)
+	n.handler.Planning.Unlock()
+	n.raw.Store(c)
+	n.table.Store(t)
+	event.ConfigurationTaken.Log(n.log).Uint64("configuration", c.Version).Str("from", from).Int("routes", len(c.Routes)).Send()
+}
+
+// targetsFollower follows the list of targets.
+func (n *Node) targetsFollower() follower {
+	return follower{
+		name: n.platform.Targets, reach: &n.targetsLink,
+		list: func(l store.Listing, afterOutage bool) {
+			var entries []roster.Entry
+			for _, m := range l.Members {
+				t, err := n.platform.Target(m)
+				if err != nil {
+					event.EntryBad.Log(n.log).Str("entry", m.Name).Uint64("revision", m.Revision).Err(err).Send()
+					continue
+				}
+				entries = append(entries, roster.Entry{Target: t, Revision: m.Revision})
+			}
+			n.takeTargets(entries, l.Revision, afterOutage)
+		},
+		changed: func(c store.Changes) {
+			n.rosterMu.Lock()
+			before := n.roster.Version()
+			for _, change := range c.Changes {
+				n.takeChange(change)
+			}
+			n.roster.Advance(c.Revision)
+			changed := n.roster.Version() != before
+			n.rosterMu.Unlock()
+			if changed {
+				n.publishTargets()
+			}
+		},
+	}
+}
+
+// takeChange applies one change of an entry. The caller holds rosterMu.
+func (n *Node) takeChange(change store.Change) {
+	t, err := n.platform.Target(change.Member)
+	if err != nil && !change.Ended {
+		event.EntryBad.Log(n.log).Str("entry", change.Member.Name).Uint64("revision", change.Member.Revision).Err(err).Send()
+	}
+	if err != nil {
+		t.ID = targetID(change.Member.Name)
+	}
+	n.roster.Change(roster.Entry{Target: t, Revision: change.Member.Revision}, change.Ended || err != nil)
+}
+
+// takeTargets applies a whole list.
+func (n *Node) takeTargets(entries []roster.Entry, revision uint64, afterOutage bool) {
+	n.rosterMu.Lock()
+	before, known := n.roster.Version(), n.roster.Known()
+	n.roster.List(time.Now(), entries, revision, afterOutage)
+	changed := n.roster.Version() != before || !known
+	n.rosterMu.Unlock()
+	if changed {
+		n.publishTargets()
+	}
+}
--- /dev/null
+++ b/peers/mesh.go
@@ -0,0 +1,173 @@
+package peers
+
+import (
+	"errors"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"zinniapin/wire"
+)
+
+const (
+	// interval is the pace of digests to hosts near by.
+	interval = 100 * time.Millisecond
+	// fewHosts is the number of hosts up to which all are told at that pace;
+	// beyond it, those in other zones are told once in farRounds.
+	fewHosts  = 12
+	farRounds = 10
+	// silentRounds is how seldom addresses that are not heard are tried.
+	silentRounds = 5
+	// namedPeers bounds the addresses that a digest names.
+	namedPeers = 16
+	// maxDatagram bounds a digest, in bytes, so that it is not split on the way.
+	maxDatagram = 1400
+)
+
+// Mesh sends and receives digests. Its fields must not change once Run was
+// called.
+type Mesh struct {
+	// Zone is the host's own availability zone.
+	Zone string
+	// Compose returns the digest to send now; far says whether it goes to other
+	// zones as well.
+	Compose func(far bool) *wire.HostDigest
+	// Received is called with each newer digest.
+	Received func(d *wire.HostDigest)
+	// Found and Lost are called when a host is heard first or no more.
+	Found, Lost func(host string)
+
+	conn  *net.UDPConn
+	mu    sync.Mutex
+	table *Table
+	round int
+}
+
+// Listen opens the socket at IP:port.
+func (m *Mesh) Listen(address string, seeds []string) error {
+	at, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return err
+	}
+	m.conn, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(at))
+	if err != nil {
+		return err
+	}
+	m.table = NewTable(address, seeds, time.Now())
+	return nil
+}
+
+// Close closes the socket, which ends Receive.
+func (m *Mesh) Close() error { return m.conn.Close() }
+
+// Live returns the live hosts.
+func (m *Mesh) Live(now time.Time) []*Peer {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.table.Live(now)
+}
+
+// Name notes addresses at which hosts may be.
+func (m *Mesh) Name(addresses []string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.table.Name(time.Now(), addresses)
+}
+
+// Receive takes digests until the socket is closed.
+func (m *Mesh) Receive() {
+	buffer := make([]byte, 64<<10)
+	for {
+		n, _, err := m.conn.ReadFromUDPAddrPort(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			continue // an earlier datagram found no one at its address
+		}
+		d := &wire.HostDigest{}
+		if proto.Unmarshal(buffer[:n], d) != nil || d.Host == "" {
+			continue // no datagram of ours
+		}
+		m.mu.Lock()
+		newer, found := m.table.Heard(time.Now(), d)
+		m.mu.Unlock()
+		if found {
+			m.Found(d.Host)
+		}
+		if newer {
+			m.Received(d)
+		}
+	}
+}
+
+// Send sends one round of digests. It is called at the pace of Interval.
+func (m *Mesh) Send() error {
+	now := time.Now()
+	m.mu.Lock()
+	lost := m.table.Lost(now)
+	near, far, silent := m.table.Addresses(now, m.Zone)
+	m.mu.Unlock()
+	for _, host := range lost {
+		m.Lost(host)
+	}
+	m.round++
+	to := near
+	wide := len(near)+len(far) < fewHosts || m.round%farRounds == 0
+	if wide {
+		to = append(to, far...)
+	}
+	if m.round%silentRounds == 1 || len(near)+len(far) == 0 {
+		to = append(to, silent...)
+	}
+	if len(to) == 0 {
+		return nil
+	}
+	d := m.Compose(wide)
+	if wide {
+		d.Peers = append(near[:len(near):len(near)], far...)
+		if len(d.Peers) > namedPeers { // another part each time
+			at := m.round % len(d.Peers)
+			d.Peers = append(d.Peers[at:], d.Peers[:at]...)[:namedPeers]
+		}
+	}
+	data, err := encode(d)
+	if err != nil {
+		return err
+	}
+	for _, address := range to {
+		at, err := netip.ParseAddrPort(address)
+		if err != nil {
+			continue // a peer's mistake; the address is forgotten in time
+		}
+		_, _ = m.conn.WriteToUDPAddrPort(data, at) // a lost datagram is replaced by the next
+	}
+	return nil
+}
+
+// Interval returns the pace at which Send is to be called.
+func Interval() time.Duration { return interval }
+
+// encode encodes a digest and leaves out what can wait where it is too large.
+func encode(d *wire.HostDigest) ([]byte, error) {
+	data, err := proto.Marshal(d)
+	for err == nil && len(data) > maxDatagram {
+		switch {
+		case len(d.Prompts) > 0:
+			d.Prompts = d.Prompts[len(d.Prompts)/2+1:]
+		case len(d.Peers) > 0:
+			d.Peers = nil
+		case len(d.Usage) > 1:
+			d.Usage = d.Usage[1:]
+		case len(d.Loads) > 0:
+			d.Loads = d.Loads[:len(d.Loads)/2]
+		default:
+			return data, nil
+		}
+		data, err = proto.Marshal(d)
+	}
+	return data, err
+}
--- /dev/null
+++ b/scaling/scaling.go
@@ -0,0 +1,116 @@
+// Package scaling decides how many targets of a service to order in each
+// availability zone. It answers loads whose prompts swing within seconds while
+// a new target takes seconds to start: the number follows the peak of a span
+// longer than the swings, cheap targets first.
+package scaling
+
+import (
+	"math"
+	"sort"
+	"time"
+
+	"zinniapin/route"
+)
+
+// Policy are the weights of the decision.
+type Policy struct {
+	// Headroom is the capacity ordered, in relation to the peak of the demand.
+	Headroom float64
+	// TargetSpeed is the prompt tokens a second that one target is taken to
+	// process.
+	TargetSpeed float64
+	// Keep is the number of targets in each zone that cannot be reclaimed.
+	Keep int
+	// Peak is the span whose peak demand counts.
+	Peak time.Duration
+}
+
+// DefaultPolicy returns the policy that is used where settings say nothing.
+func DefaultPolicy() Policy {
+	return Policy{Headroom: 2.4, TargetSpeed: 45_000, Keep: 1, Peak: 12 * time.Second}
+}
+
+// Zone is what is known of a service in one availability zone.
+type Zone struct {
+	Name string
+	// Reserved and Reclaimable are the targets that serve there, by kind.
+	Reserved, Reclaimable int
+}
+
+// Wish is the number of targets ordered in a zone, by kind.
+type Wish struct {
+	Zone                  string
+	Reserved, Reclaimable int
+}
+
+// sample is the demand at a time.
+type sample struct {
+	at     time.Time
+	tokens float64
+}
+
+// Planner decides for one service. It is not safe for concurrent use.
+type Planner struct {
+	policy  Policy
+	samples []sample
+}
+
+// New returns a planner.
+func New(p Policy) *Planner { return &Planner{policy: p} }
+
+// Demand notes the prompt tokens a second that callers ask for.
+func (p *Planner) Demand(now time.Time, tokens float64) {
+	p.samples = append(p.samples, sample{now, tokens})
+	for len(p.samples) > 0 && now.Sub(p.samples[0].at) > p.policy.Peak {
+		p.samples = p.samples[1:]
+	}
+}
+
+// peak returns the highest demand of the span.
+func (p *Planner) peak() float64 {
+	peak := 0.0
+	for _, s := range p.samples {
+		peak = math.Max(peak, s.tokens)
+	}
+	return peak
+}
+
+// Wishes returns how many targets to order in each zone. Each zone keeps some
+// that cannot be reclaimed; the rest are reclaimable, most in the zones where
+// they are cheap, yet spread so that the loss of one zone leaves the others.
+func (p *Planner) Wishes(s *route.Scaling, zones []Zone) []Wish {
+	if s == nil || len(zones) == 0 {
+		return nil
+	}
+	needed := int(math.Ceil(p.peak() * p.policy.Headroom / p.policy.TargetSpeed))
+	keep := min(max(p.policy.Keep, s.Min), s.Max)
+	wishes := make([]Wish, len(zones))
+	order := append([]Zone(nil), zones...)
+	sort.Slice(order, func(i, j int) bool {
+		a, b := s.ZonePrices[order[i].Name], s.ZonePrices[order[j].Name]
+		if a != b {
+			return a < b
+		}
+		return order[i].Name < order[j].Name
+	})
+	for i, z := range order {
+		wishes[i] = Wish{Zone: z.Name, Reserved: keep}
+		needed -= keep
+	}
+	for placed := true; needed > 0 && placed; {
+		placed = false
+		for i := range wishes {
+			if needed <= 0 || wishes[i].Reserved+wishes[i].Reclaimable >= s.Max {
+				continue
+			}
+			if s.ReclaimablePrice > 0 {
+				wishes[i].Reclaimable++
+			} else {
+				wishes[i].Reserved++
+			}
+			needed--
+			placed = true
+		}
+	}
+	return wishes
+}
--- /dev/null
+++ b/store/collections.go
@@ -0,0 +1,58 @@
+package store
+
+import (
+	"context"
+	"errors"
+	"time"
+)
+
+// ErrCompacted means that the changes after a revision are no longer kept;
+// the collection must be listed again.
+var ErrCompacted = errors.New("store: history compacted")
+
+// Member is an object of a collection.
+type Member struct {
+	Name string
+	// Revision is the store's revision at the object's last change.
+	Revision uint64
+	// Since is the start of the object's writer in milliseconds of Unix time;
+	// 0 when the object does not say.
+	Since int64
+	Value []byte // as its writer wrote it
+}
+
+// Listing is a collection as of one revision of the store.
+type Listing struct {
+	Members  []Member
+	Revision uint64
+}
+
+// Change is the new state of a member, or its end.
+type Change struct {
+	Member Member
+	Ended  bool
+}
+
+// Changes are the changes of a collection up to one revision of the store.
+type Changes struct {
+	Changes  []Change
+	Revision uint64
+}
+
+// Collections is an object API with collections and one revision counter for
+// all of them. Errors are those of Store, and ErrCompacted. Implementations
+// are safe for concurrent use.
+type Collections interface {
+	// List returns all members of a collection.
+	List(ctx context.Context, collection string) (Listing, error)
+	// Watch waits for changes after a revision, at most for the given time. It
+	// returns no changes when there were none.
+	Watch(ctx context.Context, collection string, after uint64, wait time.Duration) (Changes, error)
+	// Get returns one member, or ErrNotFound.
+	Get(ctx context.Context, collection, name string) (Member, error)
+	// Create adds a member and returns it, or ErrConflict when it exists.
+	Create(ctx context.Context, collection, name string, value []byte) (Member, error)
+	// Replace writes a member whose revision is still the given one and returns
+	// it, or ErrConflict.
+	Replace(ctx context.Context, collection, name string, revision uint64, value []byte) (Member, error)
+}
