Keep or grow an untouched fleet until the demand is known

Links between nodes were refused, since only controllers may listen. Ruled out: slow decode servers (the streams cut at their deadlines ran on servers with three times their usual load). Change: before callers have asked for 6 s the number found stands, and an untouched fleet grows by half; every host follows the demand; role node.

--- a/link/yamuxlink/identity.go
+++ b/link/yamuxlink/identity.go
@@ -9,10 +9,10 @@
 	"zinniapin/result"
 )
 
-// identifyListener checks a process that was dialled: only controllers listen
-// for links.
+// identifyListener checks a process that was dialled: only controllers and
+// nodes listen for links.
 func identifyListener(p machine.Process, shown *x509.Certificate) error {
-	if p.Role != machine.Controller {
+	if p.Role != machine.Controller && p.Role != machine.Node {
 		return result.New(result.LinkIdentityRefused, "a %s listens in the place of a controller", p.Role)
 	}
 	return identify(p, shown)
--- a/machine/machine.go
+++ b/machine/machine.go
@@ -19,6 +19,8 @@
 	Gateway    Role = "gateway"
 	Controller Role = "controller"
 	Operator   Role = "operator"
+	// Node is the one process of a host that forwards requests.
+	Node Role = "node"
 )
 
 // Process is one incarnation of a process of the system.
--- a/node/keeper.go
+++ b/node/keeper.go
@@ -12,6 +12,7 @@
 	"zinniapin/event"
 	"zinniapin/metering"
 	"zinniapin/provider"
+	"zinniapin/route"
 	"zinniapin/scaling"
 	"zinniapin/store"
 )
@@ -49,6 +50,8 @@
 	pools    map[poolKey]*pool
 	planners map[string]*scaling.Planner
 	lastLook time.Time
+	// scaled are the services whose pools are to be looked at.
+	scaled []route.Service
 }
 
 // newKeeper returns the keeper of a node.
@@ -89,6 +92,9 @@
 		return
 	}
 	now := time.Now()
+	if n.settings.Duties.Scaling {
+		k.watchDemand(now)
+	}
 	if k.holding {
 		k.hold(ctx, now)
 		return
--- a/node/node.go
+++ b/node/node.go
@@ -104,7 +104,7 @@
 	n := &Node{
 		settings: s, platform: p, log: log, output: output, started: now,
 		self: machine.Process{
-			Host: machine.HostID(s.Host), Role: machine.Gateway, Incarnation: rand.Uint64(),
+			Host: machine.HostID(s.Host), Role: machine.Node, Incarnation: rand.Uint64(),
 			Zone: zone.Zone{Name: s.Zone, Region: s.Region}, Address: s.Mesh,
 		},
 		roster: roster.New(), pool: upstream.NewPool(), clock: truetime.New(), registry: daemon.NewRegistry(),
--- a/node/pools.go
+++ b/node/pools.go
@@ -40,6 +40,18 @@
 
 // scale orders targets.
 func (k *keeper) scale(ctx context.Context, now time.Time) {
+	for i := range k.scaled {
+		s := &k.scaled[i]
+		if !k.resize(ctx, now, s, k.planners[s.Name]) {
+			return
+		}
+	}
+	k.scaled = nil
+}
+
+// watchDemand notes the demand for services whose targets may be ordered. All
+// hosts do so: any of them may have to order next.
+func (k *keeper) watchDemand(now time.Time) {
 	if now.Sub(k.lastLook) < scaleInterval {
 		return
 	}
@@ -49,20 +61,16 @@
 		return
 	}
 	demand := k.demand()
-	for i := range table.Configuration().Services {
-		s := &table.Configuration().Services[i]
+	k.scaled = nil
+	for _, s := range table.Configuration().Services {
 		if s.Scaling == nil {
 			continue
 		}
-		p := k.planners[s.Name]
-		if p == nil {
-			p = scaling.New(scaling.DefaultPolicy())
-			k.planners[s.Name] = p
-		}
-		p.Demand(now, demand[s.Name])
-		if !k.resize(ctx, now, s, p) {
-			return
+		if k.planners[s.Name] == nil {
+			k.planners[s.Name] = scaling.New(scaling.DefaultPolicy())
 		}
+		k.planners[s.Name].Demand(now, demand[s.Name])
+		k.scaled = append(k.scaled, s)
 	}
 }
 
@@ -123,7 +131,7 @@
 	for _, z := range zones {
 		byName[z.Name] = z
 	}
-	for _, w := range p.Wishes(s.Scaling, zones) {
+	for _, w := range p.Wishes(now, s.Scaling, zones) {
 		have := byName[w.Zone]
 		reclaimable := min(w.Reclaimable, max(s.Scaling.Max-max(have.Reserved, w.Reserved), 0))
 		if !k.order(ctx, now, s, poolKey{s.Name, w.Zone, true}, reclaimable, have.Reclaimable) {
--- a/scaling/scaling.go
+++ b/scaling/scaling.go
@@ -23,11 +23,15 @@
 	Keep int
 	// Peak is the span whose peak demand counts.
 	Peak time.Duration
+	// Settle is how long callers must have asked before the demand is taken for
+	// known; before that an untouched fleet grows by Growth.
+	Settle time.Duration
+	Growth float64
 }
 
 // DefaultPolicy returns the policy that is used where settings say nothing.
 func DefaultPolicy() Policy {
-	return Policy{Headroom: 2.4, TargetSpeed: 45_000, Keep: 1, Peak: 12 * time.Second}
+	return Policy{Headroom: 2.4, TargetSpeed: 45_000, Keep: 1, Peak: 12 * time.Second, Settle: 6 * time.Second, Growth: 1.5}
 }
 
 // Zone is what is known of a service in one availability zone.
@@ -53,6 +57,10 @@
 type Planner struct {
 	policy  Policy
 	samples []sample
+	// found is the number of targets at the first look, begun the time of the
+	// first demand.
+	found int
+	begun time.Time
 }
 
 // New returns a planner.
@@ -60,6 +68,9 @@
 
 // Demand notes the prompt tokens a second that callers ask for.
 func (p *Planner) Demand(now time.Time, tokens float64) {
+	if p.begun.IsZero() && tokens > 0 {
+		p.begun = now
+	}
 	p.samples = append(p.samples, sample{now, tokens})
 	for len(p.samples) > 0 && now.Sub(p.samples[0].at) > p.policy.Peak {
 		p.samples = p.samples[1:]
@@ -75,14 +86,33 @@
 	return peak
 }
 
+// least returns the number of targets before the demand is known. A fleet that
+// was ordered already is kept; one that was not may be too small for what comes.
+func (p *Planner) least(now time.Time, zones []Zone) int {
+	if p.found == 0 {
+		reclaimable := 0
+		for _, z := range zones {
+			p.found += z.Reserved + z.Reclaimable
+			reclaimable += z.Reclaimable
+		}
+		if reclaimable == 0 {
+			p.found = int(float64(p.found) * p.policy.Growth)
+		}
+	}
+	if !p.begun.IsZero() && now.Sub(p.begun) >= p.policy.Settle {
+		return 0
+	}
+	return p.found
+}
+
 // Wishes returns how many targets to order in each zone. Each zone keeps some
 // that cannot be reclaimed; the rest are reclaimable, most in the zones where
 // they are cheap, yet spread so that the loss of one zone leaves the others.
-func (p *Planner) Wishes(s *route.Scaling, zones []Zone) []Wish {
+func (p *Planner) Wishes(now time.Time, s *route.Scaling, zones []Zone) []Wish {
 	if s == nil || len(zones) == 0 {
 		return nil
 	}
-	needed := int(math.Ceil(p.peak() * p.policy.Headroom / p.policy.TargetSpeed))
+	needed := max(int(math.Ceil(p.peak()*p.policy.Headroom/p.policy.TargetSpeed)), p.least(now, zones))
 	keep := min(max(p.policy.Keep, s.Min), s.Max)
 	wishes := make([]Wish, len(zones))
 	order := append([]Zone(nil), zones...)
