Weigh lateness, rereading, moves, zones and stalls in one cost

Ruled out: more gossip of cached prompts (hosts already tell them each 100 ms). Change: the cost of a target is the chance of being late, the tokens that another target keeps, KV cache moved, bytes to other zones and streams held up beyond their longest pause. Shared parts have a home by rendezvous hashing.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -26,12 +26,26 @@
 	// of the role processes prompts, in tokens a millisecond. Observation
 	// replaces them.
 	PrefillSpeed, DecodeSpeed float64
-	// MoveCost is what moving KV cache costs, as time to the first token that
-	// it is worth, for each GB.
-	MoveCost time.Duration
-	// ZoneCost is what a kilobyte sent to another availability zone costs, as
-	// time to the answer that it is worth.
-	ZoneCost time.Duration
+	// The costs are in parts of an answer that is on time.
+
+	// LateCost is that of an answer that is late.
+	LateCost float64
+	// RereadCost is that of processing 1,000 tokens that another target keeps.
+	RereadCost float64
+	// MoveCost is that of moving a GB of KV cache.
+	MoveCost float64
+	// ZoneCost is that of a kilobyte sent to another availability zone.
+	ZoneCost float64
+	// StallCost is that of a stream whose events are held up beyond their
+	// longest pause by the processing of a prompt beside it.
+	StallCost float64
+	// BlindCost is that of a target whose load is told too seldom to go by.
+	BlindCost float64
+	// StepTime and ChunkTokens describe how an engine produces output: the time
+	// of a step without prompts, and the prompt tokens that it processes between
+	// two tokens of others.
+	StepTime    time.Duration
+	ChunkTokens int
 	// CacheLife is how long a target is taken to keep a part of a prompt after
 	// its last use.
 	CacheLife time.Duration
@@ -48,8 +62,14 @@
 	return Policy{
 		PrefillSpeed:    80,
 		DecodeSpeed:     36,
-		MoveCost:        100 * time.Millisecond,
-		ZoneCost:        2 * time.Millisecond,
+		LateCost:        1.4,
+		RereadCost:      0.2,
+		MoveCost:        0.2,
+		ZoneCost:        0.004,
+		StallCost:       0.5,
+		BlindCost:       0.1,
+		StepTime:        4 * time.Millisecond,
+		ChunkTokens:     512,
 		CacheLife:       10 * time.Second,
 		WaitShare:       0.7,
 		ReturnWaitShare: 3,
@@ -75,6 +95,8 @@
 	// Objective is the time left until the answer is late; Left the time until
 	// it is useless.
 	Objective, Left time.Duration
+	// Gap is the longest pause between events of a stream.
+	Gap time.Duration
 	// Returning is set for a caller that was refused before.
 	Returning bool
 	// Urgent jobs go before others: lower is more urgent.
@@ -130,7 +152,7 @@
 	loadLife = 3 * time.Second
 	// nearTie is the difference in cost within which targets are drawn by lot,
 	// so that hosts with the same view do not all pick the same target.
-	nearTie = 8 * time.Millisecond
+	nearTie = 0.015
 	// fullSlotTime is the wait for each request beyond a target's slots.
 	fullSlotTime = 150 * time.Millisecond
 	// minRetryAfter and maxRetryAfter bound the time that refused callers are
@@ -153,6 +175,7 @@
 type Planner struct {
 	policy   Policy
 	zone     zone.Name
+	narrow   bool
 	random   *rand.Rand
 	targets  map[target.ID]*state
 	byKey    map[uint32]*state
@@ -253,7 +276,7 @@
 	unread   int
 	wait     time.Duration
 	forecast time.Duration
-	cost     time.Duration
+	cost     float64
 	loadAge  time.Duration
 }
 
@@ -314,11 +337,12 @@
 // those that fail are tried.
 func (p *Planner) candidates(now time.Time, j Job, exclude map[target.ID]bool) []candidate {
 	var sound, failing []candidate
+	home := p.home(j)
 	for _, s := range p.services[j.Service] {
 		if s.target.Draining || exclude[s.target.ID] {
 			continue
 		}
-		c := p.forecast(now, j, s)
+		c := p.forecast(now, j, s, home)
 		if s.quarantined(now) {
 			failing = append(failing, c)
 		} else {
@@ -331,70 +355,6 @@
 	return sound
 }
 
-// forecast returns what a job would meet at a target.
-func (p *Planner) forecast(now time.Time, j Job, s *state) candidate {
-	if j.Prompt > 0 {
-		return p.forecastPrompt(now, j, s)
-	}
-	return p.forecastCall(now, j, s)
-}
-
-// forecastPrompt forecasts the first token of a prompt.
-func (p *Planner) forecastPrompt(now time.Time, j Job, s *state) candidate {
-	backlog, active, age := s.load(now, p.speedOf(s))
-	speed := p.speedOf(s)
-	unread := max(j.Prompt-s.cached(now, j.Parts, p.policy.CacheLife), 1)
-	c := candidate{state: s, unread: unread, loadAge: age}
-	c.wait = time.Duration(float64(backlog) / speed * float64(time.Millisecond))
-	if s.target.Slots > 0 && active >= s.target.Slots {
-		c.wait += time.Duration(active-s.target.Slots+1) * fullSlotTime
-	}
-	c.forecast = c.wait + time.Duration(float64(unread)/speed*float64(time.Millisecond)) + firstTokenTime
-	c.cost = c.forecast + p.zoneCost(j.Bytes, s)
-	if s.target.Role == target.Prefill {
-		gigabytes, transfer := p.move(j)
-		c.forecast += transfer + fetchTime
-		c.cost += transfer + fetchTime + time.Duration(gigabytes*float64(p.policy.MoveCost))
-	}
-	return c
-}
-
-// forecastCall forecasts the answer of a plain service.
-func (p *Planner) forecastCall(now time.Time, j Job, s *state) candidate {
-	_, active, age := s.load(now, 1)
-	typical := p.latency[s.target.Service]
-	if typical == 0 {
-		typical = 20
-	}
-	latency := s.latencyOr(now, typical)
-	slots := max(s.target.Slots, 1)
-	c := candidate{state: s, loadAge: age}
-	c.wait = time.Duration(float64(max(active-slots+1, 0)) / float64(slots) * latency * float64(time.Millisecond))
-	busy := time.Duration(latency * (1 + 0.3*float64(active)/float64(slots)) * float64(time.Millisecond))
-	c.forecast = c.wait + busy
-	c.cost = c.forecast + p.zoneCost(j.Bytes+1024, s)
-	return c
-}
-
-// zoneCost is the cost of sending bytes to a target's availability zone.
-func (p *Planner) zoneCost(bytes int, s *state) time.Duration {
-	if s.target.Zone == p.zone {
-		return 0
-	}
-	return time.Duration(float64(bytes) / 1024 * float64(p.policy.ZoneCost))
-}
-
-// move returns the size of a prompt's KV cache in GB and the time of moving it.
-func (p *Planner) move(j Job) (float64, time.Duration) {
-	e := p.engines[j.Service]
-	if e == nil || e.LinkMbps <= 0 {
-		return 0, 0
-	}
-	bytes := float64(j.Prompt) * float64(e.TokenBytes)
-	seconds := bytes * 8 / (e.LinkMbps * 1e6)
-	return bytes / 1e9, time.Duration(seconds * float64(time.Second))
-}
-
 // PlanDecode decides where the output of a processed prompt is produced.
 func (p *Planner) PlanDecode(now time.Time, j Job, from roster.Target, exclude map[target.ID]bool) (roster.Target, bool) {
 	var best *state
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -187,7 +187,7 @@
 	r.job = dispatch.Job{
 		Service: r.service.Name, Prompt: r.call.Prompt, Parts: r.call.Parts, Bytes: len(r.in.Body),
 		Objective: objective, Left: left, Returning: r.h.returning(r.route.Name, r.call.Deadline),
-		Priority: route.Priority(r.route, r.holder),
+		Priority: route.Priority(r.route, r.holder), Gap: time.Duration(r.route.GapMillis) * time.Millisecond,
 	}
 	r.h.request(r.service.Name, r.call.Prompt)
 }
--- a/route/configuration.go
+++ b/route/configuration.go
@@ -88,6 +88,8 @@
 	TokenBytes int `json:"token_bytes"`
 	// LinkMbps is the bandwidth of an engine's link for KV cache, in Mbit/s.
 	LinkMbps float64 `json:"link_mbps"`
+	// EventTokens is the number of output tokens in one event of a stream.
+	EventTokens int `json:"event_tokens,omitempty"`
 	// HandleMillis is how long an engine keeps a KV cache for its taker.
 	HandleMillis int `json:"handle_ms"`
 }
