Let a large fleet call the store seldom and hear of all hosts

Change: two hosts of each zone watch and the others ask them; digests differ by audience; counts go in parts to those who report; an election counts from the loss of the present holder.

--- a/duty/elector.go
+++ b/duty/elector.go
@@ -54,6 +54,8 @@
 	start time.Time
 	// vacant is since when no live host is known to hold the duties.
 	vacant time.Time
+	// holder is whom the vacancy is about.
+	holder string
 	// lost is when this host last lost the duties, or found another holder.
 	lost time.Time
 }
@@ -78,7 +80,8 @@
 		e.vacant = time.Time{}
 		return false
 	}
-	if e.vacant.IsZero() {
+	if e.vacant.IsZero() || holder != e.holder {
+		e.holder = holder
 		e.vacant = now
 	}
 	if !e.lost.IsZero() && now.Sub(e.lost) < e.lease+lostMargin {
@@ -103,6 +106,18 @@
 	return false
 }
 
+// Next returns the live hosts that would take the duties first, at most n.
+func Next(now time.Time, peers []Peer, n int) []string {
+	var names []string
+	for _, p := range peers {
+		if now.Sub(p.Heard) < heardWithin && p.Reaches && !p.Leaving {
+			names = append(names, p.Host)
+		}
+	}
+	sort.Slice(names, func(i, j int) bool { return order(names[i]) < order(names[j]) })
+	return names[:min(n, len(names))]
+}
+
 // rank returns how many live hosts come before this one.
 func (e *Elector) rank(now time.Time, peers []Peer) int {
 	names := []string{e.self}
--- a/node/follow.go
+++ b/node/follow.go
@@ -7,10 +7,13 @@
 	"sync"
 	"time"
 
+	"zinniapin/dispatch"
 	"zinniapin/event"
+	"zinniapin/peers"
 	"zinniapin/roster"
 	"zinniapin/route"
 	"zinniapin/store"
+	"zinniapin/target"
 )
 
 // reach tells whether a part of the store is reached.
@@ -19,6 +22,14 @@
 	failing  time.Time // since when calls fail; zero when the last one did not
 	doubtful bool      // the next watch must be a list
 	reached  bool      // ever
+	called   time.Time // when a call was answered last
+}
+
+// lastCall returns when a call was answered last.
+func (r *reach) lastCall() time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.called
 }
 
 // failed notes a failed call and returns whether it is the first in a row.
@@ -37,7 +48,7 @@
 func (r *reach) succeeded(now time.Time) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.reached = true
+	r.reached, r.called = true, now
 	if r.failing.IsZero() {
 		return 0
 	}
@@ -97,6 +108,13 @@
 		if f.reach.takeDoubt() {
 			listed = false
 		}
+		if !n.watches() {
+			f.reach.succeeded(time.Now()) // of what is not called nothing is known
+			listed = false
+			time.Sleep(standbyPause)
+			continue
+		}
+		n.pace(f, listed)
 		next, err := n.followOnce(ctx, f, listed, revision)
 		if err == nil {
 			listed, revision, wait = true, next, retryLeast
@@ -114,6 +132,47 @@
 	}
 }
 
+const (
+	// zoneWatchers is the number of hosts of each availability zone that watch
+	// the store in a large fleet; the others hear from them.
+	zoneWatchers = 2
+	// standbyPause is the pace at which the others look whether they must.
+	standbyPause = 300 * time.Millisecond
+	// batchPause is the least time between two watches in a large fleet, so that
+	// one answer carries several changes.
+	batchPause = 300 * time.Millisecond
+)
+
+// watches tells whether this host follows the store itself: all do in a small
+// fleet, and those first in order of each zone in a large one. Whoever knows
+// nothing yet, or does not reach the store, goes on trying.
+func (n *Node) watches() bool {
+	live := n.live()
+	if peers.Small(len(live)) || n.table.Load() == nil || !n.targetsLink.ok() || !n.configurationLink.ok() {
+		return true
+	}
+	before := 0
+	self := dispatch.KeyOf(target.ID(n.settings.Host))
+	for _, p := range live {
+		d := p.Digest
+		if d.Zone == string(n.settings.Zone) && d.StoreReachable && !d.Leaving && dispatch.KeyOf(target.ID(d.Host)) < self {
+			before++
+		}
+	}
+	return before < zoneWatchers
+}
+
+// pace waits before a watch in a large fleet.
+func (n *Node) pace(f follower, listed bool) {
+	if !listed || peers.Small(len(n.live())) {
+		return
+	}
+	wait := batchPause - time.Since(f.reach.lastCall())
+	if wait > 0 {
+		time.Sleep(wait)
+	}
+}
+
 // followOnce lists the collection or waits for its changes.
 func (n *Node) followOnce(ctx context.Context, f follower, listed bool, revision uint64) (uint64, error) {
 	if listed {
--- a/node/gossip.go
+++ b/node/gossip.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -31,14 +33,16 @@
 	prompts, told []*wire.CachedPrompt
 	count         int
 	usageRound    int
+	usagePart     int
 	asking        atomic.Bool
 	// behind is since when a peer is known to know more.
 	behind time.Time
+	asked  time.Time
 }
 
 const (
 	// usageEvery is the number of digests for each one with counts of usage.
-	usageEvery = 4
+	usageEvery = 2
 	// usageAge is how long after a window's end its counts are still told.
 	usageAge = 4 * time.Second
 	// behindTime is how long a peer may know more before it is asked: the news
@@ -51,8 +55,9 @@
 // targetID converts the name of an entry.
 func targetID(name string) target.ID { return target.ID(name) }
 
-// compose returns the digest to send now.
-func (n *Node) compose(bool) *wire.HostDigest {
+// compose returns the digest to send now. In a large fleet only near hosts hear
+// of prompts, only far ones of the demand, and only those who report of usage.
+func (n *Node) compose(a peers.Audience) *wire.HostDigest {
 	d := &wire.HostDigest{
 		Host: n.settings.Host, Zone: string(n.settings.Zone), Address: n.settings.Mesh,
 		Incarnation: n.self.Incarnation, Sequence: n.sequence.Add(1),
@@ -67,42 +72,76 @@
 	d.TargetsChanged = n.roster.Changed()
 	n.rosterMu.Unlock()
 	d.DutyHost, d.DutyFence = n.keeper.known()
+	n.composeLoads(d)
+	g := &n.gossip
+	if a == peers.All || a == peers.Near {
+		n.composePrompts(d)
+	}
+	g.mu.Lock()
+	d.Demand = g.demand
+	g.usageRound++
+	usage := a == peers.Reporter || a == peers.All && g.usageRound%usageEvery == 0
+	g.mu.Unlock()
+	if usage {
+		n.composeUsage(d)
+	}
+	return d
+}
+
+// composeLoads adds what this host has under way.
+func (n *Node) composeLoads(d *wire.HostDigest) {
 	n.handler.Planning.Lock()
+	defer n.handler.Planning.Unlock()
 	for key, l := range n.handler.Planner.Loads() {
 		d.Loads = append(d.Loads, &wire.TargetLoad{Target: key, UnreadTokens: uint32(l.Unread), Active: uint32(l.Active)})
 	}
-	fresh := n.handler.Planner.TakePrompts()
-	n.handler.Planning.Unlock()
-	n.composeGossip(d, fresh)
-	return d
 }
 
-// composeGossip adds prompts, demand and usage to a digest.
-func (n *Node) composeGossip(d *wire.HostDigest, fresh []dispatch.Sent) {
+// composePrompts adds the prompts sent lately.
+func (n *Node) composePrompts(d *wire.HostDigest) {
+	n.handler.Planning.Lock()
+	fresh := n.handler.Planner.TakePrompts()
+	n.handler.Planning.Unlock()
 	g := &n.gossip
 	g.mu.Lock()
+	defer g.mu.Unlock()
 	g.told = g.prompts
 	g.prompts = nil
 	for _, s := range fresh {
 		g.prompts = append(g.prompts, &wire.CachedPrompt{Target: s.Target, Chains: s.Chains})
 	}
 	d.Prompts = append(g.told[:len(g.told):len(g.told)], g.prompts...)
-	d.Demand = g.demand
-	g.usageRound++
-	usage := g.usageRound%usageEvery == 0
-	g.mu.Unlock()
-	if !usage {
-		return
-	}
+}
+
+// usageChunk is the number of organisations whose counts one digest carries; 16
+// bytes each leave room for the rest of a datagram.
+const usageChunk = 50
+
+// composeUsage adds a part of the counts of the windows that are open or have
+// just ended: another part each time, since a datagram cannot hold them all.
+func (n *Node) composeUsage(d *wire.HostDigest) {
 	n.ledgerMu.Lock()
-	defer n.ledgerMu.Unlock()
-	for w, counts := range n.ledger.Own(n.clock.Now(), usageAge) {
-		c := &wire.WindowCount{Window: uint64(w)}
-		for organisation, requests := range counts {
-			c.Counts = append(c.Counts, &wire.OrganisationCount{Organisation: organisation, Requests: requests})
+	own := n.ledger.Own(n.clock.Now(), usageAge)
+	var parts []*wire.WindowCount
+	for _, w := range slices.Sorted(maps.Keys(own)) {
+		organisations := slices.Sorted(maps.Keys(own[w]))
+		for chunk := range slices.Chunk(organisations, usageChunk) {
+			c := &wire.WindowCount{Window: uint64(w)}
+			for _, o := range chunk {
+				c.Counts = append(c.Counts, &wire.OrganisationCount{Organisation: o, Requests: own[w][o]})
+			}
+			parts = append(parts, c)
 		}
-		d.Usage = append(d.Usage, c)
 	}
+	n.ledgerMu.Unlock()
+	if len(parts) == 0 {
+		return
+	}
+	g := &n.gossip
+	g.mu.Lock()
+	g.usagePart++
+	d.Usage = []*wire.WindowCount{parts[g.usagePart%len(parts)]}
+	g.mu.Unlock()
 }
 
 // received takes a peer's digest.
@@ -154,7 +193,11 @@
 	if g.behind.IsZero() {
 		g.behind = now
 	}
-	due := now.Sub(g.behind) >= behindTime || !known || version == 0
+	waited := now.Sub(g.behind)
+	due := waited >= behindTime || !known || version == 0 || now.Sub(g.asked) >= batchPause && !n.watches()
+	if due {
+		g.asked = now
+	}
 	g.mu.Unlock()
 	if due && g.asking.CompareAndSwap(false, true) {
 		go func() {
--- a/node/keeper.go
+++ b/node/keeper.go
@@ -115,6 +115,16 @@
 	return all
 }
 
+// reporters returns the hosts that need counts of usage.
+func (n *Node) reporters() []string {
+	holder, _ := n.keeper.known()
+	return append(duty.Next(time.Now(), n.keeper.candidates(), spareReporters), holder)
+}
+
+// spareReporters is the number of hosts besides the holder of the duties that
+// are told counts of usage.
+const spareReporters = 2
+
 // take reads the record and puts this host into it.
 func (k *keeper) take(ctx context.Context, now time.Time) {
 	_, known := k.known()
--- a/node/node.go
+++ b/node/node.go
@@ -117,7 +117,7 @@
 		Planner: dispatch.New(dispatch.DefaultPolicy(), s.Zone, n.self.Incarnation),
 	})
 	n.server = &ingress.Server{Handler: n.handler, Limits: n.limits, BodyMemory: int64(float64(s.MemoryMB) * bodyMemoryShare * (1 << 20))}
-	n.mesh = &peers.Mesh{Zone: string(s.Zone), Compose: n.compose, Received: n.received, Found: n.found, Lost: n.lost}
+	n.mesh = &peers.Mesh{Zone: string(s.Zone), Compose: n.compose, Holder: n.reporters, Received: n.received, Found: n.found, Lost: n.lost}
 	n.network = &yamuxlink.Network{Self: n.self, Log: log}
 	n.keeper = newKeeper(n, duty.NewElector(s.Host, time.Duration(s.Bounds.LeaseMillis)*time.Millisecond, now))
 	return n
@@ -305,6 +305,7 @@
 	n.pool.Sweep()
 	n.handler.Planning.Lock()
 	n.handler.Planner.Tick(now)
+	n.handler.Planner.SetNarrow(!peers.Small(len(n.mesh.Live(now))))
 	n.handler.Planning.Unlock()
 	n.ledgerMu.Lock()
 	n.ledger.Drop(n.clock.Now())
--- a/peers/mesh.go
+++ b/peers/mesh.go
@@ -19,6 +19,10 @@
 	// beyond it, those in other zones are told once in farRounds.
 	fewHosts  = 12
 	farRounds = 10
+	// reporterRounds is how seldom those are told that need counts of usage.
+	reporterRounds = 2
+	// namingRounds is how seldom a digest names other hosts in a large fleet.
+	namingRounds = 5
 	// silentRounds is how seldom addresses that are not heard are tried.
 	silentRounds = 5
 	// namedPeers bounds the addresses that a digest names.
@@ -27,14 +31,31 @@
 	maxDatagram = 1400
 )
 
+// Audience is whom a digest is for: what it says depends on what they need.
+type Audience int
+
+// Audiences.
+const (
+	// All hosts hear everything; in a small fleet there is no other audience.
+	All Audience = iota
+	// Near hosts are those of the same availability zone.
+	Near
+	// Far hosts are those of other zones.
+	Far
+	// Reporter is a host that needs counts of usage.
+	Reporter
+)
+
 // Mesh sends and receives digests. Its fields must not change once Run was
 // called.
 type Mesh struct {
 	// Zone is the host's own availability zone.
 	Zone string
-	// Compose returns the digest to send now; far says whether it goes to other
-	// zones as well.
-	Compose func(far bool) *wire.HostDigest
+	// Compose returns the digest to send now to some hosts.
+	Compose func(a Audience) *wire.HostDigest
+	// Holder returns the hosts that need counts of usage: who reports them, and
+	// who may have to next.
+	Holder func() []string
 	// Received is called with each newer digest.
 	Received func(d *wire.HostDigest)
 	// Found and Lost are called when a host is heard first or no more.
@@ -115,24 +136,50 @@
 		m.Lost(host)
 	}
 	m.round++
-	to := near
-	wide := len(near)+len(far) < fewHosts || m.round%farRounds == 0
-	if wide {
-		to = append(to, far...)
+	if m.round%silentRounds != 1 && len(near)+len(far) > 0 {
+		silent = nil
+	}
+	if len(near)+len(far) < fewHosts {
+		return m.tell(All, append(append(near, far...), silent...), near, far)
+	}
+	err := m.tell(Near, near, near, far)
+	if m.round%farRounds == 0 {
+		err = errors.Join(err, m.tell(Far, far, near, far))
+	}
+	err = errors.Join(err, m.tell(Far, silent, near, far))
+	if m.round%reporterRounds == 0 {
+		err = errors.Join(err, m.tell(Reporter, m.reporters(now), nil, nil))
 	}
-	if m.round%silentRounds == 1 || len(near)+len(far) == 0 {
-		to = append(to, silent...)
+	return err
+}
+
+// reporters returns the addresses of the hosts that need counts of usage.
+func (m *Mesh) reporters(now time.Time) []string {
+	wanted := make(map[string]bool)
+	for _, host := range m.Holder() {
+		wanted[host] = true
+	}
+	var to []string
+	for _, p := range m.Live(now) {
+		if wanted[p.Digest.Host] {
+			to = append(to, p.Digest.Address)
+		}
 	}
+	return to
+}
+
+// tell sends one digest to some addresses.
+func (m *Mesh) tell(a Audience, to, near, far []string) error {
 	if len(to) == 0 {
 		return nil
 	}
-	d := m.Compose(wide)
-	if wide {
-		d.Peers = append(near[:len(near):len(near)], far...)
-		if len(d.Peers) > namedPeers { // another part each time
-			at := m.round % len(d.Peers)
-			d.Peers = append(d.Peers[at:], d.Peers[:at]...)[:namedPeers]
+	d := m.Compose(a)
+	if known := append(near[:len(near):len(near)], far...); a == All || m.round%namingRounds == 0 {
+		if len(known) > namedPeers { // another part each time
+			at := m.round / namingRounds * namedPeers % len(known)
+			known = append(known[at:], known[:at]...)[:namedPeers]
 		}
+		d.Peers = known
 	}
 	data, err := encode(d)
 	if err != nil {
@@ -148,6 +195,9 @@
 	return nil
 }
 
+// Small tells whether so many other hosts are few enough to be told everything.
+func Small(others int) bool { return others < fewHosts }
+
 // Interval returns the pace at which Send is to be called.
 func Interval() time.Duration { return interval }
 
@@ -160,8 +210,6 @@
 			d.Prompts = d.Prompts[len(d.Prompts)/2+1:]
 		case len(d.Peers) > 0:
 			d.Peers = nil
-		case len(d.Usage) > 1:
-			d.Usage = d.Usage[1:]
 		case len(d.Loads) > 0:
 			d.Loads = d.Loads[:len(d.Loads)/2]
 		default:
