--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -400,6 +400,8 @@
 type Sent struct {
 	Target uint32
 	Chains []uint32
+	// Long prompts share so much that other availability zones have use for it.
+	Long bool
 }
 
 // maxSent bounds the prompts that are kept for peers.
@@ -418,5 +420,6 @@
 	if len(parts) < 2 || len(p.sent) >= maxSent {
 		return
 	}
-	p.sent = append(p.sent, Sent{KeyOf(t), chainsOf(parts[:len(parts)-1])})
+	shared := parts[:len(parts)-1]
+	p.sent = append(p.sent, Sent{KeyOf(t), chainsOf(shared), shared[len(shared)-1].Tokens >= promptHomeTokens})
 }
--- a/node/gossip.go
+++ b/node/gossip.go
@@ -31,6 +31,8 @@
 	// prompts are the prompts sent since the last digest, and those of the one
 	// before: each is told twice, as a datagram may be lost.
 	prompts, told []*wire.CachedPrompt
+	// long are those that hosts of other zones are told in a large fleet.
+	long []*wire.CachedPrompt
 	count         int
 	usageRound    int
 	usagePart     int
@@ -41,6 +43,8 @@
 }
 
 const (
+	// maxLong bounds the prompts kept for hosts of other zones.
+	maxLong = 40
 	// usageEvery is the number of digests for each one with counts of usage.
 	usageEvery = 2
 	// usageAge is how long after a window's end its counts are still told.
@@ -78,6 +82,9 @@
 		n.composePrompts(d)
 	}
 	g.mu.Lock()
+	if a == peers.Far {
+		d.Prompts, g.long = g.long, nil
+	}
 	d.Demand = g.demand
 	g.usageRound++
 	usage := a == peers.Reporter || a == peers.All && g.usageRound%usageEvery == 0
@@ -108,7 +115,11 @@
 	g.told = g.prompts
 	g.prompts = nil
 	for _, s := range fresh {
-		g.prompts = append(g.prompts, &wire.CachedPrompt{Target: s.Target, Chains: s.Chains})
+		p := &wire.CachedPrompt{Target: s.Target, Chains: s.Chains}
+		g.prompts = append(g.prompts, p)
+		if s.Long && len(g.long) < maxLong {
+			g.long = append(g.long, p)
+		}
 	}
 	d.Prompts = append(g.told[:len(g.told):len(g.told)], g.prompts...)
 }
--- a/peers/mesh.go
+++ b/peers/mesh.go
@@ -18,7 +18,7 @@
 	// fewHosts is the number of hosts up to which all are told at that pace;
 	// beyond it, those in other zones are told once in farRounds.
 	fewHosts  = 12
-	farRounds = 10
+	farRounds = 4
 	// reporterRounds is how seldom those are told that need counts of usage.
 	reporterRounds = 2
 	// namingRounds is how seldom a digest names other hosts in a large fleet.
