--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -134,7 +134,7 @@
 )
 
 // Refused tells whether no target takes the job.
-func (d *Decision) Refused() bool { return d.Target.ID == "" }
+func (d Decision) Refused() bool { return d.Target.ID == "" }
 
 // Load is what one host has under way at a target.
 type Load struct {
--- /dev/null
+++ b/dispatch/dispatch_test.go
@@ -0,0 +1,317 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sort"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"zinniapin/dispatch"
+	_ "zinniapin/internal/fixedseed"
+	"zinniapin/roster"
+	"zinniapin/route"
+	"zinniapin/target"
+	"zinniapin/zone"
+)
+
+// start is when every run begins.
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// engines returns engines of two roles in a zone.
+func engines(prefill, decode int, z zone.Name) []roster.Target {
+	var all []roster.Target
+	for i := range prefill {
+		all = append(all, roster.Target{ID: target.ID(fmt.Sprintf("%s-p%d", z, i)), Service: "model", Zone: z, Slots: 64, Role: target.Prefill})
+	}
+	for i := range decode {
+		all = append(all, roster.Target{ID: target.ID(fmt.Sprintf("%s-d%d", z, i)), Service: "model", Zone: z, Slots: 64, Role: target.Decode})
+	}
+	return all
+}
+
+// planner returns a planner before targets.
+func planner(all []roster.Target, seed uint64) *dispatch.Planner {
+	p := dispatch.New(dispatch.DefaultPolicy(), "a", seed)
+	p.SetTargets(all)
+	p.SetServices([]route.Service{{Name: "model", Engine: &route.Engine{Slots: 64, TokenBytes: 35136, LinkMbps: 550_000, EventTokens: 10}}})
+	return p
+}
+
+// job returns a request with a shared part and one of its own.
+func job(shared, own int, chain uint32) dispatch.Job {
+	return dispatch.Job{
+		Service: "model", Prompt: shared + own, Objective: 500 * time.Millisecond, Left: 8 * time.Second, Gap: 300 * time.Millisecond, Bytes: 4000,
+		Parts: []dispatch.Part{{Chain: chain, Tokens: shared}, {Chain: chain + 1<<20, Tokens: shared + own}},
+	}
+}
+
+// A burst of long prompts fills every queue: requests are refused at once with
+// a time to come back, once every target has a queue, and none before.
+func TestBurstIsRefusedOnlyWhenAllQueuesAreLong(t *testing.T) {
+	is := is.New(t)
+	all := engines(2, 4, "a")
+	p := planner(all, 1)
+	admitted := make(map[target.ID]int)
+	refused := 0
+	for i := range 300 {
+		j := job(0, 8000, uint32(i))
+		j.Parts = nil
+		d := p.Plan(start, j, nil)
+		if d.Refused() {
+			refused++
+			is.Equal(d.Reason, dispatch.Overload)
+			is.True(d.RetryAfter >= 150*time.Millisecond && d.RetryAfter <= 3*time.Second)
+			is.Equal(len(admitted), len(all)) // every target has work
+			continue
+		}
+		is.Equal(refused, 0) // time stands still: nobody is admitted after a refusal
+		is.True(d.Wait <= 350*time.Millisecond)
+		admitted[d.Target.ID]++
+		p.Begin(start, d.Target.ID, j, d.Unread)
+	}
+	is.True(refused > 200)
+	for id, n := range admitted {
+		is.True(n >= 1 && n <= 8) // shared out by speed
+		_ = id
+	}
+}
+
+// The largest prompts take longer than their objective by themselves. They are
+// refused for their wait alone, like any other.
+func TestLargePromptsAreNotStarved(t *testing.T) {
+	is := is.New(t)
+	p := planner(engines(2, 4, "a"), 1)
+	d := p.Plan(start, job(5000, 50_000, 1), nil)
+	is.True(!d.Refused())
+	is.True(d.Forecast > 500*time.Millisecond)
+}
+
+// A caller that comes back may wait for longer, so that it is not refused
+// again while there is time.
+func TestReturningCallersMayWait(t *testing.T) {
+	is := is.New(t)
+	p := planner(engines(1, 0, "a"), 1)
+	first := job(0, 40_000, 1)
+	d := p.Plan(start, first, nil)
+	p.Begin(start, d.Target.ID, first, d.Unread)
+	next := job(0, 1000, 2)
+	is.True(p.Plan(start, next, nil).Refused())
+	next.Returning = true
+	is.True(!p.Plan(start, next, nil).Refused())
+}
+
+// What cannot be served in time is refused at once, also to one that returns.
+func TestWhatCannotEndInTimeIsRefused(t *testing.T) {
+	is := is.New(t)
+	p := planner(engines(1, 0, "a"), 1)
+	j := job(0, 50_000, 1)
+	j.Left, j.Returning = 300*time.Millisecond, true
+	is.True(p.Plan(start, j, nil).Refused())
+}
+
+// Hosts agree on the target that keeps a shared part without a word.
+func TestHostsSendSharedPartsToOneTarget(t *testing.T) {
+	is := is.New(t)
+	all := engines(6, 6, "a")
+	for chain := range uint32(50) {
+		var ids []string
+		for host := range uint64(4) {
+			d := planner(all, host).Plan(start, job(5000, 2000, chain), nil)
+			is.True(!d.Refused())
+			ids = append(ids, string(d.Target.ID))
+		}
+		sort.Strings(ids)
+		is.Equal(ids[0], ids[3])
+	}
+}
+
+// The home of most shared parts stays when a target comes or goes.
+func TestHomesStayWhenTargetsChange(t *testing.T) {
+	is := is.New(t)
+	all := engines(10, 0, "a")
+	before, after := planner(all, 1), planner(all[1:], 1)
+	moved := 0
+	for chain := range uint32(500) {
+		a := before.Plan(start, job(5000, 100, chain), nil).Target.ID
+		b := after.Plan(start, job(5000, 100, chain), nil).Target.ID
+		if a != b {
+			moved++
+			is.Equal(a, all[0].ID) // only those of the one that is gone
+		}
+	}
+	is.True(moved > 20 && moved < 100)
+}
+
+// Long prompts are not processed beside streams whose events would be held up.
+func TestPromptsThatHoldUpStreamsGoElsewhere(t *testing.T) {
+	is := is.New(t)
+	all := engines(1, 1, "a")
+	p := planner(all, 1)
+	for i := range 20 { // streams at the one, a queue at the other
+		p.Begin(start, "a-d0", job(0, 100, uint32(i)), 0)
+	}
+	j := job(0, 10_000, 99)
+	j.Gap = 120 * time.Millisecond
+	p.Begin(start, "a-p0", job(0, 10_000, 98), 10_000)
+	is.Equal(p.Plan(start, j, nil).Target.ID, target.ID("a-p0"))
+	short := job(0, 400, 97)
+	short.Gap = 120 * time.Millisecond
+	is.Equal(p.Plan(start, short, nil).Target.ID, target.ID("a-d0"))
+}
+
+// What peers have under way counts as own work does.
+func TestLoadsOfPeersCount(t *testing.T) {
+	is := is.New(t)
+	all := engines(2, 0, "a")
+	p := planner(all, 1)
+	p.PeerLoads(start, "other", map[uint32]dispatch.Load{dispatch.KeyOf("a-p0"): {Unread: 60_000, Active: 5}})
+	for i := range 20 {
+		j := job(0, 2000, uint32(i))
+		j.Parts = nil
+		is.Equal(p.Plan(start, j, nil).Target.ID, target.ID("a-p1"))
+	}
+	p.DropPeer("other")
+	seen := make(map[target.ID]bool)
+	for i := range 50 {
+		j := job(0, 2000, uint32(i))
+		j.Parts = nil
+		seen[p.Plan(start, j, nil).Target.ID] = true
+	}
+	is.Equal(len(seen), 2)
+}
+
+// A silent peer's load does not count for ever.
+func TestOldLoadsOfPeersAreForgotten(t *testing.T) {
+	is := is.New(t)
+	p := planner(engines(1, 0, "a"), 1)
+	p.PeerLoads(start, "other", map[uint32]dispatch.Load{dispatch.KeyOf("a-p0"): {Unread: 600_000, Active: 5}})
+	is.True(p.Plan(start, job(0, 100, 1), nil).Refused())
+	is.True(!p.Plan(start.Add(4*time.Second), job(0, 100, 1), nil).Refused())
+}
+
+// A failing target is left alone and tried again later.
+func TestFailingTargetsAreLeftAloneForATime(t *testing.T) {
+	is := is.New(t)
+	p := planner(engines(0, 2, "a"), 1)
+	now := start
+	for range 2 {
+		p.Observe(now, "a-d0", dispatch.Unreachable, 0)
+	}
+	for i := range 30 {
+		j := job(0, 100, uint32(i))
+		j.Parts = nil
+		is.Equal(p.Plan(now, j, nil).Target.ID, target.ID("a-d1"))
+	}
+	now = now.Add(6 * time.Second)
+	seen := make(map[target.ID]bool)
+	for i := range 50 {
+		j := job(0, 100, uint32(i))
+		j.Parts = nil
+		seen[p.Plan(now, j, nil).Target.ID] = true
+	}
+	is.Equal(len(seen), 2)
+}
+
+// When all targets fail they are tried all the same: a refusal needs targets
+// that are full or gone.
+func TestFailingTargetsAreTriedWhenThereAreNoOthers(t *testing.T) {
+	is := is.New(t)
+	p := planner(engines(0, 1, "a"), 1)
+	for range 5 {
+		p.Observe(start, "a-d0", dispatch.Unreachable, 0)
+	}
+	is.True(!p.Plan(start, job(0, 100, 1), nil).Refused())
+}
+
+// A service whose requests fail by themselves leaves no target alone.
+func TestFailuresOfAllTargetsQuarantineNone(t *testing.T) {
+	is := is.New(t)
+	all := []roster.Target{{ID: "s-1", Service: "desk", Zone: "a", Slots: 6}, {ID: "s-2", Service: "desk", Zone: "a", Slots: 6}}
+	p := planner(all, 1)
+	random := rand.New(rand.NewPCG(1, 2))
+	seen := make(map[target.ID]int)
+	for range 2000 {
+		d := p.Plan(start, dispatch.Job{Service: "desk", Objective: 150 * time.Millisecond, Left: time.Second}, nil)
+		seen[d.Target.ID]++
+		o := dispatch.Answered
+		if random.Float64() < 0.14 {
+			o = dispatch.Failed
+		}
+		p.Observe(start, d.Target.ID, o, 30*time.Millisecond)
+	}
+	is.True(seen["s-1"] > 500 && seen["s-2"] > 500)
+}
+
+// A target that draws near its end gets nothing new.
+func TestDrainingTargetsGetNothing(t *testing.T) {
+	is := is.New(t)
+	all := engines(1, 2, "a")
+	all[0].Draining, all[1].Draining = true, true
+	p := planner(all, 1)
+	for i := range 40 {
+		is.Equal(p.Plan(start, job(3000, 100, uint32(i)), nil).Target.ID, target.ID("a-d1"))
+	}
+	decode, ok := p.PlanDecode(start, job(0, 1, 1), all[0], nil)
+	is.True(ok)
+	is.Equal(decode.ID, target.ID("a-d1"))
+}
+
+// A restart under the same id begins with nothing.
+func TestRestartedTargetKeepsNothing(t *testing.T) {
+	is := is.New(t)
+	all := engines(1, 0, "a")
+	p := planner(all, 1)
+	j := job(5000, 100, 1)
+	p.Begin(start, "a-p0", j, 5100)
+	is.Equal(p.Plan(start, j, nil).Unread, 1) // cached, with its own part
+	all[0].Born = 7
+	p.SetTargets(all)
+	is.Equal(p.Plan(start, j, nil).Unread, 5100)
+}
+
+// Whatever happens, counts of work never fall below zero and a ticket that
+// ended leaves nothing behind.
+func TestTicketsLeaveNothingBehind(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		all := engines(2, 3, "a")
+		p := planner(all, 1)
+		now := start
+		var open []dispatch.Ticket
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "ms")) * time.Millisecond)
+			switch rapid.IntRange(0, 4).Draw(t, "step") {
+			case 0, 1:
+				j := job(rapid.IntRange(1, 6000).Draw(t, "shared"), 500, rapid.Uint32Range(0, 5).Draw(t, "chain"))
+				if d := p.Plan(now, j, nil); !d.Refused() {
+					open = append(open, p.Begin(now, d.Target.ID, j, d.Unread))
+				}
+			case 2:
+				if len(open) > 0 {
+					p.Read(now, open[0])
+				}
+			case 3:
+				if len(open) > 0 {
+					p.End(open[0])
+					open = open[1:]
+				}
+			case 4:
+				p.SetTargets(all[:rapid.IntRange(1, len(all)).Draw(t, "targets")])
+			}
+			for _, l := range p.Loads() {
+				if l.Unread < 0 || l.Active < 0 {
+					t.Fatalf("a load below zero: %+v", l)
+				}
+			}
+		}
+		for _, ticket := range open {
+			p.End(ticket)
+		}
+		if n := len(p.Loads()); n != 0 {
+			t.Fatalf("%d loads are left", n)
+		}
+	})
+}
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -37,7 +37,7 @@
 			}
 			break
 		}
-		f := r.try(ctx, d.Target, &held)
+		f := r.try(ctx, d, &held)
 		if f == answered {
 			return
 		}
@@ -61,10 +61,11 @@
 
 // try makes one attempt. It returns answered when the caller has its answer; a
 // target's own failure is held where another one may do better.
-func (r *request) try(ctx context.Context, t roster.Target, held **heldAnswer) fate {
+func (r *request) try(ctx context.Context, d dispatch.Decision, held **heldAnswer) fate {
+	t := d.Target
 	begun := time.Now()
 	ticket := r.begin(t, 0)
-	if r.route.Repeatable() && r.route.ObjectiveMillis > 0 && r.sent+1 < r.route.Attempts {
+	if r.route.Repeatable() && r.route.ObjectiveMillis > 0 && r.sent+1 < r.route.Attempts && d.Candidates > 1 {
 		patience := max(patienceFactor*time.Duration(r.route.ObjectiveMillis)*time.Millisecond, leastPatience)
 		limited, cancel := context.WithTimeout(ctx, patience)
 		defer cancel()
--- /dev/null
+++ b/forward/plain_test.go
@@ -0,0 +1,247 @@
+package forward_test
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"zinniapin/internal/standin/prepared"
+	"zinniapin/route"
+)
+
+func TestRequestIsForwardedAsItIs(t *testing.T) {
+	is := is.New(t)
+	one := prepared.NewTarget("i-1")
+	r := newRig(t, "desk", one)
+	a := r.call(http.MethodPost, "/take//a/../b%2Fc?x=1&y=%20", "body",
+		"X-Tenant: forged", "X-Stage: prefill", "X-Kv-Hold: h", "Kv-Fetch: 1", "X-Pin-Ms: 5", "X-Expect-Version: 3", "X-Request-Priority: 0",
+		"Connection: keep-alive, X-Hop", "X-Hop: 1", "X-Own: kept")
+	is.NoErr(a.err)
+	is.Equal(a.status, http.StatusOK)
+	is.Equal(a.body, "answer of i-1")
+	is.Equal(a.header.Get("X-Response-Signature"), "s")
+	got := one.Arrivals()[0]
+	is.Equal(got.Method, "POST")
+	is.Equal(got.Target, "/take//a/../b%2Fc?x=1&y=%20") // the path is not cleaned
+	is.Equal(got.Host, "shop.example")
+	is.Equal(got.Body, "body")
+	is.Equal(got.Header.Get("X-Tenant"), "parents")
+	is.Equal(got.Header.Get("X-Expect-Instance"), "i-1")
+	is.Equal(got.Header.Get("X-Own"), "kept")
+	for _, name := range []string{"X-Credential", "X-Stage", "X-Kv-Hold", "Kv-Fetch", "X-Pin-Ms", "X-Expect-Version", "X-Request-Priority", "X-Hop", "Connection", "User-Agent", "Accept-Encoding"} {
+		is.Equal(got.Header.Get(name), "") // set by the system alone, or of one connection
+	}
+	left, err := strconv.Atoi(got.Header.Get("X-Deadline-Ms"))
+	is.NoErr(err)
+	is.True(left <= 2000 && left > 1500)
+	is.Equal(r.began["parents"], 1)
+}
+
+func TestRequestsThatMayNotBeRepeatedRunOnce(t *testing.T) {
+	for _, test := range []struct {
+		fault  prepared.Fault
+		status int
+		runs   int
+	}{
+		{prepared.Lost, http.StatusBadGateway, 1},
+		{prepared.Truncated, http.StatusBadGateway, 1},
+		{prepared.Foreign, http.StatusBadGateway, 1},
+		{prepared.Fails, http.StatusInternalServerError, 1},
+		{prepared.Busy, http.StatusBadGateway, 0}, // no word that it has not run
+		{prepared.Mute, http.StatusGatewayTimeout, 1},
+	} {
+		t.Run(string(test.fault), func(t *testing.T) {
+			is := is.New(t)
+			one, two := prepared.NewTarget("i-1"), prepared.NewTarget("i-2")
+			r := newRig(t, "desk", one, two)
+			one.Next(test.fault)
+			two.Next(test.fault)
+			a := r.call(http.MethodPost, "/take/a", "x", "X-Deadline-Ms: 600")
+			is.Equal(a.status, test.status)
+			is.Equal(len(one.Arrivals())+len(two.Arrivals()), 1) // sent once, whatever became of it
+			is.Equal(one.Runs()+two.Runs(), test.runs)
+			if test.status != http.StatusInternalServerError {
+				is.Equal(a.header.Get("X-Response-Signature"), "") // no target's answer
+			}
+		})
+	}
+}
+
+func TestRefusalGoesToAnotherTargetOrIsTrue(t *testing.T) {
+	is := is.New(t)
+	one, two := prepared.NewTarget("i-1"), prepared.NewTarget("i-2")
+	r := newRig(t, "desk", one, two)
+	one.Next(prepared.Shed)
+	two.Next(prepared.Shed)
+	a := r.call(http.MethodPost, "/take/a", "x")
+	is.Equal(a.status, http.StatusServiceUnavailable) // both refused
+	is.True(a.header.Get("Retry-After") != "")
+	is.Equal(one.Runs()+two.Runs(), 0)
+	is.Equal(len(one.Arrivals())+len(two.Arrivals()), 2)
+	one.Next(prepared.Shed)
+	two.Next()
+	a = r.call(http.MethodPost, "/take/a", "x")
+	is.Equal(a.status, http.StatusOK)
+}
+
+func TestAttemptsAreBounded(t *testing.T) {
+	is := is.New(t)
+	var all []*prepared.Target
+	for _, id := range []string{"i-1", "i-2", "i-3", "i-4"} {
+		s := prepared.NewTarget(id)
+		s.Next(prepared.Lost)
+		all = append(all, s)
+	}
+	r := newRig(t, "desk", all...)
+	a := r.call(http.MethodGet, "/read/a", "")
+	is.Equal(a.status, http.StatusBadGateway)
+	arrivals := 0
+	for _, s := range all {
+		arrivals += len(s.Arrivals())
+	}
+	is.Equal(arrivals, 2)
+}
+
+func TestRepeatableRequestsGoToAnotherTarget(t *testing.T) {
+	for _, fault := range []prepared.Fault{prepared.Lost, prepared.Truncated, prepared.Foreign, prepared.Fails, prepared.Mute, prepared.Another, prepared.Busy} {
+		t.Run(string(fault), func(t *testing.T) {
+			is := is.New(t)
+			one, two := prepared.NewTarget("i-1"), prepared.NewTarget("i-2")
+			r := newRig(t, "desk", one, two)
+			for range 6 { // whichever is tried first
+				one.Next(fault)
+				two.Next()
+				a := r.call(http.MethodGet, "/read/a", "")
+				is.NoErr(a.err)
+				is.Equal(a.status, http.StatusOK)
+			}
+		})
+	}
+}
+
+func TestTargetsOwnFailureIsPassedOnWhenNoneDoesBetter(t *testing.T) {
+	is := is.New(t)
+	one, two := prepared.NewTarget("i-1"), prepared.NewTarget("i-2")
+	r := newRig(t, "desk", one, two)
+	one.Next(prepared.Fails)
+	two.Next(prepared.Fails)
+	a := r.call(http.MethodGet, "/read/a", "")
+	is.Equal(a.status, http.StatusInternalServerError)
+	is.Equal(a.body, "failed")
+	is.Equal(a.header.Get("X-Response-Signature"), "s")
+}
+
+func TestExtraAnswerReachesNoCaller(t *testing.T) {
+	is := is.New(t)
+	one := prepared.NewTarget("i-1")
+	r := newRig(t, "desk", one)
+	one.Next(prepared.Extra)
+	is.Equal(r.call(http.MethodGet, "/read/a", "").body, "answer of i-1")
+	for range 5 {
+		is.Equal(r.call(http.MethodGet, "/read/a", "").body, "answer of i-1")
+	}
+}
+
+func TestLongRequestAnsweredEarlyLeavesNothingBehind(t *testing.T) {
+	is := is.New(t)
+	one := prepared.NewTarget("i-1")
+	r := newRig(t, "desk", one)
+	one.Next(prepared.Early)
+	long := strings.Repeat("x", 200<<10)
+	a := r.call(http.MethodPost, "/take/a", long)
+	is.True(a.status == http.StatusInternalServerError || a.status == http.StatusBadGateway)
+	a = r.call(http.MethodPost, "/take/a", "short")
+	is.Equal(a.status, http.StatusOK)
+	is.Equal(one.Arrivals()[0].Body, "short") // no rest of the long one before it
+}
+
+func TestUnknownKeyAndRouteAreRefused(t *testing.T) {
+	is := is.New(t)
+	one := prepared.NewTarget("i-1")
+	r := newRig(t, "desk", one)
+	is.Equal(r.call(http.MethodGet, "/none/a", "").status, http.StatusNotFound)
+	is.Equal(r.call(http.MethodGet, "/read/a", "", headerless, "X-Request-Id: i", "X-Credential: other").status, http.StatusUnauthorized)
+	is.Equal(r.call(http.MethodGet, "/read/a", "", headerless, "X-Request-Id: i").status, http.StatusUnauthorized)
+	is.Equal(len(one.Arrivals()), 0)
+}
+
+func TestWithdrawnKeyIsNotRepeated(t *testing.T) {
+	is := is.New(t)
+	one, two := prepared.NewTarget("i-1"), prepared.NewTarget("i-2")
+	one.Delay, two.Delay = 200*time.Millisecond, 200*time.Millisecond
+	r := newRig(t, "desk", one, two)
+	one.Next(prepared.Lost)
+	two.Next(prepared.Lost)
+	go func() {
+		time.Sleep(50 * time.Millisecond)
+		c := configuration()
+		c.Version, c.Organisations[0].Keys = 2, []string{"key-2"}
+		r.setTable(c)
+	}()
+	r.call(http.MethodGet, "/read/a", "")
+	is.Equal(len(one.Arrivals())+len(two.Arrivals()), 1)
+}
+
+func TestNodeThatKnowsNothingIsNotReady(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, "desk", prepared.NewTarget("i-1"))
+	r.mu.Lock()
+	r.table = nil
+	r.mu.Unlock()
+	a := r.call(http.MethodGet, "/read/a", "")
+	is.Equal(a.status, http.StatusServiceUnavailable) // never 401 or 404
+	is.True(a.header.Get("Retry-After") != "")
+}
+
+func TestServiceWithoutTargetsIsRefusedAtOnce(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, "desk")
+	begun := time.Now()
+	a := r.call(http.MethodGet, "/read/a", "")
+	is.Equal(a.status, http.StatusServiceUnavailable)
+	is.True(time.Since(begun) < time.Second) // the deadline is 2 s
+}
+
+func TestOpenRouteNeedsNoKey(t *testing.T) {
+	is := is.New(t)
+	one := prepared.NewTarget("i-1")
+	r := newRig(t, "desk", one)
+	c := configuration()
+	c.Version, c.Routes[0].Open = 2, true
+	r.setTable(c)
+	a := r.call(http.MethodGet, "/read/a", "", headerless, "X-Request-Id: i", "X-Tenant: forged")
+	is.Equal(a.status, http.StatusOK)
+	is.Equal(one.Arrivals()[0].Header.Get("X-Tenant"), "")
+}
+
+func TestUnreachableTargetIsNoAttempt(t *testing.T) {
+	is := is.New(t)
+	one, two := prepared.NewTarget("i-1"), prepared.NewTarget("i-2")
+	r := newRig(t, "desk", one, two)
+	one.Close()
+	for range 4 {
+		a := r.call(http.MethodPost, "/take/a", "x")
+		is.Equal(a.status, http.StatusOK) // nothing was written to the closed one
+	}
+	is.Equal(two.Runs(), 4)
+}
+
+// The route's own bound ends a request whose caller would wait for longer.
+func TestTimeoutOfTheRouteEndsARequest(t *testing.T) {
+	is := is.New(t)
+	one := prepared.NewTarget("i-1")
+	r := newRig(t, "desk", one)
+	c := configuration()
+	c.Version = 2
+	c.Routes[1] = route.Route{Name: "take", Host: "shop.example", Prefix: "/take/", Kind: route.NonIdempotent, TimeoutMillis: 200, Attempts: 1, Backends: []route.Backend{{Service: "desk", Weight: 1}}}
+	r.setTable(c)
+	one.Next(prepared.Mute)
+	begun := time.Now()
+	a := r.call(http.MethodPost, "/take/a", "x")
+	is.Equal(a.status, http.StatusGatewayTimeout)
+	is.True(time.Since(begun) < 700*time.Millisecond) // the bound and half a second
+}
--- /dev/null
+++ b/forward/rig_test.go
@@ -0,0 +1,169 @@
+package forward_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+
+	"zinniapin/dispatch"
+	"zinniapin/forward"
+	"zinniapin/ingress"
+	"zinniapin/internal/standin/prepared"
+	"zinniapin/platform"
+	"zinniapin/retrybudget"
+	"zinniapin/roster"
+	"zinniapin/route"
+	"zinniapin/target"
+	"zinniapin/upstream"
+)
+
+// rig is a handler behind a real listener, before stand-in targets.
+type rig struct {
+	t       *testing.T
+	handler *forward.Handler
+	address string
+	mu      sync.Mutex
+	table   *route.Table
+	began   map[string]int
+	targets []roster.Target
+	server  *ingress.Server
+}
+
+// routes of the rig; each has a path of its own.
+func configuration() *route.Configuration {
+	plain := func(name, prefix string, kind route.Kind, attempts int) route.Route {
+		return route.Route{Name: name, Host: "shop.example", Prefix: prefix, Kind: kind, TimeoutMillis: 2000, ObjectiveMillis: 150,
+			Attempts: attempts, Backends: []route.Backend{{Service: "desk", Weight: 1}}}
+	}
+	stream := func(name, prefix string, resumable bool, attempts int) route.Route {
+		return route.Route{Name: name, Host: "shop.example", Prefix: prefix, Kind: route.Stream, TimeoutMillis: 5000, ObjectiveMillis: 500, GapMillis: 300,
+			Attempts: attempts, Resumable: resumable, Backends: []route.Backend{{Service: "model", Weight: 1}}}
+	}
+	return &route.Configuration{
+		Version: 1,
+		Routes: []route.Route{
+			plain("read", "/read/", route.Idempotent, 2), plain("take", "/take/", route.NonIdempotent, 2),
+			stream("draft", "/draft/", true, 2), stream("reply", "/reply/", false, 1),
+		},
+		Services: []route.Service{
+			{Name: "desk"},
+			{Name: "model", Engine: &route.Engine{Slots: 8, CapacityTokens: 1 << 20, TokenBytes: 1000, LinkMbps: 1e5, EventTokens: 10}},
+		},
+		Organisations: []route.Organisation{{Name: "parents", Keys: []string{"key-1"}}},
+		Limits:        route.Limits{HeaderBytes: 8 << 10, BodyBytes: 1 << 20, HeaderTimeoutMillis: 1000, IdleTimeoutMillis: 5000},
+	}
+}
+
+// newRig starts a handler before targets of a service.
+func newRig(t *testing.T, service string, all ...*prepared.Target) *rig {
+	t.Helper()
+	r := &rig{t: t, began: make(map[string]int)}
+	r.setTable(configuration())
+	log := zerolog.New(zerolog.NewTestWriter(t)).Level(zerolog.ErrorLevel)
+	r.handler = forward.New(&forward.Handler{
+		Protocol: platform.Protocol{}, Pool: upstream.NewPool(),
+		View: func() forward.View {
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			return forward.View{Table: r.table, Hosts: 1}
+		},
+		Retries: retrybudget.Bounds{Ratio: 5, Slack: 10, Window: 10 * time.Second},
+		Began: func(organisation string) {
+			r.mu.Lock()
+			r.began[organisation]++
+			r.mu.Unlock()
+		},
+		Misdirected: func(target.ID) {}, Metrics: forward.NewMetrics(prometheus.NewRegistry()), Log: &log,
+		Planner: dispatch.New(dispatch.DefaultPolicy(), "here", 1),
+	})
+	for _, s := range all {
+		r.targets = append(r.targets, roster.Target{ID: target.ID(s.ID), Service: service, Address: s.Address(), Zone: "here", Slots: 8, Role: target.Role(s.Stage)})
+		t.Cleanup(s.Close)
+	}
+	r.handler.Planner.SetTargets(r.targets)
+	r.handler.Planner.SetServices(configuration().Services)
+	r.server = &ingress.Server{Handler: r.handler, Limits: func() ingress.Limits {
+		return ingress.Limits{HeadBytes: 8 << 10, BodyBytes: 1 << 20, HeadTimeout: time.Second, IdleTimeout: 5 * time.Second}
+	}}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() { _ = r.server.Serve(l) }()
+	r.address = l.Addr().String()
+	return r
+}
+
+// setTable puts a configuration in force.
+func (r *rig) setTable(c *route.Configuration) {
+	table, err := route.NewTable(c)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	r.mu.Lock()
+	r.table = table
+	r.mu.Unlock()
+}
+
+// answer is what a caller got.
+type answer struct {
+	status int
+	header http.Header
+	body   string
+	err    error // set when the answer is not whole
+}
+
+// headerless leaves a request without the usual headers.
+const headerless = "-"
+
+// call makes one request on a connection of its own.
+func (r *rig) call(method, path, body string, headers ...string) answer {
+	r.t.Helper()
+	c, err := net.Dial("tcp", r.address)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	defer c.Close() //nolint:errcheck // a test
+	return exchange(c, bufio.NewReader(c), method, path, body, headers...)
+}
+
+// exchange makes one request on a connection.
+func exchange(c net.Conn, reader *bufio.Reader, method, path, body string, headers ...string) answer {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: shop.example\r\n", method, path)
+	if len(headers) == 0 || headers[0] != headerless {
+		b.WriteString("X-Request-Id: id-1\r\nX-Deadline-Ms: 2000\r\nX-Credential: key-1\r\n")
+	}
+	for _, h := range headers {
+		if h != headerless {
+			b.WriteString(h + "\r\n")
+		}
+	}
+	if method != http.MethodGet {
+		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(body))
+	}
+	b.WriteString("\r\n" + body)
+	if _, err := io.WriteString(c, b.String()); err != nil {
+		return answer{err: err}
+	}
+	_ = c.SetReadDeadline(time.Now().Add(10 * time.Second))
+	response, err := http.ReadResponse(reader, &http.Request{Method: method})
+	if err != nil {
+		return answer{err: err}
+	}
+	data, err := io.ReadAll(response.Body)
+	return answer{response.StatusCode, response.Header, string(data), err}
+}
+
+// model are the headers of a request to a model engine.
+var model = []string{"X-Model: m", "X-Token-Count: 100,20", "X-Prompt-Prefix: aa:50,bb:50"}
--- /dev/null
+++ b/internal/standin/prepared/duties.go
@@ -0,0 +1,71 @@
+package prepared
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"sync"
+)
+
+// DutyCall is a call that the platform took.
+type DutyCall struct {
+	Path   string
+	Holder string
+	Fence  uint64
+	Body   map[string]any
+	Status int
+}
+
+// Duties takes usage reports and orders of targets, and checks fences.
+type Duties struct {
+	server *httptest.Server
+
+	mu    sync.Mutex
+	calls []DutyCall
+	fence uint64
+}
+
+// NewDuties returns running duties.
+func NewDuties() *Duties {
+	d := &Duties{}
+	d.server = httptest.NewServer(http.HandlerFunc(d.serve))
+	return d
+}
+
+// Address returns the IP:port of the duties.
+func (d *Duties) Address() string { return d.server.Listener.Addr().String() }
+
+// Close ends the duties.
+func (d *Duties) Close() { d.server.Close() }
+
+// Calls returns the calls on a path.
+func (d *Duties) Calls(path string) []DutyCall {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var calls []DutyCall
+	for _, c := range d.calls {
+		if c.Path == path {
+			calls = append(calls, c)
+		}
+	}
+	return calls
+}
+
+// serve takes one call.
+func (d *Duties) serve(w http.ResponseWriter, r *http.Request) {
+	c := DutyCall{Path: r.URL.Path, Holder: r.Header.Get("X-Duty-Holder"), Status: http.StatusOK}
+	c.Fence, _ = strconv.ParseUint(r.Header.Get("X-Fence-Token"), 10, 64) // 0 is too low
+	if err := json.NewDecoder(r.Body).Decode(&c.Body); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if c.Fence < d.fence || c.Fence == 0 {
+		c.Status = http.StatusConflict
+	}
+	d.fence = max(d.fence, c.Fence)
+	d.calls = append(d.calls, c)
+	w.WriteHeader(c.Status)
+}
--- /dev/null
+++ b/metering/metering_test.go
@@ -0,0 +1,86 @@
+package metering_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	_ "zinniapin/internal/fixedseed"
+	"zinniapin/metering"
+)
+
+const length = 5 * time.Second
+
+func TestWindowsBeginWithTheEpoch(t *testing.T) {
+	is := is.New(t)
+	l := metering.NewLedger(metering.Process{Host: "a"}, length)
+	is.Equal(l.At(time.Unix(0, 0)), metering.Window(0))
+	is.Equal(l.At(time.Unix(4, 999_999_999)), metering.Window(0))
+	is.Equal(l.At(time.Unix(5, 0)), metering.Window(1))
+	is.True(l.End(1).Equal(time.Unix(10, 0)))
+}
+
+// However often and in whatever order counts are told, the total is that of
+// the requests.
+func TestMergedCountsAreTrue(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		at := time.Unix(1002, 0)
+		self := metering.Process{Host: "a", Incarnation: 1}
+		sum := metering.NewLedger(self, length)
+		other := metering.Process{Host: "b", Incarnation: 2}
+		peer := metering.NewLedger(other, length)
+		var told []metering.Counts
+		truth := make(map[string]uint32)
+		for range rapid.IntRange(0, 40).Draw(t, "steps") {
+			organisation := rapid.SampledFrom([]string{"x", "y"}).Draw(t, "organisation")
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0:
+				sum.Count(at, organisation)
+				truth[organisation]++
+			case 1:
+				peer.Count(at, organisation)
+				truth[organisation]++
+			case 2:
+				copied := make(metering.Counts)
+				for o, n := range peer.Own(at, 0)[sum.At(at)] {
+					copied[o] = n
+				}
+				told = append(told, copied)
+			case 3:
+				if len(told) > 0 {
+					sum.Merge(other, sum.At(at), told[rapid.IntRange(0, len(told)-1).Draw(t, "which")])
+				}
+			}
+		}
+		sum.Merge(other, sum.At(at), peer.Own(at, 0)[sum.At(at)])
+		total := sum.Total(sum.At(at))
+		for o, n := range truth {
+			if total[o] != n {
+				t.Fatalf("%s: %d counted, %d requests", o, total[o], n)
+			}
+		}
+	})
+}
+
+// A process that started anew adds to what the one before it told.
+func TestRestartAddsUp(t *testing.T) {
+	is := is.New(t)
+	l := metering.NewLedger(metering.Process{Host: "a"}, length)
+	l.Merge(metering.Process{Host: "b", Incarnation: 1}, 7, metering.Counts{"x": 4})
+	l.Merge(metering.Process{Host: "b", Incarnation: 2}, 7, metering.Counts{"x": 3})
+	is.Equal(l.Total(7), metering.Counts{"x": 7})
+}
+
+func TestEndedWindowsAndForgottenOnes(t *testing.T) {
+	is := is.New(t)
+	l := metering.NewLedger(metering.Process{Host: "a"}, length)
+	for w := range 4 {
+		l.Count(time.Unix(int64(w)*5+1, 0), "x")
+	}
+	now := time.Unix(18, 0) // in window 3
+	is.Equal(l.Ended(now, 2*time.Second, 10*time.Second), []metering.Window{1, 2})
+	l.Drop(time.Unix(100, 0))
+	is.Equal(len(l.Ended(now, 0, time.Hour)), 0)
+}
--- a/node/gossip.go
+++ b/node/gossip.go
@@ -32,11 +32,11 @@
 	// before: each is told twice, as a datagram may be lost.
 	prompts, told []*wire.CachedPrompt
 	// long are those that hosts of other zones are told in a large fleet.
-	long []*wire.CachedPrompt
-	count         int
-	usageRound    int
-	usagePart     int
-	asking        atomic.Bool
+	long       []*wire.CachedPrompt
+	count      int
+	usageRound int
+	usagePart  int
+	asking     atomic.Bool
 	// behind is since when a peer is known to know more.
 	behind time.Time
 	asked  time.Time
--- a/peers/mesh.go
+++ b/peers/mesh.go
@@ -21,8 +21,10 @@
 	farRounds = 4
 	// reporterRounds is how seldom those are told that need counts of usage.
 	reporterRounds = 2
-	// namingRounds is how seldom a digest names other hosts in a large fleet.
-	namingRounds = 5
+	// namingRounds is how seldom a digest names other hosts in a large fleet
+	// once no new one was heard for settledTime.
+	namingRounds = 20
+	settledTime  = 3 * time.Second
 	// silentRounds is how seldom addresses that are not heard are tried.
 	silentRounds = 5
 	// namedPeers bounds the addresses that a digest names.
@@ -65,6 +67,15 @@
 	mu    sync.Mutex
 	table *Table
 	round int
+	named int       // where the next digest goes on to name hosts
+	grown time.Time // when a host was heard first
+}
+
+// settled tells whether no new host was heard lately.
+func (m *Mesh) settled() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return time.Since(m.grown) > settledTime
 }
 
 // Listen opens the socket at IP:port.
@@ -115,6 +126,9 @@
 		}
 		m.mu.Lock()
 		newer, found := m.table.Heard(time.Now(), d)
+		if found {
+			m.grown = time.Now()
+		}
 		m.mu.Unlock()
 		if found {
 			m.Found(d.Host)
@@ -174,9 +188,10 @@
 		return nil
 	}
 	d := m.Compose(a)
-	if known := append(near[:len(near):len(near)], far...); a == All || m.round%namingRounds == 0 {
+	if known := append(near[:len(near):len(near)], far...); a == All || m.round%namingRounds == 0 || !m.settled() {
 		if len(known) > namedPeers { // another part each time
-			at := m.round / namingRounds * namedPeers % len(known)
+			m.named += namedPeers
+			at := m.named % len(known)
 			known = append(known[at:], known[:at]...)[:namedPeers]
 		}
 		d.Peers = known
--- /dev/null
+++ b/peers/peers_test.go
@@ -0,0 +1,126 @@
+package peers
+
+import (
+	"fmt"
+	"net"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"zinniapin/wire"
+)
+
+// digest returns a host's digest.
+func digest(host string, incarnation, sequence uint64) *wire.HostDigest {
+	return &wire.HostDigest{Host: host, Zone: "z", Address: "127.0.0.1:" + host, Incarnation: incarnation, Sequence: sequence}
+}
+
+func TestLateAndRepeatedDigestsAreDropped(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	table := NewTable("self", nil, now)
+	newer, found := table.Heard(now, digest("1", 1, 5))
+	is.True(newer && found)
+	newer, _ = table.Heard(now, digest("1", 1, 5))
+	is.True(!newer)
+	newer, _ = table.Heard(now, digest("1", 1, 4))
+	is.True(!newer)
+	newer, found = table.Heard(now, digest("1", 2, 1)) // another start
+	is.True(newer && found)
+}
+
+func TestSilentHostsAreLostOnceAndFoundAgain(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	table := NewTable("self", nil, now)
+	table.Heard(now, digest("1", 1, 1))
+	later := now.Add(3 * time.Second)
+	is.Equal(table.Lost(later), []string{"1"})
+	is.Equal(len(table.Lost(later)), 0)
+	is.Equal(len(table.Live(later)), 0)
+	_, _, silent := table.Addresses(later, "z")
+	is.Equal(len(silent), 1) // it is still told, so that a healed cut is noticed
+	_, found := table.Heard(later, digest("1", 1, 2))
+	is.True(found)
+}
+
+// Digests that name too much are cut to what one datagram holds, and what
+// matters stays.
+func TestDigestFitsADatagram(t *testing.T) {
+	is := is.New(t)
+	d := digest("1", 1, 1)
+	for i := range 300 {
+		d.Prompts = append(d.Prompts, &wire.CachedPrompt{Target: uint32(i) << 8, Chains: []uint32{1 << 30, 2 << 28}})
+		d.Peers = append(d.Peers, fmt.Sprintf("10.1.1.%d:1000", i))
+	}
+	d.Usage = []*wire.WindowCount{{Window: 1, Counts: []*wire.OrganisationCount{{Organisation: "x", Requests: 7}}}}
+	data, err := encode(d)
+	is.NoErr(err)
+	is.True(len(data) <= maxDatagram)
+	is.Equal(len(d.Usage), 1)
+}
+
+// Many hosts that know one seed find each other, though most are in other
+// zones and the fleet soon counts as large.
+func TestLargeFleetFindsItself(t *testing.T) {
+	is := is.New(t)
+	const hosts = 40
+	var meshes []*Mesh
+	seed := ""
+	for i := range hosts {
+		l, err := net.ListenPacket("udp4", "127.0.0.1:0")
+		is.NoErr(err)
+		address := l.LocalAddr().String()
+		is.NoErr(l.Close())
+		if seed == "" {
+			seed = address
+		}
+		var sequence atomic.Uint64
+		m := &Mesh{Zone: fmt.Sprint("z", i%4), Holder: func() []string { return nil }, Received: func(*wire.HostDigest) {}, Found: func(string) {}, Lost: func(string) {}}
+		m.Compose = func(Audience) *wire.HostDigest {
+			return &wire.HostDigest{Host: fmt.Sprint("h", i), Zone: m.Zone, Address: address, Incarnation: 1, Sequence: sequence.Add(1)}
+		}
+		is.NoErr(m.Listen(address, []string{seed}))
+		t.Cleanup(func() { _ = m.Close() })
+		go m.Receive()
+		meshes = append(meshes, m)
+	}
+	for range 25 {
+		for _, m := range meshes {
+			is.NoErr(m.Send())
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	for i, m := range meshes {
+		if n := len(m.Live(time.Now())); n != hosts-1 {
+			t.Errorf("host %d hears %d of %d", i, n, hosts-1)
+		}
+	}
+}
+
+// Counts of usage go to those who report, and not to all of a large fleet.
+func TestUsageGoesToReporters(t *testing.T) {
+	is := is.New(t)
+	var asked []string
+	m := &Mesh{Zone: "z", Holder: func() []string { return []string{"h3"} }, Lost: func(string) {}}
+	m.Compose = func(a Audience) *wire.HostDigest {
+		asked = append(asked, fmt.Sprint(a))
+		return digest("self", 1, 1)
+	}
+	is.NoErr(m.Listen("127.0.0.1:0", nil))
+	t.Cleanup(func() { _ = m.Close() })
+	for i := range fewHosts + 2 {
+		d := digest(fmt.Sprint(20000+i), 1, 1)
+		d.Host = fmt.Sprint("h", i)
+		m.table.Heard(time.Now(), d)
+	}
+	for range farRounds {
+		is.NoErr(m.Send())
+	}
+	is.Equal(len(m.reporters(time.Now())), 1)
+	is.True(strings.Contains(strings.Join(asked, ""), fmt.Sprint(Reporter)))
+	is.True(!strings.Contains(strings.Join(asked, ""), fmt.Sprint(All)))
+}
--- /dev/null
+++ b/upstream/upstream_test.go
@@ -0,0 +1,234 @@
+package upstream_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"zinniapin/upstream"
+)
+
+// listen serves each connection by a function.
+func listen(t *testing.T, serve func(n int, c net.Conn, r *bufio.Reader)) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for n := 0; ; n++ {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go serve(n, c, bufio.NewReader(c))
+		}
+	}()
+	return l.Addr().String()
+}
+
+// get makes one request and reads its answer.
+func get(p *upstream.Pool, address string) (string, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	a, err := p.Do(ctx, address, &upstream.Request{Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{}})
+	if err != nil {
+		return "", err
+	}
+	defer a.Close()
+	body, err := io.ReadAll(a.Body)
+	return string(body), err
+}
+
+const whole = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+func TestConnectionsAreKept(t *testing.T) {
+	is := is.New(t)
+	address := listen(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		for {
+			if _, err := http.ReadRequest(r); err != nil {
+				return
+			}
+			_, _ = io.WriteString(c, whole)
+		}
+	})
+	p := upstream.NewPool()
+	for range 5 {
+		body, err := get(p, address)
+		is.NoErr(err)
+		is.Equal(body, "ok")
+	}
+	is.Equal(p.Opened.Load(), int64(1))
+}
+
+// A connection that its target closes as the next request is written: the
+// request is not sent again by itself, though it is a GET.
+func TestRequestIsNotSentAgain(t *testing.T) {
+	is := is.New(t)
+	var arrivals atomic.Int32
+	address := listen(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		for n := 0; ; n++ {
+			if _, err := http.ReadRequest(r); err != nil {
+				return
+			}
+			arrivals.Add(1)
+			if n > 0 {
+				_ = c.Close()
+				return
+			}
+			_, _ = io.WriteString(c, whole)
+		}
+	})
+	p := upstream.NewPool()
+	_, err := get(p, address)
+	is.NoErr(err)
+	_, err = get(p, address)
+	is.True(errors.Is(err, upstream.ErrNoAnswer))
+	is.Equal(arrivals.Load(), int32(2))
+}
+
+func TestConnectionWithUnexpectedBytesIsNotUsed(t *testing.T) {
+	for name, extra := range map[string]time.Duration{"at once": 0, "late": 50 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			address := listen(t, func(n int, c net.Conn, r *bufio.Reader) {
+				for {
+					if _, err := http.ReadRequest(r); err != nil {
+						return
+					}
+					fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n%d", n)
+					time.Sleep(extra)
+					_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra")
+				}
+			})
+			p := upstream.NewPool()
+			first, err := get(p, address)
+			is.NoErr(err)
+			is.Equal(first, "0")
+			time.Sleep(2*extra + 20*time.Millisecond)
+			second, err := get(p, address)
+			is.NoErr(err)
+			is.Equal(second, "1") // of a new connection
+		})
+	}
+}
+
+func TestClosedConnectionIsNotUsed(t *testing.T) {
+	is := is.New(t)
+	address := listen(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		if _, err := http.ReadRequest(r); err == nil {
+			_, _ = io.WriteString(c, whole)
+		}
+		_ = c.Close()
+	})
+	p := upstream.NewPool()
+	for range 3 {
+		_, err := get(p, address)
+		is.NoErr(err)
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+func TestYoungConnectionsOnly(t *testing.T) {
+	is := is.New(t)
+	address := listen(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		for {
+			if _, err := http.ReadRequest(r); err != nil {
+				return
+			}
+			_, _ = io.WriteString(c, whole)
+		}
+	})
+	p := upstream.NewPool()
+	_, err := get(p, address)
+	is.NoErr(err)
+	time.Sleep(60 * time.Millisecond)
+	a, err := p.Do(context.Background(), address, &upstream.Request{Method: "GET", Target: "/", Host: "h", Header: http.Header{}, FreshWithin: 20 * time.Millisecond})
+	is.NoErr(err)
+	a.Close()
+	is.Equal(p.Opened.Load(), int64(2))
+}
+
+func TestNothingIsSentWithoutAConnection(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	address := l.Addr().String()
+	is.NoErr(l.Close())
+	_, err = get(upstream.NewPool(), address)
+	is.True(errors.Is(err, upstream.ErrNotSent))
+}
+
+func TestAnswerWithoutLengthThatIsResetIsNotWhole(t *testing.T) {
+	is := is.New(t)
+	address := listen(t, func(n int, c net.Conn, r *bufio.Reader) {
+		_, _ = http.ReadRequest(r)
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\nbody")
+		if n == 0 {
+			time.Sleep(20 * time.Millisecond)
+			_ = c.(*net.TCPConn).SetLinger(0)
+		}
+		_ = c.Close()
+	})
+	p := upstream.NewPool()
+	_, err := get(p, address)
+	is.True(err != nil)
+	body, err := get(p, address)
+	is.NoErr(err)
+	is.Equal(body, "body")
+}
+
+func TestConnectionOfAnEarlyAnswerIsNotUsed(t *testing.T) {
+	is := is.New(t)
+	address := listen(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		for {
+			request, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			_, _ = io.WriteString(c, whole)
+			time.Sleep(100 * time.Millisecond)
+			_, _ = io.Copy(io.Discard, request.Body)
+		}
+	})
+	p := upstream.NewPool()
+	long := &upstream.Request{Method: "POST", Target: "/", Host: "h", Header: http.Header{}, Body: []byte(strings.Repeat("x", 8<<20)), HasBody: true}
+	a, err := p.Do(context.Background(), address, long)
+	is.NoErr(err)
+	_, err = io.ReadAll(a.Body)
+	is.NoErr(err)
+	a.Close()
+	_, err = get(p, address)
+	is.NoErr(err)
+	is.Equal(p.Opened.Load(), int64(2))
+}
+
+func TestEndOfTheContextClosesTheConnection(t *testing.T) {
+	is := is.New(t)
+	closed := make(chan struct{})
+	address := listen(t, func(_ int, _ net.Conn, r *bufio.Reader) {
+		_, _ = http.ReadRequest(r)
+		_, _ = r.ReadByte()
+		close(closed)
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	_, err := upstream.NewPool().Do(ctx, address, &upstream.Request{Method: "GET", Target: "/", Host: "h", Header: http.Header{}})
+	is.True(errors.Is(err, upstream.ErrNoAnswer))
+	select {
+	case <-closed:
+	case <-time.After(time.Second):
+		t.Fatal("the target does not learn that nobody waits")
+	}
+}
