Take abandoned requests back, and leave targets that fall silent

Change: abandoned connections are reset by the node itself before the kernel gives them up; a repeatable request leaves a target that is silent for much longer than forecast. A process that stood still with its clocks going on is noticed too. Tests: TestAbandonedRequestIsReset and TestAbandonedAnswerIsReset failed before; TestSilentTargetIsLeft.

--- a/forward/generate.go
+++ b/forward/generate.go
@@ -18,6 +18,7 @@
 // leg is an attempt to stream from a target.
 type leg struct {
 	target roster.Target
+	plan   dispatch.Decision
 	unread int
 	// source is the KV cache to fetch; empty when the target processes the
 	// prompt itself.
@@ -85,7 +86,7 @@
 			return leg{}, false
 		}
 		if d.Target.Role != target.Prefill {
-			return leg{target: d.Target, unread: d.Unread}, true
+			return leg{target: d.Target, plan: d, unread: d.Unread}, true
 		}
 		l, f := r.prefill(ctx, d, lastEvent)
 		if f == answered {
@@ -105,6 +106,8 @@
 // prefill has the prompt processed at a target and picks the one for the
 // output.
 func (r *request) prefill(ctx context.Context, d dispatch.Decision, lastEvent string) (leg, fate) {
+	ctx, watch := r.patient(ctx, d)
+	defer watch.end()
 	ticket := r.begin(d.Target, d.Unread)
 	r.trail.reading = d.Target.ID
 	out := r.outbound(d.Target, Outbound{Priority: r.job.Priority, PrefillOnly: true, LastEvent: lastEvent})
@@ -136,7 +139,7 @@
 		r.release(d.Target, made.Handle)
 		return leg{}, unsent
 	}
-	return leg{target: t, source: r.h.Protocol.Source(d.Target.Address, made.Handle)}, answered
+	return leg{target: t, plan: d, source: r.h.Protocol.Source(d.Target.Address, made.Handle)}, answered
 }
 
 // releaseTimeout bounds the freeing of a KV cache that nobody takes.
@@ -161,7 +164,12 @@
 func (r *request) stream(ctx context.Context, l leg, s *events) fate {
 	ticket := r.begin(l.target, l.unread)
 	out := r.outbound(l.target, Outbound{Priority: r.job.Priority, Source: l.source, LastEvent: s.last})
-	answer, f := r.send(ctx, l.target, out, false)
+	attempt, watch := ctx, (*patience)(nil)
+	if r.route.Repeatable() && r.sent+1 < r.route.Attempts {
+		attempt, watch = r.patient(ctx, l.plan)
+		defer watch.end()
+	}
+	answer, f := r.send(attempt, l.target, out, false)
 	if f != answered {
 		r.ended(ticket, l.target.ID, outcomeOf(f), 0)
 		return f
@@ -170,7 +178,7 @@
 	if answer.Status != http.StatusOK {
 		return r.streamFailed(l, ticket, answer)
 	}
-	err := r.copyEvents(ctx, ticket, answer, s)
+	err := r.copyEvents(watch, ticket, answer, s)
 	if err == nil {
 		r.ended(ticket, l.target.ID, dispatch.Answered, 0)
 		r.execution = result.Ran
@@ -213,7 +221,7 @@
 const copyBytes = 8 << 10
 
 // copyEvents passes whole events on until the stream ends as whole.
-func (r *request) copyEvents(_ context.Context, ticket dispatch.Ticket, a *upstream.Answer, s *events) error {
+func (r *request) copyEvents(watch *patience, ticket dispatch.Ticket, a *upstream.Answer, s *events) error {
 	s.pending = s.pending[:0]
 	joined := s.last
 	buffer := make([]byte, copyBytes)
@@ -236,6 +244,7 @@
 				if e := r.passOn(a, wholeEvents); e != nil {
 					return e
 				}
+				watch.event(time.Duration(r.route.GapMillis) * time.Millisecond)
 			}
 		}
 		if errors.Is(err, io.EOF) {
--- a/forward/generate_test.go
+++ b/forward/generate_test.go
@@ -153,3 +153,36 @@
 	is.NoErr(err)
 	is.True(time.Since(begun) < time.Second) // not held until the next event
 }
+
+// A target that falls silent, before the first event or amid the stream, does
+// not keep a stream that another one can take.
+func TestSilentTargetIsLeft(t *testing.T) {
+	is := is.New(t)
+	one, two := engine("d-1", "decode"), engine("d-2", "decode")
+	r := newRig(t, "model", one, two)
+	left := 0
+	for range 8 {
+		one.Next(prepared.Mute)
+		two.Next()
+		a := r.call(http.MethodPost, "/draft/a", "p", model...)
+		is.NoErr(a.err)
+		is.Equal(a.body, stream(3))
+		left = one.Gone()
+		if left > 0 {
+			break
+		}
+	}
+	is.True(left > 0) // it learns that nobody waits
+}
+
+// Where no other target could take the request, silence is waited out.
+func TestSilenceOfTheOnlyTargetIsWaitedOut(t *testing.T) {
+	is := is.New(t)
+	one := engine("d-1", "decode")
+	one.Delay = 1650 * time.Millisecond
+	r := newRig(t, "model", one)
+	a := r.call(http.MethodPost, "/draft/a", "p", model...)
+	is.NoErr(a.err)
+	is.Equal(a.body, stream(3))
+	is.Equal(one.Runs(), 1)
+}
--- a/node/follow.go
+++ b/node/follow.go
@@ -23,6 +23,17 @@
 	doubtful bool      // the next watch must be a list
 	reached  bool      // ever
 	called   time.Time // when a call was answered last
+	// interrupt ends the call under way.
+	interrupt context.CancelFunc
+}
+
+// begin returns the context of a call that doubt ends.
+func (r *reach) begin(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	r.mu.Lock()
+	r.interrupt = cancel
+	r.mu.Unlock()
+	return ctx, cancel
 }
 
 // lastCall returns when a call was answered last.
@@ -57,11 +68,15 @@
 	return lasted
 }
 
-// doubt asks for a list: what is known may be old.
+// doubt asks for a list: what is known may be old, and the call under way may
+// be on a connection that has fallen silent.
 func (r *reach) doubt() {
 	r.mu.Lock()
+	defer r.mu.Unlock()
 	r.doubtful = true
-	r.mu.Unlock()
+	if r.interrupt != nil {
+		r.interrupt()
+	}
 }
 
 // takeDoubt returns whether a list was asked for.
@@ -115,13 +130,16 @@
 			continue
 		}
 		n.pace(f, listed)
-		next, err := n.followOnce(ctx, f, listed, revision)
+		call, end := f.reach.begin(ctx)
+		next, err := n.followOnce(call, f, listed, revision)
+		interrupted := call.Err() != nil
+		end()
 		if err == nil {
 			listed, revision, wait = true, next, retryLeast
 			continue
 		}
 		listed = false
-		if errors.Is(err, store.ErrCompacted) {
+		if errors.Is(err, store.ErrCompacted) || interrupted {
 			continue
 		}
 		if ctx.Err() == nil && f.reach.failed(time.Now()) {
--- a/node/keeper.go
+++ b/node/keeper.go
@@ -50,6 +50,7 @@
 	pools    map[poolKey]*pool
 	planners map[string]*scaling.Planner
 	lastLook time.Time
+	ticked   time.Time
 	// scaled are the services whose pools are to be looked at.
 	scaled []route.Service
 }
@@ -92,6 +93,10 @@
 		return
 	}
 	now := time.Now()
+	if !k.ticked.IsZero() && now.Sub(k.ticked) > stoppedLimit {
+		k.doubt() // another host may hold the duties by now
+	}
+	k.ticked = now
 	if n.settings.Duties.Scaling {
 		k.watchDemand(now)
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -82,10 +82,12 @@
 	// targetsLink and configurationLink tell how the store was last reached.
 	targetsLink, configurationLink reach
 	leaving                        atomic.Bool
-	sequence                       atomic.Uint64
-	gossip                         gossip
-	keeper                         *keeper
-	registry                       *prometheus.Registry
+	// ticked is when tick was called last; it belongs to its goroutine.
+	ticked   time.Time
+	sequence atomic.Uint64
+	gossip   gossip
+	keeper   *keeper
+	registry *prometheus.Registry
 }
 
 // memoryShare is the part of the allowed memory at which the garbage collector
@@ -275,14 +277,31 @@
 	}
 }
 
-// suspendedLimit is the time for which a host stands still before it counts as
-// suspended; timers fire late by less.
-const suspendedLimit = 300 * time.Millisecond
+const (
+	// suspendedLimit is the time for which a host stands still, while its steady
+	// clock does as well, before it counts as suspended.
+	suspendedLimit = 300 * time.Millisecond
+	// stoppedLimit is the same for a process that stood still while its clocks
+	// went on; timers of a busy host fire late by less.
+	stoppedLimit = 800 * time.Millisecond
+)
+
+// stoodStill returns for how long the process stood still since the last call,
+// and whether that is long.
+func (n *Node) stoodStill(now time.Time) (time.Duration, bool) {
+	lost := n.clock.Suspended()
+	gap := time.Duration(0)
+	if !n.ticked.IsZero() {
+		gap = now.Sub(n.ticked) - peers.Interval()
+	}
+	n.ticked = now
+	return max(lost, gap), lost > suspendedLimit || gap > stoppedLimit
+}
 
 // tick does what is due at the pace of digests.
 func (n *Node) tick() {
 	now := time.Now()
-	if lost := n.clock.Suspended(); lost > suspendedLimit {
+	if lost, long := n.stoodStill(now); long {
 		event.HostSuspended.Log(n.log).Float64("seconds", lost.Seconds()).Send()
 		n.targetsLink.doubt()
 		n.configurationLink.doubt()
--- a/scaling/scaling.go
+++ b/scaling/scaling.go
@@ -31,7 +31,7 @@
 
 // DefaultPolicy returns the policy that is used where settings say nothing.
 func DefaultPolicy() Policy {
-	return Policy{Headroom: 5, TargetSpeed: 45_000, Keep: 1, Peak: 12 * time.Second, Settle: 6 * time.Second, Growth: 1.5}
+	return Policy{Headroom: 5, TargetSpeed: 45_000, Keep: 1, Peak: 12 * time.Second, Settle: 6 * time.Second, Growth: 2}
 }
 
 // Zone is what is known of a service in one availability zone.
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -32,8 +32,10 @@
 	// connectTimeout bounds the opening of a connection; targets are in the
 	// same region, a few milliseconds away.
 	connectTimeout = 400 * time.Millisecond
-	// userTimeout bounds how long written bytes stay unacknowledged.
-	userTimeout = 2 * time.Second
+	// userTimeout bounds how long written bytes stay unacknowledged. It is beyond
+	// the time of any request: one that waits is abandoned by a reset, which
+	// takes its bytes back, and a connection that the kernel gave up is not.
+	userTimeout = 30 * time.Second
 	// readBufferBytes is the buffer of a connection.
 	readBufferBytes = 8 << 10
 	// inlineBytes is the largest request that is written before the answer is
@@ -97,7 +99,7 @@
 
 // dial opens a connection.
 func (p *Pool) dial(ctx context.Context, address string) (*connection, error) {
-	d := net.Dialer{Timeout: connectTimeout, Control: control, KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 3}}
+	d := net.Dialer{Timeout: connectTimeout, Control: control, KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 10 * time.Second, Interval: 5 * time.Second, Count: 4}}
 	c, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, errors.Join(ErrNotSent, err)
@@ -106,6 +108,15 @@
 	return &connection{net: c, reader: bufio.NewReaderSize(c, readBufferBytes), address: address, keep: idleDefault}, nil
 }
 
+// abandon resets a connection with a request in it. An ordinary close would
+// still deliver what was written, for instance once a partition has healed.
+func (c *connection) abandon() {
+	if t, ok := c.net.(*net.TCPConn); ok {
+		_ = t.SetLinger(0) // it can only fail on a connection that is gone
+	}
+	_ = c.net.Close()
+}
+
 // take returns an idle connection that has stayed silent, or nil.
 func (p *Pool) take(address string, within time.Duration) *connection {
 	for {
@@ -221,10 +232,10 @@
 		_ = c.net.Close()
 		return nil, errors.Join(ErrNotSent, ctx.Err())
 	}
-	stop := context.AfterFunc(ctx, func() { _ = c.net.Close() })
+	stop := context.AfterFunc(ctx, c.abandon)
 	fail := func(kind, err error) (*Answer, error) {
 		stop()
-		_ = c.net.Close()
+		c.abandon()
 		return nil, errors.Join(kind, err)
 	}
 	head := r.head()
@@ -311,6 +322,10 @@
 	if !a.stop() { // the context has closed it
 		return
 	}
+	if !a.whole {
+		a.conn.abandon()
+		return
+	}
 	if !a.reusable() {
 		_ = a.conn.net.Close()
 		return
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -214,6 +215,39 @@
 	is.Equal(p.Opened.Load(), int64(2))
 }
 
+// An abandoned request is taken back: the connection is reset, so that bytes
+// which are still on their way do not reach the target later.
+func TestAbandonedRequestIsReset(t *testing.T) {
+	is := is.New(t)
+	ended := make(chan error, 1)
+	address := listen(t, func(_ int, _ net.Conn, r *bufio.Reader) {
+		_, _ = http.ReadRequest(r)
+		_, err := r.ReadByte()
+		ended <- err
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	_, err := upstream.NewPool().Do(ctx, address, &upstream.Request{Method: "GET", Target: "/", Host: "h", Header: http.Header{}})
+	is.True(errors.Is(err, upstream.ErrNoAnswer))
+	is.True(errors.Is(<-ended, syscall.ECONNRESET))
+}
+
+// The same holds for an answer that is left before its end.
+func TestAbandonedAnswerIsReset(t *testing.T) {
+	is := is.New(t)
+	ended := make(chan error, 1)
+	address := listen(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		_, _ = http.ReadRequest(r)
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nbegin")
+		_, err := r.ReadByte()
+		ended <- err
+	})
+	a, err := upstream.NewPool().Do(context.Background(), address, &upstream.Request{Method: "GET", Target: "/", Host: "h", Header: http.Header{}})
+	is.NoErr(err)
+	a.Close()
+	is.True(errors.Is(<-ended, syscall.ECONNRESET))
+}
+
 func TestEndOfTheContextClosesTheConnection(t *testing.T) {
 	is := is.New(t)
 	closed := make(chan struct{})
