Order no targets before all are listed; ask peers for changes only

Test: TestTargetsThatAreNotYetListedAreNotGivenBack failed before.

Change: a peer is told what the asker has and answers with changes, the configuration compressed once; a host that stays behind for a second turns to the store. Ruled out: a silent watch (the watchers had the version at once).

--- a/node/follow.go
+++ b/node/follow.go
@@ -169,6 +169,9 @@
 	if peers.Small(len(live)) || n.table.Load() == nil || !n.targetsLink.ok() || !n.configurationLink.ok() {
 		return true
 	}
+	if n.behindFor() > aloneTime {
+		return true // peers that know more do not answer
+	}
 	before := 0
 	self := dispatch.KeyOf(target.ID(n.settings.Host))
 	for _, p := range live {
@@ -326,8 +329,18 @@
 	before, known := n.roster.Version(), n.roster.Known()
 	n.roster.List(time.Now(), entries, revision, afterOutage)
 	changed := n.roster.Version() != before || !known
+	if !known {
+		n.listed = time.Now()
+	}
 	n.rosterMu.Unlock()
 	if changed {
 		n.publishTargets()
 	}
 }
+
+// listedFor tells whether the list of targets has been known for a time.
+func (n *Node) listedFor(d time.Duration) bool {
+	n.rosterMu.Lock()
+	defer n.rosterMu.Unlock()
+	return !n.listed.IsZero() && time.Since(n.listed) >= d
+}
--- a/node/gossip.go
+++ b/node/gossip.go
@@ -1,8 +1,12 @@
 package node
 
 import (
+	"bytes"
+	"compress/gzip"
 	"context"
 	"encoding/json"
+	"errors"
+	"io"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -40,6 +44,8 @@
 	// behind is since when a peer is known to know more.
 	behind time.Time
 	asked  time.Time
+	// newest and newestTargets are the newest that any peer is known to have.
+	newest, newestTargets uint64
 }
 
 const (
@@ -52,10 +58,24 @@
 	// behindTime is how long a peer may know more before it is asked: the news
 	// is usually under way from the store already.
 	behindTime = 250 * time.Millisecond
+	// aloneTime is how long a peer may know more, though it was asked, before
+	// this host turns to the store itself.
+	aloneTime = time.Second
 	// snapshotTimeout bounds the asking of a peer.
 	snapshotTimeout = time.Second
 )
 
+// behindFor returns for how long a peer has been known to know more.
+func (n *Node) behindFor() time.Duration {
+	g := &n.gossip
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.behind.IsZero() {
+		return 0
+	}
+	return time.Since(g.behind)
+}
+
 // targetID converts the name of an entry.
 func targetID(name string) target.ID { return target.ID(name) }
 
@@ -195,17 +215,21 @@
 	g := &n.gossip
 	g.mu.Lock()
 	if !ahead {
-		if d.ConfigurationVersion == version {
+		if version >= g.newest && revision >= g.newestTargets {
 			g.behind = time.Time{}
 		}
 		g.mu.Unlock()
 		return
 	}
+	g.newest, g.newestTargets = max(g.newest, d.ConfigurationVersion), max(g.newestTargets, d.TargetsChanged)
 	if g.behind.IsZero() {
 		g.behind = now
 	}
 	waited := now.Sub(g.behind)
-	due := waited >= behindTime || !known || version == 0 || now.Sub(g.asked) >= batchPause && !n.watches()
+	g.mu.Unlock()
+	watching := n.watches()
+	g.mu.Lock()
+	due := !known || version == 0 || waited >= behindTime && watching || now.Sub(g.asked) >= batchPause && !watching
 	if due {
 		g.asked = now
 	}
@@ -228,60 +252,139 @@
 		return
 	}
 	defer l.Close() //nolint:errcheck // the answer is in
-	reply, err := l.Call(ctx, &wire.Envelope{Body: &wire.Envelope_SnapshotRequest{SnapshotRequest: &wire.SnapshotRequest{}}})
+	request := &wire.SnapshotRequest{}
+	if t := n.table.Load(); t != nil {
+		request.ConfigurationVersion = t.Version()
+	}
+	n.rosterMu.Lock()
+	if n.roster.Known() {
+		request.TargetsRevision = n.roster.Revision()
+	}
+	n.rosterMu.Unlock()
+	reply, err := l.Call(ctx, &wire.Envelope{Body: &wire.Envelope_SnapshotRequest{SnapshotRequest: request}})
+	if err == nil {
+		err = n.takeSnapshot(d.Host, reply.GetSnapshotReply())
+	}
 	if err != nil {
 		event.SnapshotFailed.Log(n.log).Str("peer", d.Host).Err(err).Send()
-		return
 	}
-	n.takeSnapshot(d.Host, reply.GetSnapshotReply())
 }
 
 // takeSnapshot takes what a peer knows.
-func (n *Node) takeSnapshot(peer string, s *wire.SnapshotReply) {
+func (n *Node) takeSnapshot(peer string, s *wire.SnapshotReply) error {
 	if s == nil {
-		return
+		return errors.New("the peer answered something else")
 	}
-	var c route.Configuration
 	if len(s.Configuration) > 0 {
-		if err := json.Unmarshal(s.Configuration, &c); err != nil {
-			event.SnapshotFailed.Log(n.log).Str("peer", peer).Err(err).Send()
-			return
+		c := &route.Configuration{}
+		if err := unpack(s.Configuration, c); err != nil {
+			return err
 		}
-		n.takeConfiguration(&c, peer)
+		n.takeConfiguration(c, peer)
 	}
-	var entries []roster.Entry
+	var changed []roster.Entry
 	if len(s.Targets) > 0 {
-		if err := json.Unmarshal(s.Targets, &entries); err != nil {
-			event.SnapshotFailed.Log(n.log).Str("peer", peer).Err(err).Send()
-			return
+		if err := json.Unmarshal(s.Targets, &changed); err != nil {
+			return err
 		}
-		n.takeTargets(entries, s.TargetsRevision, false)
+		n.takeTargetsFrom(changed, s.TargetIds, s.TargetsRevision)
 	}
-	event.SnapshotTaken.Log(n.log).Str("peer", peer).Uint64("configuration", c.Version).Uint64("revision", s.TargetsRevision).Int("targets", len(entries)).Send()
+	n.gossip.mu.Lock()
+	n.gossip.behind = time.Time{} // what peers know by now shows in their digests
+	n.gossip.mu.Unlock()
+	event.SnapshotTaken.Log(n.log).Str("peer", peer).Int("configuration_bytes", len(s.Configuration)).Uint64("revision", s.TargetsRevision).Int("targets", len(changed)).Send()
+	return nil
+}
+
+// takeTargetsFrom takes the targets of a peer, of which only those are given
+// that changed after what this host has.
+func (n *Node) takeTargetsFrom(changed []roster.Entry, ids []string, revision uint64) {
+	known := make(map[target.ID]bool, len(ids))
+	for _, id := range ids {
+		known[target.ID(id)] = true
+	}
+	n.rosterMu.Lock()
+	for _, e := range n.roster.Entries() {
+		if known[e.Target.ID] {
+			changed = append(changed, e) // an older one changes nothing
+		}
+	}
+	n.rosterMu.Unlock()
+	n.takeTargets(changed, revision, false)
+}
+
+// packed is a configuration as it is sent to peers.
+type packed struct {
+	version uint64
+	data    []byte
+}
+
+// pack returns the configuration in force, compressed once for all peers.
+func (n *Node) pack() (packed, error) {
+	c := n.raw.Load()
+	if c == nil {
+		return packed{}, nil
+	}
+	if held := n.packed.Load(); held != nil && held.version == c.Version {
+		return *held, nil
+	}
+	var b bytes.Buffer
+	z := gzip.NewWriter(&b)
+	if err := json.NewEncoder(z).Encode(c); err != nil {
+		return packed{}, err
+	}
+	if err := z.Close(); err != nil {
+		return packed{}, err
+	}
+	made := &packed{c.Version, b.Bytes()}
+	n.packed.Store(made)
+	return *made, nil
+}
+
+// maxConfigurationBytes bounds an unpacked configuration.
+const maxConfigurationBytes = 16 << 20
+
+// unpack reads a packed configuration.
+func unpack(data []byte, into *route.Configuration) error {
+	z, err := gzip.NewReader(bytes.NewReader(data))
+	if err != nil {
+		return err
+	}
+	return json.NewDecoder(io.LimitReader(z, maxConfigurationBytes)).Decode(into)
 }
 
 // snapshots serves peers that ask.
 func (n *Node) snapshots() link.Handler {
 	return link.HandlerFunc(func(_ context.Context, _ link.Link, request *wire.Envelope) (*wire.Envelope, error) {
-		if request.GetSnapshotRequest() == nil {
+		asked := request.GetSnapshotRequest()
+		if asked == nil {
 			return nil, result.New(result.LinkRefused, "a node answers questions for snapshots only")
 		}
 		reply := &wire.SnapshotReply{}
-		var err error
-		if c := n.raw.Load(); c != nil {
-			if reply.Configuration, err = json.Marshal(c); err != nil {
-				return nil, err
-			}
+		p, err := n.pack()
+		if err != nil {
+			return nil, err
+		}
+		if p.version > asked.ConfigurationVersion {
+			reply.Configuration = p.data
 		}
 		n.rosterMu.Lock()
 		known, entries := n.roster.Known(), n.roster.Entries()
 		reply.TargetsRevision = n.roster.Revision()
 		n.rosterMu.Unlock()
-		if known {
-			if reply.Targets, err = json.Marshal(entries); err != nil {
-				return nil, err
+		if !known || reply.TargetsRevision <= asked.TargetsRevision {
+			return &wire.Envelope{Body: &wire.Envelope_SnapshotReply{SnapshotReply: reply}}, nil
+		}
+		changed := []roster.Entry{}
+		for _, e := range entries {
+			reply.TargetIds = append(reply.TargetIds, string(e.Target.ID))
+			if e.Revision > asked.TargetsRevision {
+				changed = append(changed, e)
 			}
 		}
+		if reply.Targets, err = json.Marshal(changed); err != nil {
+			return nil, err
+		}
 		return &wire.Envelope{Body: &wire.Envelope_SnapshotReply{SnapshotReply: reply}}, nil
 	})
 }
--- a/node/node.go
+++ b/node/node.go
@@ -64,10 +64,12 @@
 
 	table atomic.Pointer[route.Table]
 	// raw is the configuration in force, for peers.
-	raw atomic.Pointer[route.Configuration]
+	raw    atomic.Pointer[route.Configuration]
+	packed atomic.Pointer[packed]
 
 	rosterMu sync.Mutex
 	roster   *roster.Roster
+	listed   time.Time // when a list was known first
 
 	handler *forward.Handler
 	server  *ingress.Server
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -55,7 +55,7 @@
 	r.store.Write(platform.Configurations, platform.Configuration, json.RawMessage(fmt.Sprintf(`{"Version":%d,
 	"Routes":[{"Name":"read","Host":"shop.example","PathPrefix":"/read/","Kind":"idempotent","TimeoutMs":2000,"TargetLatencyMs":150,"Service":"desk","MaxAttempts":2},
 	 {"Name":"take","Host":"shop.example","PathPrefix":"/take/","Kind":"non_idempotent","TimeoutMs":5000,"TargetLatencyMs":150,"Service":"desk","MaxAttempts":1}],
-	"Services":[{"Name":"desk","Scaling":{"Min":1,"Max":4,"BootS":1,"SpotPrice":0.2,"ZonePrices":{"a":1.0}}}],
+	"Services":[{"Name":"desk","Scaling":{"Min":1,"Max":4,"BootS":1,"SpotPrice":0.2,"ZonePrices":{"a":1.0,"b":1.0}}}],
 	"Limits":{"MaxHeaderBytes":8192,"MaxBodyBytes":100000,"HeaderTimeoutMs":1000,"IdleTimeoutMs":5000},
 	"Tenants":[{"Name":"parents","ApiKeys":["%s"]}]}`, version, key)))
 }
@@ -362,3 +362,25 @@
 		is.True(strings.Contains(string(body), name))
 	}
 }
+
+// Targets write their entries one after the other when everything starts. What
+// is ordered before all are listed would give back targets that only have not
+// been heard of.
+func TestTargetsThatAreNotYetListedAreNotGivenBack(t *testing.T) {
+	r := newRig(t)
+	n := r.start("h1")
+	eventually(t, 3*time.Second, "ready", n.ready)
+	time.Sleep(3500 * time.Millisecond)
+	for _, id := range []string{"i-2", "i-3"} {
+		s := prepared.NewTarget(id)
+		t.Cleanup(s.Close)
+		r.store.Write(platform.Targets, id, s.Entry("desk", "b"))
+	}
+	eventually(t, 10*time.Second, "targets are ordered", func() bool { return len(r.duties.Calls("/scale")) > 0 })
+	time.Sleep(time.Second)
+	for _, c := range r.duties.Calls("/scale") {
+		if wanted, ok := c.Body["Desired"].(float64); ok && c.Body["Zone"] == "b" && c.Body["Spot"] == nil && wanted < 2 {
+			t.Errorf("%v targets are ordered where 2 serve", wanted)
+		}
+	}
+}
--- a/node/pools.go
+++ b/node/pools.go
@@ -31,6 +31,10 @@
 const (
 	// scaleInterval is the pace at which pools are looked at.
 	scaleInterval = time.Second
+	// listedTime is how long the list of targets must have been known before
+	// anything is ordered: when everything starts, targets write their entries
+	// within about three of their heartbeats, which are about a second apart.
+	listedTime = 4500 * time.Millisecond
 	// bootMargin is how long after the time of starting targets may be missing
 	// before they are ordered again.
 	bootMargin = 2 * time.Second
@@ -40,6 +44,9 @@
 
 // scale orders targets.
 func (k *keeper) scale(ctx context.Context, now time.Time) {
+	if !k.node.listedFor(listedTime) {
+		return
+	}
 	for i := range k.scaled {
 		s := &k.scaled[i]
 		if !k.resize(ctx, now, s, k.planners[s.Name]) {
--- a/scaling/scaling.go
+++ b/scaling/scaling.go
@@ -57,8 +57,8 @@
 type Planner struct {
 	policy  Policy
 	samples []sample
-	// found is the number of targets at the first look, begun the time of the
-	// first demand.
+	// found is the most targets that were wished for before the demand is known,
+	// begun the time of the first demand.
 	found int
 	begun time.Time
 }
@@ -89,19 +89,18 @@
 // least returns the number of targets before the demand is known. A fleet that
 // was ordered already is kept; one that was not may be too small for what comes.
 func (p *Planner) least(now time.Time, zones []Zone) int {
-	if p.found == 0 {
-		reclaimable := 0
-		for _, z := range zones {
-			p.found += z.Reserved + z.Reclaimable
-			reclaimable += z.Reclaimable
-		}
-		if reclaimable == 0 {
-			p.found = int(float64(p.found) * p.policy.Growth)
-		}
-	}
 	if !p.begun.IsZero() && now.Sub(p.begun) >= p.policy.Settle {
 		return 0
 	}
+	total, reclaimable := 0, 0
+	for _, z := range zones {
+		total += z.Reserved + z.Reclaimable
+		reclaimable += z.Reclaimable
+	}
+	if reclaimable == 0 {
+		total = int(float64(total) * p.policy.Growth)
+	}
+	p.found = max(p.found, total)
 	return p.found
 }
 
