Soak real node processes under faults from outside

Change: internal/nodesoak starts zinnia-node processes before stand-ins, cuts, delays and silences their way to the store, stops, pauses, kills and restarts them, breaks targets, and checks at most once, true refusals, own answers, withdrawn keys and usage reports.

--- /dev/null
+++ b/internal/nodesoak/process.go
@@ -0,0 +1,141 @@
+package nodesoak
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"zinniapin/settings"
+	"zinniapin/zone"
+)
+
+// process is one zinnia-node and the way to its store.
+type process struct {
+	name     string
+	settings settings.Node
+	store    *proxy
+	program  string
+	file     string
+	log      *os.File
+
+	mu      sync.Mutex
+	command *exec.Cmd
+	ended   chan struct{}
+}
+
+// freeAddress returns a free address.
+func freeAddress() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer l.Close() //nolint:errcheck // only its port is wanted
+	return l.Addr().String(), nil
+}
+
+// newProcess prepares a node; its log goes to a file of the folder.
+func newProcess(program, folder string, i int, storeAddress, duties, seed string) (*process, error) {
+	p := &process{name: fmt.Sprint("h", i), program: program}
+	var err error
+	if p.store, err = newProxy(storeAddress); err != nil {
+		return nil, err
+	}
+	addresses := make([]string, 3)
+	for j := range addresses {
+		if addresses[j], err = freeAddress(); err != nil {
+			return nil, err
+		}
+	}
+	if seed == "" {
+		seed = addresses[2]
+	}
+	p.settings = settings.Node{
+		Host: p.name, Zone: zone.Name(fmt.Sprint("z", i%2)), Region: "north", Listen: addresses[0], Ready: addresses[1], Mesh: addresses[2],
+		Seeds: []string{seed}, Objects: p.store.address(), Orders: duties, MemoryMB: 200, Duties: settings.NodeDuties{Usage: true},
+		Bounds: settings.NodeBounds{GraceSeconds: 8, LeaseMillis: 1500, RetryRatio: 0.2, RetrySlack: 50, RetryWindowSeconds: 10, UsageWindowSeconds: 2, UsageLateSeconds: 10},
+		Log:    settings.Log{Level: "info"},
+	}
+	data, err := json.Marshal(p.settings)
+	if err != nil {
+		return nil, err
+	}
+	p.file = filepath.Join(folder, p.name+".json")
+	if err := os.WriteFile(p.file, data, 0o600); err != nil {
+		return nil, err
+	}
+	p.log, err = os.OpenFile(filepath.Join(folder, p.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	return p, err
+}
+
+// start starts the process unless it runs.
+func (p *process) start() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.command != nil {
+		return nil
+	}
+	c := exec.Command(p.program, "--settings", p.file)
+	c.Stdout, c.Stderr = p.log, p.log
+	if err := c.Start(); err != nil {
+		return err
+	}
+	ended := make(chan struct{})
+	p.command, p.ended = c, ended
+	go func() {
+		_ = c.Wait() // killed or stopped, as the run says
+		p.mu.Lock()
+		p.command = nil
+		p.mu.Unlock()
+		close(ended)
+	}()
+	return nil
+}
+
+// signal sends a signal to this process alone.
+func (p *process) signal(s syscall.Signal) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.command == nil {
+		return nil
+	}
+	err := p.command.Process.Signal(s)
+	if errors.Is(err, os.ErrProcessDone) {
+		return nil
+	}
+	return err
+}
+
+// wait waits until the process has ended.
+func (p *process) wait(limit time.Duration) bool {
+	p.mu.Lock()
+	ended, running := p.ended, p.command != nil
+	p.mu.Unlock()
+	if !running {
+		return true
+	}
+	select {
+	case <-ended:
+		return true
+	case <-time.After(limit):
+		return false
+	}
+}
+
+// ready returns whether the process says that it is ready.
+func (p *process) ready() bool {
+	client := &http.Client{Timeout: 500 * time.Millisecond}
+	response, err := client.Get("http://" + p.settings.Ready + "/ready")
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
--- /dev/null
+++ b/internal/nodesoak/soak_test.go
@@ -0,0 +1,298 @@
+package nodesoak
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"zinniapin/internal/standin/prepared"
+	"zinniapin/platform"
+)
+
+var (
+	seedFlag    = flag.Uint64("nodesoak.seed", 0, "run this seed alone")
+	secondsFlag = flag.Int("nodesoak.seconds", 8, "seconds of faults in a run")
+	nodesFlag   = flag.Int("nodesoak.nodes", 4, "node processes")
+)
+
+// ciSeeds are run in CI. Seeds that ever failed are kept here, each with the
+// cause.
+var ciSeeds = []uint64{1, 2}
+
+// TestSoak runs node processes under faults drawn from a seed:
+//
+//	go test ./internal/nodesoak -run TestSoak -nodesoak.seed 7 -nodesoak.seconds 60 -v
+func TestSoak(t *testing.T) {
+	program := filepath.Join(t.TempDir(), "zinnia-node")
+	build := exec.Command("go", "build", "-o", program, "zinniapin/cmd/zinnia-node")
+	if out, err := build.CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	seeds := ciSeeds
+	if *seedFlag != 0 {
+		seeds = []uint64{*seedFlag}
+	}
+	for _, seed := range seeds {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { soak(t, program, seed) })
+	}
+}
+
+// deployment is what one run is made of.
+type deployment struct {
+	t       *testing.T
+	random  *rand.Rand
+	store   *prepared.Store
+	duties  *prepared.Duties
+	targets []*prepared.Target
+	nodes   []*process
+	key     atomic.Value // of string, the one in force
+	version int
+	ledger  ledger
+	// withdrawn are keys with the time of the acceptance that took them away.
+	withdrawn map[string]time.Time
+}
+
+// soak runs one seed.
+func soak(t *testing.T, program string, seed uint64) {
+	folder := t.TempDir()
+	d := newDeployment(t, program, folder, seed)
+	stop := make(chan struct{})
+	callers := 6
+	ended := make(chan struct{}, callers)
+	for i := range callers {
+		r := rand.New(rand.NewPCG(seed, uint64(i)))
+		go func() {
+			call(r, fmt.Sprintf("c%d", i), d.nodes, func() string { return d.key.Load().(string) }, &d.ledger, stop)
+			ended <- struct{}{}
+		}()
+	}
+	for end := time.Now().Add(time.Duration(*secondsFlag) * time.Second); time.Now().Before(end); {
+		d.fault()
+		time.Sleep(time.Duration(d.random.IntN(600)) * time.Millisecond)
+	}
+	d.settle()
+	time.Sleep(2 * time.Second)
+	close(stop)
+	for range callers {
+		<-ended
+	}
+	time.Sleep(time.Second) // late runs show
+	d.check()
+	if t.Failed() {
+		keep := filepath.Join(os.TempDir(), fmt.Sprintf("nodesoak-%d-%d", seed, time.Now().Unix()))
+		if err := os.CopyFS(keep, os.DirFS(folder)); err == nil {
+			t.Logf("logs are kept in %s", keep)
+		}
+	}
+}
+
+// newDeployment starts stand-ins and nodes and waits until all are ready.
+func newDeployment(t *testing.T, program, folder string, seed uint64) *deployment {
+	d := &deployment{t: t, random: rand.New(rand.NewPCG(seed, seed+1)), store: prepared.NewStore(), duties: prepared.NewDuties(), withdrawn: make(map[string]time.Time)}
+	t.Cleanup(d.store.Close)
+	t.Cleanup(d.duties.Close)
+	for i := range 6 {
+		s := prepared.NewTarget(fmt.Sprint("i-", i))
+		service := "desk"
+		if i >= 3 {
+			service, s.Stage = "model", "decode"
+		}
+		s.Echo, s.Events, s.EventPause = true, events, 10*time.Millisecond
+		t.Cleanup(s.Close)
+		d.targets = append(d.targets, s)
+		d.store.Write(platform.Targets, s.ID, s.Entry(service, "z0"))
+	}
+	d.configure()
+	seedAddress := ""
+	for i := range *nodesFlag {
+		p, err := newProcess(program, folder, i, d.store.Address(), d.duties.Address(), seedAddress)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if seedAddress == "" {
+			seedAddress = p.settings.Mesh
+		}
+		d.nodes = append(d.nodes, p)
+		if err := p.start(); err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() {
+			_ = p.signal(syscall.SIGCONT)
+			_ = p.signal(syscall.SIGKILL)
+			p.wait(5 * time.Second)
+		})
+	}
+	d.allReady(10 * time.Second)
+	return d
+}
+
+// configure writes a new configuration with a new key.
+func (d *deployment) configure() {
+	d.version += 1 + d.random.IntN(3)
+	key := fmt.Sprint("key-", d.version)
+	d.store.Write(platform.Configurations, platform.Configuration, json.RawMessage(fmt.Sprintf(`{"Version":%d,"Routes":[
+	{"Name":"read","Host":"shop.example","PathPrefix":"/read/","Kind":"idempotent","TimeoutMs":3000,"TargetLatencyMs":150,"Service":"desk","MaxAttempts":2},
+	{"Name":"take","Host":"shop.example","PathPrefix":"/take/","Kind":"non_idempotent","TimeoutMs":3000,"TargetLatencyMs":150,"Service":"desk","MaxAttempts":2},
+	{"Name":"draft","Host":"shop.example","PathPrefix":"/draft/","Kind":"stream","TimeoutMs":3000,"TargetLatencyMs":500,"TargetGapMs":300,"Resumable":true,"Service":"model","MaxAttempts":2}],
+	"Services":[{"Name":"desk"},{"Name":"model","Engine":{"Slots":64,"KvCapacityTokens":500000,"KvTokenBytes":1000,"LinkMbps":100000,"Stride":10,"KvHoldS":5}}],
+	"Limits":{"MaxHeaderBytes":8192,"MaxBodyBytes":100000,"HeaderTimeoutMs":3000,"IdleTimeoutMs":5000},
+	"Tenants":[{"Name":"parents","ApiKeys":["%s"]}]}`, d.version, key)))
+	if old, ok := d.key.Load().(string); ok {
+		d.withdrawn[old] = time.Now()
+	}
+	d.key.Store(key)
+}
+
+// fault injects one fault; they overlap.
+func (d *deployment) fault() {
+	node := d.nodes[d.random.IntN(len(d.nodes))]
+	s := d.targets[d.random.IntN(len(d.targets))]
+	lasting := time.Duration(300+d.random.IntN(2500)) * time.Millisecond
+	d.t.Helper()
+	var err error
+	switch d.random.IntN(9) {
+	case 0:
+		err = node.signal(syscall.SIGKILL)
+		time.AfterFunc(lasting/3, func() { _ = node.start() })
+	case 1:
+		err = node.signal(syscall.SIGTERM)
+		time.AfterFunc(7500*time.Millisecond, func() { _ = node.start() })
+	case 2:
+		err = node.signal(syscall.SIGSTOP)
+		time.AfterFunc(lasting, func() { _ = node.signal(syscall.SIGCONT) })
+	case 3:
+		node.store.set(mode(1 + d.random.IntN(4)))
+		time.AfterFunc(lasting, func() { node.store.set(pass) })
+	case 4:
+		d.store.SetDown(true)
+		time.AfterFunc(lasting, func() { d.store.SetDown(false) })
+	case 5:
+		d.configure()
+	case 6:
+		all := []prepared.Fault{prepared.Lost, prepared.Truncated, prepared.Foreign, prepared.Extra, prepared.Shed, prepared.Fails, prepared.Mute, prepared.Another, prepared.Busy, prepared.Early}
+		var next []prepared.Fault
+		for range 1 + d.random.IntN(4) {
+			next = append(next, all[d.random.IntN(len(all))])
+		}
+		s.Next(next...)
+	case 7:
+		d.store.LoseAnswers(1 + d.random.IntN(3))
+	case 8:
+		d.store.Compact()
+	}
+	if err != nil {
+		d.t.Errorf("a fault could not be injected: %v", err)
+	}
+}
+
+// settle ends all faults and waits until every node serves.
+func (d *deployment) settle() {
+	time.Sleep(3 * time.Second) // those under way end
+	d.store.SetDown(false)
+	d.store.LoseAnswers(0)
+	for _, s := range d.targets {
+		s.Next()
+	}
+	for _, p := range d.nodes {
+		p.store.set(pass)
+		_ = p.signal(syscall.SIGCONT)
+	}
+	d.allReady(15 * time.Second)
+	d.configure() // the last one is in force everywhere
+}
+
+// allReady waits until all nodes are ready; those that were stopped start.
+func (d *deployment) allReady(limit time.Duration) {
+	d.t.Helper()
+	for begun := time.Now(); ; time.Sleep(50 * time.Millisecond) {
+		ready := 0
+		for _, p := range d.nodes {
+			if err := p.start(); err != nil {
+				d.t.Error(err)
+			}
+			if p.ready() {
+				ready++
+			}
+		}
+		if ready == len(d.nodes) {
+			return
+		}
+		if time.Since(begun) > limit {
+			d.t.Fatalf("%d of %d nodes are ready after %v", ready, len(d.nodes), limit)
+		}
+	}
+}
+
+// withdrawnTime is how long a withdrawn key may still be accepted: the bound of
+// the deployments, 2 s, and the longest fault during which a host learns nothing.
+const withdrawnTime = 6 * time.Second
+
+// check judges what was seen.
+func (d *deployment) check() {
+	runs := make(map[string]int)
+	for _, s := range d.targets {
+		for _, a := range s.Arrivals() {
+			if a.Ran {
+				runs[a.Header.Get("X-Request-Id")]++
+			}
+			if a.Header.Get("X-Credential") != "" || a.Header.Get("X-Tenant") != "parents" {
+				d.t.Errorf("%s saw the headers %v", s.ID, a.Header)
+			}
+		}
+	}
+	statuses := make(map[int]int)
+	for _, s := range d.ledger.all {
+		statuses[s.status]++
+		n := runs[s.id]
+		if s.kind == "take" && n > 1 {
+			d.t.Errorf("%s ran %d times", s.id, n)
+		}
+		if s.kind == "take" && n > 0 && (s.status == http.StatusServiceUnavailable || s.status == http.StatusUnauthorized) {
+			d.t.Errorf("%s was answered %d and ran", s.id, s.status)
+		}
+		if s.status == http.StatusNotFound {
+			d.t.Errorf("%s: its route is in every configuration", s.id)
+		}
+		if at, ok := d.withdrawn[s.key]; ok && s.status == http.StatusOK && s.begun.Sub(at) > withdrawnTime {
+			d.t.Errorf("%s: a key withdrawn %v before was accepted", s.id, s.begun.Sub(at))
+		}
+	}
+	for _, wrong := range d.ledger.wrong {
+		d.t.Error(wrong)
+	}
+	d.checkDuties()
+	d.t.Logf("%d attempts, answers by status %v, %d usage reports", len(d.ledger.all), statuses, len(d.duties.Calls("/usage")))
+	if statuses[http.StatusOK] < len(d.ledger.all)/4 {
+		d.t.Errorf("only %d of %d attempts were served", statuses[http.StatusOK], len(d.ledger.all))
+	}
+}
+
+// checkDuties judges the usage reports: one set of figures a window, one holder
+// a fence.
+func (d *deployment) checkDuties() {
+	figures := make(map[any]string)
+	holders := make(map[uint64]string)
+	for _, c := range d.duties.Calls("/usage") {
+		if c.Status != http.StatusOK {
+			continue
+		}
+		counts := fmt.Sprint(c.Body["Counts"])
+		if held, ok := figures[c.Body["WindowId"]]; ok && held != counts {
+			d.t.Errorf("window %v was reported as %s and %s", c.Body["WindowId"], held, counts)
+		}
+		figures[c.Body["WindowId"]] = counts
+		if held, ok := holders[c.Fence]; ok && held != c.Holder {
+			d.t.Errorf("fence %d was used by %s and %s", c.Fence, held, c.Holder)
+		}
+		holders[c.Fence] = c.Holder
+	}
+}
--- a/internal/standin/prepared/target.go
+++ b/internal/standin/prepared/target.go
@@ -58,6 +58,8 @@
 	FirstID int
 	// Delay is the time before an answer.
 	Delay time.Duration
+	// Echo makes plain answers the id of their request.
+	Echo bool
 	// Stage is the role of an engine; empty for plain services.
 	Stage string
 }
@@ -227,7 +229,11 @@
 	if request.Header.Get("X-Token-Count") != "" {
 		return t.stream(c, r, request)
 	}
-	goes := t.reply(c, request, http.StatusOK, "X-Response-Signature: s\r\n", "answer of "+t.ID)
+	answer := "answer of " + t.ID
+	if t.Echo {
+		answer = request.Header.Get("X-Request-Id")
+	}
+	goes := t.reply(c, request, http.StatusOK, "X-Response-Signature: s\r\n", answer)
 	if f == Extra {
 		return t.reply(c, request, http.StatusOK, "X-Response-Signature: s\r\n", "again")
 	}
