--- a/forward/rig_test.go
+++ b/forward/rig_test.go
@@ -28,7 +28,7 @@
 
 // rig is a handler behind a real listener, before stand-in targets.
 type rig struct {
-	t       *testing.T
+	t       testing.TB
 	handler *forward.Handler
 	address string
 	mu      sync.Mutex
@@ -64,7 +64,7 @@
 }
 
 // newRig starts a handler before targets of a service.
-func newRig(t *testing.T, service string, all ...*prepared.Target) *rig {
+func newRig(t testing.TB, service string, all ...*prepared.Target) *rig {
 	t.Helper()
 	r := &rig{t: t, began: make(map[string]int)}
 	r.setTable(configuration())
