Let dear targets stand in while cheap ones are not to be had

Change: a pool that is refused counts as dry for 6 s; others stand in for it as far as 1.7 times the peak is not covered; targets that served and are gone are ordered again at once. A first holder orders cheap targets before all are listed, which gives nothing back. Ruled out: more spread (every zone had its share; two of three went).

--- a/internal/nodesoak/process.go
+++ b/internal/nodesoak/process.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -31,35 +30,30 @@
 	ended   chan struct{}
 }
 
-// freeAddress returns a free address.
-func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer l.Close() //nolint:errcheck // only its port is wanted
-	return l.Addr().String(), nil
+// Ports of a node, at an address of its own.
+const (
+	callersPort = 8000 + iota
+	readyPort
+	meshPort
+)
+
+// hostAddress returns an address of a run's host. Runs of other seeds have
+// others, so that none takes a port of another one.
+func hostAddress(seed uint64, i, port int) string {
+	return fmt.Sprintf("127.77.%d.%d:%d", seed%250, i+1, port)
 }
 
 // newProcess prepares a node; its log goes to a file of the folder.
-func newProcess(program, folder string, i int, storeAddress, duties, seed string) (*process, error) {
+func newProcess(program, folder string, run uint64, i int, storeAddress, duties string) (*process, error) {
 	p := &process{name: fmt.Sprint("h", i), program: program}
 	var err error
 	if p.store, err = newProxy(storeAddress); err != nil {
 		return nil, err
 	}
-	addresses := make([]string, 3)
-	for j := range addresses {
-		if addresses[j], err = freeAddress(); err != nil {
-			return nil, err
-		}
-	}
-	if seed == "" {
-		seed = addresses[2]
-	}
 	p.settings = settings.Node{
-		Host: p.name, Zone: zone.Name(fmt.Sprint("z", i%2)), Region: "north", Listen: addresses[0], Ready: addresses[1], Mesh: addresses[2],
-		Seeds: []string{seed}, Objects: p.store.address(), Orders: duties, MemoryMB: 200, Duties: settings.NodeDuties{Usage: true},
+		Host: p.name, Zone: zone.Name(fmt.Sprint("z", i%2)), Region: "north", Listen: hostAddress(run, i, callersPort),
+		Ready: hostAddress(run, i, readyPort), Mesh: hostAddress(run, i, meshPort),
+		Seeds: []string{hostAddress(run, 0, meshPort)}, Objects: p.store.address(), Orders: duties, MemoryMB: 200, Duties: settings.NodeDuties{Usage: true},
 		Bounds: settings.NodeBounds{GraceSeconds: 8, LeaseMillis: 1500, RetryRatio: 0.2, RetrySlack: 50, RetryWindowSeconds: 10, UsageWindowSeconds: 2, UsageLateSeconds: 10},
 		Log:    settings.Log{Level: "info"},
 	}
--- a/internal/nodesoak/soak_test.go
+++ b/internal/nodesoak/soak_test.go
@@ -64,6 +64,7 @@
 // soak runs one seed.
 func soak(t *testing.T, program string, seed uint64) {
 	folder := t.TempDir()
+	t.Cleanup(func() { keepLogs(t, folder, seed) })
 	d := newDeployment(t, program, folder, seed)
 	stop := make(chan struct{})
 	callers := 6
@@ -87,12 +88,19 @@
 	}
 	time.Sleep(time.Second) // late runs show
 	d.check()
-	if t.Failed() {
-		keep := filepath.Join(os.TempDir(), fmt.Sprintf("nodesoak-%d-%d", seed, time.Now().Unix()))
-		if err := os.CopyFS(keep, os.DirFS(folder)); err == nil {
-			t.Logf("logs are kept in %s", keep)
-		}
+}
+
+// keepLogs copies the logs of a failed run.
+func keepLogs(t *testing.T, folder string, seed uint64) {
+	if !t.Failed() {
+		return
 	}
+	keep := filepath.Join(os.TempDir(), fmt.Sprintf("nodesoak-%d-%d", seed, time.Now().Unix()))
+	if err := os.CopyFS(keep, os.DirFS(folder)); err != nil {
+		t.Errorf("the logs could not be kept: %v", err)
+		return
+	}
+	t.Logf("logs are kept in %s", keep)
 }
 
 // newDeployment starts stand-ins and nodes and waits until all are ready.
@@ -112,15 +120,11 @@
 		d.store.Write(platform.Targets, s.ID, s.Entry(service, "z0"))
 	}
 	d.configure()
-	seedAddress := ""
 	for i := range *nodesFlag {
-		p, err := newProcess(program, folder, i, d.store.Address(), d.duties.Address(), seedAddress)
+		p, err := newProcess(program, folder, seed, i, d.store.Address(), d.duties.Address())
 		if err != nil {
 			t.Fatal(err)
 		}
-		if seedAddress == "" {
-			seedAddress = p.settings.Mesh
-		}
 		d.nodes = append(d.nodes, p)
 		if err := p.start(); err != nil {
 			t.Fatal(err)
--- a/node/pools.go
+++ b/node/pools.go
@@ -24,8 +24,11 @@
 type pool struct {
 	ordered int
 	at      time.Time
-	// next is when the pool may be ordered again.
-	next time.Time
+	// reached is set once as many served as were ordered.
+	reached bool
+	// next is when the pool may be ordered again, dry until when none are taken
+	// to be had.
+	next, dry time.Time
 }
 
 const (
@@ -38,13 +41,18 @@
 	// bootMargin is how long after the time of starting targets may be missing
 	// before they are ordered again.
 	bootMargin = 2 * time.Second
+	// dryTime is how long targets of a kind are taken not to be had after a
+	// refusal: longer than the pause between two tries.
+	dryTime = 6 * time.Second
 	// refusedPause is the time before a refused order is made again.
 	refusedPause = 2500 * time.Millisecond
 )
 
 // scale orders targets.
 func (k *keeper) scale(ctx context.Context, now time.Time) {
-	if !k.node.listedFor(listedTime) {
+	// Before that, a first holder orders cheap targets only, which none has done
+	// before it.
+	if !k.node.listedFor(listedTime) && k.record.Fence > 1 {
 		return
 	}
 	for i := range k.scaled {
@@ -130,25 +138,30 @@
 	return all
 }
 
-// resize orders what the planner wishes. Cheap targets are ordered first, and
-// others given back only once those serve.
+// resize orders what the planner wishes.
 func (k *keeper) resize(ctx context.Context, now time.Time, s *route.Service, p *scaling.Planner) bool {
 	zones := k.zones(s)
 	byName := make(map[string]scaling.Zone, len(zones))
 	for _, z := range zones {
 		byName[z.Name] = z
 	}
+	shortage := p.Shortage(now, zones)
+	listed := k.node.listedFor(listedTime)
 	for _, w := range p.Wishes(now, s.Scaling, zones) {
 		have := byName[w.Zone]
-		reclaimable := min(w.Reclaimable, max(s.Scaling.Max-max(have.Reserved, w.Reserved), 0))
-		if !k.order(ctx, now, s, poolKey{s.Name, w.Zone, true}, reclaimable, have.Reclaimable) {
-			return false
+		cheap, dear := poolKey{s.Name, w.Zone, true}, poolKey{s.Name, w.Zone, false}
+		dry := k.pools[cheap] != nil && now.Before(k.pools[cheap].dry)
+		o := scaling.Split(s.Scaling.Max, w, have, dry, shortage)
+		if !listed {
+			if !k.order(ctx, now, s, cheap, min(o.Reclaimable, s.Scaling.Max/2), have.Reclaimable) {
+				return false
+			}
+			continue
 		}
-		reserved := w.Reserved
-		if have.Reclaimable < reclaimable {
-			reserved = max(reserved, min(have.Reserved, s.Scaling.Max-reclaimable))
+		if dry {
+			shortage -= max(o.Reserved-have.Reserved, 0)
 		}
-		if !k.order(ctx, now, s, poolKey{s.Name, w.Zone, false}, reserved, have.Reserved) {
+		if !k.order(ctx, now, s, cheap, o.Reclaimable, have.Reclaimable) || !k.order(ctx, now, s, dear, o.Reserved, have.Reserved) {
 			return false
 		}
 	}
@@ -164,7 +177,10 @@
 		k.pools[key] = held
 	}
 	boot := time.Duration(s.Scaling.BootMillis)*time.Millisecond + bootMargin
-	missing := have < wish && now.Sub(held.at) > boot
+	held.reached = held.reached || have >= held.ordered
+	// Targets that served and are gone are ordered again at once, those that were
+	// just ordered may still start.
+	missing := have < wish && (held.reached || now.Sub(held.at) > boot)
 	if now.Before(held.next) || wish == held.ordered && !missing {
 		return true
 	}
@@ -178,12 +194,13 @@
 	kind.Log(k.node.log).Str("service", key.service).Str("zone", key.zone).Bool("reclaimable", key.reclaimable).
 		Int("targets", wish).Int("serving", have).Uint64("fence", k.record.Fence).Err(err).Send()
 	if err == nil {
-		held.ordered, held.at = wish, now
+		held.ordered, held.at, held.reached = wish, now, false
 		return true
 	}
 	held.next = now.Add(refusedPause)
 	if errors.Is(err, provider.ErrFenced) {
 		// The same answer tells that no targets are to be had.
+		held.dry = now.Add(dryTime)
 		return k.confirm(ctx, now)
 	}
 	return true
--- a/scaling/scaling.go
+++ b/scaling/scaling.go
@@ -16,6 +16,8 @@
 type Policy struct {
 	// Headroom is the capacity ordered, in relation to the peak of the demand.
 	Headroom float64
+	// Cover is the same for what dear targets stand in for.
+	Cover float64
 	// TargetSpeed is the prompt tokens a second that one target is taken to
 	// process.
 	TargetSpeed float64
@@ -31,7 +33,7 @@
 
 // DefaultPolicy returns the policy that is used where settings say nothing.
 func DefaultPolicy() Policy {
-	return Policy{Headroom: 5, TargetSpeed: 45_000, Keep: 1, Peak: 12 * time.Second, Settle: 6 * time.Second, Growth: 2}
+	return Policy{Headroom: 5, Cover: 1.7, TargetSpeed: 45_000, Keep: 1, Peak: 12 * time.Second, Settle: 6 * time.Second, Growth: 2}
 }
 
 // Zone is what is known of a service in one availability zone.
--- a/scaling/scaling_test.go
+++ b/scaling/scaling_test.go
@@ -109,3 +109,53 @@
 	is.Equal(reserved, 2)
 	is.Equal(reclaimable, 0)
 }
+
+// A fleet as it was found goes over to cheap targets without a moment with
+// fewer than it had.
+func TestChangeToCheapTargetsLeavesNoGap(t *testing.T) {
+	is := is.New(t)
+	w := scaling.Wish{Zone: "z", Reserved: 1, Reclaimable: 5}
+	is.Equal(scaling.Split(6, w, scaling.Zone{Reserved: 3}, false, 0), scaling.Order{Reserved: 3, Reclaimable: 3})
+	is.Equal(scaling.Split(6, w, scaling.Zone{Reserved: 3, Reclaimable: 3}, false, 0), scaling.Order{Reserved: 1, Reclaimable: 3})
+	is.Equal(scaling.Split(6, w, scaling.Zone{Reserved: 1, Reclaimable: 3}, false, 0), scaling.Order{Reserved: 1, Reclaimable: 5})
+	is.Equal(scaling.Split(6, w, scaling.Zone{Reserved: 1, Reclaimable: 5}, false, 0), scaling.Order{Reserved: 1, Reclaimable: 5})
+}
+
+// While a zone is reclaimed and no cheap targets are to be had, others stand in
+// for them, but no more than there is a shortage; afterwards it goes back.
+func TestDearTargetsStandInForReclaimedOnes(t *testing.T) {
+	is := is.New(t)
+	w := scaling.Wish{Zone: "z", Reserved: 1, Reclaimable: 5}
+	is.Equal(scaling.Split(6, w, scaling.Zone{Reserved: 1}, true, 3).Reserved, 4)
+	is.Equal(scaling.Split(6, w, scaling.Zone{Reserved: 1}, true, 0).Reserved, 1)
+	is.Equal(scaling.Split(6, w, scaling.Zone{Reserved: 1}, true, 50).Reserved, 6)
+	is.Equal(scaling.Split(6, w, scaling.Zone{Reserved: 4}, true, 0).Reserved, 4) // no reason to give back in between
+	is.Equal(scaling.Split(6, w, scaling.Zone{Reserved: 6}, false, 0), scaling.Order{Reserved: 3, Reclaimable: 3})
+}
+
+func TestOrdersStayWithinTheBound(t *testing.T) {
+	is := is.New(t)
+	for reserved := range 7 {
+		for reclaimable := range 7 {
+			for _, dry := range []bool{false, true} {
+				o := scaling.Split(6, scaling.Wish{Reserved: 1, Reclaimable: 5}, scaling.Zone{Reserved: reserved, Reclaimable: reclaimable}, dry, 9)
+				is.True(o.Reserved >= 1 && o.Reserved <= 6)
+				is.True(o.Reclaimable >= 0 && o.Reclaimable <= 5)
+			}
+		}
+	}
+}
+
+// The loss of a zone is a shortage only as far as the others do not cover the
+// demand.
+func TestShortage(t *testing.T) {
+	is := is.New(t)
+	policy := scaling.DefaultPolicy()
+	p := scaling.New(policy)
+	for i := range 10 {
+		p.Demand(start.Add(time.Duration(i)*time.Second), 9.9*policy.TargetSpeed/policy.Cover)
+	}
+	now := start.Add(10 * time.Second)
+	is.Equal(p.Shortage(now, []scaling.Zone{{Reserved: 1, Reclaimable: 5}}), 4)
+	is.Equal(p.Shortage(now, []scaling.Zone{{Reserved: 10, Reclaimable: 50}}), 0)
+}
