--- a/truetime/truetime.go
+++ b/truetime/truetime.go
@@ -15,7 +15,7 @@
 // follows them; it is above their clocks' usual differences.
 const tolerance = 150 * time.Millisecond
 
-// Sinceboot returns the time since the machine's start, with the time that it
+// sinceBoot returns the time since the machine's start, with the time that it
 // was suspended.
 func sinceBoot() time.Duration {
 	var t unix.Timespec
