--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -20,62 +20,6 @@
 	"zinniapin/zone"
 )
 
-// Policy are the weights and bounds of the decisions.
-type Policy struct {
-	// PrefillSpeed and DecodeSpeed are the first estimates of how fast a target
-	// of the role processes prompts, in tokens a millisecond. Observation
-	// replaces them.
-	PrefillSpeed, DecodeSpeed float64
-	// The costs are in parts of an answer that is on time.
-
-	// LateCost is that of an answer that is late.
-	LateCost float64
-	// RereadCost is that of processing 1,000 tokens that another target keeps.
-	RereadCost float64
-	// MoveCost is that of moving a GB of KV cache.
-	MoveCost float64
-	// ZoneCost is that of a kilobyte sent to another availability zone.
-	ZoneCost float64
-	// StallCost is that of a stream whose events are held up beyond their
-	// longest pause by the processing of a prompt beside it.
-	StallCost float64
-	// BlindCost is that of a target whose load is told too seldom to go by.
-	BlindCost float64
-	// StepTime and ChunkTokens describe how an engine produces output: the time
-	// of a step without prompts, and the prompt tokens that it processes between
-	// two tokens of others.
-	StepTime    time.Duration
-	ChunkTokens int
-	// CacheLife is how long a target is taken to keep a part of a prompt after
-	// its last use.
-	CacheLife time.Duration
-	// WaitShare is the share of the objective that a request may wait before
-	// its own prompt is processed.
-	WaitShare float64
-	// ReturnWaitShare is the same for a caller that was refused before.
-	ReturnWaitShare float64
-}
-
-// DefaultPolicy returns the policy that is used where settings say nothing.
-// docs/POLICY.md has the figures behind it.
-func DefaultPolicy() Policy {
-	return Policy{
-		PrefillSpeed:    80,
-		DecodeSpeed:     36,
-		LateCost:        1.4,
-		RereadCost:      0.2,
-		MoveCost:        0.2,
-		ZoneCost:        0.004,
-		StallCost:       0.5,
-		BlindCost:       0.1,
-		StepTime:        4 * time.Millisecond,
-		ChunkTokens:     512,
-		CacheLife:       10 * time.Second,
-		WaitShare:       0.7,
-		ReturnWaitShare: 3,
-	}
-}
-
 // Part is a leading part of a prompt: the hash of it and of all before it, and
 // the tokens that they have together.
 type Part struct {
@@ -395,31 +339,3 @@
 	}
 	return max(p.speed[role]*s.factor, 1)
 }
-
-// Sent is a prompt that was sent to a target, for peers.
-type Sent struct {
-	Target uint32
-	Chains []uint32
-	// Long prompts share so much that other availability zones have use for it.
-	Long bool
-}
-
-// maxSent bounds the prompts that are kept for peers.
-const maxSent = 256
-
-// TakePrompts returns the prompts sent since the last call.
-func (p *Planner) TakePrompts() []Sent {
-	taken := p.sent
-	p.sent = nil
-	return taken
-}
-
-// tell keeps a prompt for peers. Its last part is its own, so that other hosts
-// have no use for it.
-func (p *Planner) tell(t target.ID, parts []Part) {
-	if len(parts) < 2 || len(p.sent) >= maxSent {
-		return
-	}
-	shared := parts[:len(parts)-1]
-	p.sent = append(p.sent, Sent{KeyOf(t), chainsOf(shared), shared[len(shared)-1].Tokens >= promptHomeTokens})
-}
--- a/node/gossip.go
+++ b/node/gossip.go
@@ -1,14 +1,7 @@
 package node
 
 import (
-	"bytes"
-	"compress/gzip"
-	"context"
-	"encoding/json"
-	"errors"
-	"io"
 	"maps"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -19,9 +12,6 @@
 	"zinniapin/link"
 	"zinniapin/metering"
 	"zinniapin/peers"
-	"zinniapin/result"
-	"zinniapin/roster"
-	"zinniapin/route"
 	"zinniapin/target"
 	"zinniapin/wire"
 )
@@ -242,153 +232,6 @@
 	}
 }
 
-// askSnapshot asks a peer for its configuration and targets.
-func (n *Node) askSnapshot(d *wire.HostDigest) {
-	ctx, cancel := context.WithTimeout(context.Background(), snapshotTimeout)
-	defer cancel()
-	l, err := n.network.Dial(ctx, d.Address, n.snapshots())
-	if err != nil {
-		event.SnapshotFailed.Log(n.log).Str("peer", d.Host).Err(err).Send()
-		return
-	}
-	defer l.Close() //nolint:errcheck // the answer is in
-	request := &wire.SnapshotRequest{}
-	if t := n.table.Load(); t != nil {
-		request.ConfigurationVersion = t.Version()
-	}
-	n.rosterMu.Lock()
-	if n.roster.Known() {
-		request.TargetsRevision = n.roster.Revision()
-	}
-	n.rosterMu.Unlock()
-	reply, err := l.Call(ctx, &wire.Envelope{Body: &wire.Envelope_SnapshotRequest{SnapshotRequest: request}})
-	if err == nil {
-		err = n.takeSnapshot(d.Host, reply.GetSnapshotReply())
-	}
-	if err != nil {
-		event.SnapshotFailed.Log(n.log).Str("peer", d.Host).Err(err).Send()
-	}
-}
-
-// takeSnapshot takes what a peer knows.
-func (n *Node) takeSnapshot(peer string, s *wire.SnapshotReply) error {
-	if s == nil {
-		return errors.New("the peer answered something else")
-	}
-	if len(s.Configuration) > 0 {
-		c := &route.Configuration{}
-		if err := unpack(s.Configuration, c); err != nil {
-			return err
-		}
-		n.takeConfiguration(c, peer)
-	}
-	var changed []roster.Entry
-	if len(s.Targets) > 0 {
-		if err := json.Unmarshal(s.Targets, &changed); err != nil {
-			return err
-		}
-		n.takeTargetsFrom(changed, s.TargetIds, s.TargetsRevision)
-	}
-	n.gossip.mu.Lock()
-	n.gossip.behind = time.Time{} // what peers know by now shows in their digests
-	n.gossip.mu.Unlock()
-	event.SnapshotTaken.Log(n.log).Str("peer", peer).Int("configuration_bytes", len(s.Configuration)).Uint64("revision", s.TargetsRevision).Int("targets", len(changed)).Send()
-	return nil
-}
-
-// takeTargetsFrom takes the targets of a peer, of which only those are given
-// that changed after what this host has.
-func (n *Node) takeTargetsFrom(changed []roster.Entry, ids []string, revision uint64) {
-	known := make(map[target.ID]bool, len(ids))
-	for _, id := range ids {
-		known[target.ID(id)] = true
-	}
-	n.rosterMu.Lock()
-	for _, e := range n.roster.Entries() {
-		if known[e.Target.ID] {
-			changed = append(changed, e) // an older one changes nothing
-		}
-	}
-	n.rosterMu.Unlock()
-	n.takeTargets(changed, revision, false)
-}
-
-// packed is a configuration as it is sent to peers.
-type packed struct {
-	version uint64
-	data    []byte
-}
-
-// pack returns the configuration in force, compressed once for all peers.
-func (n *Node) pack() (packed, error) {
-	c := n.raw.Load()
-	if c == nil {
-		return packed{}, nil
-	}
-	if held := n.packed.Load(); held != nil && held.version == c.Version {
-		return *held, nil
-	}
-	var b bytes.Buffer
-	z := gzip.NewWriter(&b)
-	if err := json.NewEncoder(z).Encode(c); err != nil {
-		return packed{}, err
-	}
-	if err := z.Close(); err != nil {
-		return packed{}, err
-	}
-	made := &packed{c.Version, b.Bytes()}
-	n.packed.Store(made)
-	return *made, nil
-}
-
-// maxConfigurationBytes bounds an unpacked configuration.
-const maxConfigurationBytes = 16 << 20
-
-// unpack reads a packed configuration.
-func unpack(data []byte, into *route.Configuration) error {
-	z, err := gzip.NewReader(bytes.NewReader(data))
-	if err != nil {
-		return err
-	}
-	return json.NewDecoder(io.LimitReader(z, maxConfigurationBytes)).Decode(into)
-}
-
-// snapshots serves peers that ask.
-func (n *Node) snapshots() link.Handler {
-	return link.HandlerFunc(func(_ context.Context, _ link.Link, request *wire.Envelope) (*wire.Envelope, error) {
-		asked := request.GetSnapshotRequest()
-		if asked == nil {
-			return nil, result.New(result.LinkRefused, "a node answers questions for snapshots only")
-		}
-		reply := &wire.SnapshotReply{}
-		p, err := n.pack()
-		if err != nil {
-			return nil, err
-		}
-		if p.version > asked.ConfigurationVersion {
-			reply.Configuration = p.data
-		}
-		n.rosterMu.Lock()
-		known, entries := n.roster.Known(), n.roster.Entries()
-		reply.TargetsRevision = n.roster.Revision()
-		n.rosterMu.Unlock()
-		if !known || reply.TargetsRevision <= asked.TargetsRevision {
-			return &wire.Envelope{Body: &wire.Envelope_SnapshotReply{SnapshotReply: reply}}, nil
-		}
-		changed := []roster.Entry{}
-		for _, e := range entries {
-			reply.TargetIds = append(reply.TargetIds, string(e.Target.ID))
-			if e.Revision > asked.TargetsRevision {
-				changed = append(changed, e)
-			}
-		}
-		if reply.Targets, err = json.Marshal(changed); err != nil {
-			return nil, err
-		}
-		return &wire.Envelope{Body: &wire.Envelope_SnapshotReply{SnapshotReply: reply}}, nil
-	})
-}
-
 // acceptLink takes a link; peers only ask over it.
 func acceptLink(link.Link) {}
 
@@ -426,58 +269,5 @@
 	}
 }
 
-// hostsCollection holds the addresses of hosts, for those that start when the
-// seeds are out of date.
-const hostsCollection = "zinnia-hosts"
-
-// hostRecord is a member of that collection.
-type hostRecord struct {
-	Address string `json:"address"`
-}
-
-// announce writes this host's address to the store once and reads the others'.
-func (n *Node) announce(ctx context.Context) {
-	for wait := retryMost; ctx.Err() == nil; wait = min(2*wait, 5*time.Second) {
-		if n.announceOnce(ctx) {
-			return
-		}
-		time.Sleep(wait/2 + time.Duration(rand.Int64N(int64(wait))))
-	}
-}
-
-// announceOnce returns whether the record is written.
-func (n *Node) announceOnce(ctx context.Context) bool {
-	listing, err := n.platform.Objects.List(ctx, hostsCollection)
-	if err != nil {
-		return false
-	}
-	var addresses []string
-	var revision uint64
-	for _, m := range listing.Members {
-		var h hostRecord
-		if json.Unmarshal(m.Value, &h) != nil {
-			continue // another release's record; gossip finds the host as well
-		}
-		addresses = append(addresses, h.Address)
-		if m.Name == n.settings.Host {
-			if h.Address == n.settings.Mesh {
-				return true
-			}
-			revision = m.Revision
-		}
-	}
-	n.mesh.Name(addresses)
-	value, err := json.Marshal(hostRecord{n.settings.Mesh})
-	if err != nil {
-		return true
-	}
-	if revision > 0 {
-		_, err = n.platform.Objects.Replace(ctx, hostsCollection, n.settings.Host, revision, value)
-	} else {
-		_, err = n.platform.Objects.Create(ctx, hostsCollection, n.settings.Host, value)
-	}
-	return err == nil
-}
-
 // live returns the live peers.
 func (n *Node) live() []*peers.Peer { return n.mesh.Live(time.Now()) }
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -13,10 +13,9 @@
 	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
+	"zinniapin/socket"
 )
 
 // Errors of an exchange. What is known about the request follows from them.
@@ -86,20 +85,9 @@
 	watched chan bool // whether the connection was silent while idle
 }
 
-// control sets the options of a new socket.
-func control(_, _ string, raw syscall.RawConn) error {
-	var failed error
-	if err := raw.Control(func(fd uintptr) {
-		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
-	}); err != nil {
-		return err
-	}
-	return failed
-}
-
 // dial opens a connection.
 func (p *Pool) dial(ctx context.Context, address string) (*connection, error) {
-	d := net.Dialer{Timeout: connectTimeout, Control: control, KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 10 * time.Second, Interval: 5 * time.Second, Count: 4}}
+	d := net.Dialer{Timeout: connectTimeout, Control: socket.UserTimeout(userTimeout), KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 10 * time.Second, Interval: 5 * time.Second, Count: 4}}
 	c, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, errors.Join(ErrNotSent, err)
