Mend two races found by the race detector, and a stop that waited

Cause: go test -race: the wait for answers used a WaitGroup that grows while it is waited for, so a request read at that moment could be missed; giving up the duties ran beside their tick. Waiting for that tick would have let calls that nobody answers hold up a stop beyond its grace. Change: a stop waits until all connections have ended; the duties have a lock; they are given up beside the callers' last answers. Test: TestStopDoesNotWaitForThePlatform; go test -race of ingress and node is clean (6 packages before: 2 races). The stand-in store let a test hang when a call without an answer had a body that was not read.

--- a/ingress/server.go
+++ b/ingress/server.go
@@ -67,7 +67,6 @@
 	closing  atomic.Bool
 	mu       sync.Mutex
 	conns    map[*conn]struct{}
-	active   sync.WaitGroup
 }
 
 // Serve accepts connections until the listener is closed.
@@ -124,13 +123,20 @@
 	return len(s.conns)
 }
 
-// Wait waits until no request is being answered or the context ends.
+// closedPoll is the pace at which Wait looks at the connections.
+const closedPoll = 10 * time.Millisecond
+
+// Wait waits until all connections have ended or the context does. After Drain
+// and CloseIdle each ends with the answer that is due on it.
 func (s *Server) Wait(ctx context.Context) {
-	done := make(chan struct{})
-	go func() { s.active.Wait(); close(done) }()
-	select {
-	case <-done:
-	case <-ctx.Done():
+	ticker := time.NewTicker(closedPoll)
+	defer ticker.Stop()
+	for s.Connections() > 0 {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
 	}
 }
 
@@ -180,8 +186,6 @@
 	}
 	c.setIdle(true, wait)
 	_, err := c.reader.Peek(1)
-	c.server.active.Add(1) // counted before the connection ceases to be idle
-	defer c.server.active.Done()
 	c.setIdle(false, limits.HeadTimeout)
 	if err != nil {
 		return false
--- a/ingress/server_test.go
+++ b/ingress/server_test.go
@@ -263,6 +263,8 @@
 	_, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
 	is.NoErr(err)
 	time.Sleep(50 * time.Millisecond)
+	s.Drain()
+	s.CloseIdle()
 	short, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
 	defer cancel()
 	s.Wait(short)
--- a/internal/standin/prepared/store.go
+++ b/internal/standin/prepared/store.go
@@ -5,6 +5,7 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"sort"
@@ -45,11 +46,12 @@
 	silent   bool
 	lose     int // writes to carry out without an answer
 	calls    map[string]int
+	closing  chan struct{}
 }
 
 // NewStore returns a running store.
 func NewStore() *Store {
-	s := &Store{objects: make(map[string]map[string]Object), revision: 1, changed: make(chan struct{}), calls: make(map[string]int)}
+	s := &Store{objects: make(map[string]map[string]Object), revision: 1, changed: make(chan struct{}), calls: make(map[string]int), closing: make(chan struct{})}
 	s.server = httptest.NewServer(http.HandlerFunc(s.serve))
 	return s
 }
@@ -59,6 +61,7 @@
 
 // Close ends the store.
 func (s *Store) Close() {
+	close(s.closing)
 	s.server.CloseClientConnections()
 	s.server.Close()
 }
@@ -163,7 +166,7 @@
 	down, silent := s.down, s.silent
 	s.mu.Unlock()
 	if silent {
-		<-r.Context().Done()
+		s.hold(r)
 		return
 	}
 	if down {
@@ -182,6 +185,15 @@
 	}
 }
 
+// hold keeps a call without an answer until its caller leaves.
+func (s *Store) hold(r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body) // the caller's leaving shows only after the body
+	select {
+	case <-r.Context().Done():
+	case <-s.closing:
+	}
+}
+
 // get answers with one object.
 func (s *Store) get(w http.ResponseWriter, kind, name string) {
 	s.mu.Lock()
@@ -271,7 +283,7 @@
 	}
 	s.mu.Unlock()
 	if lost {
-		<-r.Context().Done()
+		s.hold(r)
 		return
 	}
 	answer(w, http.StatusOK, written)
--- a/node/keeper.go
+++ b/node/keeper.go
@@ -42,7 +42,8 @@
 	// doubtful asks to read the record before anything is done.
 	doubtful bool
 
-	// What follows belongs to the goroutine of tick.
+	// working guards what follows.
+	working  sync.Mutex
 	holding  bool
 	record   duty.Record
 	revision uint64
@@ -92,6 +93,8 @@
 	if !n.settings.Duties.Usage && !n.settings.Duties.Scaling || n.leaving.Load() {
 		return
 	}
+	k.working.Lock()
+	defer k.working.Unlock()
 	now := time.Now()
 	if !k.ticked.IsZero() && now.Sub(k.ticked) > stoppedLimit {
 		k.doubt() // another host may hold the duties by now
@@ -330,8 +333,8 @@
 
 // giveUp lets another host take the duties at once.
 func (k *keeper) giveUp(ctx context.Context) {
-	k.node.leaving.Store(true)
-	time.Sleep(2 * keeperInterval) // a tick under way ends
+	k.working.Lock() // a tick under way ends first
+	defer k.working.Unlock()
 	if !k.holding {
 		return
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -353,9 +353,17 @@
 	grace := seconds(n.settings.Bounds.GraceSeconds) - graceMargin
 	ctx, cancel := context.WithDeadline(context.Background(), begun.Add(grace))
 	defer cancel()
-	n.keeper.giveUp(ctx)
+	gaveUp := make(chan struct{})
+	go func() {
+		defer close(gaveUp)
+		n.keeper.giveUp(ctx) // it may have to wait for calls under way
+	}()
 	time.Sleep(min(balancerTime, grace/2) - time.Since(begun))
 	closeListener()
 	n.server.CloseIdle()
 	n.server.Wait(ctx)
+	select {
+	case <-gaveUp:
+	case <-ctx.Done():
+	}
 }
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -384,3 +384,25 @@
 		}
 	}
 }
+
+// A stop does not wait for the platform: the duties may have calls under way
+// that nobody answers.
+func TestStopDoesNotWaitForThePlatform(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t)
+	n := r.start("h1")
+	eventually(t, 3*time.Second, "ready", n.ready)
+	eventually(t, 15*time.Second, "the duties are held", func() bool { return r.store.Read("zinnia-duties", "holder") != nil })
+	r.store.SetSilent(true)
+	n.get("/read/a", "key-1")
+	time.Sleep(5 * time.Second) // the holder waits for the store
+	begun := time.Now()
+	n.stop()
+	select {
+	case err := <-n.ended:
+		is.NoErr(err)
+	case <-time.After(9 * time.Second):
+		t.Fatal("the node does not end")
+	}
+	is.True(time.Since(begun) < 7500*time.Millisecond) // within its grace of 8 s
+}
--- a/node/pools.go
+++ b/node/pools.go
@@ -171,6 +171,9 @@
 // order orders one pool where that is due. It returns false when this host
 // holds the duties no more.
 func (k *keeper) order(ctx context.Context, now time.Time, s *route.Service, key poolKey, wish, have int) bool {
+	if k.node.leaving.Load() {
+		return false
+	}
 	held := k.pools[key]
 	if held == nil {
 		held = &pool{ordered: have}
