Fetch shared parts of prompts from the target that keeps them

Ruled out: a lack of prefill targets (some were idle in most of those moments). Change: the planner weighs a transfer from a sound target that has kept the parts for a time; the target that processes the prompt is told to fetch them. Only first attempts fetch. Tests: TestSharedPartsAreFetchedPastTheQueueOfTheirKeeper, TestNothingIsFetchedWhereTheKeeperIsFree, TestPartsAreFetchedFromSoundKeepersOnly, TestSharedPartIsFetchedFromItsKeeper.

--- a/dispatch/cost.go
+++ b/dispatch/cost.go
@@ -24,9 +24,9 @@
 
 // forecast returns what a job would meet at a target. Home is the target that
 // keeps the leading parts of the prompt by rule, or nil.
-func (p *Planner) forecast(now time.Time, j Job, s, home *state) candidate {
+func (p *Planner) forecast(now time.Time, j Job, s, home *state, all keepers) candidate {
 	if j.Prompt > 0 {
-		return p.forecastPrompt(now, j, s, home)
+		return p.forecastPrompt(now, j, s, home, all)
 	}
 	return p.forecastCall(now, j, s)
 }
@@ -62,19 +62,21 @@
 }
 
 // forecastPrompt forecasts the first token of a prompt.
-func (p *Planner) forecastPrompt(now time.Time, j Job, s, home *state) candidate {
+func (p *Planner) forecastPrompt(now time.Time, j Job, s, home *state, all keepers) candidate {
 	speed := p.speedOf(s)
 	backlog, active, age := s.load(now, speed)
 	cached := s.cached(now, j.Parts, p.policy.CacheLife)
+	moved := p.fetchFor(j, all, s, cached, speed)
+	cached = max(cached, moved.tokens)
 	unread := max(j.Prompt-cached, 1)
-	c := candidate{state: s, unread: unread, loadAge: age}
+	c := candidate{state: s, from: moved.from, unread: unread, loadAge: age, cost: moved.cost}
 	c.wait = time.Duration(float64(backlog) / speed * float64(time.Millisecond))
 	if s.target.Slots > 0 && active >= s.target.Slots {
 		c.wait += time.Duration(active-s.target.Slots+1) * fullSlotTime
 	}
-	c.forecast = c.wait + time.Duration(float64(unread)/speed*float64(time.Millisecond)) + firstTokenTime
+	c.forecast = c.wait + moved.time + time.Duration(float64(unread)/speed*float64(time.Millisecond)) + firstTokenTime
 	if s.target.Role == target.Prefill {
-		gigabytes, transfer := p.move(j)
+		gigabytes, transfer := p.transfer(j.Service, j.Prompt)
 		c.forecast += transfer + fetchTime
 		c.cost += gigabytes * p.policy.MoveCost
 	} else {
@@ -150,13 +152,14 @@
 	return cost
 }
 
-// move returns the size of a prompt's KV cache in GB and the time of moving it.
-func (p *Planner) move(j Job) (float64, time.Duration) {
-	e := p.engines[j.Service]
+// transfer returns the size of the KV cache of tokens in GB and the time of
+// moving it within an availability zone.
+func (p *Planner) transfer(service string, tokens int) (float64, time.Duration) {
+	e := p.engines[service]
 	if e == nil || e.LinkMbps <= 0 {
 		return 0, 0
 	}
-	bytes := float64(j.Prompt) * float64(e.TokenBytes)
+	bytes := float64(tokens) * float64(e.TokenBytes)
 	seconds := bytes * 8 / (e.LinkMbps * 1e6)
 	return bytes / 1e9, time.Duration(seconds * float64(time.Second))
 }
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -41,6 +41,8 @@
 	Objective, Left time.Duration
 	// Gap is the longest pause between events of a stream.
 	Gap time.Duration
+	// Fetch allows a target to fetch parts of the prompt that others keep.
+	Fetch bool
 	// Returning is set for a caller that was refused before.
 	Returning bool
 	// Urgent jobs go before others: lower is more urgent.
@@ -51,6 +53,9 @@
 type Decision struct {
 	// Target takes the job; its ID is empty when the job is refused.
 	Target roster.Target
+	// From is the target that keeps parts of the prompt which Target should fetch;
+	// its ID is empty when there is none.
+	From roster.Target
 	// Unread is the number of prompt tokens that the target has to process.
 	Unread int
 	// Wait is the forecast of the time until the target begins with the job,
@@ -217,6 +222,7 @@
 // candidate is a target with its forecast for a job.
 type candidate struct {
 	state    *state
+	from     *state // nil when nothing is fetched
 	unread   int
 	wait     time.Duration
 	forecast time.Duration
@@ -238,6 +244,9 @@
 		return d
 	}
 	d.Target = best.state.target
+	if best.from != nil {
+		d.From = best.from.target
+	}
 	return d
 }
 
@@ -281,12 +290,12 @@
 // those that fail are tried.
 func (p *Planner) candidates(now time.Time, j Job, exclude map[target.ID]bool) []candidate {
 	var sound, failing []candidate
-	home := p.home(j)
+	home, all := p.home(j), p.keepers(now, j, exclude)
 	for _, s := range p.services[j.Service] {
 		if s.target.Draining || exclude[s.target.ID] {
 			continue
 		}
-		c := p.forecast(now, j, s, home)
+		c := p.forecast(now, j, s, home, all)
 		if s.quarantined(now) {
 			failing = append(failing, c)
 		} else {
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -315,3 +315,70 @@
 		}
 	})
 }
+
+// loaded returns a planner before two prefill targets, the first of which has
+// kept a shared part for a time and has a queue.
+func loaded(queue int) (*dispatch.Planner, dispatch.Job, time.Time) {
+	p := planner(engines(2, 0, "a"), 1)
+	j := job(5000, 3000, 1)
+	t := p.Begin(start, "a-p0", j, 8000)
+	p.Read(start.Add(100*time.Millisecond), t)
+	p.End(t)
+	now := start.Add(time.Second)
+	if queue > 0 {
+		p.Begin(now, "a-p0", job(0, queue, 50), queue)
+	}
+	next := job(5000, 3000, 1)
+	next.Parts[1].Chain = 7 // a prompt of its own after the shared part
+	next.Fetch = true
+	return p, next, now
+}
+
+// Many prompts that share a long part come at once: those that find a queue at
+// its keeper go elsewhere, where the part is fetched and not processed again.
+func TestSharedPartsAreFetchedPastTheQueueOfTheirKeeper(t *testing.T) {
+	is := is.New(t)
+	p, j, now := loaded(40_000)
+	d := p.Plan(now, j, nil)
+	is.Equal(d.Target.ID, target.ID("a-p1"))
+	is.Equal(d.From.ID, target.ID("a-p0"))
+	is.Equal(d.Unread, 3000)
+	j.Fetch = false
+	is.Equal(p.Plan(now, j, nil).From.ID, target.ID(""))
+}
+
+// Nothing is fetched where the keeper itself is free.
+func TestNothingIsFetchedWhereTheKeeperIsFree(t *testing.T) {
+	is := is.New(t)
+	p, j, now := loaded(0)
+	d := p.Plan(now, j, nil)
+	is.Equal(d.Target.ID, target.ID("a-p0"))
+	is.Equal(d.From.ID, target.ID(""))
+}
+
+// A part is not fetched from a target that fails, that leaves, that failed this
+// request or that may still be processing it.
+func TestPartsAreFetchedFromSoundKeepersOnly(t *testing.T) {
+	is := is.New(t)
+	without := func(p *dispatch.Planner, j dispatch.Job, now time.Time, exclude map[target.ID]bool) {
+		t.Helper()
+		d := p.Plan(now, j, exclude)
+		is.Equal(d.Target.ID, target.ID("a-p1"))
+		is.Equal(d.From.ID, target.ID(""))
+		is.Equal(d.Unread, 8000)
+	}
+	p, j, now := loaded(40_000)
+	p.Observe(now, "a-p0", dispatch.Unreachable, 0)
+	p.Observe(now, "a-p0", dispatch.Unreachable, 0)
+	without(p, j, now, nil)
+	p, j, now = loaded(40_000)
+	all := engines(2, 0, "a")
+	all[0].Draining = true
+	p.SetTargets(all)
+	without(p, j, now, nil)
+	p, j, now = loaded(40_000)
+	without(p, j, now, map[target.ID]bool{"a-p0": true})
+	p = planner(engines(2, 0, "a"), 1)
+	p.Begin(start, "a-p0", job(5000, 3000, 1), 60_000)
+	without(p, j, start.Add(20*time.Millisecond), nil)
+}
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -25,16 +25,21 @@
 	// progressed is when the target last answered with a first token of ours.
 	progressed time.Time
 	peers      map[string]peerLoad
-	cache      map[uint32]time.Time // leading parts by their last use
-	factor     float64              // speed in relation to its role's
+	cache      map[uint32]keptPart // leading parts by their chain
+	factor     float64             // speed in relation to its role's
 	health     health
 }
 
+// keptPart is when a target began to keep a part, and when it used it last.
+type keptPart struct {
+	first, last time.Time
+}
+
 // newState returns what is known of a new target.
 func newState() *state {
 	return &state{
 		jobs: make(map[uint64]*running), peers: make(map[string]peerLoad),
-		cache: make(map[uint32]time.Time), factor: 1,
+		cache: make(map[uint32]keptPart), factor: 1,
 	}
 }
 
@@ -89,11 +94,16 @@
 // note records the use of leading parts.
 func (s *state) note(now time.Time, chains []uint32, life time.Duration) {
 	for _, c := range chains {
-		s.cache[c] = now
+		held, ok := s.cache[c]
+		if !ok || now.Sub(held.last) > life {
+			held.first = now
+		}
+		held.last = now
+		s.cache[c] = held
 	}
 	if len(s.cache) > maxCachedParts {
-		for c, at := range s.cache {
-			if now.Sub(at) > life {
+		for c, held := range s.cache {
+			if now.Sub(held.last) > life {
 				delete(s.cache, c)
 			}
 		}
@@ -106,10 +116,16 @@
 
 // cached returns the tokens of the longest leading part that the target keeps.
 func (s *state) cached(now time.Time, parts []Part, life time.Duration) int {
+	return s.kept(now, parts, life, 0)
+}
+
+// kept returns the tokens of the longest leading part that the target has kept
+// for a time and used within its life.
+func (s *state) kept(now time.Time, parts []Part, life, since time.Duration) int {
 	tokens := 0
 	for _, part := range parts {
-		at, ok := s.cache[part.Chain]
-		if !ok || now.Sub(at) > life {
+		held, ok := s.cache[part.Chain]
+		if !ok || now.Sub(held.last) > life || now.Sub(held.first) < since {
 			break
 		}
 		tokens = part.Tokens
--- a/forward/generate.go
+++ b/forward/generate.go
@@ -110,7 +110,7 @@
 	defer watch.end()
 	ticket := r.begin(d.Target, d.Unread)
 	r.trail.reading = d.Target.ID
-	out := r.outbound(d.Target, Outbound{Priority: r.job.Priority, PrefillOnly: true, LastEvent: lastEvent})
+	out := r.outbound(d.Target, Outbound{Priority: r.job.Priority, PrefillOnly: true, LastEvent: lastEvent, Fetch: d.From.Address})
 	answer, f := r.send(ctx, d.Target, out, true)
 	if f != answered {
 		r.ended(ticket, d.Target.ID, outcomeOf(f), 0)
@@ -163,7 +163,11 @@
 // stream makes one attempt to stream from a target.
 func (r *request) stream(ctx context.Context, l leg, s *events) fate {
 	ticket := r.begin(l.target, l.unread)
-	out := r.outbound(l.target, Outbound{Priority: r.job.Priority, Source: l.source, LastEvent: s.last})
+	o := Outbound{Priority: r.job.Priority, Source: l.source, LastEvent: s.last}
+	if l.source == "" {
+		o.Fetch = l.plan.From.Address
+	}
+	out := r.outbound(l.target, o)
 	attempt, watch := ctx, (*patience)(nil)
 	if r.route.Repeatable() && r.sent+1 < r.route.Attempts {
 		attempt, watch = r.patient(ctx, l.plan)
--- a/forward/generate_test.go
+++ b/forward/generate_test.go
@@ -11,7 +11,9 @@
 
 	"github.com/matryer/is"
 
+	"zinniapin/dispatch"
 	"zinniapin/internal/standin/prepared"
+	"zinniapin/target"
 )
 
 // engine returns a stand-in engine of a role.
@@ -46,6 +48,31 @@
 	is.Equal(r.began["parents"], 1)
 }
 
+// A prompt whose shared part is kept by a busy target is processed by another,
+// which fetches that part; the prompt's own output target fetches the whole.
+func TestSharedPartIsFetchedFromItsKeeper(t *testing.T) {
+	is := is.New(t)
+	targets := map[string]*prepared.Target{"p-1": engine("p-1", "prefill"), "p-2": engine("p-2", "prefill")}
+	d := engine("d-1", "decode")
+	r := newRig(t, "model", targets["p-1"], targets["p-2"], d)
+	is.NoErr(r.call(http.MethodPost, "/draft/a", "p", "X-Model: m", "X-Token-Count: 20000,20", "X-Prompt-Prefix: aa:9000,bb:11000").err)
+	keeper, other := targets["p-1"], targets["p-2"]
+	if len(keeper.Arrivals()) == 0 {
+		keeper, other = other, keeper
+	}
+	time.Sleep(200 * time.Millisecond) // it keeps the part by then
+	busy := dispatch.Job{Service: "model", Prompt: 60_000, Objective: time.Second, Left: 5 * time.Second}
+	r.handler.Planning.Lock()
+	r.handler.Planner.Begin(time.Now(), target.ID(keeper.ID), busy, busy.Prompt)
+	r.handler.Planning.Unlock()
+	is.NoErr(r.call(http.MethodPost, "/draft/a", "p", "X-Model: m", "X-Token-Count: 20000,20", "X-Prompt-Prefix: aa:9000,cc:11000").err)
+	is.Equal(len(other.Arrivals()), 1)
+	is.Equal(other.Arrivals()[0].Header.Get("Kv-Fetch"), keeper.Address())
+	for _, arrival := range d.Arrivals() {
+		is.Equal(arrival.Header.Get("Kv-Fetch"), "")
+	}
+}
+
 func TestBrokenStreamGoesOnElsewhere(t *testing.T) {
 	is := is.New(t)
 	one, two := engine("d-1", "decode"), engine("d-2", "decode")
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -285,6 +285,8 @@
 // plan decides where the request goes next.
 func (r *request) plan() dispatch.Decision {
 	r.job.Left = time.Until(r.end)
+	// What failed once may have failed by its source.
+	r.job.Fetch = len(r.trail.targets) == 0
 	r.job.Objective = time.Duration(r.route.ObjectiveMillis)*time.Millisecond - time.Since(r.in.Arrived)
 	r.h.Planning.Lock()
 	defer r.h.Planning.Unlock()
--- a/forward/protocol.go
+++ b/forward/protocol.go
@@ -42,6 +42,9 @@
 	PrefillOnly bool
 	// Source is where the KV cache is fetched from; empty when there is none.
 	Source string
+	// Fetch is the address of a target that keeps parts of the prompt; empty
+	// when none are to be fetched.
+	Fetch string
 	// LastEvent is the id after which the stream goes on.
 	LastEvent string
 }
--- a/forward/trail.go
+++ b/forward/trail.go
@@ -53,6 +53,9 @@
 		line = line.Int("prompt", r.job.Prompt).Int("unread", d.Unread).Bool("returning", r.job.Returning).
 			Int("events", r.trail.events).Int("resumed", r.trail.resumed).Float64("first_ms", milliseconds(r.trail.first))
 	}
+	if d.From.ID != "" {
+		line = line.Str("fetched_from", string(d.From.ID))
+	}
 	if r.trail.reading != "" {
 		line = line.Str("prefilled_at", string(r.trail.reading))
 	}
