Go by peers that the store answered during an outage, not at its end

Cause: after an outage of the store for all hosts, one whose peer had recovered some milliseconds earlier took the outage for its own and dropped lapsed entries at once, though they may take 2 s to come back (listed in docs/PROOFS.md, found by reading; the former rule asked whether a peer reaches the store now). Change: digests tell how long ago the store answered their sender; an outage is a host's own when a peer was answered after this host's calls had begun to fail and more than a second before they succeeded again. An outage counts from the last answer, since a silent one is noticed late. Tests: TestPeerThatIsBackEarlierWasNotSpared (the former rule fails it), TestPeerThatWasAnsweredMeanwhileWasSpared, TestOutagesAreJudgedOneByOne.

--- a/node/follow.go
+++ b/node/follow.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"math/rand/v2"
-	"sync"
 	"time"
 
 	"zinniapin/dispatch"
@@ -16,85 +15,6 @@
 	"zinniapin/target"
 )
 
-// reach tells whether a part of the store is reached.
-type reach struct {
-	mu       sync.Mutex
-	failing  time.Time // since when calls fail; zero when the last one did not
-	doubtful bool      // the next watch must be a list
-	reached  bool      // ever
-	called   time.Time // when a call was answered last
-	// interrupt ends the call under way.
-	interrupt context.CancelFunc
-}
-
-// begin returns the context of a call that doubt ends.
-func (r *reach) begin(ctx context.Context) (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithCancel(ctx)
-	r.mu.Lock()
-	r.interrupt = cancel
-	r.mu.Unlock()
-	return ctx, cancel
-}
-
-// lastCall returns when a call was answered last.
-func (r *reach) lastCall() time.Time {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.called
-}
-
-// failed notes a failed call and returns whether it is the first in a row.
-func (r *reach) failed(now time.Time) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if !r.failing.IsZero() {
-		return false
-	}
-	r.failing = now
-	return true
-}
-
-// succeeded notes a call that was answered and returns for how long calls
-// failed before.
-func (r *reach) succeeded(now time.Time) time.Duration {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.reached, r.called = true, now
-	if r.failing.IsZero() {
-		return 0
-	}
-	lasted := now.Sub(r.failing)
-	r.failing = time.Time{}
-	return lasted
-}
-
-// doubt asks for a list: what is known may be old, and the call under way may
-// be on a connection that has fallen silent.
-func (r *reach) doubt() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.doubtful = true
-	if r.interrupt != nil {
-		r.interrupt()
-	}
-}
-
-// takeDoubt returns whether a list was asked for.
-func (r *reach) takeDoubt() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	d := r.doubtful
-	r.doubtful = false
-	return d
-}
-
-// ok tells whether the last call was answered.
-func (r *reach) ok() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.reached && r.failing.IsZero()
-}
-
 // follower follows one collection.
 type follower struct {
 	name    string
@@ -124,7 +44,7 @@
 			listed = false
 		}
 		if !n.watches() {
-			f.reach.succeeded(time.Now()) // of what is not called nothing is known
+			f.reach.standby()
 			listed = false
 			time.Sleep(standbyPause)
 			continue
@@ -209,25 +129,14 @@
 	if err != nil {
 		return 0, err
 	}
-	failed := f.reach.succeeded(time.Now())
-	if failed > 0 {
-		event.StoreBack.Log(n.log).Str("collection", f.name).Uint64("revision", listing.Revision).Float64("seconds", failed.Seconds()).Send()
+	ended := f.reach.succeeded(time.Now())
+	if ended.lasted > 0 {
+		event.StoreBack.Log(n.log).Str("collection", f.name).Uint64("revision", listing.Revision).Float64("seconds", ended.lasted.Seconds()).Bool("own", ended.own).Send()
 	}
-	f.list(listing, failed > outageTime && !n.peersReach())
+	f.list(listing, ended.lapsing())
 	return listing.Revision, nil
 }
 
-// peersReach tells whether a peer reaches the store: then an outage was this
-// host's own, and no entry has lapsed for it.
-func (n *Node) peersReach() bool {
-	for _, p := range n.mesh.Live(time.Now()) {
-		if p.Digest.StoreReachable {
-			return true
-		}
-	}
-	return false
-}
-
 // configurationFollower follows the configuration.
 func (n *Node) configurationFollower() follower {
 	take := func(m store.Member) {
--- a/node/gossip.go
+++ b/node/gossip.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"zinniapin/dispatch"
 	"zinniapin/event"
 	"zinniapin/link"
@@ -79,6 +81,9 @@
 		TrueTimeMs:     n.clock.Now().UnixMilli(), UptimeMs: uint64(time.Since(n.started).Milliseconds()),
 		Leaving: n.leaving.Load(),
 	}
+	if answered := n.targetsLink.lastCall(); !answered.IsZero() {
+		d.StoreAnswerAgeMs = proto.Uint64(uint64(time.Since(answered).Milliseconds()))
+	}
 	if t := n.table.Load(); t != nil {
 		d.ConfigurationVersion = t.Version()
 	}
@@ -178,6 +183,9 @@
 		n.handler.Planner.Cached(now, p.Target, p.Chains)
 	}
 	n.handler.Planning.Unlock()
+	if d.StoreAnswerAgeMs != nil {
+		n.targetsLink.peerAnswered(now.Add(-time.Duration(d.GetStoreAnswerAgeMs()) * time.Millisecond))
+	}
 	n.clock.Peer(d.Host, time.UnixMilli(d.TrueTimeMs), time.Duration(d.UptimeMs)*time.Millisecond, time.Since(n.started))
 	n.ledgerMu.Lock()
 	for _, w := range d.Usage {
