Share the bound of repeats among all hosts that may be running

Cause: found by reading. A host took its part of the shared slack by the hosts that it hears. One that is cut off from the others hears none and took all of it, while the others shared it out as well: 6 hosts apart could have spent six times the slack of 52 in one window, though the bound counts all hosts. Ruled out: the ratio's part, which goes by each host's own requests. Change: hosts that were heard or named within 90 s count as well. Test: TestHostsThatFellSilentAreStillKnown (counting live hosts fails it).

--- a/node/node.go
+++ b/node/node.go
@@ -132,7 +132,7 @@
 
 // view returns what is known now.
 func (n *Node) view() forward.View {
-	v := forward.View{Hosts: 1 + len(n.mesh.Live(time.Now()))}
+	v := forward.View{Hosts: 1 + n.mesh.Known()}
 	n.rosterMu.Lock()
 	known := n.roster.Known()
 	v.Revision = n.roster.Revision()
--- a/peers/mesh.go
+++ b/peers/mesh.go
@@ -102,6 +102,13 @@
 	return m.table.Live(now)
 }
 
+// Known returns the number of other hosts that may be running.
+func (m *Mesh) Known() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.table.Known()
+}
+
 // Name notes addresses at which hosts may be.
 func (m *Mesh) Name(addresses []string) {
 	m.mu.Lock()
--- a/peers/peers_test.go
+++ b/peers/peers_test.go
@@ -47,6 +47,24 @@
 	is.True(found)
 }
 
+// A fleet falls apart: each part hears of itself alone, while all of it goes on
+// serving. The shares of what all hosts have in common must still add up.
+func TestHostsThatFellSilentAreStillKnown(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	table := NewTable("self", []string{"127.0.0.1:9"}, now)
+	for _, host := range []string{"1", "2", "3"} {
+		table.Heard(now, digest(host, 1, 1))
+	}
+	is.Equal(table.Known(), 4) // with the seed that is not heard yet
+	later := now.Add(20 * time.Second)
+	table.Lost(later)
+	is.Equal(len(table.Live(later)), 0)
+	is.Equal(table.Known(), 4)
+	table.Lost(now.Add(2 * time.Minute)) // gone for good by then
+	is.Equal(table.Known(), 0)
+}
+
 // Digests that name too much are cut to what one datagram holds, and what
 // matters stays.
 func TestDigestFitsADatagram(t *testing.T) {
--- a/peers/table.go
+++ b/peers/table.go
@@ -103,6 +103,11 @@
 	return live
 }
 
+// Known returns the number of hosts that may be running, this one excluded:
+// those that are heard, and those that were heard or named of late. A host that
+// is cut off is not heard, yet goes on.
+func (t *Table) Known() int { return len(t.named) }
+
 // Addresses returns where datagrams go: those of live hosts, near ones first,
 // and those that are named but not heard.
 func (t *Table) Addresses(now time.Time, zone string) (near, far, silent []string) {
