--- a/dispatch/cost.go
+++ b/dispatch/cost.go
@@ -86,18 +86,23 @@
 		again := max(j.Parts[len(j.Parts)-2].Tokens-cached, 0)
 		c.cost += float64(again) / 1000 * p.policy.RereadCost
 	}
-	c.cost += p.lateCost(c.forecast, j.Objective) + p.zoneCost(j.Bytes, s)
+	c.cost += p.lateCost(j, c.forecast) + p.zoneCost(j.Bytes, s)
 	return c
 }
 
 // lateCost is the cost of an answer that is forecast to take a time.
-func (p *Planner) lateCost(forecast, objective time.Duration) float64 {
+func (p *Planner) lateCost(j Job, forecast time.Duration) float64 {
+	objective := j.Objective
+	weight := max(j.Weight, 0)
+	if weight == 0 {
+		weight = 1
+	}
 	share := 10.0
 	if objective > 0 {
 		share = float64(forecast) / float64(objective)
 	}
 	late := 1 / (1 + math.Exp((1-share)/lateSpread))
-	return haste*share + p.policy.LateCost*late
+	return haste*share + weight*p.policy.LateCost*late
 }
 
 // stallCost is the cost of processing a prompt between the tokens of others:
@@ -128,7 +133,7 @@
 	c := candidate{state: s, loadAge: age}
 	c.wait = time.Duration(float64(max(active-slots+1, 0)) / float64(slots) * latency * float64(time.Millisecond))
 	c.forecast = c.wait + time.Duration(latency*(1+0.3*float64(active)/float64(slots))*float64(time.Millisecond))
-	c.cost = p.lateCost(c.forecast, j.Objective) + p.zoneCost(j.Bytes+answerBytes, s)
+	c.cost = p.lateCost(j, c.forecast) + p.zoneCost(j.Bytes+answerBytes, s)
 	return c
 }
 
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -41,6 +41,9 @@
 	Objective, Left time.Duration
 	// Gap is the longest pause between events of a stream.
 	Gap time.Duration
+	// Weight is what a late answer costs in relation to one of usual size; 0
+	// means 1.
+	Weight float64
 	// Fetch allows a target to fetch parts of the prompt that others keep.
 	Fetch bool
 	// Returning is set for a caller that was refused before.
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -382,3 +382,24 @@
 	p.Begin(start, "a-p0", job(5000, 3000, 1), 60_000)
 	without(p, j, start.Add(20*time.Millisecond), nil)
 }
+
+// Drafts of all sizes meet a queue at the target that keeps their shared part,
+// and another one is free: a large one, which would be late with the queue, goes
+// there and has the part processed again; a small one waits.
+func TestLateLargePromptsWeighMoreThanRereading(t *testing.T) {
+	is := is.New(t)
+	p := planner(engines(2, 0, "a"), 1)
+	chain := uint32(1)
+	for p.Plan(start, job(5000, 3000, chain), nil).Target.ID != "a-p0" {
+		chain++ // until a-p0 is where the part is kept
+	}
+	j := job(5000, 3000, chain)
+	p.End(p.Begin(start, "a-p0", j, 8000))
+	now := start.Add(time.Second)
+	p.Begin(now, "a-p0", job(0, 27_900, 50_000), 27_900)
+	j.Parts[1].Chain = 60_000 // a prompt of its own after the shared part
+	j.Weight = 0.5
+	is.Equal(p.Plan(now, j, nil).Target.ID, target.ID("a-p0"))
+	j.Weight = 4
+	is.Equal(p.Plan(now, j, nil).Target.ID, target.ID("a-p1"))
+}
