Print a request's timeline from the logs of all hosts

Cause: on-call had to collect lines by hand; what a host had lost or learnt around a failed request stood in lines that do not name it. Change: `zinniactl explain ID LOG...` reads logs of any hosts, files or standard input, and prints the request's own lines, its arrival, and the events of its hosts around it. It needs no settings. Package timeline is the core.

--- a/node/node_test.go
+++ b/node/node_test.go
@@ -122,7 +122,7 @@
 	ctx, n.stop = context.WithCancel(context.Background())
 	n.log = &lines{}
 	output := node.NewOutput(n.log)
-	log := zerolog.New(output).With().Str("host", host).Logger()
+	log := zerolog.New(output).With().Timestamp().Str("host", host).Logger()
 	s := n.settings
 	n.node = node.New(s, node.Platform{
 		Objects: platform.NewObjects(s.Objects), Duties: platform.NewDuties(s.Orders), Protocol: platform.Protocol{},
@@ -135,13 +135,16 @@
 }
 
 // get calls a node; status is 0 when there is no answer.
-func (n *running) get(path, key string) int {
+func (n *running) get(path, key string) int { return n.getAs("id", path, key) }
+
+// getAs calls a node with a request's id.
+func (n *running) getAs(id, path, key string) int {
 	request, err := http.NewRequest(http.MethodGet, "http://"+n.settings.Listen+path, nil)
 	if err != nil {
 		panic(err) // a mistake of the test
 	}
 	request.Host = "shop.example"
-	request.Header.Set("X-Request-Id", "id")
+	request.Header.Set("X-Request-Id", id)
 	request.Header.Set("X-Credential", key)
 	request.Header.Set("X-Deadline-Ms", "2000")
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 5 * time.Second}
--- a/operator/command.go
+++ b/operator/command.go
@@ -75,7 +75,7 @@
 	Status   statusCommand    `command:"status" description:"Show hosts, targets, orders and more" long-description:"members, targets, config, grants and links are as one controller sees them; orders and windows are read from the object API; plans asks every controller.\nExample: zinniactl status targets"`
 	Release  releaseCommand   `command:"release" description:"Give up another author's stuck open order" long-description:"Without --yes it shows the open order and changes nothing. Give --yes only after you have made sure that the order's author is gone for good. The release is logged, and status orders shows who did it.\nTARGET is an engine, or a unit as status orders lists it.\nExamples: zinniactl release engine-3\n  zinniactl release platform/assistant/riga-a --yes"`
 	Drain    drainCommand     `command:"drain" description:"Send no new work to a target, or end that with --lift" long-description:"Example: zinniactl drain engine-3"`
-	Explain  explainCommand   `command:"explain" description:"Show why a request went where it went" long-description:"Example: zinniactl explain 1f0c9a6b2d7e4c55"`
+	Explain  explainCommand   `command:"explain" description:"Show why a request went where it went" long-description:"Without files it asks the gateways, which remember recent requests. With log files of nodes it prints one timeline of the request at all hosts, with what those hosts learnt or lost around it, in brackets; no settings are needed.\nExamples: zinniactl explain 1f0c9a6b2d7e4c55\n  zinniactl explain 9c41d07be2a35f68 host-*.log"`
 }
 
 // bind gives the shared state to every command.
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -1,6 +1,8 @@
 package operator
 
 import (
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -10,6 +12,7 @@
 	"zinniapin/grant"
 	"zinniapin/internal/standin/objects"
 	"zinniapin/result"
+	"zinniapin/timeline"
 )
 
 func TestContractCommands(t *testing.T) {
@@ -200,3 +203,27 @@
 	r.Equal(found[0].Gateway, "host-1")
 	r.Equal(found[0].Target, "engine-1")
 }
+
+// Log files of several hosts make one timeline; neither settings nor a running
+// process are needed.
+func TestExplainReadsLogs(t *testing.T) {
+	r := newRig(t)
+	r.settings = filepath.Join(t.TempDir(), "none.json")
+	one, two := filepath.Join(t.TempDir(), "one.log"), filepath.Join(t.TempDir(), "two.log")
+	r.NoErr(os.WriteFile(one, []byte(`{"host":"h1","event":7000,"name":"request_done","request":"abc","status":503,"ms":2,"reason":"targets_busy","time":"2026-03-01T12:00:01Z"}
+`), 0o600))
+	r.NoErr(os.WriteFile(two, []byte(`{"host":"h2","event":7000,"name":"request_done","request":"abc","status":200,"ms":80,"time":"2026-03-01T12:00:02Z"}
+{"host":"h2","event":7014,"name":"store_lost","time":"2026-03-01T12:00:01Z"}
+`), 0o600))
+	found := decode[[]timeline.Entry](r, "explain", "abc", two, one)
+	var names []string
+	for _, e := range found {
+		names = append(names, e.Host+" "+e.Event)
+	}
+	r.Equal(names, []string{"h1 received", "h1 request_done", "h2 store_lost", "h2 received", "h2 request_done"})
+	out := r.ok("explain", "abc", one, two)
+	r.True(strings.Contains(out, "reason=targets_busy"))
+	r.True(strings.Contains(out, "(store_lost)"))
+	r.fails(result.NoSuchObject, "explain", "abd", one)
+	r.fails(result.NoSuchFile, "explain", "abc", filepath.Join(t.TempDir(), "none.log"))
+}
