Let requests wait less the longer a queue does not drain

Callers that came back might wait for three objectives and kept a queue of more than a second, in which all others stood as well: as many were served as with a short queue, but all late. Decisions log their bound (bound_ms).

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -64,6 +64,8 @@
 	// Wait is the forecast of the time until the target begins with the job,
 	// Forecast of that until its first token.
 	Wait, Forecast time.Duration
+	// Bound is the longest wait with which the job was to be taken.
+	Bound time.Duration
 	// RetryAfter is when a refused caller should come back.
 	RetryAfter time.Duration
 	// Reason says why the job was refused.
@@ -134,6 +136,7 @@
 	services map[string][]*state
 	engines  map[string]*route.Engine
 	speed    map[target.Role]float64
+	queues   map[string]*standing
 	latency  map[string]float64 // of plain services, milliseconds
 	failing  map[string]float64 // share of failures of a service
 	nextJob  uint64
@@ -151,6 +154,7 @@
 		services: make(map[string][]*state),
 		engines:  make(map[string]*route.Engine),
 		speed:    map[target.Role]float64{target.Prefill: p.PrefillSpeed, target.Decode: p.DecodeSpeed},
+		queues:   make(map[string]*standing),
 		latency:  make(map[string]float64),
 		failing:  make(map[string]float64),
 	}
@@ -241,8 +245,9 @@
 		return Decision{Reason: NoTarget, RetryAfter: noTargetRetryAfter}
 	}
 	best := p.pick(all)
-	d := Decision{Unread: best.unread, Wait: best.wait, Forecast: best.forecast, LoadAge: best.loadAge, Candidates: len(all)}
-	if wait, refuse := p.refuses(j, best); refuse {
+	bound := p.bound(now, j, all)
+	d := Decision{Unread: best.unread, Wait: best.wait, Forecast: best.forecast, Bound: bound, LoadAge: best.loadAge, Candidates: len(all)}
+	if wait, refuse := refuses(j, best, bound); refuse {
 		d.Reason, d.RetryAfter = Overload, p.retryAfter(wait)
 		return d
 	}
@@ -253,16 +258,30 @@
 	return d
 }
 
-// refuses tells whether a job's wait is too long, and by how much.
-func (p *Planner) refuses(j Job, best candidate) (time.Duration, bool) {
+// bound returns how long a job may wait before its own prompt is processed.
+func (p *Planner) bound(now time.Time, j Job, all []candidate) time.Duration {
+	if j.Objective <= 0 {
+		return j.Left / 2
+	}
+	s := p.queues[j.Service]
+	if s == nil {
+		s = &standing{}
+		p.queues[j.Service] = s
+	}
+	wait := all[0].wait
+	for _, c := range all {
+		wait = min(wait, c.wait)
+	}
+	s.note(now, wait, j.Objective)
 	share := p.policy.WaitShare
 	if j.Returning {
 		share = p.policy.ReturnWaitShare
 	}
-	bound := time.Duration(float64(j.Objective) * share)
-	if j.Objective <= 0 {
-		bound = j.Left / 2
-	}
+	return time.Duration(float64(j.Objective) * s.share(now, share, p.policy.LeastWaitShare))
+}
+
+// refuses tells whether a job's wait is too long, and by how much.
+func refuses(j Job, best candidate, bound time.Duration) (time.Duration, bool) {
 	if best.wait > bound {
 		return best.wait - bound/2, true
 	}
--- a/dispatch/policy.go
+++ b/dispatch/policy.go
@@ -32,10 +32,12 @@
 	// its last use.
 	CacheLife time.Duration
 	// WaitShare is the share of the objective that a request may wait before
-	// its own prompt is processed.
+	// its own prompt is processed, while queues are those of a burst.
 	WaitShare float64
 	// ReturnWaitShare is the same for a caller that was refused before.
 	ReturnWaitShare float64
+	// LeastWaitShare is the same for both under a lasting overload.
+	LeastWaitShare float64
 }
 
 // DefaultPolicy returns the policy that is used where settings say nothing.
@@ -55,5 +57,6 @@
 		CacheLife:       10 * time.Second,
 		WaitShare:       0.7,
 		ReturnWaitShare: 3,
+		LeastWaitShare:  0.12,
 	}
 }
--- a/forward/trail.go
+++ b/forward/trail.go
@@ -47,7 +47,7 @@
 	d := &r.trail.decision
 	if d.Candidates > 0 {
 		line = line.Int("candidates", d.Candidates).Float64("wait_ms", milliseconds(d.Wait)).
-			Float64("forecast_ms", milliseconds(d.Forecast)).Float64("load_age_ms", milliseconds(d.LoadAge))
+			Float64("bound_ms", milliseconds(d.Bound)).Float64("forecast_ms", milliseconds(d.Forecast)).Float64("load_age_ms", milliseconds(d.LoadAge))
 	}
 	if r.job.Prompt > 0 {
 		line = line.Int("prompt", r.job.Prompt).Int("unread", d.Unread).Bool("returning", r.job.Returning).
--- a/timeline/timeline.go
+++ b/timeline/timeline.go
@@ -8,6 +8,7 @@
 	"bufio"
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"sort"
@@ -89,7 +90,7 @@
 		if len(text) > 0 {
 			c.take(text)
 		}
-		if err == io.EOF {
+		if errors.Is(err, io.EOF) {
 			return nil
 		}
 		if err != nil {
