Take a repeat from the budget before a slow attempt is cut

Cause: an attempt at a silent target was ended by the node itself, and only then was the budget asked for the repeat; when it was spent the caller got 502, though its answer was under way. Ruled out: targets that broke off (the runs ended as our side reset them). Tests: TestSlowAnswerIsKeptWhenTheBudgetIsSpent (502 in place of 200 before), TestSlowAnswerIsLeftWhileTheBudgetLasts.

--- a/forward/generate.go
+++ b/forward/generate.go
@@ -106,8 +106,8 @@
 // prefill has the prompt processed at a target and picks the one for the
 // output.
 func (r *request) prefill(ctx context.Context, d dispatch.Decision, lastEvent string) (leg, fate) {
-	ctx, watch := r.patient(ctx, d)
-	defer watch.end()
+	ctx, watch := r.patient(ctx, d, r.streamPatience(d))
+	defer func() { r.paid = watch.end() || r.paid }()
 	ticket := r.begin(d.Target, d.Unread)
 	r.trail.reading = d.Target.ID
 	out := r.outbound(d.Target, Outbound{Priority: r.job.Priority, PrefillOnly: true, LastEvent: lastEvent, Fetch: d.From.Address})
@@ -170,8 +170,8 @@
 	out := r.outbound(l.target, o)
 	attempt, watch := ctx, (*patience)(nil)
 	if r.route.Repeatable() && r.sent+1 < r.route.Attempts {
-		attempt, watch = r.patient(ctx, l.plan)
-		defer watch.end()
+		attempt, watch = r.patient(ctx, l.plan, r.streamPatience(l.plan))
+		defer func() { r.paid = watch.end() || r.paid }()
 	}
 	answer, f := r.send(attempt, l.target, out, false)
 	if f != answered {
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -100,6 +100,8 @@
 	// an attempt were written until its target says that it did not run.
 	execution result.Execution
 	sent      int // arrivals at targets
+	// paid is set when the next repeat was taken from the budget already.
+	paid      bool
 	unreached int // targets that could not be connected to
 	exclude   map[target.ID]bool
 	began     bool
@@ -174,10 +176,9 @@
 		left = time.Minute // neither caller nor operator says
 	}
 	r.end = r.in.Arrived.Add(left)
-	objective := time.Duration(r.route.ObjectiveMillis) * time.Millisecond
 	r.job = dispatch.Job{
 		Service: r.service.Name, Prompt: r.call.Prompt, Parts: r.call.Parts, Bytes: len(r.in.Body),
-		Objective: objective, Left: left, Returning: r.h.returning(r.route.Name, r.call.Deadline),
+		Objective: r.objective(), Left: left, Returning: r.h.returning(r.route.Name, r.call.Deadline),
 		Priority: route.Priority(r.route, r.holder), Gap: time.Duration(r.route.GapMillis) * time.Millisecond,
 	}
 	r.job.Weight = r.h.weight(r.route.Name, r.call.Prompt)
@@ -264,15 +265,29 @@
 	if !r.authorised() {
 		return false
 	}
-	r.h.mu.Lock()
-	defer r.h.mu.Unlock()
-	if r.h.budget(r.service.Name).Spend(time.Now(), r.view.Hosts) {
+	if r.paid {
+		r.paid = false
 		return true
 	}
-	r.h.Metrics.budgetEmpty.WithLabelValues(r.service.Name).Inc()
+	return r.h.spend(r.service.Name, r.view.Hosts)
+}
+
+// spend takes one repeat of a service from the budget where it allows one.
+func (h *Handler) spend(service string, hosts int) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.budget(service).Spend(time.Now(), hosts) {
+		return true
+	}
+	h.Metrics.budgetEmpty.WithLabelValues(service).Inc()
 	return false
 }
 
+// objective returns that of the request's route.
+func (r *request) objective() time.Duration {
+	return time.Duration(r.route.ObjectiveMillis) * time.Millisecond
+}
+
 // authorised tells whether the key still holds in the configuration in force.
 func (r *request) authorised() bool {
 	if r.holder == nil {
@@ -319,7 +334,7 @@
 	r.job.Left = time.Until(r.end)
 	// What failed once may have failed by its source.
 	r.job.Fetch = len(r.trail.targets) == 0
-	r.job.Objective = time.Duration(r.route.ObjectiveMillis)*time.Millisecond - time.Since(r.in.Arrived)
+	r.job.Objective = r.objective() - time.Since(r.in.Arrived)
 	r.h.Planning.Lock()
 	defer r.h.Planning.Unlock()
 	d := r.h.Planner.Plan(time.Now(), r.job, r.exclude)
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -65,13 +65,13 @@
 	t := d.Target
 	begun := time.Now()
 	ticket := r.begin(t, 0)
-	if r.route.Repeatable() && r.route.ObjectiveMillis > 0 && r.sent+1 < r.route.Attempts && d.Candidates > 1 {
-		patience := max(patienceFactor*time.Duration(r.route.ObjectiveMillis)*time.Millisecond, leastPatience)
-		limited, cancel := context.WithTimeout(ctx, patience)
-		defer cancel()
-		ctx = limited
+	attempt := ctx
+	if r.route.Repeatable() && r.route.ObjectiveMillis > 0 && r.sent+1 < r.route.Attempts {
+		limited, watch := r.patient(ctx, d, max(patienceFactor*r.objective(), leastPatience))
+		defer func() { r.paid = watch.end() || r.paid }()
+		attempt = limited
 	}
-	answer, f := r.send(ctx, t, r.outbound(t, Outbound{Priority: -1}), false)
+	answer, f := r.send(attempt, t, r.outbound(t, Outbound{Priority: -1}), false)
 	if f != answered {
 		r.ended(ticket, t.ID, outcomeOf(f), 0)
 		return f
--- a/forward/plain_test.go
+++ b/forward/plain_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"zinniapin/internal/standin/prepared"
+	"zinniapin/retrybudget"
 	"zinniapin/route"
 )
 
@@ -245,3 +246,36 @@
 	is.Equal(a.status, http.StatusGatewayTimeout)
 	is.True(time.Since(begun) < 700*time.Millisecond) // the bound and half a second
 }
+
+// Every target of a service is slow, and the budget of repeats is spent: the
+// answer that is under way is waited for, since no other can be asked.
+func TestSlowAnswerIsKeptWhenTheBudgetIsSpent(t *testing.T) {
+	is := is.New(t)
+	one, two := prepared.NewTarget("s-1"), prepared.NewTarget("s-2")
+	one.Delay, two.Delay = 900*time.Millisecond, 900*time.Millisecond
+	r := newRig(t, "desk", one, two)
+	r.handler.Retries = retrybudget.Bounds{Window: 10 * time.Second}
+	is.Equal(r.call(http.MethodGet, "/read/a", "").status, http.StatusOK)
+	is.Equal(one.Runs()+two.Runs(), 1)
+}
+
+// With budget left, another target is asked as soon as the first one is silent
+// for too long.
+func TestSlowAnswerIsLeftWhileTheBudgetLasts(t *testing.T) {
+	is := is.New(t)
+	one, two := prepared.NewTarget("s-1"), prepared.NewTarget("s-2")
+	r := newRig(t, "desk", one, two)
+	for range 5 { // requests that the budget goes by
+		is.Equal(r.call(http.MethodGet, "/read/a", "").status, http.StatusOK)
+	}
+	one.Next(prepared.Mute)
+	for range 20 { // until it is the first
+		begun := time.Now()
+		is.Equal(r.call(http.MethodGet, "/read/a", "").status, http.StatusOK)
+		is.True(time.Since(begun) < time.Second)
+		if one.Gone() > 0 {
+			return
+		}
+	}
+	t.Fatal("the silent target was never the first")
+}
