Ask for SIGHUP before anything else, and reload settings in the soak

Cause: found by reading. A SIGHUP that came while the node read its settings or was being set up ended the process, as nobody had asked for the signal yet. Change: the signal is asked for first. The soak rewrites settings files, now and then with a mistake, and sends SIGHUP.

--- a/cmd/zinnia-node/main.go
+++ b/cmd/zinnia-node/main.go
@@ -22,6 +22,8 @@
 
 // run parses the command line and runs the node.
 func run(arguments []string) error {
+	reread := make(chan os.Signal, 1)
+	signal.Notify(reread, syscall.SIGHUP) // first, as it ends a process that does not ask for it
 	line, err := daemon.ParseCommandLine(arguments)
 	if err != nil || line == nil {
 		return err
@@ -34,11 +36,12 @@
 		fmt.Println(settings.Valid)
 		return nil
 	}
-	return serve(s, line.Settings)
+	return serve(s, line.Settings, reread)
 }
 
-// serve runs the node until it is asked to stop.
-func serve(s settings.Node, file string) error {
+// serve runs the node until it is asked to stop. A signal of reread asks to read
+// the settings file again.
+func serve(s settings.Node, file string, reread <-chan os.Signal) error {
 	output := node.NewOutput(os.Stdout)
 	defer output.Close()
 	log := daemon.NewLogger(output, s.Log.Level, "node", s.Host)
@@ -49,8 +52,6 @@
 		Targets: platform.Targets, Configurations: platform.Configurations, Configuration: platform.Configuration,
 		Target: platform.Target, DecodeConfiguration: platform.DecodeConfiguration,
 	}, output, &log)
-	reread := make(chan os.Signal, 1)
-	signal.Notify(reread, syscall.SIGHUP)
 	go n.FollowSettings(graceful, file, reread)
 	return n.Run(graceful)
 }
--- a/internal/nodesoak/process.go
+++ b/internal/nodesoak/process.go
@@ -57,18 +57,52 @@
 		Bounds: settings.NodeBounds{GraceSeconds: 8, LeaseMillis: 1500, RetryRatio: 0.2, RetrySlack: 50, RetryWindowSeconds: 10, UsageWindowSeconds: 2, UsageLateSeconds: 10},
 		Log:    settings.Log{Level: "info"},
 	}
-	data, err := json.Marshal(p.settings)
-	if err != nil {
-		return nil, err
-	}
 	p.file = filepath.Join(folder, p.name+".json")
-	if err := os.WriteFile(p.file, data, 0o600); err != nil {
+	if err := p.write(p.settings); err != nil {
 		return nil, err
 	}
 	p.log, err = os.OpenFile(filepath.Join(folder, p.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	return p, err
 }
 
+// write replaces the settings file.
+func (p *process) write(s settings.Node) error {
+	data, err := json.Marshal(s)
+	if err != nil {
+		return err
+	}
+	return p.replace(data)
+}
+
+// replace replaces the settings file by some bytes at once, so that no half of
+// it is read.
+func (p *process) replace(data []byte) error {
+	if err := os.WriteFile(p.file+".new", data, 0o600); err != nil {
+		return err
+	}
+	return os.Rename(p.file+".new", p.file)
+}
+
+// reload changes the settings and tells the process, now and then after a file
+// that cannot be used.
+func (p *process) reload(broken bool, grace float64) error {
+	if broken {
+		if err := p.replace([]byte(`{"host": `)); err != nil {
+			return err
+		}
+		if err := p.signal(syscall.SIGHUP); err != nil {
+			return err
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+	changed := p.settings
+	changed.Bounds.GraceSeconds = grace
+	if err := p.write(changed); err != nil {
+		return err
+	}
+	return p.signal(syscall.SIGHUP)
+}
+
 // start starts the process unless it runs.
 func (p *process) start() error {
 	p.mu.Lock()
--- a/internal/nodesoak/soak_test.go
+++ b/internal/nodesoak/soak_test.go
@@ -163,7 +163,7 @@
 	lasting := time.Duration(300+d.random.IntN(2500)) * time.Millisecond
 	d.t.Helper()
 	var err error
-	switch d.random.IntN(9) {
+	switch d.random.IntN(10) {
 	case 0:
 		err = node.signal(syscall.SIGKILL)
 		time.AfterFunc(lasting/3, func() { _ = node.start() })
@@ -192,6 +192,8 @@
 		d.store.LoseAnswers(1 + d.random.IntN(3))
 	case 8:
 		d.store.Compact()
+	case 9:
+		err = node.reload(d.random.IntN(2) == 0, 7+d.random.Float64())
 	}
 	if err != nil {
 		d.t.Errorf("a fault could not be injected: %v", err)
