End a watch with its attempt, and weigh prompts in the planner

The weight of a prompt, a decision, stood in the shell. Tests: TestWeightFollowsTheRoutesSizes; TestSlowAnswerIsKeptWhenTheBudgetIsSpent also checks that an ended attempt asks no more (it passes without the guard as well: the race is too narrow for it).

--- a/dispatch/cost.go
+++ b/dispatch/cost.go
@@ -92,14 +92,13 @@
 
 // lateCost is the cost of an answer that is forecast to take a time.
 func (p *Planner) lateCost(j Job, forecast time.Duration) float64 {
-	objective := j.Objective
-	weight := max(j.Weight, 0)
+	weight := j.Weight
 	if weight == 0 {
 		weight = 1
 	}
 	share := 10.0
-	if objective > 0 {
-		share = float64(forecast) / float64(objective)
+	if j.Objective > 0 {
+		share = float64(forecast) / float64(j.Objective)
 	}
 	late := 1 / (1 + math.Exp((1-share)/lateSpread))
 	return haste*share + weight*p.policy.LateCost*late
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -137,6 +137,7 @@
 	engines  map[string]*route.Engine
 	speed    map[target.Role]float64
 	queues   map[string]*standing
+	sizes    map[string]float64 // mean prompt tokens of routes
 	latency  map[string]float64 // of plain services, milliseconds
 	failing  map[string]float64 // share of failures of a service
 	nextJob  uint64
@@ -155,6 +156,7 @@
 		engines:  make(map[string]*route.Engine),
 		speed:    map[target.Role]float64{target.Prefill: p.PrefillSpeed, target.Decode: p.DecodeSpeed},
 		queues:   make(map[string]*standing),
+		sizes:    make(map[string]float64),
 		latency:  make(map[string]float64),
 		failing:  make(map[string]float64),
 	}
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -403,3 +403,18 @@
 	j.Weight = 4
 	is.Equal(p.Plan(now, j, nil).Target.ID, target.ID("a-p1"))
 }
+
+// A prompt weighs by its size against its own route's, within bounds.
+func TestWeightFollowsTheRoutesSizes(t *testing.T) {
+	is := is.New(t)
+	p := planner(engines(1, 0, "a"), 1)
+	for range 200 {
+		p.Weigh("draft", 10_000)
+		p.Weigh("tag", 1000)
+	}
+	is.True(p.Weigh("draft", 30_000) > 2 && p.Weigh("draft", 30_000) < 2.5)
+	is.True(p.Weigh("tag", 1000) > 0.9 && p.Weigh("tag", 1000) < 1.1)
+	is.Equal(p.Weigh("draft", 1_000_000), 4.0)
+	is.Equal(p.Weigh("tag", 1), 0.5)
+	is.Equal(p.Weigh("plain", 0), 1.0)
+}
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -55,8 +55,6 @@
 
 	mu      sync.Mutex
 	budgets map[string]*retrybudget.Budget
-	// sizes are the mean prompt tokens of each route.
-	sizes map[string]float64
 	// patience is the longest deadline of each route's callers: those with less
 	// have spent some of it on an earlier attempt.
 	patience map[string]time.Duration
@@ -75,7 +73,6 @@
 func New(h *Handler) *Handler {
 	h.budgets = make(map[string]*retrybudget.Budget)
 	h.patience = make(map[string]time.Duration)
-	h.sizes = make(map[string]float64)
 	h.demand = make(map[string]*Demand)
 	h.started = time.Now()
 	return h
@@ -181,7 +178,9 @@
 		Objective: r.objective(), Left: left, Returning: r.h.returning(r.route.Name, r.call.Deadline),
 		Priority: route.Priority(r.route, r.holder), Gap: time.Duration(r.route.GapMillis) * time.Millisecond,
 	}
-	r.job.Weight = r.h.weight(r.route.Name, r.call.Prompt)
+	r.h.Planning.Lock()
+	r.job.Weight = r.h.Planner.Weigh(r.route.Name, r.call.Prompt)
+	r.h.Planning.Unlock()
 	r.h.request(r.service.Name, r.call.Prompt)
 }
 
@@ -197,33 +196,6 @@
 	return float64(deadline) < returnedShare*float64(usual)
 }
 
-const (
-	// sizeWeight is the weight of the newest prompt in a route's mean.
-	sizeWeight = 0.02
-	// leastWeight and mostWeight bound the weight of a prompt; a third of it is
-	// the same for all sizes.
-	leastWeight = 0.5
-	mostWeight  = 4
-	sameWeight  = 0.3
-)
-
-// weight returns what a late answer to a prompt costs in relation to one of the
-// route's usual size, and notes the size.
-func (h *Handler) weight(name string, prompt int) float64 {
-	if prompt <= 0 {
-		return 1
-	}
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	mean := h.sizes[name]
-	if mean == 0 {
-		mean = float64(prompt)
-	}
-	mean += sizeWeight * (float64(prompt) - mean)
-	h.sizes[name] = mean
-	return min(max(sameWeight+(1-sameWeight)*float64(prompt)/mean, leastWeight), mostWeight)
-}
-
 // request counts a request for a service.
 func (h *Handler) request(service string, tokens int) {
 	h.mu.Lock()
--- a/forward/patience.go
+++ b/forward/patience.go
@@ -38,6 +38,9 @@
 	p := &patience{stop: stop}
 	if d.Candidates > 1 {
 		p.timer = time.AfterFunc(time.Hour, func() { // begins below, once it is set
+			if ctx.Err() != nil {
+				return // the attempt has ended meanwhile
+			}
 			if !r.h.spend(r.service.Name, r.view.Hosts) {
 				p.timer.Reset(askAgain)
 				return
--- a/forward/plain_test.go
+++ b/forward/plain_test.go
@@ -257,6 +257,10 @@
 	r.handler.Retries = retrybudget.Bounds{Window: 10 * time.Second}
 	is.Equal(r.call(http.MethodGet, "/read/a", "").status, http.StatusOK)
 	is.Equal(one.Runs()+two.Runs(), 1)
+	denied := r.counter("zinnia_retries_denied_total")
+	is.True(denied > 0)
+	time.Sleep(time.Second) // an attempt that has ended asks no more
+	is.True(r.counter("zinnia_retries_denied_total") <= denied+1)
 }
 
 // With budget left, another target is asked as soon as the first one is silent
--- a/forward/rig_test.go
+++ b/forward/rig_test.go
@@ -36,6 +36,7 @@
 	began   map[string]int
 	targets []roster.Target
 	server  *ingress.Server
+	metrics *prometheus.Registry
 }
 
 // routes of the rig; each has a path of its own.
@@ -66,7 +67,7 @@
 // newRig starts a handler before targets of a service.
 func newRig(t testing.TB, service string, all ...*prepared.Target) *rig {
 	t.Helper()
-	r := &rig{t: t, began: make(map[string]int)}
+	r := &rig{t: t, began: make(map[string]int), metrics: prometheus.NewRegistry()}
 	r.setTable(configuration())
 	log := zerolog.New(zerolog.NewTestWriter(t)).Level(zerolog.ErrorLevel)
 	r.handler = forward.New(&forward.Handler{
@@ -82,7 +83,7 @@
 			r.began[organisation]++
 			r.mu.Unlock()
 		},
-		Misdirected: func(target.ID) {}, Metrics: forward.NewMetrics(prometheus.NewRegistry()), Log: &log,
+		Misdirected: func(target.ID) {}, Metrics: forward.NewMetrics(r.metrics), Log: &log,
 		Planner: dispatch.New(dispatch.DefaultPolicy(), "here", 1),
 	})
 	for _, s := range all {
@@ -104,6 +105,24 @@
 	return r
 }
 
+// counter returns the sum of a counter over its labels.
+func (r *rig) counter(name string) float64 {
+	r.t.Helper()
+	families, err := r.metrics.Gather()
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	sum := 0.0
+	for _, f := range families {
+		if f.GetName() == name {
+			for _, m := range f.GetMetric() {
+				sum += m.GetCounter().GetValue()
+			}
+		}
+	}
+	return sum
+}
+
 // setTable puts a configuration in force.
 func (r *rig) setTable(c *route.Configuration) {
 	table, err := route.NewTable(c)
