--- a/internal/docgen/settings.go
+++ b/internal/docgen/settings.go
@@ -27,6 +27,20 @@
 // restart is what every field of a settings file needs.
 func restart(string) string { return "restart" }
 
+// taken are the settings of a node that Node.Reload takes over while it runs.
+var taken = map[string]bool{
+	"seeds": true, "memory_mb": true, "duties.usage": true, "duties.scaling": true,
+	"bounds.grace_seconds": true, "bounds.usage_late_seconds": true,
+}
+
+// reload is what a field of a node's settings needs.
+func reload(path string) string {
+	if taken[path] {
+		return "none"
+	}
+	return "restart"
+}
+
 // none is what fields of the configuration need, but for one.
 func none(path string) string {
 	if path == "fleet.usage_window_seconds" {
@@ -93,7 +107,7 @@
 		{"Gateway", "Read by `zinnia-gateway --settings FILE`.", "settings.Gateway", mistakes(emptyGateway()), restart},
 		{"Controller", "Read by `zinnia-controller --settings FILE`.", "settings.Controller", mistakes(emptyController()), restart},
 		{"Operator", "Read by `zinniactl --settings FILE`, or the file that `ZINNIACTL_SETTINGS` names, or `zinniactl.json`. Each command reads it anew.", "settings.Operator", mistakes(&settings.Operator{}), none},
-		{"Node", "Read by `zinnia-node --settings FILE`.", "settings.Node", mistakes(&settings.Node{}), restart},
+		{"Node", "Read by `zinnia-node --settings FILE`, and again at SIGHUP or when the file has changed.", "settings.Node", mistakes(&settings.Node{}), reload},
 		{"Stand-ins", "Read by `zinnia-standin --settings FILE`, for tests and the examples only.", "settings.Standin", mistakes(emptyStandin()), restart},
 		{"Configuration", "The file of `zinniactl config apply`. It is checked as a whole and in force on every host within seconds; `zinniactl config check FILE` checks it without changing anything.", "operator.Document", emptyConfigurations(), none},
 	}
