--- a/node/node_test.go
+++ b/node/node_test.go
@@ -45,12 +45,21 @@
 
 // lines keeps what a node logs.
 type lines struct {
+	gate sync.Mutex
 	mu   sync.Mutex
 	text strings.Builder
 }
 
+// hold lets writers wait until release.
+func (l *lines) hold() { l.gate.Lock() }
+
+// release lets writers go on.
+func (l *lines) release() { l.gate.Unlock() }
+
 // Write implements io.Writer.
 func (l *lines) Write(p []byte) (int, error) {
+	l.gate.Lock()
+	l.gate.Unlock() //nolint:staticcheck // only to wait
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if os.Getenv("ZINNIA_NODE_LOG") != "" {
