--- a/node/announce.go
+++ b/node/announce.go
@@ -30,7 +30,7 @@
 func (n *Node) announceOnce(ctx context.Context) bool {
 	listing, err := n.platform.Objects.List(ctx, hostsCollection)
 	if err != nil {
-		return false
+		return false // the followers log the state of the store
 	}
 	var addresses []string
 	var revision uint64
@@ -57,5 +57,5 @@
 	} else {
 		_, err = n.platform.Objects.Create(ctx, hostsCollection, n.settings.Host, value)
 	}
-	return err == nil
+	return err == nil // tried again; the followers log the state of the store
 }
