Hold duties safely where the platform checks no fence

Cause: with RequireFence false the platform carries out every call. A holder that could reach the platform but neither the store nor its peers went on ordering targets by its old fence after another host had taken over.

Ruled out: the existing read after a suspension; it covers freezes only.

Change: duty.Hold. Where bounds.fences_checked is false, a holder acts only within 1 s of a confirmation by the store, and a new holder waits 3 s for the former's calls. Sites whose platform checks fences behave as before.

--- a/node/duties.go
+++ b/node/duties.go
@@ -51,6 +51,7 @@
 	// to the platform included.
 	runMu           sync.Mutex
 	holding         bool
+	hold            duty.Hold // used where the platform does not check fences
 	record          duty.Record
 	revision        uint64
 	reportedWindows map[metering.Window]bool
@@ -183,6 +184,7 @@
 	record.Holder, record.Incarnation = r.node.settings.Host, r.node.self.Incarnation
 	record.Fence++
 	if r.writeRecord(ctx, record, member.Revision) {
+		r.hold.Acquire(time.Now())
 		r.setHolding(true)
 		r.reportedWindows = make(map[metering.Window]bool)
 		r.pools = make(map[poolKey]*pool)
@@ -202,6 +204,7 @@
 		return false
 	}
 	var member store.Member
+	begun := time.Now()
 	if revision == 0 {
 		member, err = r.node.platform.Objects.Create(ctx, dutiesCollection, dutiesName, value)
 	} else {
@@ -215,6 +218,7 @@
 		return false
 	}
 	r.record, r.revision = record, member.Revision
+	r.hold.Confirm(begun)
 	r.observeHolder(record.Holder, record.Fence)
 	return true
 }
@@ -269,8 +273,26 @@
 	}
 }
 
+// mayAct reports whether this process may call the platform as the holder of the
+// duties. It reads the record first if that was requested and, where the platform
+// does not check fences, if the hold was not confirmed lately. So it must be asked
+// before each call.
+func (r *dutyRunner) mayAct(ctx context.Context) bool {
+	r.mu.Lock()
+	mustConfirm := r.mustConfirm
+	r.mu.Unlock()
+	now := time.Now()
+	if !r.node.currentSettings().Bounds.FencesChecked {
+		if r.hold.Waits(now) {
+			return false
+		}
+		mustConfirm = mustConfirm || !r.hold.Confirmed(now)
+	}
+	return !mustConfirm || r.confirmHolding(ctx, now)
+}
+
 // confirmHolding reads the record and returns whether it still names this
-// process.
+// process. The time is that before the call.
 func (r *dutyRunner) confirmHolding(ctx context.Context, now time.Time) bool {
 	member, err := r.node.platform.Objects.Get(ctx, dutiesCollection, dutiesName)
 	if err != nil {
@@ -287,6 +309,7 @@
 		return false
 	}
 	r.record, r.revision = found, member.Revision
+	r.hold.Confirm(now)
 	r.mu.Lock()
 	r.mustConfirm = false
 	r.mu.Unlock()
@@ -313,6 +336,9 @@
 		if !ok {
 			return
 		}
+		if !r.mayAct(ctx) {
+			return
+		}
 		err := n.platform.Duties.ReportWindow(ctx, r.dutyHolder(), uint64(w), counts)
 		r.handleReportResult(w, counts, at, err)
 		if err != nil {
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -18,6 +18,7 @@
 	"github.com/matryer/is"
 	"github.com/rs/zerolog"
 
+	"zinniapin/duty"
 	"zinniapin/internal/standin/prepared"
 	"zinniapin/node"
 	"zinniapin/platform"
@@ -148,11 +149,22 @@
 
 // getWithID is get with a given request id.
 func (n *testNode) getWithID(id, path, key string) int {
+	return n.send(id, path, key, http.Header{})
+}
+
+// getWithTokens is get for a request with so many prompt tokens.
+func (n *testNode) getWithTokens(path, key string, tokens int) int {
+	return n.send("id", path, key, http.Header{"X-Token-Count": {fmt.Sprintf("%d,1", tokens)}})
+}
+
+// send sends a GET request with further headers and returns the status, 0 if there is none.
+func (n *testNode) send(id, path, key string, header http.Header) int {
 	request, err := http.NewRequest(http.MethodGet, "http://"+n.settings.Listen+path, nil)
 	if err != nil {
 		panic(err) // the test passed an invalid path
 	}
 	request.Host = "shop.example"
+	request.Header = header
 	request.Header.Set("X-Request-Id", id)
 	request.Header.Set("X-Credential", key)
 	request.Header.Set("X-Deadline-Ms", "2000")
@@ -385,6 +397,27 @@
 	}
 }
 
+// Where the platform does not check fences, a holder that cannot read the record does
+// not call it: a newer holder may have done so already. Here the demand rises while the
+// store is silent, which would make a holder order targets.
+func TestHolderWithoutStoreDoesNotActOnUncheckedFences(t *testing.T) {
+	is := is.New(t)
+	cluster := newTestCluster(t)
+	n := cluster.startNode("h1")
+	eventually(t, 3*time.Second, "ready", n.ready)
+	eventually(t, 20*time.Second, "targets are ordered", func() bool { return len(cluster.duties.Calls("/scale")) > 0 })
+	cluster.store.SetSilent(true)
+	time.Sleep(duty.HoldTime + duty.CallTime)
+	before := len(cluster.duties.Calls("/scale"))
+	for range 40 {
+		n.getWithTokens("/read/a", "key-1", 400_000)
+		time.Sleep(100 * time.Millisecond)
+	}
+	is.Equal(len(cluster.duties.Calls("/scale")), before)
+	cluster.store.SetSilent(false)
+	eventually(t, 10*time.Second, "targets are ordered again", func() bool { return len(cluster.duties.Calls("/scale")) > before })
+}
+
 // While nothing changes, a node writes nothing to the store; it must not write on
 // a timer.
 func TestNothingIsWrittenWithoutChanges(t *testing.T) {
--- a/node/pools.go
+++ b/node/pools.go
@@ -191,6 +191,9 @@
 	if now.Before(current.retryAt) || wanted == current.size && !missing {
 		return true
 	}
+	if !r.mayAct(ctx) {
+		return false
+	}
 	err := r.node.platform.Duties.Resize(ctx, r.dutyHolder(), provider.PoolSize{
 		Service: key.service, Zone: zone.Name(key.zone), Targets: wanted, Reclaimable: key.reclaimable,
 	})
--- a/settings/node.go
+++ b/settings/node.go
@@ -57,6 +57,10 @@
 	// LeaseMillis is the lease of the holder of the duties: the time within which a
 	// former holder may still act, so that no other host takes over before its end.
 	LeaseMillis int `json:"lease_ms"`
+	// FencesChecked declares that the platform refuses calls of the duties with a
+	// stale fencing number. Otherwise the hosts see to it that none arrives, and a new
+	// holder waits 3 s before it acts. Default false.
+	FencesChecked bool `json:"fences_checked,omitempty"`
 	// RetryRatio is the number of retries allowed per request to a service.
 	RetryRatio float64 `json:"retry_ratio"`
 	// RetrySlack is the number of retries of all hosts allowed beyond the ratio.
