Share outcomes and prompt times between hosts; forecast long prompts

Cause: in a large fleet a host sends a given target a request once in a minute. It has to lose two of its own requests before it avoids a silent target, and it never learns which targets are slow.

Exchanges of peers count like own ones, but one host alone cannot quarantine a target for others. After a quarantine one request at a time tries the target. The time of a prompt is a least-squares fit over tokens and pairs of tokens (attention).

--- a/dispatch/cost.go
+++ b/dispatch/cost.go
@@ -78,10 +78,11 @@
 	if s.target.Slots > 0 && active >= s.target.Slots {
 		c.wait += time.Duration(active-s.target.Slots+1) * excessRequestTime
 	}
-	c.forecast = c.wait + fetched.time + time.Duration(float64(uncached)/speed*float64(time.Millisecond)) + firstTokenOverhead
+	model, x := p.modelOf(s), features(uncached, j.PromptTokens)
+	c.forecast = c.wait + fetched.time + milliseconds(model.parameters[0]+model.processing(x)/s.speedFactor)
 	if s.target.Role == target.Prefill {
 		gigabytes, transfer := p.transfer(j.Service, j.PromptTokens)
-		c.forecast += transfer + handoffTime
+		c.forecast += transfer + milliseconds(p.handoffMillis)
 		c.cost += gigabytes * p.policy.TransferCost
 	} else {
 		c.cost += p.stallCost(j, backlog+uncached, active, speed)
@@ -94,6 +95,9 @@
 	return c
 }
 
+// milliseconds returns a number of milliseconds as a duration.
+func milliseconds(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+
 // lateCost is the cost of an answer's forecast latency. It rises steeply, by a
 // logistic function, around the job's objective. Without an objective the answer
 // counts as late.
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -99,11 +99,12 @@
 }
 
 const (
-	// firstTokenOverhead is the time to the first token beyond the processing of
-	// the prompt: one decode step and the network round trip.
+	// firstTokenOverhead is the initial estimate of the time to the first token beyond
+	// the processing of the prompt: one decode step and the network round trip.
 	firstTokenOverhead = 12 * time.Millisecond
-	// handoffTime is the time, in addition to the transfer of the KV cache, that it
-	// takes to hand a processed prompt from a prefill target to a decode target.
+	// handoffTime is the initial estimate of the time, in addition to the transfer of
+	// the KV cache, from a processed prompt at a prefill target to the first token at a
+	// decode target.
 	handoffTime = 10 * time.Millisecond
 	// peerLoadTTL is how long a reported load of a peer counts.
 	peerLoadTTL = 3 * time.Second
@@ -134,16 +135,18 @@
 	remoteLoadsStale bool
 	random           *rand.Rand
 	targets          map[target.ID]*state
-	byKey            map[uint32]*state            // targets by KeyOf
-	services         map[string][]*state          // targets by service
-	engines          map[string]*route.Engine     // by service; none for plain services
-	promptSpeed      map[target.Role]float64      // tokens per millisecond
+	byKey            map[uint32]*state        // targets by KeyOf
+	services         map[string][]*state      // targets by service
+	engines          map[string]*route.Engine // by service; none for plain services
+	latency          map[target.Role]*latencyModel
+	handoffMillis    float64                      // from a processed prompt to the first token elsewhere, without the transfer
 	overloads        map[string]*overloadDetector // by service
 	meanPromptTokens map[string]float64           // by route
 	latencyMillis    map[string]float64           // by plain service
 	failureShare     map[string]float64           // by service
 	nextTicket       uint64
-	sentPrompts      []SentPrompt // not yet taken to be sent to peers
+	sentPrompts      []SentPrompt          // not yet taken to be sent to peers
+	reports          map[target.ID]*Report // likewise
 }
 
 // New returns a planner for a host in availability zone z. The seed is that of its
@@ -157,7 +160,9 @@
 		byKey:            make(map[uint32]*state),
 		services:         make(map[string][]*state),
 		engines:          make(map[string]*route.Engine),
-		promptSpeed:      map[target.Role]float64{target.Prefill: p.PrefillSpeed, target.Decode: p.DecodeSpeed},
+		latency:          map[target.Role]*latencyModel{target.Prefill: newLatencyModel(p.PrefillSpeed), target.Decode: newLatencyModel(p.DecodeSpeed)},
+		handoffMillis:    float64(handoffTime) / float64(time.Millisecond),
+		reports:          make(map[target.ID]*Report),
 		overloads:        make(map[string]*overloadDetector),
 		meanPromptTokens: make(map[string]float64),
 		latencyMillis:    make(map[string]float64),
@@ -376,11 +381,15 @@
 	return best.target, true
 }
 
+// modelOf returns the latency model for the role of a target.
+func (p *Planner) modelOf(s *state) *latencyModel {
+	if s.target.Role == target.Prefill {
+		return p.latency[target.Prefill]
+	}
+	return p.latency[target.Decode]
+}
+
 // speedOf returns the estimated prompt speed of a target in tokens per millisecond.
 func (p *Planner) speedOf(s *state) float64 {
-	role := s.target.Role
-	if role != target.Prefill {
-		role = target.Decode
-	}
-	return max(p.promptSpeed[role]*s.speedFactor, 1)
+	return max(p.modelOf(s).speed()*s.speedFactor, 1)
 }
--- a/dispatch/health.go
+++ b/dispatch/health.go
@@ -26,18 +26,21 @@
 	// doubles each time.
 	minQuarantine = 700 * time.Millisecond
 	maxQuarantine = 5 * time.Second
+	// quarantineJitter is the share by which a quarantine is lengthened at random.
+	quarantineJitter = 0.5
 	// latencyWeight is the weight of the newest latency in a target's average.
 	latencyWeight = 0.15
 	// observationTTL is how long the observed latency and prompt speed of a target
 	// are used without a new observation.
 	observationTTL = 4 * time.Second
-	// speedWeight is the weight of the newest observation in the prompt speed of a
-	// role, factorWeight the same in a target's factor on that speed.
-	speedWeight  = 0.02
+	// factorWeight is the weight of the newest observation in a target's speed factor.
 	factorWeight = 0.2
-	// minObservedTokens is the least number of tokens from which a speed is
-	// derived. With fewer, fixed times dominate the measurement.
-	minObservedTokens = 2000
+	// minProcessingMillis is the least expected time to process a prompt, and those
+	// before it, from which a speed factor is derived. With less, fixed times dominate
+	// the measurement.
+	minProcessingMillis = 25
+	// handoffWeight is the weight of the newest observation in the hand-off time.
+	handoffWeight = 0.05
 )
 
 // health holds a target's recent outcomes and latency, and its quarantine.
@@ -45,6 +48,8 @@
 	samples              int     // outcomes since the last quarantine
 	failureShare         float64 // moving average
 	unreachableInARow    int
+	unreachableFrom      string // host that counted last in unreachableInARow; empty for this one
+	probation            bool   // was quarantined and has answered nobody since
 	quarantinedUntil     time.Time
 	lastQuarantineLength time.Duration // 0 once a latency was observed since
 	latencyMillis        float64
@@ -55,8 +60,25 @@
 	ttlStart time.Time
 }
 
-// quarantined tells whether the target gets no requests because it failed lately.
-func (s *state) quarantined(now time.Time) bool { return now.Before(s.health.quarantinedUntil) }
+// quarantined tells whether the target gets no requests because it failed lately. After that it
+// is on probation: it gets one request at a time, of this host and its peers together, until one
+// is answered.
+func (s *state) quarantined(now time.Time) bool {
+	return now.Before(s.health.quarantinedUntil) || s.health.probation && s.inUse(now)
+}
+
+// inUse tells whether this host or a peer has a request in flight at the target.
+func (s *state) inUse(now time.Time) bool {
+	if len(s.jobs) > 0 {
+		return true
+	}
+	for _, l := range s.peers {
+		if l.Active > 0 && now.Sub(l.at) <= peerLoadTTL {
+			return true
+		}
+	}
+	return false
+}
 
 // latencyOr returns the target's latency in milliseconds, or typical if there is
 // no recent observation.
@@ -68,11 +90,13 @@
 }
 
 // quarantine keeps requests from the target, twice as long as the last time, within
-// minQuarantine and maxQuarantine.
-func (h *health) quarantine(now time.Time) {
+// minQuarantine and maxQuarantine, and begins its probation. The jitter, from 0 to 1, spreads
+// the moments at which hosts try the target again.
+func (h *health) quarantine(now time.Time, jitter float64) {
 	h.lastQuarantineLength = min(max(2*h.lastQuarantineLength, minQuarantine), maxQuarantine)
-	h.quarantinedUntil = now.Add(h.lastQuarantineLength)
+	h.quarantinedUntil = now.Add(time.Duration((1 + quarantineJitter*jitter) * float64(h.lastQuarantineLength)))
 	h.unreachableInARow, h.samples, h.failureShare = 0, 0, 0
+	h.probation = true
 }
 
 // Ticket is a request that was sent to a target.
@@ -80,8 +104,10 @@
 	id       uint64
 	target   target.ID
 	begun    time.Time
-	backlog  int // pending prompt tokens at the target, including this request's
+	backlog  int // pending prompt tokens at the target, without this request's
 	uncached int // prompt tokens that the target has to process
+	prompt   int // all prompt tokens
+	service  string
 }
 
 // Begin records that a request is sent to a target, which has to process so many
@@ -99,7 +125,7 @@
 		s.touchCache(now, chainsOf(j.Parts), p.policy.CacheTTL)
 		p.recordSentPrompt(id, j.Parts)
 	}
-	return Ticket{id: p.nextTicket, target: id, begun: now, backlog: backlog + uncached, uncached: uncached}
+	return Ticket{id: p.nextTicket, target: id, begun: now, backlog: backlog, uncached: uncached, prompt: j.PromptTokens, service: j.Service}
 }
 
 // chainsOf returns the chain hashes of leading parts.
@@ -111,10 +137,8 @@
 	return chains
 }
 
-// PrefillDone records that a request's prompt was processed, and updates the
-// estimated prompt speeds of the target and its role. The speed of a role stays
-// between 5 and 1000 tokens per millisecond, the factor of a target on it between
-// 0.1 and 1.5, and one observation counts as at most twice the speed of the role.
+// PrefillDone records that a request's prompt was processed, and learns from the time that it
+// took.
 func (p *Planner) PrefillDone(now time.Time, t Ticket) {
 	s := p.targets[t.target]
 	if s == nil {
@@ -124,20 +148,42 @@
 	if r := s.jobs[t.id]; r != nil {
 		r.pending = 0
 	}
-	spent := now.Sub(t.begun) - firstTokenOverhead
-	if t.backlog < minObservedTokens || spent <= time.Millisecond {
+	spent := float64(now.Sub(t.begun)) / float64(time.Millisecond)
+	if t.uncached == 0 {
+		p.observeHandoff(t, spent)
 		return
 	}
-	role := s.target.Role
-	if role != target.Prefill {
-		role = target.Decode
+	sample := Sample{Uncached: t.uncached, Prompt: t.prompt, Backlog: max(t.backlog, 0), Millis: spent}
+	p.observeSample(now, s, sample)
+	if r := p.report(t.target); len(r.Samples) < maxReportedSamples {
+		r.Samples = append(r.Samples, sample)
+	}
+}
+
+// observeHandoff updates the time from a processed prompt to its first token at another target.
+func (p *Planner) observeHandoff(t Ticket, spent float64) {
+	_, transfer := p.transfer(t.service, t.prompt)
+	observed := max(spent-float64(transfer)/float64(time.Millisecond), 0)
+	p.handoffMillis += handoffWeight * (min(observed, maxHandoffMillis) - p.handoffMillis)
+}
+
+// maxHandoffMillis bounds the influence of one slow hand-off on the average.
+const maxHandoffMillis = 300
+
+// observeSample updates the latency model of a target's role, unless the prompt waited behind
+// others, and the target's speed factor. The factor stays between 0.1 and 1.5, and one sample
+// counts as at most twice the usual speed.
+func (p *Planner) observeSample(now time.Time, s *state, o Sample) {
+	model, x := p.modelOf(s), features(o.Uncached, o.Prompt)
+	processing := float64(o.Backlog)/model.speed() + model.processing(x)
+	if took := o.Millis - model.parameters[0]; processing >= minProcessingMillis && took > 1 {
+		ratio := min(max(processing/took, 0.1), 2)
+		s.speedFactor = min(max(s.speedFactor+factorWeight*(ratio-s.speedFactor), 0.1), 1.5)
+		s.health.ttlStart = now
+	}
+	if o.Backlog == 0 {
+		model.observe(x, o.Millis)
 	}
-	observed := float64(t.backlog) / (float64(spent) / float64(time.Millisecond))
-	base := p.promptSpeed[role]
-	ratio := min(max(observed/base, 0.1), 2)
-	s.speedFactor = min(max(s.speedFactor+factorWeight*(ratio-s.speedFactor), 0.1), 1.5)
-	s.health.ttlStart = now
-	p.promptSpeed[role] = min(max(base+speedWeight*(min(observed, 2*base)-base), 5), 1000)
 }
 
 // End records that a request has ended.
@@ -169,7 +215,21 @@
 	if s == nil {
 		return
 	}
+	p.reportOutcome(id, o)
+	if !p.observeOutcome(now, s, o, "") && o == Answered {
+		p.observeLatency(now, s, latency)
+	}
+}
+
+// observeOutcome updates the health of a target by an exchange of this host, whose name is
+// empty, or of a peer. It quarantines a target that does not answer, or that fails much more
+// often than its service does, and returns whether it did. A peer that cannot reach the target
+// must not keep others from it, so its exchanges without an answer count once in a row.
+func (p *Planner) observeOutcome(now time.Time, s *state, o Outcome, host string) bool {
 	h, failure := &s.health, 0.0
+	if o == Unreachable && host != "" && host == h.unreachableFrom && h.unreachableInARow > 0 {
+		return false
+	}
 	if o != Answered {
 		failure = 1
 	}
@@ -177,18 +237,20 @@
 	h.failureShare += failureWeight * (failure - h.failureShare)
 	service := s.target.Service
 	p.failureShare[service] += serviceWeight * (failure - p.failureShare[service])
-	if o == Unreachable {
-		h.unreachableInARow++
-	} else {
+	switch o {
+	case Answered:
+		h.unreachableInARow, h.probation = 0, false
+	case Failed:
 		h.unreachableInARow = 0
+	default:
+		h.unreachableInARow++
+		h.unreachableFrom = host
 	}
 	if h.unreachableInARow >= maxUnreachableInARow || h.samples >= minSamples && h.failureShare > p.failureShare[service]+maxFailureExcess {
-		h.quarantine(now)
-		return
-	}
-	if o == Answered {
-		p.observeLatency(now, s, latency)
+		h.quarantine(now, p.random.Float64())
+		return true
 	}
+	return false
 }
 
 // observeLatency records the latency of a plain service's target. A latency of 0
--- a/node/gossip.go
+++ b/node/gossip.go
@@ -105,6 +105,7 @@
 	g := &n.gossip
 	if a == peers.AllHosts || a == peers.SameZoneHosts {
 		n.composePrompts(d)
+		n.composeReports(d)
 	}
 	g.mu.Lock()
 	if a == peers.OtherZoneHosts {
@@ -150,6 +151,32 @@
 	d.Prompts = append(g.repeatedPrompts[:len(g.repeatedPrompts):len(g.repeatedPrompts)], g.newPrompts...)
 }
 
+// composeReports adds what this host observed of targets since the last digest.
+func (n *Node) composeReports(d *wire.HostDigest) {
+	n.handler.PlannerMu.Lock()
+	reports := n.handler.Planner.TakeReports()
+	n.handler.PlannerMu.Unlock()
+	for _, r := range reports {
+		report := &wire.TargetReport{Target: r.Target, Answered: uint32(r.Answered), Failed: uint32(r.Failed), Unreachable: uint32(r.Unreachable)}
+		for _, s := range r.Samples {
+			report.Samples = append(report.Samples, &wire.PromptSample{UncachedTokens: uint32(s.Uncached), PromptTokens: uint32(s.Prompt), BacklogTokens: uint32(s.Backlog), Ms: uint32(s.Millis)})
+		}
+		d.Reports = append(d.Reports, report)
+	}
+}
+
+// applyReports passes a peer's reports on targets to the planner. The caller holds
+// PlannerMu.
+func (n *Node) applyReports(now time.Time, d *wire.HostDigest) {
+	for _, report := range d.Reports {
+		r := dispatch.Report{Target: report.Target, Answered: int(report.Answered), Failed: int(report.Failed), Unreachable: int(report.Unreachable)}
+		for _, s := range report.Samples {
+			r.Samples = append(r.Samples, dispatch.Sample{Uncached: int(s.UncachedTokens), Prompt: int(s.PromptTokens), Backlog: int(s.BacklogTokens), Millis: float64(s.Ms)})
+		}
+		n.handler.Planner.ApplyReport(now, d.Host, r)
+	}
+}
+
 // organisationsPerDigest is the number of organisations whose usage counts one
 // digest carries; at 16 bytes each they leave room for the rest of a datagram.
 const organisationsPerDigest = 50
@@ -195,6 +222,7 @@
 	for _, p := range d.Prompts {
 		n.handler.Planner.MarkCached(now, p.Target, p.Chains)
 	}
+	n.applyReports(now, d)
 	n.handler.PlannerMu.Unlock()
 	if d.StoreAnswerAgeMs != nil {
 		n.targetsStore.recordPeerAnswer(now.Add(-time.Duration(d.GetStoreAnswerAgeMs()) * time.Millisecond))
--- a/peers/mesh.go
+++ b/peers/mesh.go
@@ -233,7 +233,7 @@
 func DigestInterval() time.Duration { return digestInterval }
 
 // encode encodes a digest. If it exceeds maxDatagram, encode drops the oldest
-// prompts, then the addresses, then loads; the rest is never dropped.
+// prompts, then the addresses, then reports, then loads; the rest is never dropped.
 func encode(d *wire.HostDigest) ([]byte, error) {
 	data, err := proto.Marshal(d)
 	for err == nil && len(data) > maxDatagram {
@@ -242,6 +242,8 @@
 			d.Prompts = d.Prompts[len(d.Prompts)/2+1:]
 		case len(d.Peers) > 0:
 			d.Peers = nil
+		case len(d.Reports) > 0:
+			d.Reports = d.Reports[:len(d.Reports)/2]
 		case len(d.Loads) > 0:
 			d.Loads = d.Loads[:len(d.Loads)/2]
 		default:
