--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -137,6 +137,7 @@
 	targets          map[target.ID]*state
 	byKey            map[uint32]*state        // targets by KeyOf
 	services         map[string][]*state      // targets by service
+	loadedByPeer     map[string][]uint32      // keys of the targets at which a peer has loads, by its name
 	engines          map[string]*route.Engine // by service; none for plain services
 	latency          map[target.Role]*latencyModel
 	handoffMillis    float64                      // from a processed prompt to the first token elsewhere, without the transfer
@@ -159,6 +160,7 @@
 		targets:          make(map[target.ID]*state),
 		byKey:            make(map[uint32]*state),
 		services:         make(map[string][]*state),
+		loadedByPeer:     make(map[string][]uint32),
 		engines:          make(map[string]*route.Engine),
 		latency:          map[target.Role]*latencyModel{target.Prefill: newLatencyModel(p.PrefillSpeed), target.Decode: newLatencyModel(p.DecodeSpeed)},
 		handoffMillis:    float64(handoffTime) / float64(time.Millisecond),
@@ -199,24 +201,32 @@
 	}
 }
 
-// SetPeerLoads replaces the loads of a peer, by target key.
+// SetPeerLoads replaces the loads of a peer, by target key. Its cost does not depend on
+// the number of targets, since digests arrive often.
 func (p *Planner) SetPeerLoads(now time.Time, host string, loads map[uint32]Load) {
-	for key, s := range p.byKey {
-		l, ok := loads[key]
-		if !ok {
-			delete(s.peers, host)
-			continue
+	for _, key := range p.loadedByPeer[host] {
+		if s := p.byKey[key]; s != nil {
+			if _, still := loads[key]; !still {
+				delete(s.peers, host)
+			}
+		}
+	}
+	if len(loads) == 0 {
+		delete(p.loadedByPeer, host)
+		return
+	}
+	keys := p.loadedByPeer[host][:0]
+	for key, l := range loads {
+		if s := p.byKey[key]; s != nil {
+			s.peers[host] = peerLoad{l, now}
+			keys = append(keys, key)
 		}
-		s.peers[host] = peerLoad{l, now}
 	}
+	p.loadedByPeer[host] = keys
 }
 
 // DropPeer removes the loads of a peer.
-func (p *Planner) DropPeer(host string) {
-	for _, s := range p.targets {
-		delete(s.peers, host)
-	}
-}
+func (p *Planner) DropPeer(host string) { p.SetPeerLoads(time.Time{}, host, nil) }
 
 // MarkCached records that a peer sent a prompt with these leading parts to a target,
 // which therefore has them cached.
--- a/node/announce.go
+++ b/node/announce.go
@@ -7,11 +7,15 @@
 	"time"
 )
 
-// hostsCollection is the store collection in which every host publishes its
-// mesh address, so that a host whose configured seeds are out of date still
-// finds its peers.
+// hostsCollection is the store collection in which hosts publish their mesh addresses,
+// so that a host whose configured seeds are out of date still finds its peers. In a
+// large fleet only the relays do, which know all others.
 const hostsCollection = "zinnia-hosts"
 
+// announceCheckInterval is how often a host of a large fleet checks whether it has
+// become a relay.
+const announceCheckInterval = 2 * time.Second
+
 // hostRecord is the value of a member of hostsCollection.
 type hostRecord struct {
 	Address string `json:"address"`
@@ -21,12 +25,27 @@
 // of the other hosts to the mesh. It retries with jittered backoff until the
 // record is written or the context ends.
 func (n *Node) announce(ctx context.Context) {
-	for delay := maxRetryDelay; ctx.Err() == nil; delay = min(2*delay, 5*time.Second) {
-		if n.announceOnce(ctx) {
-			return
+	delay := maxRetryDelay
+	for ctx.Err() == nil {
+		if n.shouldAnnounce(time.Now()) {
+			if n.announceOnce(ctx) {
+				return
+			}
+			delay = min(2*delay, 5*time.Second)
+			time.Sleep(delay/2 + time.Duration(rand.Int64N(int64(delay))))
+			continue
 		}
-		time.Sleep(delay/2 + time.Duration(rand.Int64N(int64(delay))))
+		time.Sleep(announceCheckInterval/2 + time.Duration(rand.Int64N(int64(announceCheckInterval))))
+	}
+}
+
+// shouldAnnounce reports whether this host publishes its address: each host of a small
+// fleet does, also one that has found no other, and the relays of a large one.
+func (n *Node) shouldAnnounce(now time.Time) bool {
+	if n.largeFleet() {
+		return n.mesh.Relays(now)
 	}
+	return now.Sub(n.started) >= discoveryTime
 }
 
 // announceOnce tries once to publish this host's address. It returns true when
--- a/node/duties.go
+++ b/node/duties.go
@@ -134,17 +134,26 @@
 		r.runDuties(ctx, now)
 		return
 	}
+	if n.largeFleet() && !n.mesh.Relays(now) {
+		return // only the relays hear all who may hold the duties
+	}
 	holder, _ := r.newestHolder()
 	if r.elector.ShouldAcquire(now, n.targetsStore.reachable(), r.electionPeers(), holder) {
 		r.acquire(ctx, now)
 	}
 }
 
-// electionPeers returns the live peers in the form that package duty takes.
+// electionPeers returns the live peers that take part in the election, in the form that
+// package duty takes. In a large fleet these are the relays, which hear each other, and
+// the holder.
 func (r *dutyRunner) electionPeers() []duty.Peer {
+	large := r.node.largeFleet()
 	var all []duty.Peer
 	for _, p := range r.node.livePeers() {
 		d := p.Digest
+		if large && !d.Relays && !d.HoldsDuties {
+			continue
+		}
 		all = append(all, duty.Peer{Host: d.Host, StoreReachable: d.StoreReachable, Leaving: d.Leaving, HoldsDuties: d.HoldsDuties, Holder: d.DutyHost, Fence: d.DutyFence, LastSeen: p.LastSeen})
 	}
 	return all
--- a/node/follow.go
+++ b/node/follow.go
@@ -6,13 +6,10 @@
 	"math/rand/v2"
 	"time"
 
-	"zinniapin/dispatch"
 	"zinniapin/event"
-	"zinniapin/peers"
 	"zinniapin/roster"
 	"zinniapin/route"
 	"zinniapin/store"
-	"zinniapin/target"
 )
 
 // collectionFollower describes how to follow one collection of the store.
@@ -28,8 +25,10 @@
 
 const (
 	// watchTimeout bounds one watch, so a dead connection is noticed after this
-	// time. A shorter timeout would cost more calls to the store.
-	watchTimeout = 2 * time.Second
+	// time. A shorter timeout would cost more calls to the store. In a large fleet
+	// other hosts watch as well, so that a dead connection delays nothing.
+	watchTimeout           = 2 * time.Second
+	largeFleetWatchTimeout = 4 * time.Second
 	// minRetryDelay and maxRetryDelay bound the backoff after failed calls.
 	minRetryDelay = 80 * time.Millisecond
 	maxRetryDelay = 400 * time.Millisecond
@@ -76,44 +75,63 @@
 }
 
 const (
-	// watchersPerZone is the number of hosts in each availability zone that
-	// watch the store in a large fleet; the others get changes from them.
-	watchersPerZone = 2
 	// standbyPollInterval is how often a host that does not watch the store
 	// checks whether it has to.
 	standbyPollInterval = 300 * time.Millisecond
-	// minWatchInterval is the least time between two watches in a large fleet,
-	// so that one answer carries several changes.
+	// minWatchInterval is the least time between two watches, so that one answer
+	// carries several changes.
 	minWatchInterval = 300 * time.Millisecond
+	// discoveryTime is how long after its start a host waits for digests before it
+	// watches the store: until then it cannot tell whether others do so for it.
+	discoveryTime = 1500 * time.Millisecond
 )
 
-// shouldWatchStore reports whether this host watches the store itself. In a
-// small fleet all hosts do; in a large one only the first watchersPerZone hosts
-// of each zone, ordered by hash of the host name. A host also calls the store
-// when it has no configuration yet, when its last call to the store failed, or
-// when it has lagged behind its peers for longer than storeFallbackDelay.
+// minWatchers is the least number of hosts that watch the store in a large fleet. They
+// are spread over the availability zones, so that an outage of the store for some hosts
+// leaves others that watch.
+const minWatchers = 6
+
+// shouldWatchStore reports whether this host watches the store itself. In a small
+// fleet all hosts do. In a large one some relays do, and hosts that hear no relay, that
+// have had no list yet, whose last call to the store failed, or that have lagged behind
+// their peers for longer than storeFallbackDelay.
 func (n *Node) shouldWatchStore() bool {
-	live := n.livePeers()
-	if peers.SmallFleet(len(live)) || n.table.Load() == nil || !n.targetsStore.reachable() || !n.configurationStore.reachable() {
+	if !n.targetsStore.reachable() || !n.configurationStore.reachable() {
 		return true
 	}
+	if !n.largeFleet() {
+		return n.alone() || time.Since(n.started) >= discoveryTime
+	}
 	if n.behindFor() > storeFallbackDelay {
 		return true // peers with newer data did not answer the snapshot requests
 	}
+	now := time.Now()
+	if !n.mesh.Relays(now) {
+		return !n.mesh.HearsRelay(now) && time.Since(n.started) >= discoveryTime
+	}
+	perZone := (minWatchers + n.mesh.ZoneCount(now) - 1) / n.mesh.ZoneCount(now)
+	return n.precedingRelays() < perZone
+}
+
+// precedingRelays returns the number of relays of this zone that reach the store and come
+// before this host in the order of addresses.
+func (n *Node) precedingRelays() int {
 	preceding := 0
-	self := dispatch.KeyOf(target.ID(n.settings.Host))
-	for _, p := range live {
+	for _, p := range n.livePeers() {
 		d := p.Digest
-		if d.Zone == string(n.settings.Zone) && d.StoreReachable && !d.Leaving && dispatch.KeyOf(target.ID(d.Host)) < self {
+		if d.Relays && d.Zone == string(n.settings.Zone) && d.StoreReachable && !d.Leaving && d.Address < n.settings.Mesh {
 			preceding++
 		}
 	}
-	return preceding < watchersPerZone
+	return preceding
 }
 
-// delayWatch keeps minWatchInterval between two watches in a large fleet.
+// alone reports whether this host knows of no other.
+func (n *Node) alone() bool { return n.mesh.KnownHostCount() == 0 }
+
+// delayWatch keeps minWatchInterval between two watches.
 func (n *Node) delayWatch(f collectionFollower, listed bool) {
-	if !listed || peers.SmallFleet(len(n.livePeers())) {
+	if !listed {
 		return
 	}
 	wait := minWatchInterval - time.Since(f.health.lastAnswer())
@@ -126,7 +144,11 @@
 // otherwise a watch for changes after the revision. It returns the new revision.
 func (n *Node) listOrWatch(ctx context.Context, f collectionFollower, listed bool, revision uint64) (uint64, error) {
 	if listed {
-		changes, err := n.platform.Objects.Watch(ctx, f.name, revision, watchTimeout)
+		timeout := watchTimeout
+		if n.largeFleet() {
+			timeout = largeFleetWatchTimeout
+		}
+		changes, err := n.platform.Objects.Watch(ctx, f.name, revision, timeout)
 		if err != nil {
 			return 0, err
 		}
--- a/node/gossip.go
+++ b/node/gossip.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -29,9 +30,8 @@
 	// repeatedPrompts those of the digest before. Each prompt goes into two
 	// digests, because a datagram may be lost.
 	newPrompts, repeatedPrompts []*wire.CachedPrompt
-	// longPrompts are the long prompts still to be sent to hosts of other zones
-	// in a large fleet.
-	longPrompts     []*wire.CachedPrompt
+	// zones is the demand in each zone of a large fleet.
+	zones           map[string]zoneDemand
 	ticks           int
 	usageRound      int
 	usagePart       int
@@ -46,8 +46,6 @@
 }
 
 const (
-	// maxLongPrompts bounds the prompts kept for hosts of other zones.
-	maxLongPrompts = 40
 	// usageRounds is how seldom a digest carries usage counts in a small fleet:
 	// one digest in this many.
 	usageRounds = 2
@@ -79,8 +77,8 @@
 // targetID returns the ID of the target with the given entry name.
 func targetID(name string) target.ID { return target.ID(name) }
 
-// composeDigest returns the digest to send to an audience. In a large fleet,
-// newly sent prompts go to hosts of the same zone, long prompts to hosts of other
+// composeDigest returns the digest to send to an audience. In a large fleet, loads,
+// newly sent prompts and reports go to hosts of the same zone, long prompts to other
 // zones, and usage counts to the hosts that may have to report them.
 func (n *Node) composeDigest(a peers.Audience) *wire.HostDigest {
 	d := &wire.HostDigest{
@@ -101,24 +99,33 @@
 	n.rosterMu.Unlock()
 	d.DutyHost, d.DutyFence = n.duties.newestHolder()
 	d.HoldsDuties = n.duties.isHolding()
-	n.composeLoads(d)
+	n.composeContents(d, a)
+	return d
+}
+
+// composeContents adds to a digest what depends on its audience.
+func (n *Node) composeContents(d *wire.HostDigest, a peers.Audience) {
 	g := &n.gossip
-	if a == peers.AllHosts || a == peers.SameZoneHosts {
-		n.composePrompts(d)
-		n.composeReports(d)
+	switch a {
+	case peers.Members:
+		return
+	case peers.UsageReporters:
+		n.composeUsage(d)
+		return
 	}
+	n.composeLoads(d)
 	g.mu.Lock()
-	if a == peers.OtherZoneHosts {
-		d.Prompts, g.longPrompts = g.longPrompts, nil
-	}
 	d.Demand = g.demand
 	g.usageRound++
-	usage := a == peers.UsageReporters || a == peers.AllHosts && g.usageRound%usageRounds == 0
+	usage := a == peers.AllHosts && g.usageRound%usageRounds == 0
 	g.mu.Unlock()
+	if a == peers.AllHosts || a == peers.Relay || a == peers.Subscribers {
+		n.composePrompts(d)
+		n.composeReports(d)
+	}
 	if usage {
 		n.composeUsage(d)
 	}
-	return d
 }
 
 // composeLoads adds the load that this host has in flight at each target.
@@ -142,11 +149,7 @@
 	g.repeatedPrompts = g.newPrompts
 	g.newPrompts = nil
 	for _, s := range fresh {
-		p := &wire.CachedPrompt{Target: s.Target, Chains: s.Chains}
-		g.newPrompts = append(g.newPrompts, p)
-		if s.Long && len(g.longPrompts) < maxLongPrompts {
-			g.longPrompts = append(g.longPrompts, p)
-		}
+		g.newPrompts = append(g.newPrompts, &wire.CachedPrompt{Target: s.Target, Chains: s.Chains, Long: s.Long})
 	}
 	d.Prompts = append(g.repeatedPrompts[:len(g.repeatedPrompts):len(g.repeatedPrompts)], g.newPrompts...)
 }
@@ -165,16 +168,89 @@
 	}
 }
 
-// applyReports passes a peer's reports on targets to the planner. The caller holds
-// PlannerMu.
-func (n *Node) applyReports(now time.Time, d *wire.HostDigest) {
-	for _, report := range d.Reports {
+// applyUpdate passes the loads, prompts and reports of a peer to the planner, whether its
+// own digest brought them or a relay's. Prompts of other zones come without a host.
+func (n *Node) applyUpdate(now time.Time, u *wire.HostUpdate) {
+	host := planHostName(u.Host)
+	n.handler.PlannerMu.Lock()
+	defer n.handler.PlannerMu.Unlock()
+	if u.Host != 0 {
+		n.handler.Planner.SetPeerLoads(now, host, loadsOf(u.Loads))
+	}
+	for _, p := range u.Prompts {
+		n.handler.Planner.MarkCached(now, p.Target, p.Chains)
+	}
+	for _, report := range u.Reports {
 		r := dispatch.Report{Target: report.Target, Answered: int(report.Answered), Failed: int(report.Failed), Unreachable: int(report.Unreachable)}
 		for _, s := range report.Samples {
 			r.Samples = append(r.Samples, dispatch.Sample{Uncached: int(s.UncachedTokens), Prompt: int(s.PromptTokens), Backlog: int(s.BacklogTokens), Millis: float64(s.Ms)})
 		}
-		n.handler.Planner.ApplyReport(now, d.Host, r)
+		n.handler.Planner.ApplyReport(now, host, r)
+	}
+}
+
+// planHostName returns the name of a host for the planner by the key that relays use.
+func planHostName(key uint32) string { return strconv.FormatUint(uint64(key), 36) }
+
+// loadsOf returns loads by target key.
+func loadsOf(all []*wire.TargetLoad) map[uint32]dispatch.Load {
+	loads := make(map[uint32]dispatch.Load, len(all))
+	for _, l := range all {
+		loads[l.Target] = dispatch.Load{PendingTokens: int(l.UnreadTokens), Active: int(l.Active)}
+	}
+	return loads
+}
+
+// handleRelayed applies the update of a host of this zone that a relay passed on.
+func (n *Node) handleRelayed(u *wire.HostUpdate) {
+	if u.Host != peers.HostKey(n.settings.Host) {
+		n.applyUpdate(time.Now(), u)
+	}
+}
+
+// zoneDemand is what all hosts of a zone said of the demand, and when.
+type zoneDemand struct {
+	demand []*wire.ServiceDemand
+	at     time.Time
+}
+
+// zoneDemandTTL is how long the demand of a zone counts without news of it.
+const zoneDemandTTL = 5 * time.Second
+
+// demandOfZones returns the demand on each service in all zones, in prompt tokens per
+// second, as far as the relays have told lately.
+func (g *gossip) demandOfZones(now time.Time) map[string]float64 {
+	sum := make(map[string]float64)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, z := range g.zones {
+		if now.Sub(z.at) > zoneDemandTTL {
+			continue
+		}
+		for _, d := range z.demand {
+			sum[d.Service] += float64(d.Tokens)
+		}
+	}
+	return sum
+}
+
+// handleZone applies the summary of a zone: the demand there and, of other zones, the
+// loads of their hosts.
+func (n *Node) handleZone(s *wire.ZoneSummary) {
+	now := time.Now()
+	g := &n.gossip
+	g.mu.Lock()
+	if g.zones == nil {
+		g.zones = make(map[string]zoneDemand)
 	}
+	g.zones[s.Zone] = zoneDemand{s.Demand, now}
+	g.mu.Unlock()
+	if s.Zone == string(n.settings.Zone) {
+		return
+	}
+	n.handler.PlannerMu.Lock()
+	n.handler.Planner.SetPeerLoads(now, "zone "+s.Zone, loadsOf(s.Loads))
+	n.handler.PlannerMu.Unlock()
 }
 
 // organisationsPerDigest is the number of organisations whose usage counts one
@@ -213,17 +289,11 @@
 // estimate, usage counts and the holder of the duties.
 func (n *Node) handleDigest(d *wire.HostDigest) {
 	now := time.Now()
-	loads := make(map[uint32]dispatch.Load, len(d.Loads))
-	for _, l := range d.Loads {
-		loads[l.Target] = dispatch.Load{PendingTokens: int(l.UnreadTokens), Active: int(l.Active)}
+	if d.Kind == wire.DigestKind_ALL || d.Kind == wire.DigestKind_SUBSCRIBE {
+		n.applyUpdate(now, &wire.HostUpdate{Host: peers.HostKey(d.Host), Loads: d.Loads, Prompts: d.Prompts, Reports: d.Reports})
+	} else if len(d.Prompts) > 0 {
+		n.applyUpdate(now, &wire.HostUpdate{Prompts: d.Prompts})
 	}
-	n.handler.PlannerMu.Lock()
-	n.handler.Planner.SetPeerLoads(now, d.Host, loads)
-	for _, p := range d.Prompts {
-		n.handler.Planner.MarkCached(now, p.Target, p.Chains)
-	}
-	n.applyReports(now, d)
-	n.handler.PlannerMu.Unlock()
 	if d.StoreAnswerAgeMs != nil {
 		n.targetsStore.recordPeerAnswer(now.Add(-time.Duration(d.GetStoreAnswerAgeMs()) * time.Millisecond))
 	}
@@ -300,7 +370,7 @@
 func (n *Node) peerLost(host string) {
 	event.PeerLost.Log(n.log).Str("peer", host).Send()
 	n.handler.PlannerMu.Lock()
-	n.handler.Planner.DropPeer(host)
+	n.handler.Planner.DropPeer(planHostName(peers.HostKey(host)))
 	n.handler.PlannerMu.Unlock()
 }
 
@@ -326,5 +396,9 @@
 	}
 }
 
-// livePeers returns the peers that are live at present.
+// livePeers returns the peers that are live at present: all hosts of a small fleet, and
+// in a large one the hosts whose digests reach this one directly.
 func (n *Node) livePeers() []*peers.Peer { return n.mesh.Live(time.Now()) }
+
+// largeFleet reports whether there are so many hosts that digests go through relays.
+func (n *Node) largeFleet() bool { return !peers.SmallFleet(n.mesh.LiveMembers(time.Now())) }
--- a/node/node.go
+++ b/node/node.go
@@ -130,12 +130,18 @@
 		Planner: dispatch.New(dispatch.DefaultPolicy(), s.Zone, n.self.Incarnation),
 	})
 	n.server = &ingress.Server{Handler: n.handler, Limits: n.limits, MaxBodyMemoryBytes: int64(float64(s.MemoryMB) * bodyMemoryShare * (1 << 20))}
-	n.mesh = &peers.Mesh{Zone: string(s.Zone), Compose: n.composeDigest, UsageReporterHosts: n.reporters, OnDigest: n.handleDigest, OnPeerFound: n.peerFound, OnPeerLost: n.peerLost}
+	n.mesh = &peers.Mesh{
+		Host: s.Host, Zone: string(s.Zone), Compose: n.composeDigest, UsageReporterHosts: n.reporters, HoldsDuties: n.isHolder,
+		OnDigest: n.handleDigest, OnRelayed: n.handleRelayed, OnZone: n.handleZone, OnPeerFound: n.peerFound, OnPeerLost: n.peerLost,
+	}
 	n.network = &yamuxlink.Network{Self: n.self, Log: log}
 	n.duties = newDutyRunner(n, duty.NewElector(s.Host, time.Duration(s.Bounds.LeaseMillis)*time.Millisecond, now))
 	return n
 }
 
+// isHolder reports whether this process holds the duties.
+func (n *Node) isHolder() bool { return n.duties.isHolding() }
+
 // seconds returns a number of seconds as a duration.
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
@@ -339,7 +345,7 @@
 	n.pool.CloseExpired()
 	n.handler.PlannerMu.Lock()
 	n.handler.Planner.Tick(now)
-	n.handler.Planner.SetRemoteLoadsStale(!peers.SmallFleet(len(n.mesh.Live(now))))
+	n.handler.Planner.SetRemoteLoadsStale(n.largeFleet())
 	n.handler.PlannerMu.Unlock()
 	n.ledgerMu.Lock()
 	n.ledger.DropExpired(n.clock.Now())
--- a/node/pools.go
+++ b/node/pools.go
@@ -100,6 +100,9 @@
 		sum[d.Service] += float64(d.Tokens)
 	}
 	g.mu.Unlock()
+	if r.node.largeFleet() {
+		return r.node.gossip.demandOfZones(time.Now())
+	}
 	for _, p := range r.node.livePeers() {
 		for _, d := range p.Digest.Demand {
 			sum[d.Service] += float64(d.Tokens)
--- a/peers/mesh.go
+++ b/peers/mesh.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"sync"
@@ -13,25 +14,19 @@
 )
 
 const (
-	// digestInterval is the length of a round. In a small fleet every live host
-	// gets a digest each round; in a large one, hosts of the same zone do.
+	// digestInterval is the length of a round. In a small fleet every live host gets a
+	// digest each round.
 	digestInterval = 100 * time.Millisecond
-	// smallFleetHosts is the least number of other hosts in a large fleet; with
-	// fewer the fleet is small. In a large fleet hosts of other zones get a digest
-	// only every otherZoneRounds rounds.
+	// smallFleetHosts is the least number of other hosts in a large fleet; with fewer
+	// the fleet is small.
 	smallFleetHosts = 12
-	otherZoneRounds = 4
-	// usageReporterRounds is the number of rounds between two digests to the
-	// UsageReporters in a large fleet.
-	usageReporterRounds = 2
-	// addressRounds is the number of rounds between digests that carry addresses
-	// of other hosts in a large fleet, once no host was found for settledTime.
-	addressRounds = 20
-	settledTime   = 3 * time.Second
+	// settledTime is how long after its start, or after a host was found, a host names
+	// members to others more often.
+	settledTime = 3 * time.Second
 	// silentAddressRounds is the number of rounds between digests to addresses at
 	// which no live host is known.
 	silentAddressRounds = 5
-	// maxAddresses bounds the addresses that a digest carries.
+	// maxAddresses bounds the addresses that a digest in a small fleet carries.
 	maxAddresses = 16
 	// maxDatagram bounds a digest, in bytes, so that it is not fragmented.
 	maxDatagram = 1400
@@ -41,24 +36,38 @@
 // depend on it.
 type Audience int
 
-// Audiences.
+// Audiences. All but the first are those of a large fleet.
 const (
 	// AllHosts is the only audience in a small fleet: all hosts get everything.
 	AllHosts Audience = iota
-	// SameZoneHosts are the hosts of the same availability zone.
-	SameZoneHosts
-	// OtherZoneHosts are the hosts of other availability zones.
-	OtherZoneHosts
+	// Relay is a relay of the same availability zone, which passes on loads, prompts
+	// and reports.
+	Relay
+	// OtherRelay is a relay of the same zone, told by another relay only that it is
+	// there.
+	OtherRelay
+	// Subscribers are the hosts of the same zone for which this host relays.
+	Subscribers
+	// ZoneRelays are the relays of other zones.
+	ZoneRelays
 	// UsageReporters are the hosts that need usage counts: the one that reports
 	// usage to the platform, and those that may have to next.
 	UsageReporters
+	// Members are hosts that are told which others there are.
+	Members
 )
 
+// kinds are the kinds of the digests for each audience.
+var kinds = map[Audience]wire.DigestKind{
+	AllHosts: wire.DigestKind_ALL, Relay: wire.DigestKind_SUBSCRIBE, OtherRelay: wire.DigestKind_SUBSCRIBE, Subscribers: wire.DigestKind_RELAY,
+	ZoneRelays: wire.DigestKind_ZONES, UsageReporters: wire.DigestKind_USAGE, Members: wire.DigestKind_INTRODUCE,
+}
+
 // Mesh exchanges digests with the other hosts. Its fields must not change after
 // Listen was called.
 type Mesh struct {
-	// Zone is the host's own availability zone.
-	Zone string
+	// Host is the host's name, Zone its availability zone.
+	Host, Zone string
 	// Compose returns the digest to send to an audience.
 	Compose func(a Audience) *wire.HostDigest
 	// UsageReporterHosts returns the hosts that need usage counts: the one that
@@ -70,19 +79,26 @@
 	// OnPeerLost when a host ceases to be live.
 	OnPeerFound, OnPeerLost func(host string)
 
+	// OnRelayed is called with the update of a host of the zone that a relay passed on,
+	// and OnZone with the summary of another zone, or of the own one.
+	OnRelayed func(u *wire.HostUpdate)
+	OnZone    func(s *wire.ZoneSummary)
+	// HoldsDuties reports whether this host holds the duties, so that the relays of all
+	// zones have to know that it lives.
+	HoldsDuties func() bool
+
 	conn          *net.UDPConn
-	mu            sync.Mutex
-	table         *Table
+	random        *rand.Rand
+	startedAt     time.Time
 	round         int
-	addressOffset int       // index of the first address in the last digest
-	lastFoundAt   time.Time // when a host was last found
-}
+	addressOffset int // index of the first address in the last digest of a small fleet
 
-// settled reports whether no host was found within settledTime.
-func (m *Mesh) settled() bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return time.Since(m.lastFoundAt) > settledTime
+	mu          sync.Mutex
+	table       *Table
+	relay       relayBuffer
+	lastFoundAt time.Time // when a host was last found
+	reporters   []string  // addresses that a relay named last
+	newcomers   []string  // addresses of hosts to name members to
 }
 
 // Listen opens the UDP socket at IP:port. The seeds are addresses of other hosts.
@@ -95,7 +111,9 @@
 	if err != nil {
 		return err
 	}
-	m.table = NewTable(address, seeds, time.Now())
+	m.startedAt = time.Now()
+	m.table = NewTable(address, m.Zone, seeds, m.startedAt)
+	m.random = rand.New(rand.NewPCG(rank(address), uint64(m.startedAt.UnixNano())))
 	return nil
 }
 
@@ -109,6 +127,40 @@
 	return m.table.Live(now)
 }
 
+// LiveMembers returns the number of other hosts that somebody has heard from lately.
+func (m *Mesh) LiveMembers(now time.Time) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.table.LiveMembers(now)
+}
+
+// Relays reports whether this host relays for others of its zone.
+func (m *Mesh) Relays(now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.table.relaying(now)
+}
+
+// ZoneCount returns the number of zones in which hosts are known to be live, the own one
+// included.
+func (m *Mesh) ZoneCount(now time.Time) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.table.Zones(now))
+}
+
+// HearsRelay reports whether digests of a relay of this host's zone arrive.
+func (m *Mesh) HearsRelay(now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, at := range m.table.heard {
+		if now.Sub(at) < livenessTimeout {
+			return true
+		}
+	}
+	return false
+}
+
 // KnownHostCount returns the number of other hosts that may be running.
 func (m *Mesh) KnownHostCount() int {
 	m.mu.Lock()
@@ -138,17 +190,47 @@
 		if proto.Unmarshal(buffer[:n], d) != nil || d.Host == "" {
 			continue // not a digest
 		}
-		m.mu.Lock()
-		newer, found := m.table.HandleDigest(time.Now(), d)
-		if found {
-			m.lastFoundAt = time.Now()
+		m.handle(time.Now(), d)
+	}
+}
+
+// handle takes in a digest.
+func (m *Mesh) handle(now time.Time, d *wire.HostDigest) {
+	m.mu.Lock()
+	newer, found := m.table.HandleDigest(now, d)
+	large := !SmallFleet(m.table.LiveMembers(now))
+	if found {
+		m.lastFoundAt = now
+	}
+	if newer && large {
+		m.relay.add(d, m.Zone)
+		if d.Kind == wire.DigestKind_RELAY && len(d.Reporters) > 0 {
+			m.reporters = d.Reporters
 		}
-		m.mu.Unlock()
-		if found {
-			m.OnPeerFound(d.Host)
+		// The sender takes the fleet for a small one, as all do at their start.
+		if d.Kind == wire.DigestKind_ALL && len(m.newcomers) < maxNewcomers {
+			m.newcomers = append(m.newcomers, d.Address)
 		}
-		if newer {
-			m.OnDigest(d)
+	}
+	m.mu.Unlock()
+	if found {
+		m.OnPeerFound(d.Host)
+	}
+	if !newer {
+		return
+	}
+	m.OnDigest(d)
+	if d.Kind == wire.DigestKind_RELAY && d.Zone == m.Zone {
+		for _, u := range d.Updates {
+			m.OnRelayed(u)
+		}
+		for _, s := range d.Zones {
+			m.OnZone(s)
+		}
+	}
+	if d.Kind == wire.DigestKind_ZONES {
+		for _, s := range d.Zones {
+			m.OnZone(s)
 		}
 	}
 }
@@ -158,59 +240,53 @@
 	now := time.Now()
 	m.mu.Lock()
 	lost := m.table.Expire(now)
-	sameZone, otherZones, silent := m.table.Addresses(now, m.Zone)
+	large := !SmallFleet(m.table.LiveMembers(now))
 	m.mu.Unlock()
 	for _, host := range lost {
 		m.OnPeerLost(host)
 	}
 	m.round++
-	if m.round%silentAddressRounds != 1 && len(sameZone)+len(otherZones) > 0 {
-		silent = nil
-	}
-	if len(sameZone)+len(otherZones) < smallFleetHosts {
-		return m.sendDigest(AllHosts, append(append(sameZone, otherZones...), silent...), sameZone, otherZones)
+	if large {
+		return m.sendRound(now)
 	}
-	err := m.sendDigest(SameZoneHosts, sameZone, sameZone, otherZones)
-	if m.round%otherZoneRounds == 0 {
-		err = errors.Join(err, m.sendDigest(OtherZoneHosts, otherZones, sameZone, otherZones))
+	m.mu.Lock()
+	live, silent := m.table.Addresses(now)
+	m.mu.Unlock()
+	if m.round%silentAddressRounds != 1 && len(live) > 0 {
+		silent = nil
 	}
-	err = errors.Join(err, m.sendDigest(OtherZoneHosts, silent, sameZone, otherZones))
-	if m.round%usageReporterRounds == 0 {
-		err = errors.Join(err, m.sendDigest(UsageReporters, m.reporters(now), nil, nil))
+	recipients := append(live[:len(live):len(live)], silent...)
+	if len(recipients) == 0 {
+		return nil
 	}
-	return err
+	d := m.compose(AllHosts)
+	d.Peers = m.nextAddresses(live)
+	return m.send(d, recipients)
 }
 
-// reporters returns the addresses of the live hosts that need usage counts.
-func (m *Mesh) reporters(now time.Time) []string {
-	wanted := make(map[string]bool)
-	for _, host := range m.UsageReporterHosts() {
-		wanted[host] = true
-	}
-	var addresses []string
-	for _, p := range m.Live(now) {
-		if wanted[p.Digest.Host] {
-			addresses = append(addresses, p.Digest.Address)
-		}
+// nextAddresses returns a part of the addresses; successive calls return successive
+// parts.
+func (m *Mesh) nextAddresses(addresses []string) []string {
+	if len(addresses) <= maxAddresses {
+		return addresses
 	}
-	return addresses
+	m.addressOffset += maxAddresses
+	at := m.addressOffset % len(addresses)
+	return append(append([]string(nil), addresses[at:]...), addresses[:at]...)[:maxAddresses]
 }
 
-// sendDigest sends a digest for an audience to the recipients' addresses. Now and
-// then the digest carries a part of the given addresses of live hosts.
-func (m *Mesh) sendDigest(a Audience, recipients, sameZone, otherZones []string) error {
+// compose returns a digest for an audience.
+func (m *Mesh) compose(a Audience) *wire.HostDigest {
+	d := m.Compose(a)
+	d.Kind = kinds[a]
+	return d
+}
+
+// send sends a digest to addresses.
+func (m *Mesh) send(d *wire.HostDigest, recipients []string) error {
 	if len(recipients) == 0 {
 		return nil
 	}
-	d := m.Compose(a)
-	if addresses := append(sameZone[:len(sameZone):len(sameZone)], otherZones...); a == AllHosts || m.round%addressRounds == 0 || !m.settled() {
-		if len(addresses) > maxAddresses { // successive digests carry successive parts
-			m.addressOffset += maxAddresses
-			at := m.addressOffset % len(addresses)
-			addresses = append(addresses[at:], addresses[:at]...)[:maxAddresses]
-		}
-		d.Peers = addresses
-	}
 	data, err := encode(d)
 	if err != nil {
 		return err
@@ -233,7 +309,8 @@
 func DigestInterval() time.Duration { return digestInterval }
 
 // encode encodes a digest. If it exceeds maxDatagram, encode drops the oldest
-// prompts, then the addresses, then reports, then loads; the rest is never dropped.
+// prompts, then the addresses, then reports, then loads and what a relay passes on; the
+// rest is never dropped.
 func encode(d *wire.HostDigest) ([]byte, error) {
 	data, err := proto.Marshal(d)
 	for err == nil && len(data) > maxDatagram {
@@ -246,6 +323,10 @@
 			d.Reports = d.Reports[:len(d.Reports)/2]
 		case len(d.Loads) > 0:
 			d.Loads = d.Loads[:len(d.Loads)/2]
+		case len(d.Updates) > 0:
+			d.Updates = d.Updates[:len(d.Updates)/2]
+		case len(d.Zones) > 0 && len(d.Zones[0].Loads) > 0:
+			d.Zones[0].Loads = d.Zones[0].Loads[:len(d.Zones[0].Loads)/2]
 		default:
 			return data, nil
 		}
--- a/peers/peers_test.go
+++ b/peers/peers_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -23,7 +24,7 @@
 func TestLateAndRepeatedDigestsAreDropped(t *testing.T) {
 	is := is.New(t)
 	now := time.Now()
-	table := NewTable("self", nil, now)
+	table := NewTable("self", "z", nil, now)
 	newer, found := table.HandleDigest(now, digest("1", 1, 5))
 	is.True(newer && found)
 	newer, _ = table.HandleDigest(now, digest("1", 1, 5))
@@ -39,13 +40,14 @@
 func TestSilentHostsAreLostOnceAndFoundAgain(t *testing.T) {
 	is := is.New(t)
 	now := time.Now()
-	table := NewTable("self", nil, now)
+	table := NewTable("self", "z", nil, now)
 	table.HandleDigest(now, digest("1", 1, 1))
 	later := now.Add(3 * time.Second)
 	is.Equal(table.Expire(later), []string{"1"})
 	is.Equal(len(table.Expire(later)), 0)
 	is.Equal(len(table.Live(later)), 0)
-	_, _, silent := table.Addresses(later, "z")
+	later = now.Add(memberLiveness)
+	_, silent := table.Addresses(later)
 	is.Equal(len(silent), 1) // it still gets digests, so that the end of a partition is noticed
 	_, found := table.HandleDigest(later, digest("1", 1, 2))
 	is.True(found)
@@ -57,7 +59,7 @@
 func TestHostsThatFellSilentAreStillKnown(t *testing.T) {
 	is := is.New(t)
 	now := time.Now()
-	table := NewTable("self", []string{"127.0.0.1:9"}, now)
+	table := NewTable("self", "z", []string{"127.0.0.1:9"}, now)
 	for _, host := range []string{"1", "2", "3"} {
 		table.HandleDigest(now, digest(host, 1, 1))
 	}
@@ -85,13 +87,23 @@
 	is.Equal(len(d.Usage), 1)
 }
 
-// Many hosts that only know one seed all find each other, although most are in
-// other zones and the fleet soon counts as large, when digests to them are rare.
-func TestLargeFleetFindsItself(t *testing.T) {
+// testMesh is a mesh on loopback that counts what it sends and gets.
+type testMesh struct {
+	*Mesh
+	mu      sync.Mutex
+	got     map[wire.DigestKind]int
+	updates map[uint32]int // relayed updates by host
+	zones   map[string]*wire.ZoneSummary
+}
+
+// startMeshes starts hosts in zones, which know only the first host, and runs them for so
+// many rounds.
+func startMeshes(t *testing.T, hosts, zones, rounds int) []*testMesh {
+	t.Helper()
 	is := is.New(t)
-	const hosts = 40
-	var meshes []*Mesh
+	var all []*testMesh
 	seed := ""
+	started := time.Now()
 	for i := range hosts {
 		l, err := net.ListenPacket("udp4", "127.0.0.1:0")
 		is.NoErr(err)
@@ -100,49 +112,202 @@
 		if seed == "" {
 			seed = address
 		}
+		m := &testMesh{got: make(map[wire.DigestKind]int), updates: make(map[uint32]int), zones: make(map[string]*wire.ZoneSummary)}
 		var sequence atomic.Uint64
-		m := &Mesh{Zone: fmt.Sprint("z", i%4), UsageReporterHosts: func() []string { return nil }, OnDigest: func(*wire.HostDigest) {}, OnPeerFound: func(string) {}, OnPeerLost: func(string) {}}
-		m.Compose = func(Audience) *wire.HostDigest {
-			return &wire.HostDigest{Host: fmt.Sprint("h", i), Zone: m.Zone, Address: address, Incarnation: 1, Sequence: sequence.Add(1)}
+		host, zone := fmt.Sprint("h", i), fmt.Sprint("z", i%zones)
+		m.Mesh = &Mesh{
+			Host: host, Zone: zone, UsageReporterHosts: func() []string { return nil }, HoldsDuties: func() bool { return false },
+			OnDigest: func(d *wire.HostDigest) {
+				m.mu.Lock()
+				m.got[d.Kind]++
+				m.mu.Unlock()
+			},
+			OnRelayed: func(u *wire.HostUpdate) {
+				m.mu.Lock()
+				m.updates[u.Host]++
+				m.mu.Unlock()
+			},
+			OnZone: func(s *wire.ZoneSummary) {
+				m.mu.Lock()
+				m.zones[s.Zone] = s
+				m.mu.Unlock()
+			},
+			OnPeerFound: func(string) {}, OnPeerLost: func(string) {},
+		}
+		m.Compose = func(a Audience) *wire.HostDigest {
+			d := &wire.HostDigest{Host: host, Zone: zone, Address: address, Incarnation: 1, Sequence: sequence.Add(1), UptimeMs: uint64(time.Since(started).Milliseconds())}
+			if a != Members && a != UsageReporters {
+				d.Loads = []*wire.TargetLoad{{Target: uint32(i % zones), UnreadTokens: 100, Active: 1}}
+			}
+			return d
 		}
 		is.NoErr(m.Listen(address, []string{seed}))
 		t.Cleanup(func() { _ = m.Close() })
 		go m.Receive()
-		meshes = append(meshes, m)
+		all = append(all, m)
 	}
-	for range 25 {
-		for _, m := range meshes {
-			is.NoErr(m.Send())
+	run(t, all, rounds)
+	return all
+}
+
+// run runs meshes for so many rounds, which are shorter than real ones.
+func run(t *testing.T, all []*testMesh, rounds int) {
+	t.Helper()
+	for range rounds {
+		for _, m := range all {
+			if m == nil {
+				continue
+			}
+			if err := m.Send(); err != nil {
+				t.Fatal(err)
+			}
 		}
 		time.Sleep(20 * time.Millisecond)
 	}
-	for i, m := range meshes {
-		if n := len(m.Live(time.Now())); n != hosts-1 {
-			t.Errorf("host %d sees %d of %d other hosts as live", i, n, hosts-1)
+}
+
+// Many hosts that only know one seed all find each other, although most are in
+// other zones and the fleet soon counts as large, when few digests are direct.
+func TestLargeFleetFindsItself(t *testing.T) {
+	const hosts = 60
+	all := startMeshes(t, hosts, 4, 60)
+	for i, m := range all {
+		if n := m.LiveMembers(time.Now()); n != hosts-1 {
+			t.Errorf("host %d knows %d of %d other hosts as live", i, n, hosts-1)
+		}
+		if n := m.KnownHostCount(); n != hosts-1 {
+			t.Errorf("host %d counts %d of %d other hosts", i, n, hosts-1)
+		}
+	}
+}
+
+// In a large fleet the hosts of a zone agree on two relays. Each host gets the updates of
+// all others of its zone and the sums over the other zones, from a number of digests that
+// does not depend on the number of hosts.
+func TestRelaysCarryAZone(t *testing.T) {
+	const zones = 4
+	cost := make(map[int]float64)
+	for _, hosts := range []int{40, 80} {
+		all := startMeshes(t, hosts, zones, 80)
+		relays := make(map[string]int)
+		for _, m := range all {
+			if m.Relays(time.Now()) {
+				relays[m.Zone]++
+			}
+			m.mu.Lock()
+			clear(m.got)
+			clear(m.updates)
+			clear(m.zones)
+			m.mu.Unlock()
+		}
+		for z, n := range relays {
+			if n != relaysPerZone {
+				t.Errorf("%d hosts: %d relays in zone %s", hosts, n, z)
+			}
+		}
+		const rounds = 40
+		run(t, all, rounds)
+		received, ordinary := 0, 0
+		for i, m := range all {
+			m.mu.Lock()
+			if n := len(m.updates); n < hosts/zones-1 {
+				t.Errorf("%d hosts: host %d gets updates of %d hosts of its zone", hosts, i, n)
+			}
+			for z, s := range m.zones {
+				if z != m.Zone && (len(s.Loads) != 1 || s.Loads[0].UnreadTokens != uint32(100*hosts/zones)) {
+					t.Errorf("%d hosts: host %d knows the loads %v of zone %s", hosts, i, s.Loads, z)
+				}
+			}
+			if len(m.zones) != zones {
+				t.Errorf("%d hosts: host %d knows of %d zones", hosts, i, len(m.zones))
+			}
+			if !m.table.relaying(time.Now()) {
+				ordinary++
+				for _, n := range m.got {
+					received += n
+				}
+			}
+			m.mu.Unlock()
+		}
+		cost[hosts] = float64(received) / float64(ordinary) / rounds
+		t.Logf("%d hosts: %.1f digests a round at a host that does not relay", hosts, cost[hosts])
+	}
+	if cost[80] > 1.5*cost[40]+1 {
+		t.Errorf("the cost of a host grows with the fleet: %v", cost)
+	}
+}
+
+// When the relays of a zone end, the hosts choose others, and updates arrive again.
+func TestLostRelaysAreReplaced(t *testing.T) {
+	all := startMeshes(t, 40, 2, 60)
+	now := time.Now()
+	for i, m := range all {
+		if m.Relays(now) {
+			_ = m.Close()
+			all[i] = nil
+		}
+	}
+	run(t, all, 150) // 3 s: relayTimeout, and time to find the new ones
+	for _, m := range all {
+		if m != nil {
+			m.mu.Lock()
+			clear(m.updates)
+			m.mu.Unlock()
 		}
 	}
+	run(t, all, 20)
+	for i, m := range all {
+		if m == nil {
+			continue
+		}
+		m.mu.Lock()
+		if n := len(m.updates); n < 15 {
+			t.Errorf("host %d gets updates of %d of 17 other hosts", i, n)
+		}
+		m.mu.Unlock()
+	}
+}
+
+// A member that nobody hears from ceases to be live everywhere, although hosts go on
+// naming it to each other.
+func TestDeadMembersAreNotKeptAliveByLists(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	a, b := NewTable("127.0.0.1:1", "z", nil, now), NewTable("127.0.0.1:2", "z", nil, now)
+	a.addMember(now, "127.0.0.1:3", "z", now)
+	for range 80 {
+		now = now.Add(100 * time.Millisecond)
+		b.mergeMembers(now, []*wire.MemberList{a.nextMembers(now, "z", 10)})
+		a.mergeMembers(now, []*wire.MemberList{b.nextMembers(now, "z", 10)})
+	}
+	is.Equal(a.KnownHostCount(), 2) // the dead one and b
+	is.Equal(b.KnownHostCount(), 2)
+	is.Equal(a.LiveMembers(now), 1)
+	is.Equal(b.LiveMembers(now), 1)
 }
 
 // In a large fleet usage counts go only to the hosts that report them.
 func TestUsageGoesToReporters(t *testing.T) {
 	is := is.New(t)
 	var audiences []string
-	m := &Mesh{Zone: "z", UsageReporterHosts: func() []string { return []string{"h3"} }, OnPeerLost: func(string) {}}
+	m := &Mesh{Host: "self", Zone: "z", UsageReporterHosts: func() []string { return []string{"h3"} }, HoldsDuties: func() bool { return false }, OnPeerLost: func(string) {}}
 	m.Compose = func(a Audience) *wire.HostDigest {
 		audiences = append(audiences, fmt.Sprint(a))
-		return digest("self", 1, 1)
+		d := digest("self", 1, 1)
+		d.Usage = []*wire.WindowCount{{Window: 1}}
+		return d
 	}
 	is.NoErr(m.Listen("127.0.0.1:0", nil))
 	t.Cleanup(func() { _ = m.Close() })
 	for i := range smallFleetHosts + 2 {
 		d := digest(fmt.Sprint(20000+i), 1, 1)
-		d.Host = fmt.Sprint("h", i)
+		d.Host, d.Kind = fmt.Sprint("h", i), wire.DigestKind_SUBSCRIBE
 		m.table.HandleDigest(time.Now(), d)
 	}
-	for range otherZoneRounds {
+	for range usageRounds {
 		is.NoErr(m.Send())
 	}
-	is.Equal(len(m.reporters(time.Now())), 1)
+	is.Equal(len(m.reporterAddresses(time.Now())), 1)
 	is.True(strings.Contains(strings.Join(audiences, ""), fmt.Sprint(UsageReporters)))
 	is.True(!strings.Contains(strings.Join(audiences, ""), fmt.Sprint(AllHosts)))
 }
--- /dev/null
+++ b/peers/relay.go
@@ -0,0 +1,312 @@
+package peers
+
+import (
+	"errors"
+	"hash/fnv"
+	"math"
+	"slices"
+	"time"
+
+	"zinniapin/wire"
+)
+
+const (
+	// relayRefreshRounds is the number of rounds in which a relay tells the other relays
+	// of its zone that it is there.
+	relayRefreshRounds = 4
+	// zoneRounds is the number of rounds between two digests to the relays of other
+	// zones, which also carry the members of the own zone every zoneMemberRounds.
+	zoneRounds       = 4
+	zoneMemberRounds = 12
+	// passOnZoneRounds is the number of rounds between two digests in which a relay passes
+	// on the summaries of other zones. The relays of a zone do so by turns.
+	passOnZoneRounds = 8
+	// listRounds is the number of rounds between two lists of members, and of usage
+	// reporters, that a relay sends to its subscribers.
+	listRounds = 5
+	// usageRounds is the number of rounds between two digests to the UsageReporters.
+	usageRounds = 5
+	// introduceRounds is the number of rounds between two digests that name members to a
+	// random host, and unsettledRounds the same for a host that has just started.
+	introduceRounds = 10
+	unsettledRounds = 3
+	// introducedMembers bounds the members that such a digest names.
+	introducedMembers = 100
+	// maxNewcomers bounds the hosts that get a list of members in one round because they
+	// take the fleet for a small one.
+	maxNewcomers = 30
+	// updatesPerDigest is the number of hosts whose updates a relay passes on in one
+	// digest, so that it fits a datagram.
+	updatesPerDigest = 16
+	// maxLongPrompts bounds the prompts that wait to be sent to other zones.
+	maxLongPrompts = 60
+	// maxBufferedUpdates bounds the updates that wait to be passed on.
+	maxBufferedUpdates = 512
+)
+
+// HostKey returns the short key of a host in messages that a relay passes on.
+func HostKey(host string) uint32 {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(host)) // never fails
+	return h.Sum32()
+}
+
+// relayBuffer holds what a relay passes on in its next digest.
+type relayBuffer struct {
+	updates []*wire.HostUpdate
+	zones   map[string]*wire.ZoneSummary
+	// longPrompts are those of the own zone that are worth fetching from others.
+	longPrompts []*wire.CachedPrompt
+}
+
+// addPrompts adds the long ones of the prompts that a host of the own zone has sent.
+func (b *relayBuffer) addPrompts(prompts []*wire.CachedPrompt) {
+	for _, p := range prompts {
+		if p.Long && len(b.longPrompts) < maxLongPrompts {
+			b.longPrompts = append(b.longPrompts, p)
+		}
+	}
+}
+
+// takeLongPrompts returns the prompts for other zones and removes them.
+func (b *relayBuffer) takeLongPrompts() []*wire.CachedPrompt {
+	taken := b.longPrompts
+	b.longPrompts = nil
+	return taken
+}
+
+// add takes from a digest what is to be passed on to the zone: updates of hosts that do
+// not relay themselves, and what relays of other zones send.
+func (b *relayBuffer) add(d *wire.HostDigest, zone string) {
+	switch {
+	case len(b.updates) >= maxBufferedUpdates:
+	case d.Kind == wire.DigestKind_SUBSCRIBE && d.Zone == zone && !d.Relays:
+		b.updates = append(b.updates, &wire.HostUpdate{Host: HostKey(d.Host), Loads: d.Loads, Prompts: d.Prompts, Reports: d.Reports})
+		b.addPrompts(d.Prompts)
+	case d.Kind == wire.DigestKind_ZONES && len(d.Prompts) > 0:
+		b.updates = append(b.updates, &wire.HostUpdate{Prompts: d.Prompts})
+	}
+	if d.Kind == wire.DigestKind_ZONES {
+		if b.zones == nil {
+			b.zones = make(map[string]*wire.ZoneSummary)
+		}
+		for _, s := range d.Zones {
+			b.zones[s.Zone] = s
+		}
+	}
+}
+
+// takeUpdates returns the updates that are to be passed on and removes them.
+func (b *relayBuffer) takeUpdates() []*wire.HostUpdate {
+	updates := b.updates
+	b.updates = nil
+	return updates
+}
+
+// takeZones returns the summaries that are to be passed on and removes them.
+func (b *relayBuffer) takeZones() []*wire.ZoneSummary {
+	var zones []*wire.ZoneSummary
+	for _, s := range b.zones {
+		zones = append(zones, s)
+	}
+	b.zones = nil
+	return zones
+}
+
+// sendRound sends the digests of one round in a large fleet.
+func (m *Mesh) sendRound(now time.Time) error {
+	m.mu.Lock()
+	relays, subscribers := m.table.OwnRelays(now), m.table.Subscribers(now)
+	reporters := m.reporters
+	m.mu.Unlock()
+	err := m.sendToRelays(relays, len(subscribers) > 0)
+	if len(subscribers) > 0 {
+		reporters = m.reporterAddresses(now)
+		err = errors.Join(err, m.sendToSubscribers(now, subscribers, reporters))
+	}
+	if m.round%zoneRounds == 0 && (len(subscribers) > 0 || m.HoldsDuties()) {
+		err = errors.Join(err, m.sendToZones(now, subscribers))
+	}
+	if m.round%usageRounds == 0 {
+		err = errors.Join(err, m.sendUsage(reporters))
+	}
+	return errors.Join(err, m.introduce(now))
+}
+
+// sendToRelays sends the digest of this host to one relay of its zone, another each
+// round. A host that relays itself only shows the others that it is there, since its
+// own digests reach the zone directly.
+func (m *Mesh) sendToRelays(relays []string, relaying bool) error {
+	switch {
+	case len(relays) == 0:
+		return nil
+	case !relaying:
+		return m.send(m.compose(Relay), []string{relays[m.round%len(relays)]})
+	case m.round%relayRefreshRounds == 0:
+		d := m.compose(OtherRelay)
+		d.Relays = true
+		return m.send(d, relays)
+	}
+	return nil
+}
+
+// sendToSubscribers passes on to the hosts of the zone what has arrived since the last
+// round, together with the update of this host.
+func (m *Mesh) sendToSubscribers(now time.Time, subscribers []*Peer, reporters []string) error {
+	own := m.compose(Subscribers)
+	addresses := make([]string, 0, len(subscribers))
+	for _, p := range subscribers {
+		addresses = append(addresses, p.Digest.Address)
+	}
+	m.mu.Lock()
+	updates := m.relay.takeUpdates()
+	m.relay.addPrompts(own.Prompts)
+	var zones []*wire.ZoneSummary
+	if m.round%passOnZoneRounds == 0 {
+		zones = append(m.relay.takeZones(), summary(m.Zone, own, subscribers, false))
+	}
+	var members []*wire.MemberList
+	if m.round%listRounds == 0 {
+		members = []*wire.MemberList{m.table.nextMembers(now, m.Zone, introducedMembers)}
+	}
+	m.mu.Unlock()
+	updates = append(updates, &wire.HostUpdate{Host: HostKey(m.Host), Loads: own.Loads, Prompts: own.Prompts, Reports: own.Reports})
+	var err error
+	for part := range slices.Chunk(updates, updatesPerDigest) {
+		d := m.relayDigest()
+		d.Updates = part
+		err = errors.Join(err, m.send(d, addresses))
+	}
+	for _, s := range zones {
+		d := m.relayDigest()
+		d.Zones = []*wire.ZoneSummary{s}
+		err = errors.Join(err, m.send(d, addresses))
+	}
+	if members != nil {
+		d := m.relayDigest()
+		d.Members, d.Reporters = members, reporters
+		err = errors.Join(err, m.send(d, addresses))
+	}
+	return err
+}
+
+// relayDigest returns a digest to subscribers that carries nothing but what every digest
+// does.
+func (m *Mesh) relayDigest() *wire.HostDigest {
+	d := m.compose(Members)
+	d.Kind, d.Relays = wire.DigestKind_RELAY, true
+	return d
+}
+
+// sendToZones sends the sums over the hosts of this zone to the relays of other zones.
+// The holder of the duties that relays for nobody shows them that it lives.
+func (m *Mesh) sendToZones(now time.Time, subscribers []*Peer) error {
+	d := m.compose(ZoneRelays)
+	m.mu.Lock()
+	recipients := m.table.ZoneRelays(now)
+	if len(subscribers) > 0 && m.round%zoneMemberRounds == 0 {
+		d.Members = []*wire.MemberList{m.table.nextMembers(now, m.Zone, introducedMembers)}
+	}
+	if len(subscribers) > 0 {
+		d.Prompts = m.relay.takeLongPrompts()
+		d.Relays, d.Zones = true, []*wire.ZoneSummary{summary(m.Zone, d, subscribers, true)}
+	}
+	m.mu.Unlock()
+	d.Loads, d.Demand = nil, nil
+	return m.send(d, recipients)
+}
+
+// summary returns the sums over a host, whose own digest is given, and its subscribers;
+// those of the loads only if they are asked for.
+func summary(zone string, own *wire.HostDigest, subscribers []*Peer, withLoads bool) *wire.ZoneSummary {
+	digests := []*wire.HostDigest{own}
+	for _, p := range subscribers {
+		digests = append(digests, p.load)
+	}
+	s := &wire.ZoneSummary{Zone: zone}
+	loads, demand := make(map[uint32]*wire.TargetLoad), make(map[string]*wire.ServiceDemand)
+	for _, d := range digests {
+		for _, l := range d.Loads {
+			sum := loads[l.Target]
+			if sum == nil {
+				sum = &wire.TargetLoad{Target: l.Target}
+				loads[l.Target] = sum
+				s.Loads = append(s.Loads, sum)
+			}
+			sum.UnreadTokens += l.UnreadTokens
+			sum.Active += l.Active
+		}
+		for _, x := range d.Demand {
+			sum := demand[x.Service]
+			if sum == nil {
+				sum = &wire.ServiceDemand{Service: x.Service}
+				demand[x.Service] = sum
+				s.Demand = append(s.Demand, sum)
+			}
+			requests := sum.Requests + x.Requests
+			sum.Refused = (sum.Refused*sum.Requests + x.Refused*x.Requests) / float32(math.Max(float64(requests), 1e-6))
+			sum.Tokens, sum.Requests = sum.Tokens+x.Tokens, requests
+		}
+	}
+	if !withLoads {
+		s.Loads = nil
+	}
+	return s
+}
+
+// reporterAddresses returns the addresses of the live hosts that need usage counts.
+func (m *Mesh) reporterAddresses(now time.Time) []string {
+	wanted := m.UsageReporterHosts()
+	var addresses []string
+	for _, p := range m.Live(now) {
+		if slices.Contains(wanted, p.Digest.Host) {
+			addresses = append(addresses, p.Digest.Address)
+		}
+	}
+	if slices.Contains(wanted, m.Host) {
+		addresses = append(addresses, m.table.self)
+	}
+	return addresses
+}
+
+// sendUsage sends usage counts to the hosts that need them.
+func (m *Mesh) sendUsage(reporters []string) error {
+	recipients := slices.DeleteFunc(slices.Clone(reporters), func(a string) bool { return a == m.table.self })
+	if len(recipients) == 0 {
+		return nil
+	}
+	d := m.compose(UsageReporters)
+	if len(d.Usage) == 0 {
+		return nil
+	}
+	return m.send(d, recipients)
+}
+
+// introduce names members to hosts that take the fleet for a small one and, now and then,
+// to a random one. A host that has just started does so more often, and also to addresses at which
+// no live host is known, which are the seeds at first.
+func (m *Mesh) introduce(now time.Time) error {
+	m.mu.Lock()
+	recipients := m.newcomers
+	m.newcomers = nil
+	unsettled := now.Sub(m.startedAt) < settledTime
+	if m.round%introduceRounds == 0 || unsettled && m.round%unsettledRounds == 0 {
+		if a := m.table.RandomAddress(now, m.random); a != "" {
+			recipients = append(recipients, a)
+		}
+	}
+	var lists []*wire.MemberList
+	if len(recipients) > 0 {
+		zones := m.table.Zones(now)
+		for _, z := range zones {
+			lists = append(lists, m.table.nextMembers(now, z, introducedMembers/len(zones)))
+		}
+	}
+	m.mu.Unlock()
+	if len(recipients) == 0 {
+		return nil
+	}
+	d := m.compose(Members)
+	d.Members = lists
+	return m.send(d, recipients)
+}
