--- a/dispatch/herd_test.go
+++ b/dispatch/herd_test.go
@@ -44,7 +44,8 @@
 		id      target.ID
 		firstAt time.Time
 	}
-	random := rand.New(rand.NewPCG(5, uint64(delay)))
+	arrivals := rand.New(rand.NewPCG(5, 6)) // the same prompts at the same hosts whatever the delay
+	random := rand.New(rand.NewPCG(7, 8))
 	freeAt := make(map[target.ID]time.Time)
 	var underWay []running
 	var messages []delayed
@@ -52,9 +53,9 @@
 	now := start
 	for now.Before(start.Add(length)) {
 		for next := now.Add(100 * time.Millisecond); now.Before(next); {
-			tokens := 500 + int(random.ExpFloat64()*4000)
-			now = now.Add(time.Duration(random.ExpFloat64() * 4500 / (total * load) * float64(time.Millisecond)))
-			host := random.IntN(hosts)
+			tokens := 500 + int(arrivals.ExpFloat64()*4000)
+			now = now.Add(time.Duration(arrivals.ExpFloat64() * 4500 / (total * load) * float64(time.Millisecond)))
+			host := arrivals.IntN(hosts)
 			j := job(0, tokens, 0)
 			j.Parts = nil
 			d := planners[host].Plan(now, j, nil)
