Exchange digests every 50 ms through relays

Cause: with relays, loads of the own zone were 150 ms old and those of other zones 0.6 s, and a host placed prompts on targets that others had just taken.

Change: rounds of 50 ms in a large fleet (small ones still send every 100 ms), sums of zones each 100 ms, passed on each 200 ms by each relay, several in a datagram. Streams may be held up by 0.75 instead of 0.65 of their longest gap: 0.65 pushed contract reviews to prefill targets that were busy.

--- a/dispatch/cost.go
+++ b/dispatch/cost.go
@@ -20,7 +20,7 @@
 	// eventGapShare is the share of a stream's longest allowed gap between events
 	// that the forecast gap may take up before it counts as a stall. The rest is for
 	// prompts that other hosts send to the target at the same time.
-	eventGapShare = 0.65
+	eventGapShare = 0.75
 	// maxStalledStreams bounds the streams that are counted as stalled by one prompt.
 	maxStalledStreams = 6
 )
--- a/node/gossip.go
+++ b/node/gossip.go
@@ -218,8 +218,8 @@
 const (
 	// relayedAge and zoneAge are the mean ages of loads when a relay's digest brings
 	// them: of hosts of the same zone, and of the sums over another.
-	relayedAge = 100 * time.Millisecond
-	zoneAge    = 600 * time.Millisecond
+	relayedAge = 50 * time.Millisecond
+	zoneAge    = 200 * time.Millisecond
 )
 
 // zoneDemandTTL is how long the demand of a zone counts without news of it.
--- a/node/node.go
+++ b/node/node.go
@@ -279,7 +279,8 @@
 	go n.followCollection(ctx, n.configurationFollower())
 	go n.followCollection(ctx, n.targetsFollower())
 	go n.announce(ctx)
-	go n.runEvery(ctx, peers.DigestInterval(), n.tick)
+	go n.runEvery(ctx, peers.DigestInterval(), n.sendDigests)
+	go n.runEvery(ctx, tickInterval, n.tick)
 	go n.runEvery(ctx, dutyInterval, func() { n.duties.tick(ctx) })
 }
 
@@ -312,14 +313,24 @@
 	suspended := n.clock.TakeSuspended()
 	gap := time.Duration(0)
 	if !n.lastTick.IsZero() {
-		gap = now.Sub(n.lastTick) - peers.DigestInterval()
+		gap = now.Sub(n.lastTick) - tickInterval
 	}
 	n.lastTick = now
 	return max(suspended, gap), suspended > suspendedLimit || gap > stalledLimit
 }
 
-// tick runs the periodic work: digests on each call, and on each tenth call the
-// measurement of demand and the clean-up of pools and counts.
+// sendDigests sends the digests of one round to the peers.
+func (n *Node) sendDigests() {
+	if err := n.mesh.Send(); err != nil {
+		n.log.Error().Err(err).Msg("could not send digests to peers")
+	}
+}
+
+// tickInterval is how often tick is called.
+const tickInterval = 100 * time.Millisecond
+
+// tick runs the periodic work: it notices pauses and removes expired targets on each
+// call, and on each tenth call it measures the demand and cleans up pools and counts.
 func (n *Node) tick() {
 	now := time.Now()
 	if paused, long := n.detectSuspension(now); long {
@@ -328,9 +339,6 @@
 		n.configurationStore.requestRelist()
 		n.duties.requestConfirm()
 	}
-	if err := n.mesh.Send(); err != nil {
-		n.log.Error().Err(err).Msg("could not send digests to peers")
-	}
 	n.rosterMu.Lock()
 	expired := n.roster.Expire(now)
 	n.rosterMu.Unlock()
--- a/peers/mesh.go
+++ b/peers/mesh.go
@@ -14,9 +14,12 @@
 )
 
 const (
-	// digestInterval is the length of a round. In a small fleet every live host gets a
-	// digest each round.
-	digestInterval = 100 * time.Millisecond
+	// digestInterval is the length of a round. Digests pass through a relay within two
+	// of them.
+	digestInterval = 50 * time.Millisecond
+	// smallFleetRounds is the number of rounds between two digests in a small fleet, in
+	// which every live host gets one.
+	smallFleetRounds = 2
 	// smallFleetHosts is the least number of other hosts in a large fleet; with fewer
 	// the fleet is small.
 	smallFleetHosts = 12
@@ -25,7 +28,7 @@
 	settledTime = 3 * time.Second
 	// silentAddressRounds is the number of rounds between digests to addresses at
 	// which no live host is known.
-	silentAddressRounds = 5
+	silentAddressRounds = 10
 	// maxAddresses bounds the addresses that a digest in a small fleet carries.
 	maxAddresses = 16
 	// maxDatagram bounds a digest, in bytes, so that it is not fragmented.
@@ -251,10 +254,13 @@
 	if large {
 		return m.sendRound(now)
 	}
+	if m.round%smallFleetRounds != 0 {
+		return nil
+	}
 	m.mu.Lock()
 	live, silent := m.table.Addresses(now)
 	m.mu.Unlock()
-	if m.round%silentAddressRounds != 1 && len(live) > 0 {
+	if m.round%silentAddressRounds != 0 && len(live) > 0 {
 		silent = nil
 	}
 	recipients := append(live[:len(live):len(live)], silent...)
--- a/peers/relay.go
+++ b/peers/relay.go
@@ -7,29 +7,31 @@
 	"slices"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"zinniapin/wire"
 )
 
 const (
 	// relayRefreshRounds is the number of rounds in which a relay tells the other relays
 	// of its zone that it is there.
-	relayRefreshRounds = 4
+	relayRefreshRounds = 8
 	// zoneRounds is the number of rounds between two digests to the relays of other
 	// zones, which also carry the members of the own zone every zoneMemberRounds.
-	zoneRounds       = 4
-	zoneMemberRounds = 12
+	zoneRounds       = 2
+	zoneMemberRounds = 24
 	// passOnZoneRounds is the number of rounds between two digests in which a relay passes
-	// on the summaries of other zones. The relays of a zone do so by turns.
-	passOnZoneRounds = 8
+	// on the summaries of other zones.
+	passOnZoneRounds = 4
 	// listRounds is the number of rounds between two lists of members, and of usage
 	// reporters, that a relay sends to its subscribers.
-	listRounds = 5
+	listRounds = 10
 	// usageRounds is the number of rounds between two digests to the UsageReporters.
-	usageRounds = 5
+	usageRounds = 10
 	// introduceRounds is the number of rounds between two digests that name members to a
 	// random host, and unsettledRounds the same for a host that has just started.
-	introduceRounds = 10
-	unsettledRounds = 3
+	introduceRounds = 20
+	unsettledRounds = 6
 	// introducedMembers bounds the members that such a digest names.
 	introducedMembers = 100
 	// maxNewcomers bounds the hosts that get a list of members in one round because they
@@ -177,9 +179,9 @@
 		d.Updates = part
 		err = errors.Join(err, m.send(d, addresses))
 	}
-	for _, s := range zones {
+	for _, part := range packZones(zones) {
 		d := m.relayDigest()
-		d.Zones = []*wire.ZoneSummary{s}
+		d.Zones = part
 		err = errors.Join(err, m.send(d, addresses))
 	}
 	if members != nil {
@@ -190,6 +192,24 @@
 	return err
 }
 
+// zoneBytes is the size up to which the summaries of several zones share a digest.
+const zoneBytes = 1100
+
+// packZones divides summaries into parts that fit a digest each.
+func packZones(zones []*wire.ZoneSummary) [][]*wire.ZoneSummary {
+	var parts [][]*wire.ZoneSummary
+	room := 0
+	for _, s := range zones {
+		size := proto.Size(s)
+		if size > room || len(parts) == 0 {
+			parts, room = append(parts, nil), zoneBytes
+		}
+		parts[len(parts)-1] = append(parts[len(parts)-1], s)
+		room -= size
+	}
+	return parts
+}
+
 // relayDigest returns a digest to subscribers that carries nothing but what every digest
 // does.
 func (m *Mesh) relayDigest() *wire.HostDigest {
