--- a/node/node_test.go
+++ b/node/node_test.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -103,10 +104,15 @@
 	"Tenants":[{"Name":"parents","ApiKeys":["%s"]}]}`, version, key)))
 }
 
-// freeAddress returns a loopback address with a free port.
+// loopbackHosts counts the loopback addresses that freeAddress has given out.
+var loopbackHosts atomic.Uint32
+
+// freeAddress returns an address with a free port on a loopback address of its own. At
+// 127.0.0.1 an outgoing connection could take the port before the node listens on it.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	n := loopbackHosts.Add(1)
+	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 100+os.Getpid()%100, 1+n/250, 1+n%250))
 	if err != nil {
 		t.Fatal(err)
 	}
