Let no digest between zones lose loads for want of room

Cause: a summary of a zone with more than some 90 loaded targets exceeded a datagram, and half of its loads were cut, so other zones took those targets for idle; likewise updates of hosts within a zone. Found by reading: at full size a zone has 86 targets of its own.

Change: summaries are split by the keys of their targets, updates packed by their size; a host that stops relaying forgets what it held.

--- a/node/gossip.go
+++ b/node/gossip.go
@@ -213,6 +213,7 @@
 type zoneDemand struct {
 	demand []*wire.ServiceDemand
 	at     time.Time
+	parts  uint32 // into which the zone's loads are divided
 }
 
 const (
@@ -251,14 +252,30 @@
 	if g.zones == nil {
 		g.zones = make(map[string]zoneDemand)
 	}
-	g.zones[s.Zone] = zoneDemand{s.Demand, now}
+	z := g.zones[s.Zone]
+	formerParts := z.parts
+	z.parts = s.Parts
+	if s.Part == 0 { // the part that carries the demand
+		z.demand, z.at = s.Demand, now
+	}
+	g.zones[s.Zone] = z
 	g.mu.Unlock()
 	if s.Zone == string(n.settings.Zone) {
 		return
 	}
 	n.handler.PlannerMu.Lock()
-	n.handler.Planner.SetPeerLoads(now.Add(-zoneAge), "zone "+s.Zone, loadsOf(s.Loads))
-	n.handler.PlannerMu.Unlock()
+	defer n.handler.PlannerMu.Unlock()
+	if formerParts != s.Parts { // the loads are divided anew
+		for part := range formerParts {
+			n.handler.Planner.DropPeer(planZoneName(s.Zone, part))
+		}
+	}
+	n.handler.Planner.SetPeerLoads(now.Add(-zoneAge), planZoneName(s.Zone, s.Part), loadsOf(s.Loads))
+}
+
+// planZoneName returns the name under which the planner has a part of a zone's loads.
+func planZoneName(zone string, part uint32) string {
+	return "zone " + zone + " " + strconv.FormatUint(uint64(part), 10)
 }
 
 // organisationsPerDigest is the number of organisations whose usage counts one
--- a/peers/mesh.go
+++ b/peers/mesh.go
@@ -23,8 +23,7 @@
 	// smallFleetHosts is the least number of other hosts in a large fleet; with fewer
 	// the fleet is small.
 	smallFleetHosts = 12
-	// settledTime is how long after its start, or after a host was found, a host names
-	// members to others more often.
+	// settledTime is how long after its start a host names members to others more often.
 	settledTime = 3 * time.Second
 	// silentAddressRounds is the number of rounds between digests to addresses at
 	// which no live host is known.
@@ -46,8 +45,8 @@
 	// Relay is a relay of the same availability zone, which passes on loads, prompts
 	// and reports.
 	Relay
-	// OtherRelay is a relay of the same zone, told by another relay only that it is
-	// there.
+	// OtherRelay is a relay of the same zone, told by another relay of its loads and
+	// demand for the sums over the zone.
 	OtherRelay
 	// Subscribers are the hosts of the same zone for which this host relays.
 	Subscribers
@@ -98,12 +97,11 @@
 	round         int
 	addressOffset int // index of the first address in the last digest of a small fleet
 
-	mu          sync.Mutex
-	table       *Table
-	relay       relayBuffer
-	lastFoundAt time.Time // when a host was last found
-	reporters   []string  // addresses that a relay named last
-	newcomers   []string  // addresses of hosts to name members to
+	mu        sync.Mutex
+	table     *Table
+	relay     relayBuffer
+	reporters []string // addresses that a relay named last
+	newcomers []string // addresses of hosts to name members to
 }
 
 // Listen opens the UDP socket at IP:port. The seeds are addresses of other hosts.
@@ -204,9 +202,6 @@
 	m.mu.Lock()
 	newer, found := m.table.HandleDigest(now, d)
 	large := !SmallFleet(m.table.LiveMembers(now))
-	if found {
-		m.lastFoundAt = now
-	}
 	if newer && large {
 		m.relay.add(d, m.Zone)
 		if d.Kind == wire.DigestKind_RELAY && len(d.Reporters) > 0 {
--- a/peers/peers_test.go
+++ b/peers/peers_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
 
 	"zinniapin/wire"
 )
@@ -298,6 +299,29 @@
 	is.Equal(b.LiveMembers(now), 1)
 }
 
+// A zone with more loads than fit a datagram sends them in parts, none of which is cut.
+func TestLargeSummaryIsSplit(t *testing.T) {
+	is := is.New(t)
+	s := &wire.ZoneSummary{Zone: "z", Demand: []*wire.ServiceDemand{{Service: "model", Tokens: 1}}}
+	for i := range 300 {
+		s.Loads = append(s.Loads, &wire.TargetLoad{Target: uint32(i) * 2654435761, UnreadTokens: 90_000, Active: 12})
+	}
+	seen := 0
+	for i, part := range splitSummary(s) {
+		is.Equal(int(part.Part), i)
+		is.Equal(len(part.Demand) > 0, i == 0)
+		d := digest("1", 1, 1)
+		d.Zones = []*wire.ZoneSummary{part}
+		data, err := encode(d)
+		is.NoErr(err)
+		is.True(len(data) <= maxDatagram)
+		got := &wire.HostDigest{}
+		is.NoErr(proto.Unmarshal(data, got))
+		seen += len(got.Zones[0].Loads)
+	}
+	is.Equal(seen, 300)
+}
+
 // In a large fleet usage counts go only to the hosts that report them.
 func TestUsageGoesToReporters(t *testing.T) {
 	is := is.New(t)
--- a/peers/relay.go
+++ b/peers/relay.go
@@ -37,9 +37,11 @@
 	// maxNewcomers bounds the hosts that get a list of members in one round because they
 	// take the fleet for a small one.
 	maxNewcomers = 30
-	// updatesPerDigest is the number of hosts whose updates a relay passes on in one
-	// digest, so that it fits a datagram.
-	updatesPerDigest = 16
+	// contentBytes is the size up to which updates, or summaries, share a digest. The rest
+	// of a datagram is for what every digest carries.
+	contentBytes = 1100
+	// loadsPerSummary is the number of loads that fit a digest beside the rest.
+	loadsPerSummary = 70
 	// maxLongPrompts bounds the prompts that wait to be sent to other zones.
 	maxLongPrompts = 60
 	// maxBufferedUpdates bounds the updates that wait to be passed on.
@@ -53,10 +55,16 @@
 	return h.Sum32()
 }
 
+// zonePart identifies a part of the summary of a zone.
+type zonePart struct {
+	zone string
+	part uint32
+}
+
 // relayBuffer holds what a relay passes on in its next digest.
 type relayBuffer struct {
 	updates []*wire.HostUpdate
-	zones   map[string]*wire.ZoneSummary
+	zones   map[zonePart]*wire.ZoneSummary
 	// longPrompts are those of the own zone that are worth fetching from others.
 	longPrompts []*wire.CachedPrompt
 }
@@ -90,10 +98,10 @@
 	}
 	if d.Kind == wire.DigestKind_ZONES {
 		if b.zones == nil {
-			b.zones = make(map[string]*wire.ZoneSummary)
+			b.zones = make(map[zonePart]*wire.ZoneSummary)
 		}
 		for _, s := range d.Zones {
-			b.zones[s.Zone] = s
+			b.zones[zonePart{s.Zone, s.Part}] = s
 		}
 	}
 }
@@ -120,6 +128,9 @@
 	m.mu.Lock()
 	relays, subscribers := m.table.OwnRelays(now), m.table.Subscribers(now)
 	reporters := m.reporters
+	if len(subscribers) == 0 {
+		m.relay = relayBuffer{} // what it holds would be old if hosts subscribe again
+	}
 	m.mu.Unlock()
 	err := m.sendToRelays(relays, len(subscribers) > 0)
 	if len(subscribers) > 0 {
@@ -165,7 +176,9 @@
 	m.relay.addPrompts(own.Prompts)
 	var zones []*wire.ZoneSummary
 	if m.round%passOnZoneRounds == 0 {
-		zones = append(m.relay.takeZones(), summary(m.Zone, own, subscribers, false))
+		ownZone := summary(m.Zone, own, subscribers)
+		ownZone.Loads = nil // the zone has them host by host
+		zones = append(m.relay.takeZones(), ownZone)
 	}
 	var members []*wire.MemberList
 	if m.round%listRounds == 0 {
@@ -174,12 +187,12 @@
 	m.mu.Unlock()
 	updates = append(updates, &wire.HostUpdate{Host: HostKey(m.Host), Loads: own.Loads, Prompts: own.Prompts, Reports: own.Reports})
 	var err error
-	for part := range slices.Chunk(updates, updatesPerDigest) {
+	for _, part := range pack(updates) {
 		d := m.relayDigest()
 		d.Updates = part
 		err = errors.Join(err, m.send(d, addresses))
 	}
-	for _, part := range packZones(zones) {
+	for _, part := range pack(zones) {
 		d := m.relayDigest()
 		d.Zones = part
 		err = errors.Join(err, m.send(d, addresses))
@@ -192,19 +205,16 @@
 	return err
 }
 
-// zoneBytes is the size up to which the summaries of several zones share a digest.
-const zoneBytes = 1100
-
-// packZones divides summaries into parts that fit a digest each.
-func packZones(zones []*wire.ZoneSummary) [][]*wire.ZoneSummary {
-	var parts [][]*wire.ZoneSummary
+// pack divides messages into parts that fit a digest each.
+func pack[M proto.Message](all []M) [][]M {
+	var parts [][]M
 	room := 0
-	for _, s := range zones {
-		size := proto.Size(s)
+	for _, message := range all {
+		size := proto.Size(message)
 		if size > room || len(parts) == 0 {
-			parts, room = append(parts, nil), zoneBytes
+			parts, room = append(parts, nil), contentBytes
 		}
-		parts[len(parts)-1] = append(parts[len(parts)-1], s)
+		parts[len(parts)-1] = append(parts[len(parts)-1], message)
 		room -= size
 	}
 	return parts
@@ -218,27 +228,54 @@
 	return d
 }
 
-// sendToZones sends the sums over the hosts of this zone to the relays of other zones.
-// The holder of the duties that relays for nobody shows them that it lives.
+// sendToZones sends the sums over the hosts of this zone to the relays of other zones,
+// with long prompts and now and then the members. The holder of the duties that relays
+// for nobody shows them that it lives.
 func (m *Mesh) sendToZones(now time.Time, subscribers []*Peer) error {
 	d := m.compose(ZoneRelays)
 	m.mu.Lock()
 	recipients := m.table.ZoneRelays(now)
-	if len(subscribers) > 0 && m.round%zoneMemberRounds == 0 {
-		d.Members = []*wire.MemberList{m.table.nextMembers(now, m.Zone, introducedMembers)}
-	}
+	var parts []*wire.ZoneSummary
 	if len(subscribers) > 0 {
+		d.Relays = true
 		d.Prompts = m.relay.takeLongPrompts()
-		d.Relays, d.Zones = true, []*wire.ZoneSummary{summary(m.Zone, d, subscribers, true)}
+		parts = splitSummary(summary(m.Zone, d, subscribers))
+		if m.round%zoneMemberRounds == 0 {
+			d.Members = []*wire.MemberList{m.table.nextMembers(now, m.Zone, introducedMembers)}
+		}
 	}
 	m.mu.Unlock()
 	d.Loads, d.Demand = nil, nil
-	return m.send(d, recipients)
+	var err error
+	if len(d.Prompts) > 0 || len(d.Members) > 0 || len(parts) == 0 {
+		err = m.send(d, recipients)
+	}
+	for _, part := range parts {
+		d := m.compose(Members)
+		d.Kind, d.Relays, d.Zones = wire.DigestKind_ZONES, true, []*wire.ZoneSummary{part}
+		err = errors.Join(err, m.send(d, recipients))
+	}
+	return err
 }
 
-// summary returns the sums over a host, whose own digest is given, and its subscribers;
-// those of the loads only if they are asked for.
-func summary(zone string, own *wire.HostDigest, subscribers []*Peer, withLoads bool) *wire.ZoneSummary {
+// splitSummary divides a summary by the keys of its targets, so that each part fits a
+// digest. The first part carries the demand.
+func splitSummary(s *wire.ZoneSummary) []*wire.ZoneSummary {
+	n := uint32(max((len(s.Loads)+loadsPerSummary-1)/loadsPerSummary, 1))
+	parts := make([]*wire.ZoneSummary, n)
+	for i := range parts {
+		parts[i] = &wire.ZoneSummary{Zone: s.Zone, Part: uint32(i), Parts: n}
+	}
+	parts[0].Demand = s.Demand
+	for _, l := range s.Loads {
+		part := parts[l.Target%n]
+		part.Loads = append(part.Loads, l)
+	}
+	return parts
+}
+
+// summary returns the sums over a host, whose own digest is given, and its subscribers.
+func summary(zone string, own *wire.HostDigest, subscribers []*Peer) *wire.ZoneSummary {
 	digests := []*wire.HostDigest{own}
 	for _, p := range subscribers {
 		digests = append(digests, p.load)
@@ -268,9 +305,6 @@
 			sum.Tokens, sum.Requests = sum.Tokens+x.Tokens, requests
 		}
 	}
-	if !withLoads {
-		s.Loads = nil
-	}
 	return s
 }
 
@@ -303,8 +337,8 @@
 }
 
 // introduce names members to hosts that take the fleet for a small one and, now and then,
-// to a random one. A host that has just started does so more often, and also to addresses at which
-// no live host is known, which are the seeds at first.
+// to a random one, also at addresses of which no live host is known, which are the seeds
+// at first. A host that has just started does so more often.
 func (m *Mesh) introduce(now time.Time) error {
 	m.mu.Lock()
 	recipients := m.newcomers
