Count lost answers of peers only for targets that answer nobody

Change: an exchange without an answer at a peer counts in a row only if nobody has had an answer of the target for 0.5 s. A dead target answers nobody.

--- a/dispatch/health.go
+++ b/dispatch/health.go
@@ -22,6 +22,8 @@
 	// maxUnreachableInARow is the number of consecutive exchanges without an answer
 	// after which a target is quarantined.
 	maxUnreachableInARow = 2
+	// answeredTime is how long after an answer a target counts as one that answers.
+	answeredTime = 500 * time.Millisecond
 	// minQuarantine and maxQuarantine bound the quarantine of a failing target. It
 	// doubles each time.
 	minQuarantine = 700 * time.Millisecond
@@ -52,8 +54,9 @@
 	samples              int     // outcomes since the last quarantine
 	failureShare         float64 // moving average
 	unreachableInARow    int
-	unreachableFrom      string // host that counted last in unreachableInARow; empty for this one
-	probation            bool   // was quarantined and has answered nobody since
+	unreachableFrom      string    // host that counted last in unreachableInARow; empty for this one
+	answeredAt           time.Time // last answer to this host or, as far as known, to a peer
+	probation            bool      // was quarantined and has answered nobody since
 	quarantinedUntil     time.Time
 	lastQuarantineLength time.Duration // 0 once a latency was observed since
 	latencyMillis        float64
@@ -240,11 +243,15 @@
 // observeOutcome updates the health of a target by an exchange of this host, whose name is
 // empty, or of a peer. It quarantines a target that does not answer, or that fails much more
 // often than its service does, and returns whether it did. A peer that cannot reach the target
-// must not keep others from it, so its exchanges without an answer count once in a row.
+// must not keep others from it, so its exchanges without an answer count once in a row, and not
+// at all while the target answers others: many targets that lose some answers each would
+// otherwise be left by all hosts at once.
 func (p *Planner) observeOutcome(now time.Time, s *state, o Outcome, host string) bool {
 	h, failure := &s.health, 0.0
-	if o == Unreachable && host != "" && host == h.unreachableFrom && h.unreachableInARow > 0 {
-		return false
+	if o == Unreachable && host != "" {
+		if now.Sub(h.answeredAt) < answeredTime || host == h.unreachableFrom && h.unreachableInARow > 0 {
+			return false
+		}
 	}
 	if o != Answered {
 		failure = 1
@@ -255,7 +262,7 @@
 	p.failureShare[service] += serviceWeight * (failure - p.failureShare[service])
 	switch o {
 	case Answered:
-		h.unreachableInARow, h.probation = 0, false
+		h.unreachableInARow, h.probation, h.answeredAt = 0, false, now
 	case Failed:
 		h.unreachableInARow = 0
 	default:
--- a/dispatch/report_test.go
+++ b/dispatch/report_test.go
@@ -115,6 +115,34 @@
 	is.Equal(f.planners[1].Plan(f.now, job(0, 500, 1), nil).Candidates, 3)
 }
 
+// Most targets lose two of five answers. Hosts that share what they see must go on using them:
+// none is dead, and the few others could not serve the load.
+func TestLosingTargetsStayInUse(t *testing.T) {
+	is := is.New(t)
+	const targets = 10
+	f := newFleet(6, engines(0, targets, "a"))
+	random := rand.New(rand.NewPCG(9, 10))
+	fewest := targets
+	for round := range 100 {
+		for i, p := range f.planners {
+			for range 2 {
+				id := target.ID(fmt.Sprintf("a-d%d", random.IntN(targets)))
+				outcome := dispatch.Answered
+				if random.Float64() < 0.4 {
+					outcome = dispatch.Unreachable
+				}
+				p.Observe(f.now, id, outcome, 0)
+			}
+			if round > 10 && i == round%len(f.planners) {
+				fewest = min(fewest, p.Plan(f.now, job(0, 500, 1), nil).Candidates)
+			}
+		}
+		f.exchange()
+	}
+	t.Logf("at least %d of %d targets in use", fewest, targets)
+	is.True(fewest >= targets/2)
+}
+
 // After its quarantine a target gets one request at a time until one is answered.
 func TestTargetOnProbationGetsOneRequest(t *testing.T) {
 	is := is.New(t)
