Send to relays what changed, and more seldom in large zones

Each of 20 digests a second of a host reaches 49 others.

Change: a host sends only when its loads, prompts or reports changed, at least each 0.4 s, and in a zone of more than 47 hosts every other round.

--- a/peers/mesh.go
+++ b/peers/mesh.go
@@ -96,8 +96,13 @@
 	startedAt     time.Time
 	round         int
 	addressOffset int // index of the first address in the last digest of a small fleet
+	// relayedRound is the round of the last digest to a relay, relayedLoads the hash of
+	// its loads, relayTurn the number of such digests.
+	relayedRound, relayTurn int
+	relayedLoads            uint64
 
 	mu        sync.Mutex
+	large     bool // digests go through relays, as of the last round
 	table     *Table
 	relay     relayBuffer
 	reporters []string // addresses that a relay named last
@@ -201,8 +206,7 @@
 func (m *Mesh) handle(now time.Time, d *wire.HostDigest) {
 	m.mu.Lock()
 	newer, found := m.table.HandleDigest(now, d)
-	large := !SmallFleet(m.table.LiveMembers(now))
-	if newer && large {
+	if newer && m.large {
 		m.relay.add(d, m.Zone)
 		if d.Kind == wire.DigestKind_RELAY && len(d.Reporters) > 0 {
 			m.reporters = d.Reporters
@@ -240,7 +244,8 @@
 	now := time.Now()
 	m.mu.Lock()
 	lost := m.table.Expire(now)
-	large := !SmallFleet(m.table.LiveMembers(now))
+	m.large = !SmallFleet(m.table.LiveMembers(now))
+	large := m.large
 	m.mu.Unlock()
 	for _, host := range lost {
 		m.OnPeerLost(host)
--- a/peers/relay.go
+++ b/peers/relay.go
@@ -16,6 +16,13 @@
 	// relayRefreshRounds is the number of rounds in which a relay tells the other relays
 	// of its zone that it is there.
 	relayRefreshRounds = 8
+	// hostsPerRound is the number of hosts of a zone for each of which its relays take a
+	// digest a round; in larger zones hosts send more seldom, since each of their
+	// digests reaches all others.
+	hostsPerRound = 24
+	// unchangedRounds is the number of rounds after which a host sends to its relays
+	// although nothing has changed.
+	unchangedRounds = 8
 	// zoneRounds is the number of rounds between two digests to the relays of other
 	// zones, which also carry the members of the own zone every zoneMemberRounds.
 	zoneRounds       = 2
@@ -127,12 +134,13 @@
 func (m *Mesh) sendRound(now time.Time) error {
 	m.mu.Lock()
 	relays, subscribers := m.table.OwnRelays(now), m.table.Subscribers(now)
+	interval := max(len(m.table.zoneRanks(now, m.Zone))/hostsPerRound, 1)
 	reporters := m.reporters
 	if len(subscribers) == 0 {
 		m.relay = relayBuffer{} // what it holds would be old if hosts subscribe again
 	}
 	m.mu.Unlock()
-	err := m.sendToRelays(relays, len(subscribers) > 0)
+	err := m.sendToRelays(relays, len(subscribers) > 0, interval)
 	if len(subscribers) > 0 {
 		reporters = m.reporterAddresses(now)
 		err = errors.Join(err, m.sendToSubscribers(now, subscribers, reporters))
@@ -147,20 +155,47 @@
 }
 
 // sendToRelays sends the digest of this host to one relay of its zone, another each
-// round. A host that relays itself only shows the others that it is there, since its
+// time, once in interval rounds. It sends nothing while nothing has changed, but for every
+// unchangedRounds. A host that relays itself only tells the others its loads, since its
 // own digests reach the zone directly.
-func (m *Mesh) sendToRelays(relays []string, relaying bool) error {
-	switch {
-	case len(relays) == 0:
+func (m *Mesh) sendToRelays(relays []string, relaying bool, interval int) error {
+	if len(relays) == 0 {
 		return nil
-	case !relaying:
-		return m.send(m.compose(Relay), []string{relays[m.round%len(relays)]})
-	case m.round%relayRefreshRounds == 0:
+	}
+	if relaying {
+		if m.round%relayRefreshRounds != 0 {
+			return nil
+		}
 		d := m.compose(OtherRelay)
 		d.Relays = true
 		return m.send(d, relays)
 	}
-	return nil
+	if m.round < m.relayedRound+interval {
+		return nil
+	}
+	d := m.compose(Relay)
+	loads := loadsHash(d.Loads)
+	if loads == m.relayedLoads && len(d.Prompts) == 0 && len(d.Reports) == 0 && m.round < m.relayedRound+unchangedRounds {
+		return nil
+	}
+	m.relayedLoads, m.relayedRound = loads, m.round
+	m.relayTurn++
+	return m.send(d, []string{relays[m.relayTurn%len(relays)]})
+}
+
+// loadsHash returns a number that changes with the requests under way at any target. It
+// leaves out the tokens, which every host counts down by itself.
+func loadsHash(loads []*wire.TargetLoad) uint64 {
+	sum := uint64(len(loads))
+	for _, l := range loads {
+		x := uint64(l.Target)<<32 | uint64(l.Active)<<1
+		if l.UnreadTokens > 0 {
+			x |= 1
+		}
+		x ^= x >> 29
+		sum += x * 0x9e3779b97f4a7c15
+	}
+	return sum
 }
 
 // sendToSubscribers passes on to the hosts of the zone what has arrived since the last
