--- a/internal/docgen/settings.go
+++ b/internal/docgen/settings.go
@@ -212,6 +212,7 @@
 	{"_tokens", "tokens"},
 	{"_micros_per_1000", "millionths of the currency unit for 1,000 tokens"},
 	{"call_micros", "millionths of the currency unit"},
+	{"_mbps", "Mbit/s"},
 	{"_percent", "%"},
 	{"kv_pieces", "pieces of 2,000 tokens"},
 	{"concurrency", "requests"},
--- a/settings/node.go
+++ b/settings/node.go
@@ -36,8 +36,8 @@
 	Duties NodeDuties `json:"duties"`
 	// MemoryMB is the memory that the process may use, in MB.
 	MemoryMB int `json:"memory_mb"`
-	// LinkMbps is the speed of the host's network link, in Mbit/s. In a large fleet hosts
-	// with fast links pass on the digests of others. Default 0: not known.
+	// LinkMbps is the speed of the host's network link, 0 when it is not known. In a large
+	// fleet hosts with fast links pass on the digests of others. Default 0.
 	LinkMbps float64 `json:"link_mbps,omitempty"`
 	// Bounds are the limits that the deployment guarantees.
 	Bounds NodeBounds `json:"bounds"`
@@ -60,7 +60,7 @@
 	// LeaseMillis is the lease of the holder of the duties: the time within which a
 	// former holder may still act, so that no other host takes over before its end.
 	LeaseMillis int `json:"lease_ms"`
-	// FencesChecked declares that the platform refuses calls of the duties with a
+	// FencesChecked is true if the platform refuses calls of the duties with a
 	// stale fencing number. Otherwise the hosts see to it that none arrives, and a new
 	// holder waits 3 s before it acts. Default false.
 	FencesChecked bool `json:"fences_checked,omitempty"`
