--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -38,6 +38,7 @@
 // run the request. A prefill does not count as running the request.
 func (r *request) send(ctx context.Context, t roster.Target, out *upstream.Request, prefill bool) (*upstream.Response, attemptResult) {
 	before := r.execution
+	r.summary.framing, r.summary.partial = "", 0
 	response, err := r.h.Pool.Do(ctx, t.Address, out)
 	if errors.Is(err, upstream.ErrNotSent) {
 		r.connectFailures++
@@ -54,6 +55,7 @@
 		r.logFailedAttempt(t, err, "broken")
 		return nil, attemptBroken
 	}
+	r.summary.framing = response.Framing
 	info := r.h.Protocol.ParseResponse(response.Status, response.Header)
 	if info.Misdirected {
 		r.h.OnMisdirected(t.ID)
@@ -81,7 +83,8 @@
 // logFailedAttempt logs and counts an attempt without a usable response.
 func (r *request) logFailedAttempt(t roster.Target, err error, how string) {
 	event.AttemptEnded.Log(r.h.Log).Str("request", r.info.ID).Str("target", string(t.ID)).Str("address", t.Address).
-		Str("how", how).Str("execution", r.execution.String()).Float64("ms", milliseconds(time.Since(r.in.Arrived))).Err(err).Send()
+		Str("how", how).Str("execution", r.execution.String()).Str("framing", string(r.summary.framing)).Int("partial_event_bytes", r.summary.partial).
+		Float64("ms", milliseconds(time.Since(r.in.Arrived))).Err(err).Send()
 	r.h.Metrics.failedAttempts.WithLabelValues(t.Service, how).Inc()
 }
 
--- a/forward/generate.go
+++ b/forward/generate.go
@@ -240,6 +240,7 @@
 		n, err := response.Body.Read(buffer)
 		if n > 0 {
 			complete := splitter.add(buffer[:n])
+			r.summary.partial = len(splitter.pending)
 			if len(splitter.pending) > maxEventBytes {
 				return errEventTooLarge
 			}
--- a/forward/request_log.go
+++ b/forward/request_log.go
@@ -7,6 +7,7 @@
 	"zinniapin/event"
 	"zinniapin/result"
 	"zinniapin/target"
+	"zinniapin/upstream"
 )
 
 // requestSummary collects the fields of the log line of a request.
@@ -17,6 +18,8 @@
 	firstEvent  time.Duration     // from arrival to the first event or response of a target
 	events      int               // writes of complete events to the caller
 	resumed     int               // further attempts after the response had started
+	framing     upstream.Framing  // of the latest response of a target
+	partial     int               // bytes after the last complete event when the latest stream ended
 	status      int
 	code        result.Code // 0 when the response of a target was sent
 }
@@ -51,7 +54,10 @@
 	}
 	if r.job.PromptTokens > 0 {
 		line = line.Int("prompt", r.job.PromptTokens).Int("unread", d.UncachedTokens).Bool("returning", r.job.RefusedBefore).
-			Int("events", r.summary.events).Int("resumed", r.summary.resumed).Float64("first_ms", milliseconds(r.summary.firstEvent))
+			Int("events", r.summary.events).Int("resumed", r.summary.resumed).Int("partial_event_bytes", r.summary.partial).Float64("first_ms", milliseconds(r.summary.firstEvent))
+	}
+	if r.summary.framing != "" {
+		line = line.Str("framing", string(r.summary.framing))
 	}
 	if d.FetchFrom.ID != "" {
 		line = line.Str("fetched_from", string(d.FetchFrom.ID))
--- a/internal/standin/prepared/target.go
+++ b/internal/standin/prepared/target.go
@@ -54,6 +54,10 @@
 	Events     int
 	EventPause time.Duration
 	BreakAfter int
+	// EndBroken makes a chunked stream that breaks off end with its last chunk.
+	EndBroken bool
+	// UntilClose makes streams have neither a length nor chunks; they end with their connection.
+	UntilClose bool
 	// FirstID is the id of the first event of a new stream.
 	FirstID int
 	// Delay is the time before the target responds.
@@ -254,8 +258,12 @@
 // stream writes a stream of events. It begins after the event that the request names in
 // Last-Event-Id, if it names one.
 func (t *Target) stream(c net.Conn, r *bufio.Reader, request *http.Request) bool {
-	_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Request-Id: %s\r\nX-Response-Signature: %s\r\nTransfer-Encoding: chunked\r\n\r\n",
-		request.Header.Get("X-Request-Id"), t.ID)
+	coding := "Transfer-Encoding: chunked\r\n"
+	if t.UntilClose {
+		coding = ""
+	}
+	_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Request-Id: %s\r\nX-Response-Signature: %s\r\n%s\r\n",
+		request.Header.Get("X-Request-Id"), t.ID, coding)
 	if err != nil {
 		return false
 	}
@@ -279,13 +287,31 @@
 		}
 		event := fmt.Sprintf("id: %d\ndata: token %d\n\n", i, i)
 		if t.BreakAfter > 0 && i-first >= t.BreakAfter {
-			_, _ = fmt.Fprintf(c, "%x\r\n%s", len(event), event[:5])
+			t.breakInside(c, event)
 			return false
 		}
-		if _, err := fmt.Fprintf(c, "%x\r\n%s\r\n", len(event), event); err != nil {
+		if !t.UntilClose {
+			event = fmt.Sprintf("%x\r\n%s\r\n", len(event), event)
+		}
+		if _, err := io.WriteString(c, event); err != nil {
 			return false
 		}
 	}
-	_, _ = io.WriteString(c, "0\r\n\r\n")
+	if !t.UntilClose {
+		_, _ = io.WriteString(c, "0\r\n\r\n")
+	}
 	return false // the goroutine above may have read from the connection
 }
+
+// breakInside writes the beginning of an event, after which the stream breaks off.
+func (t *Target) breakInside(c net.Conn, event string) {
+	part := event[:5]
+	switch {
+	case t.UntilClose:
+	case t.EndBroken:
+		part = fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(part), part)
+	default:
+		part = fmt.Sprintf("%x\r\n%s", len(event), part)
+	}
+	_, _ = io.WriteString(c, part)
+}
--- a/node/request_timeline_test.go
+++ b/node/request_timeline_test.go
@@ -86,6 +86,20 @@
 	expectLogged(t, "lost", "request_done", n, "reason=outcome_unknown", "sent=1", "targets=[\"i-1\"]")
 }
 
+// A stream has neither length nor chunks and ends inside an event. The timeline of the request's id
+// shows the framing and the bytes of that event.
+func TestTrailOfAStreamThatEndsInsideAnEvent(t *testing.T) {
+	cluster := newTestCluster(t)
+	engine := prepared.NewTarget("e-1")
+	t.Cleanup(engine.Close)
+	engine.Stage, engine.Events, engine.BreakAfter, engine.UntilClose = "decode", 4, 2, true
+	cluster.store.Write(platform.TargetsCollection, "e-1", engine.Entry("model", "a"))
+	n := cluster.startNode("h1")
+	eventually(t, 3*time.Second, "ready", n.ready)
+	n.send("half", "/draft/a", "key-1", http.Header{"X-Token-Count": {"100,20"}})
+	expectLogged(t, "half", "request_done", n, "framing=close", "partial_event_bytes=5")
+}
+
 // A host without access to the store and without peers refuses a key that a newer
 // configuration allows. The timeline of the request's id shows the old version
 // that was used, and the loss of the store that explains it.
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -191,13 +192,26 @@
 	return silent && c.reader.Buffered() == 0
 }
 
+// Framing tells how the end of the body of a response is marked.
+type Framing string
+
+// Framings of responses.
+const (
+	FramedByLength Framing = "length"
+	FramedByChunks Framing = "chunks"
+	// FramedByClose means that the body ends with the connection, so that an orderly close by a
+	// target that has failed looks like the end of the body.
+	FramedByClose Framing = "close"
+)
+
 // Response is the response of a target. The body is read from Body. Close must be called.
 type Response struct {
 	Status int
 	Header http.Header
 	// Length is the length of the body, or -1.
-	Length int64
-	Body   io.Reader
+	Length  int64
+	Framing Framing
+	Body    io.Reader
 
 	pool                *Pool
 	conn                *connection
@@ -249,7 +263,7 @@
 	if err != nil {
 		return fail(ErrNoResponse, err)
 	}
-	response := &Response{Status: parsed.StatusCode, Header: parsed.Header, Length: parsed.ContentLength,
+	response := &Response{Status: parsed.StatusCode, Header: parsed.Header, Length: parsed.ContentLength, Framing: framingOf(parsed),
 		pool: p, conn: c, parsed: parsed, bodyWritten: written, stopWatchingContext: stop}
 	response.Body = &body{response: response}
 	return response, nil
@@ -268,6 +282,18 @@
 	}
 }
 
+// framingOf returns the framing of a parsed response.
+func framingOf(r *http.Response) Framing {
+	switch {
+	case r.ContentLength >= 0:
+		return FramedByLength
+	case slices.Contains(r.TransferEncoding, "chunked"):
+		return FramedByChunks
+	default:
+		return FramedByClose
+	}
+}
+
 // head returns the request line and headers as bytes.
 func (r *Request) head() []byte {
 	b := make([]byte, 0, 1024)
