Treat a stream that ends inside an event as broken off

Cause: the reader of a stream took the end of the body for the end of the stream. The body of an answer with neither length nor chunks ends with its connection, and the orderly close of a crashed target looks the same; what remained of the last event was then passed on and the caller's answer ended properly. The same happened with a last chunk inside an event. Change: at the end of a body the bytes after the last whole event decide. If they belong to an event, the attempt is broken: a resumable stream goes on at another target after its last whole event, any other is aborted. A body without length and chunks that had no event at all is broken as well. Empty lines and comments after the last event are still passed on.

--- a/forward/generate.go
+++ b/forward/generate.go
@@ -224,6 +224,8 @@
 	errCallerWrite   = errors.New("writing to the caller failed")
 	errEventGap      = errors.New("the first event of the resumed stream does not follow the last event sent to the caller")
 	errEventTooLarge = errors.New("an event of the stream exceeds 1 MiB")
+	errInsideEvent   = errors.New("the stream ended inside an event")
+	errEmptyStream   = errors.New("the stream ended with its connection before its first event")
 )
 
 // streamBufferBytes is the size of the read buffer of a stream.
@@ -259,7 +261,7 @@
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			return r.finishStream(response, splitter)
+			return r.finishStream(response, splitter, first)
 		}
 		if err != nil {
 			return err
@@ -281,9 +283,16 @@
 	return err != nil || next == before+1
 }
 
-// finishStream sends the bytes that remain in the splitter after the target ended its stream
-// properly. It starts the response if the stream was empty.
-func (r *request) finishStream(response *upstream.Response, splitter *eventSplitter) error {
+// finishStream handles the end of a body and sends what remains in the splitter. The framing alone
+// does not prove a stream complete: a failed target may end its body inside an event, and an orderly
+// close looks like the end of a body without length and chunks. empty tells that the body had no event.
+func (r *request) finishStream(response *upstream.Response, splitter *eventSplitter, empty bool) error {
+	if splitter.insideEvent() {
+		return errInsideEvent
+	}
+	if empty && response.Framing == upstream.FramedByClose {
+		return errEmptyStream
+	}
 	if len(splitter.pending) > 0 || !r.out.Started() {
 		if err := r.writeEvents(response, splitter.pending); err != nil {
 			return err
--- a/forward/sse.go
+++ b/forward/sse.go
@@ -29,6 +29,19 @@
 	return complete
 }
 
+// insideEvent tells whether a stream that ends after the bytes added so far ends inside an event.
+// Empty lines and complete comment lines are no part of an event.
+func (e *eventSplitter) insideEvent() bool {
+	for line := range bytes.Lines(e.pending) {
+		blank := len(bytes.Trim(line, "\r\n")) == 0
+		comment := line[0] == ':' && line[len(line)-1] == '\n'
+		if !blank && !comment {
+			return true
+		}
+	}
+	return false
+}
+
 // lastBoundary returns the index after the last empty line, which ends an event; 0 if there is
 // none.
 func lastBoundary(p []byte) int {
