Log a target's software version and the stream that a request takes up

Entries of targets are decoded with their version, requests with the id of the attempt that began their stream. No behaviour changes. TestTrailOfAResumedStream reads the fields from the log of a whole node.

--- a/forward/generate.go
+++ b/forward/generate.go
@@ -166,6 +166,7 @@
 // only if the route allows a further attempt.
 func (r *request) streamFrom(ctx context.Context, attempt streamAttempt, splitter *eventSplitter) attemptResult {
 	ticket := r.beginAttempt(attempt.target, attempt.uncachedTokens)
+	r.summary.version = attempt.target.Version
 	info := AttemptInfo{Priority: r.job.Priority, PrefillSource: attempt.prefillSource, LastEventID: splitter.lastID}
 	if attempt.prefillSource == "" {
 		info.PrefixSource = attempt.decision.FetchFrom.Address
--- a/forward/protocol.go
+++ b/forward/protocol.go
@@ -24,6 +24,9 @@
 	// LastEventID is the id of the last event that the caller has of the stream that it resumes;
 	// empty for a new stream.
 	LastEventID string
+	// Resumes is the id of the request by which the caller got the first event of the stream that
+	// it resumes; empty for a new stream.
+	Resumes string
 }
 
 // AttemptInfo holds the fields that the forwarding process adds to the headers of an attempt, beside
--- a/forward/request_log.go
+++ b/forward/request_log.go
@@ -19,6 +19,7 @@
 	events      int               // writes of complete events to the caller
 	resumed     int               // further attempts after the response had started
 	framing     upstream.Framing  // of the latest response of a target
+	version     string            // software version of the target of the latest attempt at a stream
 	partial     int               // bytes after the last complete event when the latest stream ended
 	status      int
 	code        result.Code // 0 when the response of a target was sent
@@ -59,6 +60,12 @@
 	if r.summary.framing != "" {
 		line = line.Str("framing", string(r.summary.framing))
 	}
+	if r.summary.version != "" {
+		line = line.Str("version", r.summary.version)
+	}
+	if r.info.LastEventID != "" {
+		line = line.Str("resumes", r.info.Resumes).Str("after_event", r.info.LastEventID)
+	}
 	if d.FetchFrom.ID != "" {
 		line = line.Str("fetched_from", string(d.FetchFrom.ID))
 	}
--- a/internal/standin/prepared/target.go
+++ b/internal/standin/prepared/target.go
@@ -66,6 +66,8 @@
 	Echo bool
 	// Stage is the stage that an engine runs; empty for plain services.
 	Stage string
+	// Version is the version of the target's software; empty if its entry names none.
+	Version string
 }
 
 // NewTarget starts a target on loopback and returns it.
@@ -129,9 +131,13 @@
 
 // Entry returns the object that lists the target in the platform's store.
 func (t *Target) Entry(service, zone string) map[string]any {
-	return map[string]any{
+	entry := map[string]any{
 		"Service": service, "Address": t.Address(), "Zone": zone, "Slots": 8, "State": "ready", "Stage": t.Stage, "Seq": 1,
 	}
+	if t.Version != "" {
+		entry["Version"] = t.Version
+	}
+	return entry
 }
 
 // accept accepts connections until the listener is closed.
--- a/node/request_timeline_test.go
+++ b/node/request_timeline_test.go
@@ -100,6 +100,20 @@
 	expectLogged(t, "half", "request_done", n, "framing=close", "partial_event_bytes=5")
 }
 
+// A caller takes up a stream. The timeline of the request's id names the request that began the
+// stream, the last event that the caller has and the software version of the target.
+func TestTrailOfAResumedStream(t *testing.T) {
+	cluster := newTestCluster(t)
+	engine := prepared.NewTarget("e-1")
+	t.Cleanup(engine.Close)
+	engine.Stage, engine.Version = "decode", "v7"
+	cluster.store.Write(platform.TargetsCollection, "e-1", engine.Entry("model", "a"))
+	n := cluster.startNode("h1")
+	eventually(t, 3*time.Second, "ready", n.ready)
+	n.send("again", "/draft/a", "key-1", http.Header{"X-Token-Count": {"100,20"}, "Last-Event-Id": {"1"}, "Resumes": {"first"}})
+	expectLogged(t, "again", "request_done", n, "resumes=first", "after_event=1", "version=v7")
+}
+
 // A host without access to the store and without peers refuses a key that a newer
 // configuration allows. The timeline of the request's id shows the old version
 // that was used, and the loss of the store that explains it.
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -19,6 +19,9 @@
 	// a target of another service.
 	Address string      `json:"address"`
 	Zone    zone.Name   `json:"zone"`
+	// Version is the version of the target's software. Targets of several versions may serve
+	// one service.
+	Version string `json:"version,omitempty"`
 	Slots   int         `json:"slots"`
 	Role    target.Role `json:"role,omitempty"` // of an engine; empty for other targets
 	// Draining is set when the target is about to end and gets no new work.
