--- a/forward/helpers_test.go
+++ b/forward/helpers_test.go
@@ -87,7 +87,7 @@
 		Planner: dispatch.New(dispatch.DefaultPolicy(), "here", 1),
 	})
 	for _, s := range all {
-		h.targets = append(h.targets, roster.Target{ID: target.ID(s.ID), Service: service, Address: s.Address(), Zone: "here", Slots: 8, Role: target.Role(s.Stage)})
+		h.targets = append(h.targets, roster.Target{ID: target.ID(s.ID), Service: service, Address: s.Address(), Zone: "here", Slots: 8, Role: target.Role(s.Stage), Version: s.Version})
 		t.Cleanup(s.Close)
 	}
 	h.handler.Planner.SetTargets(h.targets)
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -99,7 +99,7 @@
 	c.store.Write(platform.ConfigurationsCollection, platform.ConfigurationName, json.RawMessage(fmt.Sprintf(`{"Version":%d,
 	"Routes":[{"Name":"read","Host":"shop.example","PathPrefix":"/read/","Kind":"idempotent","TimeoutMs":2000,"TargetLatencyMs":150,"Service":"desk","MaxAttempts":2},
 	 {"Name":"take","Host":"shop.example","PathPrefix":"/take/","Kind":"non_idempotent","TimeoutMs":5000,"TargetLatencyMs":150,"Service":"desk","MaxAttempts":1},
-	 {"Name":"draft","Host":"shop.example","PathPrefix":"/draft/","Kind":"stream","TimeoutMs":5000,"TargetLatencyMs":500,"TargetGapMs":300,"Service":"model","MaxAttempts":1}],
+	 {"Name":"draft","Host":"shop.example","PathPrefix":"/draft/","Kind":"stream","TimeoutMs":5000,"TargetLatencyMs":500,"TargetGapMs":300,"Service":"model","MaxAttempts":1,"Resumable":true}],
 	"Services":[{"Name":"model","Engine":{"Slots":8,"KvCapacityTokens":1000000,"KvTokenBytes":1000,"LinkMbps":100000,"KvHoldS":5,"Stride":10}},{"Name":"desk","Scaling":{"Min":1,"Max":4,"BootS":1,"SpotPrice":0.2,"ZonePrices":{"a":1.0,"b":1.0}}}],
 	"Limits":{"MaxHeaderBytes":8192,"MaxBodyBytes":100000,"HeaderTimeoutMs":1000,"IdleTimeoutMs":5000},
 	"Tenants":[{"Name":"parents","ApiKeys":["%s"]}]}`, version, key)))
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -17,11 +17,11 @@
 	Service string    `json:"service"`
 	// Address is IP:port. After the target has ended, the platform may reuse it for
 	// a target of another service.
-	Address string      `json:"address"`
-	Zone    zone.Name   `json:"zone"`
+	Address string    `json:"address"`
+	Zone    zone.Name `json:"zone"`
 	// Version is the version of the target's software. Targets of several versions may serve
 	// one service.
-	Version string `json:"version,omitempty"`
+	Version string      `json:"version,omitempty"`
 	Slots   int         `json:"slots"`
 	Role    target.Role `json:"role,omitempty"` // of an engine; empty for other targets
 	// Draining is set when the target is about to end and gets no new work.
