Let a stream that a caller takes up go on at the service that began it

It is chosen by the id of the request that began the stream. TestTakenUpStreamStaysAtItsService failed before.

--- a/forward/handler.go
+++ b/forward/handler.go
@@ -162,7 +162,11 @@
 		r.refuse(result.BadHeader, 0)
 		return false
 	}
-	r.service = table.SelectService(r.route, info.ID)
+	origin := info.ID
+	if info.LastEventID != "" && info.Resumes != "" {
+		origin = info.Resumes // the stream goes on at the service that began it
+	}
+	r.service = table.SelectService(r.route, origin)
 	r.prepareJob()
 	return true
 }
--- a/forward/version_test.go
+++ b/forward/version_test.go
@@ -1,6 +1,7 @@
 package forward_test
 
 import (
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
@@ -9,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"zinniapin/internal/standin/prepared"
+	"zinniapin/route"
 )
 
 // versioned returns a stand-in engine of a software version, whose streams have six events.
@@ -113,3 +115,33 @@
 	}
 	is.True(slow.Runs() > 0)
 }
+
+// A route is split between two services. Streams that callers take up go on at the service that
+// began them.
+func TestTakenUpStreamStaysAtItsService(t *testing.T) {
+	is := is.New(t)
+	one, two := versioned("d-1", "v1"), versioned("d-2", "v1")
+	h := newTestHandler(t, "model", one, two)
+	h.targets[1].Service = "model-b"
+	c := configuration()
+	other := c.Services[1]
+	other.Name = "model-b"
+	c.Services = append(c.Services, other)
+	c.Routes[2].Backends = []route.Backend{{Service: "model", Weight: 1}, {Service: "model-b", Weight: 1}}
+	h.setTable(c)
+	h.handler.Planner.SetTargets(h.targets)
+	h.handler.Planner.SetServices(c.Services)
+	send := func(id string, headers ...string) {
+		is.NoErr(h.call(http.MethodPost, "/draft/a", "p", append(append([]string{withoutDefaultHeaders, "X-Request-Id: " + id, "X-Deadline-Ms: 2000", "X-Credential: key-1"}, engineHeaders...), headers...)...).err)
+	}
+	for i := range 20 {
+		begun, again := fmt.Sprint("begun-", i), fmt.Sprint("again-", i)
+		send(begun)
+		before := one.Runs()
+		send(again, "Last-Event-Id: 3", "Resumes: "+begun)
+		began := one.Arrivals()
+		atOne := before > 0 && began[before-1].Header.Get("X-Request-Id") == begun
+		is.Equal(one.Runs() > before, atOne)
+	}
+	is.True(one.Runs() > 0 && two.Runs() > 0)
+}
