Soak nodes with targets of two software versions and streams that break off

Callers take streams up at other nodes, targets are released, and streams end in each of the ways that the protocol allows, some of them inside an event.

--- a/forward/version_test.go
+++ b/forward/version_test.go
@@ -13,6 +13,15 @@
 	"zinniapin/route"
 )
 
+// streamOf returns the body of a stream with the events from first to last of a version.
+func streamOf(version string, first, last int) string {
+	var b strings.Builder
+	for i := first; i <= last; i++ {
+		b.WriteString(prepared.Event(i, version))
+	}
+	return b.String()
+}
+
 // versioned returns a stand-in engine of a software version, whose streams have six events.
 func versioned(id, version string) *prepared.Target {
 	t := engine(id, "decode")
@@ -34,7 +43,7 @@
 	for range 60 { // until the broken target has been tried first
 		a := h.call(http.MethodPost, "/draft/a", "p", engineHeaders...)
 		is.NoErr(a.err)
-		is.Equal(a.body, expectedStream(6))
+		is.True(a.body == streamOf("v1", 1, 6) || a.body == streamOf("v2", 1, 6))
 		for _, other := range all[2:] {
 			for _, arrival := range other.Arrivals() {
 				if arrival.Header.Get("Last-Event-Id") != "" {
@@ -62,7 +71,7 @@
 			continue
 		}
 		is.True(a.err != nil)
-		is.Equal(a.body, expectedStream(2))
+		is.Equal(a.body, streamOf("v1", 1, 2))
 		return
 	}
 	is.True(broken.Runs() > 0)
@@ -78,7 +87,7 @@
 	resume := append([]string{"Last-Event-Id: 3", "Resumes: first"}, engineHeaders...)
 	a := h.call(http.MethodPost, "/draft/a", "p", resume...)
 	is.NoErr(a.err)
-	is.Equal(a.body, strings.TrimPrefix(expectedStream(6), expectedStream(3)))
+	is.Equal(a.body, streamOf("v1", 4, 6))
 	h.targets[0].Draining = true
 	h.handler.Planner.SetTargets(h.targets)
 	a = h.call(http.MethodPost, "/draft/a", "p", resume...)
@@ -108,7 +117,7 @@
 	for range 20 { // until the slow target has been tried first
 		a := h.call(http.MethodPost, "/draft/a", "p", append([]string{withoutDefaultHeaders, "X-Request-Id: id-1", "X-Deadline-Ms: 5000", "X-Credential: key-1"}, engineHeaders...)...)
 		is.NoErr(a.err)
-		is.Equal(a.body, expectedStream(2))
+		is.True(a.body == streamOf("v1", 1, 2) || a.body == streamOf("v2", 1, 2))
 		if slow.Runs() > 0 {
 			return
 		}
--- a/internal/nodesoak/soak_test.go
+++ b/internal/nodesoak/soak_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -52,7 +53,8 @@
 	random   *rand.Rand
 	store    *prepared.Store
 	duties   *prepared.DutyServer
-	targets  []*prepared.Target
+	targets  []*prepared.Target // all that were started
+	engines  []*prepared.Target // those of them that produce streams and have not left
 	nodes    []*process
 	key      atomic.Value // string: the API key of the current configuration
 	version  int
@@ -110,16 +112,15 @@
 	d := &deployment{t: t, random: rand.New(rand.NewPCG(seed, seed+1)), store: prepared.NewStore(), duties: prepared.NewDutyServer(), withdrawnKeys: make(map[string]time.Time)}
 	t.Cleanup(d.store.Close)
 	t.Cleanup(d.duties.Close)
-	for i := range 6 {
+	for i := range 3 {
 		s := prepared.NewTarget(fmt.Sprint("i-", i))
-		service := "desk"
-		if i >= 3 {
-			service, s.Stage = "model", "decode"
-		}
-		s.Echo, s.Events, s.EventPause = true, streamEvents, 10*time.Millisecond
+		s.Echo = true
 		t.Cleanup(s.Close)
 		d.targets = append(d.targets, s)
-		d.store.Write(platform.TargetsCollection, s.ID, s.Entry(service, "z0"))
+		d.store.Write(platform.TargetsCollection, s.ID, s.Entry("desk", "z0"))
+	}
+	for i := range 4 {
+		d.startEngine(versions[i%len(versions)])
 	}
 	d.configure()
 	for i := range *nodesFlag {
@@ -141,6 +142,28 @@
 	return d
 }
 
+// startEngine starts an engine of a software version. Its streams end in one of the ways that the
+// protocol allows.
+func (d *deployment) startEngine(version string) {
+	s := prepared.NewTarget(fmt.Sprint("e-", len(d.targets)))
+	s.Stage, s.Version, s.Events, s.EventPause = "decode", version, streamEvents, 10*time.Millisecond
+	s.UntilClose, s.EndBroken = d.random.IntN(2) == 0, d.random.IntN(2) == 0
+	d.t.Cleanup(s.Close)
+	d.targets, d.engines = append(d.targets, s), append(d.engines, s)
+	d.store.Write(platform.TargetsCollection, s.ID, s.Entry("model", "z0"))
+}
+
+// release replaces the engine that has served longest by one of a random version.
+func (d *deployment) release() {
+	d.startEngine(versions[d.random.IntN(len(versions))])
+	old := d.engines[0]
+	d.engines = d.engines[1:]
+	entry := old.Entry("model", "z0")
+	entry["State"] = "draining"
+	d.store.Write(platform.TargetsCollection, old.ID, entry)
+	time.AfterFunc(3*time.Second, func() { d.store.Remove(platform.TargetsCollection, old.ID) })
+}
+
 // configure writes a new configuration whose API key replaces the previous one.
 func (d *deployment) configure() {
 	d.version += 1 + d.random.IntN(3)
@@ -148,7 +171,8 @@
 	d.store.Write(platform.ConfigurationsCollection, platform.ConfigurationName, json.RawMessage(fmt.Sprintf(`{"Version":%d,"Routes":[
 	{"Name":"read","Host":"shop.example","PathPrefix":"/read/","Kind":"idempotent","TimeoutMs":3000,"TargetLatencyMs":150,"Service":"desk","MaxAttempts":2},
 	{"Name":"take","Host":"shop.example","PathPrefix":"/take/","Kind":"non_idempotent","TimeoutMs":3000,"TargetLatencyMs":150,"Service":"desk","MaxAttempts":2},
-	{"Name":"draft","Host":"shop.example","PathPrefix":"/draft/","Kind":"stream","TimeoutMs":3000,"TargetLatencyMs":500,"TargetGapMs":300,"Resumable":true,"Service":"model","MaxAttempts":2}],
+	{"Name":"draft","Host":"shop.example","PathPrefix":"/draft/","Kind":"stream","TimeoutMs":3000,"TargetLatencyMs":500,"TargetGapMs":300,"Resumable":true,"Service":"model","MaxAttempts":2},
+	{"Name":"reply","Host":"shop.example","PathPrefix":"/reply/","Kind":"stream","TimeoutMs":3000,"TargetLatencyMs":500,"TargetGapMs":300,"Resumable":true,"Service":"model","MaxAttempts":1}],
 	"Services":[{"Name":"desk"},{"Name":"model","Engine":{"Slots":64,"KvCapacityTokens":500000,"KvTokenBytes":1000,"LinkMbps":100000,"Stride":10,"KvHoldS":5}}],
 	"Limits":{"MaxHeaderBytes":8192,"MaxBodyBytes":100000,"HeaderTimeoutMs":3000,"IdleTimeoutMs":5000},
 	"Tenants":[{"Name":"parents","ApiKeys":["%s"]}]}`, d.version, key)))
@@ -165,7 +189,7 @@
 	duration := time.Duration(300+d.random.IntN(2500)) * time.Millisecond
 	d.t.Helper()
 	var err error
-	switch d.random.IntN(10) {
+	switch d.random.IntN(12) {
 	case 0:
 		err = node.signal(syscall.SIGKILL)
 		time.AfterFunc(duration/3, func() { _ = node.start() })
@@ -184,7 +208,7 @@
 	case 5:
 		d.configure()
 	case 6:
-		all := []prepared.Fault{prepared.RunAndReset, prepared.Truncated, prepared.WrongRequestID, prepared.ExtraResponse, prepared.RefuseNotRun, prepared.RunAndFail, prepared.RunAndHang, prepared.WrongInstance, prepared.RefuseUnmarked, prepared.EarlyResponse}
+		all := []prepared.Fault{prepared.RunAndReset, prepared.Truncated, prepared.WrongRequestID, prepared.ExtraResponse, prepared.RefuseNotRun, prepared.RunAndFail, prepared.RunAndHang, prepared.WrongInstance, prepared.RefuseUnmarked, prepared.EarlyResponse, prepared.BrokenStream, prepared.BrokenStream}
 		var next []prepared.Fault
 		for range 1 + d.random.IntN(4) {
 			next = append(next, all[d.random.IntN(len(all))])
@@ -196,6 +220,12 @@
 		d.store.Compact()
 	case 9:
 		err = node.reload(d.random.IntN(2) == 0, 7+d.random.Float64())
+	case 10:
+		for _, s := range d.engines {
+			s.SetFaults(slices.Repeat([]prepared.Fault{prepared.BrokenStream}, 1+d.random.IntN(4))...)
+		}
+	case 11:
+		d.release()
 	}
 	if err != nil {
 		d.t.Errorf("cannot inject a fault: %v", err)
@@ -280,7 +310,7 @@
 		d.t.Error(violation)
 	}
 	d.checkUsageReports()
-	d.t.Logf("%d attempts, answers by status %v, %d usage reports", len(d.attempts.all), statuses, len(d.duties.Calls("/usage")))
+	d.t.Logf("%d attempts, answers by status %v, %d usage reports, %d of %d streams taken up went on", len(d.attempts.all), statuses, len(d.duties.Calls("/usage")), d.attempts.wentOn, d.attempts.takenUp)
 	if statuses[http.StatusOK] < len(d.attempts.all)/4 {
 		d.t.Errorf("only %d of %d attempts were served", statuses[http.StatusOK], len(d.attempts.all))
 	}
--- a/internal/standin/prepared/target.go
+++ b/internal/standin/prepared/target.go
@@ -25,6 +25,7 @@
 	RunAndHang     Fault = "mute"      // executes it and never answers
 	WrongRequestID Fault = "foreign"   // answers with the id of another request
 	Truncated      Fault = "truncated" // breaks off in the middle of the answer
+	BrokenStream   Fault = "broken"    // breaks off a stream inside its third event
 	ExtraResponse  Fault = "extra"     // sends a second response after the first
 	EarlyResponse  Fault = "early"     // answers 500 before it has read the body
 	WrongInstance  Fault = "another"   // answers 421: another target has taken over the address
@@ -241,7 +242,11 @@
 		return t.reply(c, request, http.StatusOK, "", fmt.Sprintf(`{"KvHandle":"h-%s","Tokens":10,"Version":1}`, request.Header.Get("X-Request-Id")))
 	}
 	if request.Header.Get("X-Token-Count") != "" {
-		return t.stream(c, r, request)
+		breakAfter := t.BreakAfter
+		if f == BrokenStream {
+			breakAfter = 2
+		}
+		return t.stream(c, r, request, breakAfter)
 	}
 	answer := "answer of " + t.ID
 	if t.Echo {
@@ -263,7 +268,7 @@
 
 // stream writes a stream of events. It begins after the event that the request names in
 // Last-Event-Id, if it names one.
-func (t *Target) stream(c net.Conn, r *bufio.Reader, request *http.Request) bool {
+func (t *Target) stream(c net.Conn, r *bufio.Reader, request *http.Request, breakAfter int) bool {
 	coding := "Transfer-Encoding: chunked\r\n"
 	if t.UntilClose {
 		coding = ""
@@ -291,8 +296,8 @@
 			return false
 		case <-time.After(t.EventPause):
 		}
-		event := fmt.Sprintf("id: %d\ndata: token %d\n\n", i, i)
-		if t.BreakAfter > 0 && i-first >= t.BreakAfter {
+		event := Event(i, t.Version)
+		if breakAfter > 0 && i-first >= breakAfter {
 			t.breakInside(c, event)
 			return false
 		}
@@ -309,6 +314,11 @@
 	return false // the goroutine above may have read from the connection
 }
 
+// Event returns the event i of the streams of targets of a version.
+func Event(i int, version string) string {
+	return strings.TrimSuffix(fmt.Sprintf("id: %d\ndata: token %d %s", i, i, version), " ") + "\n\n"
+}
+
 // breakInside writes the beginning of an event, after which the stream breaks off.
 func (t *Target) breakInside(c net.Conn, event string) {
 	part := event[:5]
