Heed targets that say they leave or ask to be left alone

A target that leaves says so in its answers, possibly before the store's list does; one that turns a request away may name a time before which it wants none. Neither was read: requests went on to both. Change: dispatch keeps, for each incarnation of a target, what it has said of itself. One that leaves gets nothing more, whatever the store lists, until a later incarnation appears; the reports to peers carry it. One that asks for a pause gets nothing of this host until then: no request, second attempt, prefill or release of a cache. A pause is not told to peers: a target asks each host by itself.

--- a/dispatch/cost.go
+++ b/dispatch/cost.go
@@ -38,7 +38,7 @@
 // nil if the prompt shares none. All parts but the last count as shared. The target
 // is chosen by rendezvous hashing, so all hosts choose the same one without
 // coordination.
-func (p *Planner) cacheOwner(j Job) *state {
+func (p *Planner) cacheOwner(now time.Time, j Job) *state {
 	if len(j.Parts) < 2 {
 		return nil
 	}
@@ -47,7 +47,7 @@
 	var best *state
 	var highest uint64
 	for _, s := range p.services[j.Service] {
-		if !j.usable(s, nil) || prefill != (s.target.Role == target.Prefill) {
+		if !j.usable(now, s, nil) || prefill != (s.target.Role == target.Prefill) {
 			continue
 		}
 		if weight := mix(uint64(KeyOf(s.target.ID))<<32 | uint64(shared.Chain)); best == nil || weight > highest {
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -90,6 +90,8 @@
 	NoTarget Reason = "no_target"
 	// NoTargetOfVersion means that it has none of the version at which the job has to run.
 	NoTargetOfVersion Reason = "no_target_of_version"
+	// TargetsPaused means that all targets have asked to be left alone for some time.
+	TargetsPaused Reason = "targets_paused"
 	// Overload means that no target is forecast to serve the job soon enough.
 	Overload Reason = "overload"
 )
@@ -153,6 +155,7 @@
 	nextTicket       uint64
 	sentPrompts      []SentPrompt          // not yet taken to be sent to peers
 	reports          map[target.ID]*Report // likewise
+	notices          map[target.ID]*notice
 }
 
 // New returns a planner for a host in availability zone z. The seed is that of its
@@ -170,6 +173,7 @@
 		latency:          map[target.Role]*latencyModel{target.Prefill: newLatencyModel(p.PrefillSpeed), target.Decode: newLatencyModel(p.DecodeSpeed)},
 		handoffMillis:    float64(handoffTime) / float64(time.Millisecond),
 		reports:          make(map[target.ID]*Report),
+		notices:          make(map[target.ID]*notice),
 		overloads:        make(map[string]*overloadDetector),
 		meanPromptTokens: make(map[string]float64),
 		latencyMillis:    make(map[string]float64),
@@ -179,7 +183,7 @@
 
 // SetTargets replaces the targets. It keeps the state of those that were there
 // before, unless they have restarted or have another address.
-func (p *Planner) SetTargets(all []roster.Target) {
+func (p *Planner) SetTargets(now time.Time, all []roster.Target) {
 	kept := make(map[target.ID]*state, len(all))
 	p.byKey = make(map[uint32]*state, len(all))
 	p.services = make(map[string][]*state)
@@ -194,6 +198,7 @@
 		p.services[t.Service] = append(p.services[t.Service], s)
 	}
 	p.targets = kept
+	p.attachNotices(now)
 }
 
 // SetServices replaces the engine descriptions of the services.
@@ -268,6 +273,11 @@
 // used.
 func (p *Planner) Plan(now time.Time, j Job, exclude map[target.ID]bool) Decision {
 	all := p.candidates(now, j, exclude)
+	if len(all) == 0 {
+		if wait := p.ReturnAfter(now, j); wait > 0 {
+			return Decision{Reason: TargetsPaused, RetryAfter: wait}
+		}
+	}
 	if len(all) == 0 && j.VersionFixed {
 		return Decision{Reason: NoTargetOfVersion, RetryAfter: noTargetRetryAfter}
 	}
@@ -342,16 +352,19 @@
 	return all[p.random.IntN(n)]
 }
 
+// acceptsVersion tells whether a job may run at the version of a target.
+func (j *Job) acceptsVersion(s *state) bool { return !j.VersionFixed || s.target.Version == j.Version }
+
 // usable tells whether a target may be sent a job: it takes requests, is not excluded and is of the
 // version at which the job has to run.
-func (j *Job) usable(s *state, exclude map[target.ID]bool) bool {
-	return !s.target.Draining && !exclude[s.target.ID] && (!j.VersionFixed || s.target.Version == j.Version)
+func (j *Job) usable(now time.Time, s *state, exclude map[target.ID]bool) bool {
+	return !s.target.Draining && !s.notice.left() && !s.notice.closed(now) && !exclude[s.target.ID] && j.acceptsVersion(s)
 }
 
 // HasOther tells whether a job could run at another target than the given one.
-func (p *Planner) HasOther(j Job, id target.ID, exclude map[target.ID]bool) bool {
+func (p *Planner) HasOther(now time.Time, j Job, id target.ID, exclude map[target.ID]bool) bool {
 	for _, s := range p.services[j.Service] {
-		if s.target.ID != id && j.usable(s, exclude) {
+		if s.target.ID != id && j.usable(now, s, exclude) {
 			return true
 		}
 	}
@@ -362,9 +375,9 @@
 // them only if there are no others.
 func (p *Planner) candidates(now time.Time, j Job, exclude map[target.ID]bool) []candidate {
 	var healthy, quarantined []candidate
-	owner, holders := p.cacheOwner(j), p.cacheHolders(now, j, exclude)
+	owner, holders := p.cacheOwner(now, j), p.cacheHolders(now, j, exclude)
 	for _, s := range p.services[j.Service] {
-		if !j.usable(s, exclude) {
+		if !j.usable(now, s, exclude) {
 			continue
 		}
 		c := p.forecast(now, j, s, owner, holders)
@@ -386,7 +399,7 @@
 	var best *state
 	bestCost := 0.0
 	for _, s := range p.services[j.Service] {
-		if !j.usable(s, exclude) || s.target.Role == target.Prefill {
+		if !j.usable(now, s, exclude) || s.target.Role == target.Prefill {
 			continue
 		}
 		backlog, active, _ := s.load(now, p.speedOf(s))
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -36,7 +36,7 @@
 // planner returns a planner in zone a for the targets.
 func planner(all []roster.Target, seed uint64) *dispatch.Planner {
 	p := dispatch.New(dispatch.DefaultPolicy(), "a", seed)
-	p.SetTargets(all)
+	p.SetTargets(start, all)
 	p.SetServices([]route.Service{{Name: "model", Engine: &route.Engine{Slots: 64, TokenBytes: 35136, LinkMbps: 550_000, EventTokens: 10}}})
 	return p
 }
@@ -296,7 +296,7 @@
 	p.Begin(start, "a-p0", j, 5100)
 	is.Equal(p.Plan(start, j, nil).UncachedTokens, 1) // all is cached; one token is always processed
 	all[0].StartedMillis = 7
-	p.SetTargets(all)
+	p.SetTargets(start, all)
 	is.Equal(p.Plan(start, j, nil).UncachedTokens, 5100)
 }
 
@@ -326,7 +326,7 @@
 					open = open[1:]
 				}
 			case 4:
-				p.SetTargets(all[:rapid.IntRange(1, len(all)).Draw(t, "targets")])
+				p.SetTargets(start, all[:rapid.IntRange(1, len(all)).Draw(t, "targets")])
 			}
 			for _, l := range p.Loads(now) {
 				if l.PendingTokens < 0 || l.Active < 0 {
@@ -402,7 +402,7 @@
 	p, j, now = fetchScenario(40_000)
 	all := engines(2, 0, "a")
 	all[0].Draining = true
-	p.SetTargets(all)
+	p.SetTargets(start, all)
 	expectNoFetch(p, j, now, nil)
 	p, j, now = fetchScenario(40_000)
 	expectNoFetch(p, j, now, map[target.ID]bool{"a-p0": true})
--- a/dispatch/fetch.go
+++ b/dispatch/fetch.go
@@ -47,7 +47,7 @@
 	}
 	holders := make(cacheHolders)
 	for _, s := range p.services[j.Service] {
-		if !j.usable(s, exclude) || s.quarantined(now) {
+		if !j.usable(now, s, exclude) || s.quarantined(now) {
 			continue
 		}
 		tokens := s.cachedTokensSince(now, j.Parts, p.policy.CacheTTL, minCacheAge)
--- /dev/null
+++ b/dispatch/notice.go
@@ -0,0 +1,120 @@
+package dispatch
+
+import (
+	"time"
+
+	"zinniapin/roster"
+	"zinniapin/target"
+)
+
+// Targets tell in their answers that they leave, or that they want no requests of this host for some
+// time. Both hold whatever the store's list says, and only for the incarnation that said so.
+
+// notice is what an incarnation of a target has said of itself.
+type notice struct {
+	startedMillis int64
+	leaving       bool
+	closedUntil   time.Time
+	at            time.Time // of the last change
+}
+
+const (
+	// noticeTTL is how long a notice is kept of a target that is not listed: its entry may lapse and
+	// come back while the same process goes on leaving.
+	noticeTTL = 10 * time.Minute
+	// maxPause bounds the time for which a target can ask to be left alone.
+	maxPause = time.Hour
+	// minReturnSpread is the least time over which callers return that were refused because all
+	// targets asked to be left alone.
+	minReturnSpread = 300 * time.Millisecond
+)
+
+// noticeOf returns the notice of an incarnation of a target, nil if a later one is known.
+func (p *Planner) noticeOf(now time.Time, id target.ID, startedMillis int64) *notice {
+	s, n := p.targets[id], p.notices[id]
+	switch {
+	case s != nil && s.target.StartedMillis > startedMillis, n != nil && n.startedMillis > startedMillis:
+		return nil
+	case n == nil || n.startedMillis < startedMillis:
+		n = &notice{startedMillis: startedMillis, at: now}
+		p.notices[id] = n
+	}
+	if s != nil && s.target.StartedMillis == startedMillis {
+		s.notice = n
+	}
+	return n
+}
+
+// MarkLeaving records that a target said that it leaves, so that it gets no further requests. It
+// returns whether that is new.
+func (p *Planner) MarkLeaving(now time.Time, t roster.Target) bool {
+	n := p.noticeOf(now, t.ID, t.StartedMillis)
+	if n == nil || n.leaving {
+		return false
+	}
+	n.leaving, n.at = true, now
+	r := p.report(t.ID)
+	r.Leaving, r.StartedMillis = true, t.StartedMillis
+	return true
+}
+
+// Pause records that a target turned a request away and wants none of this host for a time. It
+// returns whether the target was open before. Peers are not told: a target asks each host by itself.
+func (p *Planner) Pause(now time.Time, t roster.Target, pause time.Duration) bool {
+	n := p.noticeOf(now, t.ID, t.StartedMillis)
+	until := now.Add(min(pause, maxPause))
+	if n == nil || !until.After(n.closedUntil) {
+		return false
+	}
+	open := !n.closedUntil.After(now)
+	n.closedUntil, n.at = until, now
+	return open
+}
+
+// MayCall tells whether a target may be sent anything, requests of callers or other calls.
+func (p *Planner) MayCall(now time.Time, id target.ID) bool {
+	s := p.targets[id]
+	return s == nil || !s.notice.closed(now)
+}
+
+// closed tells whether the target wants no requests at present. A nil notice says nothing.
+func (n *notice) closed(now time.Time) bool { return n != nil && n.closedUntil.After(now) }
+
+// left tells whether the target has said that it leaves.
+func (n *notice) left() bool { return n != nil && n.leaving }
+
+// attachNotices connects the listed targets to what they have said, and drops old notices.
+func (p *Planner) attachNotices(now time.Time) {
+	for id, n := range p.notices {
+		s := p.targets[id]
+		switch {
+		case s == nil && now.Sub(n.at) > noticeTTL, s != nil && s.target.StartedMillis > n.startedMillis:
+			delete(p.notices, id)
+		case s != nil && s.target.StartedMillis == n.startedMillis:
+			s.notice = n
+		}
+	}
+}
+
+// ReturnAfter returns a time after which a job can be tried again if all targets that could run it
+// want no requests at present: that of the first that will, and a random part, since all refused
+// callers would return at that moment otherwise. It returns 0 if one takes requests.
+func (p *Planner) ReturnAfter(now time.Time, j Job) time.Duration {
+	var first time.Time
+	for _, s := range p.services[j.Service] {
+		if s.target.Draining || s.notice.left() || !j.acceptsVersion(s) {
+			continue
+		}
+		if !s.notice.closed(now) {
+			return 0
+		}
+		if first.IsZero() || s.notice.closedUntil.Before(first) {
+			first = s.notice.closedUntil
+		}
+	}
+	if first.IsZero() {
+		return 0
+	}
+	wait := first.Sub(now)
+	return wait + time.Duration(p.random.Float64()*float64(max(wait/2, minReturnSpread)))
+}
--- a/dispatch/overload_test.go
+++ b/dispatch/overload_test.go
@@ -48,7 +48,7 @@
 	const speed = 80.0 // tokens per millisecond, the planner's initial estimate
 	all := engines(4, 0, "a")
 	p := dispatch.New(policy, "a", 1)
-	p.SetTargets(all)
+	p.SetTargets(start, all)
 	random := rand.New(rand.NewPCG(1, 2))
 	var queue arrivals
 	for at := time.Duration(0); at < countTo+2*time.Second; {
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -16,6 +16,10 @@
 	// Answered, Failed and Unreachable count exchanges by Outcome.
 	Answered, Failed, Unreachable int
 	Samples                       []Sample
+	// Leaving is set if the target said that it leaves, as the incarnation that began at
+	// StartedMillis.
+	Leaving       bool
+	StartedMillis int64
 }
 
 // Sample is the time that a target took for a prompt.
@@ -74,6 +78,11 @@
 	if s == nil {
 		return
 	}
+	if r.Leaving {
+		if n := p.noticeOf(now, s.target.ID, r.StartedMillis); n != nil {
+			n.leaving, n.at = true, now
+		}
+	}
 	for _, sample := range r.Samples {
 		p.observeSample(now, s, sample, reportedFactorWeight)
 	}
--- a/event/node.go
+++ b/event/node.go
@@ -31,5 +31,7 @@
 	HostSuspended      = define(7034, "host_suspended", zerolog.WarnLevel, "The process did not run for some time, for instance because the host was suspended; the node reads the configuration, the targets and the holder of the duties again.", "none")
 	SettingsTaken      = define(7036, "settings_taken", zerolog.InfoLevel, "Changed settings were applied.", "Restart the node to apply the fields listed under at_next_start.")
 	StreamOrigin       = define(7037, "stream_origin", zerolog.InfoLevel, "A caller takes up a stream that another host began while targets of several software versions serve; the line says how the version was found.", "none")
+	TargetLeaves       = define(7038, "target_leaves", zerolog.InfoLevel, "A target said in an answer that it leaves; this host sends it no further requests.", "none")
+	TargetPaused       = define(7039, "target_paused", zerolog.InfoLevel, "A target turned a request away and asked this host to leave it alone for some time.", "Look for an overload if many targets do.")
 	LinesDropped       = define(7035, "lines_dropped", zerolog.WarnLevel, "Log lines were dropped because the log output was too slow.", "none")
 )
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -60,6 +60,9 @@
 	if info.Misdirected {
 		r.h.OnMisdirected(t.ID)
 	}
+	if info.ID == "" || info.ID == r.info.ID {
+		r.h.heedNotices(t, info)
+	}
 	if info.NotRun {
 		// The request id may be missing here. The response cannot belong to an earlier request,
 		// since the pool returns only connections on which nothing arrived while they were idle.
@@ -80,6 +83,24 @@
 	return response, attemptAnswered
 }
 
+// heedNotices takes in what a target says of itself in a response.
+func (h *Handler) heedNotices(t roster.Target, info ResponseInfo) {
+	if !info.Leaving && info.RetryAfter == 0 {
+		return
+	}
+	now := time.Now()
+	h.PlannerMu.Lock()
+	left := info.Leaving && h.Planner.MarkLeaving(now, t)
+	paused := info.RetryAfter > 0 && h.Planner.Pause(now, t, info.RetryAfter)
+	h.PlannerMu.Unlock()
+	if left {
+		event.TargetLeaves.Log(h.Log).Str("target", string(t.ID)).Str("address", t.Address).Int64("born", t.StartedMillis).Send()
+	}
+	if paused {
+		event.TargetPaused.Log(h.Log).Str("target", string(t.ID)).Str("address", t.Address).Float64("seconds", info.RetryAfter.Seconds()).Send()
+	}
+}
+
 // logFailedAttempt logs and counts an attempt without a usable response.
 func (r *request) logFailedAttempt(t roster.Target, err error, how string) {
 	event.AttemptEnded.Log(r.h.Log).Str("request", r.info.ID).Str("target", string(t.ID)).Str("address", t.Address).
--- a/forward/generate.go
+++ b/forward/generate.go
@@ -152,6 +152,12 @@
 // releaseCache asks a prefill target in the background to free a KV cache that no decode target
 // will fetch.
 func (r *request) releaseCache(t roster.Target, handle string) {
+	r.h.PlannerMu.Lock()
+	mayCall := r.h.Planner.MayCall(time.Now(), t.ID)
+	r.h.PlannerMu.Unlock()
+	if !mayCall {
+		return // the target frees the cache itself when its handle expires
+	}
 	method, path := r.h.Protocol.ReleaseRequest(handle)
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
@@ -161,6 +167,7 @@
 			r.logFailedAttempt(t, err, "release") // the target frees the cache itself when its handle expires
 			return
 		}
+		r.h.heedNotices(t, r.h.Protocol.ParseResponse(response.Status, response.Header))
 		drain(response)
 	}()
 }
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -312,7 +312,10 @@
 	case ctx.Err() != nil:
 		r.refuse(result.OutOfTimeNotRun, refusedRetryAfter)
 	default:
-		r.refuse(result.TargetsRefused, refusedRetryAfter)
+		r.h.PlannerMu.Lock()
+		paused := r.h.Planner.ReturnAfter(time.Now(), r.job)
+		r.h.PlannerMu.Unlock()
+		r.refuse(result.TargetsRefused, max(paused, refusedRetryAfter))
 	}
 }
 
@@ -348,6 +351,8 @@
 		code = result.TargetsAway
 	case dispatch.NoTargetOfVersion:
 		code = result.VersionAway
+	case dispatch.TargetsPaused:
+		code = result.TargetsPaused
 	}
 	r.refuse(code, d.RetryAfter)
 }
--- a/forward/helpers_test.go
+++ b/forward/helpers_test.go
@@ -117,7 +117,7 @@
 		h.targets = append(h.targets, roster.Target{ID: target.ID(s.ID), Service: service, Address: s.Address(), Zone: "here", Slots: 8, Role: target.Role(s.Stage), Version: s.Version})
 		t.Cleanup(s.Close)
 	}
-	h.handler.Planner.SetTargets(h.targets)
+	h.handler.Planner.SetTargets(time.Now(), h.targets)
 	h.handler.Planner.SetServices(configuration().Services)
 	h.server = &ingress.Server{Handler: h.handler, Limits: func() ingress.Limits {
 		return ingress.Limits{HeadBytes: 8 << 10, BodyBytes: 1 << 20, HeadTimeout: time.Second, IdleTimeout: 5 * time.Second}
--- a/forward/protocol.go
+++ b/forward/protocol.go
@@ -62,6 +62,10 @@
 	Misdirected bool
 	// ID is the id of the request that the response belongs to.
 	ID string
+	// Leaving is set when the target says that it leaves.
+	Leaving bool
+	// RetryAfter is how long the target wants no requests of this host; 0 if it says nothing of that.
+	RetryAfter time.Duration
 	// Signed is set when the target has signed its response.
 	Signed bool
 }
--- a/forward/version.go
+++ b/forward/version.go
@@ -45,7 +45,7 @@
 		}
 	}
 	r.h.PlannerMu.Lock()
-	other := r.h.Planner.HasOther(r.job, t.ID, r.excluded)
+	other := r.h.Planner.HasOther(time.Now(), r.job, t.ID, r.excluded)
 	r.h.PlannerMu.Unlock()
 	if !other {
 		timeout.disarm()
--- a/forward/version_test.go
+++ b/forward/version_test.go
@@ -89,7 +89,7 @@
 	is.NoErr(a.err)
 	is.Equal(a.body, streamOf("v1", 4, 6))
 	h.targets[0].Draining = true
-	h.handler.Planner.SetTargets(h.targets)
+	h.handler.Planner.SetTargets(time.Now(), h.targets)
 	a = h.call(http.MethodPost, "/draft/a", "p", resume...)
 	is.Equal(a.status, http.StatusServiceUnavailable)
 	is.True(a.header.Get("Retry-After") != "") // a target of v1 may be started again
@@ -138,7 +138,7 @@
 	c.Services = append(c.Services, other)
 	c.Routes[2].Backends = []route.Backend{{Service: "model", Weight: 1}, {Service: "model-b", Weight: 1}}
 	h.setTable(c)
-	h.handler.Planner.SetTargets(h.targets)
+	h.handler.Planner.SetTargets(time.Now(), h.targets)
 	h.handler.Planner.SetServices(c.Services)
 	send := func(id string, headers ...string) {
 		is.NoErr(h.call(http.MethodPost, "/draft/a", "p", append(append([]string{withoutDefaultHeaders, "X-Request-Id: " + id, "X-Deadline-Ms: 2000", "X-Credential: key-1"}, engineHeaders...), headers...)...).err)
--- a/internal/standin/prepared/target.go
+++ b/internal/standin/prepared/target.go
@@ -49,6 +49,7 @@
 	arrivals     []Arrival
 	abandoned    int // requests whose caller disconnected during execution
 	freedHandles []string
+	header       string // further header lines of all responses, each with its line end
 	// Events is the number of events in a stream, EventPause the time before each event,
 	// and BreakAfter the number of events after which a stream breaks off in the middle of
 	// the next event; 0 means that it does not.
@@ -95,6 +96,20 @@
 	t.mu.Unlock()
 }
 
+// SetHeader sets further header lines of all responses, each with its line end.
+func (t *Target) SetHeader(lines string) {
+	t.mu.Lock()
+	t.header = lines
+	t.mu.Unlock()
+}
+
+// extraHeader returns what SetHeader set.
+func (t *Target) extraHeader() string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.header
+}
+
 // Arrivals returns the requests that the target received. Requests to free a handle and
 // those with the fault EarlyResponse are not among them.
 func (t *Target) Arrivals() []Arrival {
@@ -262,16 +277,16 @@
 // reply writes a complete response and returns whether that succeeded.
 func (t *Target) reply(c net.Conn, request *http.Request, status int, header, body string) bool {
 	_, err := fmt.Fprintf(c, "HTTP/1.1 %d %s\r\nX-Request-Id: %s\r\n%sContent-Length: %d\r\n\r\n%s",
-		status, http.StatusText(status), request.Header.Get("X-Request-Id"), header, len(body), body)
+		status, http.StatusText(status), request.Header.Get("X-Request-Id"), header+t.extraHeader(), len(body), body)
 	return err == nil
 }
 
 // stream writes a stream of events. It begins after the event that the request names in
 // Last-Event-Id, if it names one.
 func (t *Target) stream(c net.Conn, r *bufio.Reader, request *http.Request, breakAfter int) bool {
-	coding := "Transfer-Encoding: chunked\r\n"
-	if t.UntilClose {
-		coding = ""
+	coding := t.extraHeader()
+	if !t.UntilClose {
+		coding += "Transfer-Encoding: chunked\r\n"
 	}
 	_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Request-Id: %s\r\nX-Response-Signature: %s\r\n%s\r\n",
 		request.Header.Get("X-Request-Id"), t.ID, coding)
--- a/node/gossip.go
+++ b/node/gossip.go
@@ -160,7 +160,7 @@
 	reports := n.handler.Planner.TakeReports()
 	n.handler.PlannerMu.Unlock()
 	for _, r := range reports {
-		report := &wire.TargetReport{Target: r.Target, Answered: uint32(r.Answered), Failed: uint32(r.Failed), Unreachable: uint32(r.Unreachable)}
+		report := &wire.TargetReport{Target: r.Target, Answered: uint32(r.Answered), Failed: uint32(r.Failed), Unreachable: uint32(r.Unreachable), Leaving: r.Leaving, Born: r.StartedMillis}
 		for _, s := range r.Samples {
 			report.Samples = append(report.Samples, &wire.PromptSample{UncachedTokens: uint32(s.Uncached), PromptTokens: uint32(s.Prompt), BacklogTokens: uint32(s.Backlog), Ms: uint32(s.Millis)})
 		}
@@ -182,7 +182,7 @@
 		n.handler.Planner.MarkCached(now, p.Target, p.Chains)
 	}
 	for _, report := range u.Reports {
-		r := dispatch.Report{Target: report.Target, Answered: int(report.Answered), Failed: int(report.Failed), Unreachable: int(report.Unreachable)}
+		r := dispatch.Report{Target: report.Target, Answered: int(report.Answered), Failed: int(report.Failed), Unreachable: int(report.Unreachable), Leaving: report.Leaving, StartedMillis: report.Born}
 		for _, s := range report.Samples {
 			r.Samples = append(r.Samples, dispatch.Sample{Uncached: int(s.UncachedTokens), Prompt: int(s.PromptTokens), Backlog: int(s.BacklogTokens), Millis: float64(s.Ms)})
 		}
--- a/node/node.go
+++ b/node/node.go
@@ -203,7 +203,7 @@
 	n.rosterMu.Unlock()
 	n.streams.observeTargets(all)
 	n.handler.PlannerMu.Lock()
-	n.handler.Planner.SetTargets(all)
+	n.handler.Planner.SetTargets(time.Now(), all)
 	n.handler.PlannerMu.Unlock()
 	event.TargetsTaken.Log(n.log).Int("targets", len(all)).Uint64("revision", revision).Send()
 }
