--- a/internal/nodesoak/soak_test.go
+++ b/internal/nodesoak/soak_test.go
@@ -62,6 +62,8 @@
 	// withdrawnKeys maps each API key that is not in the current configuration to the time
 	// when the configuration without it was written.
 	withdrawnKeys map[string]time.Time
+	// leftAt maps each target that has left to the time when it said so.
+	leftAt map[string]time.Time
 }
 
 // soak runs one seed.
@@ -109,7 +111,7 @@
 // newDeployment starts the simulated platform, the targets and the nodes, and waits until
 // all nodes are ready.
 func newDeployment(t *testing.T, program, folder string, seed uint64) *deployment {
-	d := &deployment{t: t, random: rand.New(rand.NewPCG(seed, seed+1)), store: prepared.NewStore(), duties: prepared.NewDutyServer(), withdrawnKeys: make(map[string]time.Time)}
+	d := &deployment{t: t, random: rand.New(rand.NewPCG(seed, seed+1)), store: prepared.NewStore(), duties: prepared.NewDutyServer(), withdrawnKeys: make(map[string]time.Time), leftAt: make(map[string]time.Time)}
 	t.Cleanup(d.store.Close)
 	t.Cleanup(d.duties.Close)
 	for i := range 3 {
@@ -161,6 +163,8 @@
 	entry := old.Entry("model", "z0")
 	entry["State"] = "draining"
 	d.store.Write(platform.TargetsCollection, old.ID, entry)
+	old.SetHeader("Server-Leaving: 1\r\n")
+	d.leftAt[old.ID] = time.Now()
 	time.AfterFunc(3*time.Second, func() { d.store.Remove(platform.TargetsCollection, old.ID) })
 }
 
@@ -208,7 +212,7 @@
 	case 5:
 		d.configure()
 	case 6:
-		all := []prepared.Fault{prepared.RunAndReset, prepared.Truncated, prepared.WrongRequestID, prepared.ExtraResponse, prepared.RefuseNotRun, prepared.RunAndFail, prepared.RunAndHang, prepared.WrongInstance, prepared.RefuseUnmarked, prepared.EarlyResponse, prepared.BrokenStream, prepared.BrokenStream}
+		all := []prepared.Fault{prepared.RunAndReset, prepared.Truncated, prepared.WrongRequestID, prepared.ExtraResponse, prepared.RefuseNotRun, prepared.RefusePause, prepared.RunAndFail, prepared.RunAndHang, prepared.WrongInstance, prepared.RefuseUnmarked, prepared.EarlyResponse, prepared.BrokenStream, prepared.BrokenStream}
 		var next []prepared.Fault
 		for range 1 + d.random.IntN(4) {
 			next = append(next, all[d.random.IntN(len(all))])
@@ -276,6 +280,10 @@
 // receives no changes, up to 2.8 s.
 const maxWithdrawnKeyTime = 6 * time.Second
 
+// maxDrainTime is how long a target that leaves may get requests: the 2 s within which its leaving must
+// be known, and the longest fault, as for maxWithdrawnKeyTime.
+const maxDrainTime = 6 * time.Second
+
 // check verifies the attempts of the callers against what the targets executed.
 func (d *deployment) check() {
 	runs := make(map[string]int)
@@ -284,6 +292,9 @@
 			if a.Executed {
 				runs[a.Header.Get("X-Request-Id")]++
 			}
+			if left, ok := d.leftAt[s.ID]; ok && a.At.Sub(left) > maxDrainTime {
+				d.t.Errorf("target %s got %s %v after it had said that it leaves", s.ID, a.Header.Get("X-Request-Id"), a.At.Sub(left))
+			}
 			if a.Header.Get("X-Credential") != "" || a.Header.Get("X-Tenant") != "parents" {
 				d.t.Errorf("target %s received unexpected headers %v", s.ID, a.Header)
 			}
--- a/internal/standin/prepared/target.go
+++ b/internal/standin/prepared/target.go
@@ -19,6 +19,7 @@
 const (
 	NoFault        Fault = ""
 	RefuseNotRun   Fault = "shed"      // answers 503 and states that it did not execute the request
+	RefusePause    Fault = "pause"     // as RefuseNotRun, and wants no requests for a second
 	RefuseUnmarked Fault = "busy"      // answers 503 without that statement
 	RunAndFail     Fault = "fails"     // executes the request and answers 500
 	RunAndReset    Fault = "lost"      // executes it and resets the connection
@@ -36,6 +37,7 @@
 	Method, RequestURI, HostHeader string
 	Header                         http.Header
 	Body                           string
+	At                             time.Time
 	Executed                       bool // the target executed the request; false for a prefill stage
 }
 
@@ -214,9 +216,9 @@
 		return false
 	}
 	prefill := request.Header.Get("X-Stage") == "prefill"
-	ran := f != RefuseNotRun && f != WrongInstance && f != RefuseUnmarked && !prefill
+	ran := f != RefuseNotRun && f != RefusePause && f != WrongInstance && f != RefuseUnmarked && !prefill
 	t.mu.Lock()
-	t.arrivals = append(t.arrivals, Arrival{request.Method, request.RequestURI, request.Host, request.Header, string(body), ran})
+	t.arrivals = append(t.arrivals, Arrival{request.Method, request.RequestURI, request.Host, request.Header, string(body), time.Now(), ran})
 	t.mu.Unlock()
 	return t.respond(c, r, request, f, prefill)
 }
@@ -230,6 +232,8 @@
 	switch f {
 	case RefuseNotRun:
 		return t.reply(c, request, http.StatusServiceUnavailable, "X-Not-Executed: 1\r\n", "")
+	case RefusePause:
+		return t.reply(c, request, http.StatusServiceUnavailable, "X-Not-Executed: 1\r\nRetry-After: 1\r\n", "")
 	case WrongInstance:
 		return t.reply(c, request, http.StatusMisdirectedRequest, "X-Instance-Id: other\r\n", "")
 	case RefuseUnmarked:
