Outlive a store that comes back from an older copy

The store may lose its last seconds, give its revisions out again and say so by an era in its answers. Seen in tests on the code before: the roster stuck until revisions passed the old ones, a host that started then served a withdrawn key, usage was not reported any more. Change: each revision carries the era above the store's own number, in the adapter, so that all that compares revisions holds over a rewind; a watch or a listing that crosses one is discarded and an update conditioned on an earlier era counts as unknown. Targets known to leave or to have left stay out until they are started anew. A record of the duties counts only in the era of its fence; a fence is one above the revision at which the record was found; windows that may have been reported with counts that were lost are not reported. A host that has just started waits for a peer's configuration.

--- a/duty/elector.go
+++ b/duty/elector.go
@@ -23,6 +23,8 @@
 	// Windows holds the frozen counts of usage windows. The outer key is the window's
 	// number in decimal, the inner key an organisation, the value its requests.
 	Windows map[string]map[string]uint32 `json:"windows,omitempty"`
+	// DueFrom is the first window that may be reported unless Windows holds it; 0 for any.
+	DueFrom uint64 `json:"due_from,omitempty"`
 }
 
 // Peer is another host, as described by its newest digest.
--- /dev/null
+++ b/duty/record.go
@@ -0,0 +1,30 @@
+package duty
+
+import "zinniapin/store"
+
+// The record of the duties can be lost with the store's latest changes, when the store comes back from
+// an older copy: the record then names a holder of before, with a fence that was passed long ago, or
+// is missing. A conditional update that was prepared before can even replace a newer record, since
+// revisions are given out again. A fence is therefore above the revision of the record that the holder
+// found, which carries the era of the store and rises with each update within it: fences neither fall
+// nor repeat, and a record counts only in the era of its fence.
+
+// Outdated tells whether a record that the store showed at a revision was written in an earlier era, so
+// that it names no holder.
+func (r *Record) Outdated(revision uint64) bool { return store.EraOf(r.Fence) < store.EraOf(revision) }
+
+// Claim returns the record by which a process acquires the duties, or renews them, after it found the
+// record at a revision: with a fence above that revision, the fence of the record and the highest that
+// any host knows.
+//
+// If the record is outdated, windows that were reported may be missing in it. The holder of before may
+// have reported any window that ended by now, so only those from the given one on are due.
+func (r *Record) Claim(host string, incarnation, revision, knownFence, window uint64) Record {
+	next := *r
+	next.Holder, next.Incarnation = host, incarnation
+	next.Fence = max(r.Fence, knownFence, revision) + 1
+	if r.Outdated(revision) {
+		next.DueFrom = max(r.DueFrom, window)
+	}
+	return next
+}
--- a/event/node.go
+++ b/event/node.go
@@ -33,5 +33,8 @@
 	StreamOrigin       = define(7037, "stream_origin", zerolog.InfoLevel, "A caller takes up a stream that another host began while targets of several software versions serve; the line says how the version was found.", "none")
 	TargetLeaves       = define(7038, "target_leaves", zerolog.InfoLevel, "A target said in an answer that it leaves; this host sends it no further requests.", "none")
 	TargetPaused       = define(7039, "target_paused", zerolog.InfoLevel, "A target turned a request away and asked this host to leave it alone for some time.", "Look for an overload if many targets do.")
+	DutiesRenewed      = define(7040, "duties_renewed", zerolog.WarnLevel, "The store came back from an older copy; the holder of the duties wrote itself into the record again, with a higher fence.", "none")
+	CountsSkipped      = define(7041, "counts_skipped", zerolog.WarnLevel, "A usage window is not reported, since the record of what was reported was lost with the store's latest changes and a second report could differ.", "Compare the window with the platform's own figures.")
+	StoreRewound       = define(7042, "store_rewound", zerolog.WarnLevel, "The store came back from an older copy; the node lists its collections again.", "Check that the operator's latest configuration is in force.")
 	LinesDropped       = define(7035, "lines_dropped", zerolog.WarnLevel, "Log lines were dropped because the log output was too slow.", "none")
 )
--- a/internal/standin/prepared/store.go
+++ b/internal/standin/prepared/store.go
@@ -6,6 +6,7 @@
 import (
 	"encoding/json"
 	"io"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"sort"
@@ -47,6 +48,14 @@
 	answersToLose int                          // number of writes to carry out without an answer
 	calls         map[string]int               // by method and kind of object, separated by a blank
 	closing       chan struct{}
+	era           uint64 // in the answers' Store-Era header, unless it is 0
+	copy          storeCopy
+}
+
+// storeCopy is a copy of the store's contents.
+type storeCopy struct {
+	objects  map[string]map[string]Object
+	revision uint64
 }
 
 // NewStore starts a store on loopback and returns it.
@@ -99,6 +108,41 @@
 	s.wakeWatches()
 }
 
+// CountEras makes the store tell its era, which begins at 1.
+func (s *Store) CountEras() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era = 1
+}
+
+// TakeCopy takes a copy of the contents, to which Restore goes back.
+func (s *Store) TakeCopy() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.copy = storeCopy{cloneObjects(s.objects), s.revision}
+}
+
+// cloneObjects returns a copy of objects by kind and name.
+func cloneObjects(objects map[string]map[string]Object) map[string]map[string]Object {
+	clone := make(map[string]map[string]Object, len(objects))
+	for kind, all := range objects {
+		clone[kind] = maps.Clone(all)
+	}
+	return clone
+}
+
+// Restore makes the store come back from the latest copy: changes since are lost, revisions go back
+// and the era rises. Waiting watches are cut off.
+func (s *Store) Restore() {
+	s.mu.Lock()
+	s.objects, s.revision = cloneObjects(s.copy.objects), s.copy.revision
+	s.history, s.compactedTo = nil, s.revision
+	s.era++
+	s.wakeWatches()
+	s.mu.Unlock()
+	s.server.CloseClientConnections()
+}
+
 // Calls returns how many calls with an HTTP method there were for a kind of objects.
 func (s *Store) Calls(method, kind string) int {
 	s.mu.Lock()
@@ -164,8 +208,11 @@
 	kind, name, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/objects/"), "/")
 	s.mu.Lock()
 	s.calls[r.Method+" "+kind]++
-	down, silent := s.down, s.unresponsive
+	down, silent, era := s.down, s.unresponsive, s.era
 	s.mu.Unlock()
+	if era > 0 {
+		w.Header().Set("Store-Era", strconv.FormatUint(era, 10))
+	}
 	if silent {
 		s.holdUnanswered(r)
 		return
@@ -231,7 +278,7 @@
 	for {
 		events := []map[string]any{}
 		s.mu.Lock()
-		if after < s.compactedTo {
+		if after < s.compactedTo || after > s.revision {
 			s.mu.Unlock()
 			w.WriteHeader(http.StatusGone)
 			return
--- a/node/announce.go
+++ b/node/announce.go
@@ -28,8 +28,11 @@
 	delay := maxRetryDelay
 	for ctx.Err() == nil {
 		if n.shouldAnnounce(time.Now()) {
+			era := n.era.current()
 			if n.announceOnce(ctx) {
-				return
+				n.awaitLaterEra(ctx, era) // the store may have lost the record then
+				delay = maxRetryDelay
+				continue
 			}
 			delay = min(2*delay, 5*time.Second)
 			time.Sleep(delay/2 + time.Duration(rand.Int64N(int64(delay))))
@@ -39,6 +42,13 @@
 	}
 }
 
+// awaitLaterEra waits until the store has come back from an older copy, or the context ends.
+func (n *Node) awaitLaterEra(ctx context.Context, era uint64) {
+	for ctx.Err() == nil && n.era.current() == era {
+		time.Sleep(announceCheckInterval/2 + time.Duration(rand.Int64N(int64(announceCheckInterval))))
+	}
+}
+
 // shouldAnnounce reports whether this host publishes its address: each host of a small
 // fleet does, also one that has found no other, and the relays of a large one.
 func (n *Node) shouldAnnounce(now time.Time) bool {
--- a/node/duties.go
+++ b/node/duties.go
@@ -173,27 +173,15 @@
 // acquire reads the record and writes this process into it with the next fence.
 func (r *dutyRunner) acquire(ctx context.Context, now time.Time) {
 	_, knownFence := r.newestHolder()
-	member, err := r.node.platform.Objects.Get(ctx, dutiesCollection, dutiesName)
-	var record duty.Record
-	switch {
-	case errors.Is(err, store.ErrNotFound):
-		member = store.Member{}
-	case err != nil:
-		return // followCollection logs store outages
-	default:
-		if err := json.Unmarshal(member.Value, &record); err != nil {
-			event.DutiesFailed.Log(r.node.log).Err(err).Send()
-			return
-		}
+	record, revision, err := r.readRecord(ctx)
+	if err != nil {
+		return
 	}
-	if record.Fence > knownFence && record.Holder != "" && record.Holder != r.node.settings.Host {
+	if record.Fence > knownFence && record.Holder != "" && record.Holder != r.node.settings.Host && !record.Outdated(revision) {
 		r.observeHolder(record.Holder, record.Fence) // its digests have not arrived yet
 		return
 	}
-	record.Holder, record.Incarnation = r.node.settings.Host, r.node.self.Incarnation
-	record.Fence++
-	if r.writeRecord(ctx, record, member.Revision) {
-		r.hold.Acquire(time.Now())
+	if r.claim(ctx, record, revision) {
 		r.setHolding(true)
 		r.reportedWindows = make(map[metering.Window]bool)
 		r.pools = make(map[poolKey]*pool)
@@ -203,9 +191,43 @@
 	r.elector.MarkLost(now)
 }
 
-// writeRecord writes the record by a conditional update on its revision, 0 for a
-// new record, and returns whether it was written. When the answer is lost, it
-// reads the record back to find out.
+// readRecord reads the record. A missing one has a revision without a number within its era.
+func (r *dutyRunner) readRecord(ctx context.Context) (duty.Record, uint64, error) {
+	member, err := r.node.platform.Objects.Get(ctx, dutiesCollection, dutiesName)
+	if errors.Is(err, store.ErrNotFound) {
+		return duty.Record{}, store.RevisionIn(r.node.era.current(), 0), nil
+	}
+	if err != nil {
+		return duty.Record{}, 0, err // followCollection logs store outages
+	}
+	r.node.observeEra(member.Revision, "store")
+	var record duty.Record
+	if err := json.Unmarshal(member.Value, &record); err != nil {
+		event.DutiesFailed.Log(r.node.log).Err(err).Send()
+		return duty.Record{}, 0, err
+	}
+	return record, member.Revision, nil
+}
+
+// claim writes this process into the record, with the next fence.
+func (r *dutyRunner) claim(ctx context.Context, record duty.Record, revision uint64) bool {
+	_, knownFence := r.newestHolder()
+	at := r.node.clock.Now()
+	r.node.ledgerMu.Lock()
+	window := r.node.ledger.WindowAt(at)
+	r.node.ledgerMu.Unlock()
+	next := record.Claim(r.node.settings.Host, r.node.self.Incarnation, revision, knownFence, uint64(window))
+	if !r.writeRecord(ctx, next, revision) {
+		return false
+	}
+	r.hold.Acquire(time.Now())
+	return true
+}
+
+// writeRecord writes the record by a conditional update on its revision, without a number within its
+// era for a new record, and returns whether it was written. When the answer is lost, it
+// reads the record back to find out. A record that the store took in a later era than that of its fence
+// does not count.
 func (r *dutyRunner) writeRecord(ctx context.Context, record duty.Record, revision uint64) bool {
 	value, err := json.Marshal(record)
 	if err != nil {
@@ -214,7 +236,7 @@
 	}
 	var member store.Member
 	begun := time.Now()
-	if revision == 0 {
+	if store.WithinEra(revision) == 0 {
 		member, err = r.node.platform.Objects.Create(ctx, dutiesCollection, dutiesName, value)
 	} else {
 		member, err = r.node.platform.Objects.Replace(ctx, dutiesCollection, dutiesName, revision, value)
@@ -222,7 +244,11 @@
 	if errors.Is(err, store.ErrUnknown) {
 		member, err = r.readBack(ctx, record)
 	}
+	if err == nil && record.Outdated(member.Revision) {
+		err = errEraOver
+	}
 	if err != nil {
+		r.node.observeEra(member.Revision, "store")
 		event.DutiesFailed.Log(r.node.log).Uint64("fence", record.Fence).Err(err).Send()
 		return false
 	}
@@ -232,6 +258,9 @@
 	return true
 }
 
+// errEraOver means that the store came back from an older copy before it took the record.
+var errEraOver = errors.New("the store came back from an older copy")
+
 // readBack returns the stored record if it is the one that was written, and
 // store.ErrConflict otherwise.
 func (r *dutyRunner) readBack(ctx context.Context, written duty.Record) (store.Member, error) {
@@ -303,26 +332,43 @@
 // confirmHolding reads the record and returns whether it still names this
 // process. The time is that before the call.
 func (r *dutyRunner) confirmHolding(ctx context.Context, now time.Time) bool {
-	member, err := r.node.platform.Objects.Get(ctx, dutiesCollection, dutiesName)
+	found, revision, err := r.readRecord(ctx)
 	if err != nil {
 		return false
 	}
-	var found duty.Record
-	if err := json.Unmarshal(member.Value, &found); err != nil {
-		event.DutiesFailed.Log(r.node.log).Err(err).Send()
-		return false
+	if found.Outdated(revision) {
+		return r.renew(ctx, now, revision)
 	}
 	if found.Incarnation != r.record.Incarnation || found.Fence != r.record.Fence {
 		r.observeHolder(found.Holder, found.Fence)
 		r.stopHolding(now, "the record names another holder")
 		return false
 	}
-	r.record, r.revision = found, member.Revision
+	r.record, r.revision = found, revision
 	r.hold.Confirm(now)
+	r.setConfirmed()
+	return true
+}
+
+// setConfirmed notes that the record was read as requested.
+func (r *dutyRunner) setConfirmed() {
 	r.mu.Lock()
 	r.mustConfirm = false
 	r.mu.Unlock()
-	return true
+}
+
+// renew claims the duties again after the store came back from an older copy and lost this process's
+// hold, or that of a later holder: only the store's latest record decides among those who believe to
+// hold them. The counts of windows that this process has frozen are written again.
+func (r *dutyRunner) renew(ctx context.Context, now time.Time, revision uint64) bool {
+	former := r.record.Fence
+	if !r.claim(ctx, r.record, revision) {
+		r.stopHolding(now, "the store came back from an older copy")
+		return false
+	}
+	r.setConfirmed()
+	event.DutiesRenewed.Log(r.node.log).Uint64("former_fence", former).Uint64("fence", r.record.Fence).Uint64("due_from", r.record.DueFrom).Send()
+	return r.node.currentSettings().Bounds.FencesChecked // elsewhere calls wait, see Hold
 }
 
 // dutyHolder returns the holder and fence that this process's calls carry.
@@ -341,6 +387,11 @@
 		if r.reportedWindows[w] {
 			continue
 		}
+		if r.mayBeReported(w) {
+			r.reportedWindows[w] = true
+			event.CountsSkipped.Log(n.log).Uint64("window", uint64(w)).Uint64("due_from", r.record.DueFrom).Send()
+			continue
+		}
 		counts, ok := r.freezeWindow(ctx, w)
 		if !ok {
 			return
@@ -373,6 +424,13 @@
 	}
 }
 
+// mayBeReported tells whether a former holder may have reported a window with counts that were lost with
+// the store's latest changes.
+func (r *dutyRunner) mayBeReported(w metering.Window) bool {
+	_, frozen := r.record.Windows[strconv.FormatUint(uint64(w), 10)]
+	return !frozen && uint64(w) < r.record.DueFrom
+}
+
 // freezeWindow returns the counts of a window and stores them in the record, so
 // that a repeat by this or a later holder reports the same counts.
 func (r *dutyRunner) freezeWindow(ctx context.Context, w metering.Window) (map[string]uint32, bool) {
--- a/node/follow.go
+++ b/node/follow.go
@@ -153,6 +153,7 @@
 			return 0, err
 		}
 		f.health.recordSuccess(time.Now())
+		n.observeEra(changes.Revision, "store")
 		f.onChanges(changes)
 		return max(changes.Revision, revision), nil
 	}
@@ -161,6 +162,7 @@
 		return 0, err
 	}
 	outage := f.health.recordSuccess(time.Now())
+	n.observeEra(listing.Revision, "store")
 	if outage.duration > 0 {
 		event.StoreBack.Log(n.log).Str("collection", f.name).Uint64("revision", listing.Revision).Float64("seconds", outage.duration.Seconds()).Bool("own", outage.local).Send()
 	}
@@ -262,7 +264,7 @@
 	if err != nil {
 		t.ID = targetID(change.Member.Name)
 	}
-	n.roster.ApplyChange(roster.Entry{Target: t, Revision: change.Member.Revision}, change.Deleted || err != nil)
+	n.roster.ApplyChange(time.Now(), roster.Entry{Target: t, Revision: change.Member.Revision}, change.Deleted || err != nil)
 }
 
 // applyTargetList applies a complete list of targets to the roster and passes
--- a/node/gossip.go
+++ b/node/gossip.go
@@ -43,6 +43,8 @@
 	// newestConfiguration and newestTargets are the highest configuration version
 	// and targets revision that any peer has announced.
 	newestConfiguration, newestTargets uint64
+	// digestHeard is set once a peer's digest named a configuration.
+	digestHeard bool
 }
 
 const (
@@ -332,6 +334,7 @@
 		n.ledger.Merge(metering.Process{Host: d.Host, Incarnation: d.Incarnation}, metering.Window(w.Window), counts)
 	}
 	n.ledgerMu.Unlock()
+	n.observeEra(d.TargetsChanged, d.Host)
 	n.duties.observeHolder(d.DutyHost, d.DutyFence)
 	n.requestSnapshotIfBehind(now, d)
 }
@@ -354,6 +357,7 @@
 	peerAhead := d.ConfigurationVersion > version || d.TargetsChanged > revision
 	g := &n.gossip
 	g.mu.Lock()
+	g.digestHeard = g.digestHeard || d.ConfigurationVersion > 0
 	if !peerAhead {
 		if version >= g.newestConfiguration && revision >= g.newestTargets {
 			g.behindSince = time.Time{}
@@ -369,7 +373,7 @@
 	g.mu.Unlock()
 	watchesStore := n.shouldWatchStore()
 	g.mu.Lock()
-	mayRequest := !synced || version == 0 || waited >= snapshotDelay && watchesStore || now.Sub(g.snapshotRequestedAt) >= minWatchInterval && !watchesStore
+	mayRequest := !synced || version == 0 || version < d.ConfigurationVersion && !n.hasCaughtUp.Load() || waited >= snapshotDelay && watchesStore || now.Sub(g.snapshotRequestedAt) >= minWatchInterval && !watchesStore
 	if mayRequest {
 		g.snapshotRequestedAt = now
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -97,7 +97,10 @@
 	gossip   gossip
 	duties   *dutyRunner
 	streams  *streamVersions
-	registry *prometheus.Registry
+	era      storeEra
+	// hasCaughtUp is set once the configuration was found to be as new as that of peers.
+	hasCaughtUp atomic.Bool
+	registry    *prometheus.Registry
 }
 
 // memoryLimitShare is the share of the allowed memory that is set as the soft
@@ -157,8 +160,8 @@
 	synced := n.roster.HasSynced()
 	v.Revision = n.roster.Revision()
 	n.rosterMu.Unlock()
-	if synced {
-		v.Table = n.table.Load()
+	if table := n.table.Load(); synced && table != nil && n.caughtUp(table.Version()) {
+		v.Table = table
 	}
 	return v
 }
@@ -190,7 +193,7 @@
 // forgetMisdirected removes a target at whose address another target answers.
 func (n *Node) forgetMisdirected(id target.ID) {
 	n.rosterMu.Lock()
-	n.roster.Forget(id)
+	n.roster.Forget(time.Now(), id)
 	n.rosterMu.Unlock()
 	n.publishTargets()
 }
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -7,6 +7,7 @@
 	"sort"
 	"time"
 
+	"zinniapin/store"
 	"zinniapin/target"
 	"zinniapin/zone"
 )
@@ -56,13 +57,28 @@
 	// changed is the revision of the last change of the set.
 	changed uint64
 	synced  bool
+	// copiedUpTo is the revision of the first list after the store came back from an older copy; what
+	// it holds up to there may be from the copy.
+	copiedUpTo uint64
+	// left are the targets whose entries were removed lately, so that a store that comes back from
+	// an older copy does not bring them back.
+	left map[target.ID]departure
 	// version counts the changes of the set in this process.
 	version uint64
 }
 
+// departure is which incarnation of a target left, and when it is forgotten.
+type departure struct {
+	startedMillis int64
+	until         time.Time
+}
+
+// departureTTL is how long a target that left is remembered. A copy of the store is some seconds old.
+const departureTTL = time.Minute
+
 // New returns an empty roster.
 func New() *Roster {
-	return &Roster{targets: make(map[target.ID]Entry), missing: make(map[target.ID]time.Time)}
+	return &Roster{targets: make(map[target.ID]Entry), missing: make(map[target.ID]time.Time), left: make(map[target.ID]departure)}
 }
 
 // HasSynced reports whether a list has been applied.
@@ -85,6 +101,10 @@
 	if r.synced && revision < r.revision {
 		return false
 	}
+	if r.synced && store.EraOf(revision) > store.EraOf(r.revision) {
+		r.copiedUpTo = revision
+		afterOutage = true // targets that the copy lacks write their entries again
+	}
 	listed := make(map[target.ID]bool, len(entries))
 	for _, e := range entries {
 		listed[e.Target.ID] = true
@@ -94,28 +114,43 @@
 		if listed[id] {
 			continue
 		}
-		if afterOutage && !e.Target.Draining {
-			if _, noted := r.missing[id]; !noted {
-				r.missing[id] = now.Add(ReappearTimeout)
-			}
-			continue
+		_, awaited := r.missing[id]
+		if afterOutage && !awaited && !e.Target.Draining {
+			r.missing[id] = now.Add(ReappearTimeout)
+			awaited = true
+		}
+		if awaited {
+			continue // Expire removes it in time
 		}
-		r.remove(id, revision)
+		r.remove(now, id, revision)
 	}
 	r.revision, r.synced = revision, true
 	return true
 }
 
+// takenBack tells whether an entry says that a target which left, or which is draining, serves again
+// without having been started anew. A store that came back from an older copy lists such entries.
+func (r *Roster) takenBack(e Entry) (left, draining bool) {
+	if e.Revision > r.copiedUpTo {
+		return false, false
+	}
+	if d, ok := r.left[e.Target.ID]; ok && d.startedMillis == e.Target.StartedMillis {
+		return true, false
+	}
+	known, ok := r.targets[e.Target.ID]
+	return false, ok && known.Target.Draining && !e.Target.Draining && known.Target.StartedMillis == e.Target.StartedMillis
+}
+
 // ApplyChange applies one change of an entry: its new state, or its deletion. A
 // change older than the entry held is ignored.
-func (r *Roster) ApplyChange(e Entry, deleted bool) {
+func (r *Roster) ApplyChange(now time.Time, e Entry, deleted bool) {
 	if e.Revision <= r.revision && e.Revision != 0 && r.synced {
 		if current, ok := r.targets[e.Target.ID]; ok && current.Revision >= e.Revision {
 			return
 		}
 	}
 	if deleted {
-		r.remove(e.Target.ID, e.Revision)
+		r.remove(now, e.Target.ID, e.Revision)
 		return
 	}
 	r.put(e)
@@ -128,7 +163,15 @@
 
 // put adds or replaces an entry, unless the one held is newer.
 func (r *Roster) put(e Entry) {
+	left, draining := r.takenBack(e)
+	if left {
+		return
+	}
+	if draining {
+		e.Target.Draining = true
+	}
 	delete(r.missing, e.Target.ID)
+	delete(r.left, e.Target.ID)
 	current, ok := r.targets[e.Target.ID]
 	if ok && current.Revision > e.Revision {
 		return
@@ -141,12 +184,14 @@
 }
 
 // remove removes a target from the set, as of a revision, if the set contains it.
-func (r *Roster) remove(id target.ID, revision uint64) {
+func (r *Roster) remove(now time.Time, id target.ID, revision uint64) {
 	delete(r.missing, id)
-	if _, ok := r.targets[id]; !ok {
+	e, ok := r.targets[id]
+	if !ok {
 		return
 	}
 	delete(r.targets, id)
+	r.left[id] = departure{e.Target.StartedMillis, now.Add(departureTTL)}
 	r.version++
 	r.changed = max(r.changed, revision)
 }
@@ -161,15 +206,20 @@
 		}
 	}
 	for _, id := range expired {
-		r.remove(id, r.revision)
+		r.remove(now, id, r.revision)
+	}
+	for id, d := range r.left {
+		if !now.Before(d.until) {
+			delete(r.left, id)
+		}
 	}
 	return expired
 }
 
 // Forget removes a target that was found to have ended, for example because another
 // target answers at its address. A later change of its entry adds it again.
-func (r *Roster) Forget(id target.ID) {
-	r.remove(id, r.changed)
+func (r *Roster) Forget(now time.Time, id target.ID) {
+	r.remove(now, id, r.changed)
 }
 
 // Targets returns all targets, ordered by id.
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -10,6 +10,7 @@
 
 	_ "zinniapin/internal/fixedseed"
 	"zinniapin/roster"
+	"zinniapin/store"
 	"zinniapin/target"
 )
 
@@ -45,8 +46,8 @@
 	is := is.New(t)
 	r := roster.New()
 	r.ApplyList(start, []roster.Entry{entry("a", 5, false)}, 5, false)
-	r.ApplyChange(entry("a", 7, true), false)
-	r.ApplyChange(entry("a", 6, false), false)
+	r.ApplyChange(start, entry("a", 7, true), false)
+	r.ApplyChange(start, entry("a", 6, false), false)
 	is.Equal(targetIDs(r), "a!")
 }
 
@@ -68,7 +69,7 @@
 	r.ApplyList(start, []roster.Entry{entry("a", 5, false), entry("b", 5, false), entry("c", 5, true)}, 5, false)
 	r.ApplyList(start, nil, 9, true)
 	is.Equal(targetIDs(r), "ab") // the draining target is removed at once
-	r.ApplyChange(entry("a", 12, false), false)
+	r.ApplyChange(start, entry("a", 12, false), false)
 	is.Equal(len(r.Expire(start.Add(time.Second))), 0)
 	is.Equal(len(r.Expire(start.Add(2*time.Second))), 1)
 	is.Equal(targetIDs(r), "a")
@@ -80,7 +81,7 @@
 	r := roster.New()
 	r.ApplyList(start, []roster.Entry{entry("a", 5, false)}, 5, false)
 	r.ApplyList(start, nil, 9, true)
-	r.ApplyChange(entry("a", 11, false), true)
+	r.ApplyChange(start, entry("a", 11, false), true)
 	is.Equal(targetIDs(r), "")
 }
 
@@ -88,9 +89,9 @@
 	is := is.New(t)
 	r := roster.New()
 	r.ApplyList(start, []roster.Entry{entry("a", 5, false)}, 5, false)
-	r.Forget("a")
+	r.Forget(start, "a")
 	is.Equal(targetIDs(r), "")
-	r.ApplyChange(entry("a", 6, false), false)
+	r.ApplyChange(start, entry("a", 6, false), false)
 	is.Equal(targetIDs(r), "a")
 }
 
@@ -130,7 +131,7 @@
 			case 2:
 				for _, c := range history {
 					if c.entry.Revision > seen {
-						r.ApplyChange(c.entry, c.ended)
+						r.ApplyChange(start, c.entry, c.ended)
 					}
 				}
 				r.AdvanceRevision(revision)
@@ -151,3 +152,32 @@
 		}
 	})
 }
+
+// bornEntry returns the entry of an incarnation of a target in an era of the store.
+func bornEntry(id string, era, revision uint64, draining bool, millis int64) roster.Entry {
+	e := entry(id, store.RevisionIn(era, revision), draining)
+	e.Target.StartedMillis = millis
+	return e
+}
+
+// The store comes back from an older copy and gives its revisions out again. The roster follows the new
+// era; what the copy takes back stays as it was acknowledged until the target is started anew.
+func TestRosterFollowsAStoreThatComesBackFromACopy(t *testing.T) {
+	is := is.New(t)
+	r := roster.New()
+	at := store.RevisionIn
+	r.ApplyList(start, []roster.Entry{bornEntry("left", 1, 5, false, 1), bornEntry("draining", 1, 6, false, 1), bornEntry("stays", 1, 7, false, 1), bornEntry("newer", 1, 9, false, 1)}, at(1, 9), false)
+	r.ApplyChange(start, bornEntry("left", 1, 10, false, 1), true)
+	r.ApplyChange(start, bornEntry("draining", 1, 11, true, 1), false)
+	copied := []roster.Entry{bornEntry("left", 2, 5, false, 1), bornEntry("draining", 2, 6, false, 1), bornEntry("stays", 2, 7, false, 1)}
+	for range 2 { // it is listed again in the same era
+		is.True(r.ApplyList(start, copied, at(2, 7), false))
+		is.Equal(targetIDs(r), "draining!newerstays")
+	}
+	is.True(!r.ApplyList(start, nil, at(1, 20), false)) // a late answer of the era before
+	is.Equal(len(r.Expire(start.Add(roster.ReappearTimeout))), 1)
+	is.Equal(targetIDs(r), "draining!stays")
+	r.ApplyChange(start, bornEntry("left", 2, 8, false, 2), false)
+	r.ApplyChange(start, bornEntry("draining", 2, 9, false, 2), false)
+	is.Equal(targetIDs(r), "drainingleftstays")
+}
--- a/store/collections.go
+++ b/store/collections.go
@@ -13,7 +13,8 @@
 // Member is an object of a collection.
 type Member struct {
 	Name string
-	// Revision is the store's revision at the object's last change.
+	// Revision is the store's revision at the object's last change, with the era of the answer that
+	// brought it (see EraOf).
 	Revision uint64
 	// WriterStartedMillis is when the process that wrote the object started, in
 	// milliseconds of Unix time; 0 if the object does not contain it.
@@ -46,13 +47,15 @@
 	// List returns all members of a collection.
 	List(ctx context.Context, collection string) (Listing, error)
 	// Watch waits for changes after a revision, at most for the given time. If there
-	// are none in that time, it returns no changes and no error.
+	// are none in that time, it returns no changes and no error. If the era of the revision is over,
+	// it returns ErrCompacted.
 	Watch(ctx context.Context, collection string, after uint64, wait time.Duration) (Changes, error)
 	// Get returns one member, or ErrNotFound.
 	Get(ctx context.Context, collection, name string) (Member, error)
 	// Create adds a member and returns it, or ErrConflict when it exists.
 	Create(ctx context.Context, collection, name string, value []byte) (Member, error)
 	// Replace writes a member if its revision is still the given one and returns it,
-	// or ErrConflict.
+	// or ErrConflict. If the era of the revision is over, it returns ErrUnknown: the store may have
+	// given out the revision again.
 	Replace(ctx context.Context, collection, name string, revision uint64, value []byte) (Member, error)
 }
