Bound heads of answers, refusals and events without end; answer HTTP/1.0 callers without chunks

A target in trouble may send a head, informational answers, an event or the body of a refusal without end. Heads were read without a bound until the deadline, events up to 1 MiB twice over, and a request waited for the body of a refusal instead of going on elsewhere. A caller of HTTP/1.0 got chunks. Change: 64 KiB for the heads of an answer, 128 KiB for an event, 50 ms for the rest of a refusal; to a caller of HTTP/1.0 a body of unknown length ends with the connection, and by a reset if it broke off.

--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -109,15 +109,15 @@
 	r.h.Metrics.failedAttempts.WithLabelValues(t.Service, how).Inc()
 }
 
-// maxDrainBytes bounds the bytes that are read from a refusal so that its connection can be
-// reused.
-const maxDrainBytes = 16 << 10
+const (
+	// maxDrainBytes and maxDrainTime bound what is read of a refusal so that its connection can be
+	// reused. The request goes on elsewhere only after that.
+	maxDrainBytes = 16 << 10
+	maxDrainTime  = 50 * time.Millisecond
+)
 
 // drain reads and closes a short response, so that its connection can be reused.
-func drain(response *upstream.Response) {
-	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxDrainBytes)) // Close closes the connection if this fails
-	response.Close()
-}
+func drain(response *upstream.Response) { response.Discard(maxDrainBytes, maxDrainTime) }
 
 // plannerOutcome returns the outcome that the planner records for the target of an attempt.
 func plannerOutcome(f attemptResult) dispatch.Outcome {
--- a/forward/generate.go
+++ b/forward/generate.go
@@ -234,7 +234,7 @@
 var (
 	errCallerWrite   = errors.New("writing to the caller failed")
 	errEventGap      = errors.New("the first event of the resumed stream does not follow the last event sent to the caller")
-	errEventTooLarge = errors.New("an event of the stream exceeds 1 MiB")
+	errEventTooLarge = errors.New("an event of the stream exceeds 128 KiB")
 	errInsideEvent   = errors.New("the stream ended inside an event")
 	errEmptyStream   = errors.New("the stream ended with its connection before its first event")
 )
--- a/forward/sse.go
+++ b/forward/sse.go
@@ -13,8 +13,9 @@
 	count   int    // complete events with an id
 }
 
-// maxEventBytes bounds the bytes kept of an incomplete event.
-const maxEventBytes = 1 << 20
+// maxEventBytes bounds the bytes kept of an incomplete event. An event holds a few tokens; a target that
+// never ends one would otherwise fill the memory.
+const maxEventBytes = 128 << 10
 
 // add appends bytes of the stream and returns those of complete events.
 func (e *eventSplitter) add(p []byte) []byte {
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -206,7 +206,7 @@
 		Method: parsed.Method, Target: parsed.RequestURI, Path: parsed.URL.EscapedPath(), Host: parsed.Host,
 		Header: parsed.Header, Arrived: time.Now(), ConnReused: reused,
 	}
-	w := &Writer{conn: c, method: r.Method, close: parsed.Close || parsed.ProtoMinor == 0, server: c.server}
+	w := &Writer{conn: c, method: r.Method, close: parsed.Close || parsed.ProtoMinor == 0, noChunks: parsed.ProtoMinor == 0, server: c.server}
 	body, status := c.readBody(parsed, limits)
 	if status != 0 {
 		if status > 0 {
@@ -290,14 +290,16 @@
 
 // Writer writes one response.
 type Writer struct {
-	conn      *conn
-	server    *Server
-	method    string
-	close     bool // the connection is closed after this response
-	started   bool
-	aborted   bool
-	chunked   bool
-	remaining int64 // bytes of the body still to be written, if its length is known
+	conn       *conn
+	server     *Server
+	method     string
+	close      bool // the connection is closed after this response
+	started    bool
+	aborted    bool
+	noChunks   bool // the caller speaks HTTP/1.0
+	untilClose bool // the body ends with the connection
+	chunked    bool
+	remaining  int64 // bytes of the body still to be written, if its length is known
 }
 
 // Started tells whether Start was called.
@@ -334,6 +336,8 @@
 	switch {
 	case bodyless:
 		w.remaining = 0
+	case length < 0 && w.noChunks:
+		w.untilClose = true
 	case length < 0:
 		w.chunked = true
 		buffer = append(buffer, "Transfer-Encoding: chunked\r\n"...)
@@ -352,6 +356,9 @@
 	if len(p) == 0 {
 		return 0, nil
 	}
+	if w.untilClose {
+		return len(p), w.write(p)
+	}
 	if !w.chunked {
 		if int64(len(p)) > w.remaining {
 			p = p[:w.remaining]
@@ -401,5 +408,5 @@
 	if w.chunked {
 		return w.write([]byte("0\r\n\r\n")) == nil
 	}
-	return w.remaining == 0
+	return w.untilClose || w.remaining == 0
 }
--- a/internal/oncehttp/client.go
+++ b/internal/oncehttp/client.go
@@ -15,6 +15,9 @@
 // idleTimeout is how long an idle connection is kept open.
 const idleTimeout = 90 * time.Second
 
+// maxHeadBytes bounds the head of a response.
+const maxHeadBytes = 64 << 10
+
 // Client sends HTTP requests. It is safe for concurrent use.
 type Client struct {
 	transport *http.Transport
@@ -23,10 +26,11 @@
 // New returns a client that keeps up to idle connections open to each address.
 func New(dialTimeout time.Duration, idle int) *Client {
 	return &Client{transport: &http.Transport{
-		DialContext:         dialCounting(&net.Dialer{Timeout: dialTimeout}),
-		MaxIdleConnsPerHost: idle,
-		IdleConnTimeout:     idleTimeout,
-		DisableCompression:  true,
+		DialContext:            dialCounting(&net.Dialer{Timeout: dialTimeout}),
+		MaxIdleConnsPerHost:    idle,
+		IdleConnTimeout:        idleTimeout,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}}
 }
 
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -26,6 +26,9 @@
 	// ErrNoResponse means that the request was written, completely or in part, and that no response
 	// came.
 	ErrNoResponse = errors.New("upstream: no response to the request")
+	// ErrHeadTooLarge is the cause of ErrNoResponse when a target sends a head that is too large, or
+	// too many informational ones.
+	ErrHeadTooLarge = errors.New("upstream: the head of the response exceeds 64 KiB")
 )
 
 const (
@@ -36,6 +39,8 @@
 	// request takes, so that the kernel does not drop the connection before reset does: a reset
 	// discards the unsent bytes of the request and tells the target, a drop by the kernel does not.
 	tcpUserTimeout = 30 * time.Second
+	// maxHeadBytes bounds the heads of a response, informational ones included.
+	maxHeadBytes = 64 << 10
 	// readBufferBytes is the size of the read buffer of a connection.
 	readBufferBytes = 8 << 10
 	// maxInlineBytes is the largest body that is written before the response is read. A larger body
@@ -78,6 +83,7 @@
 // connection is one connection to a target.
 type connection struct {
 	net         net.Conn
+	limiter     *headLimiter // under reader
 	reader      *bufio.Reader
 	address     string
 	idleSince   time.Time // when it became idle
@@ -93,7 +99,33 @@
 		return nil, errors.Join(ErrNotSent, err)
 	}
 	p.Opened.Add(1)
-	return &connection{net: c, reader: bufio.NewReaderSize(c, readBufferBytes), address: address, idleTimeout: defaultIdleTimeout}, nil
+	return newConnection(c, address), nil
+}
+
+// newConnection returns a connection over c to the target at an address.
+func newConnection(c net.Conn, address string) *connection {
+	limiter := &headLimiter{conn: c, left: -1}
+	return &connection{net: c, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes), address: address, idleTimeout: defaultIdleTimeout}
+}
+
+// headLimiter reads from a connection, at most left bytes unless that is negative. A head that never
+// ends would otherwise fill the memory.
+type headLimiter struct {
+	conn net.Conn
+	left int
+}
+
+// Read implements io.Reader.
+func (l *headLimiter) Read(p []byte) (int, error) {
+	if l.left < 0 {
+		return l.conn.Read(p)
+	}
+	if l.left == 0 {
+		return 0, ErrHeadTooLarge
+	}
+	n, err := l.conn.Read(p[:min(len(p), l.left)])
+	l.left -= n
+	return n, err
 }
 
 // reset resets a connection with a request in progress. An ordinary close would still deliver the
@@ -259,7 +291,9 @@
 			written <- err
 		}()
 	}
+	c.limiter.left = maxHeadBytes
 	parsed, err := readHead(c.reader, r.Method)
+	c.limiter.left = -1
 	if err != nil {
 		return fail(ErrNoResponse, err)
 	}
@@ -349,6 +383,14 @@
 	r.pool.put(r.conn)
 }
 
+// Discard reads the rest of a short body, so that the connection can be reused, and closes the response.
+// It gives up a body that is longer than limit or takes longer than the given time.
+func (r *Response) Discard(limit int64, within time.Duration) {
+	_ = r.conn.net.SetReadDeadline(time.Now().Add(within))
+	_, _ = io.Copy(io.Discard, io.LimitReader(r.Body, limit)) // Close resets the connection if this fails
+	r.Close()
+}
+
 // reusable tells whether the connection can carry another request: the target keeps it open, the
 // request was written completely and no unread bytes are left.
 func (r *Response) reusable() bool {
