--- a/internal/nodesoak/soak_test.go
+++ b/internal/nodesoak/soak_test.go
@@ -22,6 +22,7 @@
 var (
 	seedFlag    = flag.Uint64("nodesoak.seed", 0, "run this seed alone")
 	secondsFlag = flag.Int("nodesoak.seconds", 8, "seconds of faults in a run")
+	keepFlag    = flag.Bool("nodesoak.keep", false, "keep the logs of a run that passes too")
 	nodesFlag   = flag.Int("nodesoak.nodes", 4, "node processes")
 )
 
@@ -62,6 +63,8 @@
 	// withdrawnKeys maps each API key that is not in the current configuration to the time
 	// when the configuration without it was written.
 	withdrawnKeys map[string]time.Time
+	configuration json.RawMessage
+	copiedAt      time.Time // of the store's latest copy
 	// leftAt maps each target that has left to the time when it said so.
 	leftAt map[string]time.Time
 }
@@ -95,9 +98,9 @@
 	d.check()
 }
 
-// keepLogs copies the logs of a failed run to the folder for temporary files.
+// keepLogs copies the logs of a failed run, or of any if that is asked for, to the folder for temporary files.
 func keepLogs(t *testing.T, folder string, seed uint64) {
-	if !t.Failed() {
+	if !t.Failed() && !*keepFlag {
 		return
 	}
 	keep := filepath.Join(os.TempDir(), fmt.Sprintf("nodesoak-%d-%d", seed, time.Now().Unix()))
@@ -114,6 +117,7 @@
 	d := &deployment{t: t, random: rand.New(rand.NewPCG(seed, seed+1)), store: prepared.NewStore(), duties: prepared.NewDutyServer(), withdrawnKeys: make(map[string]time.Time), leftAt: make(map[string]time.Time)}
 	t.Cleanup(d.store.Close)
 	t.Cleanup(d.duties.Close)
+	d.store.CountEras()
 	for i := range 3 {
 		s := prepared.NewTarget(fmt.Sprint("i-", i))
 		s.Echo = true
@@ -165,21 +169,55 @@
 	d.store.Write(platform.TargetsCollection, old.ID, entry)
 	old.SetHeader("Server-Leaving: 1\r\n")
 	d.leftAt[old.ID] = time.Now()
-	time.AfterFunc(3*time.Second, func() { d.store.Remove(platform.TargetsCollection, old.ID) })
+	time.AfterFunc(drainTime, func() { d.store.Remove(platform.TargetsCollection, old.ID) })
+}
+
+// drainTime is how long the entry of a target that leaves stays in the store.
+const drainTime = 3 * time.Second
+
+// maxCopyAge is the age up to which the store comes back from its latest copy.
+const maxCopyAge = 6 * time.Second
+
+// rewind lets the store come back from its latest copy. The operator and the targets write again what
+// they wrote, and the entries of targets that have left expire.
+func (d *deployment) rewind() {
+	if d.copiedAt.IsZero() || time.Since(d.copiedAt) > maxCopyAge {
+		return
+	}
+	d.store.Restore()
+	time.Sleep(time.Duration(d.random.IntN(400)) * time.Millisecond)
+	d.store.Write(platform.ConfigurationsCollection, platform.ConfigurationName, d.configuration)
+	for _, s := range d.targets {
+		service := "model"
+		if s.Stage == "" {
+			service = "desk"
+		}
+		entry := s.Entry(service, "z0")
+		left, leaves := d.leftAt[s.ID]
+		switch {
+		case leaves && time.Since(left) > drainTime:
+			d.store.Remove(platform.TargetsCollection, s.ID)
+			continue
+		case leaves:
+			entry["State"] = "draining"
+		}
+		d.store.Write(platform.TargetsCollection, s.ID, entry)
+	}
 }
 
 // configure writes a new configuration whose API key replaces the previous one.
 func (d *deployment) configure() {
 	d.version += 1 + d.random.IntN(3)
 	key := fmt.Sprint("key-", d.version)
-	d.store.Write(platform.ConfigurationsCollection, platform.ConfigurationName, json.RawMessage(fmt.Sprintf(`{"Version":%d,"Routes":[
+	d.configuration = json.RawMessage(fmt.Sprintf(`{"Version":%d,"Routes":[
 	{"Name":"read","Host":"shop.example","PathPrefix":"/read/","Kind":"idempotent","TimeoutMs":3000,"TargetLatencyMs":150,"Service":"desk","MaxAttempts":2},
 	{"Name":"take","Host":"shop.example","PathPrefix":"/take/","Kind":"non_idempotent","TimeoutMs":3000,"TargetLatencyMs":150,"Service":"desk","MaxAttempts":2},
 	{"Name":"draft","Host":"shop.example","PathPrefix":"/draft/","Kind":"stream","TimeoutMs":3000,"TargetLatencyMs":500,"TargetGapMs":300,"Resumable":true,"Service":"model","MaxAttempts":2},
 	{"Name":"reply","Host":"shop.example","PathPrefix":"/reply/","Kind":"stream","TimeoutMs":3000,"TargetLatencyMs":500,"TargetGapMs":300,"Resumable":true,"Service":"model","MaxAttempts":1}],
 	"Services":[{"Name":"desk"},{"Name":"model","Engine":{"Slots":64,"KvCapacityTokens":500000,"KvTokenBytes":1000,"LinkMbps":100000,"Stride":10,"KvHoldS":5}}],
 	"Limits":{"MaxHeaderBytes":8192,"MaxBodyBytes":100000,"HeaderTimeoutMs":3000,"IdleTimeoutMs":5000},
-	"Tenants":[{"Name":"parents","ApiKeys":["%s"]}]}`, d.version, key)))
+	"Tenants":[{"Name":"parents","ApiKeys":["%s"]}]}`, d.version, key))
+	d.store.Write(platform.ConfigurationsCollection, platform.ConfigurationName, d.configuration)
 	if old, ok := d.key.Load().(string); ok {
 		d.withdrawnKeys[old] = time.Now()
 	}
@@ -193,7 +231,11 @@
 	duration := time.Duration(300+d.random.IntN(2500)) * time.Millisecond
 	d.t.Helper()
 	var err error
-	switch d.random.IntN(12) {
+	if d.random.IntN(4) == 0 {
+		d.store.TakeCopy()
+		d.copiedAt = time.Now()
+	}
+	switch d.random.IntN(13) {
 	case 0:
 		err = node.signal(syscall.SIGKILL)
 		time.AfterFunc(duration/3, func() { _ = node.start() })
@@ -230,6 +272,8 @@
 		}
 	case 11:
 		d.release()
+	case 12:
+		d.rewind()
 	}
 	if err != nil {
 		d.t.Errorf("cannot inject a fault: %v", err)
--- a/node/duties.go
+++ b/node/duties.go
@@ -185,7 +185,7 @@
 		r.setHolding(true)
 		r.reportedWindows = make(map[metering.Window]bool)
 		r.pools = make(map[poolKey]*pool)
-		event.DutiesTaken.Log(r.node.log).Uint64("fence", record.Fence).Uint64("revision", r.revision).Send()
+		event.DutiesTaken.Log(r.node.log).Uint64("fence", r.record.Fence).Uint64("revision", r.revision).Send()
 		return
 	}
 	r.elector.MarkLost(now)
