Say that a caller left in the middle of a stream; read streams whole in tests of nodes

TestTrailOfAStreamThatEndsInsideAnEvent failed once beside other runs. The trace showed a wrong reason in the log: a stream whose caller left was logged as stream_cut. It is caller_left now (TestTrailOfACallerThatLeaves fails without it).

--- a/forward/handler.go
+++ b/forward/handler.go
@@ -299,12 +299,12 @@
 // whether the request may have run and from why its context ended.
 func (r *request) fail(ctx context.Context) {
 	switch {
-	case r.out.Started():
-		r.summary.code = result.StreamCut
-		r.out.Abort()
 	case errors.Is(ctx.Err(), context.Canceled):
 		r.summary.code = result.CallerLeft
 		r.out.Abort()
+	case r.out.Started():
+		r.summary.code = result.StreamCut
+		r.out.Abort()
 	case r.execution != result.NotRun && ctx.Err() != nil:
 		r.refuse(result.OutOfTime, 0)
 	case r.execution != result.NotRun:
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -180,7 +180,8 @@
 	if err != nil {
 		return 0
 	}
-	defer response.Body.Close() //nolint:errcheck // a test
+	defer response.Body.Close()               //nolint:errcheck // a test
+	_, _ = io.Copy(io.Discard, response.Body) // the caller would leave in the middle of a stream otherwise
 	return response.StatusCode
 }
 
--- a/node/request_timeline_test.go
+++ b/node/request_timeline_test.go
@@ -1,6 +1,8 @@
 package node_test
 
 import (
+	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -43,8 +45,14 @@
 // contains all of the texts.
 func expectLogged(t *testing.T, request, event string, n *testNode, texts ...string) {
 	t.Helper()
+	line := ""
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Logf("last %s of %s: %q", event, request, line)
+		}
+	})
 	eventually(t, 2*time.Second, event+" of "+request, func() bool {
-		line := firstEntry(requestTimeline(t, request, n), event)
+		line = firstEntry(requestTimeline(t, request, n), event)
 		for _, text := range texts {
 			if !strings.Contains(line, text) {
 				return false
@@ -100,6 +108,27 @@
 	expectLogged(t, "half", "request_done", n, "framing=close", "partial_event_bytes=5")
 }
 
+// A caller leaves in the middle of a stream. The timeline of the request's id says so, and does not show
+// the stream as broken off by the system.
+func TestTrailOfACallerThatLeaves(t *testing.T) {
+	is := is.New(t)
+	cluster := newTestCluster(t)
+	engine := prepared.NewTarget("e-1")
+	t.Cleanup(engine.Close)
+	engine.Stage, engine.Events, engine.EventPause = "decode", 100, 20*time.Millisecond
+	cluster.store.Write(platform.TargetsCollection, "e-1", engine.Entry("model", "a"))
+	n := cluster.startNode("h1")
+	eventually(t, 3*time.Second, "ready", n.ready)
+	c, err := net.Dial("tcp", n.settings.Listen)
+	is.NoErr(err)
+	_, err = io.WriteString(c, "GET /draft/a HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: left\r\nX-Credential: key-1\r\nX-Deadline-Ms: 4000\r\nX-Token-Count: 100,20\r\n\r\n")
+	is.NoErr(err)
+	_, err = c.Read(make([]byte, 1))
+	is.NoErr(err)
+	is.NoErr(c.Close())
+	expectLogged(t, "left", "request_done", n, "reason=caller_left")
+}
+
 // A caller takes up a stream. The timeline of the request's id names the request that began the
 // stream, the last event that the caller has and the software version of the target.
 func TestTrailOfAResumedStream(t *testing.T) {
