Announce in the stand-in that it closes the connection of a stream

Traced beside load (3 of 10 processes): the stand-in closed its connection after a stream without saying so, and the only target left got the next request on that connection: 502, outcome unknown, as it must be.

--- a/forward/notice_test.go
+++ b/forward/notice_test.go
@@ -25,7 +25,9 @@
 			leaving.SetHeader("Server-Leaving: 1\r\n")
 			h := newTestHandler(t, service, leaving, other)
 			for range 40 {
-				is.NoErr(h.call(http.MethodGet, path, "", headers...).err)
+				a := h.call(http.MethodGet, path, "", headers...)
+				is.NoErr(a.err)
+				is.Equal(a.status, http.StatusOK)
 			}
 			is.Equal(len(leaving.Arrivals()), 1)
 			is.Equal(len(other.Arrivals()), 39)
--- a/internal/standin/prepared/target.go
+++ b/internal/standin/prepared/target.go
@@ -288,7 +288,7 @@
 // stream writes a stream of events. It begins after the event that the request names in
 // Last-Event-Id, if it names one.
 func (t *Target) stream(c net.Conn, r *bufio.Reader, request *http.Request, breakAfter int) bool {
-	coding := t.extraHeader()
+	coding := t.extraHeader() + "Connection: close\r\n" // the target closes it after the stream
 	if !t.UntilClose {
 		coding += "Transfer-Encoding: chunked\r\n"
 	}
