--- a/forward/handler.go
+++ b/forward/handler.go
@@ -6,7 +6,6 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"sync"
 	"time"
@@ -284,41 +283,6 @@
 	return current != nil && current.Name == r.organisation.Name
 }
 
-// refuse ends a request with the status of a result code, or aborts the response if it has started.
-func (r *request) refuse(code result.Code, retryAfter time.Duration) {
-	r.summary.code = code
-	r.summary.status = code.Definition().Status
-	if r.out.Started() {
-		r.out.Abort()
-		return
-	}
-	r.out.Refuse(r.summary.status, r.h.Protocol.RefusalHeaders(r.info.ID, retryAfter))
-}
-
-// fail ends a request without a complete response from a target. The result code follows from
-// whether the request may have run and from why its context ended.
-func (r *request) fail(ctx context.Context) {
-	switch {
-	case errors.Is(ctx.Err(), context.Canceled):
-		r.summary.code = result.CallerLeft
-		r.out.Abort()
-	case r.out.Started():
-		r.summary.code = result.StreamCut
-		r.out.Abort()
-	case r.execution != result.NotRun && ctx.Err() != nil:
-		r.refuse(result.OutOfTime, 0)
-	case r.execution != result.NotRun:
-		r.refuse(result.OutcomeUnknown, 0)
-	case ctx.Err() != nil:
-		r.refuse(result.OutOfTimeNotRun, refusedRetryAfter)
-	default:
-		r.h.PlannerMu.Lock()
-		paused := r.h.Planner.ReturnAfter(time.Now(), r.job)
-		r.h.PlannerMu.Unlock()
-		r.refuse(result.TargetsRefused, max(paused, refusedRetryAfter))
-	}
-}
-
 // plan lets the planner decide on the target of the next attempt.
 func (r *request) plan() dispatch.Decision {
 	r.job.TimeLeft = time.Until(r.deadline)
@@ -333,30 +297,6 @@
 	return d
 }
 
-// refuseUnplanned ends a request for which the planner found no target. After an earlier attempt
-// was sent, it ends as failed.
-func (r *request) refuseUnplanned(ctx context.Context, d dispatch.Decision) {
-	if r.execution != result.NotRun || r.attemptsSent > 0 {
-		r.fail(ctx)
-		return
-	}
-	r.h.mu.Lock()
-	if demand := r.h.demand[r.service.Name]; demand != nil {
-		demand.Refused++
-	}
-	r.h.mu.Unlock()
-	code := result.TargetsBusy
-	switch d.Reason {
-	case dispatch.NoTarget:
-		code = result.TargetsAway
-	case dispatch.NoTargetOfVersion:
-		code = result.VersionAway
-	case dispatch.TargetsPaused:
-		code = result.TargetsPaused
-	}
-	r.refuse(code, d.RetryAfter)
-}
-
 // beginAttempt registers an attempt with the planner. uncachedTokens is the number of prompt tokens
 // that the target has to process.
 func (r *request) beginAttempt(t roster.Target, uncachedTokens int) dispatch.Ticket {
--- /dev/null
+++ b/forward/refusal.go
@@ -0,0 +1,69 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"zinniapin/dispatch"
+	"zinniapin/result"
+)
+
+// refuse ends a request with the status of a result code, or aborts the response if it has started.
+func (r *request) refuse(code result.Code, retryAfter time.Duration) {
+	r.summary.code = code
+	r.summary.status = code.Definition().Status
+	if r.out.Started() {
+		r.out.Abort()
+		return
+	}
+	r.out.Refuse(r.summary.status, r.h.Protocol.RefusalHeaders(r.info.ID, retryAfter))
+}
+
+// fail ends a request without a complete response from a target. The result code follows from
+// whether the request may have run and from why its context ended.
+func (r *request) fail(ctx context.Context) {
+	switch {
+	case errors.Is(ctx.Err(), context.Canceled):
+		r.summary.code = result.CallerLeft
+		r.out.Abort()
+	case r.out.Started():
+		r.summary.code = result.StreamCut
+		r.out.Abort()
+	case r.execution != result.NotRun && ctx.Err() != nil:
+		r.refuse(result.OutOfTime, 0)
+	case r.execution != result.NotRun:
+		r.refuse(result.OutcomeUnknown, 0)
+	case ctx.Err() != nil:
+		r.refuse(result.OutOfTimeNotRun, refusedRetryAfter)
+	default:
+		r.h.PlannerMu.Lock()
+		paused := r.h.Planner.ReturnAfter(time.Now(), r.job)
+		r.h.PlannerMu.Unlock()
+		r.refuse(result.TargetsRefused, max(paused, refusedRetryAfter))
+	}
+}
+
+// refuseUnplanned ends a request for which the planner found no target. After an earlier attempt
+// was sent, it ends as failed.
+func (r *request) refuseUnplanned(ctx context.Context, d dispatch.Decision) {
+	if r.execution != result.NotRun || r.attemptsSent > 0 {
+		r.fail(ctx)
+		return
+	}
+	r.h.mu.Lock()
+	if demand := r.h.demand[r.service.Name]; demand != nil {
+		demand.Refused++
+	}
+	r.h.mu.Unlock()
+	code := result.TargetsBusy
+	switch d.Reason {
+	case dispatch.NoTarget:
+		code = result.TargetsAway
+	case dispatch.NoTargetOfVersion:
+		code = result.VersionAway
+	case dispatch.TargetsPaused:
+		code = result.TargetsPaused
+	}
+	r.refuse(code, d.RetryAfter)
+}
--- a/node/duties.go
+++ b/node/duties.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"strconv"
 	"sync"
@@ -14,7 +13,6 @@
 	"zinniapin/provider"
 	"zinniapin/route"
 	"zinniapin/scaling"
-	"zinniapin/store"
 )
 
 const (
@@ -191,98 +189,6 @@
 	r.elector.MarkLost(now)
 }
 
-// readRecord reads the record. A missing one has a revision without a number within its era.
-func (r *dutyRunner) readRecord(ctx context.Context) (duty.Record, uint64, error) {
-	member, err := r.node.platform.Objects.Get(ctx, dutiesCollection, dutiesName)
-	if errors.Is(err, store.ErrNotFound) {
-		return duty.Record{}, store.RevisionIn(r.node.era.current(), 0), nil
-	}
-	if err != nil {
-		return duty.Record{}, 0, err // followCollection logs store outages
-	}
-	r.node.observeEra(member.Revision, "store")
-	var record duty.Record
-	if err := json.Unmarshal(member.Value, &record); err != nil {
-		event.DutiesFailed.Log(r.node.log).Err(err).Send()
-		return duty.Record{}, 0, err
-	}
-	return record, member.Revision, nil
-}
-
-// claim writes this process into the record, with the next fence.
-func (r *dutyRunner) claim(ctx context.Context, record duty.Record, revision uint64) bool {
-	_, knownFence := r.newestHolder()
-	at := r.node.clock.Now()
-	r.node.ledgerMu.Lock()
-	window := r.node.ledger.WindowAt(at)
-	r.node.ledgerMu.Unlock()
-	next := record.Claim(r.node.settings.Host, r.node.self.Incarnation, revision, knownFence, uint64(window))
-	if !r.writeRecord(ctx, next, revision) {
-		return false
-	}
-	r.hold.Acquire(time.Now())
-	return true
-}
-
-// writeRecord writes the record by a conditional update on its revision, without a number within its
-// era for a new record, and returns whether it was written. When the answer is lost, it
-// reads the record back to find out. A record that the store took in a later era than that of its fence
-// does not count.
-func (r *dutyRunner) writeRecord(ctx context.Context, record duty.Record, revision uint64) bool {
-	value, err := json.Marshal(record)
-	if err != nil {
-		event.DutiesFailed.Log(r.node.log).Err(err).Send()
-		return false
-	}
-	var member store.Member
-	begun := time.Now()
-	if store.WithinEra(revision) == 0 {
-		member, err = r.node.platform.Objects.Create(ctx, dutiesCollection, dutiesName, value)
-	} else {
-		member, err = r.node.platform.Objects.Replace(ctx, dutiesCollection, dutiesName, revision, value)
-	}
-	if errors.Is(err, store.ErrUnknown) {
-		member, err = r.readBack(ctx, record)
-	}
-	if err == nil && record.Outdated(member.Revision) {
-		err = errEraOver
-	}
-	if err != nil {
-		r.node.observeEra(member.Revision, "store")
-		event.DutiesFailed.Log(r.node.log).Uint64("fence", record.Fence).Err(err).Send()
-		return false
-	}
-	r.record, r.revision = record, member.Revision
-	r.hold.Confirm(begun)
-	r.observeHolder(record.Holder, record.Fence)
-	return true
-}
-
-// errEraOver means that the store came back from an older copy before it took the record.
-var errEraOver = errors.New("the store came back from an older copy")
-
-// readBack returns the stored record if it is the one that was written, and
-// store.ErrConflict otherwise.
-func (r *dutyRunner) readBack(ctx context.Context, written duty.Record) (store.Member, error) {
-	member, err := r.node.platform.Objects.Get(ctx, dutiesCollection, dutiesName)
-	if err != nil {
-		return member, err
-	}
-	var found duty.Record
-	if err := json.Unmarshal(member.Value, &found); err != nil {
-		return member, err
-	}
-	if found.Incarnation != written.Incarnation || found.Fence != written.Fence || len(found.Windows) != len(written.Windows) {
-		return member, store.ErrConflict
-	}
-	for w := range written.Windows {
-		if _, ok := found.Windows[w]; !ok {
-			return member, store.ErrConflict
-		}
-	}
-	return member, nil
-}
-
 // stopHolding ends this process's hold on the duties and logs the reason.
 func (r *dutyRunner) stopHolding(now time.Time, reason string) {
 	r.setHolding(false)
@@ -329,48 +235,6 @@
 	return !mustConfirm || r.confirmHolding(ctx, now)
 }
 
-// confirmHolding reads the record and returns whether it still names this
-// process. The time is that before the call.
-func (r *dutyRunner) confirmHolding(ctx context.Context, now time.Time) bool {
-	found, revision, err := r.readRecord(ctx)
-	if err != nil {
-		return false
-	}
-	if found.Outdated(revision) {
-		return r.renew(ctx, now, revision)
-	}
-	if found.Incarnation != r.record.Incarnation || found.Fence != r.record.Fence {
-		r.observeHolder(found.Holder, found.Fence)
-		r.stopHolding(now, "the record names another holder")
-		return false
-	}
-	r.record, r.revision = found, revision
-	r.hold.Confirm(now)
-	r.setConfirmed()
-	return true
-}
-
-// setConfirmed notes that the record was read as requested.
-func (r *dutyRunner) setConfirmed() {
-	r.mu.Lock()
-	r.mustConfirm = false
-	r.mu.Unlock()
-}
-
-// renew claims the duties again after the store came back from an older copy and lost this process's
-// hold, or that of a later holder: only the store's latest record decides among those who believe to
-// hold them. The counts of windows that this process has frozen are written again.
-func (r *dutyRunner) renew(ctx context.Context, now time.Time, revision uint64) bool {
-	former := r.record.Fence
-	if !r.claim(ctx, r.record, revision) {
-		r.stopHolding(now, "the store came back from an older copy")
-		return false
-	}
-	r.setConfirmed()
-	event.DutiesRenewed.Log(r.node.log).Uint64("former_fence", former).Uint64("fence", r.record.Fence).Uint64("due_from", r.record.DueFrom).Send()
-	return r.node.currentSettings().Bounds.FencesChecked // elsewhere calls wait, see Hold
-}
-
 // dutyHolder returns the holder and fence that this process's calls carry.
 func (r *dutyRunner) dutyHolder() provider.DutyHolder {
 	return provider.DutyHolder{Host: r.node.settings.Host, Fence: r.record.Fence}
