Rank the hosts of a zone once in a quarter of a second instead of in each round

Its cost grows with the number of hosts, several times in each round of 50 ms. The rank is kept with the member, and a ranking for 250 ms unless a member joins, moves or turns out faster.

--- a/peers/peers_test.go
+++ b/peers/peers_test.go
@@ -347,3 +347,35 @@
 	is.True(strings.Contains(strings.Join(audiences, ""), fmt.Sprint(UsageReporters)))
 	is.True(!strings.Contains(strings.Join(audiences, ""), fmt.Sprint(AllHosts)))
 }
+
+// A ranking is not computed anew in each round, yet a host that joins, or whose link turns out to be
+// faster, counts at once, and one that fell silent soon.
+func TestRankingFollowsTheMembers(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	table := NewTable("127.0.0.1:9", "z", 20, nil, now)
+	table.addMember(now, "127.0.0.1:1", "z", 50, now)
+	is.Equal(table.zoneRanks(now, "z"), []string{"127.0.0.1:1", "127.0.0.1:9"})
+	table.addMember(now, "127.0.0.1:2", "z", 20, now)
+	table.addMember(now, "127.0.0.1:2", "z", 100, now)
+	is.Equal(table.zoneRanks(now, "z"), []string{"127.0.0.1:2", "127.0.0.1:1", "127.0.0.1:9"})
+	later := now.Add(memberLiveness - time.Millisecond)
+	table.addMember(later, "127.0.0.1:2", "z", 100, later)
+	is.Equal(table.zoneSize(later), 3)
+	is.Equal(table.zoneRanks(later.Add(rankingTTL), "z"), []string{"127.0.0.1:2", "127.0.0.1:9"})
+}
+
+// BenchmarkRound ranks the zones of a large fleet as a host does in one round.
+func BenchmarkRound(b *testing.B) {
+	now := time.Now()
+	table := NewTable("127.0.0.1:9", "z0", 20, nil, now)
+	for i := range 295 {
+		table.addMember(now, fmt.Sprintf("10.0.%d.%d:8000", i/250, i%250), fmt.Sprint("z", i%6), 20, now)
+	}
+	for i := range b.N {
+		at := now.Add(time.Duration(i%40) * digestInterval)
+		table.OwnRelays(at)
+		table.zoneSize(at)
+		table.ZoneRelays(at)
+	}
+}
--- a/peers/relay.go
+++ b/peers/relay.go
@@ -134,7 +134,7 @@
 func (m *Mesh) sendRound(now time.Time) error {
 	m.mu.Lock()
 	relays, subscribers := m.table.OwnRelays(now), m.table.Subscribers(now)
-	interval := max(len(m.table.zoneRanks(now, m.Zone))/hostsPerRound, 1)
+	interval := max(m.table.zoneSize(now)/hostsPerRound, 1)
 	reporters := m.reporters
 	if len(subscribers) == 0 {
 		m.relay = relayBuffer{} // what it holds would be old if hosts subscribe again
--- a/peers/table.go
+++ b/peers/table.go
@@ -57,7 +57,9 @@
 
 // member is a host by its address, which this host need not have heard from.
 type member struct {
-	zone string // empty while unknown
+	address string
+	rank    uint64 // see rank
+	zone    string // empty while unknown
 	// capacity is the speed of the host's network link in Mbit/s, 0 while unknown.
 	capacity uint32
 	heardAt  time.Time // when anybody last heard from it, as far as known; zero if never
@@ -80,12 +82,23 @@
 	relays   map[string]*relayState // by address, those chosen lately
 	heard    map[string]time.Time   // when a relay's last digest to its subscribers arrived, by address
 	offsets  map[string]int         // next position in the list of members of each zone
+	ranked   map[string]zoneRanking // by zone
 }
 
+// zoneRanking is the result of Table.zoneRanks at a time.
+type zoneRanking struct {
+	addresses []string
+	at        time.Time
+}
+
+// rankingTTL is how long a ranking is used although members may have ceased to be live. Hosts rank the
+// members of all zones in each round, which would cost each of them as much as there are hosts.
+const rankingTTL = 250 * time.Millisecond
+
 // NewTable returns the table of the host at address self in a zone, with a network link
 // of so many Mbit/s. The seeds are the first addresses to try.
 func NewTable(self, zone string, capacity uint32, seeds []string, now time.Time) *Table {
-	t := &Table{self: self, zone: zone, capacity: capacity, peers: make(map[string]*Peer), members: make(map[string]*member), relays: make(map[string]*relayState), heard: make(map[string]time.Time), offsets: make(map[string]int)}
+	t := &Table{self: self, zone: zone, capacity: capacity, peers: make(map[string]*Peer), members: make(map[string]*member), relays: make(map[string]*relayState), heard: make(map[string]time.Time), offsets: make(map[string]int), ranked: make(map[string]zoneRanking)}
 	t.AddAddresses(now, seeds)
 	return t
 }
@@ -104,9 +117,10 @@
 	}
 	m := t.members[address]
 	if m == nil {
-		m = &member{}
+		m = &member{address: address, rank: rank(address)}
 		t.members[address] = m
 	}
+	before, wasLive := *m, m.live(now)
 	if zone != "" {
 		m.zone = zone
 	}
@@ -116,6 +130,10 @@
 	if heardAt.After(m.heardAt) {
 		m.heardAt = heardAt
 	}
+	if m.zone != before.zone || m.capacity != before.capacity || !wasLive && m.live(now) {
+		delete(t.ranked, before.zone)
+		delete(t.ranked, m.zone)
+	}
 	if heardAt.IsZero() {
 		heardAt = now
 	}
@@ -175,6 +193,7 @@
 	for a, m := range t.members {
 		if now.After(m.until) {
 			delete(t.members, a)
+			delete(t.ranked, m.zone)
 			delete(t.relays, a)
 			delete(t.heard, a)
 		}
@@ -272,22 +291,33 @@
 	return 0
 }
 
+// zoneSize returns the number of live members of this host's zone, itself included.
+func (t *Table) zoneSize(now time.Time) int { return len(t.zoneRanks(now, t.zone)) }
+
 // zoneRanks returns the live members of a zone in the order in which they become relays,
 // including this host. Hosts with faster links come first, since a relay sends as many
-// digests as there are hosts in its zone.
+// digests as there are hosts in its zone. The caller must not change the result.
 func (t *Table) zoneRanks(now time.Time, zone string) []string {
-	var all []string
-	for a, m := range t.members {
+	if ranking, ok := t.ranked[zone]; ok && now.Sub(ranking.at) < rankingTTL && !now.Before(ranking.at) {
+		return ranking.addresses
+	}
+	var live []*member
+	for _, m := range t.members {
 		if m.zone == zone && m.live(now) {
-			all = append(all, a)
+			live = append(live, m)
 		}
 	}
 	if zone == t.zone {
-		all = append(all, t.self)
+		live = append(live, &member{address: t.self, rank: rank(t.self), capacity: t.capacity})
 	}
-	slices.SortFunc(all, func(a, b string) int {
-		return cmp.Or(cmp.Compare(t.capacityOf(b), t.capacityOf(a)), cmp.Compare(rank(a), rank(b)))
+	slices.SortFunc(live, func(a, b *member) int {
+		return cmp.Or(cmp.Compare(b.capacity, a.capacity), cmp.Compare(a.rank, b.rank))
 	})
+	all := make([]string, len(live))
+	for i, m := range live {
+		all[i] = m.address
+	}
+	t.ranked[zone] = zoneRanking{all, now}
 	return all
 }
 
