Repeat a request on a stale connection at the same target

Found by tracing TestTargetThatLeavesGetsNoFurtherRequest: a target that closes a kept connection as a request comes was excluded for that request and counted as unreachable. If it is the only one left, of its version or while others leave, callers got 502 though it was sound. Change: the close of a kept connection before any byte of the answer tells nothing of the target. A repeatable request may be sent to it once more, within attempts and budget, and on a new connection; the other kept ones are dropped. Requests that must not run twice end as unknown, as before. TestRequestOnAStaleConnection fails on the code before (502).

--- a/dispatch/health.go
+++ b/dispatch/health.go
@@ -221,6 +221,8 @@
 	Answered Outcome = iota
 	// Failed means an answer that reports a failure of the target.
 	Failed
+	// NoEvidence means that the exchange tells nothing of the target.
+	NoEvidence
 	// Unreachable means no answer, a truncated or invalid one, or one that belongs
 	// to another request.
 	Unreachable
@@ -231,7 +233,7 @@
 // more often than its service does.
 func (p *Planner) Observe(now time.Time, id target.ID, o Outcome, latency time.Duration) {
 	s := p.targets[id]
-	if s == nil {
+	if s == nil || o == NoEvidence {
 		return
 	}
 	p.reportOutcome(id, o)
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -28,8 +28,14 @@
 	// attemptBroken means that the response is missing, incomplete, an error that is not passed
 	// on, or belongs to another request.
 	attemptBroken
+	// attemptStale means that the target closed a kept connection as the request came. The request may
+	// have run, as after attemptBroken, but the target can be tried again.
+	attemptStale
 )
 
+// mayHaveRun tells whether a failed attempt may have run.
+func (a attemptResult) mayHaveRun() bool { return a == attemptBroken || a == attemptStale }
+
 // errOtherRequest means that a response carries the id of another request.
 var errOtherRequest = errors.New("the answer belongs to another request")
 
@@ -50,6 +56,10 @@
 		r.attemptsSent++
 		r.execution = result.Unknown
 	}
+	if errors.Is(err, upstream.ErrStale) {
+		r.logFailedAttempt(t, err, "stale")
+		return nil, attemptStale
+	}
 	if err != nil {
 		r.excluded[t.ID] = true
 		r.logFailedAttempt(t, err, "broken")
@@ -124,6 +134,8 @@
 	switch f {
 	case attemptAnswered, attemptRefused:
 		return dispatch.Answered
+	case attemptStale:
+		return dispatch.NoEvidence
 	default:
 		return dispatch.Unreachable
 	}
--- a/forward/generate.go
+++ b/forward/generate.go
@@ -42,7 +42,7 @@
 		if outcome == attemptAnswered {
 			return
 		}
-		if ctx.Err() != nil || outcome == attemptBroken && !r.route.Repeatable() {
+		if ctx.Err() != nil || outcome.mayHaveRun() && !r.route.Repeatable() {
 			break
 		}
 		if outcome == attemptNotSent && r.connectFailures < maxConnectFailures {
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -47,7 +47,7 @@
 		if outcome == attemptNotSent && r.connectFailures < maxConnectFailures {
 			continue
 		}
-		if outcome == attemptBroken && !r.route.Repeatable() || !r.takeRetry() {
+		if outcome.mayHaveRun() && !r.route.Repeatable() || !r.takeRetry() {
 			break
 		}
 	}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -14,6 +14,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"zinniapin/socket"
@@ -26,6 +27,9 @@
 	// ErrNoResponse means that the request was written, completely or in part, and that no response
 	// came.
 	ErrNoResponse = errors.New("upstream: no response to the request")
+	// ErrStale is joined to ErrNoResponse if the target closed a kept connection as the request came:
+	// it says nothing of the target, which may have closed the connection for being idle.
+	ErrStale = errors.New("upstream: the kept connection was closed")
 	// ErrHeadTooLarge is the cause of ErrNoResponse when a target sends a head that is too large, or
 	// too many informational ones.
 	ErrHeadTooLarge = errors.New("upstream: the head of the response exceeds 64 KiB")
@@ -113,6 +117,7 @@
 type headLimiter struct {
 	conn net.Conn
 	left int
+	read int // bytes of the present head
 }
 
 // Read implements io.Reader.
@@ -124,7 +129,7 @@
 		return 0, ErrHeadTooLarge
 	}
 	n, err := l.conn.Read(p[:min(len(p), l.left)])
-	l.left -= n
+	l.left, l.read = l.left-n, l.read+n
 	return n, err
 }
 
@@ -257,7 +262,8 @@
 // before Close. An error is ErrNotSent or ErrNoResponse, joined with its cause.
 func (p *Pool) Do(ctx context.Context, address string, r *Request) (*Response, error) {
 	c := p.take(address, r.MaxIdle)
-	if c == nil {
+	kept := c != nil
+	if !kept {
 		var err error
 		if c, err = p.dial(ctx, address); err != nil {
 			return nil, err
@@ -291,9 +297,13 @@
 			written <- err
 		}()
 	}
-	c.limiter.left = maxHeadBytes
+	c.limiter.left, c.limiter.read = maxHeadBytes, 0
 	parsed, err := readHead(c.reader, r.Method)
 	c.limiter.left = -1
+	if err != nil && kept && c.limiter.read == 0 && ctx.Err() == nil && isClosed(err) {
+		p.dropIdle(address)
+		err = errors.Join(ErrStale, err)
+	}
 	if err != nil {
 		return fail(ErrNoResponse, err)
 	}
@@ -303,6 +313,22 @@
 	return response, nil
 }
 
+// isClosed tells whether an error means that the target has closed the connection.
+func isClosed(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
+
+// dropIdle closes the idle connections to an address.
+func (p *Pool) dropIdle(address string) {
+	p.mu.Lock()
+	idle := p.idle[address]
+	delete(p.idle, address)
+	p.mu.Unlock()
+	for _, c := range idle {
+		_ = c.net.Close()
+	}
+}
+
 // readHead reads the head of the final response and skips informational ones (1xx).
 func readHead(r *bufio.Reader, method string) (*http.Response, error) {
 	for {
