Let relays of large zones pass on more at once

Supposed: each datagram of the two relays wakes every host of a zone 20 times a second. Change: in zones of 48 hosts or more a relay passes on every second round, as hosts there send. Smaller zones are unaffected.

--- a/peers/relay.go
+++ b/peers/relay.go
@@ -18,7 +18,8 @@
 	relayRefreshRounds = 8
 	// hostsPerRound is the number of hosts of a zone for each of which its relays take a
 	// digest a round; in larger zones hosts send more seldom, since each of their
-	// digests reaches all others.
+	// digests reaches all others, and relays pass on more at once, since each datagram
+	// wakes every host of the zone.
 	hostsPerRound = 24
 	// unchangedRounds is the number of rounds after which a host sends to its relays
 	// although nothing has changed.
@@ -143,6 +144,8 @@
 	err := m.sendToRelays(relays, len(subscribers) > 0, interval)
 	if len(subscribers) > 0 {
 		reporters = m.reporterAddresses(now)
+	}
+	if len(subscribers) > 0 && m.round%interval == 0 {
 		err = errors.Join(err, m.sendToSubscribers(now, subscribers, reporters))
 	}
 	if m.round%zoneRounds == 0 && (len(subscribers) > 0 || m.HoldsDuties()) {
