--- a/peers/peers_test.go
+++ b/peers/peers_test.go
@@ -379,3 +379,32 @@
 		table.ZoneRelays(at)
 	}
 }
+
+// In a zone so large that hosts send every second round, relays pass on every second round too. Each
+// host is woken by fewer digests and still gets the updates of all others.
+func TestRelaysOfLargeZonesPassOnMoreAtOnce(t *testing.T) {
+	digests := make(map[int]float64)
+	for _, hosts := range []int{40, 2*hostsPerRound + 2} {
+		all := startMeshes(t, hosts, 1, 80)
+		for _, m := range all {
+			m.mu.Lock()
+			clear(m.got)
+			clear(m.updates)
+			m.mu.Unlock()
+		}
+		const rounds = 60
+		run(t, all, rounds)
+		for i, m := range all {
+			m.mu.Lock()
+			if n := len(m.updates); n < hosts-1 {
+				t.Errorf("%d hosts: host %d gets updates of %d", hosts, i, n)
+			}
+			digests[hosts] += float64(m.got[wire.DigestKind_RELAY]) / float64(hosts) / rounds
+			m.mu.Unlock()
+		}
+		t.Logf("%d hosts in a zone: %.1f digests of relays a round", hosts, digests[hosts])
+	}
+	if digests[2*hostsPerRound+2] > 0.75*digests[40] {
+		t.Errorf("digests of relays a round: %v", digests)
+	}
+}
