--- a/affinity/affinity.go
+++ b/affinity/affinity.go
@@ -153,9 +153,9 @@
 	return version, ok
 }
 
-// Keepers returns the n hosts that keep the record of a stream, by rendezvous hashing: hosts with
-// the same list choose alike, and lists that differ in one host differ in one keeper at most.
-func Keepers(stream uint64, hosts []string, n int) []string {
+// Replicas returns the n hosts that hold the record of a stream, by rendezvous hashing: hosts with
+// the same list choose alike, and lists that differ in one host differ in one of them at most.
+func Replicas(stream uint64, hosts []string, n int) []string {
 	ranked := slices.Clone(hosts)
 	slices.SortFunc(ranked, func(a, b string) int {
 		return cmp.Or(cmp.Compare(weight(stream, b), weight(stream, a)), cmp.Compare(a, b))
--- a/affinity/affinity_test.go
+++ b/affinity/affinity_test.go
@@ -93,8 +93,8 @@
 	is.True(!ok)
 }
 
-// Two hosts whose lists of hosts differ by one choose the same keepers but for one.
-func TestKeepersHardlyDependOnTheList(t *testing.T) {
+// Two hosts whose lists of hosts differ by one choose the same replicas but for one.
+func TestReplicasHardlyDependOnTheList(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.IntRange(4, 40).Draw(t, "hosts")
 		var hosts []string
@@ -104,7 +104,7 @@
 		stream := rapid.Uint64().Draw(t, "stream")
 		without := slices.Delete(slices.Clone(hosts), 0, 1)
 		slices.Reverse(without)
-		one, two := affinity.Keepers(stream, hosts, 3), affinity.Keepers(stream, without, 3)
+		one, two := affinity.Replicas(stream, hosts, 3), affinity.Replicas(stream, without, 3)
 		common := 0
 		for _, k := range one {
 			if slices.Contains(two, k) {
@@ -112,13 +112,13 @@
 			}
 		}
 		if common < 2 {
-			t.Fatalf("%v and %v have %d keepers in common", one, two, common)
+			t.Fatalf("%v and %v have %d replicas in common", one, two, common)
 		}
 	})
 }
 
-// Streams are spread evenly over the hosts that keep their records.
-func TestKeepersAreSpread(t *testing.T) {
+// Streams are spread evenly over the hosts that hold their records.
+func TestReplicasAreSpread(t *testing.T) {
 	is := is.New(t)
 	var hosts []string
 	for i := range 10 {
@@ -126,7 +126,7 @@
 	}
 	kept := make(map[string]int)
 	for i := range 3000 {
-		for _, k := range affinity.Keepers(affinity.KeyOf(fmt.Sprint("request-", i)), hosts, 3) {
+		for _, k := range affinity.Replicas(affinity.KeyOf(fmt.Sprint("request-", i)), hosts, 3) {
 			kept[k]++
 		}
 	}
--- a/node/stream_versions.go
+++ b/node/stream_versions.go
@@ -13,12 +13,12 @@
 )
 
 const (
-	// recordKeepers is the number of hosts that keep the record of a stream besides the one that
+	// recordReplicas is the number of hosts that hold the record of a stream besides the one that
 	// began it.
-	recordKeepers = 3
-	// askedKeepers is the number of hosts that are asked for it: one more, since the list of hosts
+	recordReplicas = 3
+	// askedReplicas is the number of hosts that are asked for it: one more, since the list of hosts
 	// may have changed.
-	askedKeepers = recordKeepers + 1
+	askedReplicas = recordReplicas + 1
 	// askTimeout bounds the wait for an answer, and askInterval is the time after which hosts that
 	// have not answered are asked again.
 	askTimeout  = 160 * time.Millisecond
@@ -70,19 +70,19 @@
 	shared := s.versions.Recorded(now, service)
 	s.mu.Unlock()
 	if shared {
-		s.send(&wire.StreamNotice{Kind: wire.StreamNotice_BEGAN, Stream: stream, Version: version}, s.keepers(now, stream, recordKeepers))
+		s.send(&wire.StreamNotice{Kind: wire.StreamNotice_BEGAN, Stream: stream, Version: version}, s.replicas(now, stream, recordReplicas))
 	}
 }
 
-// keepers returns the addresses of the other hosts that keep the record of a stream.
-func (s *streamVersions) keepers(now time.Time, stream uint64, n int) []string {
+// replicas returns the addresses of the other hosts that hold the record of a stream.
+func (s *streamVersions) replicas(now time.Time, stream uint64, n int) []string {
 	var others []string
 	for _, a := range s.node.mesh.LiveAddresses(now) {
 		if a != s.node.settings.Mesh {
 			others = append(others, a)
 		}
 	}
-	return affinity.Keepers(stream, others, n)
+	return affinity.Replicas(stream, others, n)
 }
 
 // send sends a notice to hosts.
@@ -136,12 +136,12 @@
 	return "", originUnknown
 }
 
-// ask asks the hosts that keep the record of a stream, until one has it, all have answered or
+// ask asks the hosts that hold the record of a stream, until one has it, all have answered or
 // askTimeout is over. It returns an answer with a record if there is one, the number of hosts asked
 // and the number of those that answered.
 func (s *streamVersions) ask(ctx context.Context, now time.Time, stream uint64) (answer streamAnswer, asked, answered int) {
-	hosts := s.keepers(now, stream, askedKeepers)
-	q := &streamQuestion{stream: stream, answers: make(chan streamAnswer, 2*askedKeepers)}
+	hosts := s.replicas(now, stream, askedReplicas)
+	q := &streamQuestion{stream: stream, answers: make(chan streamAnswer, 2*askedReplicas)}
 	s.mu.Lock()
 	s.waiting[q] = true
 	s.mu.Unlock()
