--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -57,6 +57,7 @@
 		r.execution = result.Unknown
 	}
 	if errors.Is(err, upstream.ErrStale) {
+		r.freshConnection = true
 		r.logFailedAttempt(t, err, "stale")
 		return nil, attemptStale
 	}
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -104,6 +104,7 @@
 	connectFailures int                // targets that could not be connected to
 	excluded        map[target.ID]bool // targets that failed and get no further attempt
 	startCounted    bool               // OnRequestStarted was called
+	freshConnection bool               // the next attempts use no kept connection, since one was stale
 	summary         requestSummary
 }
 
@@ -345,6 +346,7 @@
 	out := &upstream.Request{
 		Method: r.in.Method, Target: r.in.Target, Host: r.in.Host, Body: r.in.Body,
 		Header:  r.h.Protocol.AttemptHeaders(r.in.Header, o),
+		Fresh:   r.freshConnection,
 		HasBody: r.in.Method != http.MethodGet && r.in.Method != http.MethodHead,
 	}
 	if !r.route.Repeatable() {
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -71,6 +71,8 @@
 	// further bound. It is set for requests that must not run twice, since the target may be about
 	// to close a connection that was idle for long.
 	MaxIdle time.Duration
+	// Fresh makes the request go out on a new connection.
+	Fresh bool
 }
 
 // Pool keeps idle connections to targets for reuse. It is safe for concurrent use.
@@ -261,7 +263,10 @@
 // Do sends a request once and reads the head of the response. The connection is reset if ctx ends
 // before Close. An error is ErrNotSent or ErrNoResponse, joined with its cause.
 func (p *Pool) Do(ctx context.Context, address string, r *Request) (*Response, error) {
-	c := p.take(address, r.MaxIdle)
+	var c *connection
+	if !r.Fresh {
+		c = p.take(address, r.MaxIdle)
+	}
 	kept := c != nil
 	if !kept {
 		var err error
