Log the parts of a prompt and the calls to process it

Change: parts of prompts are decoded with a name of their own; request_done names the shared ones and counts the calls to process the prompt; attempt_ended tells after how many events the answer ended. Measured: go test ./platform ./forward ./dispatch, passed.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -22,6 +22,7 @@
 // Part is a leading part of a prompt. Prompts with the same chain hash share that
 // prefix, and with it the KV cache.
 type Part struct {
+	ID     uint64 // hash of this part alone
 	Chain  uint32 // hash of this part and all before it
 	Tokens int    // number of tokens in this part and all before it
 }
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -52,7 +52,9 @@
 		r.logFailedAttempt(t, err, "unsent")
 		return nil, attemptNotSent
 	}
-	if !prefill {
+	if prefill {
+		r.summary.prefills++
+	} else {
 		r.attemptsSent++
 		r.execution = result.Unknown
 	}
@@ -115,7 +117,7 @@
 // logFailedAttempt logs and counts an attempt without a usable response.
 func (r *request) logFailedAttempt(t roster.Target, err error, how string) {
 	event.AttemptEnded.Log(r.h.Log).Str("request", r.info.ID).Str("target", string(t.ID)).Str("address", t.Address).
-		Str("how", how).Str("execution", r.execution.String()).Str("framing", string(r.summary.framing)).Int("partial_event_bytes", r.summary.partial).
+		Str("how", how).Int("events", r.summary.events).Str("execution", r.execution.String()).Str("framing", string(r.summary.framing)).Int("partial_event_bytes", r.summary.partial).
 		Float64("ms", milliseconds(time.Since(r.in.Arrived))).Err(err).Send()
 	r.h.Metrics.failedAttempts.WithLabelValues(t.Service, how).Inc()
 }
--- a/forward/request_log.go
+++ b/forward/request_log.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"strconv"
 	"time"
 
 	"zinniapin/dispatch"
@@ -15,6 +16,7 @@
 	targets     []string          // targets of all attempts, in order
 	decision    dispatch.Decision // the latest one
 	prefilledAt target.ID         // target of the latest separate prefill
+	prefills    int               // calls to process the prompt that reached a target
 	firstEvent  time.Duration     // from arrival to the first event or response of a target
 	events      int               // writes of complete events to the caller
 	resumed     int               // further attempts after the response had started
@@ -70,10 +72,28 @@
 		line = line.Str("fetched_from", string(d.FetchFrom.ID))
 	}
 	if r.summary.prefilledAt != "" {
-		line = line.Str("prefilled_at", string(r.summary.prefilledAt))
+		line = line.Str("prefilled_at", string(r.summary.prefilledAt)).Int("prefills", r.summary.prefills)
+	}
+	if shared := sharedParts(r.info.PromptParts); len(shared) > 0 {
+		line = line.Strs("parts", partNames(shared))
 	}
 	line.Send()
 }
 
+// maxLoggedParts bounds the parts of a prompt in a log line.
+const maxLoggedParts = 8
+
+// sharedParts returns the parts of a prompt that it may share with others. The last one is its own.
+func sharedParts(parts []dispatch.Part) []dispatch.Part { return parts[:max(len(parts)-1, 0)] }
+
+// partNames returns the names by which the log refers to the parts of a prompt.
+func partNames(parts []dispatch.Part) []string {
+	var names []string
+	for _, part := range parts[:min(len(parts), maxLoggedParts)] {
+		names = append(names, strconv.FormatUint(part.ID, 16))
+	}
+	return names
+}
+
 // milliseconds returns a duration in milliseconds for the log.
 func milliseconds(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
