Reproduce targets that end under one part of a prompt

What callers saw: requests of one kind ended one target after the other, and with each all streams under way there.

--- /dev/null
+++ b/internal/standin/prepared/crash.go
@@ -0,0 +1,105 @@
+package prepared
+
+import (
+	"net"
+	"net/http"
+	"strings"
+	"time"
+)
+
+// crasher makes a target end as a killed process does and start again at the same address.
+type crasher struct {
+	part         string // part of a prompt that ends the target
+	restartAfter time.Duration
+	crashes      []time.Time
+	connections  map[net.Conn]struct{}
+}
+
+// CrashOn makes the target end whenever it begins to write the answer to a request with this part in
+// its prompt, the last one excepted, and start again after some time.
+func (t *Target) CrashOn(part string, restartAfter time.Duration) {
+	t.mu.Lock()
+	t.crasher.part, t.crasher.restartAfter = part, restartAfter
+	t.mu.Unlock()
+}
+
+// Crashes returns the times at which the target ended.
+func (t *Target) Crashes() []time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return append([]time.Time(nil), t.crasher.crashes...)
+}
+
+// HasPart tells whether a request has a part in its prompt that is not the last.
+func HasPart(h http.Header, part string) bool {
+	parts := strings.Split(h.Get("X-Prompt-Prefix"), ",")
+	for _, p := range parts[:len(parts)-1] {
+		if id, _, _ := strings.Cut(p, ":"); id == part {
+			return true
+		}
+	}
+	return false
+}
+
+// crashIfPoisoned ends the target if the prompt of a request has the part of CrashOn, and returns
+// whether it did.
+func (t *Target) crashIfPoisoned(h http.Header) bool {
+	t.mu.Lock()
+	poisoned := t.crasher.part != "" && HasPart(h, t.crasher.part)
+	t.mu.Unlock()
+	if poisoned {
+		t.Crash()
+	}
+	return poisoned
+}
+
+// Crash closes the listener and resets all connections. The target starts again at the same address.
+func (t *Target) Crash() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.listener == nil {
+		return // it has ended already
+	}
+	t.crasher.crashes = append(t.crasher.crashes, time.Now())
+	address := t.listener.Addr().String()
+	_ = t.listener.Close()
+	t.listener = nil
+	for c := range t.crasher.connections {
+		if tcp, ok := c.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+		_ = c.Close()
+	}
+	time.AfterFunc(t.crasher.restartAfter, func() { t.listenAgain(address) })
+}
+
+// listenAgain opens the listener anew, unless the target was closed for good.
+func (t *Target) listenAgain(address string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.closed {
+		return
+	}
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		time.AfterFunc(20*time.Millisecond, func() { t.listenAgain(address) }) // a caller's connection has the port
+		return
+	}
+	t.listener = l
+	go t.accept(l)
+}
+
+// track records an open connection until the returned function is called.
+func (t *Target) track(c net.Conn) (untrack func()) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.crasher.connections == nil {
+		t.crasher.connections = make(map[net.Conn]struct{})
+	}
+	t.crasher.connections[c] = struct{}{}
+	return func() {
+		t.mu.Lock()
+		delete(t.crasher.connections, c)
+		t.mu.Unlock()
+	}
+}
--- a/internal/standin/prepared/target.go
+++ b/internal/standin/prepared/target.go
@@ -43,10 +43,13 @@
 
 // Target is a simulated back end with an address of its own.
 type Target struct {
-	ID       string
-	listener net.Listener
+	ID      string
+	address string
 
 	mu           sync.Mutex
+	listener     net.Listener // nil after a crash, until the target starts again
+	closed       bool
+	crasher      crasher
 	faults       []Fault // one per request to come; NoFault after the last
 	arrivals     []Arrival
 	abandoned    int // requests whose caller disconnected during execution
@@ -80,16 +83,23 @@
 	if err != nil {
 		panic(err) // listening on loopback works on every machine that runs the tests
 	}
-	t := &Target{ID: id, listener: l, Events: 3, FirstID: 1}
-	go t.accept()
+	t := &Target{ID: id, address: l.Addr().String(), listener: l, Events: 3, FirstID: 1}
+	go t.accept(l)
 	return t
 }
 
 // Address returns the target's IP:port.
-func (t *Target) Address() string { return t.listener.Addr().String() }
+func (t *Target) Address() string { return t.address }
 
 // Close closes the target's listener; open connections stay open.
-func (t *Target) Close() { _ = t.listener.Close() }
+func (t *Target) Close() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.closed = true
+	if t.listener != nil {
+		_ = t.listener.Close()
+	}
+}
 
 // SetFaults sets the faults of the next requests, one fault per request.
 func (t *Target) SetFaults(faults ...Fault) {
@@ -159,9 +169,9 @@
 }
 
 // accept accepts connections until the listener is closed.
-func (t *Target) accept() {
+func (t *Target) accept(l net.Listener) {
 	for {
-		c, err := t.listener.Accept()
+		c, err := l.Accept()
 		if err != nil {
 			return
 		}
@@ -172,6 +182,7 @@
 // serve handles the requests of one connection.
 func (t *Target) serve(c net.Conn) {
 	defer c.Close() //nolint:errcheck // nothing more is written
+	defer t.track(c)()
 	r := bufio.NewReader(c)
 	for {
 		request, err := http.ReadRequest(r)
@@ -297,6 +308,9 @@
 	if err != nil {
 		return false
 	}
+	if t.crashIfPoisoned(request.Header) {
+		return false
+	}
 	disconnected := make(chan struct{})
 	go func() {
 		_, _ = r.Peek(1)
