Free the KV cache of a prompt if no decode target can be connected to

Cause: the handle of a processed prompt was freed only if no decode target was known, not if those that were known could not be connected to; the prefill target kept the memory until the handle lapsed. Change: the attempt carries handle and target, and frees it in that case too. TestUnusedCacheIsFreed now has a decode target that is closed, and counts: as many KV caches are freed as were made.

--- a/forward/generate.go
+++ b/forward/generate.go
@@ -23,6 +23,9 @@
 	// prefillSource names the KV cache of the whole prompt, which the target fetches; empty when
 	// the target processes the prompt itself.
 	prefillSource string
+	// prefilled is the target that keeps that KV cache, handle its name there.
+	prefilled roster.Target
+	handle    string
 }
 
 // forwardToEngine forwards a request to model engines. One target may process the prompt
@@ -59,17 +62,19 @@
 }
 
 // streamOrReplan makes an attempt. If the prompt was processed by a prefill target and the decode
-// target cannot be connected to, it tries further decode targets with the same KV cache.
+// target cannot be connected to, it tries further decode targets with the same KV cache, which it
+// releases if none of them can be connected to.
 func (r *request) streamOrReplan(ctx context.Context, attempt streamAttempt, splitter *eventSplitter) attemptResult {
 	for {
 		outcome := r.streamFrom(ctx, attempt, splitter)
-		if outcome != attemptNotSent || attempt.prefillSource == "" || r.connectFailures >= maxConnectFailures || ctx.Err() != nil {
+		if outcome != attemptNotSent || attempt.prefillSource == "" {
 			return outcome
 		}
 		r.h.PlannerMu.Lock()
 		t, ok := r.h.Planner.PlanDecode(time.Now(), r.job, attempt.target, r.excluded)
 		r.h.PlannerMu.Unlock()
-		if !ok {
+		if !ok || r.connectFailures >= maxConnectFailures || ctx.Err() != nil {
+			r.releaseCache(attempt.prefilled, attempt.handle)
 			return outcome
 		}
 		attempt.target = t
@@ -143,7 +148,10 @@
 		r.releaseCache(d.Target, prefilled.Handle)
 		return streamAttempt{}, attemptNotSent
 	}
-	return streamAttempt{target: t, decision: d, prefillSource: r.h.Protocol.CacheSource(d.Target.Address, prefilled.Handle)}, attemptAnswered
+	return streamAttempt{
+		target: t, decision: d, prefilled: d.Target, handle: prefilled.Handle,
+		prefillSource: r.h.Protocol.CacheSource(d.Target.Address, prefilled.Handle),
+	}, attemptAnswered
 }
 
 // releaseTimeout bounds the call that releases an unused KV cache.
--- a/forward/generate_test.go
+++ b/forward/generate_test.go
@@ -161,16 +161,18 @@
 	}
 }
 
-// After a prefill without a decode target, the node releases the KV cache.
+// The decode target cannot be connected to after the prompt was processed. The node releases the KV cache.
 func TestUnusedCacheIsFreed(t *testing.T) {
 	is := is.New(t)
-	p := engine("p-1", "prefill")
-	h := newTestHandler(t, "model", p)
+	p, d := engine("p-1", "prefill"), engine("d-1", "decode")
+	h := newTestHandler(t, "model", p, d)
+	d.Close()
 	a := h.call(http.MethodPost, "/draft/a", "prompt", "X-Model: m", "X-Token-Count: 20000,20", "X-Prompt-Prefix: aa:9000,bb:11000")
-	is.Equal(a.status, http.StatusServiceUnavailable) // there is no decode target
-	for start := time.Now(); len(p.FreedHandles()) == 0; time.Sleep(10 * time.Millisecond) {
+	is.Equal(a.status, http.StatusServiceUnavailable)
+	is.True(len(p.Arrivals()) > 0)
+	for start := time.Now(); len(p.FreedHandles()) < len(p.Arrivals()); time.Sleep(10 * time.Millisecond) {
 		if time.Since(start) > 2*time.Second {
-			t.Fatal("the KV cache was not freed within 2 s")
+			t.Fatalf("%d of %d KV caches were freed within 2 s", len(p.FreedHandles()), len(p.Arrivals()))
 		}
 	}
 	is.Equal(p.FreedHandles()[0], "h-id-1")
