Take repeated calls to process a prompt from the retry budget

What was seen: 219 arrivals beyond the first of their request at a service in 10 s, 213 allowed. Cause: a repeated request whose prompt is processed apart makes two arrivals, and only one was taken from the budget; with no target left for the output the prompt was even processed up to four times. The class: a bound that is kept at one of several places that use it up. Change: what an attempt costs follows from all that the request has sent so far; if the budget doesn't allow a further call to process the prompt, the target for the output does it, and without one nothing is processed.

--- a/dispatch/candidates.go
+++ b/dispatch/candidates.go
@@ -36,9 +36,22 @@
 // usable tells whether a target may be sent a job: it takes requests, is not excluded and is of the
 // version at which the job has to run.
 func (j *Job) usable(now time.Time, s *state, exclude map[target.ID]bool) bool {
+	if j.SkipPrefill && s.target.Role == target.Prefill {
+		return false
+	}
 	return !s.target.Draining && !s.notice.left() && !s.notice.closed(now) && !exclude[s.target.ID] && j.acceptsVersion(s)
 }
 
+// HasDecode tells whether a target could produce the output of a job.
+func (p *Planner) HasDecode(now time.Time, j Job, exclude map[target.ID]bool) bool {
+	for _, s := range p.services[j.Service] {
+		if s.target.Role != target.Prefill && j.usable(now, s, exclude) {
+			return true
+		}
+	}
+	return false
+}
+
 // HasOther tells whether a job could run at another target than the given one.
 func (p *Planner) HasOther(now time.Time, j Job, id target.ID, exclude map[target.ID]bool) bool {
 	for _, s := range p.services[j.Service] {
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -47,6 +47,8 @@
 	Weight float64
 	// AllowFetch allows a target to fetch cached parts of the prompt from another.
 	AllowFetch bool
+	// SkipPrefill leaves out targets that only process prompts.
+	SkipPrefill bool
 	// RefusedBefore is set when the caller retries after a refusal.
 	RefusedBefore bool
 	// Priority is the priority at the target: lower is more urgent.
--- a/forward/budget_test.go
+++ b/forward/budget_test.go
@@ -7,7 +7,6 @@
 	"testing"
 	"time"
 
-	"zinniapin/internal/knownred"
 	"zinniapin/internal/standin/prepared"
 	"zinniapin/retrybudget"
 )
@@ -36,7 +35,7 @@
 		extra += max(n-1, 0)
 	}
 	if float64(extra) > bound {
-		knownred.Fail(t, "../KNOWN-RED.txt", "prefill-budget", "%d arrivals beyond the first for %d requests, %v allowed", extra, requests, bound)
+		t.Errorf("%d arrivals beyond the first for %d requests, %v allowed", extra, requests, bound)
 	}
 }
 
@@ -56,10 +55,14 @@
 	checkExtraArrivals(t, requests, ratio*requests, all...)
 }
 
-// The only target that could produce the output cannot be connected to. Its prompt need not be
-// processed again.
+// The only target that could produce the output cannot be connected to, or none is known. A prompt is not
+// processed again, or not at all.
 func TestPromptIsNotProcessedAgainWithoutADecodeTarget(t *testing.T) {
 	const requests, ratio = 20, 0.2
+	alone := engine("p-0", "prefill")
+	if a := newTestHandler(t, "model", alone).call(http.MethodPost, "/draft/a", "prompt", longPrompt...); a.status != http.StatusServiceUnavailable || len(alone.Arrivals()) > 0 {
+		t.Errorf("status %d and %d calls without a decode target", a.status, len(alone.Arrivals()))
+	}
 	prefill, decode := engine("p-1", "prefill"), engine("d-1", "decode")
 	decode.Close()
 	h := newTestHandler(t, "model", prefill, decode)
@@ -68,6 +71,6 @@
 		h.call(http.MethodPost, "/draft/a", "prompt", append([]string{withoutDefaultHeaders, "X-Deadline-Ms: 2000", "X-Credential: key-1", fmt.Sprint("X-Request-Id: r-", i)}, longPrompt...)...)
 	}
 	if n := len(prefill.Arrivals()); n > requests+int(ratio*requests) {
-		knownred.Fail(t, "../KNOWN-RED.txt", "prefill-budget", "%d calls to process the prompts of %d requests", n, requests)
+		t.Errorf("%d calls to process the prompts of %d requests", n, requests)
 	}
 }
--- a/forward/generate.go
+++ b/forward/generate.go
@@ -98,6 +98,14 @@
 		if d.Target.Role != target.Prefill {
 			return streamAttempt{target: d.Target, decision: d, uncachedTokens: d.UncachedTokens}, true
 		}
+		if !r.hasDecodeTarget() {
+			r.fail(ctx) // the KV cache would be of no use
+			return streamAttempt{}, false
+		}
+		if !r.payArrivals(r.summary.prefills + 1) {
+			r.job.SkipPrefill = true
+			continue
+		}
 		attempt, outcome := r.prefill(ctx, d, lastEventID)
 		if outcome == attemptAnswered {
 			return attempt, true
@@ -109,6 +117,13 @@
 	}
 }
 
+// hasDecodeTarget tells whether a target could produce the output once the prompt is processed.
+func (r *request) hasDecodeTarget() bool {
+	r.h.PlannerMu.Lock()
+	defer r.h.PlannerMu.Unlock()
+	return r.h.Planner.HasDecode(time.Now(), r.job, r.excluded)
+}
+
 // maxExtraPrefills is the number of further targets that are tried when a prefill fails.
 const maxExtraPrefills = 2
 
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -101,6 +101,7 @@
 	attemptsSent int // attempts of which bytes were written to a target
 	// retryTaken is set when the next retry was already taken from the budget.
 	retryTaken      bool
+	retriesTaken    int                // from the budget for this request
 	connectFailures int                // targets that could not be connected to
 	excluded        map[target.ID]bool // targets that failed and get no further attempt
 	startCounted    bool               // OnRequestStarted was called
@@ -251,9 +252,31 @@
 	}
 	if r.retryTaken {
 		r.retryTaken = false
+		r.retriesTaken++
 		return true
 	}
-	return r.h.spendRetry(r.service.Name, r.view.Hosts)
+	return r.spendRetry()
+}
+
+// spendRetry takes one retry from the budget for this request, if there is one.
+func (r *request) spendRetry() bool {
+	if !r.h.spendRetry(r.service.Name, r.view.Hosts) {
+		return false
+	}
+	r.retriesTaken++
+	return true
+}
+
+// payArrivals takes from the budget what is still missing for the next attempt, if it is the one with
+// the given number of calls to process the prompt. The first such call and the first attempt are free;
+// each other arrival at a target costs one retry. It returns false if the budget does not allow it.
+func (r *request) payArrivals(prefills int) bool {
+	for r.retriesTaken < max(prefills-1, 0)+r.attemptsSent {
+		if !r.spendRetry() {
+			return false
+		}
+	}
+	return true
 }
 
 // spendRetry takes one retry from the budget of a service. It returns false if the budget allows
