Decode and log the limit that a target names

Change: Server-Limit is decoded; a line (7046) says when a target names a limit, another one or none any more. Nothing is decided by it yet. Measured: go test ./platform, passed.

--- a/dispatch/notice.go
+++ b/dispatch/notice.go
@@ -16,6 +16,7 @@
 	leaving       bool
 	closedUntil   time.Time
 	at            time.Time // of the last change
+	limit         *limit    // nil if the target names none
 }
 
 const (
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -103,6 +103,7 @@
 
 // heedNotices takes in what a target says of itself in a response.
 func (h *Handler) heedNotices(t roster.Target, info ResponseInfo) {
+	h.heedLimit(t, info)
 	if !info.Leaving && info.RetryAfter == 0 {
 		return
 	}
@@ -119,6 +120,16 @@
 	}
 }
 
+// heedLimit takes in the limit that a target names in a response, or that it names none.
+func (h *Handler) heedLimit(t roster.Target, info ResponseInfo) {
+	h.PlannerMu.Lock()
+	changed := h.Planner.SetLimit(time.Now(), t, info.Limit, info.Limited)
+	h.PlannerMu.Unlock()
+	if changed {
+		event.TargetLimited.Log(h.Log).Str("target", string(t.ID)).Str("address", t.Address).Bool("limited", info.Limited).Float64("per_second", info.Limit).Send()
+	}
+}
+
 // logFailedAttempt logs and counts an attempt without a usable response.
 func (r *request) logFailedAttempt(t roster.Target, err error, how string) {
 	event.AttemptEnded.Log(r.h.Log).Str("request", r.info.ID).Str("target", string(t.ID)).Str("address", t.Address).
--- a/forward/protocol.go
+++ b/forward/protocol.go
@@ -66,6 +66,10 @@
 	Leaving bool
 	// RetryAfter is how long the target wants no requests of this host; 0 if it says nothing of that.
 	RetryAfter time.Duration
+	// Limit is the number of requests a second that the target takes from all hosts together, if Limited
+	// is set.
+	Limit   float64
+	Limited bool
 	// Signed is set when the target has signed its response.
 	Signed bool
 }
