Keep to the limit that a target names, all hosts together

What was seen: a target that had named a limit of 1.4 requests a second got 19 in 4 s from hosts that it had told, 13 allowed; targets in need went on to get what they got before. The class: an answer says something that concerns later requests of all hosts, and only what the caller needs of it is read. Change: a limit belongs to the incarnation of the target that named it last. A few hosts are entitled to send there at a time, about one for each request a second, and divide the limit; all hosts choose the same ones by rendezvous hashing over the live ones, others every 10 s. Hosts tell each other in digests what targets named last, since a host that isn't entitled gets no answers. If all targets are at their limit, callers are refused at once and told when one takes a request again.

--- a/dispatch/candidates.go
+++ b/dispatch/candidates.go
@@ -39,7 +39,7 @@
 	if j.SkipPrefill && s.target.Role == target.Prefill {
 		return false
 	}
-	return !s.target.Draining && !s.notice.left() && !s.notice.closed(now) && !exclude[s.target.ID] && j.acceptsVersion(s)
+	return !s.target.Draining && !s.notice.left() && !s.notice.closed(now) && !exclude[s.target.ID] && j.acceptsVersion(s) && s.notice.allows(now)
 }
 
 // HasDecode tells whether a target could produce the output of a job.
--- a/dispatch/cost.go
+++ b/dispatch/cost.go
@@ -47,7 +47,7 @@
 	var best *state
 	var highest uint64
 	for _, s := range p.services[j.Service] {
-		if !j.usable(now, s, nil) || prefill != (s.target.Role == target.Prefill) {
+		if s.notice.limited() || !j.usable(now, s, nil) || prefill != (s.target.Role == target.Prefill) {
 			continue
 		}
 		if weight := mix(uint64(KeyOf(s.target.ID))<<32 | uint64(shared.Chain)); best == nil || weight > highest {
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -158,6 +158,7 @@
 	sentPrompts      []SentPrompt          // not yet taken to be sent to peers
 	reports          map[target.ID]*Report // likewise
 	notices          map[target.ID]*notice
+	fleet            fleet
 }
 
 // New returns a planner for a host in availability zone z. The seed is that of its
--- a/dispatch/health.go
+++ b/dispatch/health.go
@@ -125,6 +125,9 @@
 	if s == nil {
 		return Ticket{}
 	}
+	if s.notice.limited() {
+		s.notice.limit.use(now)
+	}
 	speed := p.speedOf(s)
 	backlog, _, _ := s.load(now, speed)
 	p.nextTicket++
--- a/dispatch/notice.go
+++ b/dispatch/notice.go
@@ -17,6 +17,7 @@
 	closedUntil   time.Time
 	at            time.Time // of the last change
 	limit         *limit    // nil if the target names none
+	limitedAt     time.Time // when it last named a limit, or none, by the clock that all hosts share; zero if it never named one
 }
 
 const (
@@ -81,6 +82,12 @@
 // closed tells whether the target wants no requests at present. A nil notice says nothing.
 func (n *notice) closed(now time.Time) bool { return n != nil && n.closedUntil.After(now) }
 
+// allows tells whether the limit that the target names lets this host send it a request now.
+func (n *notice) allows(now time.Time) bool { return n == nil || n.limit.allows(now) }
+
+// limited tells whether the target names a limit.
+func (n *notice) limited() bool { return n != nil && n.limit != nil }
+
 // left tells whether the target has said that it leaves.
 func (n *notice) left() bool { return n != nil && n.leaving }
 
@@ -98,19 +105,25 @@
 }
 
 // ReturnAfter returns a time after which a job can be tried again if all targets that could run it
-// want no requests at present: that of the first that will, and a random part, since all refused
-// callers would return at that moment otherwise. It returns 0 if one takes requests.
+// want no requests at present, or no more than they got: that of the first that will, and a random part,
+// since all refused callers would return at that moment otherwise. It returns 0 if one takes requests.
 func (p *Planner) ReturnAfter(now time.Time, j Job) time.Duration {
 	var first time.Time
 	for _, s := range p.services[j.Service] {
 		if s.target.Draining || s.notice.left() || !j.acceptsVersion(s) {
 			continue
 		}
-		if !s.notice.closed(now) {
+		if !s.notice.closed(now) && s.notice.allows(now) {
 			return 0
 		}
-		if first.IsZero() || s.notice.closedUntil.Before(first) {
-			first = s.notice.closedUntil
+		opens := s.notice.closedUntil
+		if s.notice.limited() {
+			if byLimit := s.notice.limit.opensAt(now); byLimit.After(opens) {
+				opens = byLimit
+			}
+		}
+		if first.IsZero() || opens.Before(first) {
+			first = opens
 		}
 	}
 	if first.IsZero() {
--- a/node/gossip.go
+++ b/node/gossip.go
@@ -117,6 +117,7 @@
 	}
 	n.composeLoads(d)
 	n.composePromptEvidence(d)
+	n.composeTargetLimits(d)
 	g.mu.Lock()
 	d.Demand = g.demand
 	g.usageRound++
@@ -267,6 +268,7 @@
 	}
 	n.ledgerMu.Unlock()
 	n.mergePromptEvidence(d)
+	n.mergeTargetLimits(d)
 	n.observeEra(d.TargetsChanged, d.Host)
 	n.duties.observeHolder(d.DutyHost, d.DutyFence)
 	n.requestSnapshotIfBehind(now, d)
--- a/node/limit_test.go
+++ b/node/limit_test.go
@@ -9,7 +9,6 @@
 	"testing"
 	"time"
 
-	"zinniapin/internal/knownred"
 	"zinniapin/internal/standin/prepared"
 	"zinniapin/platform"
 	"zinniapin/zone"
@@ -85,7 +84,7 @@
 			}
 			allowed := 1.5*c.perSecond*span.Seconds() + 5
 			if most := mostInSpan(arrivals, span); float64(most) > allowed {
-				knownred.Fail(t, "../KNOWN-RED.txt", "target-limit", "%d requests in %v with a limit of %v a second, %v allowed", most, span, c.perSecond, allowed)
+				t.Errorf("%d requests in %v with a limit of %v a second, %v allowed", most, span, c.perSecond, allowed)
 			}
 			if len(arrivals) == 0 {
 				t.Error("a target with a limit gets no request any more")
--- a/node/node.go
+++ b/node/node.go
@@ -339,6 +339,7 @@
 		return
 	}
 	n.measureDemand(now)
+	n.updateFleet(now)
 	n.pool.CloseExpired()
 	n.handler.Crashes.Expire()
 	n.handler.PlannerMu.Lock()
--- a/peers/relay.go
+++ b/peers/relay.go
@@ -230,9 +230,9 @@
 		d.Updates = part
 		err = errors.Join(err, m.send(d, addresses))
 	}
-	if len(own.PromptEvidence) > 0 {
+	if len(own.PromptEvidence)+len(own.TargetLimits) > 0 {
 		d := m.relayDigest()
-		d.PromptEvidence = own.PromptEvidence
+		d.PromptEvidence, d.TargetLimits = own.PromptEvidence, own.TargetLimits
 		err = errors.Join(err, m.send(d, addresses))
 	}
 	for _, part := range pack(zones) {
@@ -290,7 +290,7 @@
 	m.mu.Unlock()
 	d.Loads, d.Demand = nil, nil
 	var err error
-	if len(d.Prompts) > 0 || len(d.PromptEvidence) > 0 || len(d.Members) > 0 || len(parts) == 0 {
+	if len(d.Prompts) > 0 || len(d.PromptEvidence)+len(d.TargetLimits) > 0 || len(d.Members) > 0 || len(parts) == 0 {
 		err = m.send(d, recipients)
 	}
 	for _, part := range parts {
