Soak nodes with targets that crash under a part of a prompt or name limits

Change: engines of the soak end under three parts of prompts, which callers send in a quarter of their streams from a random moment on; targets name a limit for some seconds.

--- a/forward/crash_guard_test.go
+++ b/forward/crash_guard_test.go
@@ -25,7 +25,7 @@
 	var all []*prepared.Target
 	for _, id := range ids {
 		e := engine(id, "decode")
-		e.CrashOn(part, restartAfter)
+		e.CrashOn(restartAfter, part)
 		all = append(all, e)
 	}
 	return all
--- a/internal/nodesoak/caller.go
+++ b/internal/nodesoak/caller.go
@@ -22,6 +22,8 @@
 	begun  time.Time
 	key    string // API key
 	closed bool   // the node closes the connection after the response
+	node   *process
+	part   string // part of the prompt that ends targets; empty in a sound request
 }
 
 // isStream tells whether the response is a stream. A node tries a draft at two targets, a reply at one.
@@ -80,7 +82,8 @@
 func (l *attemptLog) takeUp(r *rand.Rand, nodes []*process, s attemptRecord, body string) {
 	first := s.id
 	for try := 1; try <= 2; try++ {
-		c, err := net.DialTimeout("tcp", nodes[r.IntN(len(nodes))].settings.Listen, 300*time.Millisecond)
+		s.node = nodes[r.IntN(len(nodes))]
+		c, err := net.DialTimeout("tcp", s.node.settings.Listen, 300*time.Millisecond)
 		if err != nil {
 			continue
 		}
@@ -108,8 +111,9 @@
 
 // runCaller sends requests to nodes chosen at random until stop is closed. It keeps a
 // connection open until the node closes it or a request fails on it.
-func runCaller(r *rand.Rand, name string, nodes []*process, key func() string, l *attemptLog, stop <-chan struct{}) {
+func runCaller(r *rand.Rand, name string, nodes []*process, key, crashPart func() string, l *attemptLog, stop <-chan struct{}) {
 	var c net.Conn
+	var node *process
 	var reader *bufio.Reader
 	for n := 0; ; n++ {
 		select {
@@ -119,14 +123,18 @@
 		}
 		if c == nil {
 			var err error
-			c, err = net.DialTimeout("tcp", nodes[r.IntN(len(nodes))].settings.Listen, 300*time.Millisecond)
+			node = nodes[r.IntN(len(nodes))]
+			c, err = net.DialTimeout("tcp", node.settings.Listen, 300*time.Millisecond)
 			if err != nil {
 				c = nil
 				continue
 			}
 			reader = bufio.NewReader(c)
 		}
-		s := attemptRecord{id: fmt.Sprintf("%s-%d", name, n), kind: []string{"take", "take", "read", "draft", "reply"}[r.IntN(5)], begun: time.Now(), key: key()}
+		s := attemptRecord{id: fmt.Sprintf("%s-%d", name, n), kind: []string{"take", "take", "read", "draft", "reply"}[r.IntN(5)], begun: time.Now(), key: key(), node: node}
+		if s.isStream() && r.IntN(4) == 0 {
+			s.part = crashPart()
+		}
 		reusable, rest := sendRequest(c, reader, &s, l)
 		if !reusable {
 			_ = c.Close()
@@ -168,7 +176,11 @@
 		method, extra, body = http.MethodGet, "", ""
 	}
 	if s.isStream() {
-		extra += "X-Model: m\r\nX-Token-Count: 100,20\r\nX-Prompt-Prefix: aa:50,bb:50\r\n"
+		parts := "aa:50,"
+		if s.part != "" {
+			parts += s.part + ":20,"
+		}
+		extra += "X-Model: m\r\nX-Token-Count: 100,20\r\nX-Prompt-Prefix: " + parts + "bb:30\r\n"
 	}
 	s.status = 0
 	_ = c.SetDeadline(time.Now().Add(4 * time.Second))
--- a/internal/nodesoak/process.go
+++ b/internal/nodesoak/process.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -25,9 +26,29 @@
 	settingsFile string
 	log          *os.File
 
-	mu      sync.Mutex
-	command *exec.Cmd
-	ended   chan struct{}
+	mu        sync.Mutex
+	command   *exec.Cmd
+	ended     chan struct{}
+	disturbed []time.Time
+}
+
+// contactTime is how long a node must have run undisturbed, with the store, until promises with a bound in
+// time hold for what it sends.
+const contactTime = 3 * time.Second
+
+// disturb records that the node is disturbed at present.
+func (p *process) disturb() {
+	p.mu.Lock()
+	p.disturbed = append(p.disturbed, time.Now())
+	p.mu.Unlock()
+}
+
+// inTouch tells whether the node had run undisturbed for contactTime at a time. No disturbance lasts longer
+// without another one at its end.
+func (p *process) inTouch(at time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !slices.ContainsFunc(p.disturbed, func(d time.Time) bool { return !d.After(at) && at.Sub(d) < contactTime })
 }
 
 // Ports on which a node listens. Each node has a loopback address of its own.
@@ -111,6 +132,7 @@
 	if p.command != nil {
 		return nil
 	}
+	p.disturbed = append(p.disturbed, time.Now())
 	c := exec.Command(p.program, "--settings", p.settingsFile)
 	c.Stdout, c.Stderr = p.log, p.log
 	if err := c.Start(); err != nil {
@@ -135,6 +157,7 @@
 	if p.command == nil {
 		return nil
 	}
+	p.disturbed = append(p.disturbed, time.Now())
 	err := p.command.Process.Signal(s)
 	if errors.Is(err, os.ErrProcessDone) {
 		return nil
--- a/internal/nodesoak/soak_test.go
+++ b/internal/nodesoak/soak_test.go
@@ -65,6 +65,10 @@
 	withdrawnKeys map[string]time.Time
 	configuration json.RawMessage
 	copiedAt      time.Time // of the store's latest copy
+	// crashPart is the part of prompts that callers send at present although it ends targets; empty if none.
+	crashPart atomic.Value
+	limits    []limitSpan
+	quietFrom time.Time // when the faults had ended, but for parts of prompts that end targets
 	// leftAt maps each target that has left to the time when it said so.
 	leftAt map[string]time.Time
 }
@@ -74,13 +78,14 @@
 	folder := t.TempDir()
 	t.Cleanup(func() { keepLogs(t, folder, seed) })
 	d := newDeployment(t, program, folder, seed)
+	d.crashPart.Store("")
 	stop := make(chan struct{})
 	callers := 6
 	ended := make(chan struct{}, callers)
 	for i := range callers {
 		r := rand.New(rand.NewPCG(seed, uint64(i)))
 		go func() {
-			runCaller(r, fmt.Sprintf("c%d", i), d.nodes, func() string { return d.key.Load().(string) }, &d.attempts, stop)
+			runCaller(r, fmt.Sprintf("c%d", i), d.nodes, func() string { return d.key.Load().(string) }, func() string { return d.crashPart.Load().(string) }, &d.attempts, stop)
 			ended <- struct{}{}
 		}()
 	}
@@ -89,6 +94,7 @@
 		time.Sleep(time.Duration(d.random.IntN(600)) * time.Millisecond)
 	}
 	d.endFaults()
+	d.quietFrom = time.Now()
 	time.Sleep(2 * time.Second)
 	close(stop)
 	for range callers {
@@ -154,6 +160,7 @@
 	s := prepared.NewTarget(fmt.Sprint("e-", len(d.targets)))
 	s.Stage, s.Version, s.Events, s.EventPause = "decode", version, streamEvents, 10*time.Millisecond
 	s.UntilClose, s.EndBroken = d.random.IntN(2) == 0, d.random.IntN(2) == 0
+	s.CrashOn(time.Duration(500+d.random.IntN(2500))*time.Millisecond, crashParts...)
 	d.t.Cleanup(s.Close)
 	d.targets, d.engines = append(d.targets, s), append(d.engines, s)
 	d.store.Write(platform.TargetsCollection, s.ID, s.Entry("model", "z0"))
@@ -168,6 +175,11 @@
 	entry["State"] = "draining"
 	d.store.Write(platform.TargetsCollection, old.ID, entry)
 	old.SetHeader("Server-Leaving: 1\r\n")
+	for i := range d.limits {
+		if l := &d.limits[i]; l.target == old && l.to.After(time.Now()) {
+			l.to = time.Now()
+		}
+	}
 	d.leftAt[old.ID] = time.Now()
 	time.AfterFunc(drainTime, func() { d.store.Remove(platform.TargetsCollection, old.ID) })
 }
@@ -184,6 +196,7 @@
 	if d.copiedAt.IsZero() || time.Since(d.copiedAt) > maxCopyAge {
 		return
 	}
+	d.disturbAll()
 	d.store.Restore()
 	time.Sleep(time.Duration(d.random.IntN(400)) * time.Millisecond)
 	d.store.Write(platform.ConfigurationsCollection, platform.ConfigurationName, d.configuration)
@@ -235,7 +248,7 @@
 		d.store.TakeCopy()
 		d.copiedAt = time.Now()
 	}
-	switch d.random.IntN(13) {
+	switch d.random.IntN(15) {
 	case 0:
 		err = node.signal(syscall.SIGKILL)
 		time.AfterFunc(duration/3, func() { _ = node.start() })
@@ -246,11 +259,13 @@
 		err = node.signal(syscall.SIGSTOP)
 		time.AfterFunc(duration, func() { _ = node.signal(syscall.SIGCONT) })
 	case 3:
+		node.disturb()
 		node.store.set(mode(1 + d.random.IntN(4))) // any mode but pass
-		time.AfterFunc(duration, func() { node.store.set(pass) })
+		time.AfterFunc(duration, func() { node.disturb(); node.store.set(pass) })
 	case 4:
+		d.disturbAll()
 		d.store.SetDown(true)
-		time.AfterFunc(duration, func() { d.store.SetDown(false) })
+		time.AfterFunc(duration, func() { d.disturbAll(); d.store.SetDown(false) })
 	case 5:
 		d.configure()
 	case 6:
@@ -261,6 +276,7 @@
 		}
 		s.SetFaults(next...)
 	case 7:
+		d.disturbAll()
 		d.store.LoseAnswers(1 + d.random.IntN(3))
 	case 8:
 		d.store.Compact()
@@ -274,6 +290,10 @@
 		d.release()
 	case 12:
 		d.rewind()
+	case 13:
+		d.crashPart.Store(crashParts[d.random.IntN(len(crashParts))])
+	case 14:
+		d.limitTarget(s)
 	}
 	if err != nil {
 		d.t.Errorf("cannot inject a fault: %v", err)
@@ -344,9 +364,12 @@
 			}
 		}
 	}
-	statuses := make(map[int]int)
+	statuses, sound := make(map[int]int), 0
 	for _, s := range d.attempts.all {
 		statuses[s.status]++
+		if s.part == "" {
+			sound++
+		}
 		n := runs[s.id]
 		if s.kind == "take" && n > 1 {
 			d.t.Errorf("%s was executed %d times", s.id, n)
@@ -361,13 +384,15 @@
 			d.t.Errorf("%s: a key was accepted %v after it had been withdrawn", s.id, s.begun.Sub(at))
 		}
 	}
+	d.checkCrashParts()
+	d.checkLimits()
 	for _, violation := range d.attempts.violations {
 		d.t.Error(violation)
 	}
 	d.checkUsageReports()
 	d.t.Logf("%d attempts, answers by status %v, %d usage reports, %d of %d streams taken up went on", len(d.attempts.all), statuses, len(d.duties.Calls("/usage")), d.attempts.wentOn, d.attempts.takenUp)
-	if statuses[http.StatusOK] < len(d.attempts.all)/4 {
-		d.t.Errorf("only %d of %d attempts were served", statuses[http.StatusOK], len(d.attempts.all))
+	if statuses[http.StatusOK] < sound/4 {
+		d.t.Errorf("only %d of %d sound attempts were served", statuses[http.StatusOK], sound)
 	}
 }
 
--- a/internal/standin/prepared/crash.go
+++ b/internal/standin/prepared/crash.go
@@ -9,25 +9,31 @@
 
 // crasher makes a target end as a killed process does and start again at the same address.
 type crasher struct {
-	part         string // part of a prompt that ends the target
+	parts        []string // parts of prompts that end the target
 	restartAfter time.Duration
-	crashes      []time.Time
+	crashes      []Crash
 	connections  map[net.Conn]struct{}
 }
 
-// CrashOn makes the target end whenever it begins to write the answer to a request with this part in
-// its prompt, the last one excepted, and start again after some time.
-func (t *Target) CrashOn(part string, restartAfter time.Duration) {
+// Crash is an end of a target.
+type Crash struct {
+	At   time.Time
+	Part string // of the prompt that ended it
+}
+
+// CrashOn makes the target end whenever it begins to write the answer to a request with one of these
+// parts in its prompt, the last one excepted, and start again after some time.
+func (t *Target) CrashOn(restartAfter time.Duration, parts ...string) {
 	t.mu.Lock()
-	t.crasher.part, t.crasher.restartAfter = part, restartAfter
+	t.crasher.parts, t.crasher.restartAfter = parts, restartAfter
 	t.mu.Unlock()
 }
 
-// Crashes returns the times at which the target ended.
-func (t *Target) Crashes() []time.Time {
+// Crashes returns when the target ended.
+func (t *Target) Crashes() []Crash {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return append([]time.Time(nil), t.crasher.crashes...)
+	return append([]Crash(nil), t.crasher.crashes...)
 }
 
 // HasPart tells whether a request has a part in its prompt that is not the last.
@@ -45,22 +51,25 @@
 // whether it did.
 func (t *Target) crashIfPoisoned(h http.Header) bool {
 	t.mu.Lock()
-	poisoned := t.crasher.part != "" && HasPart(h, t.crasher.part)
+	parts := t.crasher.parts
 	t.mu.Unlock()
-	if poisoned {
-		t.Crash()
+	for _, part := range parts {
+		if HasPart(h, part) {
+			t.crash(part)
+			return true
+		}
 	}
-	return poisoned
+	return false
 }
 
-// Crash closes the listener and resets all connections. The target starts again at the same address.
-func (t *Target) Crash() {
+// crash closes the listener and resets all connections. The target starts again at the same address.
+func (t *Target) crash(part string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.listener == nil {
 		return // it has ended already
 	}
-	t.crasher.crashes = append(t.crasher.crashes, time.Now())
+	t.crasher.crashes = append(t.crasher.crashes, Crash{time.Now(), part})
 	address := t.listener.Addr().String()
 	_ = t.listener.Close()
 	t.listener = nil
--- a/internal/standin/prepared/target.go
+++ b/internal/standin/prepared/target.go
@@ -115,6 +115,15 @@
 	t.mu.Unlock()
 }
 
+// SetHeaderUnless is SetHeader, unless the header lines contain a text.
+func (t *Target) SetHeaderUnless(text, lines string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !strings.Contains(t.header, text) {
+		t.header = lines
+	}
+}
+
 // extraHeader returns what SetHeader set.
 func (t *Target) extraHeader() string {
 	t.mu.Lock()
--- a/node/prompt_crash_test.go
+++ b/node/prompt_crash_test.go
@@ -109,7 +109,7 @@
 		e := prepared.NewTarget(fmt.Sprint("e-", i))
 		c.t.Cleanup(e.Close)
 		e.Stage, e.EventPause = "decode", 10*time.Millisecond
-		e.CrashOn(poisonPart, time.Second)
+		e.CrashOn(time.Second, poisonPart)
 		c.store.Write(platform.TargetsCollection, e.ID, e.Entry("model", "a"))
 		all = append(all, e)
 	}
@@ -120,7 +120,9 @@
 func crashesOf(all []*prepared.Target) []time.Time {
 	var crashes []time.Time
 	for _, e := range all {
-		crashes = append(crashes, e.Crashes()...)
+		for _, c := range e.Crashes() {
+			crashes = append(crashes, c.At)
+		}
 	}
 	slices.SortFunc(crashes, time.Time.Compare)
 	return crashes
