--- a/forward/ending_test.go
+++ b/forward/ending_test.go
@@ -10,6 +10,7 @@
 	"runtime/metrics"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -22,10 +23,11 @@
 // scriptedTarget answers each request with a script and ends its connection in a given way.
 type scriptedTarget struct {
 	listener net.Listener
-	answer   string // ID stands for the id of the request
-	endless  string // written over and over after the answer, until the caller disconnects
-	reset    bool   // the connection is reset instead of closed
-	hold     bool   // the connection stays open until the caller disconnects
+	answer   string        // ID stands for the id of the request
+	endless  string        // written over and over after the answer, until the caller disconnects
+	reset    bool          // the connection is reset instead of closed
+	hold     bool          // the connection stays open until the caller disconnects
+	asked    *atomic.Int32 // counts the requests, unless nil
 }
 
 // startScripted puts a scripted target in the place of the target of a handler.
@@ -57,6 +59,9 @@
 		return
 	}
 	_, _ = io.Copy(io.Discard, request.Body)
+	if s.asked != nil {
+		s.asked.Add(1)
+	}
 	_, err = io.WriteString(c, strings.ReplaceAll(s.answer, "ID", request.Header.Get("X-Request-Id")))
 	for block := strings.Repeat(s.endless, 1+4096/max(len(s.endless), 1)); s.endless != "" && err == nil; {
 		_, err = io.WriteString(c, block)
@@ -188,6 +193,19 @@
 	}
 }
 
+// endlessScripts returns targets that send bytes without end, in each place where an answer can hold them.
+func endlessScripts() []*scriptedTarget {
+	chunked := "HTTP/1.1" + head + "Transfer-Encoding: chunked\r\n\r\n"
+	return []*scriptedTarget{
+		{answer: "HTTP/1.1" + head, endless: "X-More: 0123456789\r\n"},
+		{answer: "HTTP/1.1" + head + "\r\n", endless: "id: 1 without an end "},
+		{answer: chunked, endless: "8\r\nid: 1 aa\r\n"},
+		{endless: "HTTP/1.1 103 Early Hints\r\n\r\n"},
+		{answer: chunked + "5;", endless: "ext=0123456789;"},
+		{answer: chunked + "5\r\nid: 1\r\n0\r\n", endless: "X-More: 0123456789\r\n"},
+	}
+}
+
 // Many targets send bytes without end, in each place where an answer can hold them. The memory that a
 // host needs for it stays bounded, and callers get their answers from a sound target.
 func TestBytesWithoutEndAreBoundedInMemory(t *testing.T) {
@@ -197,14 +215,8 @@
 	const hostBytes, softLimit, gcPercent = 184 << 20, 110 << 20, 200
 	before, beforeLimit := debug.SetGCPercent(gcPercent), debug.SetMemoryLimit(softLimit)
 	t.Cleanup(func() { debug.SetGCPercent(before); debug.SetMemoryLimit(beforeLimit) })
-	scripts := []*scriptedTarget{
-		{answer: "HTTP/1.1" + head, endless: "X-More: 0123456789\r\n"},
-		{answer: "HTTP/1.1" + head + "\r\n", endless: "id: 1 without an end "},
-		{answer: "HTTP/1.1" + head + "Transfer-Encoding: chunked\r\n\r\n", endless: "8\r\nid: 1 aa\r\n"},
-		{endless: "HTTP/1.1 103 Early Hints\r\n\r\n"},
-	}
 	var peakLive, peakTotal uint64 // what is reachable, and all that the process holds
-	for i, script := range scripts {
+	for i, script := range endlessScripts() {
 		h := newTestHandler(t, "model", engine(fmt.Sprint("t-", i), "decode"))
 		h.startScripted(script)
 		stop := make(chan struct{})
