Tell crashes of a target that has started again apart

Cause: a crash was identified by the process as the list of targets names it. A target that starts again under its id is listed as before until its new entry arrives, so that its later crashes counted as the first one; with four targets two parts soon had the same crashes, explained each other's, and were blocked in requests with both alone. Change: a crash is a process and a time; those of one process half a second apart are two. The time is that of the answer that broke off.

--- a/forward/crash_guard.go
+++ b/forward/crash_guard.go
@@ -29,15 +29,17 @@
 	mu       sync.Mutex
 	detector *poison.Detector
 	// broken holds the answers that ended when they had hardly begun, of targets not known to have crashed.
-	broken map[poison.Crash]*brokenAnswers
+	broken map[poison.Process]*brokenAnswers
 }
 
 // brokenAnswers are the requests whose answers broke off at one process of a target.
 type brokenAnswers struct {
-	target   roster.Target
-	prompts  [][]poison.Part
-	at       time.Time
-	checking bool // a connection is being tried
+	target  roster.Target
+	prompts [][]poison.Part
+	at      time.Time // of the latest, by the local clock
+	// crashedAt is when the first of those that broke off together did, by the clock that all hosts share.
+	crashedAt time.Time
+	checking  bool // a connection is being tried
 }
 
 const (
@@ -52,7 +54,7 @@
 
 // NewCrashGuard returns a guard without evidence.
 func NewCrashGuard(pool *upstream.Pool, now func() time.Time, log *zerolog.Logger) *CrashGuard {
-	return &CrashGuard{Pool: pool, Now: now, Log: log, detector: poison.New(), broken: make(map[poison.Crash]*brokenAnswers)}
+	return &CrashGuard{Pool: pool, Now: now, Log: log, detector: poison.New(), broken: make(map[poison.Process]*brokenAnswers)}
 }
 
 // sharedPartIDs returns the parts of a prompt that it may share with others. The last one is its own.
@@ -94,23 +96,26 @@
 	if len(parts) == 0 {
 		return
 	}
-	crash := poison.CrashOf(t.ID, t.StartedMillis)
+	process := poison.ProcessOf(t.ID, t.StartedMillis)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	b := g.broken[crash]
+	b := g.broken[process]
 	if b == nil {
 		b = &brokenAnswers{target: t}
-		g.broken[crash] = b
+		g.broken[process] = b
+	}
+	if len(b.prompts) == 0 || time.Since(b.at) > time.Second {
+		b.crashedAt = g.Now()
 	}
 	b.prompts, b.at = append(b.prompts, parts), time.Now()
 	if !b.checking {
 		b.checking = true
-		go g.checkTarget(t, crash)
+		go g.checkTarget(t, process)
 	}
 }
 
 // checkTarget tries to connect to a target whose answers broke off.
-func (g *CrashGuard) checkTarget(t roster.Target, crash poison.Crash) {
+func (g *CrashGuard) checkTarget(t roster.Target, process poison.Process) {
 	for i := range crashChecks {
 		if i > 0 {
 			time.Sleep(crashCheckPause)
@@ -119,28 +124,29 @@
 		refused := g.Pool.Refuses(ctx, t.Address)
 		cancel()
 		if refused {
-			g.crashed(crash, "refuses connections")
+			g.crashed(process, "refuses connections")
 			return
 		}
 	}
 	g.mu.Lock()
-	if b := g.broken[crash]; b != nil {
+	if b := g.broken[process]; b != nil {
 		b.checking = false
 	}
 	g.mu.Unlock()
 }
 
 // crashed records that a target has crashed under the answers that broke off there.
-func (g *CrashGuard) crashed(crash poison.Crash, how string) {
+func (g *CrashGuard) crashed(process poison.Process, how string) {
 	g.mu.Lock()
-	b := g.broken[crash]
-	delete(g.broken, crash)
+	b := g.broken[process]
+	delete(g.broken, process)
 	g.mu.Unlock()
 	if b == nil {
 		return
 	}
 	event.TargetCrashed.Log(g.Log).Str("target", string(b.target.ID)).Str("address", b.target.Address).Int64("born", b.target.StartedMillis).
 		Str("how", how).Int("prompts", len(b.prompts)).Strs("parts", namesOf(b.prompts[0])).Send()
+	crash := poison.Crash{Process: process, At: b.crashedAt}
 	g.update(func(now time.Time) bool {
 		changed := false
 		for _, parts := range b.prompts {
@@ -160,18 +166,18 @@
 			started[t.ID] = t.StartedMillis
 		}
 	}
-	var restarted []poison.Crash
-	for crash, b := range g.broken {
+	var restarted []poison.Process
+	for process, b := range g.broken {
 		switch {
 		case started[b.target.ID] > b.target.StartedMillis:
-			restarted = append(restarted, crash)
+			restarted = append(restarted, process)
 		case time.Since(b.at) > brokenMemory && !b.checking:
-			delete(g.broken, crash)
+			delete(g.broken, process)
 		}
 	}
 	g.mu.Unlock()
-	for _, crash := range restarted {
-		g.crashed(crash, "has started again")
+	for _, process := range restarted {
+		g.crashed(process, "has started again")
 	}
 }
 
--- a/node/prompt_evidence.go
+++ b/node/prompt_evidence.go
@@ -1,8 +1,6 @@
 package node
 
 import (
-	"cmp"
-	"maps"
 	"slices"
 	"time"
 
@@ -24,12 +22,10 @@
 	sent := time.UnixMilli(d.TrueTimeMs)
 	for _, e := range n.handler.Crashes.Evidence(suspectsPerDigest) {
 		w := &wire.PromptEvidence{Part: uint64(e.Part)}
-		latest := slices.SortedFunc(maps.Keys(e.Crashes), func(a, b poison.Crash) int {
-			return cmp.Or(e.Crashes[b].Compare(e.Crashes[a]), cmp.Compare(a, b))
-		})
-		for _, c := range latest[:min(len(latest), crashesPerSuspect)] {
-			w.Crashes = append(w.Crashes, uint32(c))
-			w.CrashAgesMs = append(w.CrashAgesMs, sent.Sub(e.Crashes[c]).Milliseconds())
+		slices.SortFunc(e.Crashes, func(a, b poison.Crash) int { return b.At.Compare(a.At) })
+		for _, c := range e.Crashes[:min(len(e.Crashes), crashesPerSuspect)] {
+			w.Processes = append(w.Processes, uint32(c.Process))
+			w.CrashAgesMs = append(w.CrashAgesMs, sent.Sub(c.At).Milliseconds())
 		}
 		if !e.SoundAt.IsZero() {
 			w.AnsweredAgeMs = proto.Int64(sent.Sub(e.SoundAt).Milliseconds())
@@ -44,10 +40,11 @@
 	sent := time.UnixMilli(d.TrueTimeMs)
 	var all []poison.Evidence
 	for _, w := range d.PromptEvidence {
-		e := poison.Evidence{Part: poison.Part(w.Part), Crashes: make(map[poison.Crash]time.Time)}
-		for i, c := range w.Crashes {
+		e := poison.Evidence{Part: poison.Part(w.Part)}
+		for i, process := range w.Processes {
 			if i < len(w.CrashAgesMs) {
-				e.Crashes[poison.Crash(c)] = sent.Add(-time.Duration(w.CrashAgesMs[i]) * time.Millisecond)
+				at := sent.Add(-time.Duration(w.CrashAgesMs[i]) * time.Millisecond)
+				e.Crashes = append(e.Crashes, poison.Crash{Process: poison.Process(process), At: at})
 			}
 		}
 		if w.AnsweredAgeMs != nil {
--- a/poison/blame.go
+++ b/poison/blame.go
@@ -1,6 +1,7 @@
 package poison
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -8,7 +9,7 @@
 // suspect is a part with the crashes that no other part explains.
 type suspect struct {
 	part    Part
-	crashes []Crash // sorted
+	crashes []Crash // ordered
 	sound   bool    // was answered lately
 }
 
@@ -26,16 +27,16 @@
 		}
 		group, explained := []Part{}, worst.crashes
 		for i := range all {
-			if all[i].sound == worst.sound && slices.Equal(all[i].crashes, explained) {
+			if all[i].sound == worst.sound && slices.EqualFunc(all[i].crashes, explained, Crash.same) {
 				group = append(group, all[i].part)
 			}
 		}
 		groups = append(groups, group)
 		for i := range all {
-			all[i].crashes = slices.DeleteFunc(slices.Clone(all[i].crashes), func(c Crash) bool { return slices.Contains(explained, c) })
+			all[i].crashes = slices.DeleteFunc(slices.Clone(all[i].crashes), func(c Crash) bool { return slices.ContainsFunc(explained, c.same) })
 		}
 	}
-	slices.SortFunc(groups, func(a, b []Part) int { return compareParts(a[0], b[0]) })
+	slices.SortFunc(groups, func(a, b []Part) int { return cmp.Compare(a[0], b[0]) })
 	changed := !slices.EqualFunc(groups, d.blocked, slices.Equal)
 	d.blocked = groups
 	return changed
@@ -45,16 +46,12 @@
 func (d *Detector) listSuspects(now time.Time) []suspect {
 	var all []suspect
 	for p, e := range d.suspects {
-		s := suspect{part: p, sound: now.Sub(e.SoundAt) <= soundMemory}
-		for c := range e.Crashes {
-			s.crashes = append(s.crashes, c)
-		}
-		if len(s.crashes) > 0 {
-			slices.Sort(s.crashes)
-			all = append(all, s)
+		if len(e.Crashes) > 0 {
+			crashes := slices.SortedFunc(slices.Values(e.Crashes), compareCrashes)
+			all = append(all, suspect{part: p, crashes: crashes, sound: now.Sub(e.SoundAt) <= soundMemory})
 		}
 	}
-	slices.SortFunc(all, func(a, b suspect) int { return compareParts(a.part, b.part) })
+	slices.SortFunc(all, func(a, b suspect) int { return cmp.Compare(a.part, b.part) })
 	return all
 }
 
@@ -115,9 +112,9 @@
 	if e == nil {
 		return latest
 	}
-	for _, at := range e.Crashes {
-		if at.After(latest) {
-			latest = at
+	for _, c := range e.Crashes {
+		if c.At.After(latest) {
+			latest = c.At
 		}
 	}
 	return latest.Add(crashMemory)
--- a/poison/poison.go
+++ b/poison/poison.go
@@ -12,6 +12,7 @@
 package poison
 
 import (
+	"cmp"
 	"hash/fnv"
 	"slices"
 	"time"
@@ -22,17 +23,34 @@
 // Part identifies a part of a prompt that requests may share.
 type Part uint64
 
-// Crash identifies the end of one process of a target.
-type Crash uint32
+// Process identifies a process of a target, as far as is known: one that has crashed and started again may
+// still be known as the one before.
+type Process uint32
 
-// CrashOf returns the end of the process of a target that started at a time.
-func CrashOf(id target.ID, startedMillis int64) Crash {
+// ProcessOf returns the process of a target that started at a time.
+func ProcessOf(id target.ID, startedMillis int64) Process {
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(id)) // never fails
 	for i := range 8 {
 		_, _ = h.Write([]byte{byte(startedMillis >> (8 * i))})
 	}
-	return Crash(h.Sum32())
+	return Process(h.Sum32())
+}
+
+// Crash is the end of a process of a target at a time.
+type Crash struct {
+	Process Process
+	At      time.Time
+}
+
+// same tells whether two hosts have noticed the same end. A process doesn't start again so soon.
+func (c Crash) same(other Crash) bool {
+	return c.Process == other.Process && c.At.Sub(other.At).Abs() < sameCrashTime
+}
+
+// compareCrashes orders crashes by process and time.
+func compareCrashes(a, b Crash) int {
+	return cmp.Or(cmp.Compare(a.Process, b.Process), a.At.Compare(b.At))
 }
 
 const (
@@ -42,6 +60,8 @@
 	minCrashesOfSound = 6
 	// soundMemory is how long a part counts as sound after it was answered.
 	soundMemory = time.Minute
+	// sameCrashTime is the time within which hosts notice the same crash.
+	sameCrashTime = 500 * time.Millisecond
 	// crashMemory is how long a crash counts, and so how long a part is blocked after its latest ones.
 	crashMemory = 20 * time.Minute
 	// maxCrashes bounds the crashes that are kept for a part, the latest ones.
@@ -54,8 +74,8 @@
 // Evidence is what is known of a part.
 type Evidence struct {
 	Part Part
-	// Crashes are the ends of targets under requests with the part, with their times, since SoundAt.
-	Crashes map[Crash]time.Time
+	// Crashes are the ends of targets under requests with the part since SoundAt, in no order.
+	Crashes []Crash
 	// SoundAt is when a request with the part was last answered; zero if never.
 	SoundAt time.Time
 }
@@ -98,11 +118,7 @@
 	}
 	e.SoundAt = at
 	suspected := len(e.Crashes) > 0
-	for c, crashedAt := range e.Crashes {
-		if !crashedAt.After(at) {
-			delete(e.Crashes, c)
-		}
-	}
+	e.Crashes = slices.DeleteFunc(e.Crashes, func(c Crash) bool { return !c.At.After(at) })
 	return suspected
 }
 
@@ -126,37 +142,32 @@
 func (d *Detector) Crashed(now time.Time, c Crash, parts []Part) bool {
 	changed := false
 	for _, p := range parts {
-		changed = d.addCrash(now, now, p, c) || changed
+		changed = d.addCrash(now, p, c) || changed
 	}
 	return changed && d.evaluate(now)
 }
 
-// addCrash records a crash at a time for a part, and returns whether it is new.
-func (d *Detector) addCrash(now, at time.Time, p Part, c Crash) bool {
-	if now.Sub(at) > crashMemory || !at.After(d.sound[p]) {
+// addCrash records a crash for a part, and returns whether it is new.
+func (d *Detector) addCrash(now time.Time, p Part, c Crash) bool {
+	if now.Sub(c.At) > crashMemory || !c.At.After(d.sound[p]) {
 		return false
 	}
 	e := d.suspects[p]
 	if e == nil {
 		d.makeRoom(now)
-		e = &Evidence{Part: p, Crashes: make(map[Crash]time.Time), SoundAt: d.sound[p]}
+		e = &Evidence{Part: p, SoundAt: d.sound[p]}
 		d.suspects[p] = e
 	}
-	if known, ok := e.Crashes[c]; ok {
-		if at.Before(known) {
-			e.Crashes[c] = at // hosts notice a crash at different times; all keep the earliest
+	if i := slices.IndexFunc(e.Crashes, c.same); i >= 0 {
+		if c.At.Before(e.Crashes[i].At) {
+			e.Crashes[i].At = c.At // all hosts keep the earliest time
 		}
 		return false
 	}
-	e.Crashes[c] = at
+	e.Crashes = append(e.Crashes, c)
 	if len(e.Crashes) > maxCrashes {
-		oldest := c
-		for other, t := range e.Crashes {
-			if t.Before(e.Crashes[oldest]) {
-				oldest = other
-			}
-		}
-		delete(e.Crashes, oldest)
+		oldest := slices.MinFunc(e.Crashes, func(a, b Crash) int { return a.At.Compare(b.At) })
+		e.Crashes = slices.DeleteFunc(e.Crashes, func(other Crash) bool { return other == oldest })
 		return oldest != c
 	}
 	return true
@@ -186,11 +197,11 @@
 	if !e.SoundAt.IsZero() && !e.SoundAt.After(now) {
 		changed = d.markSound(e.SoundAt, e.Part)
 	}
-	for c, at := range e.Crashes {
-		if at.After(now) {
-			at = now // the clocks of hosts differ a little
+	for _, c := range e.Crashes {
+		if c.At.After(now) {
+			c.At = now // the clocks of hosts differ a little
 		}
-		changed = d.addCrash(now, at, e.Part, c) || changed
+		changed = d.addCrash(now, e.Part, c) || changed
 	}
 	return changed && d.evaluate(now)
 }
@@ -206,7 +217,7 @@
 			all = append(all, e.clone())
 		}
 	}
-	slices.SortFunc(all, func(a, b Evidence) int { return compareParts(a.Part, b.Part) })
+	slices.SortFunc(all, func(a, b Evidence) int { return cmp.Compare(a.Part, b.Part) })
 	for range min(n-len(chosen), len(all)) {
 		d.next++
 		chosen = append(chosen, all[d.next%len(all)])
@@ -216,22 +227,7 @@
 
 // clone returns a copy that does not change with the detector.
 func (e *Evidence) clone() Evidence {
-	c := Evidence{Part: e.Part, SoundAt: e.SoundAt, Crashes: make(map[Crash]time.Time, len(e.Crashes))}
-	for crash, at := range e.Crashes {
-		c.Crashes[crash] = at
-	}
-	return c
-}
-
-// compareParts orders parts.
-func compareParts(a, b Part) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
+	return Evidence{Part: e.Part, SoundAt: e.SoundAt, Crashes: slices.Clone(e.Crashes)}
 }
 
 // Expire forgets old evidence, and returns whether that changes what is blocked.
@@ -240,11 +236,7 @@
 		return false
 	}
 	for p, e := range d.suspects {
-		for c, at := range e.Crashes {
-			if now.Sub(at) > crashMemory {
-				delete(e.Crashes, c)
-			}
-		}
+		e.Crashes = slices.DeleteFunc(e.Crashes, func(c Crash) bool { return now.Sub(c.At) > crashMemory })
 		// One that was found sound is kept for a while, so that peers learn of it.
 		if len(e.Crashes) == 0 && now.Sub(e.SoundAt) > soundMemory {
 			delete(d.suspects, p)
