Refuse to soak nodes whose addresses are taken

Cause: the test's processes outlive it when it is killed, and a node that can't listen ends without the run noticing. Change: a run whose addresses are taken fails at once and says so.

--- a/internal/nodesoak/process.go
+++ b/internal/nodesoak/process.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -79,6 +80,9 @@
 		Bounds: settings.NodeBounds{GraceSeconds: 8, LeaseMillis: 1500, RetryRatio: 0.2, RetrySlack: 50, RetryWindowSeconds: 10, UsageWindowSeconds: 2, UsageLateSeconds: 10},
 		Log:    settings.Log{Level: "info"},
 	}
+	if err := p.checkAddressesFree(); err != nil {
+		return nil, err
+	}
 	p.settingsFile = filepath.Join(folder, p.name+".json")
 	if err := p.writeSettings(p.settings); err != nil {
 		return nil, err
@@ -87,6 +91,19 @@
 	return p, err
 }
 
+// checkAddressesFree returns an error if a process listens where this node would: one of a run that was
+// killed, which would answer in its place.
+func (p *process) checkAddressesFree() error {
+	for _, address := range []string{p.settings.Listen, p.settings.Ready, p.settings.Mesh} {
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			return fmt.Errorf("the address of a node is taken, by a process of a killed run perhaps: %w", err)
+		}
+		_ = l.Close()
+	}
+	return nil
+}
+
 // writeSettings replaces the settings file.
 func (p *process) writeSettings(s settings.Node) error {
 	data, err := json.Marshal(s)
