Record a prompt that peers repeat in digests once

Cause: each prompt comes in two digests, and each copy was recorded at every host of the zone by look-ups in a large map for each of its parts. In a profile of 48 nodes of one zone with 60 targets and 250 requests a second that was 11.7 % of the processor time. Change: the planner remembers the prompts of the last 250 ms in a small table and skips copies.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -159,6 +159,7 @@
 	reports          map[target.ID]*Report // likewise
 	notices          map[target.ID]*notice
 	fleet            fleet
+	marks            recentMarks
 }
 
 // New returns a planner for a host in availability zone z. The seed is that of its
@@ -241,14 +242,6 @@
 // DropPeer removes the loads of a peer.
 func (p *Planner) DropPeer(host string) { p.SetPeerLoads(time.Time{}, host, nil) }
 
-// MarkCached records that a peer sent a prompt with these leading parts to a target,
-// which therefore has them cached.
-func (p *Planner) MarkCached(now time.Time, key uint32, chains []uint32) {
-	if s := p.byKey[key]; s != nil {
-		s.touchCache(now, chains, p.policy.CacheTTL)
-	}
-}
-
 // Loads returns this host's load at each target where it has any, by target key.
 func (p *Planner) Loads(now time.Time) map[uint32]Load {
 	all := make(map[uint32]Load)
