Clear what broke off earlier before a crash is blamed

Cause: answers that broke off at a target were kept while it lived, and counted as under way there when it crashed later, so that a part of a prompt could be a suspect of a crash that it had no part in. Change: answers that broke off more than a second before the latest one are dropped. Measured: TestEarlierBrokenAnswerIsNoVictimOfACrash failed before, passes.

--- a/forward/crash_guard.go
+++ b/forward/crash_guard.go
@@ -45,6 +45,8 @@
 const (
 	// brokenMemory is how long a restart of a target explains answers that broke off before.
 	brokenMemory = 6 * time.Second
+	// togetherTime is the time within which the answers of a target that crashes break off.
+	togetherTime = time.Second
 	// crashCheckTimeout bounds one attempt to connect to a target that may have crashed. An attempt that
 	// succeeds may have reached a process that is just ending, so there is a second one.
 	crashCheckTimeout = 300 * time.Millisecond
@@ -104,8 +106,8 @@
 		b = &brokenAnswers{target: t}
 		g.broken[process] = b
 	}
-	if len(b.prompts) == 0 || time.Since(b.at) > time.Second {
-		b.crashedAt = g.Now()
+	if time.Since(b.at) > togetherTime {
+		b.prompts, b.crashedAt = nil, g.Now() // earlier ones broke off for another reason
 	}
 	b.prompts, b.at = append(b.prompts, parts), time.Now()
 	if !b.checking {
--- a/forward/crash_guard_test.go
+++ b/forward/crash_guard_test.go
@@ -76,6 +76,24 @@
 	is.Equal(len(h.handler.Crashes.Evidence(8)), 0)
 }
 
+// An answer broke off at a target that lived on. A later crash of that target says nothing against its parts.
+func TestEarlierBrokenAnswerIsNoVictimOfACrash(t *testing.T) {
+	is := is.New(t)
+	e := crashingEngines("dead", time.Hour, "e-1")[0]
+	h := newTestHandler(t, "model", e)
+	e.SetFaults(prepared.RunAndReset)
+	h.call(http.MethodPost, "/reply/a", "p", promptWith("bb", "1")...)
+	time.Sleep(1200 * time.Millisecond)
+	h.call(http.MethodPost, "/reply/a", "p", promptWith("dead", "2")...)
+	time.Sleep(100 * time.Millisecond)
+	var suspects []poison.Part
+	for _, evidence := range h.handler.Crashes.Evidence(8) {
+		suspects = append(suspects, evidence.Part)
+	}
+	is.Equal(len(suspects), 2) // the first part, which both prompts have, and the one that crashed the target
+	is.True(!slices.Contains(suspects, evidenceAgainst("bb")[0].Part))
+}
+
 // Targets that crash start again so soon that connections are not refused. The list of targets shows it.
 func TestCrashIsRecognisedByTheNextStart(t *testing.T) {
 	is := is.New(t)
