Take a limit of any size

Cause: the number of entitled hosts was worked out in whole numbers; a limit beyond those made it negative. Change: a limit of at least one request a second for each host entitles all. Measured: TestLimitHoldsForAllHostsTogether with 1e300: failed before, passes.

--- a/dispatch/limit.go
+++ b/dispatch/limit.go
@@ -60,7 +60,13 @@
 }
 
 // hosts returns the number of hosts that are entitled at a time.
-func (l *limit) hosts() int { return min(1+int(l.perSecond), 1+len(l.fleet.others)) }
+func (l *limit) hosts() int {
+	live := 1 + len(l.fleet.others)
+	if l.perSecond >= float64(live) {
+		return live
+	}
+	return min(1+int(l.perSecond), live)
+}
 
 // fill adds to the allowance what has become due since the last call.
 func (l *limit) fill(now time.Time) {
