Check for blocked parts before each attempt in one place

Cause: the check stood in three places and was missing after a target that could not be connected to: the next attempt went out although the part had become known meanwhile. Change: each attempt, also each further call to process the prompt, begins with the check.

--- a/forward/crash_guard_test.go
+++ b/forward/crash_guard_test.go
@@ -144,3 +144,17 @@
 	now := time.Now()
 	return []poison.Evidence{{Part: poison.Part(id.Sum64()), Crashes: []poison.Crash{{Process: 1, At: now}, {Process: 2, At: now}, {Process: 3, At: now}}}}
 }
+
+// A target refuses a request, and the part becomes known meanwhile. The request is not sent elsewhere.
+func TestPartBlockedBetweenAttempts(t *testing.T) {
+	is := is.New(t)
+	one, two := engine("t-1", "decode"), engine("t-2", "decode")
+	h := newTestHandler(t, "model", one, two)
+	for _, e := range []*prepared.Target{one, two} {
+		e.Delay = 200 * time.Millisecond
+		e.SetFaults(prepared.RefuseNotRun)
+	}
+	time.AfterFunc(100*time.Millisecond, func() { h.handler.Crashes.Merge(evidenceAgainst("dead")) })
+	is.Equal(h.call(http.MethodPost, "/draft/a", "p", promptWith("dead", "1")...).status, http.StatusServiceUnavailable)
+	is.Equal(len(one.Arrivals())+len(two.Arrivals()), 1)
+}
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -28,7 +28,7 @@
 	// attemptBroken means that the response is missing, incomplete, an error that is not passed
 	// on, or belongs to another request.
 	attemptBroken
-	// attemptRejected means that nothing more of the request may be sent, since its prompt crashes targets.
+	// attemptRejected means that the prompt was found to crash targets while it was processed.
 	attemptRejected
 	// attemptStale means that the target closed a kept connection as the request came. The request may
 	// have run, as after attemptBroken, but the target can be tried again.
--- a/forward/generate.go
+++ b/forward/generate.go
@@ -32,7 +32,7 @@
 // (prefill) and another one produce the output (decode). An attempt that breaks off is retried
 // at another target within the route's attempts and the retry budget.
 func (r *request) forwardToEngine(ctx context.Context) {
-	if r.rejectPoisoned(ctx) || r.info.LastEventID != "" && !r.fixOrigin(ctx) {
+	if r.info.LastEventID != "" && !r.fixOrigin(ctx) {
 		return
 	}
 	var splitter eventSplitter
@@ -54,9 +54,6 @@
 		if r.h.Crashes.suspects(r.sharedParts) || !r.takeRetry() {
 			break
 		}
-		if r.rejectPoisoned(ctx) {
-			return
-		}
 		if r.out.Started() {
 			r.summary.resumed++
 		}
@@ -102,6 +99,9 @@
 // caller has then got its refusal or failure.
 func (r *request) nextStreamAttempt(ctx context.Context, lastEventID string) (streamAttempt, bool) {
 	for tries := 0; ; tries++ {
+		if r.rejectPoisoned(ctx) {
+			return streamAttempt{}, false
+		}
 		d := r.plan()
 		if d.Refused() {
 			if r.out.Started() {
@@ -126,8 +126,8 @@
 		if outcome == attemptAnswered {
 			return attempt, true
 		}
-		if outcome == attemptRejected && r.rejectPoisoned(ctx) {
-			return streamAttempt{}, false
+		if outcome == attemptRejected {
+			continue
 		}
 		if ctx.Err() != nil || tries >= maxExtraPrefills || outcome != attemptNotSent && !r.takeRetry() {
 			r.fail(ctx)
