--- a/dispatch/notice_test.go
+++ b/dispatch/notice_test.go
@@ -110,3 +110,26 @@
 	}
 	is.Equal(p.Plan(first, plainJob, nil).Target.ID, target.ID("a"))
 }
+
+// Targets that want no requests neither process prompts nor produce output, nor are parts of prompts fetched
+// from them.
+func TestPausedEngineTakesNoPartInARequest(t *testing.T) {
+	is := is.New(t)
+	all := engines(2, 3, "a")
+	p := planner(all, 1)
+	j := job(9000, 2000, 7)
+	j.AllowFetch = true
+	holder := p.Plan(start, j, nil).Target
+	p.End(p.Begin(start, holder.ID, j, 11000))
+	later := start.Add(time.Second)
+	decode := all[2]
+	p.Pause(later, holder, 2*time.Second)
+	p.Pause(later, decode, 2*time.Second)
+	for range 50 {
+		d := p.Plan(later, j, nil)
+		is.True(d.Target.ID != holder.ID && d.Target.ID != decode.ID && d.FetchFrom.ID == "")
+		chosen, ok := p.PlanDecode(later, j, d.Target, nil)
+		is.True(ok && chosen.ID != decode.ID && chosen.ID != holder.ID)
+	}
+	is.True(p.Plan(later.Add(2*time.Second), j, nil).UncachedTokens <= 2000) // from the holder again
+}
