Tell peers of failing targets while it is news, and seldom after that

Cause: evidence on parts of prompts is kept for 20 minutes and limits as long as they last, and each digest carried it all that time; relays sent a datagram more a round to each host of their zone, which wakes all of them. Change: digests carry what was learnt within 2 s, and one in ten of them, drawn at random since audiences take turns, all of it.

--- a/dispatch/limit.go
+++ b/dispatch/limit.go
@@ -8,11 +8,11 @@
 	"zinniapin/target"
 )
 
-// A target in need names in its answers how many requests a second it takes from all hosts together. A share
-// for each of hundreds of hosts would be less than a request a minute, with a burst of one each. So a few
-// hosts are entitled to the target at a time, about one for each request a second; all hosts choose the same
-// ones without asking each other, and others after a while. Hosts tell each other what targets have named, since a host that
-// is not entitled gets no answers.
+// An overloaded target names in its answers how many requests a second it takes from all hosts together. A
+// share for each of hundreds of hosts would be less than a request a minute, with a burst of one each. So a
+// few hosts are entitled to the target at a time, about one for each request a second; all hosts choose the
+// same ones by rendezvous hashing, and others after a while. Hosts tell each other what targets have named,
+// since a host that is not entitled gets no answers.
 
 const (
 	// entitlementTime is how long the same hosts are entitled to a target.
@@ -144,17 +144,19 @@
 	}
 	before := n.limit
 	n.limitedAt, n.at = answered, now
+	changed := named != (before != nil) || named && before.perSecond != perSecond
+	if changed {
+		n.limitChangedAt = now
+	}
 	switch {
 	case !named:
 		n.limit = nil
-		return before != nil
 	case before == nil:
 		n.limit = &limit{perSecond: perSecond, fleet: &p.fleet, key: KeyOf(id), filledAt: now}
-		return true
+	default:
+		before.fill(now)
+		before.perSecond = perSecond
 	}
-	before.fill(now)
-	changed := before.perSecond != perSecond
-	before.perSecond = perSecond
 	return changed
 }
 
@@ -167,12 +169,13 @@
 	AnsweredAt    time.Time // by the clock that all hosts share
 }
 
-// LimitNews returns news of at most n targets, others each time.
-func (p *Planner) LimitNews(now time.Time, n int) []LimitNews {
+// LimitNews returns news of at most n targets that have changed what they name within an age, others each
+// time.
+func (p *Planner) LimitNews(now time.Time, n int, maxAge time.Duration) []LimitNews {
 	var all []LimitNews
 	for id, known := range p.notices { // in random order
 		ended := known.limit == nil && now.Add(p.fleet.offset).Sub(known.limitedAt) > limitNewsTime
-		if known.limitedAt.IsZero() || ended || len(all) == n {
+		if known.limitedAt.IsZero() || ended || now.Sub(known.limitChangedAt) > maxAge || len(all) == n {
 			continue
 		}
 		news := LimitNews{Target: KeyOf(id), StartedMillis: known.startedMillis, Limited: known.limit != nil, AnsweredAt: known.limitedAt}
--- a/dispatch/limit_test.go
+++ b/dispatch/limit_test.go
@@ -53,7 +53,7 @@
 	for _, p := range fleet {
 		p.SetLimit(start, a, 1, true)
 	}
-	old := fleet[0].LimitNews(start, 8)
+	old := fleet[0].LimitNews(start, 8, time.Hour)
 	var closed *dispatch.Planner
 	for _, p := range fleet {
 		if p.Plan(start.Add(2*time.Second), plainJob, nil).Refused() {
@@ -67,7 +67,7 @@
 	}
 	later := start.Add(3 * time.Second)
 	is.True(teller.SetLimit(later, a, 0, false))
-	for _, news := range append(teller.LimitNews(later, 8), old...) {
+	for _, news := range append(teller.LimitNews(later, 8, time.Hour), old...) {
 		closed.ApplyLimit(later, news)
 	}
 	is.True(!closed.Plan(later, plainJob, nil).Refused())
--- a/dispatch/notice.go
+++ b/dispatch/notice.go
@@ -17,7 +17,11 @@
 	closedUntil   time.Time
 	at            time.Time // of the last change
 	limit         *limit    // nil if the target names none
-	limitedAt     time.Time // when it last named a limit, or none, by the clock that all hosts share; zero if it never named one
+	// limitedAt is when the target last named a limit, or that it has none any more, by the clock that all
+	// hosts share; zero if it never named one.
+	limitedAt time.Time
+	// limitChangedAt is when this host last learnt of another limit, or that there is none.
+	limitChangedAt time.Time
 }
 
 const (
--- a/forward/crash_guard.go
+++ b/forward/crash_guard.go
@@ -45,8 +45,8 @@
 const (
 	// brokenMemory is how long a restart of a target explains answers that broke off before.
 	brokenMemory = 6 * time.Second
-	// togetherTime is the time within which the answers of a target that crashes break off.
-	togetherTime = time.Second
+	// crashSpan is the time within which all answers of a target that crashes break off.
+	crashSpan = time.Second
 	// crashCheckTimeout bounds one attempt to connect to a target that may have crashed. An attempt that
 	// succeeds may have reached a process that is just ending, so there is a second one.
 	crashCheckTimeout = 300 * time.Millisecond
@@ -106,7 +106,7 @@
 		b = &brokenAnswers{target: t}
 		g.broken[process] = b
 	}
-	if time.Since(b.at) > togetherTime {
+	if time.Since(b.at) > crashSpan {
 		b.prompts, b.crashedAt = nil, g.Now() // earlier ones broke off for another reason
 	}
 	b.prompts, b.at = append(b.prompts, parts), time.Now()
@@ -183,11 +183,11 @@
 	}
 }
 
-// Evidence returns evidence for peers, on at most n parts.
-func (g *CrashGuard) Evidence(n int) []poison.Evidence {
+// Evidence returns evidence for peers, on at most n parts of which something new was learnt within an age.
+func (g *CrashGuard) Evidence(n int, maxAge time.Duration) []poison.Evidence {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.detector.Recent(n)
+	return g.detector.Recent(n, g.Now().Add(-maxAge))
 }
 
 // Merge adds the evidence of a peer.
--- a/forward/crash_guard_test.go
+++ b/forward/crash_guard_test.go
@@ -73,7 +73,7 @@
 	time.Sleep(300 * time.Millisecond) // until no target is in quarantine
 	is.Equal(h.call(http.MethodPost, "/reply/a", "p", promptWith("bb", "2")...).status, http.StatusOK)
 	h.handler.Crashes.ObserveTargets(h.targets)
-	is.Equal(len(h.handler.Crashes.Evidence(8)), 0)
+	is.Equal(len(h.handler.Crashes.Evidence(8, time.Hour)), 0)
 }
 
 // An answer broke off at a target that lived on. A later crash of that target says nothing against its parts.
@@ -87,7 +87,7 @@
 	h.call(http.MethodPost, "/reply/a", "p", promptWith("dead", "2")...)
 	time.Sleep(100 * time.Millisecond)
 	var suspects []poison.Part
-	for _, evidence := range h.handler.Crashes.Evidence(8) {
+	for _, evidence := range h.handler.Crashes.Evidence(8, time.Hour) {
 		suspects = append(suspects, evidence.Part)
 	}
 	is.Equal(len(suspects), 2) // the first part, which both prompts have, and the one that crashed the target
@@ -108,7 +108,7 @@
 		}
 	}
 	time.Sleep(time.Second) // until the targets were found to accept connections
-	is.Equal(len(h.handler.Crashes.Evidence(8)), 0)
+	is.Equal(len(h.handler.Crashes.Evidence(8, time.Hour)), 0)
 	var restarted []roster.Target
 	for _, target := range h.targets {
 		target.StartedMillis++
--- a/internal/targetbench/crashes.go
+++ b/internal/targetbench/crashes.go
@@ -1,5 +1,5 @@
-// Package targetbench replays loads in which targets are in need, in virtual time: targets that crash under a
-// part of prompts, and targets that name a limit. It compares the decisions of a node with simpler ones.
+// Package targetbench replays loads on targets that fail, in virtual time: targets that crash under a part of
+// prompts, and overloaded ones that name a limit. It compares the decisions of a node with simpler ones.
 package targetbench
 
 import (
--- a/internal/targetbench/guards.go
+++ b/internal/targetbench/guards.go
@@ -131,7 +131,7 @@
 // Tell implements CrashGuard.
 func (g *BlamingGuard) Tell(now time.Time, other CrashGuard) {
 	if to, ok := other.(*BlamingGuard); ok {
-		for _, e := range g.detector.Recent(suspectsPerTell) {
+		for _, e := range g.detector.Recent(suspectsPerTell, time.Time{}) {
 			to.detector.Merge(now, e)
 		}
 	}
--- a/internal/targetbench/limits.go
+++ b/internal/targetbench/limits.go
@@ -154,7 +154,7 @@
 	}
 	return all, func(now time.Time) {
 		teller := planners[random.IntN(len(planners))]
-		for _, news := range teller.LimitNews(now, 1) {
+		for _, news := range teller.LimitNews(now, 1, time.Hour) {
 			for _, p := range planners {
 				p.ApplyLimit(now, news)
 			}
--- a/node/gossip.go
+++ b/node/gossip.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"strconv"
 	"sync"
@@ -116,8 +117,9 @@
 		return
 	}
 	n.composeLoads(d)
-	n.composePromptEvidence(d)
-	n.composeTargetLimits(d)
+	maxAge := newsAge()
+	n.composePromptEvidence(d, maxAge)
+	n.composeTargetLimits(d, maxAge)
 	g.mu.Lock()
 	d.Demand = g.demand
 	g.usageRound++
@@ -132,6 +134,25 @@
 	}
 }
 
+const (
+	// newsTime is how long a digest carries what was learnt of failing targets. Peers may miss some digests,
+	// and a relay passes on what it learns as its own.
+	newsTime = 2 * time.Second
+	// repeatNews is how seldom, in digests on the mean, all of that is told again, for hosts that have just
+	// started. It is left to chance, since the audiences of digests take turns.
+	repeatNews = 10
+	// oldestNews is older than anything that is kept.
+	oldestNews = time.Hour
+)
+
+// newsAge returns the age up to which the next digest carries what was learnt of failing targets.
+func newsAge() time.Duration {
+	if rand.IntN(repeatNews) == 0 {
+		return oldestNews
+	}
+	return newsTime
+}
+
 // composeLoads adds the load that this host has in flight at each target.
 func (n *Node) composeLoads(d *wire.HostDigest) {
 	n.handler.PlannerMu.Lock()
--- a/node/prompt_evidence.go
+++ b/node/prompt_evidence.go
@@ -17,10 +17,10 @@
 	crashesPerSuspect = 8
 )
 
-// composePromptEvidence adds evidence on parts of prompts under which targets have crashed.
-func (n *Node) composePromptEvidence(d *wire.HostDigest) {
+// composePromptEvidence adds evidence on parts of prompts under which targets have crashed, if it is not older.
+func (n *Node) composePromptEvidence(d *wire.HostDigest, maxAge time.Duration) {
 	sent := time.UnixMilli(d.TrueTimeMs)
-	for _, e := range n.handler.Crashes.Evidence(suspectsPerDigest) {
+	for _, e := range n.handler.Crashes.Evidence(suspectsPerDigest, maxAge) {
 		w := &wire.PromptEvidence{Part: uint64(e.Part)}
 		slices.SortFunc(e.Crashes, func(a, b poison.Crash) int { return b.At.Compare(a.At) })
 		for _, c := range e.Crashes[:min(len(e.Crashes), crashesPerSuspect)] {
--- a/node/target_limits.go
+++ b/node/target_limits.go
@@ -18,12 +18,12 @@
 	n.handler.PlannerMu.Unlock()
 }
 
-// composeTargetLimits adds the limits that targets have named.
-func (n *Node) composeTargetLimits(d *wire.HostDigest) {
+// composeTargetLimits adds the limits that targets have named, if the change is not older.
+func (n *Node) composeTargetLimits(d *wire.HostDigest, maxAge time.Duration) {
 	sent := time.UnixMilli(d.TrueTimeMs)
 	n.handler.PlannerMu.Lock()
 	defer n.handler.PlannerMu.Unlock()
-	for _, news := range n.handler.Planner.LimitNews(time.Now(), limitsPerDigest) {
+	for _, news := range n.handler.Planner.LimitNews(time.Now(), limitsPerDigest, maxAge) {
 		d.TargetLimits = append(d.TargetLimits, &wire.TargetLimit{
 			Target: news.Target, Born: news.StartedMillis, Limited: news.Limited, PerSecond: news.PerSecond,
 			AgeMs: sent.Sub(news.AnsweredAt).Milliseconds(),
--- a/poison/poison.go
+++ b/poison/poison.go
@@ -78,6 +78,8 @@
 	Crashes []Crash
 	// SoundAt is when a request with the part was last answered; zero if never.
 	SoundAt time.Time
+	// changedAt is when this host last learnt something new of the part.
+	changedAt time.Time
 }
 
 // Detector holds the evidence and what follows from it.
@@ -118,6 +120,9 @@
 	}
 	e.SoundAt = at
 	suspected := len(e.Crashes) > 0
+	if suspected {
+		e.changedAt = at
+	}
 	e.Crashes = slices.DeleteFunc(e.Crashes, func(c Crash) bool { return !c.At.After(at) })
 	return suspected
 }
@@ -164,7 +169,7 @@
 		}
 		return false
 	}
-	e.Crashes = append(e.Crashes, c)
+	e.Crashes, e.changedAt = append(e.Crashes, c), now
 	if len(e.Crashes) > maxCrashes {
 		oldest := slices.MinFunc(e.Crashes, func(a, b Crash) int { return a.At.Compare(b.At) })
 		e.Crashes = slices.DeleteFunc(e.Crashes, func(other Crash) bool { return other == oldest })
@@ -206,20 +211,22 @@
 	return changed && d.evaluate(now)
 }
 
-// Recent returns the evidence on at most n suspects, others each time, for peers. Blocked parts are
-// always among them, so that a host which has just started learns of them soon.
-func (d *Detector) Recent(n int) []Evidence {
-	var blocked, others []Part
-	for p := range d.suspects {
-		if d.inBlocked(p) && len(blocked) < n {
-			blocked = append(blocked, p)
-		} else {
+// Recent returns the evidence on at most n suspects of which this host has learnt something new since a
+// time, others each time, for peers. Blocked parts come first, so that a host which has just started learns
+// of them soon.
+func (d *Detector) Recent(n int, since time.Time) []Evidence {
+	var chosen, others []Part
+	for p, e := range d.suspects {
+		switch {
+		case e.changedAt.Before(since):
+		case d.inBlocked(p) && len(chosen) < n:
+			chosen = append(chosen, p)
+		default:
 			others = append(others, p)
 		}
 	}
 	slices.Sort(others)
-	chosen := blocked
-	for range min(n-len(blocked), len(others)) {
+	for range min(n-len(chosen), len(others)) {
 		d.next++
 		chosen = append(chosen, others[d.next%len(others)])
 	}
--- a/poison/poison_test.go
+++ b/poison/poison_test.go
@@ -101,22 +101,35 @@
 	}
 	for i := range 1000 {
 		now := at(200 + 50*i)
-		for _, e := range one.Recent(4) {
+		for _, e := range one.Recent(4, time.Time{}) {
 			two.Merge(now, e)
 		}
-		for _, e := range two.Recent(4) {
+		for _, e := range two.Recent(4, time.Time{}) {
 			one.Merge(now, e)
 		}
 	}
 	for _, d := range []*Detector{one, two} {
-		is.Equal(d.Recent(1)[0].SoundAt, at(0))
-		is.True(slices.Contains(d.Recent(1)[0].Crashes, crash(3, 103)))
+		is.Equal(d.Recent(1, time.Time{})[0].SoundAt, at(0))
+		is.True(slices.Contains(d.Recent(1, time.Time{})[0].Crashes, crash(3, 103)))
 		is.Equal(len(d.Blocked()), 1)
 		d.Expire(at(150).Add(crashMemory))
 		is.Equal(len(d.Blocked()), 0)
 	}
 }
 
+// Peers are told what is new, and the rest only when all is asked for.
+func TestOldEvidenceIsToldOnRequest(t *testing.T) {
+	is := is.New(t)
+	d := New()
+	d.Crashed(at(0), crash(1, 0), []Part{5})
+	d.Crashed(at(5000), crash(2, 5000), []Part{7})
+	is.Equal(len(d.Recent(4, at(4000))), 1)
+	is.Equal(d.Recent(4, at(4000))[0].Part, Part(7))
+	is.Equal(len(d.Recent(4, time.Time{})), 2)
+	d.Answered(at(6000), []Part{5}) // clears it, which is new
+	is.Equal(len(d.Recent(4, at(5500))), 1)
+}
+
 // What is kept stays bounded, whatever is reported.
 func TestEvidenceIsBounded(t *testing.T) {
 	is := is.New(t)
