Log when a silent target is given up, and let stand-ins fall silent

Cause: an attempt that the host cancels since its target sends nothing looks in the log like one that the target broke off. Change: event target_silent (7047). Stand-in targets fall silent for a time and go on (FallSilent).

--- a/event/node.go
+++ b/event/node.go
@@ -40,5 +40,6 @@
 	PromptPartBlocked  = define(7044, "prompt_part_blocked", zerolog.WarnLevel, "Several targets have crashed under requests whose prompts have these parts; such requests are rejected.", "Find out which callers send that part and why targets crash.")
 	PromptPartCleared  = define(7045, "prompt_part_cleared", zerolog.InfoLevel, "Requests whose prompts have these parts are sent again: targets answered such requests, another part explains the crashes, or they are long past.", "none")
 	TargetLimited      = define(7046, "target_limited", zerolog.InfoLevel, "A target named in an answer how many requests a second it takes from all hosts together, or another number than before, or named none any more.", "Look for the cause at the target if this lasts.")
+	TargetSilent       = define(7047, "target_silent", zerolog.InfoLevel, "A target has sent nothing for so long that another one is to take over the request.", "Check the target if this recurs.")
 	LinesDropped       = define(7035, "lines_dropped", zerolog.WarnLevel, "Log lines were dropped because the log output was too slow.", "none")
 )
--- a/forward/attempt_timeout.go
+++ b/forward/attempt_timeout.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"zinniapin/dispatch"
+	"zinniapin/event"
 )
 
 const (
@@ -49,6 +50,8 @@
 				return
 			}
 			t.retryTaken.Store(true)
+			event.TargetSilent.Log(r.h.Log).Str("request", r.info.ID).Str("target", string(d.Target.ID)).Str("address", d.Target.Address).
+				Float64("ms", milliseconds(time.Since(r.in.Arrived))).Int("candidates", d.Candidates).Send()
 			cancel()
 		})
 		t.timer.Reset(limit)
--- a/internal/standin/prepared/target.go
+++ b/internal/standin/prepared/target.go
@@ -55,6 +55,7 @@
 	abandoned    int // requests whose caller disconnected during execution
 	freedHandles []string
 	header       string // further header lines of all responses, each with its line end
+	silentUntil  time.Time
 	// Events is the number of events in a stream, EventPause the time before each event,
 	// and BreakAfter the number of events after which a stream breaks off in the middle of
 	// the next event; 0 means that it does not.
@@ -124,6 +125,21 @@
 	}
 }
 
+// FallSilent makes the target send nothing on any connection for a time. It goes on with its answers after
+// that.
+func (t *Target) FallSilent(d time.Duration) {
+	t.mu.Lock()
+	t.silentUntil = time.Now().Add(d)
+	t.mu.Unlock()
+}
+
+// silence returns how much longer the target sends nothing.
+func (t *Target) silence() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return max(time.Until(t.silentUntil), 0)
+}
+
 // extraHeader returns what SetHeader set.
 func (t *Target) extraHeader() string {
 	t.mu.Lock()
@@ -249,6 +265,7 @@
 	if t.Delay > 0 {
 		time.Sleep(t.Delay)
 	}
+	time.Sleep(t.silence())
 	switch f {
 	case RefuseNotRun:
 		return t.reply(c, request, http.StatusServiceUnavailable, "X-Not-Executed: 1\r\n", "")
@@ -330,13 +347,8 @@
 		first = last + 1
 	}
 	for i := first; i < t.FirstID+t.Events; i++ {
-		select {
-		case <-disconnected:
-			t.mu.Lock()
-			t.abandoned++
-			t.mu.Unlock()
+		if !t.pause(disconnected) {
 			return false
-		case <-time.After(t.EventPause):
 		}
 		event := Event(i, t.Version)
 		if breakAfter > 0 && i-first >= breakAfter {
@@ -356,6 +368,23 @@
 	return false // the goroutine above may have read from the connection
 }
 
+// pause waits until the next event of a stream is due. It returns false if the caller has disconnected.
+func (t *Target) pause(disconnected <-chan struct{}) bool {
+	for wait := t.EventPause; ; wait = t.silence() {
+		select {
+		case <-disconnected:
+			t.mu.Lock()
+			t.abandoned++
+			t.mu.Unlock()
+			return false
+		case <-time.After(wait):
+		}
+		if t.silence() == 0 {
+			return true
+		}
+	}
+}
+
 // Event returns the event i of the streams of targets of a version.
 func Event(i int, version string) string {
 	return strings.TrimSuffix(fmt.Sprintf("id: %d\ndata: token %d %s", i, i, version), " ") + "\n\n"
