--- /dev/null
+++ b/forward/silence_test.go
@@ -0,0 +1,92 @@
+package forward_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"zinniapin/internal/knownred"
+	"zinniapin/internal/standin/prepared"
+	"zinniapin/route"
+)
+
+// silenceOf is how long the targets of these tests fall silent. The handler looks for another target
+// after a second.
+const silenceOf = 1500 * time.Millisecond
+
+// silentInStream starts targets of streams of six events, of which the first falls silent after its second
+// event and then goes on. Requests go to that one, since the others are full of work.
+func silentInStream(t *testing.T, others ...*prepared.Target) (*testHandler, *prepared.Target) {
+	t.Helper()
+	silent := engine("d-1", "decode")
+	silent.Events, silent.EventPause = 6, 40*time.Millisecond
+	for _, o := range others {
+		o.Events = 6
+	}
+	return newTestHandler(t, "model", append([]*prepared.Target{silent}, others...)...), silent
+}
+
+// callUntilSilent makes calls until one goes to the target that then falls silent, and returns its result.
+func callUntilSilent(t *testing.T, h *testHandler, silent *prepared.Target, before func()) callResult {
+	t.Helper()
+	for range 40 {
+		before()
+		runs := silent.Runs()
+		ended := make(chan callResult, 1)
+		go func() {
+			ended <- h.call(http.MethodPost, "/draft/a", "p", append([]string{"X-Deadline-Ms: 5000"}, engineHeaders...)...)
+		}()
+		for begun := time.Now(); time.Since(begun) < 90*time.Millisecond; time.Sleep(5 * time.Millisecond) {
+			if silent.Runs() > runs {
+				time.Sleep(60 * time.Millisecond)
+				silent.FallSilent(silenceOf)
+				return <-ended
+			}
+		}
+		<-ended
+	}
+	t.Fatal("no request went to the target that falls silent")
+	return callResult{}
+}
+
+// A sound target falls silent in the middle of a stream and goes on. No other target takes the stream
+// over. The caller gets all of it from the first one.
+func TestStreamOfASilentTargetIsNotCut(t *testing.T) {
+	for name, reject := range map[string]func(*testHandler, *prepared.Target){
+		"the other one refuses":    func(_ *testHandler, o *prepared.Target) { o.SetFaults(prepared.RefuseNotRun, prepared.RefuseNotRun) },
+		"the other one breaks off": func(_ *testHandler, o *prepared.Target) { o.SetFaults(prepared.RunAndReset, prepared.RunAndReset) },
+		"the other one has gone":   func(_ *testHandler, o *prepared.Target) { o.Close() },
+		"the other one hangs":      func(_ *testHandler, o *prepared.Target) { o.SetFaults(prepared.RunAndHang, prepared.RunAndHang) },
+		"the key was withdrawn": func(h *testHandler, _ *prepared.Target) {
+			time.AfterFunc(300*time.Millisecond, func() {
+				c := configuration()
+				c.Version, c.Organisations = 2, []route.Organisation{{Name: "parents", Keys: []string{"key-2"}}}
+				h.setTable(c)
+			})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			other := engine("d-2", "decode")
+			h, silent := silentInStream(t, other)
+			a := callUntilSilent(t, h, silent, func() { other.SetFaults(); h.setTable(configuration()); reject(h, other) })
+			if a.err != nil || a.status != http.StatusOK || a.body != expectedStream(6) {
+				knownred.Fail(t, "../KNOWN-RED.txt", "silence-cut", "status %d, error %v, %d bytes of the stream", a.status, a.err, len(a.body))
+			}
+		})
+	}
+}
+
+// Another target takes over a stream of a silent one, which goes on too late. No event comes twice.
+func TestStreamOfASilentTargetGoesOnElsewhere(t *testing.T) {
+	is := is.New(t)
+	other := engine("d-2", "decode")
+	h, silent := silentInStream(t, other)
+	begun := time.Now()
+	a := callUntilSilent(t, h, silent, func() { begun = time.Now() })
+	is.NoErr(a.err)
+	is.Equal(a.body, expectedStream(6))
+	is.True(time.Since(begun) < silenceOf) // the caller did not have to wait for the silent target
+	is.Equal(silent.Abandoned(), 1)        // which was told that its answer is not wanted
+}
