Give a silent target up only for one that has begun to answer

Callers saw streams that were cut, and requests that got neither an answer nor a refusal, beside changes of the configuration. Cause: an attempt whose target had sent nothing for a second was cancelled first and replaced afterwards. If no other target took the request then, the stream that had begun was cut, although its target was sound and went on. Change: while a target is silent another attempt is prepared beside it, up to its first event or its whole plain response; only then is the silent one cancelled, and if the silent one goes on first, the other is. Requests keep one account of what they have sent, from which "may have run" and what is owed to the retry budget follow with two attempts under way. Why it works: nothing that may still bring the answer is ended before something else has brought its beginning.

--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -33,6 +33,11 @@
 	// attemptStale means that the target closed a kept connection as the request came. The request may
 	// have run, as after attemptBroken, but the target can be tried again.
 	attemptStale
+	// attemptReplaced means that the target was silent until another one had begun to answer.
+	attemptReplaced
+	// attemptSuperseded means that the attempt was cancelled since the silent target for which it was to
+	// stand in went on.
+	attemptSuperseded
 )
 
 // mayHaveRun tells whether a failed attempt may have run.
@@ -41,58 +46,47 @@
 // errOtherRequest means that a response carries the id of another request.
 var errOtherRequest = errors.New("the answer belongs to another request")
 
-// send makes one attempt and reads the head of the response. It sets r.execution to Unknown
-// once bytes were written, and back to its earlier value if the target states that it did not
-// run the request. A prefill does not count as running the request.
-func (r *request) send(ctx context.Context, t roster.Target, out *upstream.Request, prefill bool) (*upstream.Response, attemptResult) {
-	before := r.execution
+// send makes one attempt and reads the head of the response. A prefill does not count as running the
+// request.
+func (r *request) send(ctx context.Context, w *silenceWatch, t roster.Target, out *upstream.Request, prefill bool) (*upstream.Response, attemptResult) {
 	r.summary.framing, r.summary.partial = "", 0
+	r.countSend(prefill)
+	w.await()
 	response, err := r.h.Pool.Do(ctx, t.Address, out)
-	if errors.Is(err, upstream.ErrNotSent) {
-		r.connectFailures++
-		r.excluded[t.ID] = true
-		r.logFailedAttempt(t, err, "unsent")
-		return nil, attemptNotSent
-	}
-	if prefill {
-		r.summary.prefills++
-	} else {
-		r.attemptsSent++
-		r.execution = result.Unknown
-	}
-	if errors.Is(err, upstream.ErrStale) {
-		r.freshConnection = true
-		r.logFailedAttempt(t, err, "stale")
-		return nil, attemptStale
+	var info ResponseInfo
+	if err == nil {
+		info = r.h.Protocol.ParseResponse(response.Status, response.Header)
+	}
+	ofRequest := err == nil && info.ID == r.info.ID
+	if w.settle(ofRequest && !info.NotRun) {
+		if response != nil {
+			response.Close()
+		}
+		r.logFailedAttempt(t, errReplaced, "silent")
+		return nil, attemptReplaced
 	}
 	if err != nil {
-		r.excluded[t.ID] = true
-		r.logFailedAttempt(t, err, "broken")
-		if !prefill && upstream.IsClosed(err) {
-			r.h.Crashes.brokeOff(t, r.sharedParts)
-		}
-		return nil, attemptBroken
+		return nil, r.handleSendError(ctx, t, err, prefill)
 	}
 	r.summary.framing = response.Framing
-	info := r.h.Protocol.ParseResponse(response.Status, response.Header)
 	if info.Misdirected {
 		r.h.OnMisdirected(t.ID)
 	}
-	if info.ID == "" || info.ID == r.info.ID {
+	if info.ID == "" || ofRequest {
 		r.h.heedNotices(t, info)
 	}
-	if info.NotRun {
-		// The request id may be missing here. The response cannot belong to an earlier request,
-		// since the pool returns only connections on which nothing arrived while they were idle.
-		if info.ID == "" || info.ID == r.info.ID {
-			r.execution = before
-			r.excluded[t.ID] = true
-			drain(response)
-			r.logFailedAttempt(t, nil, "refused")
-			return nil, attemptRefused
+	// The request id may be missing in a refusal. It cannot belong to an earlier request, since the
+	// pool returns only connections on which nothing arrived while they were idle.
+	if info.NotRun && (info.ID == "" || ofRequest) {
+		if !prefill {
+			r.sent.notRun()
 		}
+		r.excluded[t.ID] = true
+		drain(response)
+		r.logFailedAttempt(t, nil, "refused")
+		return nil, attemptRefused
 	}
-	if info.ID != r.info.ID {
+	if !ofRequest {
 		response.Close()
 		r.excluded[t.ID] = true
 		r.logFailedAttempt(t, errOtherRequest, "broken")
@@ -101,6 +95,46 @@
 	return response, attemptAnswered
 }
 
+// countSend counts an attempt, or a call to process the prompt, that is about to be written.
+func (r *request) countSend(prefill bool) {
+	if prefill {
+		r.sent.prefills++
+	} else {
+		r.sent.begin()
+	}
+}
+
+// handleSendError handles an attempt that brought no response.
+func (r *request) handleSendError(ctx context.Context, t roster.Target, err error, prefill bool) attemptResult {
+	notSent, superseded := errors.Is(err, upstream.ErrNotSent), errors.Is(context.Cause(ctx), errSuperseded)
+	switch {
+	case notSent && prefill:
+		r.sent.prefills--
+	case notSent:
+		r.sent.notSent()
+	}
+	switch {
+	case superseded:
+		r.logFailedAttempt(t, errSuperseded, "superseded")
+		return attemptSuperseded
+	case notSent:
+		r.connectFailures++
+		r.excluded[t.ID] = true
+		r.logFailedAttempt(t, err, "unsent")
+		return attemptNotSent
+	case errors.Is(err, upstream.ErrStale):
+		r.freshConnection = true
+		r.logFailedAttempt(t, err, "stale")
+		return attemptStale
+	}
+	r.excluded[t.ID] = true
+	r.logFailedAttempt(t, err, "broken")
+	if !prefill && upstream.IsClosed(err) {
+		r.h.Crashes.brokeOff(t, r.sharedParts)
+	}
+	return attemptBroken
+}
+
 // heedNotices takes in what a target says of itself in a response.
 func (h *Handler) heedNotices(t roster.Target, info ResponseInfo) {
 	h.heedLimit(t, info)
@@ -133,7 +167,7 @@
 // logFailedAttempt logs and counts an attempt without a usable response.
 func (r *request) logFailedAttempt(t roster.Target, err error, how string) {
 	event.AttemptEnded.Log(r.h.Log).Str("request", r.info.ID).Str("target", string(t.ID)).Str("address", t.Address).
-		Str("how", how).Int("events", r.summary.events).Str("execution", r.execution.String()).Str("framing", string(r.summary.framing)).Int("partial_event_bytes", r.summary.partial).
+		Str("how", how).Int("events", r.summary.events).Str("execution", r.sent.execution().String()).Str("framing", string(r.summary.framing)).Int("partial_event_bytes", r.summary.partial).
 		Float64("ms", milliseconds(time.Since(r.in.Arrived))).Err(err).Send()
 	r.h.Metrics.failedAttempts.WithLabelValues(t.Service, how).Inc()
 }
@@ -153,7 +187,7 @@
 	switch f {
 	case attemptAnswered, attemptRefused:
 		return dispatch.Answered
-	case attemptStale:
+	case attemptStale, attemptSuperseded:
 		return dispatch.NoEvidence
 	default:
 		return dispatch.Unreachable
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -102,18 +102,17 @@
 	sharedParts  []poison.Part // of the prompt
 	deadline     time.Time     // when the final response is due
 
-	// execution tells whether the request may have run. It becomes Unknown when bytes of an
-	// attempt are written and is set back when the target states that it did not run the request.
-	execution    result.Execution
-	attemptsSent int // attempts of which bytes were written to a target
-	// retryTaken is set when the next retry was already taken from the budget.
-	retryTaken      bool
-	retriesTaken    int                // from the budget for this request
+	sent            arrivals           // at targets
 	connectFailures int                // targets that could not be connected to
 	excluded        map[target.ID]bool // targets that failed and get no further attempt
 	attemptWrites   int                // of events of the latest attempt to the caller
-	startCounted    bool               // OnRequestStarted was called
-	freshConnection bool               // the next attempts use no kept connection, since one was stale
+	lastEventID     string             // of the last event sent to the caller
+	held            *heldResponse      // the first error response of a plain service; nil if there is none
+	// stream and plain are the attempt that has begun to answer in place of a silent target.
+	stream          *stream
+	plain           *plainAttempt
+	startCounted    bool // OnRequestStarted was called
+	freshConnection bool // the next attempts use no kept connection, since one was stale
 	summary         requestSummary
 }
 
@@ -248,57 +247,6 @@
 	return taken
 }
 
-// takeRetry tells whether the request may be sent again: attempts and time are left, its key is
-// still valid and the retry budget allows it. It takes the retry from the budget unless an attempt
-// timeout has done so.
-func (r *request) takeRetry() bool {
-	if r.attemptsSent >= max(r.route.Attempts, 1) || time.Until(r.deadline) < responseMargin {
-		return false
-	}
-	if !r.keyStillValid() {
-		return false
-	}
-	if r.retryTaken {
-		r.retryTaken = false
-		r.retriesTaken++
-		return true
-	}
-	return r.spendRetry()
-}
-
-// spendRetry takes one retry from the budget for this request, if there is one.
-func (r *request) spendRetry() bool {
-	if !r.h.spendRetry(r.service.Name, r.view.Hosts) {
-		return false
-	}
-	r.retriesTaken++
-	return true
-}
-
-// payArrivals takes from the budget what is still missing for the next attempt, if it is the one with
-// the given number of calls to process the prompt. The first such call and the first attempt are free;
-// each other arrival at a target costs one retry. It returns false if the budget does not allow it.
-func (r *request) payArrivals(prefills int) bool {
-	for r.retriesTaken < max(prefills-1, 0)+r.attemptsSent {
-		if !r.spendRetry() {
-			return false
-		}
-	}
-	return true
-}
-
-// spendRetry takes one retry from the budget of a service. It returns false if the budget allows
-// none.
-func (h *Handler) spendRetry(service string, hosts int) bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.budget(service).Spend(time.Now(), hosts) {
-		return true
-	}
-	h.Metrics.retriesDenied.WithLabelValues(service).Inc()
-	return false
-}
-
 // objective returns the latency objective of the request's route.
 func (r *request) objective() time.Duration {
 	return time.Duration(r.route.ObjectiveMillis) * time.Millisecond
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"zinniapin/dispatch"
-	"zinniapin/result"
 	"zinniapin/roster"
 	"zinniapin/upstream"
 )
@@ -18,26 +17,36 @@
 	body     []byte
 }
 
+// plainAttempt is an attempt at a target of a plain service that has answered.
+type plainAttempt struct {
+	target   roster.Target
+	begun    time.Time
+	ticket   dispatch.Ticket
+	response *upstream.Response
+	body     []byte
+	more     bool // the body is longer than what was read
+	watch    *silenceWatch
+}
+
 const (
-	// objectiveFactor is the multiple of the latency objective after which another target is tried,
+	// objectiveFactor is the multiple of the latency objective after which another target is looked for,
 	// if the request is repeatable.
 	objectiveFactor = 3
-	// minResponseTimeout is the least timeout for a response.
+	// minResponseTimeout is the least time without a response after which another target is looked for.
 	minResponseTimeout = 400 * time.Millisecond
 )
 
 // forwardToService forwards a request to a plain service, one whose targets are no model engines.
 func (r *request) forwardToService(ctx context.Context) {
-	var held *heldResponse
 	for {
 		d := r.plan()
 		if d.Refused() {
-			if held == nil {
+			if r.held == nil {
 				r.refuseUnplanned(ctx, d)
 			}
 			break
 		}
-		outcome := r.tryTarget(ctx, d, &held)
+		outcome := r.tryTarget(ctx, d)
 		if outcome == attemptAnswered {
 			return
 		}
@@ -52,65 +61,114 @@
 		}
 	}
 	switch {
-	case held != nil:
-		r.writeResponse(held.response, held.body, false)
+	case r.held != nil:
+		r.writeResponse(r.held.response, r.held.body, false)
 	case r.summary.code == 0:
 		r.fail(ctx)
 	}
 }
 
-// tryTarget makes one attempt. It returns attemptAnswered if the caller got its response. If the
-// target returned an error and another attempt is allowed, it keeps the error in held.
-func (r *request) tryTarget(ctx context.Context, d dispatch.Decision, held **heldResponse) attemptResult {
-	t := d.Target
-	start := time.Now()
-	ticket := r.beginAttempt(t, 0)
-	attemptCtx := ctx
-	if r.route.Repeatable() && r.route.ObjectiveMillis > 0 && r.attemptsSent+1 < r.route.Attempts {
-		timeoutCtx, timeout := r.withAttemptTimeout(ctx, d, max(objectiveFactor*r.objective(), minResponseTimeout))
-		defer func() { r.retryTaken = timeout.stop() || r.retryTaken }()
-		attemptCtx = timeoutCtx
-	}
-	response, outcome := r.send(attemptCtx, t, r.targetRequest(t, AttemptInfo{Priority: -1}), false)
-	if outcome != attemptAnswered {
-		r.endAttempt(ticket, t.ID, plannerOutcome(outcome), 0)
+// tryTarget makes one attempt, or more than one if the target falls silent. It returns attemptAnswered if
+// the caller got its response.
+func (r *request) tryTarget(ctx context.Context, d dispatch.Decision) attemptResult {
+	a, outcome := r.openPlain(ctx, d)
+	if outcome == attemptReplaced {
+		a, r.plain = r.plain, nil
+	} else if outcome != attemptAnswered {
 		return outcome
 	}
-	r.countStart()
-	body, more, err := readBuffered(response)
-	if err != nil {
-		response.Close()
-		r.excluded[t.ID] = true
-		r.logFailedAttempt(t, err, "broken")
-		r.endAttempt(ticket, t.ID, dispatch.Unreachable, 0)
-		return attemptBroken
-	}
-	defer response.Close()
+	defer a.watch.stop()
+	defer a.response.Close()
 	r.summary.firstEvent = time.Since(r.in.Arrived)
-	if response.Status >= http.StatusInternalServerError {
-		r.endAttempt(ticket, t.ID, dispatch.Failed, 0)
-		return r.handleServerError(t, response, body, more, held)
+	if a.response.Status >= http.StatusInternalServerError {
+		return r.handleServerError(a)
 	}
-	r.endAttempt(ticket, t.ID, dispatch.Answered, time.Since(start))
-	r.execution = result.Ran
-	r.writeResponse(response, body, more)
+	r.endAttempt(a.ticket, a.target.ID, dispatch.Answered, time.Since(a.begun))
+	r.sent.ran = true
+	r.writeResponse(a.response, a.body, a.more)
 	return attemptAnswered
 }
 
-// handleServerError handles a response with a 5xx status. A 503 is never sent to the caller, since
-// it would tell the caller that nothing ran, which the target did not state.
-func (r *request) handleServerError(t roster.Target, response *upstream.Response, body []byte, more bool, held **heldResponse) attemptResult {
-	r.excluded[t.ID] = true
-	if response.Status == http.StatusServiceUnavailable || more {
-		return attemptBroken
+// openPlain makes one attempt and reads the response, or its beginning if it is long. If it returns
+// attemptReplaced, r.plain has answered.
+func (r *request) openPlain(ctx context.Context, d dispatch.Decision) (*plainAttempt, attemptResult) {
+	a := &plainAttempt{target: d.Target, begun: time.Now(), ticket: r.beginAttempt(d.Target, 0)}
+	if r.route.Repeatable() && r.route.ObjectiveMillis > 0 {
+		limit := max(objectiveFactor*r.objective(), minResponseTimeout)
+		ctx, a.watch = r.watchSilence(ctx, a.target, d, limit, func(ctx context.Context) bool { return r.searchPlain(ctx, a.target) })
+	}
+	response, outcome := r.send(ctx, a.watch, a.target, r.targetRequest(a.target, AttemptInfo{Priority: -1}), false)
+	if outcome != attemptAnswered {
+		a.watch.stop()
+		r.endAttempt(a.ticket, a.target.ID, plannerOutcome(outcome), 0)
+		return nil, outcome
+	}
+	r.countStart()
+	a.response = response
+	var err error
+	a.watch.await()
+	a.body, a.more, err = readBuffered(response)
+	replaced := a.watch.settle(err == nil)
+	if err == nil && !replaced {
+		return a, attemptAnswered
+	}
+	response.Close()
+	a.watch.stop()
+	outcome = attemptBroken
+	if replaced {
+		outcome = attemptReplaced
 	}
-	if r.route.Repeatable() && r.attemptsSent < r.route.Attempts {
-		if *held == nil {
-			*held = &heldResponse{response, body}
+	r.excluded[a.target.ID] = true
+	r.logFailedAttempt(a.target, err, "broken")
+	r.endAttempt(a.ticket, a.target.ID, dispatch.Unreachable, 0)
+	return nil, outcome
+}
+
+// searchPlain makes an attempt in place of a silent target and returns whether it has brought an answer, which
+// is in r.plain then.
+func (r *request) searchPlain(ctx context.Context, silent roster.Target) bool {
+	r.excluded[silent.ID] = true
+	summary := r.summary
+	if r.takeRetry() {
+		if d := r.plan(); !d.Refused() {
+			a, outcome := r.openPlain(ctx, d)
+			if outcome == attemptReplaced {
+				return true
+			}
+			if outcome == attemptAnswered && a.response.Status < http.StatusInternalServerError {
+				r.plain = a
+				return true
+			}
+			if outcome == attemptAnswered {
+				r.holdError(a)
+				a.response.Close()
+				a.watch.stop()
+			}
 		}
+	}
+	r.restoreSummary(summary)
+	return false
+}
+
+// holdError keeps the error response of a target for the case that no other one answers. A 503 is not kept,
+// since it would tell the caller that nothing ran, which the target did not state.
+func (r *request) holdError(a *plainAttempt) {
+	r.endAttempt(a.ticket, a.target.ID, dispatch.Failed, 0)
+	r.excluded[a.target.ID] = true
+	if a.response.Status != http.StatusServiceUnavailable && !a.more && r.held == nil {
+		r.held = &heldResponse{a.response, a.body}
+	}
+}
+
+// handleServerError handles a response with a 5xx status. It is sent to the caller if no other attempt is
+// allowed.
+func (r *request) handleServerError(a *plainAttempt) attemptResult {
+	if a.response.Status == http.StatusServiceUnavailable || a.more || r.route.Repeatable() && r.sent.attempts < r.route.Attempts {
+		r.holdError(a)
 		return attemptBroken
 	}
-	r.execution = result.Ran
-	r.writeResponse(response, body, false)
+	r.endAttempt(a.ticket, a.target.ID, dispatch.Failed, 0)
+	r.sent.ran = true
+	r.writeResponse(a.response, a.body, false)
 	return attemptAnswered
 }
--- a/forward/refusal.go
+++ b/forward/refusal.go
@@ -30,9 +30,9 @@
 	case r.out.Started():
 		r.summary.code = result.StreamCut
 		r.out.Abort()
-	case r.execution != result.NotRun && ctx.Err() != nil:
+	case r.sent.execution() != result.NotRun && ctx.Err() != nil:
 		r.refuse(result.OutOfTime, 0)
-	case r.execution != result.NotRun:
+	case r.sent.execution() != result.NotRun:
 		r.refuse(result.OutcomeUnknown, 0)
 	case ctx.Err() != nil:
 		r.refuse(result.OutOfTimeNotRun, refusedRetryAfter)
@@ -47,7 +47,7 @@
 // refuseUnplanned ends a request for which the planner found no target. After an earlier attempt
 // was sent, it ends as failed.
 func (r *request) refuseUnplanned(ctx context.Context, d dispatch.Decision) {
-	if r.execution != result.NotRun || r.attemptsSent > 0 {
+	if r.sent.execution() != result.NotRun || r.sent.attempts > 0 {
 		r.fail(ctx)
 		return
 	}
--- a/forward/request_log.go
+++ b/forward/request_log.go
@@ -15,7 +15,6 @@
 	targets     []string          // targets of all attempts, in order
 	decision    dispatch.Decision // the latest one
 	prefilledAt target.ID         // target of the latest separate prefill
-	prefills    int               // calls to process the prompt that reached a target
 	firstEvent  time.Duration     // from arrival to the first event or response of a target
 	events      int               // writes of complete events to the caller
 	resumed     int               // further attempts after the response had started
@@ -36,13 +35,13 @@
 		line = line.Uint64("configuration", r.view.Table.Version())
 	}
 	if r.summary.code != 0 {
-		line = line.Int("code", int(r.summary.code)).Str("reason", r.summary.code.String()).Str("execution", r.execution.String())
+		line = line.Int("code", int(r.summary.code)).Str("reason", r.summary.code.String()).Str("execution", r.sent.execution().String())
 	}
 	if r.route == nil {
 		line.Str("host", r.in.Host).Str("path", r.in.Path).Send()
 		return
 	}
-	line = line.Str("route", r.route.Name).Int("sent", r.attemptsSent).Strs("targets", r.summary.targets)
+	line = line.Str("route", r.route.Name).Int("sent", r.sent.attempts).Strs("targets", r.summary.targets)
 	if r.organisation != nil {
 		line = line.Str("organisation", r.organisation.Name)
 	}
@@ -71,7 +70,7 @@
 		line = line.Str("fetched_from", string(d.FetchFrom.ID))
 	}
 	if r.summary.prefilledAt != "" {
-		line = line.Str("prefilled_at", string(r.summary.prefilledAt)).Int("prefills", r.summary.prefills)
+		line = line.Str("prefilled_at", string(r.summary.prefilledAt)).Int("prefills", r.sent.prefills)
 	}
 	if len(r.sharedParts) > 0 {
 		line = line.Strs("parts", namesOf(r.sharedParts))
@@ -84,3 +83,9 @@
 
 // milliseconds returns a duration in milliseconds for the log.
 func milliseconds(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
+
+// restoreSummary takes back what an attempt in place of a silent target has noted, but for its targets.
+func (r *request) restoreSummary(before requestSummary) {
+	before.targets = r.summary.targets
+	r.summary = before
+}
--- /dev/null
+++ b/forward/stream.go
@@ -0,0 +1,357 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"zinniapin/dispatch"
+	"zinniapin/roster"
+	"zinniapin/upstream"
+)
+
+// stream is an attempt at a stream whose target has answered.
+type stream struct {
+	attempt  streamAttempt
+	ticket   dispatch.Ticket
+	response *upstream.Response
+	watch    *silenceWatch // nil if no other target may take over
+	splitter eventSplitter
+	buffer   []byte
+	begun    bool // the first event was read, or the end of the stream
+	// events and end are what was read and is not yet handled: complete events, and the error or io.EOF
+	// that followed them.
+	events []byte
+	end    error
+}
+
+// streamFrom makes one attempt to stream the output from a target, or more than one if targets fall silent.
+func (r *request) streamFrom(ctx context.Context, attempt streamAttempt) attemptResult {
+	s, outcome := r.openOrReplan(ctx, attempt)
+	for {
+		if outcome == attemptReplaced {
+			s, r.stream = r.stream, nil
+		} else if outcome != attemptAnswered {
+			return outcome
+		}
+		if outcome = r.relay(ctx, s); outcome != attemptReplaced {
+			return outcome
+		}
+	}
+}
+
+// openStream makes one attempt and reads the head of the response. If it returns attemptReplaced, the stream
+// goes on at r.stream.
+func (r *request) openStream(ctx context.Context, attempt streamAttempt) (*stream, attemptResult) {
+	s := &stream{attempt: attempt, ticket: r.beginAttempt(attempt.target, attempt.uncachedTokens), splitter: eventSplitter{lastID: r.lastEventID}}
+	r.summary.version = attempt.target.Version
+	info := AttemptInfo{Priority: r.job.Priority, PrefillSource: attempt.prefillSource, LastEventID: r.lastEventID}
+	if attempt.prefillSource == "" {
+		info.PrefixSource = attempt.decision.FetchFrom.Address
+	}
+	if r.route.Repeatable() {
+		ctx, s.watch = r.watchSilence(ctx, attempt.target, attempt.decision, r.firstEventTimeout(attempt.decision),
+			func(ctx context.Context) bool { return r.searchStream(ctx, attempt.target) })
+	}
+	response, outcome := r.send(ctx, s.watch, attempt.target, r.targetRequest(attempt.target, info), false)
+	if outcome != attemptAnswered {
+		s.watch.stop()
+		r.endAttempt(s.ticket, attempt.target.ID, plannerOutcome(outcome), 0)
+		return nil, outcome
+	}
+	s.response, s.buffer = response, make([]byte, streamBufferBytes)
+	return s, attemptAnswered
+}
+
+// searchStream makes an attempt in place of a silent target and returns whether its answer has begun, which
+// is r.stream then.
+func (r *request) searchStream(ctx context.Context, silent roster.Target) bool {
+	r.excluded[silent.ID] = true
+	summary := r.summary
+	if s := r.beginElsewhere(ctx); s != nil {
+		r.stream = s
+		if r.out.Started() {
+			r.summary.resumed++
+		}
+		return true
+	}
+	r.restoreSummary(summary)
+	return false
+}
+
+// beginElsewhere makes an attempt at another target and reads the first event of its stream. It returns nil
+// if that fails.
+func (r *request) beginElsewhere(ctx context.Context) *stream {
+	if r.h.Crashes.suspects(r.sharedParts) || !r.takeRetry() {
+		return nil
+	}
+	attempt, end := r.nextStreamAttempt(ctx)
+	if end != nil {
+		return nil
+	}
+	s, outcome := r.openOrReplan(ctx, attempt)
+	if outcome == attemptReplaced {
+		s, r.stream = r.stream, nil
+		return s
+	}
+	if outcome != attemptAnswered {
+		return nil
+	}
+	if s.response.Status != http.StatusOK {
+		r.closeStatus(s)
+		return nil
+	}
+	for !s.begun {
+		if s.read() { // replaced in its turn
+			r.closeStream(s, errReplaced, dispatch.Unreachable)
+			s, r.stream = r.stream, nil
+			return s
+		}
+		if err := r.checkBegin(s); err != nil {
+			outcome := outcomeOfEnd(ctx)
+			if outcome == dispatch.Unreachable && endsLikeACrash(err) {
+				r.h.Crashes.brokeOff(s.attempt.target, r.sharedParts)
+			}
+			r.closeStream(s, err, outcome)
+			return nil
+		}
+	}
+	return s
+}
+
+// outcomeOfEnd returns what the planner records for the target of a stream that failed before its first event.
+func outcomeOfEnd(ctx context.Context) dispatch.Outcome {
+	if errors.Is(context.Cause(ctx), errSuperseded) {
+		return dispatch.NoEvidence
+	}
+	return dispatch.Unreachable
+}
+
+// closeStream ends an attempt that failed.
+func (r *request) closeStream(s *stream, err error, o dispatch.Outcome) {
+	how := "broken"
+	switch {
+	case errors.Is(err, errReplaced):
+		how = "silent"
+	case o == dispatch.NoEvidence:
+		how = "superseded"
+	}
+	r.excluded[s.attempt.target.ID] = true
+	r.logFailedAttempt(s.attempt.target, err, how)
+	r.endAttempt(s.ticket, s.attempt.target.ID, o, 0)
+	s.response.Close()
+	s.watch.stop()
+}
+
+// relay sends a stream to the caller.
+func (r *request) relay(ctx context.Context, s *stream) attemptResult {
+	if s.response.Status != http.StatusOK {
+		return r.handleErrorStatus(s)
+	}
+	t := s.attempt.target
+	err := r.relayEvents(s)
+	switch {
+	case err == nil:
+		r.h.Crashes.answered(r.sharedParts)
+		r.endAttempt(s.ticket, t.ID, dispatch.Answered, 0)
+		r.sent.ran = true
+		s.response.Close()
+		s.watch.stop()
+		return attemptAnswered
+	case errors.Is(err, errReplaced):
+		r.closeStream(s, err, dispatch.Unreachable)
+		return attemptReplaced
+	}
+	if r.attemptWrites <= hardlyBegunWrites && endsLikeACrash(err) {
+		r.h.Crashes.brokeOff(t, r.sharedParts)
+	}
+	if errors.Is(err, errCallerWrite) || ctx.Err() != nil {
+		r.excluded[t.ID] = true
+		r.endAttempt(s.ticket, t.ID, dispatch.Answered, 0)
+		s.response.Close()
+		s.watch.stop()
+		return attemptBroken
+	}
+	r.closeStream(s, err, dispatch.Unreachable)
+	return attemptBroken
+}
+
+// hardlyBegunWrites is the number of writes of events up to which an answer has hardly begun.
+const hardlyBegunWrites = 1
+
+// endsLikeACrash tells whether a stream that ended with an error may have done so since its target's
+// process has ended. The kernel closes the connections of such a process, with a reset or without.
+func endsLikeACrash(err error) bool {
+	return upstream.IsClosed(err) || errors.Is(err, errInsideEvent) || errors.Is(err, errEmptyStream)
+}
+
+// handleErrorStatus handles a response with another status than 200. It sends the response to the
+// caller if no further attempt is allowed. A 503 is never sent on, since it would tell the caller
+// that nothing ran, which the target did not state.
+func (r *request) handleErrorStatus(s *stream) attemptResult {
+	body, more, err := readBuffered(s.response)
+	retry := r.route.Repeatable() && r.sent.attempts < r.route.Attempts
+	if err != nil || more || r.out.Started() || s.response.Status == http.StatusServiceUnavailable || retry {
+		r.closeStatus(s)
+		return attemptBroken
+	}
+	r.endAttempt(s.ticket, s.attempt.target.ID, dispatch.Failed, 0)
+	r.countStart()
+	r.sent.ran = true
+	r.writeResponse(s.response, body, false)
+	s.response.Close()
+	s.watch.stop()
+	return attemptAnswered
+}
+
+// closeStatus ends an attempt whose response has an error status that is not sent to the caller.
+func (r *request) closeStatus(s *stream) {
+	r.excluded[s.attempt.target.ID] = true
+	r.logFailedAttempt(s.attempt.target, nil, "status "+strconv.Itoa(s.response.Status))
+	r.endAttempt(s.ticket, s.attempt.target.ID, dispatch.Failed, 0)
+	s.response.Close()
+	s.watch.stop()
+}
+
+// Errors of streams.
+var (
+	errCallerWrite   = errors.New("writing to the caller failed")
+	errEventGap      = errors.New("the first event of the resumed stream does not follow the last event sent to the caller")
+	errEventTooLarge = errors.New("an event of the stream exceeds 128 KiB")
+	errInsideEvent   = errors.New("the stream ended inside an event")
+	errEmptyStream   = errors.New("the stream ended with its connection before its first event")
+)
+
+// streamBufferBytes is the size of the read buffer of a stream.
+const streamBufferBytes = 8 << 10
+
+// read waits for the target and reads once. It returns whether another target has begun to answer instead.
+func (s *stream) read() (replaced bool) {
+	s.watch.await()
+	n, err := s.response.Body.Read(s.buffer)
+	if s.watch.settle(n > 0 || errors.Is(err, io.EOF)) {
+		return true
+	}
+	s.events, s.end = s.splitter.add(s.buffer[:n]), err
+	if len(s.splitter.pending) > maxEventBytes {
+		s.end = errEventTooLarge
+	}
+	return false
+}
+
+// checkBegin judges what was read of a stream until its first event. It returns an error if the stream can't
+// go on.
+func (r *request) checkBegin(s *stream) error {
+	r.summary.partial = len(s.splitter.pending)
+	switch {
+	case len(s.events) > 0:
+		s.begun = true
+		r.promptProcessed(s.ticket)
+		if !isNextEvent(r.lastEventID, firstID(s.events)) {
+			return errEventGap
+		}
+	case errors.Is(s.end, io.EOF):
+		s.begun = true
+		return s.checkEnd(true)
+	case s.end != nil:
+		return s.end
+	}
+	return nil
+}
+
+// checkEnd judges the end of a body. The framing alone does not prove a stream complete: a failed
+// target may end its body inside an event, and an orderly close looks like the end of a body without length
+// and chunks. empty tells that the body had no event.
+func (s *stream) checkEnd(empty bool) error {
+	if s.splitter.insideEvent() {
+		return errInsideEvent
+	}
+	if empty && s.response.Framing == upstream.FramedByClose {
+		return errEmptyStream
+	}
+	return nil
+}
+
+// relayEvents sends complete events to the caller until the target ends its stream properly. The
+// bytes of an incomplete event are discarded if the stream goes on elsewhere.
+func (r *request) relayEvents(s *stream) error {
+	r.attemptWrites = 0
+	for {
+		if len(s.events) == 0 && s.end == nil {
+			if s.read() {
+				return errReplaced
+			}
+			if !s.begun {
+				if err := r.checkBegin(s); err != nil {
+					return err
+				}
+			}
+		}
+		if len(s.events) > 0 {
+			if r.attemptWrites == 0 {
+				r.fixVersion(s.attempt.target)
+			}
+			if err := r.writeEvents(s.response, s.events); err != nil {
+				return err
+			}
+			r.lastEventID, s.events = s.splitter.lastID, nil
+			s.watch.setLimit(r.gapTimeout())
+		}
+		r.summary.partial = len(s.splitter.pending)
+		if errors.Is(s.end, io.EOF) {
+			return r.finishStream(s)
+		}
+		if s.end != nil {
+			return s.end
+		}
+	}
+}
+
+// finishStream handles the proper end of a stream and sends what remains in the splitter.
+func (r *request) finishStream(s *stream) error {
+	if err := s.checkEnd(r.attemptWrites == 0); err != nil {
+		return err
+	}
+	if len(s.splitter.pending) > 0 || !r.out.Started() {
+		return r.writeEvents(s.response, s.splitter.pending)
+	}
+	return nil
+}
+
+// isNextEvent tells whether the event with id first may follow the event with id last. Only
+// numbers can be compared; other ids and missing ones are accepted.
+func isNextEvent(last, first string) bool {
+	if last == "" || first == "" {
+		return true
+	}
+	before, err := strconv.Atoi(last)
+	if err != nil {
+		return true
+	}
+	next, err := strconv.Atoi(first)
+	return err != nil || next == before+1
+}
+
+// writeEvents writes events to the caller. The first call starts the response with the status and
+// the headers of the target that sent these events.
+func (r *request) writeEvents(response *upstream.Response, p []byte) error {
+	if !r.out.Started() {
+		r.summary.status = response.Status
+		r.summary.firstEvent = time.Since(r.in.Arrived)
+		r.countStart()
+		if err := r.out.Start(response.Status, r.h.Protocol.CallerHeaders(response.Header), -1); err != nil {
+			return errCallerWrite
+		}
+	}
+	r.summary.events++
+	if r.attemptWrites++; r.attemptWrites == hardlyBegunWrites+1 {
+		r.h.Crashes.answered(r.sharedParts)
+	}
+	if _, err := r.out.Write(p); err != nil {
+		return errCallerWrite
+	}
+	return nil
+}
--- a/forward/version.go
+++ b/forward/version.go
@@ -35,19 +35,13 @@
 }
 
 // fixVersion makes a stream go on at the version of the target that sent its first event, and
-// records that version for a caller that takes the stream up later. Without another target of the
-// version a slow target is not given up.
-func (r *request) fixVersion(t roster.Target, timeout *attemptTimeout) {
-	if !r.job.VersionFixed {
-		r.job.Version, r.job.VersionFixed = t.Version, true
-		if r.route.Resumable {
-			r.h.Versions.Began(r.service.Name, r.info.ID, t.Version)
-		}
+// records that version for a caller that takes the stream up later.
+func (r *request) fixVersion(t roster.Target) {
+	if r.job.VersionFixed {
+		return
 	}
-	r.h.PlannerMu.Lock()
-	other := r.h.Planner.HasOther(time.Now(), r.job, t.ID, r.excluded)
-	r.h.PlannerMu.Unlock()
-	if !other {
-		timeout.disarm()
+	r.job.Version, r.job.VersionFixed = t.Version, true
+	if r.route.Resumable {
+		r.h.Versions.Began(r.service.Name, r.info.ID, t.Version)
 	}
 }
