--- a/forward/budget_test.go
+++ b/forward/budget_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -74,3 +75,23 @@
 		t.Errorf("%d calls to process the prompts of %d requests", n, requests)
 	}
 }
+
+// Targets fall silent under the streams of many requests at once. Each search for another target, with the
+// prompt processed again first, must stay within the retry budget.
+func TestSearchesOfSilentStreamsStayWithinTheRetryBudget(t *testing.T) {
+	const requests, ratio = 40, 0.2
+	all := []*prepared.Target{engine("p-1", "prefill"), engine("p-2", "prefill"), engine("d-1", "decode"), engine("d-2", "decode"), engine("d-3", "decode"), engine("d-4", "decode")}
+	for _, d := range all[2:] {
+		d.SetFaults(slices.Repeat([]prepared.Fault{prepared.RunAndHang}, requests)...)
+	}
+	h := newTestHandler(t, "model", all...)
+	h.handler.RetryBounds = retrybudget.Bounds{Ratio: ratio, Window: 10 * time.Second}
+	var callers sync.WaitGroup
+	for i := range requests {
+		callers.Go(func() {
+			h.call(http.MethodPost, "/draft/a", "prompt", append([]string{withoutDefaultHeaders, "X-Deadline-Ms: 3000", "X-Credential: key-1", fmt.Sprint("X-Request-Id: r-", i)}, longPrompt...)...)
+		})
+	}
+	callers.Wait()
+	checkExtraArrivals(t, requests, ratio*requests, all...)
+}
