Name requests that may have crashed a target, and let stand-ins crash on a body

Cause: the log doesn't tell that a request is the same as an earlier one, so a request that comes again and ends one target after the other isn't seen there. Change: poison.PartOfRequest stands for a request as a whole (caller, method, path and body); attempts that broke off name it in "whole". Stand-in targets end when they begin to run a request with a given body (CrashOnBody).

--- a/forward/crash_guard.go
+++ b/forward/crash_guard.go
@@ -63,7 +63,7 @@
 func sharedPartIDs(parts []dispatch.Part) []poison.Part {
 	var ids []poison.Part
 	for _, p := range parts[:max(len(parts)-1, 0)] {
-		ids = append(ids, poison.Part(p.ID))
+		ids = append(ids, poison.PartOfPrompt(p.ID))
 	}
 	return ids
 }
@@ -242,7 +242,10 @@
 func namesOf(parts []poison.Part) []string {
 	var names []string
 	for _, p := range parts[:min(len(parts), maxLoggedParts)] {
-		names = append(names, strconv.FormatUint(uint64(p), 16))
+		names = append(names, nameOf(p))
 	}
 	return names
 }
+
+// nameOf returns the name by which the log refers to a part.
+func nameOf(p poison.Part) string { return strconv.FormatUint(uint64(p), 16) }
--- a/forward/crash_guard_test.go
+++ b/forward/crash_guard_test.go
@@ -142,7 +142,7 @@
 	id := fnv.New64a()
 	_, _ = id.Write([]byte(part))
 	now := time.Now()
-	return []poison.Evidence{{Part: poison.Part(id.Sum64()), Crashes: []poison.Crash{{Process: 1, At: now}, {Process: 2, At: now}, {Process: 3, At: now}}}}
+	return []poison.Evidence{{Part: poison.PartOfPrompt(id.Sum64()), Crashes: []poison.Crash{{Process: 1, At: now}, {Process: 2, At: now}, {Process: 3, At: now}}}}
 }
 
 // A target refuses a request, and the part becomes known meanwhile. The request is not sent elsewhere.
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -166,9 +166,13 @@
 
 // logFailedAttempt logs and counts an attempt without a usable response.
 func (r *request) logFailedAttempt(t roster.Target, err error, how string) {
-	event.AttemptEnded.Log(r.h.Log).Str("request", r.info.ID).Str("target", string(t.ID)).Str("address", t.Address).
+	line := event.AttemptEnded.Log(r.h.Log).Str("request", r.info.ID).Str("target", string(t.ID)).Str("address", t.Address).
 		Str("how", how).Int("events", r.summary.events).Str("execution", r.sent.execution().String()).Str("framing", string(r.summary.framing)).Int("partial_event_bytes", r.summary.partial).
-		Float64("ms", milliseconds(time.Since(r.in.Arrived))).Err(err).Send()
+		Float64("ms", milliseconds(time.Since(r.in.Arrived))).Err(err)
+	if how == "broken" || how == "stale" {
+		line = line.Str("whole", nameOf(r.requestPart())) // the target may have crashed
+	}
+	line.Send()
 	r.h.Metrics.failedAttempts.WithLabelValues(t.Service, how).Inc()
 }
 
--- a/internal/standin/prepared/crash.go
+++ b/internal/standin/prepared/crash.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 )
@@ -10,6 +11,7 @@
 // crasher makes a target end as a killed process does and start again at the same address.
 type crasher struct {
 	parts        []string // parts of prompts that end the target
+	bodies       []string // bodies of requests that end the target
 	restartAfter time.Duration
 	crashes      []Crash
 	connections  map[net.Conn]struct{}
@@ -18,7 +20,7 @@
 // Crash is an end of a target.
 type Crash struct {
 	At   time.Time
-	Part string // of the prompt that ended it
+	Part string // of the prompt that ended it, or the body of the request that did
 }
 
 // CrashOn makes the target end whenever it begins to write the answer to a request with one of these
@@ -29,6 +31,25 @@
 	t.mu.Unlock()
 }
 
+// CrashOnBody makes the target end whenever it begins to run a request with one of these bodies, and start
+// again after some time.
+func (t *Target) CrashOnBody(restartAfter time.Duration, bodies ...string) {
+	t.mu.Lock()
+	t.crasher.bodies, t.crasher.restartAfter = bodies, restartAfter
+	t.mu.Unlock()
+}
+
+// crashOnBody ends the target if a body is one of CrashOnBody, and returns whether it did.
+func (t *Target) crashOnBody(body string) bool {
+	t.mu.Lock()
+	fatal := slices.Contains(t.crasher.bodies, body)
+	t.mu.Unlock()
+	if fatal {
+		t.crash(body)
+	}
+	return fatal
+}
+
 // Crashes returns when the target ended.
 func (t *Target) Crashes() []Crash {
 	t.mu.Lock()
--- a/internal/standin/prepared/target.go
+++ b/internal/standin/prepared/target.go
@@ -256,6 +256,9 @@
 	t.mu.Lock()
 	t.arrivals = append(t.arrivals, Arrival{request.Method, request.RequestURI, request.Host, request.Header, string(body), time.Now(), ran})
 	t.mu.Unlock()
+	if ran && t.crashOnBody(string(body)) {
+		return false
+	}
 	return t.respond(c, r, request, f, prefill)
 }
 
--- a/poison/poison.go
+++ b/poison/poison.go
@@ -20,9 +20,6 @@
 	"zinniapin/target"
 )
 
-// Part identifies a part of a prompt that requests may share.
-type Part uint64
-
 // Process identifies a process of a target, as far as is known: one that has crashed and started again may
 // still be known as the one before.
 type Process uint32
