--- a/node/node_test.go
+++ b/node/node_test.go
@@ -172,7 +172,12 @@
 
 // send sends a GET request with further headers and returns the status, 0 if there is none.
 func (n *testNode) send(id, path, key string, header http.Header) int {
-	request, err := http.NewRequest(http.MethodGet, "http://"+n.settings.Listen+path, nil)
+	return n.sendBody(http.MethodGet, id, path, key, "", header)
+}
+
+// sendBody is send with a method and a body.
+func (n *testNode) sendBody(method, id, path, key, body string, header http.Header) int {
+	request, err := http.NewRequest(method, "http://"+n.settings.Listen+path, strings.NewReader(body))
 	if err != nil {
 		panic(err) // the test passed an invalid path
 	}
