Reject requests that have crashed three targets as they are

Callers of plain services saw all targets gone for seconds, again and again. Cause: evidence of what crashes targets was kept by parts of prompts alone. Requests to plain services have none, and a prompt that shares no part with others has none either, so each copy was sent like any other. Change: a request as a whole (caller, method, path, body) is one of the parts of package poison. Answers clear it while it is suspected. Requests that are blocked get 8016; hosts tell each other first of parts that are nearly blocked. Why it works: copies of the request share that part, whichever hosts send them.

--- a/forward/crash_guard.go
+++ b/forward/crash_guard.go
@@ -17,8 +17,8 @@
 	"zinniapin/upstream"
 )
 
-// CrashGuard finds out which targets have crashed and keeps requests from them whose prompts have a part
-// that crashes targets. It is safe for concurrent use.
+// CrashGuard finds out which targets have crashed and keeps requests from them that crash targets, as a whole
+// or by a part of their prompts. It is safe for concurrent use.
 type CrashGuard struct {
 	// Pool is where connections to targets are tried.
 	Pool *upstream.Pool
@@ -68,21 +68,27 @@
 	return ids
 }
 
-// answered records that a target answered a prompt and went on.
+// hasSuspects tells whether targets have crashed under any request lately.
+func (g *CrashGuard) hasSuspects() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.detector.HasSuspects()
+}
+
+// answered records that a target answered a request with these parts and went on.
 func (g *CrashGuard) answered(parts []poison.Part) {
-	if len(parts) == 0 {
-		return
+	if len(parts) > 0 {
+		g.update(func(now time.Time) bool { return g.detector.Answered(now, parts) })
 	}
-	g.update(func(now time.Time) bool { return g.detector.Answered(now, parts) })
 }
 
-// rejects tells whether a request with these parts must not be sent, and how long its caller should
-// wait.
-func (g *CrashGuard) rejects(parts []poison.Part) (time.Duration, bool) {
+// rejects tells whether a request with these parts must not be sent, whether that is for the request as a
+// whole, and how long its caller should wait.
+func (g *CrashGuard) rejects(parts []poison.Part) (wait time.Duration, whole, rejected bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	_, until, rejected := g.detector.Rejects(parts)
-	return max(until.Sub(g.Now()), time.Second), rejected
+	part, until, rejected := g.detector.Rejects(parts)
+	return max(until.Sub(g.Now()), time.Second), part.IsRequest(), rejected
 }
 
 // suspects tells whether a request with these parts should not be sent to another target.
@@ -95,9 +101,6 @@
 // brokeOff records that an answer broke off when it had hardly begun, and finds out in the background
 // whether its target has crashed: connections to it are refused then.
 func (g *CrashGuard) brokeOff(t roster.Target, parts []poison.Part) {
-	if len(parts) == 0 {
-		return
-	}
 	process := poison.ProcessOf(t.ID, t.StartedMillis)
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -130,7 +130,7 @@
 	r.excluded[t.ID] = true
 	r.logFailedAttempt(t, err, "broken")
 	if !prefill && upstream.IsClosed(err) {
-		r.h.Crashes.brokeOff(t, r.sharedParts)
+		r.brokeOff(t)
 	}
 	return attemptBroken
 }
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -253,19 +253,6 @@
 	return time.Duration(r.route.ObjectiveMillis) * time.Millisecond
 }
 
-// requestPart returns the part that stands for the request as a whole where targets crash. The caller is
-// known by its organisation, whose keys change.
-func (r *request) requestPart() poison.Part {
-	if r.wholePart == 0 {
-		caller := ""
-		if r.organisation != nil {
-			caller = r.organisation.Name
-		}
-		r.wholePart = poison.PartOfRequest(caller, r.in.Method, r.in.Host+r.in.Target, r.in.Body)
-	}
-	return r.wholePart
-}
-
 // keyStillValid tells whether the current configuration still gives the key of the request to the
 // same organisation.
 func (r *request) keyStillValid() bool {
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -39,6 +39,12 @@
 // forwardToService forwards a request to a plain service, one whose targets are no model engines.
 func (r *request) forwardToService(ctx context.Context) {
 	for {
+		if end := r.endPoisoned(ctx); end != nil {
+			if r.held == nil {
+				end()
+			}
+			break
+		}
 		d := r.plan()
 		if d.Refused() {
 			if r.held == nil {
@@ -56,7 +62,7 @@
 		if outcome == attemptNotSent && r.connectFailures < maxConnectFailures {
 			continue
 		}
-		if outcome.mayHaveRun() && !r.route.Repeatable() || !r.takeRetry() {
+		if outcome.mayHaveRun() && !r.route.Repeatable() || r.suspected() || !r.takeRetry() {
 			break
 		}
 	}
@@ -110,6 +116,7 @@
 	a.body, a.more, err = readBuffered(response)
 	replaced := a.watch.settle(err == nil)
 	if err == nil && !replaced {
+		r.answered()
 		return a, attemptAnswered
 	}
 	response.Close()
@@ -117,6 +124,8 @@
 	outcome = attemptBroken
 	if replaced {
 		outcome = attemptReplaced
+	} else if upstream.IsClosed(err) {
+		r.brokeOff(a.target)
 	}
 	r.excluded[a.target.ID] = true
 	r.logFailedAttempt(a.target, err, "broken")
@@ -129,7 +138,7 @@
 func (r *request) searchPlain(ctx context.Context, silent roster.Target) bool {
 	r.excluded[silent.ID] = true
 	summary := r.summary
-	if r.takeRetry() {
+	if r.endPoisoned(ctx) == nil && r.takeRetry() {
 		if d := r.plan(); !d.Refused() {
 			a, outcome := r.openPlain(ctx, d)
 			if outcome == attemptReplaced {
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -85,7 +85,7 @@
 // beginElsewhere makes an attempt at another target and reads the first event of its stream. It returns nil
 // if that fails.
 func (r *request) beginElsewhere(ctx context.Context) *stream {
-	if r.h.Crashes.suspects(r.sharedParts) || !r.takeRetry() {
+	if r.suspected() || !r.takeRetry() {
 		return nil
 	}
 	attempt, end := r.nextStreamAttempt(ctx)
@@ -113,7 +113,7 @@
 		if err := r.checkBegin(s); err != nil {
 			outcome := outcomeOfEnd(ctx)
 			if outcome == dispatch.Unreachable && endsLikeACrash(err) {
-				r.h.Crashes.brokeOff(s.attempt.target, r.sharedParts)
+				r.brokeOff(s.attempt.target)
 			}
 			r.closeStream(s, err, outcome)
 			return nil
@@ -155,7 +155,7 @@
 	err := r.relayEvents(s)
 	switch {
 	case err == nil:
-		r.h.Crashes.answered(r.sharedParts)
+		r.answered()
 		r.endAttempt(s.ticket, t.ID, dispatch.Answered, 0)
 		r.sent.ran = true
 		s.response.Close()
@@ -166,7 +166,7 @@
 		return attemptReplaced
 	}
 	if r.attemptWrites <= hardlyBegunWrites && endsLikeACrash(err) {
-		r.h.Crashes.brokeOff(t, r.sharedParts)
+		r.brokeOff(t)
 	}
 	if errors.Is(err, errCallerWrite) || ctx.Err() != nil {
 		r.excluded[t.ID] = true
@@ -348,7 +348,7 @@
 	}
 	r.summary.events++
 	if r.attemptWrites++; r.attemptWrites == hardlyBegunWrites+1 {
-		r.h.Crashes.answered(r.sharedParts)
+		r.answered()
 	}
 	if _, err := r.out.Write(p); err != nil {
 		return errCallerWrite
--- a/poison/blame.go
+++ b/poison/blame.go
@@ -14,9 +14,9 @@
 }
 
 // evaluate attributes the crashes to parts and returns whether that changes what is blocked. The part
-// with the most crashes explains all of them; what remains decides on the others. Parts with just the same
-// crashes can't be told apart and are blocked together, in requests that have all of them, until one of
-// them occurs alone.
+// with the most crashes explains all of them; what remains decides on the others. Parts of prompts with just
+// the same crashes can't be told apart and are blocked together, in requests that have all of them, until
+// one of them occurs alone. Whole requests with the same crashes are blocked one by one.
 func (d *Detector) evaluate(now time.Time) bool {
 	all := d.listSuspects(now)
 	var groups [][]Part
@@ -25,18 +25,27 @@
 		if worst == nil {
 			break
 		}
-		group, explained := []Part{}, worst.crashes
+		var parts, requests []Part
+		explained := worst.crashes
 		for i := range all {
-			if all[i].sound == worst.sound && slices.EqualFunc(all[i].crashes, explained, Crash.same) {
-				group = append(group, all[i].part)
+			switch same := all[i].sound == worst.sound && slices.EqualFunc(all[i].crashes, explained, Crash.same); {
+			case same && all[i].part.IsRequest():
+				requests = append(requests, all[i].part)
+			case same:
+				parts = append(parts, all[i].part)
 			}
 		}
-		groups = append(groups, group)
+		if len(requests) == 0 {
+			groups = append(groups, parts)
+		}
+		for _, r := range requests {
+			groups = append(groups, append(slices.Clone(parts), r))
+		}
 		for i := range all {
 			all[i].crashes = slices.DeleteFunc(slices.Clone(all[i].crashes), func(c Crash) bool { return slices.ContainsFunc(explained, c.same) })
 		}
 	}
-	slices.SortFunc(groups, func(a, b []Part) int { return cmp.Compare(a[0], b[0]) })
+	slices.SortFunc(groups, slices.Compare)
 	changed := !slices.EqualFunc(groups, d.blocked, slices.Equal)
 	d.blocked = groups
 	return changed
@@ -81,11 +90,15 @@
 func (d *Detector) Blocked() [][]Part { return d.blocked }
 
 // Rejects tells whether a request with these parts must not be sent, for which blocked part, and until
-// when as things are.
+// when as things are. The part is the one that stands for the whole request if that is blocked.
 func (d *Detector) Rejects(parts []Part) (Part, time.Time, bool) {
 	for _, group := range d.blocked {
 		if containsAll(parts, group) {
-			return group[0], d.blockedUntil(group[0]), true
+			blocked := group[0]
+			if last := group[len(group)-1]; last.IsRequest() {
+				blocked = last
+			}
+			return blocked, d.blockedUntil(blocked), true
 		}
 	}
 	return 0, time.Time{}, false
@@ -128,3 +141,6 @@
 		return e != nil && len(e.Crashes) >= minCrashes-1 && now.Sub(e.SoundAt) > soundMemory
 	})
 }
+
+// HasSuspects tells whether any part has crashes, or had some lately.
+func (d *Detector) HasSuspects() bool { return len(d.suspects) > 0 }
--- a/poison/poison.go
+++ b/poison/poison.go
@@ -1,7 +1,9 @@
-// Package poison finds the parts of prompts that crash the targets which answer them (a "query of
-// death") and tells which requests must not be sent for that reason. Every host collects evidence and
-// exchanges it with its peers, so that a part is known to all after a few crashes, whichever hosts sent
-// the requests with it.
+// Package poison finds what crashes the targets that answer it (a "query of death"), a part of prompts or a
+// request that comes again, and tells which requests must not be sent for that reason. Every host collects
+// evidence and exchanges it with its peers, so that a part is known to all after a few crashes, whichever
+// hosts sent the requests with it.
+//
+// The parts of a request are those of its prompt that it may share, and one that stands for all of it.
 //
 // A crash of a target is evidence against each part of each request whose answer had hardly begun
 // there. An answer that went on is evidence for its parts. A crash is attributed to one part, or to parts
@@ -97,6 +99,9 @@
 func (d *Detector) Answered(now time.Time, parts []Part) bool {
 	changed := false
 	for _, p := range parts {
+		if p.IsRequest() && d.suspects[p] == nil {
+			continue // few requests come again
+		}
 		changed = d.markSound(now, p) || changed
 	}
 	return changed && d.evaluate(now)
@@ -209,14 +214,14 @@
 }
 
 // Recent returns the evidence on at most n suspects of which this host has learnt something new since a
-// time, others each time, for peers. Blocked parts come first, so that a host which has just started learns
-// of them soon.
+// time, others each time, for peers. Parts that are blocked or nearly so come first, so that a host which
+// has just started learns of them soon.
 func (d *Detector) Recent(n int, since time.Time) []Evidence {
 	var chosen, others []Part
-	for p, e := range d.suspects {
+	for p, e := range d.suspects { // in random order
 		switch {
 		case e.changedAt.Before(since):
-		case d.inBlocked(p) && len(chosen) < n:
+		case len(chosen) < n && (d.inBlocked(p) || len(e.Crashes) >= minCrashes-1):
 			chosen = append(chosen, p)
 		default:
 			others = append(others, p)
--- a/poison/poison_test.go
+++ b/poison/poison_test.go
@@ -146,3 +146,56 @@
 	_, _, rejected := d.Rejects([]Part{7})
 	is.True(rejected)
 }
+
+// Two requests come again and again, and are under way in the same three crashes. Either is rejected, and no
+// other one.
+func TestRequestsWithTheSameCrashesAreBlockedOneByOne(t *testing.T) {
+	is := is.New(t)
+	d, now := New(), time.Unix(1000, 0)
+	first, second := PartOfRequest("a", "GET", "/x", nil), PartOfRequest("a", "GET", "/y", nil)
+	for i := range 3 {
+		crash := Crash{Process: Process(i), At: now.Add(time.Duration(i) * time.Second)}
+		d.Crashed(now, crash, []Part{first})
+		d.Crashed(now, crash, []Part{second})
+	}
+	for _, p := range []Part{first, second} {
+		_, _, rejected := d.Rejects([]Part{p})
+		is.True(rejected)
+	}
+	_, _, rejected := d.Rejects([]Part{PartOfRequest("b", "GET", "/x", nil)})
+	is.True(!rejected)
+}
+
+// A request that many callers send all the time is under way in each crash. An answer between them clears it.
+func TestRequestThatIsAnsweredBetweenCrashesIsNotBlocked(t *testing.T) {
+	is := is.New(t)
+	d, now := New(), time.Unix(1000, 0)
+	popular, fatal := PartOfRequest("a", "GET", "/x", nil), PartOfRequest("a", "GET", "/dead", nil)
+	for i := range 5 {
+		now = now.Add(time.Second)
+		crash := Crash{Process: Process(i), At: now}
+		d.Crashed(now, crash, []Part{popular})
+		d.Crashed(now, crash, []Part{fatal})
+		now = now.Add(time.Second)
+		d.Answered(now, []Part{popular})
+	}
+	_, _, rejected := d.Rejects([]Part{popular})
+	is.True(!rejected)
+	_, _, rejected = d.Rejects([]Part{fatal})
+	is.True(rejected)
+}
+
+// Requests differ in one field, also where the fields joined are the same.
+func TestPartOfRequestTellsFieldsApart(t *testing.T) {
+	is := is.New(t)
+	seen := make(map[Part]bool)
+	for _, p := range []Part{
+		PartOfRequest("a", "GET", "/x", nil), PartOfRequest("b", "GET", "/x", nil), PartOfRequest("a", "POST", "/x", nil),
+		PartOfRequest("a", "GET", "/x", []byte("y")), PartOfRequest("a", "GET", "/xy", nil), PartOfRequest("aG", "ET", "/x", nil),
+	} {
+		is.True(p.IsRequest())
+		is.True(!seen[p])
+		seen[p] = true
+	}
+	is.True(!PartOfPrompt(1<<63 + 5).IsRequest())
+}
--- a/result/codes_forward.go
+++ b/result/codes_forward.go
@@ -20,5 +20,6 @@
 	VersionUnknown  = define(8013, "version_unknown", http.StatusServiceUnavailable, exitFailure, "Targets of several software versions serve, and no host that answers knows which began the stream. The request has not run.", "Retry after the time given, or begin the stream anew.")
 	TargetsPaused   = define(8014, "targets_paused", http.StatusServiceUnavailable, exitFailure, "Every usable target has asked to be left alone for some time, or has got as many requests as it takes. The request has not run.", "Retry after the time given.")
 	PromptBlocked   = define(8015, "prompt_blocked", http.StatusServiceUnavailable, exitFailure, "The prompt has a part under which several targets have crashed. The request has not run.", "Do not send prompts with that part; the time given is when they will be tried again.")
+	RequestBlocked  = define(8016, "request_blocked", http.StatusServiceUnavailable, exitFailure, "Several targets have crashed under the same request, by the same caller with the same method, path and body. The request has not run.", "Do not send it again as it is; the time given is when it will be tried again.")
 	OutOfTimeNotRun = define(8011, "out_of_time_not_run", http.StatusServiceUnavailable, exitFailure, "The deadline of the request passed before any target ran it.", "Retry after the time given.")
 )
