Take a crash under a request on a kept connection for one

Cause: a kept connection that closes while a request waits on it was taken for one that the target had closed for being idle, also when the target had crashed under the request. Evidence: TestRequestThatCrashesTargetsIsRejected on kept connections, 7 and 6 targets ended where 3 may; TestRequestThatEndsTargetsIsRejectedByAllHosts. Change: such an attempt is evidence, too, if the target is found to have ended. Why it works: whether the target has ended is found out by connecting to it, not from how the attempt broke off.

--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -125,6 +125,9 @@
 	case errors.Is(err, upstream.ErrStale):
 		r.freshConnection = true
 		r.logFailedAttempt(t, err, "stale")
+		if !prefill {
+			r.brokeOff(t) // a crash closes kept connections, too
+		}
 		return attemptStale
 	}
 	r.excluded[t.ID] = true
