Remember whole requests that were answered before any crash

Cause: a request was remembered as sound only once it was suspected, so a popular one that was under way at each target when all of them crashed together would have been rejected for twenty minutes. Evidence: TestPopularRequestIsNotBlockedWhenTargetsCrashTogether fails before. Change: answered requests are remembered for a minute as parts of prompts are, apart from these, if their bodies are small. Measured: the tests of poison and forward pass.

--- a/forward/crash_parts.go
+++ b/forward/crash_parts.go
@@ -29,10 +29,13 @@
 // brokeOff tells the crash guard that an answer broke off when it had hardly begun.
 func (r *request) brokeOff(t roster.Target) { r.h.Crashes.brokeOff(t, r.crashParts()) }
 
-// answered tells the crash guard that a target answered and went on. Requests are hashed only while there is
-// something to be cleared.
+// maxSoundBytes is the size of a body up to which a request is remembered as sound when it is answered. Larger
+// ones hardly come again and take time to hash.
+const maxSoundBytes = 4 << 10
+
+// answered tells the crash guard that a target answered and went on.
 func (r *request) answered() {
-	if r.h.Crashes.hasSuspects() {
+	if len(r.in.Body) <= maxSoundBytes || r.h.Crashes.hasSuspects() {
 		r.h.Crashes.answered(r.crashParts())
 	} else {
 		r.h.Crashes.answered(r.sharedParts)
--- a/poison/poison.go
+++ b/poison/poison.go
@@ -84,14 +84,15 @@
 // Detector holds the evidence and what follows from it.
 type Detector struct {
 	suspects map[Part]*Evidence
-	sound    map[Part]time.Time // when each part was last answered, the suspects included
-	blocked  [][]Part           // groups; a request with all parts of one is rejected
-	next     int                // index of the next suspect for Recent
+	sound    soundParts // of prompts, the suspects included
+	requests soundParts // that stand for whole requests, likewise
+	blocked  [][]Part   // groups; a request with all parts of one is rejected
+	next     int        // index of the next suspect for Recent
 }
 
 // New returns a detector without evidence.
 func New() *Detector {
-	return &Detector{suspects: make(map[Part]*Evidence), sound: make(map[Part]time.Time)}
+	return &Detector{suspects: make(map[Part]*Evidence), sound: make(soundParts), requests: make(soundParts)}
 }
 
 // Answered records that a target answered a request with these parts and went on. It returns whether
@@ -99,9 +100,6 @@
 func (d *Detector) Answered(now time.Time, parts []Part) bool {
 	changed := false
 	for _, p := range parts {
-		if p.IsRequest() && d.suspects[p] == nil {
-			continue // few requests come again
-		}
 		changed = d.markSound(now, p) || changed
 	}
 	return changed && d.evaluate(now)
@@ -109,13 +107,9 @@
 
 // markSound records that a part was answered at a time, and returns whether it is a suspect.
 func (d *Detector) markSound(at time.Time, p Part) bool {
-	if !at.After(d.sound[p]) {
+	if !d.soundOf(p).mark(at, p) {
 		return false
 	}
-	d.sound[p] = at
-	if len(d.sound) > maxSound {
-		d.dropSound(at)
-	}
 	e := d.suspects[p]
 	if e == nil {
 		return false
@@ -129,19 +123,12 @@
 	return suspected
 }
 
-// dropSound forgets parts that were not answered within soundMemory, or any if that is not enough.
-func (d *Detector) dropSound(now time.Time) {
-	for p, at := range d.sound {
-		if now.Sub(at) > soundMemory {
-			delete(d.sound, p)
-		}
-	}
-	for p := range d.sound {
-		if len(d.sound) <= maxSound {
-			return
-		}
-		delete(d.sound, p)
+// soundOf returns the sound parts of the kind of a part.
+func (d *Detector) soundOf(p Part) soundParts {
+	if p.IsRequest() {
+		return d.requests
 	}
+	return d.sound
 }
 
 // Crashed records that a target ended before it had answered a request with these parts. It returns
@@ -156,13 +143,13 @@
 
 // addCrash records a crash for a part, and returns whether it is new.
 func (d *Detector) addCrash(now time.Time, p Part, c Crash) bool {
-	if now.Sub(c.At) > crashMemory || !c.At.After(d.sound[p]) {
+	if now.Sub(c.At) > crashMemory || !c.At.After(d.soundOf(p)[p]) {
 		return false
 	}
 	e := d.suspects[p]
 	if e == nil {
 		d.makeRoom(now)
-		e = &Evidence{Part: p, SoundAt: d.sound[p]}
+		e = &Evidence{Part: p, SoundAt: d.soundOf(p)[p]}
 		d.suspects[p] = e
 	}
 	if i := slices.IndexFunc(e.Crashes, c.same); i >= 0 {
--- a/poison/poison_test.go
+++ b/poison/poison_test.go
@@ -199,3 +199,18 @@
 	}
 	is.True(!PartOfPrompt(1<<63 + 5).IsRequest())
 }
+
+// All targets crash at once while a popular request is under way at each of them. It was answered shortly
+// before and stays allowed.
+func TestPopularRequestIsNotBlockedWhenTargetsCrashTogether(t *testing.T) {
+	is := is.New(t)
+	d, now := New(), time.Unix(1000, 0)
+	popular := PartOfRequest("a", "GET", "/x", nil)
+	d.Answered(now, []Part{popular})
+	now = now.Add(10 * time.Second)
+	for i := range 4 {
+		d.Crashed(now, Crash{Process: Process(i), At: now}, []Part{popular})
+	}
+	_, _, rejected := d.Rejects([]Part{popular})
+	is.True(!rejected)
+}
