Look for another target beside a silent prefill target, too

Cause: a call to process a prompt at a silent target was given up before another target had taken the prompt; if that one refused, the caller was refused although the first one was sound. Change: the same search as for streams, up to the first event elsewhere. TestPlainAnswerOfASilentTargetIsNotLost holds plain services to the same.

--- a/forward/generate.go
+++ b/forward/generate.go
@@ -81,7 +81,7 @@
 
 // nextStreamAttempt picks the target of the next attempt. If the planner picks a prefill target,
 // the prompt is processed there first. When there is no further attempt, it returns how to end the
-// request.
+// request. If r.stream is set, another target has begun to answer in place of a silent prefill target.
 func (r *request) nextStreamAttempt(ctx context.Context) (streamAttempt, func()) {
 	for tries := 0; ; tries++ {
 		if end := r.endPoisoned(ctx); end != nil {
@@ -107,8 +107,8 @@
 			r.job.SkipPrefill = true
 			continue
 		}
-		attempt, outcome := r.prefill(ctx, d, tries < maxExtraPrefills)
-		if outcome == attemptAnswered {
+		attempt, outcome := r.prefill(ctx, d)
+		if outcome == attemptAnswered || outcome == attemptReplaced {
 			return attempt, nil
 		}
 		if outcome == attemptRejected {
@@ -131,17 +131,11 @@
 const maxExtraPrefills = 2
 
 // prefill lets the planned target process the prompt and picks the target that decodes. If no
-// target can decode, it releases the KV cache and returns attemptNotSent. A silent target is given up for
-// another one if that is allowed.
-func (r *request) prefill(ctx context.Context, d dispatch.Decision, another bool) (streamAttempt, attemptResult) {
-	var w *silenceWatch
-	if another {
-		ctx, w = r.watchSilence(ctx, d.Target, d, r.firstEventTimeout(d), func(context.Context) bool {
-			r.excluded[d.Target.ID] = true
-			return r.keyStillValid() && r.payArrivals(true)
-		})
-		defer w.stop()
-	}
+// target can decode, it releases the KV cache and returns attemptNotSent. If it returns attemptReplaced,
+// r.stream has begun in place of a silent target.
+func (r *request) prefill(ctx context.Context, d dispatch.Decision) (streamAttempt, attemptResult) {
+	ctx, w := r.watchSilence(ctx, d.Target, d, r.firstEventTimeout(d), func(ctx context.Context) bool { return r.searchStream(ctx, d.Target) })
+	defer w.stop()
 	ticket := r.beginAttempt(d.Target, d.UncachedTokens)
 	r.summary.prefilledAt = d.Target.ID
 	out := r.targetRequest(d.Target, AttemptInfo{Priority: r.job.Priority, PrefillOnly: true, LastEventID: r.lastEventID, PrefixSource: d.FetchFrom.Address})
--- a/forward/silence_test.go
+++ b/forward/silence_test.go
@@ -93,3 +93,49 @@
 		time.Sleep(5 * time.Millisecond)
 	}
 }
+
+// A target of a plain service falls silent under a request and answers after that, while the other one brings no
+// answer. The caller gets that of the first.
+func TestPlainAnswerOfASilentTargetIsNotLost(t *testing.T) {
+	for name, fault := range map[string]prepared.Fault{"refuses": prepared.RefuseNotRun, "breaks off": prepared.RunAndReset, "hangs": prepared.RunAndHang, "fails": prepared.RunAndFail} {
+		t.Run("the other one "+name, func(t *testing.T) {
+			is := is.New(t)
+			one, other := prepared.NewTarget("t-1"), prepared.NewTarget("t-2")
+			h := newTestHandler(t, "desk", one, other)
+			one.FallSilent(1200 * time.Millisecond)
+			other.FallSilent(1200 * time.Millisecond) // whichever is tried first
+			time.AfterFunc(300*time.Millisecond, func() {
+				for _, s := range []*prepared.Target{one, other} {
+					if s.Runs() == 0 {
+						s.FallSilent(0)
+						s.SetFaults(fault)
+					}
+				}
+			})
+			a := h.call(http.MethodGet, "/read/a", "")
+			is.NoErr(a.err)
+			is.Equal(a.status, http.StatusOK)
+		})
+	}
+}
+
+// A target falls silent while it processes a prompt, and the other one refuses. The first one's result is used.
+func TestPrefillOfASilentTargetIsNotLost(t *testing.T) {
+	is := is.New(t)
+	one, other, decode := engine("p-1", "prefill"), engine("p-2", "prefill"), engine("d-1", "decode")
+	h := newTestHandler(t, "model", one, other, decode)
+	one.FallSilent(1900 * time.Millisecond)
+	other.FallSilent(1900 * time.Millisecond)
+	time.AfterFunc(700*time.Millisecond, func() {
+		for _, s := range []*prepared.Target{one, other} {
+			if len(s.Arrivals()) == 0 {
+				s.FallSilent(0)
+				s.SetFaults(prepared.RefuseNotRun, prepared.RefuseNotRun)
+			}
+		}
+	})
+	a := h.call(http.MethodPost, "/draft/a", "p", append([]string{"X-Deadline-Ms: 5000"}, longPrompt...)...)
+	is.NoErr(a.err)
+	is.Equal(a.status, http.StatusOK)
+	is.Equal(a.body, expectedStream(3))
+}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -28,12 +28,22 @@
 	end    error
 }
 
+// takeOver returns the stream that has begun in place of a silent target, nil if there is none.
+func (r *request) takeOver() *stream {
+	s := r.stream
+	r.stream = nil
+	return s
+}
+
 // streamFrom makes one attempt to stream the output from a target, or more than one if targets fall silent.
 func (r *request) streamFrom(ctx context.Context, attempt streamAttempt) attemptResult {
-	s, outcome := r.openOrReplan(ctx, attempt)
+	s, outcome := r.takeOver(), attemptAnswered
+	if s == nil {
+		s, outcome = r.openOrReplan(ctx, attempt)
+	}
 	for {
 		if outcome == attemptReplaced {
-			s, r.stream = r.stream, nil
+			s = r.takeOver()
 		} else if outcome != attemptAnswered {
 			return outcome
 		}
@@ -92,12 +102,15 @@
 	if end != nil {
 		return nil
 	}
-	s, outcome := r.openOrReplan(ctx, attempt)
-	if outcome == attemptReplaced {
-		s, r.stream = r.stream, nil
+	if s := r.takeOver(); s != nil {
 		return s
 	}
-	if outcome != attemptAnswered {
+	s, outcome := r.openOrReplan(ctx, attempt)
+	switch outcome {
+	case attemptAnswered:
+	case attemptReplaced:
+		return r.takeOver()
+	default:
 		return nil
 	}
 	if s.response.Status != http.StatusOK {
@@ -107,8 +120,7 @@
 	for !s.begun {
 		if s.read() { // replaced in its turn
 			r.closeStream(s, errReplaced, dispatch.Unreachable)
-			s, r.stream = r.stream, nil
-			return s
+			return r.takeOver()
 		}
 		if err := r.checkBegin(s); err != nil {
 			outcome := outcomeOfEnd(ctx)
