Decide once which of two targets that speak at once is kept

Cause: when a silent target went on while the search held another target's first event, the search was cancelled and its attempt taken over all the same; the caller's stream then hung on a connection that had just been reset. Change: the search claims the request under the watch's lock before it takes over; a target that has gone on by then keeps it, and the other attempt ends.

--- a/forward/generate.go
+++ b/forward/generate.go
@@ -134,7 +134,7 @@
 // target can decode, it releases the KV cache and returns attemptNotSent. If it returns attemptReplaced,
 // r.stream has begun in place of a silent target.
 func (r *request) prefill(ctx context.Context, d dispatch.Decision) (streamAttempt, attemptResult) {
-	ctx, w := r.watchSilence(ctx, d.Target, d, r.firstEventTimeout(d), func(ctx context.Context) bool { return r.searchStream(ctx, d.Target) })
+	ctx, w := r.watchSilence(ctx, d.Target, d, r.firstEventTimeout(d), func(ctx context.Context, w *silenceWatch) { r.searchStream(ctx, w, d.Target) })
 	defer w.stop()
 	ticket := r.beginAttempt(d.Target, d.UncachedTokens)
 	r.summary.prefilledAt = d.Target.ID
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -83,8 +83,7 @@
 	} else if outcome != attemptAnswered {
 		return outcome
 	}
-	defer a.watch.stop()
-	defer a.response.Close()
+	defer a.close()
 	r.summary.firstEvent = time.Since(r.in.Arrived)
 	if a.response.Status >= http.StatusInternalServerError {
 		return r.handleServerError(a)
@@ -101,7 +100,7 @@
 	a := &plainAttempt{target: d.Target, begun: time.Now(), ticket: r.beginAttempt(d.Target, 0)}
 	if r.route.Repeatable() && r.route.ObjectiveMillis > 0 {
 		limit := max(objectiveFactor*r.objective(), minResponseTimeout)
-		ctx, a.watch = r.watchSilence(ctx, a.target, d, limit, func(ctx context.Context) bool { return r.searchPlain(ctx, a.target) })
+		ctx, a.watch = r.watchSilence(ctx, a.target, d, limit, func(ctx context.Context, w *silenceWatch) { r.searchPlain(ctx, w, a.target) })
 	}
 	response, outcome := r.send(ctx, a.watch, a.target, r.targetRequest(a.target, AttemptInfo{Priority: -1}), false)
 	if outcome != attemptAnswered {
@@ -133,30 +132,50 @@
 	return nil, outcome
 }
 
-// searchPlain makes an attempt in place of a silent target and returns whether it has brought an answer, which
-// is in r.plain then.
-func (r *request) searchPlain(ctx context.Context, silent roster.Target) bool {
+// searchPlain makes an attempt in place of a silent target. If it has brought an answer first, that is r.plain.
+func (r *request) searchPlain(ctx context.Context, w *silenceWatch, silent roster.Target) {
 	r.excluded[silent.ID] = true
 	summary := r.summary
-	if r.endPoisoned(ctx) == nil && r.takeRetry() {
-		if d := r.plan(); !d.Refused() {
-			a, outcome := r.openPlain(ctx, d)
-			if outcome == attemptReplaced {
-				return true
-			}
-			if outcome == attemptAnswered && a.response.Status < http.StatusInternalServerError {
-				r.plain = a
-				return true
-			}
-			if outcome == attemptAnswered {
-				r.holdError(a)
-				a.response.Close()
-				a.watch.stop()
-			}
-		}
+	a := r.answerElsewhere(ctx)
+	if a != nil && !w.claim() {
+		r.logFailedAttempt(a.target, errSuperseded, "superseded")
+		r.endAttempt(a.ticket, a.target.ID, dispatch.NoEvidence, 0)
+		a.close()
+		a = nil
+	}
+	if r.plain = a; a == nil {
+		r.restoreSummary(summary)
+	}
+}
+
+// answerElsewhere makes an attempt at another target. It returns nil if that brings no answer but an error.
+func (r *request) answerElsewhere(ctx context.Context) *plainAttempt {
+	if r.endPoisoned(ctx) != nil || !r.takeRetry() {
+		return nil
+	}
+	d := r.plan()
+	if d.Refused() {
+		return nil
 	}
-	r.restoreSummary(summary)
-	return false
+	a, outcome := r.openPlain(ctx, d)
+	switch {
+	case outcome == attemptReplaced:
+		a, r.plain = r.plain, nil
+		return a
+	case outcome != attemptAnswered:
+		return nil
+	case a.response.Status >= http.StatusInternalServerError:
+		r.holdError(a)
+		a.close()
+		return nil
+	}
+	return a
+}
+
+// close ends an attempt that has answered.
+func (a *plainAttempt) close() {
+	a.response.Close()
+	a.watch.stop()
 }
 
 // holdError keeps the error response of a target for the case that no other one answers. A 503 is not kept,
--- a/forward/silence.go
+++ b/forward/silence.go
@@ -40,9 +40,9 @@
 // is between await and settle, where it only waits for the target.
 type silenceWatch struct {
 	limit time.Duration // without a byte from the target
-	// search makes an attempt elsewhere and returns whether its answer has begun. The context ends if
-	// the silent target goes on.
-	search func(context.Context) bool
+	// search makes an attempt elsewhere. Once its answer has begun it calls claim. The context ends if the
+	// silent target goes on.
+	search func(context.Context)
 	// replace cancels the silent attempt.
 	replace context.CancelCauseFunc
 	parent  context.Context // of the request
@@ -52,20 +52,25 @@
 	since    time.Time   // when the goroutine of the attempt began to wait; zero if it does not
 	cancel   context.CancelCauseFunc
 	searched chan struct{} // closed when the search under way has ended; nil if there is none
-	found    bool
-	stopped  bool
+	// found and superseded tell who spoke first, the target of the search or the silent one.
+	found, superseded bool
+	stopped           bool
 }
 
 // watchSilence returns the context of an attempt at a target and a watch that searches for another one when
 // that target sends nothing within limit. Without another candidate the watch does nothing.
-func (r *request) watchSilence(ctx context.Context, t roster.Target, d dispatch.Decision, limit time.Duration, search func(context.Context) bool) (context.Context, *silenceWatch) {
+func (r *request) watchSilence(ctx context.Context, t roster.Target, d dispatch.Decision, limit time.Duration, search func(context.Context, *silenceWatch)) (context.Context, *silenceWatch) {
 	attemptCtx, cancel := context.WithCancelCause(ctx)
-	w := &silenceWatch{limit: limit, search: search, replace: cancel, parent: ctx}
+	w := &silenceWatch{limit: limit, replace: cancel, parent: ctx}
 	if d.Candidates > 1 {
-		w.search = func(ctx context.Context) bool {
-			event.TargetSilent.Log(r.h.Log).Str("request", r.info.ID).Str("target", string(t.ID)).Str("address", t.Address).
-				Float64("ms", milliseconds(time.Since(r.in.Arrived))).Int("events", r.summary.events).Send()
-			return search(ctx)
+		logged := false
+		w.search = func(ctx context.Context) {
+			if !logged {
+				event.TargetSilent.Log(r.h.Log).Str("request", r.info.ID).Str("target", string(t.ID)).Str("address", t.Address).
+					Float64("ms", milliseconds(time.Since(r.in.Arrived))).Int("events", r.summary.events).Send()
+			}
+			logged = true
+			search(ctx, w)
 		}
 		w.timer = time.AfterFunc(limit, w.expire)
 	}
@@ -100,16 +105,14 @@
 	}
 	ctx, cancel := context.WithCancelCause(w.parent)
 	searched := make(chan struct{})
-	w.cancel, w.searched = cancel, searched
+	w.cancel, w.searched, w.superseded = cancel, searched, false
 	w.mu.Unlock()
 
-	found := w.search(ctx)
+	w.search(ctx)
 
 	w.mu.Lock()
-	w.found, w.searched = found, nil
-	if found {
-		w.replace(errReplaced)
-	} else {
+	w.searched = nil
+	if !w.found {
 		cancel(nil)
 		if !w.stopped {
 			w.timer.Reset(searchInterval)
@@ -119,6 +122,19 @@
 	close(searched)
 }
 
+// claim makes the attempt of the search take over and cancels the silent one. It returns false if the silent
+// target has gone on meanwhile.
+func (w *silenceWatch) claim() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.superseded {
+		return false
+	}
+	w.found = true
+	w.replace(errReplaced)
+	return true
+}
+
 // settle ends what await began. If the target went on, a search under way is cancelled; if the attempt has
 // failed, the search may still succeed. It returns whether another target has begun to answer.
 func (w *silenceWatch) settle(wentOn bool) bool {
@@ -129,7 +145,8 @@
 	defer w.mu.Unlock()
 	w.since = time.Time{}
 	if searched := w.searched; searched != nil {
-		if wentOn {
+		if wentOn && !w.found {
+			w.superseded = true
 			w.cancel(errSuperseded)
 		}
 		w.mu.Unlock()
--- a/forward/silence_test.go
+++ b/forward/silence_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -139,3 +140,36 @@
 	is.Equal(a.status, http.StatusOK)
 	is.Equal(a.body, expectedStream(3))
 }
+
+// The silent target goes on at about the moment at which the other one sends its first event. Whichever is taken, the
+// stream is whole.
+func TestStreamIsWholeWhenBothTargetsSpeakAtOnce(t *testing.T) {
+	const first = 260 * time.Millisecond // from the search, 1.2 s after the last event, to the other one's first event
+	var streams sync.WaitGroup
+	for i := range 60 {
+		streams.Go(func() {
+			other := engine("d-2", "decode")
+			other.Delay = first
+			h, silent := silentInStream(t, other)
+			h.call(http.MethodPost, "/draft/a", "p", engineHeaders...) // opens connections
+			for range 20 {
+				runs, ended := silent.Runs(), make(chan callResult, 1)
+				go func() {
+					ended <- h.call(http.MethodPost, "/draft/a", "p", append([]string{"X-Deadline-Ms: 5000"}, engineHeaders...)...)
+				}()
+				time.Sleep(60 * time.Millisecond)
+				if silent.Runs() > runs {
+					silent.FallSilent(1200*time.Millisecond + first - 60*time.Millisecond + time.Duration(2*i)*time.Millisecond)
+				}
+				a := <-ended
+				if a.err != nil || a.body != expectedStream(6) {
+					t.Errorf("stream %d: error %v, %d bytes", i, a.err, len(a.body))
+				}
+				if silent.Runs() > runs {
+					return
+				}
+			}
+		})
+	}
+	streams.Wait()
+}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -64,7 +64,7 @@
 	}
 	if r.route.Repeatable() {
 		ctx, s.watch = r.watchSilence(ctx, attempt.target, attempt.decision, r.firstEventTimeout(attempt.decision),
-			func(ctx context.Context) bool { return r.searchStream(ctx, attempt.target) })
+			func(ctx context.Context, w *silenceWatch) { r.searchStream(ctx, w, attempt.target) })
 	}
 	response, outcome := r.send(ctx, s.watch, attempt.target, r.targetRequest(attempt.target, info), false)
 	if outcome != attemptAnswered {
@@ -76,20 +76,23 @@
 	return s, attemptAnswered
 }
 
-// searchStream makes an attempt in place of a silent target and returns whether its answer has begun, which
-// is r.stream then.
-func (r *request) searchStream(ctx context.Context, silent roster.Target) bool {
+// searchStream makes an attempt in place of a silent target. If its answer has begun first, it is r.stream.
+func (r *request) searchStream(ctx context.Context, w *silenceWatch, silent roster.Target) {
 	r.excluded[silent.ID] = true
 	summary := r.summary
-	if s := r.beginElsewhere(ctx); s != nil {
-		r.stream = s
-		if r.out.Started() {
-			r.summary.resumed++
-		}
-		return true
+	s := r.beginElsewhere(ctx)
+	if s != nil && !w.claim() {
+		r.closeStream(s, errSuperseded, dispatch.NoEvidence)
+		s = nil
+	}
+	if s == nil {
+		r.restoreSummary(summary)
+		return
+	}
+	r.stream = s
+	if r.out.Started() {
+		r.summary.resumed++
 	}
-	r.restoreSummary(summary)
-	return false
 }
 
 // beginElsewhere makes an attempt at another target and reads the first event of its stream. It returns nil
