Search on until a silent target has something for the caller

Cause: the head of an answer without an event, or an error, counted as a silent target's going on and ended the search for another target that was about to succeed. Streams then broke off at their deadline, plain requests got the error. Change: an attempt reads on to its first event, or its whole plain answer, before it settles with the search.

--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -46,22 +46,32 @@
 // errOtherRequest means that a response carries the id of another request.
 var errOtherRequest = errors.New("the answer belongs to another request")
 
-// send makes one attempt and reads the head of the response. A prefill does not count as running the
-// request.
-func (r *request) send(ctx context.Context, w *silenceWatch, t roster.Target, out *upstream.Request, prefill bool) (*upstream.Response, attemptResult) {
+// send makes one attempt and reads the head of the response. If the target answers the request, begin reads on
+// until there is something for the caller and returns whether there is; nil begins nothing. It must not touch
+// the request, which a search for another target may be using. A prefill does not count as running the request.
+func (r *request) send(ctx context.Context, w *silenceWatch, t roster.Target, out *upstream.Request, prefill bool, begin func(*upstream.Response) bool) (*upstream.Response, attemptResult) {
 	r.summary.framing, r.summary.partial = "", 0
 	r.countSend(prefill)
 	w.await()
 	response, err := r.h.Pool.Do(ctx, t.Address, out)
 	var info ResponseInfo
+	ofRequest, begun := false, false
 	if err == nil {
 		info = r.h.Protocol.ParseResponse(response.Status, response.Header)
+		ofRequest = info.ID == r.info.ID
+		if info.Misdirected {
+			r.h.OnMisdirected(t.ID)
+		}
+		if info.ID == "" || ofRequest {
+			r.h.heedNotices(t, info)
+		}
+		begun = ofRequest && !info.NotRun && response.Status < http.StatusInternalServerError && (begin == nil || begin(response))
 	}
-	ofRequest := err == nil && info.ID == r.info.ID
-	if w.settle(ofRequest && !info.NotRun) {
+	if w.settle(begun) {
 		if response != nil {
 			response.Close()
 		}
+		r.excluded[t.ID] = true
 		r.logFailedAttempt(t, errReplaced, "silent")
 		return nil, attemptReplaced
 	}
@@ -69,12 +79,6 @@
 		return nil, r.handleSendError(ctx, t, err, prefill)
 	}
 	r.summary.framing = response.Framing
-	if info.Misdirected {
-		r.h.OnMisdirected(t.ID)
-	}
-	if info.ID == "" || ofRequest {
-		r.h.heedNotices(t, info)
-	}
 	// The request id may be missing in a refusal. It cannot belong to an earlier request, since the
 	// pool returns only connections on which nothing arrived while they were idle.
 	if info.NotRun && (info.ID == "" || ofRequest) {
--- a/forward/generate.go
+++ b/forward/generate.go
@@ -139,7 +139,7 @@
 	ticket := r.beginAttempt(d.Target, d.UncachedTokens)
 	r.summary.prefilledAt = d.Target.ID
 	out := r.targetRequest(d.Target, AttemptInfo{Priority: r.job.Priority, PrefillOnly: true, LastEventID: r.lastEventID, PrefixSource: d.FetchFrom.Address})
-	response, outcome := r.send(ctx, w, d.Target, out, true)
+	response, outcome := r.send(ctx, w, d.Target, out, true, nil)
 	if outcome != attemptAnswered {
 		r.endAttempt(ticket, d.Target.ID, plannerOutcome(outcome), 0)
 		return streamAttempt{}, outcome
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -102,34 +102,39 @@
 		limit := max(objectiveFactor*r.objective(), minResponseTimeout)
 		ctx, a.watch = r.watchSilence(ctx, a.target, d, limit, func(ctx context.Context, w *silenceWatch) { r.searchPlain(ctx, w, a.target) })
 	}
-	response, outcome := r.send(ctx, a.watch, a.target, r.targetRequest(a.target, AttemptInfo{Priority: -1}), false)
+	var err error
+	response, outcome := r.send(ctx, a.watch, a.target, r.targetRequest(a.target, AttemptInfo{Priority: -1}), false, func(response *upstream.Response) bool {
+		a.body, a.more, err = readBuffered(response)
+		return err == nil
+	})
+	if outcome == attemptAnswered {
+		r.countStart()
+		if response.Status >= http.StatusInternalServerError {
+			a.body, a.more, err = readBuffered(response) // send doesn't read errors
+		}
+		if err != nil {
+			outcome = r.handleBrokenBody(a.target, response, err)
+		}
+	}
 	if outcome != attemptAnswered {
 		a.watch.stop()
 		r.endAttempt(a.ticket, a.target.ID, plannerOutcome(outcome), 0)
 		return nil, outcome
 	}
-	r.countStart()
+	r.answered()
 	a.response = response
-	var err error
-	a.watch.await()
-	a.body, a.more, err = readBuffered(response)
-	replaced := a.watch.settle(err == nil)
-	if err == nil && !replaced {
-		r.answered()
-		return a, attemptAnswered
-	}
+	return a, attemptAnswered
+}
+
+// handleBrokenBody handles an attempt whose response broke off.
+func (r *request) handleBrokenBody(t roster.Target, response *upstream.Response, err error) attemptResult {
 	response.Close()
-	a.watch.stop()
-	outcome = attemptBroken
-	if replaced {
-		outcome = attemptReplaced
-	} else if upstream.IsClosed(err) {
-		r.brokeOff(a.target)
+	r.excluded[t.ID] = true
+	r.logFailedAttempt(t, err, "broken")
+	if upstream.IsClosed(err) {
+		r.brokeOff(t)
 	}
-	r.excluded[a.target.ID] = true
-	r.logFailedAttempt(a.target, err, "broken")
-	r.endAttempt(a.ticket, a.target.ID, dispatch.Unreachable, 0)
-	return nil, outcome
+	return attemptBroken
 }
 
 // searchPlain makes an attempt in place of a silent target. If it has brought an answer first, that is r.plain.
--- a/forward/silence_test.go
+++ b/forward/silence_test.go
@@ -17,6 +17,9 @@
 // after a second.
 const silenceOf = 1500 * time.Millisecond
 
+// patient are the headers of a caller that waits longer than by default.
+var patient = []string{withoutDefaultHeaders, "X-Request-Id: id-1", "X-Deadline-Ms: 4900", "X-Credential: key-1"}
+
 // silentInStream starts targets of streams of six events, of which the first falls silent after its second
 // event and then goes on. Requests go to that one, since the others are full of work.
 func silentInStream(t *testing.T, others ...*prepared.Target) (*testHandler, *prepared.Target) {
@@ -37,7 +40,7 @@
 		runs := silent.Runs()
 		ended := make(chan callResult, 1)
 		go func() {
-			ended <- h.call(http.MethodPost, "/draft/a", "p", append([]string{"X-Deadline-Ms: 5000"}, engineHeaders...)...)
+			ended <- h.call(http.MethodPost, "/draft/a", "p", append(patient[:len(patient):len(patient)], engineHeaders...)...)
 		}()
 		for begun := time.Now(); time.Since(begun) < 90*time.Millisecond; time.Sleep(5 * time.Millisecond) {
 			if silent.Runs() > runs {
@@ -135,7 +138,7 @@
 			}
 		}
 	})
-	a := h.call(http.MethodPost, "/draft/a", "p", append([]string{"X-Deadline-Ms: 5000"}, longPrompt...)...)
+	a := h.call(http.MethodPost, "/draft/a", "p", append(patient[:len(patient):len(patient)], longPrompt...)...)
 	is.NoErr(a.err)
 	is.Equal(a.status, http.StatusOK)
 	is.Equal(a.body, expectedStream(3))
@@ -155,7 +158,7 @@
 			for range 20 {
 				runs, ended := silent.Runs(), make(chan callResult, 1)
 				go func() {
-					ended <- h.call(http.MethodPost, "/draft/a", "p", append([]string{"X-Deadline-Ms: 5000"}, engineHeaders...)...)
+					ended <- h.call(http.MethodPost, "/draft/a", "p", append(patient[:len(patient):len(patient)], engineHeaders...)...)
 				}()
 				time.Sleep(60 * time.Millisecond)
 				if silent.Runs() > runs {
@@ -173,3 +176,30 @@
 	}
 	streams.Wait()
 }
+
+// A target that was silent sends the head of its answer and no event, or an error. The search goes on until one of the
+// two has something for the caller.
+func TestOnlyAnAnswerEndsASearch(t *testing.T) {
+	t.Run("head without an event", func(t *testing.T) {
+		is := is.New(t)
+		silent, other := engine("d-1", "decode"), engine("d-2", "decode")
+		silent.Delay, silent.EventPause = 1700*time.Millisecond, 2500*time.Millisecond // the search begins after 1.5 s
+		other.Delay = 600 * time.Millisecond
+		h := newTestHandler(t, "model", silent, other)
+		for len(silent.Arrivals()) == 0 {
+			a := h.call(http.MethodPost, "/draft/a", "p", append(patient[:len(patient):len(patient)], engineHeaders...)...)
+			is.NoErr(a.err)
+			is.Equal(a.body, expectedStream(3))
+		}
+	})
+	t.Run("error", func(t *testing.T) {
+		is := is.New(t)
+		silent, other := prepared.NewTarget("t-1"), prepared.NewTarget("t-2")
+		silent.Delay, other.Delay = 600*time.Millisecond, 300*time.Millisecond // the search begins after 450 ms
+		silent.SetFaults(prepared.RunAndFail)
+		h := newTestHandler(t, "desk", silent, other)
+		for len(silent.Arrivals()) == 0 {
+			is.Equal(h.call(http.MethodGet, "/read/a", "").status, http.StatusOK)
+		}
+	})
+}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -21,11 +21,11 @@
 	watch    *silenceWatch // nil if no other target may take over
 	splitter eventSplitter
 	buffer   []byte
-	begun    bool // the first event was read, or the end of the stream
 	// events and end are what was read and is not yet handled: complete events, and the error or io.EOF
 	// that followed them.
 	events []byte
 	end    error
+	failed error // set if the stream can't go on as it has begun
 }
 
 // takeOver returns the stream that has begun in place of a silent target, nil if there is none.
@@ -66,16 +66,30 @@
 		ctx, s.watch = r.watchSilence(ctx, attempt.target, attempt.decision, r.firstEventTimeout(attempt.decision),
 			func(ctx context.Context, w *silenceWatch) { r.searchStream(ctx, w, attempt.target) })
 	}
-	response, outcome := r.send(ctx, s.watch, attempt.target, r.targetRequest(attempt.target, info), false)
+	response, outcome := r.send(ctx, s.watch, attempt.target, r.targetRequest(attempt.target, info), false, s.begin)
 	if outcome != attemptAnswered {
 		s.watch.stop()
 		r.endAttempt(s.ticket, attempt.target.ID, plannerOutcome(outcome), 0)
 		return nil, outcome
 	}
-	s.response, s.buffer = response, make([]byte, streamBufferBytes)
+	if s.response = response; response.Status == http.StatusOK {
+		s.failed = r.checkBegin(s)
+	}
 	return s, attemptAnswered
 }
 
+// begin reads a stream until its first event or its end, and returns whether it has an event or ends properly.
+func (s *stream) begin(response *upstream.Response) bool {
+	if response.Status != http.StatusOK {
+		return true
+	}
+	s.response, s.buffer = response, make([]byte, streamBufferBytes)
+	for len(s.events) == 0 && s.end == nil {
+		s.readOnce()
+	}
+	return len(s.events) > 0 || errors.Is(s.end, io.EOF) && s.checkEnd(true) == nil
+}
+
 // searchStream makes an attempt in place of a silent target. If its answer has begun first, it is r.stream.
 func (r *request) searchStream(ctx context.Context, w *silenceWatch, silent roster.Target) {
 	r.excluded[silent.ID] = true
@@ -120,19 +134,13 @@
 		r.closeStatus(s)
 		return nil
 	}
-	for !s.begun {
-		if s.read() { // replaced in its turn
-			r.closeStream(s, errReplaced, dispatch.Unreachable)
-			return r.takeOver()
-		}
-		if err := r.checkBegin(s); err != nil {
-			outcome := outcomeOfEnd(ctx)
-			if outcome == dispatch.Unreachable && endsLikeACrash(err) {
-				r.brokeOff(s.attempt.target)
-			}
-			r.closeStream(s, err, outcome)
-			return nil
+	if s.failed != nil {
+		outcome := outcomeOfEnd(ctx)
+		if outcome == dispatch.Unreachable && endsLikeACrash(s.failed) {
+			r.brokeOff(s.attempt.target)
 		}
+		r.closeStream(s, s.failed, outcome)
+		return nil
 	}
 	return s
 }
@@ -243,38 +251,36 @@
 // streamBufferBytes is the size of the read buffer of a stream.
 const streamBufferBytes = 8 << 10
 
-// read waits for the target and reads once. It returns whether another target has begun to answer instead.
-func (s *stream) read() (replaced bool) {
-	s.watch.await()
+// readOnce reads once from the target.
+func (s *stream) readOnce() {
 	n, err := s.response.Body.Read(s.buffer)
-	if s.watch.settle(n > 0 || errors.Is(err, io.EOF)) {
-		return true
-	}
 	s.events, s.end = s.splitter.add(s.buffer[:n]), err
 	if len(s.splitter.pending) > maxEventBytes {
 		s.end = errEventTooLarge
 	}
-	return false
 }
 
-// checkBegin judges what was read of a stream until its first event. It returns an error if the stream can't
-// go on.
+// read waits for the target and reads once. It returns whether another target has begun to answer instead.
+func (s *stream) read() (replaced bool) {
+	s.watch.await()
+	s.readOnce()
+	return s.watch.settle(s.end == nil || errors.Is(s.end, io.EOF))
+}
+
+// checkBegin judges how a stream has begun. It returns an error if the stream can't go on.
 func (r *request) checkBegin(s *stream) error {
 	r.summary.partial = len(s.splitter.pending)
-	switch {
-	case len(s.events) > 0:
-		s.begun = true
+	if len(s.events) > 0 {
 		r.promptProcessed(s.ticket)
 		if !isNextEvent(r.lastEventID, firstID(s.events)) {
 			return errEventGap
 		}
-	case errors.Is(s.end, io.EOF):
-		s.begun = true
+		return nil
+	}
+	if errors.Is(s.end, io.EOF) {
 		return s.checkEnd(true)
-	case s.end != nil:
-		return s.end
 	}
-	return nil
+	return s.end
 }
 
 // checkEnd judges the end of a body. The framing alone does not prove a stream complete: a failed
@@ -294,16 +300,12 @@
 // bytes of an incomplete event are discarded if the stream goes on elsewhere.
 func (r *request) relayEvents(s *stream) error {
 	r.attemptWrites = 0
+	if s.failed != nil {
+		return s.failed
+	}
 	for {
-		if len(s.events) == 0 && s.end == nil {
-			if s.read() {
-				return errReplaced
-			}
-			if !s.begun {
-				if err := r.checkBegin(s); err != nil {
-					return err
-				}
-			}
+		if len(s.events) == 0 && s.end == nil && s.read() {
+			return errReplaced
 		}
 		if len(s.events) > 0 {
 			if r.attemptWrites == 0 {
