Free the KV cache of an attempt that does not run

Cause: only an attempt that could not be connected to released the cache of its prompt; one that was refused, or cancelled since the silent target for which it was to stand in went on, left it to expire. Evidence: TestCacheOfAnAttemptThatDoesNotRunIsFreed fails before, both cases. Change: openOrReplan releases it in these cases, too.

--- a/forward/generate.go
+++ b/forward/generate.go
@@ -60,12 +60,20 @@
 }
 
 // openOrReplan makes an attempt. If the prompt was processed by a prefill target and the decode
-// target cannot be connected to, it tries further decode targets with the same KV cache, which it
-// releases if none of them can be connected to.
+// target cannot be connected to, it tries further decode targets with the same KV cache. It releases a cache
+// that no target has taken.
 func (r *request) openOrReplan(ctx context.Context, attempt streamAttempt) (*stream, attemptResult) {
 	for {
 		s, outcome := r.openStream(ctx, attempt)
-		if outcome != attemptNotSent || attempt.prefillSource == "" {
+		if attempt.prefillSource == "" {
+			return s, outcome
+		}
+		switch outcome {
+		case attemptNotSent:
+		case attemptRefused, attemptSuperseded:
+			r.releaseCache(attempt.prefilled, attempt.handle)
+			return nil, outcome
+		default:
 			return s, outcome
 		}
 		r.h.PlannerMu.Lock()
--- a/forward/silence_test.go
+++ b/forward/silence_test.go
@@ -203,3 +203,37 @@
 		}
 	})
 }
+
+// A decode target refuses a prompt that was processed elsewhere, or the silent target for which it was to stand in goes
+// on first. The KV cache is freed.
+func TestCacheOfAnAttemptThatDoesNotRunIsFreed(t *testing.T) {
+	for name, fault := range map[string]prepared.Fault{"refused": prepared.RefuseNotRun, "superseded": prepared.RunAndHang} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			p, one, two := engine("p-1", "prefill"), engine("d-1", "decode"), engine("d-2", "decode")
+			one.Events, one.EventPause, two.Events, two.EventPause = 6, 40*time.Millisecond, 6, 40*time.Millisecond
+			h := newTestHandler(t, "model", p, one, two)
+			ended := make(chan callResult, 1)
+			go func() {
+				ended <- h.call(http.MethodPost, "/draft/a", "p", append(patient[:len(patient):len(patient)], longPrompt...)...)
+			}()
+			for one.Runs()+two.Runs() == 0 {
+				time.Sleep(2 * time.Millisecond)
+			}
+			silent, other := one, two
+			if two.Runs() > 0 {
+				silent, other = two, one
+			}
+			time.Sleep(60 * time.Millisecond)
+			silent.FallSilent(1800 * time.Millisecond)
+			other.SetFaults(fault)
+			a := <-ended
+			is.NoErr(a.err)
+			is.Equal(a.body, expectedStream(6))
+			is.Equal(len(p.Arrivals()), 2)
+			for begun := time.Now(); len(p.FreedHandles()) == 0; time.Sleep(10 * time.Millisecond) {
+				is.True(time.Since(begun) < time.Second)
+			}
+		})
+	}
+}
