Hold a cancelled attempt against no target

Cause: an attempt in place of a silent target that this host cancelled, since that target went on or the caller left, counted as one that its target had not answered; two of them kept requests from a sound target.

--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -110,7 +110,7 @@
 
 // handleSendError handles an attempt that brought no response.
 func (r *request) handleSendError(ctx context.Context, t roster.Target, err error, prefill bool) attemptResult {
-	notSent, superseded := errors.Is(err, upstream.ErrNotSent), errors.Is(context.Cause(ctx), errSuperseded)
+	notSent, superseded := errors.Is(err, upstream.ErrNotSent), r.superseded(ctx)
 	switch {
 	case notSent && prefill:
 		r.sent.prefills--
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -112,6 +112,7 @@
 	// stream and plain are the attempt that has begun to answer in place of a silent target.
 	stream          *stream
 	plain           *plainAttempt
+	searching       bool // an attempt in place of a silent target is being made
 	startCounted    bool // OnRequestStarted was called
 	freshConnection bool // the next attempts use no kept connection, since one was stale
 	summary         requestSummary
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -113,7 +113,7 @@
 			a.body, a.more, err = readBuffered(response) // send doesn't read errors
 		}
 		if err != nil {
-			outcome = r.handleBrokenBody(a.target, response, err)
+			outcome = r.handleBrokenBody(ctx, a.target, response, err)
 		}
 	}
 	if outcome != attemptAnswered {
@@ -127,8 +127,12 @@
 }
 
 // handleBrokenBody handles an attempt whose response broke off.
-func (r *request) handleBrokenBody(t roster.Target, response *upstream.Response, err error) attemptResult {
+func (r *request) handleBrokenBody(ctx context.Context, t roster.Target, response *upstream.Response, err error) attemptResult {
 	response.Close()
+	if r.superseded(ctx) {
+		r.logFailedAttempt(t, errSuperseded, "superseded")
+		return attemptSuperseded
+	}
 	r.excluded[t.ID] = true
 	r.logFailedAttempt(t, err, "broken")
 	if upstream.IsClosed(err) {
--- a/forward/silence.go
+++ b/forward/silence.go
@@ -70,7 +70,10 @@
 					Float64("ms", milliseconds(time.Since(r.in.Arrived))).Int("events", r.summary.events).Send()
 			}
 			logged = true
+			outer := r.searching
+			r.searching = true
 			search(ctx, w)
+			r.searching = outer
 		}
 		w.timer = time.AfterFunc(limit, w.expire)
 	}
@@ -183,6 +186,10 @@
 	w.replace(nil)
 }
 
+// superseded tells whether an attempt in place of a silent target was cancelled by this host, since that one went
+// on or the request has ended. That says nothing of the attempt's target.
+func (r *request) superseded(ctx context.Context) bool { return r.searching && ctx.Err() != nil }
+
 // firstEventTimeout returns how long the first event of a stream may take.
 func (r *request) firstEventTimeout(d dispatch.Decision) time.Duration {
 	return max(objectiveFactor*r.objective(), forecastFactor*d.Forecast, minEventTimeout)
--- a/forward/silence_test.go
+++ b/forward/silence_test.go
@@ -1,6 +1,8 @@
 package forward_test
 
 import (
+	"bufio"
+	"net"
 	"net/http"
 	"sync"
 	"testing"
@@ -8,6 +10,7 @@
 
 	"github.com/matryer/is"
 
+	"zinniapin/dispatch"
 	"zinniapin/internal/knownred"
 	"zinniapin/internal/standin/prepared"
 	"zinniapin/route"
@@ -237,3 +240,41 @@
 		})
 	}
 }
+
+// Callers leave while another target than the silent one has their requests. That target is not left out for it.
+func TestTargetOfAnAbandonedSearchStaysInUse(t *testing.T) {
+	silent, other := engine("d-1", "decode"), engine("d-2", "decode")
+	silent.Events, silent.EventPause = 6, 40*time.Millisecond
+	other.Events, other.EventPause = 6, 2*time.Second
+	h := newTestHandler(t, "model", silent, other)
+	for left := 0; left < 3; {
+		runs, arrived, gone := silent.Runs(), len(other.Arrivals()), silent.Abandoned()+other.Abandoned()
+		c, err := net.Dial("tcp", h.address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		go exchange(c, bufio.NewReader(c), http.MethodPost, "/draft/a", "p", append(patient[:len(patient):len(patient)], engineHeaders...)...)
+		time.Sleep(70 * time.Millisecond)
+		if silent.Runs() > runs {
+			silent.FallSilent(3 * time.Second)
+			for begun := time.Now(); len(other.Arrivals()) == arrived && time.Since(begun) < 2*time.Second; {
+				time.Sleep(5 * time.Millisecond)
+			}
+			time.Sleep(100 * time.Millisecond)
+			left++
+		}
+		_ = c.Close()
+		time.Sleep(400 * time.Millisecond)
+		if told := silent.Abandoned() + other.Abandoned() - gone; told == 0 || silent.Runs() > runs && told != 2 {
+			t.Errorf("%d targets were told that the caller has left", told)
+		}
+		silent.FallSilent(0)
+	}
+	h.handler.PlannerMu.Lock()
+	defer h.handler.PlannerMu.Unlock()
+	for _, report := range h.handler.Planner.TakeReports() {
+		if report.Unreachable > 0 && report.Target == dispatch.KeyOf("d-2") {
+			t.Errorf("the other target counts as unreachable: %+v", report)
+		}
+	}
+}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -135,8 +135,10 @@
 		return nil
 	}
 	if s.failed != nil {
-		outcome := outcomeOfEnd(ctx)
-		if outcome == dispatch.Unreachable && endsLikeACrash(s.failed) {
+		outcome := dispatch.Unreachable
+		if r.superseded(ctx) {
+			outcome = dispatch.NoEvidence
+		} else if endsLikeACrash(s.failed) {
 			r.brokeOff(s.attempt.target)
 		}
 		r.closeStream(s, s.failed, outcome)
@@ -145,14 +147,6 @@
 	return s
 }
 
-// outcomeOfEnd returns what the planner records for the target of a stream that failed before its first event.
-func outcomeOfEnd(ctx context.Context) dispatch.Outcome {
-	if errors.Is(context.Cause(ctx), errSuperseded) {
-		return dispatch.NoEvidence
-	}
-	return dispatch.Unreachable
-}
-
 // closeStream ends an attempt that failed.
 func (r *request) closeStream(s *stream, err error, o dispatch.Outcome) {
 	how := "broken"
