Let stand-ins crash on what they are sent

No stand-in of the gateway's tests ended by the request it got, so a fault that travels with the requests could not be shown. Engines crash on a prompt with a given text, plain services on a body, each time, and start again after the time of the existing setting (TestCrashOnPrompt, TestCrashOnBody).

--- a/internal/standin/engine/faults.go
+++ b/internal/standin/engine/faults.go
@@ -1,6 +1,9 @@
 package engine
 
-import "time"
+import (
+	"strings"
+	"time"
+)
 
 // Faults are the faults to inject. They can be replaced while the engine runs, by
 // SetFaults or by POST /faults. A count falls by one each time its fault is injected.
@@ -16,6 +19,9 @@
 	// CrashAfter crashes the engine when it has this many more chunks to send; the last of
 	// them is not sent. 0 means never.
 	CrashAfter int `json:"crash_after,omitempty"`
+	// CrashOn crashes the engine whenever it begins to answer a request whose prompt contains
+	// this text; empty means never.
+	CrashOn string `json:"crash_on,omitempty"`
 	// CrashInChange is the number of role or model changes that crash the engine halfway.
 	CrashInChange int `json:"crash_in_change,omitempty"`
 	// StrayChunks is the number of chunks that are preceded by a chunk of another attempt.
@@ -68,3 +74,10 @@
 func (f *Faults) firstChunkDelay() time.Duration {
 	return time.Duration(f.DelayMillis) * time.Millisecond
 }
+
+// crashesOn tells whether a prompt contains the text of CrashOn.
+func (e *Engine) crashesOn(prompt string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.faults.CrashOn != "" && strings.Contains(prompt, e.faults.CrashOn)
+}
--- a/internal/standin/engine/send.go
+++ b/internal/standin/engine/send.go
@@ -16,7 +16,7 @@
 	if a.breakAfter >= 0 && a.chunksSent >= a.breakAfter {
 		return errFault
 	}
-	if a.engine.crashDue() {
+	if a.engine.crashDue() || a.chunksSent == 0 && a.engine.crashesOn(a.request.Prompt) {
 		a.engine.Crash()
 		return errFault
 	}
--- a/internal/standin/engine/server_test.go
+++ b/internal/standin/engine/server_test.go
@@ -62,3 +62,31 @@
 		is.Equal(r.Header.Get("Idempotency-Key"), "")
 	}
 }
+
+// TestCrashOnPrompt checks that the engine crashes each time it is about to answer a prompt with
+// the text, starts again at its address and answers other prompts.
+func TestCrashOnPrompt(t *testing.T) {
+	is := is.New(t)
+	s, err := Start("127.0.0.1:0", Options{ID: "e", Models: []string{model}, DecodeRate: 1e6})
+	is.NoErr(err)
+	defer s.Close()
+	s.Engine.SetFaults(Faults{CrashOn: "fatal", RestartMillis: 1})
+	c := httpengine.New(httpengine.Options{})
+	defer c.Close()
+	answer := func(attempt, prompt string) error {
+		var stream target.Stream
+		err := target.ErrNotSent
+		for errors.Is(err, target.ErrNotSent) { // until it has started again
+			stream, err = c.Generate(t.Context(), target.Target{ID: "e", Address: s.Address()}, generateRequest(attempt, prompt))
+		}
+		if err != nil {
+			return err
+		}
+		defer stream.Close()
+		_, _, _, err = readStream(stream, attempt, 0)
+		return err
+	}
+	is.True(errors.Is(answer("1", "a fatal prompt"), target.ErrIncomplete))
+	is.True(errors.Is(answer("2", "a fatal prompt"), target.ErrIncomplete))
+	is.NoErr(answer("3", "another"))
+}
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -36,6 +37,9 @@
 	CrashBefore int `json:"crash_before,omitempty"`
 	// CrashAfter is the number of calls that crash the service after they were executed.
 	CrashAfter int `json:"crash_after,omitempty"`
+	// CrashOn crashes the service before it executes a call whose body contains this text;
+	// empty means never.
+	CrashOn string `json:"crash_on,omitempty"`
 	// RestartMillis is how long the service stays down after a crash; 0 means until
 	// Restart is called.
 	RestartMillis int `json:"restart_ms,omitempty"`
@@ -207,10 +211,21 @@
 			replyNotRun(w, http.StatusBadRequest, "the body has no id")
 			return
 		}
+		if s.crashesOn(body) {
+			s.Crash()
+			panic(http.ErrAbortHandler)
+		}
 		s.execute(w, kind, o.ID)
 	}
 }
 
+// crashesOn tells whether a body contains the text of CrashOn.
+func (s *Server) crashesOn(body []byte) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults.CrashOn != "" && strings.Contains(string(body), s.faults.CrashOn)
+}
+
 // execute executes an operation, applies the faults and answers.
 func (s *Server) execute(w http.ResponseWriter, kind, id string) {
 	if s.consumeFault(func(f *Faults) *int { return &f.Refuse }) {
--- a/internal/standin/service/service_test.go
+++ b/internal/standin/service/service_test.go
@@ -54,3 +54,22 @@
 		is.NoErr(s.Restart())
 	}
 }
+
+// TestCrashOnBody checks that each call with the text in its body crashes the service before it is executed.
+func TestCrashOnBody(t *testing.T) {
+	is := is.New(t)
+	s, err := Start("127.0.0.1:0")
+	is.NoErr(err)
+	defer s.Close()
+	s.SetFaults(Faults{CrashOn: "fatal"})
+	for range 2 {
+		_, err = deposit(s, "fatal-1")
+		is.True(err != nil)
+		is.Equal(s.Runs()["fatal-1"], 0)
+		is.NoErr(s.Restart())
+	}
+	r, err := deposit(s, "a")
+	is.NoErr(err)
+	r.Body.Close()
+	is.Equal(s.Runs()["a"], 1)
+}
