Reject requests under which three targets have crashed, at a gateway

Cause: what a gateway learnt was about targets, while a request that crashes its target takes the fault along: it was repeated at up to four other engines, and each new copy was placed like any other. Calls of plain services likewise, those that may not be repeated with each new idempotency key. Change: package poison decides, as in the node; one part stands for the whole request, a digest of organisation, method, model or path, and prompt or body. An answer that broke off when it had hardly begun, with one chunk at most, counts once connections to its target are refused or the target has started again; the repeat waits for the first try to connect. An answer that went on clears its request. After two crashes a request isn't repeated, after three it is rejected with 8016 request_blocked and the event prompt_part_blocked, before admission and before its first attempt. An earlier call under the same idempotency key goes before the rejection, so that an outcome that isn't known stays unknown.

--- a/gateway/chat.go
+++ b/gateway/chat.go
@@ -78,6 +78,7 @@
 		contract: callerContract,
 		limit:    limit,
 		prompt:   prompt,
+		part:     partOfRequest(callerContract.Organisation, http.MethodPost, model.Name, []byte(prompt)),
 		priority: callerContract.Priority,
 		query: routing.Request{
 			Pool:         model.Pool,
@@ -113,6 +114,9 @@
 // generate takes a generation through admission, runs it, records its usage and ends the
 // response.
 func (g *Gateway) generate(ctx context.Context, gen *generation, response *chatResponse) error {
+	if err := gen.checkBlocked(); err != nil {
+		return err
+	}
 	resumedAt := gen.assembly.received
 	admitStart := time.Now()
 	g.loads.countArrival(gen.query.Pool, gen.query.Model, gen.query.StableOnly)
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -31,6 +31,7 @@
 func (g *Gateway) Observe(view []control.TargetState) {
 	now := time.Now()
 	g.fleet.observe(now, view)
+	g.crashes.observeTargets(view)
 	g.targetsObserved.Store(true)
 	g.moveStreams(now)
 	g.updateCapacities(now)
--- a/gateway/controllers_test.go
+++ b/gateway/controllers_test.go
@@ -75,7 +75,7 @@
 		s := testSettings()
 		s.ControllerLossMillis, s.MaxConfirmationAgeMillis = 5000, 12_000
 		g, err := New(Options{Process: self, Settings: s, ResumeKey: bytes.Repeat([]byte("k"), MinResumeKeyBytes),
-			Engines: f.engines, Claims: claim.NewStoreRegistry(f.objects, claim.Options{}), Uplink: u, Log: log, Seed: uint64(i)})
+			Engines: f.engines, Refuses: f.engines.Refuses, Claims: claim.NewStoreRegistry(f.objects, claim.Options{}), Uplink: u, Log: log, Seed: uint64(i)})
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -108,6 +108,18 @@
 	return false
 }
 
+// bootOf returns the latest known start of a target; 0 if it reports none.
+func (f *fleet) bootOf(id target.ID) uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for i := range f.view {
+		if f.view[i].Target.ID == id {
+			return f.view[i].Report.Boot
+		}
+	}
+	return 0
+}
+
 // setOnLeaving sets the function to call when the target is about to leave; nil clears it.
 func (p *placement) setOnLeaving(callback func() bool) {
 	p.fleet.mu.Lock()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -41,6 +41,8 @@
 	Engines target.Requests
 	// Services calls plain services; nil stands for NewHTTPServices.
 	Services Services
+	// Refuses tells whether connections to a target are refused; nil stands for trying one.
+	Refuses func(context.Context, target.Target) bool
 	// Claims records non-repeatable calls, so that each runs at most once.
 	Claims claim.Registry
 	// Uplink connects to the controllers; it may be nil in tests.
@@ -67,6 +69,7 @@
 	metrics     *metrics
 	bodyBudget  *bodyBudget
 	loads       *loads
+	crashes     *crashGuard
 
 	mu                sync.Mutex // guards the fields below, up to confirmedAt
 	admission         *admission.Scheduler
@@ -92,6 +95,9 @@
 	if o.Registry == nil {
 		o.Registry = prometheus.NewRegistry()
 	}
+	if o.Refuses == nil {
+		o.Refuses = refusesConnections
+	}
 	g := &Gateway{
 		options:           o,
 		log:               o.Log,
@@ -101,6 +107,7 @@
 		history:           newHistory(),
 		bodyBudget:        newBodyBudget(maxBodiesBytes),
 		loads:             newLoads(time.Now()),
+		crashes:           newCrashGuard(o.Refuses, &o.Log),
 		admission:         admission.New(o.Settings.QueueLength),
 		noControllerSince: time.Now(),
 	}
@@ -162,8 +169,8 @@
 	return fmt.Sprintf("%016x%016x", rand.Uint64(), rand.Uint64())
 }
 
-// maintain runs the periodic tasks until ctx ends: it moves streams off leaving targets and
-// lets admission drop the state of idle organisations.
+// maintain runs the periodic tasks until ctx ends: it moves streams off leaving targets,
+// forgets old crashes and lets admission drop the state of idle organisations.
 func (g *Gateway) maintain(ctx context.Context) {
 	tick := time.NewTicker(maintainInterval)
 	defer tick.Stop()
@@ -173,6 +180,7 @@
 			return
 		case now := <-tick.C:
 			g.moveStreams(now)
+			g.crashes.expire()
 			g.mu.Lock()
 			g.admission.Sweep(now)
 			g.mu.Unlock()
--- a/gateway/generation.go
+++ b/gateway/generation.go
@@ -11,6 +11,7 @@
 
 	"zinniapin/contract"
 	"zinniapin/event"
+	"zinniapin/poison"
 	"zinniapin/result"
 	"zinniapin/routing"
 	"zinniapin/settings"
@@ -32,6 +33,7 @@
 	contract           *contract.Contract
 	limit              int    // largest number of output tokens
 	prompt             string // as rendered by chatBody.prompt
+	part               poison.Part
 	priority           int
 	query              routing.Request
 	emit               func(text string, outputTokens int) error
@@ -49,9 +51,9 @@
 
 // engineAttempt is one attempt at one engine.
 type engineAttempt struct {
-	id       string
-	target   target.Target
-	answered bool // a chunk of this attempt was received
+	id     string
+	target target.Target
+	chunks int // chunks of this attempt that were received
 }
 
 // run generates the answer, in as many attempts as needed and allowed. It returns nil only
@@ -69,6 +71,9 @@
 		if err := gen.recheckKey(); err != nil {
 			return gen.execution.attachTo(err)
 		}
+		if err := gen.checkBlocked(); err != nil {
+			return gen.execution.attachTo(err)
+		}
 		var err error
 		if place, err = gen.placementForAttempt(place); err != nil {
 			return gen.execution.attachTo(err)
@@ -156,6 +161,9 @@
 	if gen.attempts >= maxAttempts {
 		return gen.finalError(err)
 	}
+	if !needsNoBudget && gen.execution.state != result.NotRun && gen.gateway.crashes.suspects(gen.part) {
+		return gen.finalError(err)
+	}
 	if !needsNoBudget && !gen.gateway.retryBudget.spend() {
 		if gen.execution.state == result.NotRun {
 			return result.Wrap(err, result.RetriesUsedUp, "the retry budget is exhausted").Retry(defaultRetryAfter)
@@ -287,6 +295,7 @@
 		err = fmt.Errorf("%w: %w", cause, err)
 	}
 	gen.recordAttempt(a, err)
+	gen.learnOfTarget(ctx, a, r.Phase, err)
 	return last, err
 }
 
@@ -316,7 +325,12 @@
 // deliver passes the text of a chunk to the caller and tells whether the chunk ends the
 // answer. It drops chunks of other attempts and repeated ones.
 func (gen *generation) deliver(a *engineAttempt, c target.Chunk) (bool, error) {
-	a.answered = a.answered || c.Attempt == a.id
+	if c.Attempt == a.id {
+		a.chunks++
+		if a.chunks == hardlyBegun+1 {
+			gen.gateway.crashes.answered(gen.part)
+		}
+	}
 	if err := gen.checkWithdrawn(); err != nil {
 		return false, err
 	}
@@ -368,35 +382,3 @@
 	}
 	return nil
 }
-
-// recordAttempt records the outcome of an attempt in the execution state, the metrics, the
-// log and the history.
-func (gen *generation) recordAttempt(a *engineAttempt, err error) {
-	gen.execution.record(err, a.answered)
-	outcome := attemptExecution(err, a.answered).String()
-	if err == nil {
-		outcome = "whole"
-	}
-	gen.gateway.metrics.attempts.WithLabelValues(outcome).Inc()
-	if err == nil {
-		return
-	}
-	event.AttemptFailed.Log(&gen.gateway.log).Str("request", gen.call.id).Str("attempt", a.id).
-		Str("target", string(a.target.ID)).Str("outcome", outcome).Int("delivered", gen.assembly.received).Err(err).Send()
-	gen.gateway.history.add(decision{At: time.Now(), Request: gen.call.id, Organisation: gen.contract.Organisation,
-		Decision: "attempt_failed", Target: string(a.target.ID), Reason: err.Error(), Execution: outcome})
-}
-
-// logRouted records a routing decision in the log and the history.
-func (g *Gateway) logRouted(c *call, organisation, model string, choice *routing.Choice) {
-	line := event.RequestRouted.Log(&g.log).Str("request", c.id).Str("organisation", organisation).Str("model", model).
-		Str("target", string(choice.Target.ID)).Str("reason", string(choice.Reason)).Int("candidates", choice.Candidates).
-		Int64("expected_ms", choice.Expected.Milliseconds())
-	if choice.Prefill != nil {
-		line = line.Str("prefill", string(choice.Prefill.ID))
-	}
-	line.Send()
-	g.history.add(decision{At: time.Now(), Request: c.id, Organisation: organisation, Decision: "routed",
-		Target: string(choice.Target.ID), Reason: string(choice.Reason), Candidates: choice.Candidates,
-		ExpectedMS: choice.Expected.Milliseconds()})
-}
--- a/gateway/helpers_test.go
+++ b/gateway/helpers_test.go
@@ -89,8 +89,9 @@
 		tg.engines.Add(name, engine.Options{ID: target.ID(name), Seed: uint64(i + 1), Models: []string{testModel}, AnyRole: true, DecodeRate: 1e6, PrefillRate: 1e7})
 		tg.view = append(tg.view, liveTarget(name, target.Engine, "p", name))
 	}
+	var refuses func(context.Context, target.Target) bool
 	if requests == nil {
-		requests = tg.engines
+		requests, refuses = tg.engines, tg.engines.Refuses
 	}
 	g, err := New(Options{
 		Process:   machine.Process{Host: "h", Role: machine.Gateway, Incarnation: 7, Zone: homeZone},
@@ -98,6 +99,7 @@
 		ResumeKey: bytes.Repeat([]byte("k"), MinResumeKeyBytes),
 		Engines:   requests,
 		Claims:    tg.claims,
+		Refuses:   refuses,
 		Log:       zerolog.Nop(),
 		Seed:      1,
 	})
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -12,6 +12,7 @@
 
 	"zinniapin/admission"
 	"zinniapin/contract"
+	"zinniapin/poison"
 	"zinniapin/result"
 	"zinniapin/routing"
 	"zinniapin/settings"
@@ -44,6 +45,7 @@
 	service        *contract.Service
 	route          *contract.Route
 	request        ServiceRequest
+	part           poison.Part
 	query          routing.Request
 	execution      execution
 	claimExecution result.Execution // of an earlier call under the same key, as its claim records
@@ -73,6 +75,7 @@
 		return err
 	}
 	s.request.Body = body
+	s.part = partOfRequest(s.organisation(), s.request.Method, s.service.Name+s.request.Path+"?"+canonicalQuery(s.request.Query), body)
 	s.request.Header = s.targetHeaders(r.Header)
 	if s.route.Repeatable || s.contract == nil {
 		response, err := s.runAdmitted(r.Context(), s.runRepeatable)
@@ -187,6 +190,9 @@
 // runAdmitted takes a call through admission, runs it within the route's timeout and records
 // its usage.
 func (s *serviceCall) runAdmitted(ctx context.Context, run func(context.Context) (ServiceResponse, error)) (ServiceResponse, error) {
+	if err := s.checkBlocked(); err != nil {
+		return ServiceResponse{}, err
+	}
 	callerContract := s.contract
 	if callerContract == nil {
 		callerContract = openContract
--- a/gateway/servicerun.go
+++ b/gateway/servicerun.go
@@ -38,7 +38,8 @@
 			return response, err
 		}
 		needsNoBudget := errors.Is(err, target.ErrNotSent)
-		if ctx.Err() != nil || s.attempts >= maxAttempts || !needsNoBudget && !s.gateway.retryBudget.spend() {
+		suspected := s.execution.state != result.NotRun && s.gateway.crashes.suspects(s.part)
+		if ctx.Err() != nil || s.attempts >= maxAttempts || suspected || !needsNoBudget && !s.gateway.retryBudget.spend() {
 			return response, s.finalError(ctx, err)
 		}
 	}
@@ -66,6 +67,9 @@
 			return ServiceResponse{}, err
 		}
 	}
+	if err := s.checkBlocked(); err != nil {
+		return ServiceResponse{}, err
+	}
 	place, ok := s.gateway.fleet.choose(time.Now(), &s.query)
 	if !ok && s.attempts > 0 {
 		return ServiceResponse{}, result.New(result.TargetRefused, "%d targets were tried", s.attempts).Retry(defaultRetryAfter)
@@ -80,6 +84,7 @@
 	s.query.Exclude = append(s.query.Exclude, place.choice.Target.ID)
 	s.execution.record(err, false)
 	s.recordAttempt(place.choice.Target.ID, err)
+	s.learnOfTarget(ctx, place.choice.Target, err)
 	return response, err
 }
 
--- a/internal/soak/gate.go
+++ b/internal/soak/gate.go
@@ -356,3 +356,11 @@
 
 // Peer implements link.Link.
 func (l *gatedLink) Peer() machine.Process { return l.Link.Peer() }
+
+// refuses tells a gateway whether connections to a target are refused.
+func (sim *simulation) refuses(ctx context.Context, t target.Target) bool {
+	if t.Kind == target.Service {
+		return sim.service.isStopped(t.ID)
+	}
+	return sim.engines.Refuses(ctx, t)
+}
--- a/internal/soak/simulation.go
+++ b/internal/soak/simulation.go
@@ -266,7 +266,8 @@
 	g, err := gateway.New(gateway.Options{
 		Process: self, Settings: gatewaySettings(), ResumeKey: bytes.Repeat([]byte("k"), gateway.MinResumeKeyBytes),
 		Engines: &gatedRequests{p.gate, sim.engines, onChoice, sim.recorder}, Services: &gatedServices{p.gate, sim.service, onChoice},
-		Claims: claims, Uplink: links, Log: log, Seed: self.Incarnation,
+		Refuses: sim.refuses,
+		Claims:  claims, Uplink: links, Log: log, Seed: self.Incarnation,
 	})
 	if err != nil {
 		sim.report.violation("gateway %s: %v", p.id, err)
--- a/internal/standin/engine/direct.go
+++ b/internal/standin/engine/direct.go
@@ -98,6 +98,12 @@
 	return e.Report(), nil
 }
 
+// Refuses tells whether connections to an engine are refused, which they are while it is down.
+func (d *Direct) Refuses(_ context.Context, t target.Target) bool {
+	e, err := d.at(t.Address)
+	return err != nil || e.Down()
+}
+
 // Export returns the KV cache that the engine keeps under a handle.
 func (e *Engine) Export(handle string) (httpengine.KVExport, error) {
 	e.mu.Lock()
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -1,5 +1,5 @@
 // Package service simulates a plain service: deposits and certificates, which must not be
-// executed twice, and a status route, which may be called at will.
+// executed twice, and drafts and a status route, which may be called at will.
 package service
 
 import (
@@ -99,6 +99,7 @@
 	routes := mux.NewRouter()
 	routes.HandleFunc("/deposits", s.handleOperation("deposit")).Methods(http.MethodPost)
 	routes.HandleFunc("/certificates", s.handleOperation("certificate")).Methods(http.MethodPost)
+	routes.HandleFunc("/drafts", s.handleOperation("draft")).Methods(http.MethodPost)
 	routes.HandleFunc("/status/{id}", s.getStatus).Methods(http.MethodGet)
 	routes.HandleFunc("/faults", s.setFaults).Methods(http.MethodPost)
 	server := &http.Server{Handler: routes, ReadHeaderTimeout: readHeaderTimeout}
