Tell all gateways which requests crash targets

Cause: each gateway learnt only from its own attempts, so that with n gateways a request crashed up to three targets at each of them. Change: heartbeats of gateways and the replies of controllers, to gateways and to each other, carry the evidence: what is new for 10 s, and all of it when a link is new and in one of sixteen on the mean. Controllers keep and pass it on. Times are those of the host that noticed a crash; evidence by a clock that differs by 0.4 s or more isn't heeded, and no crash counts before its time, since it would count again each time it is told.

--- a/cmd/zinnia-controller/main_test.go
+++ b/cmd/zinnia-controller/main_test.go
@@ -25,6 +25,7 @@
 	"zinniapin/link"
 	"zinniapin/link/yamuxlink"
 	"zinniapin/machine"
+	"zinniapin/poison"
 	"zinniapin/result"
 	"zinniapin/settings"
 	"zinniapin/uplink"
@@ -51,6 +52,10 @@
 func (g *stubGateway) Usage() []usage.Counter               { return nil }
 func (g *stubGateway) Explain(requestID string) []byte      { return []byte(`"` + requestID + `"`) }
 
+func (*stubGateway) CrashEvidence(int, time.Duration) []poison.Evidence { return nil }
+
+func (*stubGateway) MergeCrashEvidence([]poison.Evidence) {}
+
 // freeAddress returns an address at which nothing listens. Its IP is not 127.0.0.1, which
 // outgoing connections on loopback come from, so none of them can take the port before a
 // controller listens at it.
--- a/control/control.go
+++ b/control/control.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"zinniapin/contract"
+	"zinniapin/poison"
 	"zinniapin/provider"
 	"zinniapin/target"
 	"zinniapin/usage"
@@ -83,6 +84,11 @@
 	Usage() []usage.Counter
 	// UsageStored reports that the counters have been stored up to these values.
 	UsageStored(counters []usage.Counter)
+	// CrashEvidence returns evidence on at most n requests under which targets crashed, those of
+	// which something new was learnt within an age.
+	CrashEvidence(n int, maxAge time.Duration) []poison.Evidence
+	// MergeCrashEvidence adds the evidence of other gateways.
+	MergeCrashEvidence(all []poison.Evidence)
 	// Explain returns the recent decisions about a request as a JSON document.
 	Explain(requestID string) []byte
 }
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -22,6 +22,7 @@
 	"zinniapin/machine"
 	"zinniapin/membership"
 	"zinniapin/planning"
+	"zinniapin/poison"
 	"zinniapin/provider"
 	"zinniapin/relay"
 	"zinniapin/result"
@@ -76,6 +77,7 @@
 	mu              sync.Mutex
 	members         *membership.Table
 	targets         *targetview.Table
+	crashes         *poison.Detector // evidence of gateways on requests that crash targets
 	addresses       *addressBook
 	memberSources   map[machine.HostID]bool // hosts from which member records are requested; nil means all
 	targetSources   map[machine.HostID]bool // hosts from which target records are requested; nil means all
@@ -100,6 +102,7 @@
 		metrics:      newMetrics(),
 		members:      membership.New(self, now),
 		targets:      targetview.New(),
+		crashes:      poison.New(),
 		addresses:    newAddressBook(c.Seeds, c.Seed^c.Self.Incarnation),
 		pollRetryAt:  map[target.ID]time.Time{},
 		usage:        newUsageState(),
@@ -215,6 +218,7 @@
 	})
 	k.members.Tick(now)
 	k.targets.Forget(now)
+	k.crashes.Expire(now)
 	for id, retryAt := range k.pollRetryAt {
 		if now.After(retryAt) {
 			delete(k.pollRetryAt, id)
--- a/controller/fakes_test.go
+++ b/controller/fakes_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"zinniapin/contract"
 	"zinniapin/control"
+	"zinniapin/poison"
 	"zinniapin/provider"
 	"zinniapin/store"
 	"zinniapin/target"
@@ -146,6 +148,10 @@
 
 func (g *fakeGateway) Explain(id string) []byte { return []byte(`{"id":"` + id + `"}`) }
 
+func (*fakeGateway) CrashEvidence(int, time.Duration) []poison.Evidence { return nil }
+
+func (*fakeGateway) MergeCrashEvidence([]poison.Evidence) {}
+
 // revision returns the last revision that was applied, or 0.
 func (g *fakeGateway) revision() contract.Revision {
 	g.mu.Lock()
--- a/controller/peers.go
+++ b/controller/peers.go
@@ -334,6 +334,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.links.markAnswered(p)
+	k.mergeCrashEvidence(now, reply)
 	p.members.received(request.MembersVersion, reply.MembersVersion)
 	if local {
 		p.targets.received(request.TargetsVersion, reply.TargetsVersion)
--- a/controller/serve.go
+++ b/controller/serve.go
@@ -80,6 +80,8 @@
 	if peer.Zone.Region == k.config.Self.Zone.Region {
 		k.exchangeTargetChanges(now, request, reply, peer)
 	}
+	k.mergeCrashEvidence(now, request)
+	k.addCrashEvidence(now, request, reply)
 	k.metrics.countHeartbeatBytes(reply, request)
 	return &wire.Envelope{Body: &wire.Envelope_Heartbeat{Heartbeat: reply}}
 }
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -6,6 +6,7 @@
 	"zinniapin/contract"
 	"zinniapin/control"
 	"zinniapin/event"
+	"zinniapin/poison"
 	"zinniapin/routing"
 	"zinniapin/target"
 	"zinniapin/usage"
@@ -150,6 +151,16 @@
 	g.ledger.MarkStored(time.Now(), counters)
 }
 
+// CrashEvidence implements control.Gateway.
+func (g *Gateway) CrashEvidence(n int, maxAge time.Duration) []poison.Evidence {
+	return g.crashes.evidence(n, maxAge)
+}
+
+// MergeCrashEvidence implements control.Gateway.
+func (g *Gateway) MergeCrashEvidence(all []poison.Evidence) {
+	g.crashes.merge(all)
+}
+
 // Explain implements control.Gateway.
 func (g *Gateway) Explain(requestID string) []byte {
 	return g.history.explain(requestID)
--- a/gateway/controllers_test.go
+++ b/gateway/controllers_test.go
@@ -47,6 +47,8 @@
 	network  *memlink.Fabric
 	hosts    *hostList
 	gateways []*Gateway
+	// engineList holds the engines, which crash only if a test makes them.
+	engineList []*engine.Engine
 }
 
 // hostName returns the id of host i.
@@ -59,7 +61,8 @@
 	t.Cleanup(func() { cancel(); loops.Wait() })
 	f := &testFleet{objects: objects.New(), engines: engine.NewDirect(), network: memlink.NewFabric(), hosts: &hostList{}}
 	for i, name := range []string{"e1", "e2"} {
-		f.engines.Add(name, engine.Options{ID: target.ID(name), Seed: uint64(i + 1), Models: []string{testModel}})
+		e := f.engines.Add(name, engine.Options{ID: target.ID(name), Seed: uint64(i + 1), Models: []string{testModel}})
+		f.engineList = append(f.engineList, e)
 		x := target.Target{ID: target.ID(name), Kind: target.Engine, Class: target.Reserved, Pool: "p", Zone: homeZone.Name, Address: name}
 		f.hosts.list = append(f.hosts.list, provider.Host{ID: "h-" + name, State: provider.Live, Zone: homeZone.Name, Target: &x})
 	}
@@ -110,7 +113,12 @@
 // sendChat sends a chat request to a gateway and returns the status and body of the
 // response.
 func (f *testFleet) sendChat(i int, key string) (int, string) {
-	r := httptest.NewRequest("POST", "/v1/chat/completions", strings.NewReader(chatRequest("joined", false)))
+	return f.sendPrompt(i, key, "joined")
+}
+
+// sendPrompt is sendChat with a prompt.
+func (f *testFleet) sendPrompt(i int, key, prompt string) (int, string) {
+	r := httptest.NewRequest("POST", "/v1/chat/completions", strings.NewReader(chatRequest(prompt, false)))
 	r.Header.Set("Authorization", "Bearer "+key)
 	w := httptest.NewRecorder()
 	f.gateways[i].ServeHTTP(w, r)
@@ -206,3 +214,48 @@
 	p.choice.Target.ID = id
 	return p.usable()
 }
+
+// TestCrashingRequestIsRejectedAtAllGateways checks that gateways learn from each other, over their
+// controllers, which request crashes engines, also one that was cut off meanwhile.
+func TestCrashingRequestIsRejectedAtAllGateways(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newTestFleet(t, 5)
+		waitWithin(t, 14*time.Second, "served everywhere", func() bool { return f.allAnswer(otherKey, 200) })
+		for _, e := range f.engineList {
+			e.SetFaults(engine.Faults{CrashOn: "fatal", RestartMillis: 500})
+		}
+		f.setIsolated(4, true)
+		for i := range 2 { // two engines crash under the first, one under the second
+			status, body := f.sendPrompt(i, testKey, "fatal")
+			is.Equal(status, 502)
+			is.True(errorOf(body).Code != "request_blocked")
+			time.Sleep(8 * time.Second)
+		}
+		rejects := func(i int) bool {
+			_, body := f.sendPrompt(i, testKey, "fatal")
+			return errorOf(body).Code == "request_blocked" && errorOf(body).Execution == "not_run"
+		}
+		for i := range 4 {
+			is.True(rejects(i))
+		}
+		time.Sleep(time.Minute)
+		f.setIsolated(4, false)
+		waitWithin(t, time.Minute, "rejected by a host that was cut off", func() bool {
+			_, rejected := f.gateways[4].crashes.rejects(partOfRequest("kalnins", "POST", testModel, []byte("user 5\nfatal\nassistant\n")))
+			return rejected
+		})
+		waitWithin(t, 20*time.Second, "that host serves again", func() bool { return f.allAnswer(otherKey, 200) })
+		is.True(rejects(4))
+		sent := 0
+		for _, e := range f.engineList {
+			sent += len(e.Records().Requests)
+			for _, r := range e.Records().Requests {
+				if !strings.Contains(r.Prompt, "fatal") {
+					sent--
+				}
+			}
+		}
+		is.Equal(sent, 3)
+	})
+}
--- a/gateway/crash_guard.go
+++ b/gateway/crash_guard.go
@@ -207,6 +207,25 @@
 	}
 }
 
+// evidence returns evidence for other gateways, on at most n requests of which something new
+// was learnt within an age.
+func (c *crashGuard) evidence(n int, maxAge time.Duration) []poison.Evidence {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.detector.Recent(n, wallTime().Add(-maxAge))
+}
+
+// merge adds the evidence of other gateways.
+func (c *crashGuard) merge(all []poison.Evidence) {
+	c.update(func(now time.Time) bool {
+		changed := false
+		for _, e := range all {
+			changed = c.detector.Merge(now, e) || changed
+		}
+		return changed
+	})
+}
+
 // expire forgets old evidence.
 func (c *crashGuard) expire() {
 	c.update(func(now time.Time) bool { return c.detector.Expire(now) })
--- a/internal/capacity/fleet.go
+++ b/internal/capacity/fleet.go
@@ -13,6 +13,7 @@
 	"zinniapin/controller"
 	"zinniapin/internal/standin/objects"
 	"zinniapin/link/memlink"
+	"zinniapin/poison"
 	"zinniapin/provider"
 	"zinniapin/store"
 	"zinniapin/target"
@@ -312,3 +313,9 @@
 
 // Explain implements control.Gateway.
 func (*fakeGateway) Explain(string) []byte { return nil }
+
+// CrashEvidence implements control.Gateway.
+func (*fakeGateway) CrashEvidence(int, time.Duration) []poison.Evidence { return nil }
+
+// MergeCrashEvidence implements control.Gateway.
+func (*fakeGateway) MergeCrashEvidence([]poison.Evidence) {}
--- a/internal/standin/engine/direct.go
+++ b/internal/standin/engine/direct.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"time"
 
 	"zinniapin/target"
 	"zinniapin/target/httpengine"
@@ -31,12 +32,24 @@
 func (d *Direct) Add(address string, o Options) *Engine {
 	o.Import = d.fetch
 	e := New(o)
+	e.onCrash = func(restart time.Duration) {
+		if restart > 0 {
+			time.AfterFunc(restart, func() { d.restart(address, e) })
+		}
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.engines[address] = e
 	return e
 }
 
+// restart starts an engine again that has crashed, unless it was removed or replaced.
+func (d *Direct) restart(address string, e *Engine) {
+	if present, err := d.at(address); err == nil && present == e {
+		e.Restart()
+	}
+}
+
 // Remove unregisters and closes an engine, as when its host fails.
 func (d *Direct) Remove(address string) {
 	d.mu.Lock()
--- a/uplink/link.go
+++ b/uplink/link.go
@@ -151,6 +151,7 @@
 	defer cancel()
 	up.sentAt = time.Now()
 	request, urgent := u.heartbeatRequest(up)
+	request.SetCrashEvidence(up.sentAt, g.CrashEvidence(control.MaxEvidence, control.EvidenceAge()))
 	envelope, err := up.link.Call(timed, &wire.Envelope{Body: &wire.Envelope_Heartbeat{Heartbeat: request}})
 	if err != nil {
 		return err
@@ -162,6 +163,9 @@
 	up.urgentVersion = urgent
 	u.applyReply(up, reply, request.TargetsVersion != noTargetsVersion)
 	u.publishTargets(g)
+	if len(reply.CrashEvidence) > 0 {
+		g.MergeCrashEvidence(reply.ToCrashEvidence(time.Now()))
+	}
 	if contract.Revision(reply.ConfigRevision) > u.replica.Revision() {
 		return u.fetchConfiguration(ctx, g, up)
 	}
--- a/uplink/uplink_test.go
+++ b/uplink/uplink_test.go
@@ -17,6 +17,7 @@
 	"zinniapin/link"
 	"zinniapin/link/memlink"
 	"zinniapin/machine"
+	"zinniapin/poison"
 	"zinniapin/target"
 	"zinniapin/usage"
 	"zinniapin/wire"
@@ -119,6 +120,10 @@
 }
 func (g *fakeGateway) Explain(id string) []byte { return []byte(id) }
 
+func (*fakeGateway) CrashEvidence(int, time.Duration) []poison.Evidence { return nil }
+
+func (*fakeGateway) MergeCrashEvidence([]poison.Evidence) {}
+
 func (g *fakeGateway) Observe(view []control.TargetState) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
