Look for a successor before a silent engine is given up

Cause: an attempt whose engine sent no chunk for stall_ms was cancelled before any other engine had begun to answer. A sound engine that would have gone on was given up for one that refused, broke off, hung or was gone, and where the key had been withdrawn meanwhile the answer was cut although it may be completed. Change: the silence of an engine starts a search for a successor beside it. The silent engine is given up once another one has begun to answer; a chunk of it ends the search. Found nobody, it is given up after stall_ms again, as before. Attempts of a search are paid from the retry budget and count as attempts. Stand-in engines fall silent in the middle of an answer and go on. checkWithdrawn moved to keys.go. Not covered: where prompts are processed apart no successor is looked for.

--- a/gateway/crash_learning.go
+++ b/gateway/crash_learning.go
@@ -20,11 +20,10 @@
 // learnOfTarget takes the outcome of an attempt as evidence for or against the request. An
 // attempt that the gateway or the caller ended is none, nor is a prefill that succeeded.
 func (gen *generation) learnOfTarget(ctx context.Context, a *engineAttempt, phase target.Phase, err error) {
-	endedByGateway := errors.Is(err, errStalled) || errors.Is(err, errTargetLeaving)
 	switch {
 	case err == nil && phase != target.PhasePrefill:
 		gen.gateway.crashes.answered(gen.part)
-	case errors.Is(err, target.ErrIncomplete) && !endedByGateway && ctx.Err() == nil && a.chunks <= hardlyBegun:
+	case errors.Is(err, target.ErrIncomplete) && !endedByGateway(err) && ctx.Err() == nil && a.chunks <= hardlyBegun:
 		gen.gateway.crashes.brokeOff(ctx, a.target, gen.gateway.fleet.bootOf(a.target.ID), gen.part)
 	}
 }
--- a/gateway/generation.go
+++ b/gateway/generation.go
@@ -7,6 +7,7 @@
 	"io"
 	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"zinniapin/contract"
@@ -14,7 +15,6 @@
 	"zinniapin/poison"
 	"zinniapin/result"
 	"zinniapin/routing"
-	"zinniapin/settings"
 	"zinniapin/target"
 )
 
@@ -22,6 +22,8 @@
 var (
 	errStalled       = errors.New("gateway: no chunk from the engine within the time limit")
 	errTargetLeaving = errors.New("gateway: stream moved off a leaving engine")
+	errTakenOver     = errors.New("gateway: another engine took over from a silent one")
+	errNotNeeded     = errors.New("gateway: the silent engine went on")
 )
 
 // generation is a request to a model in progress. Generating text has no side effects, so it
@@ -38,9 +40,11 @@
 	query              routing.Request
 	emit               func(text string, outputTokens int) error
 	onFirstToken       func() // called at the first token, then set to nil
+	execution          execution
+	next               *successor // continues the answer; nil without one
+	progress           sync.Mutex // held to change the fields up to attempts, and by searches to read them
 	assembly           assembly
 	text               strings.Builder
-	execution          execution
 	attempts           int
 	finish             string
 	enginePromptTokens int // prompt tokens as counted by the engine, 0 until known
@@ -66,12 +70,10 @@
 			place.done(time.Now(), false)
 		}
 		gen.relocation.close()
+		gen.dropNext()
 	}()
 	for {
-		if err := gen.recheckKey(); err != nil {
-			return gen.execution.attachTo(err)
-		}
-		if err := gen.checkBlocked(); err != nil {
+		if err := gen.recheckUnlessBegun(); err != nil {
 			return gen.execution.attachTo(err)
 		}
 		var err error
@@ -99,7 +101,7 @@
 // isTargetError tells whether the error is a failure of the target, so that another attempt
 // may succeed.
 func isTargetError(err error) bool {
-	for _, known := range []error{target.ErrNotSent, target.ErrRefused, target.ErrIncomplete, errStalled, errTargetLeaving} {
+	for _, known := range []error{target.ErrNotSent, target.ErrRefused, target.ErrIncomplete, errStalled, errTargetLeaving, errTakenOver} {
 		if errors.Is(err, known) {
 			return true
 		}
@@ -120,6 +122,9 @@
 	if held != nil {
 		return held, nil
 	}
+	if gen.next != nil {
+		return gen.next.place, nil
+	}
 	if next := gen.relocation.take(); next != nil {
 		gen.gateway.logRouted(gen.call, gen.contract.Organisation, gen.query.Model, &next.choice)
 		return next, nil
@@ -143,8 +148,7 @@
 // cache, if the engine accepts new work. Otherwise the placement is released and the failed
 // engine excluded from the next choice.
 func (gen *generation) keepOrRelease(place *placement, err error, progress bool) *placement {
-	endedByGateway := errors.Is(err, errStalled) || errors.Is(err, errTargetLeaving)
-	if errors.Is(err, target.ErrIncomplete) && !endedByGateway && progress && place.prefill == nil && place.usable() {
+	if errors.Is(err, target.ErrIncomplete) && !endedByGateway(err) && progress && place.prefill == nil && place.usable() {
 		return place
 	}
 	gen.query.Exclude = append(gen.query.Exclude, place.failedTarget())
@@ -157,6 +161,9 @@
 // and one that was moved off a leaving engine cost the engines no work, so their retry is
 // not charged to the budget.
 func (gen *generation) checkRetry(err error) error {
+	if gen.next != nil {
+		return nil
+	}
 	needsNoBudget := errors.Is(err, target.ErrNotSent) || errors.Is(err, errTargetLeaving)
 	if gen.attempts >= maxAttempts {
 		return gen.finalError(err)
@@ -189,6 +196,9 @@
 // engine, else in one. If the decode phase fails, its engine is asked to generate the rest
 // in one phase. If the prefill phase fails, the caller chooses a new placement.
 func (gen *generation) attempt(ctx context.Context, place *placement) error {
+	if gen.next != nil {
+		return gen.runOnTarget(ctx, place, gen.next.request)
+	}
 	if place.prefill != nil {
 		done, err := gen.prefillThenDecode(ctx, place)
 		final := err != nil && (!isTargetError(err) || errors.Is(err, errTargetLeaving))
@@ -232,6 +242,8 @@
 
 // request counts an attempt and returns the engine request for the rest of the answer.
 func (gen *generation) request() target.GenerateRequest {
+	gen.progress.Lock()
+	defer gen.progress.Unlock()
 	gen.attempts++
 	return target.GenerateRequest{
 		Attempt:    gen.gateway.attemptID(gen.call.id, gen.attempts),
@@ -271,7 +283,7 @@
 
 // stream runs a request on a target, delivers its tokens, records the outcome of the attempt
 // and returns the last chunk. It cancels the attempt if the engine sends no chunk in time,
-// or if the target is about to leave and another placement is available.
+// if another one took over from it while it was silent, or if the target is about to leave and another placement is available.
 func (gen *generation) stream(ctx context.Context, place *placement, t target.Target, r target.GenerateRequest) (target.Chunk, error) {
 	a := &engineAttempt{id: r.Attempt, target: t}
 	attemptCtx, cancel := context.WithCancelCause(ctx)
@@ -286,11 +298,9 @@
 		return reserved
 	})
 	defer place.setOnLeaving(nil)
-	stall := settings.Millis(gen.gateway.options.Settings.StallMillis)
-	first := settings.Millis(gen.gateway.options.Settings.FirstChunkMillis)
-	watchdog := time.AfterFunc(first, func() { cancel(errStalled) })
-	defer watchdog.Stop()
-	last, err := gen.consume(attemptCtx, a, r, func() { watchdog.Reset(stall) })
+	watch := newSilenceWatch(ctx, gen, a, r.Phase, cancel)
+	last, err := gen.consume(attemptCtx, a, r, watch.chunk)
+	gen.next = watch.stop()
 	if cause := context.Cause(attemptCtx); err != nil && cause != nil && ctx.Err() == nil {
 		err = fmt.Errorf("%w: %w", cause, err)
 	}
@@ -300,8 +310,8 @@
 }
 
 // consume reads an engine's answer to its end and calls onChunk for each chunk.
-func (gen *generation) consume(ctx context.Context, a *engineAttempt, r target.GenerateRequest, onChunk func()) (target.Chunk, error) {
-	s, err := gen.gateway.options.Engines.Generate(ctx, a.target, r)
+func (gen *generation) consume(ctx context.Context, a *engineAttempt, r target.GenerateRequest, onChunk func() error) (target.Chunk, error) {
+	s, err := gen.open(ctx, a.target, r)
 	if err != nil {
 		return target.Chunk{}, err
 	}
@@ -314,7 +324,9 @@
 		if err != nil {
 			return c, err
 		}
-		onChunk()
+		if err := onChunk(); err != nil {
+			return c, err
+		}
 		done, err := gen.deliver(a, c)
 		if done || err != nil {
 			return c, err
@@ -334,12 +346,11 @@
 	if err := gen.checkWithdrawn(); err != nil {
 		return false, err
 	}
-	isNew, err := gen.assembly.accept(a.id, c)
+	isNew, err := gen.accept(a.id, c)
 	if err != nil {
 		return false, err
 	}
 	if isNew {
-		gen.text.WriteString(c.Text)
 		if gen.onFirstToken != nil {
 			gen.onFirstToken()
 			gen.onFirstToken = nil
@@ -357,28 +368,13 @@
 	return gen.assembly.complete(a.id, c)
 }
 
-// checkWithdrawn returns an error once the key of a stream has been withdrawn for longer
-// than the setting allows. Without the setting the answer is completed: it was admitted with
-// a valid key, its length is limited and most of the engine's work is done, while cutting it
-// would harm a caller whose key was merely rotated. An operator who withdraws leaked keys
-// sets the limit.
-func (gen *generation) checkWithdrawn() error {
-	bound := settings.Millis(gen.gateway.options.Settings.WithdrawnStreamMillis)
-	if bound == 0 {
-		return nil
-	}
-	if s := gen.gateway.snapshot.Load(); s != gen.checkedSnapshot {
-		gen.checkedSnapshot = s
-		_, err := authenticate(s, gen.call.credential)
-		switch {
-		case err == nil:
-			gen.withdrawnAt = time.Time{}
-		case gen.withdrawnAt.IsZero():
-			gen.withdrawnAt = time.Now()
-		}
-	}
-	if !gen.withdrawnAt.IsZero() && time.Since(gen.withdrawnAt) >= bound {
-		return result.New(result.KeyWithdrawn, "the stream was ended %s after the withdrawal", bound)
+// accept adds a chunk to the answer and returns whether it is new.
+func (gen *generation) accept(attempt string, c target.Chunk) (bool, error) {
+	gen.progress.Lock()
+	defer gen.progress.Unlock()
+	isNew, err := gen.assembly.accept(attempt, c)
+	if isNew {
+		gen.text.WriteString(c.Text)
 	}
-	return nil
+	return isNew, err
 }
--- a/gateway/helpers_test.go
+++ b/gateway/helpers_test.go
@@ -84,6 +84,14 @@
 // newTestGateway returns a gateway with one in-memory engine for each name. Requests go to
 // these engines unless requests is set.
 func newTestGateway(t testing.TB, requests target.Requests, engines ...string) *testGateway {
+	tg := newBareGateway(t, requests, engines...)
+	tg.server = httptest.NewServer(tg.g)
+	t.Cleanup(tg.server.Close)
+	return tg
+}
+
+// newBareGateway is newTestGateway without a listener, for tests in virtual time.
+func newBareGateway(t testing.TB, requests target.Requests, engines ...string) *testGateway {
 	tg := &testGateway{engines: engine.NewDirect(), claims: newMemoryClaims()}
 	for i, name := range engines {
 		tg.engines.Add(name, engine.Options{ID: target.ID(name), Seed: uint64(i + 1), Models: []string{testModel}, AnyRole: true, DecodeRate: 1e6, PrefillRate: 1e7})
@@ -110,8 +118,6 @@
 	g.Configure(newSnapshot(1, nil))
 	g.SetConnectivity(control.Connectivity{Controllers: 1, LiveGateways: 1, ConfirmedAt: time.Now()})
 	g.Observe(tg.view)
-	tg.server = httptest.NewServer(g)
-	t.Cleanup(tg.server.Close)
 	return tg
 }
 
--- a/gateway/keys.go
+++ b/gateway/keys.go
@@ -5,9 +5,11 @@
 	"net/http"
 	"net/url"
 	"strings"
+	"time"
 
 	"zinniapin/contract"
 	"zinniapin/result"
+	"zinniapin/settings"
 )
 
 // Headers that may carry an API key. Keys are accepted nowhere else.
@@ -94,3 +96,29 @@
 	}
 	return false
 }
+
+// checkWithdrawn returns an error once the key of a stream has been withdrawn for longer
+// than the setting allows. Without the setting the answer is completed: it was admitted with
+// a valid key, its length is limited and most of the engine's work is done, while cutting it
+// would harm a caller whose key was merely rotated. An operator who withdraws leaked keys
+// sets the limit.
+func (gen *generation) checkWithdrawn() error {
+	bound := settings.Millis(gen.gateway.options.Settings.WithdrawnStreamMillis)
+	if bound == 0 {
+		return nil
+	}
+	if s := gen.gateway.snapshot.Load(); s != gen.checkedSnapshot {
+		gen.checkedSnapshot = s
+		_, err := authenticate(s, gen.call.credential)
+		switch {
+		case err == nil:
+			gen.withdrawnAt = time.Time{}
+		case gen.withdrawnAt.IsZero():
+			gen.withdrawnAt = time.Now()
+		}
+	}
+	if !gen.withdrawnAt.IsZero() && time.Since(gen.withdrawnAt) >= bound {
+		return result.New(result.KeyWithdrawn, "the stream was ended %s after the withdrawal", bound)
+	}
+	return nil
+}
--- a/internal/standin/engine/faults.go
+++ b/internal/standin/engine/faults.go
@@ -16,6 +16,11 @@
 	BreakStreams int `json:"break_streams,omitempty"`
 	// BreakAfter is the number of chunks that a stream delivers before it breaks off.
 	BreakAfter int `json:"break_after,omitempty"`
+	// SilentStreams is the number of streams that fall silent for SilentMillis milliseconds
+	// after SilentAfter chunks and then go on.
+	SilentStreams int `json:"silent_streams,omitempty"`
+	SilentAfter   int `json:"silent_after,omitempty"`
+	SilentMillis  int `json:"silent_ms,omitempty"`
 	// CrashAfter crashes the engine when it has this many more chunks to send; the last of
 	// them is not sent. 0 means never.
 	CrashAfter int `json:"crash_after,omitempty"`
--- a/internal/standin/engine/run.go
+++ b/internal/standin/engine/run.go
@@ -28,6 +28,8 @@
 	delayed      *target.Chunk // to be sent again after the next chunk
 	chunksSent   int
 	breakAfter   int // chunks before the stream breaks off; negative: never
+	silentAfter  int // chunks before the stream falls silent; negative: never
+	silence      time.Duration
 
 	mu    sync.Mutex
 	err   error // why the attempt failed; nil on success
@@ -43,7 +45,7 @@
 		runCtx:     e.runCtx,
 		boot:       e.boot,
 		chunks:     make(chan target.Chunk, chunkQueue),
-		breakAfter: -1,
+		breakAfter: -1, silentAfter: -1,
 	}
 	a.totalTokens, a.finishReason = length(a.promptHash, r.MaxTokens)
 	if r.Phase != target.PhaseDecode {
@@ -53,6 +55,10 @@
 		e.faults.BreakStreams--
 		a.breakAfter = e.faults.BreakAfter
 	}
+	if e.faults.SilentStreams > 0 {
+		e.faults.SilentStreams--
+		a.silentAfter, a.silence = e.faults.SilentAfter, time.Duration(e.faults.SilentMillis)*time.Millisecond
+	}
 	a.ctx, a.cancel = context.WithCancel(ctx)
 	context.AfterFunc(e.runCtx, a.cancel)
 	return a
--- a/internal/standin/engine/send.go
+++ b/internal/standin/engine/send.go
@@ -20,6 +20,11 @@
 		a.engine.Crash()
 		return errFault
 	}
+	if a.chunksSent == a.silentAfter {
+		if err := sleep(a.ctx, a.silence); err != nil {
+			return err
+		}
+	}
 	for _, each := range a.withChunkFaults(c) {
 		if err := a.deliver(each); err != nil {
 			return err
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -36,7 +36,9 @@
 	// 60000.
 	FirstChunkMillis int `json:"first_chunk_ms,omitempty"`
 	// StallMillis is how long an engine may pause between two chunks of a
-	// response. Default 10000.
+	// response before another one is asked to go on with it. The silent one is
+	// given up when another has begun to answer, or after as much time again.
+	// Default 10000.
 	StallMillis int `json:"stall_ms,omitempty"`
 	// QueueLength bounds the number of requests that wait for one pool. Default
 	// 2048.
