Count answers of the store without a race

Cause: parts of a configuration are read beside each other, and each read set the same field of the controller's store unguarded; a success could be lost. Change: an atomic value.

--- a/controller/configuration.go
+++ b/controller/configuration.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/bits"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"zinniapin/configuration"
@@ -117,7 +118,7 @@
 		k.replica.Confirm(0, at)
 		return store.Absent, nil
 	}
-	k.recordStoreState(err == nil || bounded.answered, at)
+	k.recordStoreState(err == nil || bounded.answered.Load(), at)
 	if err != nil {
 		return store.Absent, err
 	}
@@ -135,7 +136,7 @@
 // process lacks, each end after storeTimeout.
 type timeoutStore struct {
 	store.Store
-	answered bool // at least one read succeeded
+	answered atomic.Bool // at least one read succeeded; reads run beside each other
 }
 
 // Get implements store.Store.
@@ -143,7 +144,9 @@
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	object, err := t.Store.Get(ctx, p, key)
-	t.answered = t.answered || err == nil
+	if err == nil {
+		t.answered.Store(true)
+	}
 	return object, err
 }
 
