--- a/gateway/chat.go
+++ b/gateway/chat.go
@@ -11,6 +11,7 @@
 
 	"zinniapin/admission"
 	"zinniapin/contract"
+	"zinniapin/poison"
 	"zinniapin/result"
 	"zinniapin/routing"
 	"zinniapin/settings"
@@ -78,7 +79,7 @@
 		contract: callerContract,
 		limit:    limit,
 		prompt:   prompt,
-		part:     partOfRequest(callerContract.Organisation, http.MethodPost, model.Name, []byte(prompt)),
+		part:     poison.PartOfRequest(callerContract.Organisation, http.MethodPost, model.Name, []byte(prompt)),
 		priority: callerContract.Priority,
 		query: routing.Request{
 			Pool:         model.Pool,
--- a/gateway/controllers_test.go
+++ b/gateway/controllers_test.go
@@ -22,6 +22,7 @@
 	"zinniapin/internal/standin/objects"
 	"zinniapin/link/memlink"
 	"zinniapin/machine"
+	"zinniapin/poison"
 	"zinniapin/provider"
 	"zinniapin/target"
 	"zinniapin/uplink"
@@ -242,7 +243,7 @@
 		time.Sleep(time.Minute)
 		f.setIsolated(4, false)
 		waitWithin(t, time.Minute, "rejected by a host that was cut off", func() bool {
-			_, rejected := f.gateways[4].crashes.rejects(partOfRequest("kalnins", "POST", testModel, []byte("user 5\nfatal\nassistant\n")))
+			_, rejected := f.gateways[4].crashes.rejects(poison.PartOfRequest("kalnins", "POST", testModel, []byte("user 5\nfatal\nassistant\n")))
 			return rejected
 		})
 		waitWithin(t, 20*time.Second, "that host serves again", func() bool { return f.allAnswer(otherKey, 200) })
--- a/gateway/crash_guard_test.go
+++ b/gateway/crash_guard_test.go
@@ -13,6 +13,7 @@
 	"zinniapin/control"
 	"zinniapin/internal/standin/engine"
 	"zinniapin/internal/standin/service"
+	"zinniapin/poison"
 	"zinniapin/target"
 	"zinniapin/target/httpengine"
 )
@@ -164,7 +165,7 @@
 	is := is.New(t)
 	log := zerolog.Nop()
 	c := newCrashGuard(func(context.Context, target.Target) bool { return false }, &log)
-	part := partOfRequest("kalnins", "POST", testModel, []byte("a prompt"))
+	part := poison.PartOfRequest("kalnins", "POST", testModel, []byte("a prompt"))
 	var view []control.TargetState
 	for i := range 3 {
 		view = append(view, liveTarget(fmt.Sprint("e", i), target.Engine, "p", "127.0.0.1:1"))
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -75,7 +75,7 @@
 		return err
 	}
 	s.request.Body = body
-	s.part = partOfRequest(s.organisation(), s.request.Method, s.service.Name+s.request.Path+"?"+canonicalQuery(s.request.Query), body)
+	s.part = poison.PartOfRequest(s.organisation(), s.request.Method, s.service.Name+s.request.Path+"?"+canonicalQuery(s.request.Query), body)
 	s.request.Header = s.targetHeaders(r.Header)
 	if s.route.Repeatable || s.contract == nil {
 		response, err := s.runAdmitted(r.Context(), s.runRepeatable)
