Send the soak's gateways a request that crashes engines

Cause: the soak crashed engines by itself only. A gateway takes evidence before targets, so that it isn't ready without what its controller knows.

--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -30,6 +30,7 @@
 	sim.checkService()
 	sim.checkLeaving()
 	sim.checkRefusals(engines)
+	sim.checkFatal()
 	sim.checkUsage(engines)
 	sim.checkTokens(engines)
 	sim.checkCounters()
--- a/internal/soak/platform.go
+++ b/internal/soak/platform.go
@@ -84,7 +84,7 @@
 func (p *platform) startEngine(id target.ID, class target.Class, z zone.Name, fenced bool, seed uint64) {
 	e := p.engines.Add(string(id), engine.Options{
 		ID: id, Seed: seed, Models: []string{modelName}, ChecksFence: fenced,
-		PrefillRate: 20_000, DecodeRate: 80, RoleChangeTime: 3 * time.Second,
+		PrefillRate: 20_000, DecodeRate: 80, RoleChangeTime: 3 * time.Second, CrashOn: fatalMarker,
 	})
 	p.startedEngines[id] = e
 	x := target.Target{ID: id, Kind: target.Engine, Class: class, Pool: poolName, Zone: z, Address: string(id), ChecksFence: fenced}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -71,6 +71,8 @@
 		c := &caller{sim: sim, rng: rand.New(rand.NewPCG(sim.options.Seed, uint64(100+i))), organisation: organisations[i%len(organisations)], name: fmt.Sprint("c", i)}
 		running.Go(func() { c.run(ctx) })
 	}
+	fatal := &caller{sim: sim, rng: rand.New(rand.NewPCG(sim.options.Seed, 99)), organisation: organisations[0], name: "fatal"}
+	running.Go(func() { fatal.sendFatal(ctx) })
 	return running
 }
 
--- a/internal/standin/engine/faults.go
+++ b/internal/standin/engine/faults.go
@@ -84,5 +84,10 @@
 func (e *Engine) crashesOn(prompt string) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.faults.CrashOn != "" && strings.Contains(prompt, e.faults.CrashOn)
+	for _, text := range []string{e.options.CrashOn, e.faults.CrashOn} {
+		if text != "" && strings.Contains(prompt, text) {
+			return true
+		}
+	}
+	return false
 }
--- a/internal/standin/engine/options.go
+++ b/internal/standin/engine/options.go
@@ -47,6 +47,8 @@
 	ChunkTokens int
 	// ReportLag is the age of the state that a report shows. Default 0.
 	ReportLag time.Duration
+	// CrashOn is as in Faults, and lasts.
+	CrashOn string
 	// Import fetches a KV cache that another engine exports. Default: an HTTP request to
 	// that engine.
 	Import func(ctx context.Context, source, handle string) (httpengine.KVExport, error)
--- a/uplink/link.go
+++ b/uplink/link.go
@@ -162,10 +162,10 @@
 	}
 	up.urgentVersion = urgent
 	u.applyReply(up, reply, request.TargetsVersion != noTargetsVersion)
-	u.publishTargets(g)
 	if len(reply.CrashEvidence) > 0 {
-		g.MergeCrashEvidence(reply.ToCrashEvidence(time.Now()))
+		g.MergeCrashEvidence(reply.ToCrashEvidence(time.Now())) // before the gateway is ready
 	}
+	u.publishTargets(g)
 	if contract.Revision(reply.ConfigRevision) > u.replica.Revision() {
 		return u.fetchConfiguration(ctx, g, up)
 	}
