Hash requests to gateways only when that is needed

Change: it is computed when first needed; answers of requests above 4 kB are remembered only while something is suspected, as in the node.

--- a/gateway/chat.go
+++ b/gateway/chat.go
@@ -79,7 +79,9 @@
 		contract: callerContract,
 		limit:    limit,
 		prompt:   prompt,
-		part:     poison.PartOfRequest(callerContract.Organisation, http.MethodPost, model.Name, []byte(prompt)),
+		part: newRequestPart(len(prompt), func() poison.Part {
+			return poison.PartOfRequest(callerContract.Organisation, http.MethodPost, model.Name, []byte(prompt))
+		}),
 		priority: callerContract.Priority,
 		query: routing.Request{
 			Pool:         model.Pool,
--- a/gateway/controllers_test.go
+++ b/gateway/controllers_test.go
@@ -243,7 +243,8 @@
 		time.Sleep(time.Minute)
 		f.setIsolated(4, false)
 		waitWithin(t, time.Minute, "rejected by a host that was cut off", func() bool {
-			_, rejected := f.gateways[4].crashes.rejects(poison.PartOfRequest("kalnins", "POST", testModel, []byte("user 5\nfatal\nassistant\n")))
+			part := poison.PartOfRequest("kalnins", "POST", testModel, []byte("user 5\nfatal\nassistant\n"))
+			_, rejected := f.gateways[4].crashes.rejects(newRequestPart(0, func() poison.Part { return part }))
 			return rejected
 		})
 		waitWithin(t, 20*time.Second, "that host serves again", func() bool { return f.allAnswer(otherKey, 200) })
--- a/gateway/crash_guard.go
+++ b/gateway/crash_guard.go
@@ -77,24 +77,42 @@
 }
 
 // answered records that a target answered a request and went on.
-func (c *crashGuard) answered(part poison.Part) {
-	c.update(func(now time.Time) bool { return c.detector.Answered(now, []poison.Part{part}) })
+func (c *crashGuard) answered(part requestPart) {
+	if part.size > maxSoundBytes && !c.hasSuspects() {
+		return
+	}
+	parts := []poison.Part{part.id()}
+	c.update(func(now time.Time) bool { return c.detector.Answered(now, parts) })
+}
+
+// hasSuspects tells whether targets have crashed lately under any request.
+func (c *crashGuard) hasSuspects() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.detector.HasSuspects()
 }
 
 // rejects tells whether a request must not be sent, and for how long.
-func (c *crashGuard) rejects(part poison.Part) (time.Duration, bool) {
+func (c *crashGuard) rejects(part requestPart) (time.Duration, bool) {
+	if !c.hasSuspects() {
+		return 0, false
+	}
+	parts := []poison.Part{part.id()}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	_, until, rejected := c.detector.Rejects([]poison.Part{part})
+	_, until, rejected := c.detector.Rejects(parts)
 	return max(until.Sub(wallTime()), defaultRetryAfter), rejected
 }
 
 // suspects tells whether a request should not be sent to a further target after one has not
 // answered it.
-func (c *crashGuard) suspects(part poison.Part) bool {
+func (c *crashGuard) suspects(part requestPart) bool {
+	if !c.hasSuspects() {
+		return false
+	}
+	parts := []poison.Part{part.id()}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	parts := []poison.Part{part}
 	_, _, rejected := c.detector.Rejects(parts)
 	return rejected || c.detector.Suspects(wallTime(), parts)
 }
--- a/gateway/crash_guard_test.go
+++ b/gateway/crash_guard_test.go
@@ -165,11 +165,11 @@
 	is := is.New(t)
 	log := zerolog.Nop()
 	c := newCrashGuard(func(context.Context, target.Target) bool { return false }, &log)
-	part := poison.PartOfRequest("kalnins", "POST", testModel, []byte("a prompt"))
+	part := newRequestPart(0, func() poison.Part { return poison.PartOfRequest("kalnins", "POST", testModel, []byte("a prompt")) })
 	var view []control.TargetState
 	for i := range 3 {
 		view = append(view, liveTarget(fmt.Sprint("e", i), target.Engine, "p", "127.0.0.1:1"))
-		c.brokeOff(t.Context(), view[i].Target, view[i].Report.Boot, part)
+		c.brokeOff(t.Context(), view[i].Target, view[i].Report.Boot, part.id())
 	}
 	c.observeTargets(view)
 	_, rejected := c.rejects(part)
--- a/gateway/crash_learning.go
+++ b/gateway/crash_learning.go
@@ -24,7 +24,7 @@
 	case err == nil && phase != target.PhasePrefill:
 		gen.gateway.crashes.answered(gen.part)
 	case errors.Is(err, target.ErrIncomplete) && !endedByGateway(err) && ctx.Err() == nil && a.chunks <= hardlyBegun:
-		gen.gateway.crashes.brokeOff(ctx, a.target, gen.gateway.fleet.bootOf(a.target.ID), gen.part)
+		gen.gateway.crashes.brokeOff(ctx, a.target, gen.gateway.fleet.bootOf(a.target.ID), gen.part.id())
 	}
 }
 
@@ -43,6 +43,6 @@
 	case err == nil:
 		s.gateway.crashes.answered(s.part)
 	case errors.Is(err, target.ErrIncomplete) && ctx.Err() == nil:
-		s.gateway.crashes.brokeOff(ctx, t, s.gateway.fleet.bootOf(t.ID), s.part)
+		s.gateway.crashes.brokeOff(ctx, t, s.gateway.fleet.bootOf(t.ID), s.part.id())
 	}
 }
--- a/gateway/generation.go
+++ b/gateway/generation.go
@@ -12,7 +12,6 @@
 
 	"zinniapin/contract"
 	"zinniapin/event"
-	"zinniapin/poison"
 	"zinniapin/result"
 	"zinniapin/routing"
 	"zinniapin/target"
@@ -35,7 +34,7 @@
 	contract           *contract.Contract
 	limit              int    // largest number of output tokens
 	prompt             string // as rendered by chatBody.prompt
-	part               poison.Part
+	part               requestPart
 	priority           int
 	query              routing.Request
 	emit               func(text string, outputTokens int) error
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -45,7 +45,7 @@
 	service        *contract.Service
 	route          *contract.Route
 	request        ServiceRequest
-	part           poison.Part
+	part           requestPart
 	query          routing.Request
 	execution      execution
 	claimExecution result.Execution // of an earlier call under the same key, as its claim records
@@ -75,7 +75,9 @@
 		return err
 	}
 	s.request.Body = body
-	s.part = poison.PartOfRequest(s.organisation(), s.request.Method, s.service.Name+s.request.Path+"?"+canonicalQuery(s.request.Query), body)
+	s.part = newRequestPart(len(body), func() poison.Part {
+		return poison.PartOfRequest(s.organisation(), s.request.Method, s.service.Name+s.request.Path+"?"+canonicalQuery(s.request.Query), body)
+	})
 	s.request.Header = s.targetHeaders(r.Header)
 	if s.route.Repeatable || s.contract == nil {
 		response, err := s.runAdmitted(r.Context(), s.runRepeatable)
