--- a/gateway/chat.go
+++ b/gateway/chat.go
@@ -11,6 +11,7 @@
 
 	"zinniapin/admission"
 	"zinniapin/contract"
+	"zinniapin/poison"
 	"zinniapin/result"
 	"zinniapin/routing"
 	"zinniapin/settings"
@@ -78,6 +79,9 @@
 		contract: callerContract,
 		limit:    limit,
 		prompt:   prompt,
+		part: newRequestPart(len(prompt), func() poison.Part {
+			return poison.PartOfRequest(callerContract.Organisation, http.MethodPost, model.Name, []byte(prompt))
+		}),
 		priority: callerContract.Priority,
 		query: routing.Request{
 			Pool:         model.Pool,
@@ -113,6 +117,9 @@
 // generate takes a generation through admission, runs it, records its usage and ends the
 // response.
 func (g *Gateway) generate(ctx context.Context, gen *generation, response *chatResponse) error {
+	if err := gen.checkBlocked(); err != nil {
+		return err
+	}
 	resumedAt := gen.assembly.received
 	admitStart := time.Now()
 	g.loads.countArrival(gen.query.Pool, gen.query.Model, gen.query.StableOnly)
--- a/gateway/generation.go
+++ b/gateway/generation.go
@@ -7,13 +7,13 @@
 	"io"
 	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"zinniapin/contract"
 	"zinniapin/event"
 	"zinniapin/result"
 	"zinniapin/routing"
-	"zinniapin/settings"
 	"zinniapin/target"
 )
 
@@ -21,6 +21,8 @@
 var (
 	errStalled       = errors.New("gateway: no chunk from the engine within the time limit")
 	errTargetLeaving = errors.New("gateway: stream moved off a leaving engine")
+	errTakenOver     = errors.New("gateway: another engine took over from a silent one")
+	errNotNeeded     = errors.New("gateway: the silent engine went on")
 )
 
 // generation is a request to a model in progress. Generating text has no side effects, so it
@@ -32,13 +34,16 @@
 	contract           *contract.Contract
 	limit              int    // largest number of output tokens
 	prompt             string // as rendered by chatBody.prompt
+	part               requestPart
 	priority           int
 	query              routing.Request
 	emit               func(text string, outputTokens int) error
 	onFirstToken       func() // called at the first token, then set to nil
+	execution          execution
+	next               *successor // continues the answer; nil without one
+	progress           sync.Mutex // held to change the fields up to attempts, and by searches to read them
 	assembly           assembly
 	text               strings.Builder
-	execution          execution
 	attempts           int
 	finish             string
 	enginePromptTokens int // prompt tokens as counted by the engine, 0 until known
@@ -49,9 +54,9 @@
 
 // engineAttempt is one attempt at one engine.
 type engineAttempt struct {
-	id       string
-	target   target.Target
-	answered bool // a chunk of this attempt was received
+	id     string
+	target target.Target
+	chunks int // chunks of this attempt that were received
 }
 
 // run generates the answer, in as many attempts as needed and allowed. It returns nil only
@@ -64,9 +69,10 @@
 			place.done(time.Now(), false)
 		}
 		gen.relocation.close()
+		gen.dropNext()
 	}()
 	for {
-		if err := gen.recheckKey(); err != nil {
+		if err := gen.recheckUnlessBegun(); err != nil {
 			return gen.execution.attachTo(err)
 		}
 		var err error
@@ -94,7 +100,7 @@
 // isTargetError tells whether the error is a failure of the target, so that another attempt
 // may succeed.
 func isTargetError(err error) bool {
-	for _, known := range []error{target.ErrNotSent, target.ErrRefused, target.ErrIncomplete, errStalled, errTargetLeaving} {
+	for _, known := range []error{target.ErrNotSent, target.ErrRefused, target.ErrIncomplete, errStalled, errTargetLeaving, errTakenOver} {
 		if errors.Is(err, known) {
 			return true
 		}
@@ -115,6 +121,9 @@
 	if held != nil {
 		return held, nil
 	}
+	if gen.next != nil {
+		return gen.next.place, nil
+	}
 	if next := gen.relocation.take(); next != nil {
 		gen.gateway.logRouted(gen.call, gen.contract.Organisation, gen.query.Model, &next.choice)
 		return next, nil
@@ -138,8 +147,7 @@
 // cache, if the engine accepts new work. Otherwise the placement is released and the failed
 // engine excluded from the next choice.
 func (gen *generation) keepOrRelease(place *placement, err error, progress bool) *placement {
-	endedByGateway := errors.Is(err, errStalled) || errors.Is(err, errTargetLeaving)
-	if errors.Is(err, target.ErrIncomplete) && !endedByGateway && progress && place.prefill == nil && place.usable() {
+	if errors.Is(err, target.ErrIncomplete) && !endedByGateway(err) && progress && place.prefill == nil && place.usable() {
 		return place
 	}
 	gen.query.Exclude = append(gen.query.Exclude, place.failedTarget())
@@ -152,10 +160,16 @@
 // and one that was moved off a leaving engine cost the engines no work, so their retry is
 // not charged to the budget.
 func (gen *generation) checkRetry(err error) error {
+	if gen.next != nil {
+		return nil
+	}
 	needsNoBudget := errors.Is(err, target.ErrNotSent) || errors.Is(err, errTargetLeaving)
 	if gen.attempts >= maxAttempts {
 		return gen.finalError(err)
 	}
+	if !needsNoBudget && gen.execution.state != result.NotRun && gen.gateway.crashes.suspects(gen.part) {
+		return gen.finalError(err)
+	}
 	if !needsNoBudget && !gen.gateway.retryBudget.spend() {
 		if gen.execution.state == result.NotRun {
 			return result.Wrap(err, result.RetriesUsedUp, "the retry budget is exhausted").Retry(defaultRetryAfter)
@@ -181,6 +195,9 @@
 // engine, else in one. If the decode phase fails, its engine is asked to generate the rest
 // in one phase. If the prefill phase fails, the caller chooses a new placement.
 func (gen *generation) attempt(ctx context.Context, place *placement) error {
+	if gen.next != nil {
+		return gen.runOnTarget(ctx, place, gen.next.request)
+	}
 	if place.prefill != nil {
 		done, err := gen.prefillThenDecode(ctx, place)
 		final := err != nil && (!isTargetError(err) || errors.Is(err, errTargetLeaving))
@@ -224,6 +241,8 @@
 
 // request counts an attempt and returns the engine request for the rest of the answer.
 func (gen *generation) request() target.GenerateRequest {
+	gen.progress.Lock()
+	defer gen.progress.Unlock()
 	gen.attempts++
 	return target.GenerateRequest{
 		Attempt:    gen.gateway.attemptID(gen.call.id, gen.attempts),
@@ -263,7 +282,7 @@
 
 // stream runs a request on a target, delivers its tokens, records the outcome of the attempt
 // and returns the last chunk. It cancels the attempt if the engine sends no chunk in time,
-// or if the target is about to leave and another placement is available.
+// if another one took over from it while it was silent, or if the target is about to leave and another placement is available.
 func (gen *generation) stream(ctx context.Context, place *placement, t target.Target, r target.GenerateRequest) (target.Chunk, error) {
 	a := &engineAttempt{id: r.Attempt, target: t}
 	attemptCtx, cancel := context.WithCancelCause(ctx)
@@ -278,21 +297,20 @@
 		return reserved
 	})
 	defer place.setOnLeaving(nil)
-	stall := settings.Millis(gen.gateway.options.Settings.StallMillis)
-	first := settings.Millis(gen.gateway.options.Settings.FirstChunkMillis)
-	watchdog := time.AfterFunc(first, func() { cancel(errStalled) })
-	defer watchdog.Stop()
-	last, err := gen.consume(attemptCtx, a, r, func() { watchdog.Reset(stall) })
+	watch := newSilenceWatch(ctx, gen, a, r.Phase, cancel)
+	last, err := gen.consume(attemptCtx, a, r, watch.chunk)
+	gen.next = watch.stop()
 	if cause := context.Cause(attemptCtx); err != nil && cause != nil && ctx.Err() == nil {
 		err = fmt.Errorf("%w: %w", cause, err)
 	}
 	gen.recordAttempt(a, err)
+	gen.learnOfTarget(ctx, a, r.Phase, err)
 	return last, err
 }
 
 // consume reads an engine's answer to its end and calls onChunk for each chunk.
-func (gen *generation) consume(ctx context.Context, a *engineAttempt, r target.GenerateRequest, onChunk func()) (target.Chunk, error) {
-	s, err := gen.gateway.options.Engines.Generate(ctx, a.target, r)
+func (gen *generation) consume(ctx context.Context, a *engineAttempt, r target.GenerateRequest, onChunk func() error) (target.Chunk, error) {
+	s, err := gen.open(ctx, a.target, r)
 	if err != nil {
 		return target.Chunk{}, err
 	}
@@ -305,7 +323,9 @@
 		if err != nil {
 			return c, err
 		}
-		onChunk()
+		if err := onChunk(); err != nil {
+			return c, err
+		}
 		done, err := gen.deliver(a, c)
 		if done || err != nil {
 			return c, err
@@ -316,16 +336,20 @@
 // deliver passes the text of a chunk to the caller and tells whether the chunk ends the
 // answer. It drops chunks of other attempts and repeated ones.
 func (gen *generation) deliver(a *engineAttempt, c target.Chunk) (bool, error) {
-	a.answered = a.answered || c.Attempt == a.id
+	if c.Attempt == a.id {
+		a.chunks++
+		if a.chunks == hardlyBegun+1 {
+			gen.gateway.crashes.answered(gen.part)
+		}
+	}
 	if err := gen.checkWithdrawn(); err != nil {
 		return false, err
 	}
-	isNew, err := gen.assembly.accept(a.id, c)
+	isNew, err := gen.accept(a.id, c)
 	if err != nil {
 		return false, err
 	}
 	if isNew {
-		gen.text.WriteString(c.Text)
 		if gen.onFirstToken != nil {
 			gen.onFirstToken()
 			gen.onFirstToken = nil
@@ -343,60 +367,13 @@
 	return gen.assembly.complete(a.id, c)
 }
 
-// checkWithdrawn returns an error once the key of a stream has been withdrawn for longer
-// than the setting allows. Without the setting the answer is completed: it was admitted with
-// a valid key, its length is limited and most of the engine's work is done, while cutting it
-// would harm a caller whose key was merely rotated. An operator who withdraws leaked keys
-// sets the limit.
-func (gen *generation) checkWithdrawn() error {
-	bound := settings.Millis(gen.gateway.options.Settings.WithdrawnStreamMillis)
-	if bound == 0 {
-		return nil
-	}
-	if s := gen.gateway.snapshot.Load(); s != gen.checkedSnapshot {
-		gen.checkedSnapshot = s
-		_, err := authenticate(s, gen.call.credential)
-		switch {
-		case err == nil:
-			gen.withdrawnAt = time.Time{}
-		case gen.withdrawnAt.IsZero():
-			gen.withdrawnAt = time.Now()
-		}
-	}
-	if !gen.withdrawnAt.IsZero() && time.Since(gen.withdrawnAt) >= bound {
-		return result.New(result.KeyWithdrawn, "the stream was ended %s after the withdrawal", bound)
-	}
-	return nil
-}
-
-// recordAttempt records the outcome of an attempt in the execution state, the metrics, the
-// log and the history.
-func (gen *generation) recordAttempt(a *engineAttempt, err error) {
-	gen.execution.record(err, a.answered)
-	outcome := attemptExecution(err, a.answered).String()
-	if err == nil {
-		outcome = "whole"
-	}
-	gen.gateway.metrics.attempts.WithLabelValues(outcome).Inc()
-	if err == nil {
-		return
-	}
-	event.AttemptFailed.Log(&gen.gateway.log).Str("request", gen.call.id).Str("attempt", a.id).
-		Str("target", string(a.target.ID)).Str("outcome", outcome).Int("delivered", gen.assembly.received).Err(err).Send()
-	gen.gateway.history.add(decision{At: time.Now(), Request: gen.call.id, Organisation: gen.contract.Organisation,
-		Decision: "attempt_failed", Target: string(a.target.ID), Reason: err.Error(), Execution: outcome})
-}
-
-// logRouted records a routing decision in the log and the history.
-func (g *Gateway) logRouted(c *call, organisation, model string, choice *routing.Choice) {
-	line := event.RequestRouted.Log(&g.log).Str("request", c.id).Str("organisation", organisation).Str("model", model).
-		Str("target", string(choice.Target.ID)).Str("reason", string(choice.Reason)).Int("candidates", choice.Candidates).
-		Int64("expected_ms", choice.Expected.Milliseconds())
-	if choice.Prefill != nil {
-		line = line.Str("prefill", string(choice.Prefill.ID))
+// accept adds a chunk to the answer and returns whether it is new.
+func (gen *generation) accept(attempt string, c target.Chunk) (bool, error) {
+	gen.progress.Lock()
+	defer gen.progress.Unlock()
+	isNew, err := gen.assembly.accept(attempt, c)
+	if isNew {
+		gen.text.WriteString(c.Text)
 	}
-	line.Send()
-	g.history.add(decision{At: time.Now(), Request: c.id, Organisation: organisation, Decision: "routed",
-		Target: string(choice.Target.ID), Reason: string(choice.Reason), Candidates: choice.Candidates,
-		ExpectedMS: choice.Expected.Milliseconds()})
+	return isNew, err
 }
--- a/internal/standin/engine/faults.go
+++ b/internal/standin/engine/faults.go
@@ -1,6 +1,9 @@
 package engine
 
-import "time"
+import (
+	"strings"
+	"time"
+)
 
 // Faults are the faults to inject. They can be replaced while the engine runs, by
 // SetFaults or by POST /faults. A count falls by one each time its fault is injected.
@@ -13,9 +16,17 @@
 	BreakStreams int `json:"break_streams,omitempty"`
 	// BreakAfter is the number of chunks that a stream delivers before it breaks off.
 	BreakAfter int `json:"break_after,omitempty"`
+	// SilentStreams is the number of streams that fall silent for SilentMillis milliseconds
+	// after SilentAfter chunks and then go on.
+	SilentStreams int `json:"silent_streams,omitempty"`
+	SilentAfter   int `json:"silent_after,omitempty"`
+	SilentMillis  int `json:"silent_ms,omitempty"`
 	// CrashAfter crashes the engine when it has this many more chunks to send; the last of
 	// them is not sent. 0 means never.
 	CrashAfter int `json:"crash_after,omitempty"`
+	// CrashOn crashes the engine whenever it begins to answer a request whose prompt contains
+	// this text; empty means never.
+	CrashOn string `json:"crash_on,omitempty"`
 	// CrashInChange is the number of role or model changes that crash the engine halfway.
 	CrashInChange int `json:"crash_in_change,omitempty"`
 	// StrayChunks is the number of chunks that are preceded by a chunk of another attempt.
@@ -68,3 +79,15 @@
 func (f *Faults) firstChunkDelay() time.Duration {
 	return time.Duration(f.DelayMillis) * time.Millisecond
 }
+
+// crashesOn tells whether a prompt contains the text of CrashOn.
+func (e *Engine) crashesOn(prompt string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, text := range []string{e.options.CrashOn, e.faults.CrashOn} {
+		if text != "" && strings.Contains(prompt, text) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/standin/engine/send.go
+++ b/internal/standin/engine/send.go
@@ -16,10 +16,15 @@
 	if a.breakAfter >= 0 && a.chunksSent >= a.breakAfter {
 		return errFault
 	}
-	if a.engine.crashDue() {
+	if a.engine.crashDue() || a.chunksSent == 0 && a.engine.crashesOn(a.request.Prompt) {
 		a.engine.Crash()
 		return errFault
 	}
+	if a.chunksSent == a.silentAfter {
+		if err := sleep(a.ctx, a.silence); err != nil {
+			return err
+		}
+	}
 	for _, each := range a.withChunkFaults(c) {
 		if err := a.deliver(each); err != nil {
 			return err
