Keep the share of a limit of hosts that fell silent, and wait at the start

Cause: limits of targets were divided among the hosts that are live. Hosts that are cut off took each other for gone and both used the whole limit, and a host that starts took itself for the only one until it heard of others.

The replay of limits gets surges of demand and hosts that crash, start, are cut off and learn of each other late.

--- a/dispatch/limit.go
+++ b/dispatch/limit.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"hash/fnv"
 	"time"
 
 	"zinniapin/roster"
@@ -35,33 +34,9 @@
 	entitled  bool
 }
 
-// fleet holds the hosts among which limits are divided.
-type fleet struct {
-	self   uint64
-	others []uint64      // live hosts, hashed
-	offset time.Duration // time of the clock that all hosts share minus local time
-}
-
-// SetFleet sets the live hosts, this one included or not, and the time by the clock that all hosts share.
-func (p *Planner) SetFleet(now, shared time.Time, self string, hosts []string) {
-	p.fleet.self, p.fleet.offset, p.fleet.others = hashOf(self), shared.Sub(now), p.fleet.others[:0]
-	for _, h := range hosts {
-		if h != self {
-			p.fleet.others = append(p.fleet.others, hashOf(h))
-		}
-	}
-}
-
-// hashOf returns the hash of the name of a host.
-func hashOf(host string) uint64 {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(host)) // never fails
-	return h.Sum64()
-}
-
 // hosts returns the number of hosts that are entitled at a time.
 func (l *limit) hosts() int {
-	live := 1 + len(l.fleet.others)
+	live := l.fleet.size()
 	if l.perSecond >= float64(live) {
 		return live
 	}
@@ -78,7 +53,9 @@
 		}
 		l.epoch, l.entitled = epoch, entitled
 	}
-	if l.entitled {
+	if !l.fleet.settled(now) {
+		l.allowance = min(l.allowance, 0)
+	} else if l.entitled {
 		rate := max(l.perSecond, probeRate) / float64(l.hosts())
 		l.allowance = min(l.allowance+rate*now.Sub(l.filledAt).Seconds(), 1)
 	}
@@ -120,6 +97,9 @@
 		return now
 	}
 	rate := max(l.perSecond, probeRate)
+	if !l.fleet.settled(now) {
+		return l.fleet.grownAt.Add(settleTime)
+	}
 	if !l.entitled {
 		return now.Add(time.Duration(float64(time.Second) / rate))
 	}
--- a/dispatch/limit_test.go
+++ b/dispatch/limit_test.go
@@ -12,7 +12,7 @@
 	"zinniapin/target"
 )
 
-// limitedFleet returns the planners of so many hosts that know of each other. Their clocks differ by up to
+// limitedFleet returns the planners of so many hosts that have known of each other for a minute. Their clocks differ by up to
 // 100 ms.
 func limitedFleet(hosts int, all []roster.Target) []*dispatch.Planner {
 	var names []string
@@ -23,7 +23,8 @@
 	for i, name := range names {
 		p := dispatch.New(dispatch.DefaultPolicy(), "a", uint64(i))
 		p.SetTargets(start, all)
-		p.SetFleet(start, start.Add(time.Duration(i%100)*time.Millisecond), name, names)
+		known := start.Add(-time.Minute)
+		p.SetFleet(known, known.Add(time.Duration(i%100)*time.Millisecond), name, names)
 		fleet = append(fleet, p)
 	}
 	return fleet
@@ -44,6 +45,41 @@
 	is.Equal(p.Plan(start.Add(2100*time.Millisecond), plainJob, nil).Target.ID, a.ID)
 }
 
+// A host that has just started takes itself for the only one at first. It learns the limit of a target then, and
+// sends nothing there until it knows the others; hosts that it hears of late start that time again.
+func TestHostThatStartsWaitsUntilItKnowsTheFleet(t *testing.T) {
+	is := is.New(t)
+	a := born("a", 1000)
+	p := planner([]roster.Target{a}, 1)
+	p.SetLimit(start, a, 100, true)
+	at := func(d time.Duration) time.Time { return start.Add(d) }
+	is.True(p.Plan(start, plainJob, nil).Refused())
+	p.SetFleet(start, start, "h-0", nil)
+	is.True(p.Plan(at(time.Second), plainJob, nil).Refused())
+	p.SetFleet(at(time.Second), at(time.Second), "h-0", []string{"h-0", "h-1", "h-2"})
+	d := p.Plan(at(3900*time.Millisecond), plainJob, nil)
+	is.True(d.Refused() && d.RetryAfter >= 100*time.Millisecond)
+	is.True(!p.Plan(at(4100*time.Millisecond), plainJob, nil).Refused())
+}
+
+// Hosts that fall silent may have crashed or be cut off, and may go on sending. They keep their share.
+func TestLostHostsKeepTheirShareOfALimit(t *testing.T) {
+	is := is.New(t)
+	a := born("a", 1000)
+	p := limitedFleet(10, []roster.Target{a})[0]
+	p.SetFleet(start, start, "h-0", nil)
+	p.SetLimit(start, a, 100, true)
+	sent := 0
+	for step := range 1000 {
+		now := start.Add(time.Duration(step) * 10 * time.Millisecond)
+		if d := p.Plan(now, plainJob, nil); !d.Refused() {
+			p.End(p.Begin(now, a.ID, plainJob, 0))
+			sent++
+		}
+	}
+	is.True(sent > 80 && sent <= 101) // a tenth of 100 a second for 10 s, and one
+}
+
 // A target names no limit any more. A host that is not entitled to it learns that from its peers, and news
 // that arrives late or again doesn't bring the limit back. Another incarnation of the target has no limit.
 func TestEndOfALimitIsLearnt(t *testing.T) {
--- a/internal/targetbench/limits.go
+++ b/internal/targetbench/limits.go
@@ -1,12 +1,8 @@
 package targetbench
 
 import (
-	"fmt"
 	"math/rand/v2"
 	"time"
-
-	"zinniapin/dispatch"
-	"zinniapin/roster"
 )
 
 // LimitLoad is a load on one target that names a limit.
@@ -16,9 +12,26 @@
 	PerSecond float64 // limit
 	// Uneven makes most requests come at a few hosts.
 	Uneven bool
+	// Surges makes few requests come but for a tenth of the time, in which five times as many come as usual.
+	Surges bool
+	// Faults makes hosts crash and start, and cuts some off from the others twice.
+	Faults bool
 	Steps  int // of limitStep each, in each of which limitRequests come
 }
 
+// requests returns the number of requests that come in a step.
+func (l *LimitLoad) requests(step int) int {
+	switch {
+	case !l.Surges:
+		return limitRequests
+	case step%surgeSteps >= surgeSteps*9/10:
+		return 5 * limitRequests
+	case step%10 == 0:
+		return 1
+	}
+	return 0
+}
+
 // LimitResult is what the target got.
 type LimitResult struct {
 	// Most is the most requests in any limitSpan, from limitGrace on, Allowed what the limit allows there.
@@ -30,14 +43,14 @@
 const (
 	limitStep     = 10 * time.Millisecond
 	limitRequests = 2
+	// surgeSteps is the number of steps from one surge to the next.
+	surgeSteps = 1500
 	// limitGrace is the time after which a limit has to be kept, limitSpan the length of the periods in which
 	// it is judged. In each the target may get limitFactor times what the limit allows, and limitSlack requests.
 	limitGrace  = 3 * time.Second
 	limitSpan   = 4 * time.Second
 	limitFactor = 1.5
 	limitSlack  = 5
-	// maxClockDifference is how far the clocks of hosts differ.
-	maxClockDifference = 100 * time.Millisecond
 )
 
 // Sender decides at one host whether a target with a limit gets a request.
@@ -57,7 +70,7 @@
 	for step := range load.Steps {
 		at := time.Duration(step) * limitStep
 		now := epoch.Add(at)
-		for range limitRequests {
+		for range load.requests(step) {
 			host := random.IntN(len(senders))
 			if load.Uneven {
 				host = int(float64(len(senders)) * random.Float64() * random.Float64())
@@ -116,48 +129,3 @@
 	}
 	return all, func(time.Time) {}
 }
-
-// plannerSender is the planner of a node.
-type plannerSender struct {
-	planner *dispatch.Planner
-	target  roster.Target
-	limit   float64
-}
-
-// Send implements Sender.
-func (s *plannerSender) Send(now time.Time) bool {
-	job := dispatch.Job{Service: s.target.Service, Objective: 150 * time.Millisecond, TimeLeft: time.Second}
-	d := s.planner.Plan(now, job, nil)
-	if d.Refused() {
-		return false
-	}
-	s.planner.End(s.planner.Begin(now, d.Target.ID, job, 0))
-	s.planner.SetLimit(now, s.target, s.limit, true)
-	return true
-}
-
-// Entitled is what nodes do.
-func Entitled(load LimitLoad) ([]Sender, func(time.Time)) {
-	target := roster.Target{ID: "t-1", Service: "desk", Zone: "a", Slots: 4, StartedMillis: 1}
-	var names []string
-	for i := range load.Hosts {
-		names = append(names, fmt.Sprint("h-", i))
-	}
-	random := rand.New(rand.NewPCG(load.Seed, 1))
-	var planners []*dispatch.Planner
-	var all []Sender
-	for i, name := range names {
-		p := dispatch.New(dispatch.DefaultPolicy(), "a", uint64(i))
-		p.SetTargets(epoch, []roster.Target{target})
-		p.SetFleet(epoch, epoch.Add(time.Duration(random.Int64N(int64(maxClockDifference)))), name, names)
-		planners, all = append(planners, p), append(all, &plannerSender{p, target, load.PerSecond})
-	}
-	return all, func(now time.Time) {
-		teller := planners[random.IntN(len(planners))]
-		for _, news := range teller.LimitNews(now, 1, time.Hour) {
-			for _, p := range planners {
-				p.ApplyLimit(now, news)
-			}
-		}
-	}
-}
--- a/internal/targetbench/report.go
+++ b/internal/targetbench/report.go
@@ -32,13 +32,13 @@
 			}
 		}
 	}
-	if _, err := fmt.Fprintln(t, "\nhosts\tlimit\tpolicy\tmost in 4 s\tallowed\tmean a second"); err != nil {
+	if _, err := fmt.Fprintln(t, "\nhosts\tlimit\tload\tpolicy\tmost in 4 s\tallowed\tmean a second"); err != nil {
 		return err
 	}
-	for _, load := range LimitLoads() {
+	for _, load := range append(LimitLoads(), LimitTroubles()...) {
 		for _, policy := range LimitPolicies() {
 			r := ReplayLimit(load, policy.Policy)
-			if _, err := fmt.Fprintf(t, "%d\t%v\t%s\t%d\t%.4g\t%.2f\n", load.Hosts, load.PerSecond, policy.Name, r.Most, r.Allowed, r.Mean); err != nil {
+			if _, err := fmt.Fprintf(t, "%d\t%v\t%s\t%s\t%d\t%.4g\t%.2f\n", load.Hosts, load.PerSecond, load.kind(), policy.Name, r.Most, r.Allowed, r.Mean); err != nil {
 				return err
 			}
 		}
@@ -89,6 +89,33 @@
 	}
 }
 
+// kind describes in a word what a load has.
+func (l *LimitLoad) kind() string {
+	switch {
+	case l.Surges && l.Faults:
+		return "surges, faults"
+	case l.Surges:
+		return "surges"
+	case l.Faults:
+		return "faults"
+	case l.Uneven:
+		return "uneven"
+	}
+	return "even"
+}
+
+// LimitTroubles returns loads with surges, with hosts that crash, start and are cut off, and with both.
+func LimitTroubles() []LimitLoad {
+	var all []LimitLoad
+	for _, l := range []LimitLoad{{Hosts: 6, PerSecond: 1.4}, {Hosts: 6, PerSecond: 40}, {Hosts: 63, PerSecond: 1}, {Hosts: 63, PerSecond: 25}, {Hosts: 300, PerSecond: 1}, {Hosts: 300, PerSecond: 12.5}} {
+		l.Steps = limitSteps
+		surges, faults, both := l, l, l
+		surges.Surges, faults.Faults, both.Surges, both.Faults = true, true, true, true
+		all = append(all, surges, faults, both)
+	}
+	return all
+}
+
 // LimitPolicy is a policy with its name in the table.
 type LimitPolicy struct {
 	Name   string
--- a/internal/targetbench/targetbench_test.go
+++ b/internal/targetbench/targetbench_test.go
@@ -45,3 +45,22 @@
 		})
 	}
 }
+
+// Demand surges; hosts crash, start and are cut off, so that they have different views of each other. A target
+// that names a limit still gets no more than the limit allows.
+func TestLimitHoldsInTroubles(t *testing.T) {
+	for _, load := range LimitTroubles() {
+		for seed := range uint64(3) {
+			load := load
+			load.Seed = seed
+			t.Run(fmt.Sprintf("%d hosts, %v, %s, seed %d", load.Hosts, load.PerSecond, load.kind(), seed), func(t *testing.T) {
+				t.Parallel()
+				r := ReplayLimit(load, Entitled)
+				t.Logf("%+v", r)
+				if float64(r.Most) > r.Allowed {
+					t.Errorf("%d requests in %v, %v allowed", r.Most, limitSpan, r.Allowed)
+				}
+			})
+		}
+	}
+}
