Let hosts take turns at a target with a limit, more while few are used

Cause: of hundreds of hosts a few were entitled to a target with a limit for 10 s and divided it in shares. With little demand at each host most of a share was not used, and what one did not use was lost to the others.

Ruled out: shares by demand (even demand has no host with more), requests passed on between hosts (a further hop), tokens passed between hosts.

Change: where there are more than two hosts for each request a second, one host may send one request in a turn of 2 s; rendezvous hashing over fleet and clock says whose it is. The replay's "entitled" is now called "turns". TestLargeSummaryIsSplit has the new field too.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -105,6 +105,8 @@
 type Load struct {
 	PendingTokens int // prompt tokens not yet processed
 	Active        int // requests sent and not ended
+	// Sent is the number of requests sent in the last two seconds to a target with a limit at which hosts take turns.
+	Sent int
 }
 
 const (
@@ -218,6 +220,7 @@
 // SetPeerLoads replaces the loads of a peer, by target key, with those that it had at a
 // time. Its cost does not depend on the number of targets, since digests arrive often.
 func (p *Planner) SetPeerLoads(at time.Time, host string, loads map[uint32]Load) {
+	p.fleet.hear(at, host)
 	for _, key := range p.loadedByPeer[host] {
 		if s := p.byKey[key]; s != nil {
 			if _, still := loads[key]; !still {
@@ -246,7 +249,7 @@
 func (p *Planner) Loads(now time.Time) map[uint32]Load {
 	all := make(map[uint32]Load)
 	for id, s := range p.targets {
-		if l := s.ownLoad(now); l.Active > 0 {
+		if l := s.ownLoad(now); l.Active+l.Sent > 0 {
 			all[KeyOf(id)] = l
 		}
 	}
--- a/dispatch/limit.go
+++ b/dispatch/limit.go
@@ -7,18 +7,17 @@
 	"zinniapin/target"
 )
 
-// An overloaded target names in its answers how many requests a second it takes from all hosts together. A
-// share for each of hundreds of hosts would be less than a request a minute, with a burst of one each. So a
-// few hosts are entitled to the target at a time, about one for each request a second; all hosts choose the
-// same ones by rendezvous hashing, and others after a while. Hosts tell each other what targets have named,
-// since a host that is not entitled gets no answers.
+// An overloaded target names in its answers how many requests a second it takes from all hosts together. Few
+// hosts divide it in shares. For each of hundreds of hosts a share would be less than a request a minute, with a
+// burst of one each; there they take turns. Hosts tell each other what targets have named, since a host that may
+// not send there gets no answers.
 
 const (
-	// entitlementTime is how long the same hosts are entitled to a target.
-	entitlementTime = 10 * time.Second
 	// probeRate is the number of requests a second, of all hosts together, with which a target is tried that
 	// takes fewer: nobody would learn otherwise that it takes more again.
 	probeRate = 0.2
+	// hostsPerRequest is the number of hosts for each request a second up to which they have shares.
+	hostsPerRequest = 2
 	// limitNewsTime is how long hosts tell each other that a target names no limit any more.
 	limitNewsTime = 20 * time.Second
 )
@@ -27,83 +26,75 @@
 type limit struct {
 	perSecond float64
 	fleet     *fleet
-	key       uint32  // of the target
-	allowance float64 // requests that this host may send now; negative after several at once
+	shared    bool    // hosts have shares, else turns
+	allowance float64 // of a share: requests that this host may send now; negative after several at once
 	filledAt  time.Time
-	epoch     int64 // entitled is that of the epoch
-	entitled  bool
+	turns     turns
 }
 
-// hosts returns the number of hosts that are entitled at a time.
-func (l *limit) hosts() int {
-	live := l.fleet.size()
-	if l.perSecond >= float64(live) {
-		return live
-	}
-	return min(1+int(l.perSecond), live)
+// newLimit returns the limit that a target names.
+func newLimit(now time.Time, n *notice, f *fleet, key uint32, perSecond float64) *limit {
+	return &limit{perSecond: perSecond, fleet: f, filledAt: now, turns: turns{key: key, notice: n}}
 }
 
-// fill adds to the allowance what has become due since the last call.
-func (l *limit) fill(now time.Time) {
-	epoch := now.Add(l.fleet.offset).UnixNano() / int64(entitlementTime)
-	if epoch != l.epoch {
-		entitled := l.isEntitled(epoch)
-		if entitled && !l.entitled {
-			l.allowance = min(l.allowance, 0) // what others have used meanwhile isn't known
-		}
-		l.epoch, l.entitled = epoch, entitled
-	}
-	if !l.fleet.settled(now) {
+// rate returns the requests a second that all hosts together send at most.
+func (l *limit) rate() float64 { return max(l.perSecond, probeRate) }
+
+// update adds what has become due since the last call.
+func (l *limit) update(now time.Time) {
+	before := l.shared
+	l.shared = l.fleet.size() == 1 || float64(l.fleet.size()) <= hostsPerRequest*l.perSecond
+	switch {
+	case !l.fleet.settled(now):
 		l.allowance = min(l.allowance, 0)
-	} else if l.entitled {
-		rate := max(l.perSecond, probeRate) / float64(l.hosts())
-		l.allowance = min(l.allowance+rate*now.Sub(l.filledAt).Seconds(), 1)
+	case !l.shared:
+		l.turns.update(now, l.fleet, l.rate()*turnShare)
+	case !before:
+		l.allowance = min(l.allowance, 0) // what others have used meanwhile isn't known
+	default:
+		l.allowance = min(l.allowance+l.rate()/float64(l.fleet.size())*now.Sub(l.filledAt).Seconds(), 1)
 	}
 	l.filledAt = now
 }
 
-// isEntitled tells whether this host is among those with the highest weights in an epoch.
-func (l *limit) isEntitled(epoch int64) bool {
-	seed := mix(uint64(l.key)<<32 | uint64(uint32(epoch)))
-	own, above := mix(seed^l.fleet.self), 0
-	for _, other := range l.fleet.others {
-		if mix(seed^other) > own {
-			above++
-		}
-	}
-	return above < l.hosts()
-}
-
 // allows tells whether this host may send the target a request now.
 func (l *limit) allows(now time.Time) bool {
 	if l == nil {
 		return true
 	}
-	l.fill(now)
-	return l.entitled && l.allowance >= 1
+	l.update(now)
+	if !l.shared {
+		return l.fleet.settled(now) && l.turns.has()
+	}
+	return l.allowance >= 1
 }
 
 // use counts a request that is sent to the target.
 func (l *limit) use(now time.Time) {
-	if l != nil {
-		l.fill(now)
+	if l == nil {
+		return
+	}
+	l.update(now)
+	if l.shared {
 		l.allowance--
+	} else {
+		l.turns.use(now)
 	}
 }
 
-// opensAt returns when a host may send the target a request again: this one if it is entitled, else another.
+// opensAt returns when a host may send the target a request again: this one if it has a share, else another.
 func (l *limit) opensAt(now time.Time) time.Time {
 	if l.allows(now) {
 		return now
 	}
-	rate := max(l.perSecond, probeRate)
+	wait := 1 / l.rate()
 	if !l.fleet.settled(now) {
 		return l.fleet.grownAt.Add(settleTime)
 	}
-	if !l.entitled {
-		return now.Add(time.Duration(float64(time.Second) / rate))
+	if l.shared {
+		wait *= (1 - l.allowance) * float64(l.fleet.size())
 	}
-	return now.Add(time.Duration((1 - l.allowance) * float64(l.hosts()) / rate * float64(time.Second)))
+	return now.Add(time.Duration(wait * float64(time.Second)))
 }
 
 // SetLimit records the limit that a target named in an answer, or that it named none. It returns whether
@@ -132,9 +123,9 @@
 	case !named:
 		n.limit = nil
 	case before == nil:
-		n.limit = &limit{perSecond: perSecond, fleet: &p.fleet, key: KeyOf(id), filledAt: now}
+		n.limit = newLimit(now, n, &p.fleet, KeyOf(id), perSecond)
 	default:
-		before.fill(now)
+		before.update(now)
 		before.perSecond = perSecond
 	}
 	return changed
--- a/dispatch/limit_test.go
+++ b/dispatch/limit_test.go
@@ -80,7 +80,7 @@
 	is.True(sent > 80 && sent <= 101) // a tenth of 100 a second for 10 s, and one
 }
 
-// A target names no limit any more. A host that is not entitled to it learns that from its peers, and news
+// A target names no limit any more. A host that may send nothing there learns that from its peers, and news
 // that arrives late or again doesn't bring the limit back. Another incarnation of the target has no limit.
 func TestEndOfALimitIsLearnt(t *testing.T) {
 	is := is.New(t)
@@ -130,3 +130,72 @@
 	}
 	is.Equal(seen[owner.ID], 0)
 }
+
+// sendAll lets each host send all that it may at a time, and returns how many requests that are.
+func sendAll(fleet []*dispatch.Planner, now time.Time, id target.ID) int {
+	sent := 0
+	for _, p := range fleet {
+		for d := p.Plan(now, plainJob, nil); !d.Refused(); d = p.Plan(now, plainJob, nil) {
+			p.End(p.Begin(now, id, plainJob, 0))
+			sent++
+		}
+	}
+	return sent
+}
+
+// Hosts that hear nothing of each other's requests take turns by the clock alone. Even if all that have a turn
+// have waited with it, and all send whatever they may, they keep to the limit.
+func TestTurnsKeepToTheLimitWithoutNews(t *testing.T) {
+	const span, factor, slack = 4 * time.Second, 1.5, 5
+	for _, perSecond := range []float64{0, 0.5, 1, 12.5, 149} {
+		t.Run(fmt.Sprint(perSecond), func(t *testing.T) {
+			a := born("a", 1000)
+			fleet := limitedFleet(300, []roster.Target{a})
+			for _, p := range fleet {
+				p.SetLimit(start, a, perSecond, true)
+			}
+			const step = 50 * time.Millisecond
+			for round := range 3 {
+				begin, sent := start.Add(time.Duration(round)*7300*time.Millisecond), 0
+				for at := time.Duration(0); at < span; at += step {
+					for _, p := range fleet { // turns are noticed when requests come, if none is sent too
+						p.ReturnAfter(begin.Add(-step), plainJob)
+					}
+					sent += sendAll(fleet, begin.Add(at), a.ID)
+				}
+				if allowed := factor*perSecond*span.Seconds() + slack; float64(sent) > allowed {
+					t.Errorf("%d requests in %v, %v allowed", sent, span, allowed)
+				}
+			}
+		})
+	}
+}
+
+// More hosts may send while peers tell of few requests, but only where nearly all hosts are heard; fewer may
+// when peers tell of many.
+func TestTurnsFollowWhatPeersHaveSent(t *testing.T) {
+	is := is.New(t)
+	a := born("a", 1000)
+	all := limitedFleet(300, []roster.Target{a})
+	// count returns how many hosts may send if peers tell of so many requests until so long ago.
+	count := func(now time.Time, sent int, age time.Duration) int {
+		n := 0
+		for _, p := range all {
+			p.SetLimit(now.Add(-20*time.Second), a, 50, true)
+			for before := 10 * time.Second; before >= 0; before -= 100 * time.Millisecond {
+				p.SetPeerLoads(now.Add(-before-age), "others", map[uint32]dispatch.Load{dispatch.KeyOf(a.ID): {Sent: sent}})
+				if d := p.Plan(now.Add(-before), plainJob, nil); before == 0 && !d.Refused() {
+					n++
+				}
+			}
+		}
+		return n
+	}
+	minute := func(n int) time.Time { return start.Add(time.Duration(n) * time.Minute) }
+	usual, few, many, unheard := count(minute(1), 230, 0), count(minute(2), 100, 0), count(minute(3), 1000, 0), count(minute(4), 100, 2*time.Second)
+	t.Logf("usual %d, few %d, many %d, unheard %d", usual, few, many, unheard)
+	is.True(float64(few) > 1.2*float64(usual))
+	is.True(float64(many) < 0.5*float64(usual))
+	is.True(float64(unheard) < 1.1*float64(usual))
+	is.True(many > 0)
+}
--- a/dispatch/notice.go
+++ b/dispatch/notice.go
@@ -15,8 +15,9 @@
 	startedMillis int64
 	leaving       bool
 	closedUntil   time.Time
-	at            time.Time // of the last change
-	limit         *limit    // nil if the target names none
+	at            time.Time           // of the last change
+	limit         *limit              // nil if the target names none
+	peers         map[string]peerLoad // the loads of peers at the target
 	// limitedAt is when the target last named a limit, or that it has none any more, by the clock that all
 	// hosts share; zero if it never named one.
 	limitedAt time.Time
@@ -46,7 +47,7 @@
 		p.notices[id] = n
 	}
 	if s != nil && s.target.StartedMillis == startedMillis {
-		s.notice = n
+		s.attach(n)
 	}
 	return n
 }
@@ -89,12 +90,23 @@
 // allows tells whether the limit that the target names lets this host send it a request now.
 func (n *notice) allows(now time.Time) bool { return n == nil || n.limit.allows(now) }
 
+// sent returns the number of requests that this host has sent lately, if hosts take turns.
+func (n *notice) sent(now time.Time) int {
+	if n == nil || n.limit == nil {
+		return 0
+	}
+	return n.limit.turns.sent(now)
+}
+
 // limited tells whether the target names a limit.
 func (n *notice) limited() bool { return n != nil && n.limit != nil }
 
 // left tells whether the target has said that it leaves.
 func (n *notice) left() bool { return n != nil && n.leaving }
 
+// attach connects a listed target to what it has said.
+func (s *state) attach(n *notice) { s.notice, n.peers = n, s.peers }
+
 // attachNotices connects the listed targets to what they have said, and drops old notices.
 func (p *Planner) attachNotices(now time.Time) {
 	for id, n := range p.notices {
@@ -103,7 +115,7 @@
 		case s == nil && now.Sub(n.at) > noticeTTL, s != nil && s.target.StartedMillis > n.startedMillis:
 			delete(p.notices, id)
 		case s != nil && s.target.StartedMillis == n.startedMillis:
-			s.notice = n
+			s.attach(n)
 		}
 	}
 }
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -61,7 +61,7 @@
 
 // ownLoad returns the load that this host has at the target.
 func (s *state) ownLoad(now time.Time) Load {
-	l := Load{Active: len(s.jobs)}
+	l := Load{Active: len(s.jobs), Sent: s.notice.sent(now)}
 	for _, r := range s.jobs {
 		l.PendingTokens += r.remaining(now)
 	}
--- a/internal/targetbench/limit_fleet.go
+++ b/internal/targetbench/limit_fleet.go
@@ -35,9 +35,9 @@
 // cuts are those of a load with faults.
 var cuts = []cut{{12 * time.Second, 27 * time.Second, 1}, {35 * time.Second, 50 * time.Second, loadGroups / 2}}
 
-// entitledHost is the planner of a node. Its planner is nil while it is down.
-type entitledHost struct {
-	fleet   *entitledFleet
+// turnsHost is the planner of a node. Its planner is nil while it is down.
+type turnsHost struct {
+	fleet   *turnsFleet
 	index   int
 	group   int
 	name    string
@@ -46,26 +46,31 @@
 	started time.Time
 }
 
-// entitledFleet is all hosts, and what they know of each other.
-type entitledFleet struct {
+// turnsFleet is all hosts, and what they know of each other.
+type turnsFleet struct {
 	load   LimitLoad
 	target roster.Target
 	random *rand.Rand
-	hosts  []*entitledHost
+	hosts  []*turnsHost
 	// heardAt is when each host was last heard of by those that are cut off, and by the others.
 	heardAt [2][]time.Time
 	history [][loadGroups]dispatch.Load // by group, in the last exchanges, oldest first
 	rounds  int
+	cut     int // number of groups that are cut off
+	groups  [loadGroups]string
 }
 
-// Entitled is what nodes do.
-func Entitled(load LimitLoad) ([]Sender, func(time.Time)) {
-	f := &entitledFleet{load: load, target: roster.Target{ID: "t-1", Service: "desk", Zone: "a", Slots: 4, StartedMillis: 1}, random: rand.New(rand.NewPCG(load.Seed, 1))}
+// Turns is what nodes do.
+func Turns(load LimitLoad) ([]Sender, func(time.Time)) {
+	f := &turnsFleet{load: load, target: roster.Target{ID: "t-1", Service: "desk", Zone: "a", Slots: 4, StartedMillis: 1}, random: rand.New(rand.NewPCG(load.Seed, 1))}
 	var all []Sender
 	for i := range load.Hosts {
-		h := &entitledHost{fleet: f, index: i, group: i % loadGroups, name: fmt.Sprint("h-", i), offset: time.Duration(f.random.Int64N(int64(maxClockDifference)))}
+		h := &turnsHost{fleet: f, index: i, group: i % loadGroups, name: fmt.Sprint("h-", i), offset: time.Duration(f.random.Int64N(int64(maxClockDifference)))}
 		f.hosts, all = append(f.hosts, h), append(all, h)
 	}
+	for g := range f.groups {
+		f.groups[g] = fmt.Sprint("group ", g)
+	}
 	for side := range f.heardAt {
 		f.heardAt[side] = make([]time.Time, load.Hosts)
 		for i := range f.heardAt[side] {
@@ -80,16 +85,16 @@
 }
 
 // start starts the process of a host.
-func (h *entitledHost) start(now time.Time) {
+func (h *turnsHost) start(now time.Time) {
 	h.planner, h.started = dispatch.New(dispatch.DefaultPolicy(), "a", uint64(h.index)), now
 	h.planner.SetTargets(now, []roster.Target{h.fleet.target})
 	h.look(now)
 }
 
 // look tells a host which hosts are live.
-func (h *entitledHost) look(now time.Time) {
+func (h *turnsHost) look(now time.Time) {
 	var live []string
-	for i, at := range h.fleet.heardAt[h.fleet.side(now, h)] {
+	for i, at := range h.fleet.heardAt[h.fleet.side(h)] {
 		if now.Sub(at) < hostLiveness && now.Sub(h.started) >= firstView {
 			live = append(live, h.fleet.hosts[i].name)
 		}
@@ -98,7 +103,7 @@
 }
 
 // Send implements Sender.
-func (h *entitledHost) Send(now time.Time) bool {
+func (h *turnsHost) Send(now time.Time) bool {
 	if h.planner == nil {
 		return false
 	}
@@ -113,7 +118,7 @@
 }
 
 // cutGroups returns the number of groups that are cut off at a time.
-func (f *entitledFleet) cutGroups(now time.Time) int {
+func (f *turnsFleet) cutGroups(now time.Time) int {
 	for _, c := range cuts {
 		if at := now.Sub(epoch); f.load.Faults && at >= c.from && at < c.to {
 			return c.groups
@@ -123,16 +128,17 @@
 }
 
 // side returns 1 for a host that is cut off, else 0.
-func (f *entitledFleet) side(now time.Time, h *entitledHost) int {
-	if h.group < f.cutGroups(now) {
+func (f *turnsFleet) side(h *turnsHost) int {
+	if h.group < f.cut {
 		return 1
 	}
 	return 0
 }
 
 // exchange lets hosts tell each other of their loads and of the limit.
-func (f *entitledFleet) exchange(now time.Time) {
+func (f *turnsFleet) exchange(now time.Time) {
 	f.rounds++
+	f.cut = f.cutGroups(now)
 	if f.load.Faults {
 		f.crash(now)
 	}
@@ -162,9 +168,9 @@
 }
 
 // tell brings a host the loads of the others that it can hear.
-func (f *entitledFleet) tell(now time.Time, h *entitledHost, own dispatch.Load) {
+func (f *turnsFleet) tell(now time.Time, h *turnsHost, own dispatch.Load) {
 	for g := range loadGroups {
-		if (g < f.cutGroups(now)) != (f.side(now, h) == 1) {
+		if (g < f.cut) != (f.side(h) == 1) {
 			continue
 		}
 		sum := f.history[0][g]
@@ -175,19 +181,19 @@
 		if sum != (dispatch.Load{}) {
 			loads[dispatch.KeyOf(f.target.ID)] = sum
 		}
-		h.planner.SetPeerLoads(now.Add(-loadRounds*gossipSteps*limitStep), fmt.Sprint("group ", g), loads)
+		h.planner.SetPeerLoads(now.Add(-loadRounds*gossipSteps*limitStep), f.groups[g], loads)
 	}
 }
 
 // tellLimit brings the limit that one host knows to all that can hear it.
-func (f *entitledFleet) tellLimit(now time.Time) {
+func (f *turnsFleet) tellLimit(now time.Time) {
 	teller := f.hosts[f.random.IntN(len(f.hosts))]
 	if teller.planner == nil {
 		return
 	}
 	for _, news := range teller.planner.LimitNews(now, 1, time.Hour) {
 		for _, h := range f.hosts {
-			if h.planner != nil && f.side(now, h) == f.side(now, teller) {
+			if h.planner != nil && f.side(h) == f.side(teller) {
 				h.planner.ApplyLimit(now, news)
 			}
 		}
@@ -195,20 +201,20 @@
 }
 
 // hear notes which hosts are heard of.
-func (f *entitledFleet) hear(now time.Time) {
+func (f *turnsFleet) hear(now time.Time) {
 	for i, h := range f.hosts {
 		if h.planner == nil {
 			continue
 		}
-		f.heardAt[f.side(now, h)][i] = now
-		if f.cutGroups(now) == 0 {
+		f.heardAt[f.side(h)][i] = now
+		if f.cut == 0 {
 			f.heardAt[1][i] = now
 		}
 	}
 }
 
 // crash lets a host crash now and then, and starts those that have been down long enough.
-func (f *entitledFleet) crash(now time.Time) {
+func (f *turnsFleet) crash(now time.Time) {
 	for _, h := range f.hosts {
 		if h.planner == nil && now.Sub(h.started) >= downTime {
 			h.start(now)
@@ -222,5 +228,5 @@
 
 // add adds so many times a load to another one.
 func add(sum, l dispatch.Load, times int) dispatch.Load {
-	return dispatch.Load{PendingTokens: max(sum.PendingTokens+times*l.PendingTokens, 0), Active: max(sum.Active+times*l.Active, 0)}
+	return dispatch.Load{PendingTokens: max(sum.PendingTokens+times*l.PendingTokens, 0), Active: max(sum.Active+times*l.Active, 0), Sent: max(sum.Sent+times*l.Sent, 0)}
 }
--- a/internal/targetbench/report.go
+++ b/internal/targetbench/report.go
@@ -124,5 +124,5 @@
 
 // LimitPolicies returns the policies that Print compares; the last one is that of nodes.
 func LimitPolicies() []LimitPolicy {
-	return []LimitPolicy{{"each alone", Alone}, {"equal shares", EqualShares}, {"entitled", Entitled}}
+	return []LimitPolicy{{"each alone", Alone}, {"equal shares", EqualShares}, {"turns", Turns}}
 }
--- a/internal/targetbench/targetbench_test.go
+++ b/internal/targetbench/targetbench_test.go
@@ -34,7 +34,7 @@
 func TestLimitHoldsForAllHostsTogether(t *testing.T) {
 	for _, load := range LimitLoads() {
 		t.Run(fmt.Sprint(load), func(t *testing.T) {
-			r := ReplayLimit(load, Entitled)
+			r := ReplayLimit(load, Turns)
 			t.Logf("%+v", r)
 			if float64(r.Most) > r.Allowed {
 				t.Errorf("%d requests in %v, %v allowed", r.Most, limitSpan, r.Allowed)
@@ -55,7 +55,7 @@
 			load.Seed = seed
 			t.Run(fmt.Sprintf("%d hosts, %v, %s, seed %d", load.Hosts, load.PerSecond, load.kind(), seed), func(t *testing.T) {
 				t.Parallel()
-				r := ReplayLimit(load, Entitled)
+				r := ReplayLimit(load, Turns)
 				t.Logf("%+v", r)
 				if float64(r.Most) > r.Allowed {
 					t.Errorf("%d requests in %v, %v allowed", r.Most, limitSpan, r.Allowed)
@@ -64,3 +64,23 @@
 		}
 	}
 }
+
+// Each of 300 hosts has little demand, and all together far more than a target takes that names a limit. The
+// target gets most of what it takes, even if most requests come at a few hosts.
+func TestTargetGetsMostOfItsLimitFromManyHosts(t *testing.T) {
+	for _, c := range []struct {
+		perSecond float64
+		uneven    bool
+		least     float64 // share of the limit
+	}{{1, false, 0.8}, {12.5, false, 0.8}, {12.5, true, 0.7}} {
+		load := LimitLoad{Hosts: 300, PerSecond: c.perSecond, Uneven: c.uneven, Steps: 3 * limitSteps}
+		t.Run(fmt.Sprint(c.perSecond, load.kind()), func(t *testing.T) {
+			t.Parallel()
+			r := ReplayLimit(load, Turns)
+			t.Logf("%+v", r)
+			if r.Mean < c.least*c.perSecond {
+				t.Errorf("%.2f requests a second reach a target that takes %v", r.Mean, c.perSecond)
+			}
+		})
+	}
+}
--- a/node/gossip.go
+++ b/node/gossip.go
@@ -158,7 +158,7 @@
 	n.handler.PlannerMu.Lock()
 	defer n.handler.PlannerMu.Unlock()
 	for key, l := range n.handler.Planner.Loads(time.Now()) {
-		d.Loads = append(d.Loads, &wire.TargetLoad{Target: key, UnreadTokens: uint32(l.PendingTokens), Active: uint32(l.Active)})
+		d.Loads = append(d.Loads, &wire.TargetLoad{Target: key, UnreadTokens: uint32(l.PendingTokens), Active: uint32(l.Active), Sent: uint32(l.Sent)})
 	}
 }
 
@@ -222,7 +222,7 @@
 func loadsOf(all []*wire.TargetLoad) map[uint32]dispatch.Load {
 	loads := make(map[uint32]dispatch.Load, len(all))
 	for _, l := range all {
-		loads[l.Target] = dispatch.Load{PendingTokens: int(l.UnreadTokens), Active: int(l.Active)}
+		loads[l.Target] = dispatch.Load{PendingTokens: int(l.UnreadTokens), Active: int(l.Active), Sent: int(l.Sent)}
 	}
 	return loads
 }
--- a/peers/peers_test.go
+++ b/peers/peers_test.go
@@ -304,7 +304,7 @@
 	is := is.New(t)
 	s := &wire.ZoneSummary{Zone: "z", Demand: []*wire.ServiceDemand{{Service: "model", Tokens: 1}}}
 	for i := range 300 {
-		s.Loads = append(s.Loads, &wire.TargetLoad{Target: uint32(i) * 2654435761, UnreadTokens: 90_000, Active: 12})
+		s.Loads = append(s.Loads, &wire.TargetLoad{Target: uint32(i) * 2654435761, UnreadTokens: 90_000, Active: 12, Sent: 200})
 	}
 	seen := 0
 	for i, part := range splitSummary(s) {
@@ -322,6 +322,19 @@
 	is.Equal(seen, 300)
 }
 
+// The summary of a zone adds up what its hosts have lately sent to targets with a limit, and a host tells its
+// relays when that changes.
+func TestSummaryAddsUpRequestsSent(t *testing.T) {
+	is := is.New(t)
+	load := func(sent uint32) []*wire.TargetLoad { return []*wire.TargetLoad{{Target: 7, Sent: sent}} }
+	own, other := digest("1", 1, 1), digest("2", 1, 1)
+	own.Loads, other.Loads = load(3), load(4)
+	s := summary("z", own, []*Peer{{load: other}})
+	is.Equal(len(s.Loads), 1)
+	is.Equal(s.Loads[0].Sent, uint32(7))
+	is.True(loadsHash(load(3)) != loadsHash(load(4)))
+}
+
 // In a large fleet usage counts go only to the hosts that report them.
 func TestUsageGoesToReporters(t *testing.T) {
 	is := is.New(t)
--- a/peers/relay.go
+++ b/peers/relay.go
@@ -186,12 +186,12 @@
 	return m.send(d, []string{relays[m.relayTurn%len(relays)]})
 }
 
-// loadsHash returns a number that changes with the requests under way at any target. It
+// loadsHash returns a number that changes with the requests under way or lately sent at any target. It
 // leaves out the tokens, which every host counts down by itself.
 func loadsHash(loads []*wire.TargetLoad) uint64 {
 	sum := uint64(len(loads))
 	for _, l := range loads {
-		x := uint64(l.Target)<<32 | uint64(l.Active)<<1
+		x := uint64(l.Target)<<32 | uint64(l.Sent&0xff)<<24 | uint64(l.Active&0x7fffff)<<1
 		if l.UnreadTokens > 0 {
 			x |= 1
 		}
@@ -335,6 +335,7 @@
 			}
 			sum.UnreadTokens += l.UnreadTokens
 			sum.Active += l.Active
+			sum.Sent += l.Sent
 		}
 		for _, x := range d.Demand {
 			sum := demand[x.Service]
