Ask for eight tenths of a limit where demand is uneven, too

Cause: the test asked for 0.7 there, near the figure, while the aim is 0.8. Change: one bound for all cases; the uneven one is listed as limit-uneven.

--- a/internal/targetbench/targetbench_test.go
+++ b/internal/targetbench/targetbench_test.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"testing"
+
 	"time"
+	"zinniapin/internal/knownred"
 )
 
 // Requests with a part that crashes targets come beside sound ones, or targets crash all by themselves. The
@@ -68,18 +70,22 @@
 // Each of 300 hosts has little demand, and all together far more than a target takes that names a limit. The
 // target gets most of what it takes, even if most requests come at a few hosts.
 func TestTargetGetsMostOfItsLimitFromManyHosts(t *testing.T) {
+	const least = 0.8 // share of the limit
 	for _, c := range []struct {
 		perSecond float64
 		uneven    bool
-		least     float64 // share of the limit
-	}{{1, false, 0.8}, {12.5, false, 0.8}, {12.5, true, 0.7}} {
+	}{{1, false}, {12.5, false}, {12.5, true}} {
 		load := LimitLoad{Hosts: 300, PerSecond: c.perSecond, Uneven: c.uneven, Steps: 3 * limitSteps}
 		t.Run(fmt.Sprint(c.perSecond, load.kind()), func(t *testing.T) {
 			t.Parallel()
 			r := ReplayLimit(load, Turns)
 			t.Logf("%+v", r)
-			if r.Mean < c.least*c.perSecond {
-				t.Errorf("%.2f requests a second reach a target that takes %v", r.Mean, c.perSecond)
+			if r.Mean < least*c.perSecond {
+				tag := "limit-even"
+				if c.uneven {
+					tag = "limit-uneven"
+				}
+				knownred.Fail(t, "../../KNOWN-RED.txt", tag, "%.2f requests a second reach a target that takes %v", r.Mean, c.perSecond)
 			}
 		})
 	}
