List what others may do to a node, and check the names in the list

docs/FREEDOMS.md has one row a behaviour: who, what, the deciding function, the switch of a stand-in, a test, and whether the soak of real nodes draws it.

--- a/Makefile
+++ b/Makefile
@@ -30,7 +30,7 @@
 	@unformatted="$$(gofmt -l $$(git ls-files '*.go'))"; \
 	if [ -n "$$unformatted" ]; then echo "not gofmt-clean: $$unformatted"; exit 1; fi
 
-# Pages that are generated from tables in the code.
+# Pages that are generated from tables in the code; checks the names in docs/FREEDOMS.md.
 docs:
 	go run ./internal/docgen
 
--- a/internal/docgen/main.go
+++ b/internal/docgen/main.go
@@ -1,10 +1,12 @@
 // Command docgen writes the pages of docs/ that are generated from texts in the code. Tests
-// check that the pages are up to date.
+// check that the pages are up to date. It also checks the names in docs/FREEDOMS.md.
 package main
 
 import (
+	"errors"
 	"fmt"
 	"os"
+	"strings"
 
 	"zinniapin/event"
 	"zinniapin/result"
@@ -19,6 +21,27 @@
 		exitWith(err)
 	}
 	writePage("docs/SETTINGS.md", page)
+	reportFreedoms(".")
+}
+
+// reportFreedoms prints what is wrong in docs/FREEDOMS.md and how many of its cells are open, by column.
+// It exits if anything is wrong.
+func reportFreedoms(root string) {
+	rows, mistakes, err := checkFreedoms(root)
+	if err != nil {
+		exitWith(err)
+	}
+	if len(mistakes) > 0 {
+		exitWith(errors.New(strings.Join(mistakes, "\n")))
+	}
+	open := make(map[string]int)
+	for i := range rows {
+		for _, column := range rows[i].openColumns() {
+			open[column]++
+		}
+	}
+	fmt.Printf("%s: %d rows; open: %d answers, %d switches, %d tests, %d not drawn\n", freedomsPage,
+		len(rows), open["answered by"], open["switch"], open["test"], open["soak"])
 }
 
 // exitWith prints an error and exits with status 1.
