Take the switches of the stand-ins from one struct

The stand-ins of the prepared machines were set by fields, methods and lists of faults in five places, and lacked much of what the protocol allows.

prepared.Switches holds the switches of targets, the store and the server of the duties; its zero value is calm. Targets embed theirs, so tests set fields as before, and Change sets them while requests come.

--- a/internal/standin/prepared/crash.go
+++ b/internal/standin/prepared/crash.go
@@ -10,24 +10,21 @@
 
 // crasher makes a target end as a killed process does and start again at the same address.
 type crasher struct {
-	parts        []string // parts of prompts that end the target
-	bodies       []string // bodies of requests that end the target
-	restartAfter time.Duration
-	crashes      []Crash
-	connections  map[net.Conn]struct{}
+	crashes     []Crash
+	connections map[net.Conn]struct{}
 }
 
 // Crash is an end of a target.
 type Crash struct {
 	At   time.Time
-	Part string // of the prompt that ended it, or the body of the request that did
+	Part string // of the prompt that ended it, or the body of the request that did; empty if none did
 }
 
 // CrashOn makes the target end whenever it begins to write the answer to a request with one of these
 // parts in its prompt, the last one excepted, and start again after some time.
 func (t *Target) CrashOn(restartAfter time.Duration, parts ...string) {
 	t.mu.Lock()
-	t.crasher.parts, t.crasher.restartAfter = parts, restartAfter
+	t.CrashParts, t.RestartAfter = parts, restartAfter
 	t.mu.Unlock()
 }
 
@@ -35,17 +32,17 @@
 // again after some time.
 func (t *Target) CrashOnBody(restartAfter time.Duration, bodies ...string) {
 	t.mu.Lock()
-	t.crasher.bodies, t.crasher.restartAfter = bodies, restartAfter
+	t.CrashBodies, t.RestartAfter = bodies, restartAfter
 	t.mu.Unlock()
 }
 
 // crashOnBody ends the target if a body is one of CrashOnBody, and returns whether it did.
 func (t *Target) crashOnBody(body string) bool {
 	t.mu.Lock()
-	fatal := slices.Contains(t.crasher.bodies, body)
+	fatal := slices.Contains(t.CrashBodies, body)
 	t.mu.Unlock()
 	if fatal {
-		t.crash(body)
+		t.Crash(body)
 	}
 	return fatal
 }
@@ -71,20 +68,18 @@
 // crashIfPoisoned ends the target if the prompt of a request has the part of CrashOn, and returns
 // whether it did.
 func (t *Target) crashIfPoisoned(h http.Header) bool {
-	t.mu.Lock()
-	parts := t.crasher.parts
-	t.mu.Unlock()
-	for _, part := range parts {
+	for _, part := range t.switches().CrashParts {
 		if HasPart(h, part) {
-			t.crash(part)
+			t.Crash(part)
 			return true
 		}
 	}
 	return false
 }
 
-// crash closes the listener and resets all connections. The target starts again at the same address.
-func (t *Target) crash(part string) {
+// Crash closes the listener and resets all connections. The target starts again at the same address. The
+// part is that of the prompt that ended it, if one did.
+func (t *Target) Crash(part string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.listener == nil {
@@ -95,12 +90,9 @@
 	_ = t.listener.Close()
 	t.listener = nil
 	for c := range t.crasher.connections {
-		if tcp, ok := c.(*net.TCPConn); ok {
-			_ = tcp.SetLinger(0)
-		}
-		_ = c.Close()
+		reset(c)
 	}
-	time.AfterFunc(t.crasher.restartAfter, func() { t.listenAgain(address) })
+	time.AfterFunc(t.RestartAfter, func() { t.listenAgain(address) })
 }
 
 // listenAgain opens the listener anew, unless the target was closed for good.
--- a/internal/standin/prepared/store.go
+++ b/internal/standin/prepared/store.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"io"
 	"maps"
+	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
 	"sort"
@@ -37,19 +38,19 @@
 type Store struct {
 	server *httptest.Server
 
-	mu            sync.Mutex
-	objects       map[string]map[string]Object // by kind and name
-	history       []storeChange                // oldest first
-	revision      uint64                       // of the last change
-	compactedTo   uint64                       // the history holds only changes after this revision
-	changed       chan struct{}                // closed and replaced to wake watches
-	down          bool                         // every call gets status 503
-	unresponsive  bool                         // no call gets an answer
-	answersToLose int                          // number of writes to carry out without an answer
-	calls         map[string]int               // by method and kind of object, separated by a blank
-	closing       chan struct{}
-	era           uint64 // in the answers' Store-Era header, unless it is 0
-	copy          storeCopy
+	mu          sync.Mutex
+	objects     map[string]map[string]Object // by kind and name
+	history     []storeChange                // oldest first
+	revision    uint64                       // of the last change
+	compactedTo uint64                       // the history holds only changes after this revision
+	changed     chan struct{}                // closed and replaced to wake watches
+	switches    StoreSwitches
+	setTimes    int // how often Change was called, which ends the compactions of earlier switches
+	random      *rand.Rand
+	calls       map[string]int // by method and kind of object, separated by a blank
+	closing     chan struct{}
+	era         uint64 // in the answers' Store-Era header, unless it is 0
+	copy        storeCopy
 }
 
 // storeCopy is a copy of the store's contents.
@@ -60,7 +61,7 @@
 
 // NewStore starts a store on loopback and returns it.
 func NewStore() *Store {
-	s := &Store{objects: make(map[string]map[string]Object), revision: 1, changed: make(chan struct{}), calls: make(map[string]int), closing: make(chan struct{})}
+	s := &Store{objects: make(map[string]map[string]Object), revision: 1, changed: make(chan struct{}), calls: make(map[string]int), random: newRandom("store"), closing: make(chan struct{})}
 	s.server = httptest.NewServer(http.HandlerFunc(s.serve))
 	return s
 }
@@ -75,31 +76,6 @@
 	s.server.Close()
 }
 
-// SetDown sets whether the store answers every call with status 503. Going down also
-// closes the open connections.
-func (s *Store) SetDown(down bool) {
-	s.mu.Lock()
-	s.down = down
-	s.mu.Unlock()
-	if down {
-		s.server.CloseClientConnections()
-	}
-}
-
-// SetSilent sets whether the store leaves every call unanswered.
-func (s *Store) SetSilent(silent bool) {
-	s.mu.Lock()
-	s.unresponsive = silent
-	s.mu.Unlock()
-}
-
-// LoseAnswers makes the next n writes take effect without an answer.
-func (s *Store) LoseAnswers(n int) {
-	s.mu.Lock()
-	s.answersToLose = n
-	s.mu.Unlock()
-}
-
 // Compact drops the change history. A watch that needs a dropped change gets status 410.
 func (s *Store) Compact() {
 	s.mu.Lock()
@@ -208,26 +184,31 @@
 	kind, name, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/objects/"), "/")
 	s.mu.Lock()
 	s.calls[r.Method+" "+kind]++
-	down, silent, era := s.down, s.unresponsive, s.era
+	switches, era := s.switches, s.era
+	refused := s.random.Float64() < switches.RefuseShare
 	s.mu.Unlock()
 	if era > 0 {
 		w.Header().Set("Store-Era", strconv.FormatUint(era, 10))
 	}
-	if silent {
+	switch {
+	case switches.Silent:
 		s.holdUnanswered(r)
 		return
-	}
-	if down {
+	case switches.Down:
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
+	case refused:
+		w.WriteHeader(http.StatusTooManyRequests)
+		return
 	}
+	time.Sleep(switches.Delay)
 	switch {
 	case r.Method == http.MethodGet && name != "":
 		s.get(w, kind, name)
 	case r.Method == http.MethodGet && r.URL.Query().Has("Watch"):
 		s.watch(w, r, kind)
 	case r.Method == http.MethodGet:
-		s.list(w, kind)
+		s.list(w, kind, r.URL.Query().Get("after"), switches.PageSize)
 	default:
 		s.put(w, r, kind, name)
 	}
@@ -255,17 +236,24 @@
 	reply(w, http.StatusOK, o)
 }
 
-// list answers with all objects of a kind, sorted by name.
-func (s *Store) list(w http.ResponseWriter, kind string) {
+// list answers with the objects of a kind whose names are higher than one, sorted by name; with those of
+// one page if pages have a size.
+func (s *Store) list(w http.ResponseWriter, kind, after string, pageSize int) {
 	s.mu.Lock()
 	items := make([]Object, 0, len(s.objects[kind]))
-	for _, o := range s.objects[kind] {
-		items = append(items, o)
+	for name, o := range s.objects[kind] {
+		if name > after {
+			items = append(items, o)
+		}
 	}
 	revision := s.revision
 	s.mu.Unlock()
 	sort.Slice(items, func(i, j int) bool { return items[i].Metadata.Name < items[j].Metadata.Name })
-	reply(w, http.StatusOK, map[string]any{"items": items, "HasMore": false, "CurrentRev": revision})
+	more := pageSize > 0 && len(items) > pageSize
+	if more {
+		items = items[:pageSize]
+	}
+	reply(w, http.StatusOK, map[string]any{"items": items, "HasMore": more, "CurrentRev": revision})
 }
 
 // watch answers with the changes of a kind after a revision, as soon as there are any;
@@ -275,6 +263,7 @@
 	after, _ := strconv.ParseUint(r.URL.Query().Get("Watch"), 10, 64)
 	waitMillis, _ := strconv.Atoi(r.URL.Query().Get("WaitMs"))
 	timeout := time.After(time.Duration(waitMillis) * time.Millisecond)
+	cut := s.watchLimit()
 	for {
 		events := []map[string]any{}
 		s.mu.Lock()
@@ -297,6 +286,8 @@
 				continue
 			case <-r.Context().Done():
 				return
+			case <-cut:
+				panic(http.ErrAbortHandler) // closes the connection without an answer
 			case <-timeout:
 				timedOut = true
 			}
@@ -317,29 +308,38 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	if by, late := s.nextLate(); late {
+		time.AfterFunc(by, func() { s.apply(r.Method, kind, name, o) })
+		s.holdUnanswered(r)
+		return
+	}
+	result, status, lost := s.apply(r.Method, kind, name, o)
+	if lost {
+		s.holdUnanswered(r)
+		return
+	}
+	reply(w, status, result)
+}
+
+// apply carries out a write if its condition holds. It returns the object, the status of the answer and
+// whether the answer is lost.
+func (s *Store) apply(method, kind, name string, o Object) (result Object, status int, lost bool) {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	current, exists := s.objects[kind][o.Metadata.Name]
-	conflict := r.Method == http.MethodPost && exists ||
-		r.Method == http.MethodPut && (!exists || o.Metadata.Revision != 0 && o.Metadata.Revision != current.Metadata.Revision)
+	conflict := method == http.MethodPost && exists ||
+		method == http.MethodPut && (!exists || o.Metadata.Revision != 0 && o.Metadata.Revision != current.Metadata.Revision)
 	if conflict {
-		s.mu.Unlock()
-		reply(w, http.StatusConflict, current)
-		return
+		return current, http.StatusConflict, false
 	}
 	if name == "" {
 		name = o.Metadata.Name
 	}
-	written := s.write(kind, name, o.Spec)
-	lost := s.answersToLose > 0
-	if lost {
-		s.answersToLose--
-	}
-	s.mu.Unlock()
-	if lost {
-		s.holdUnanswered(r)
-		return
+	lost = s.switches.AnswersToLose > 0 || s.random.Float64() < s.switches.LoseShare
+	if s.switches.AnswersToLose > 0 {
+		s.switches.AnswersToLose--
 	}
-	reply(w, http.StatusOK, written)
+	return s.write(kind, name, o.Spec), http.StatusOK, lost
 }
 
 // reply writes a response with a JSON body.
--- a/internal/standin/prepared/target.go
+++ b/internal/standin/prepared/target.go
@@ -4,8 +4,11 @@
 	"bufio"
 	"fmt"
 	"io"
+	"maps"
+	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -25,6 +28,7 @@
 	RunAndReset    Fault = "lost"      // executes it and resets the connection
 	RunAndHang     Fault = "mute"      // executes it and never answers
 	WrongRequestID Fault = "foreign"   // answers with the id of another request
+	Garbage        Fault = "garbage"   // answers with bytes that are no response
 	Truncated      Fault = "truncated" // breaks off in the middle of the answer
 	BrokenStream   Fault = "broken"    // breaks off a stream inside its third event
 	ExtraResponse  Fault = "extra"     // sends a second response after the first
@@ -50,26 +54,18 @@
 	listener     net.Listener // nil after a crash, until the target starts again
 	closed       bool
 	crasher      crasher
-	faults       []Fault // one per request to come; NoFault after the last
 	arrivals     []Arrival
 	abandoned    int // requests whose caller disconnected during execution
 	freedHandles []string
-	header       string // further header lines of all responses, each with its line end
 	silentUntil  time.Time
-	// Events is the number of events in a stream, EventPause the time before each event,
-	// and BreakAfter the number of events after which a stream breaks off in the middle of
-	// the next event; 0 means that it does not.
-	Events     int
-	EventPause time.Duration
-	BreakAfter int
-	// EndBroken makes a chunked stream that breaks off end with its last chunk.
-	EndBroken bool
-	// UntilClose makes streams have neither a length nor chunks; they end with their connection.
-	UntilClose bool
+	random       *rand.Rand
+	setTimes     int // how often Set was called, which ends the disturbances of earlier switches
+	// TargetSwitches may be changed directly before the first request, and by Set at any time.
+	TargetSwitches
+	// Events is the number of events in a stream.
+	Events int
 	// FirstID is the id of the first event of a new stream.
 	FirstID int
-	// Delay is the time before the target responds.
-	Delay time.Duration
 	// Echo makes the body of a plain response the id of its request.
 	Echo bool
 	// Stage is the stage that an engine runs; empty for plain services.
@@ -84,7 +80,7 @@
 	if err != nil {
 		panic(err) // listening on loopback works on every machine that runs the tests
 	}
-	t := &Target{ID: id, address: l.Addr().String(), listener: l, Events: 3, FirstID: 1}
+	t := &Target{ID: id, address: l.Addr().String(), listener: l, random: newRandom(id), Events: 3, FirstID: 1}
 	go t.accept(l)
 	return t
 }
@@ -102,51 +98,6 @@
 	}
 }
 
-// SetFaults sets the faults of the next requests, one fault per request.
-func (t *Target) SetFaults(faults ...Fault) {
-	t.mu.Lock()
-	t.faults = faults
-	t.mu.Unlock()
-}
-
-// SetHeader sets further header lines of all responses, each with its line end.
-func (t *Target) SetHeader(lines string) {
-	t.mu.Lock()
-	t.header = lines
-	t.mu.Unlock()
-}
-
-// SetHeaderUnless is SetHeader, unless the header lines contain a text.
-func (t *Target) SetHeaderUnless(text, lines string) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if !strings.Contains(t.header, text) {
-		t.header = lines
-	}
-}
-
-// FallSilent makes the target send nothing on any connection for a time. It goes on with its answers after
-// that.
-func (t *Target) FallSilent(d time.Duration) {
-	t.mu.Lock()
-	t.silentUntil = time.Now().Add(d)
-	t.mu.Unlock()
-}
-
-// silence returns how much longer the target sends nothing.
-func (t *Target) silence() time.Duration {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return max(time.Until(t.silentUntil), 0)
-}
-
-// extraHeader returns what SetHeader set.
-func (t *Target) extraHeader() string {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.header
-}
-
 // Arrivals returns the requests that the target received. Requests to free a handle and
 // those with the fault EarlyResponse are not among them.
 func (t *Target) Arrivals() []Arrival {
@@ -200,6 +151,10 @@
 		if err != nil {
 			return
 		}
+		if !t.accepts() {
+			reset(c)
+			continue
+		}
 		go t.serve(c)
 	}
 }
@@ -208,8 +163,12 @@
 func (t *Target) serve(c net.Conn) {
 	defer c.Close() //nolint:errcheck // nothing more is written
 	defer t.track(c)()
+	time.Sleep(t.switches().AcceptDelay)
 	r := bufio.NewReader(c)
 	for {
+		if !t.awaitRequest(c, r) {
+			return
+		}
 		request, err := http.ReadRequest(r)
 		if err != nil {
 			return
@@ -224,12 +183,18 @@
 func (t *Target) nextFault() Fault {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if len(t.faults) == 0 {
-		return NoFault
+	if len(t.Faults) > 0 {
+		f := t.Faults[0]
+		t.Faults = t.Faults[1:]
+		return f
+	}
+	at := t.random.Float64()
+	for _, f := range slices.Sorted(maps.Keys(t.Shares)) {
+		if at -= t.Shares[f]; at < 0 {
+			return f
+		}
 	}
-	f := t.faults[0]
-	t.faults = t.faults[1:]
-	return f
+	return NoFault
 }
 
 // handle handles one request and returns whether the connection stays open.
@@ -265,9 +230,7 @@
 // respond responds to a request as its fault requires and returns whether the connection
 // stays open.
 func (t *Target) respond(c net.Conn, r *bufio.Reader, request *http.Request, f Fault, prefill bool) bool {
-	if t.Delay > 0 {
-		time.Sleep(t.Delay)
-	}
+	time.Sleep(t.nextDelay())
 	time.Sleep(t.silence())
 	switch f {
 	case RefuseNotRun:
@@ -281,9 +244,10 @@
 	case RunAndFail:
 		return t.reply(c, request, http.StatusInternalServerError, "X-Response-Signature: s\r\n", "failed")
 	case RunAndReset:
-		if tcp, ok := c.(*net.TCPConn); ok {
-			_ = tcp.SetLinger(0)
-		}
+		reset(c)
+		return false
+	case Garbage:
+		_, _ = io.WriteString(c, "\x16\x03\x01 this is no response\r\n\r\n")
 		return false
 	case RunAndHang:
 		_, _ = r.Peek(1) // blocks until the caller disconnects
@@ -301,11 +265,11 @@
 		return t.reply(c, request, http.StatusOK, "", fmt.Sprintf(`{"KvHandle":"h-%s","Tokens":10,"Version":1}`, request.Header.Get("X-Request-Id")))
 	}
 	if request.Header.Get("X-Token-Count") != "" {
-		breakAfter := t.BreakAfter
+		switches := t.switches()
 		if f == BrokenStream {
-			breakAfter = 2
+			switches.BreakAfter = 2
 		}
-		return t.stream(c, r, request, breakAfter)
+		return t.stream(c, r, request, switches)
 	}
 	answer := "answer of " + t.ID
 	if t.Echo {
@@ -318,18 +282,22 @@
 	return keepAlive
 }
 
-// reply writes a complete response and returns whether that succeeded.
+// reply writes a complete response and returns whether the connection stays open.
 func (t *Target) reply(c net.Conn, request *http.Request, status int, header, body string) bool {
+	closing := t.nextCloses()
+	if closing {
+		header += "Connection: close\r\n"
+	}
 	_, err := fmt.Fprintf(c, "HTTP/1.1 %d %s\r\nX-Request-Id: %s\r\n%sContent-Length: %d\r\n\r\n%s",
 		status, http.StatusText(status), request.Header.Get("X-Request-Id"), header+t.extraHeader(), len(body), body)
-	return err == nil
+	return err == nil && !closing
 }
 
 // stream writes a stream of events. It begins after the event that the request names in
 // Last-Event-Id, if it names one.
-func (t *Target) stream(c net.Conn, r *bufio.Reader, request *http.Request, breakAfter int) bool {
+func (t *Target) stream(c net.Conn, r *bufio.Reader, request *http.Request, switches TargetSwitches) bool {
 	coding := t.extraHeader() + "Connection: close\r\n" // the target closes it after the stream
-	if !t.UntilClose {
+	if !switches.UntilClose {
 		coding += "Transfer-Encoding: chunked\r\n"
 	}
 	_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Request-Id: %s\r\nX-Response-Signature: %s\r\n%s\r\n",
@@ -350,30 +318,30 @@
 		first = last + 1
 	}
 	for i := first; i < t.FirstID+t.Events; i++ {
-		if !t.pause(disconnected) {
+		if !t.pause(switches.EventPause, disconnected) {
 			return false
 		}
 		event := Event(i, t.Version)
-		if breakAfter > 0 && i-first >= breakAfter {
-			t.breakInside(c, event)
+		if switches.BreakAfter > 0 && i-first >= switches.BreakAfter {
+			breakInside(c, event, switches)
 			return false
 		}
-		if !t.UntilClose {
+		if !switches.UntilClose {
 			event = fmt.Sprintf("%x\r\n%s\r\n", len(event), event)
 		}
 		if _, err := io.WriteString(c, event); err != nil {
 			return false
 		}
 	}
-	if !t.UntilClose {
+	if !switches.UntilClose {
 		_, _ = io.WriteString(c, "0\r\n\r\n")
 	}
 	return false // the goroutine above may have read from the connection
 }
 
 // pause waits until the next event of a stream is due. It returns false if the caller has disconnected.
-func (t *Target) pause(disconnected <-chan struct{}) bool {
-	for wait := t.EventPause; ; wait = t.silence() {
+func (t *Target) pause(wait time.Duration, disconnected <-chan struct{}) bool {
+	for ; ; wait = t.silence() {
 		select {
 		case <-disconnected:
 			t.mu.Lock()
@@ -394,11 +362,11 @@
 }
 
 // breakInside writes the beginning of an event, after which the stream breaks off.
-func (t *Target) breakInside(c net.Conn, event string) {
+func breakInside(c net.Conn, event string, switches TargetSwitches) {
 	part := event[:5]
 	switch {
-	case t.UntilClose:
-	case t.EndBroken:
+	case switches.UntilClose:
+	case switches.EndBroken:
 		part = fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(part), part)
 	default:
 		part = fmt.Sprintf("%x\r\n%s", len(event), part)
