Draw departures, restarts and outages that pairs lacked, and switches of few targets

Switches were on at all targets or at none, and the pairs had no target that goes dark, starts anew under its id or leaves unannounced, no silent store, no start without the store, no crash of all hosts after an accepted configuration and no settings that change without a signal.

A stand-in that started again after a crash says so in its entry (born), as the protocol has it.

--- a/internal/nodesoak/pairs_test.go
+++ b/internal/nodesoak/pairs_test.go
@@ -14,7 +14,6 @@
 	"github.com/matryer/is"
 
 	"zinniapin/internal/standin/prepared"
-	"zinniapin/platform"
 )
 
 var pairsFlag = flag.Int("nodesoak.pairs", 1, "pairs of switches to run, from -nodesoak.seed on")
@@ -47,97 +46,6 @@
 	}
 }
 
-// recurring is a switch that acts now and then, on average once in a mean time.
-type recurring struct {
-	Name string
-	mean time.Duration
-	act  func(d *deployment)
-}
-
-// recurringSwitches returns the switches of a run that the stand-ins do not have.
-func recurringSwitches() []recurring {
-	return []recurring{
-		{Name: "crashing parts of prompts", mean: 2 * time.Second, act: func(d *deployment) {
-			d.crashPart.Store(crashParts[d.random.IntN(len(crashParts))])
-		}},
-		{Name: "named limits", mean: 2 * time.Second, act: func(d *deployment) {
-			d.limitTarget(d.targets[d.random.IntN(len(d.targets))])
-		}},
-		{Name: "releases", mean: 2500 * time.Millisecond, act: (*deployment).release},
-		{Name: "older copies", mean: 2 * time.Second, act: func(d *deployment) {
-			d.rewind()
-			d.store.TakeCopy()
-			d.copiedAt = time.Now()
-		}},
-		{Name: "cut hosts", mean: 1500 * time.Millisecond, act: func(d *deployment) {
-			node := d.nodes[d.random.IntN(len(d.nodes))]
-			node.disturb()
-			node.store.set(mode(1 + d.random.IntN(4))) // any mode but pass
-			time.AfterFunc(d.faultTime(), func() { node.disturb(); node.store.set(pass) })
-		}},
-		{Name: "freezes", mean: 2 * time.Second, act: func(d *deployment) {
-			node := d.nodes[d.random.IntN(len(d.nodes))]
-			d.signal(node, syscall.SIGSTOP)
-			time.AfterFunc(d.faultTime(), func() { _ = node.signal(syscall.SIGCONT) })
-		}},
-		{Name: "crashes of all hosts", mean: 4 * time.Second, act: func(d *deployment) {
-			for _, node := range d.nodes {
-				d.signal(node, syscall.SIGKILL)
-				time.AfterFunc(d.faultTime()/3, func() { _ = node.start() })
-			}
-		}},
-		{Name: "lapsed entries", mean: 3 * time.Second, act: (*deployment).lapse},
-		{Name: "foreign entries", mean: time.Second, act: func(d *deployment) {
-			entries := []any{nil, []int{1}, map[string]any{"Service": 7}, map[string]any{"Service": "model", "State": "odd", "Address": "127.0.0.1:1"}, map[string]any{"Service": "model", "Address": ""}}
-			d.store.Write(platform.TargetsCollection, fmt.Sprint("foreign-", d.random.IntN(3)), entries[d.random.IntN(len(entries))])
-		}},
-	}
-}
-
-// faultTime draws the length of a fault; see contactTime.
-func (d *deployment) faultTime() time.Duration {
-	return time.Duration(300+d.random.IntN(2500)) * time.Millisecond
-}
-
-// signal signals a node.
-func (d *deployment) signal(p *process, s syscall.Signal) {
-	if err := p.signal(s); err != nil {
-		d.t.Errorf("cannot signal %s: %v", p.name, err)
-	}
-}
-
-// outage takes the store down for a while.
-func (d *deployment) outage() {
-	d.disturbAll()
-	d.store.SetDown(true)
-	time.AfterFunc(d.faultTime(), func() { d.disturbAll(); d.store.SetDown(false) })
-}
-
-// lapse lets the entries of some targets lapse in a short outage of the store. They are written again soon
-// after it.
-func (d *deployment) lapse() {
-	d.disturbAll()
-	d.store.SetDown(true)
-	var lapsed []*prepared.Target
-	for _, s := range d.targets {
-		if _, leaves := d.leftAt[s.ID]; !leaves && d.random.IntN(2) == 0 {
-			lapsed = append(lapsed, s)
-			d.store.Remove(platform.TargetsCollection, s.ID)
-		}
-	}
-	time.Sleep(time.Duration(d.random.IntN(500)) * time.Millisecond)
-	d.store.SetDown(false)
-	d.disturbAll()
-	time.Sleep(time.Duration(d.random.IntN(1500)) * time.Millisecond)
-	for _, s := range lapsed {
-		service := "model"
-		if s.Stage == "" {
-			service = "desk"
-		}
-		d.store.Write(platform.TargetsCollection, s.ID, s.Entry(service, "z0"))
-	}
-}
-
 // neighbour does what each run of a pair does beside its switches.
 func (d *deployment) neighbour(name string) {
 	node := d.nodes[d.random.IntN(len(d.nodes))]
@@ -164,10 +72,10 @@
 }
 
 // switchOn turns on the switches of a plan at a target, and keeps what makes it the target that it is.
-func switchOn(t *prepared.Target, p *pairPlan) {
+func switchOn(t *prepared.Target, index int, p *pairPlan) {
 	t.Change(func(s *prepared.TargetSwitches) {
 		all := prepared.Switches{Target: *s}
-		p.into(&all)
+		p.intoTarget(index, &all)
 		*s = all.Target
 	})
 }
@@ -194,8 +102,9 @@
 	d.crashPart.Store("")
 	calm := make(map[*prepared.Target]prepared.TargetSwitches)
 	d.onStart = func(s *prepared.Target) {
+		index := len(calm)
 		s.Change(func(c *prepared.TargetSwitches) { calm[s] = *c })
-		switchOn(s, &plan)
+		switchOn(s, index, &plan)
 	}
 	for _, s := range d.targets {
 		d.onStart(s)
@@ -265,7 +174,7 @@
 }
 
 // TestPairsDependOnTheirSeedAlone checks that a seed gives the same plan again, that all neighbours are in
-// it, and that 1,000 seeds draw every switch alone and beside another.
+// it, and that 2,000 seeds draw every switch alone and beside another.
 func TestPairsDependOnTheirSeedAlone(t *testing.T) {
 	is := is.New(t)
 	means := make(map[string]time.Duration)
@@ -273,7 +182,7 @@
 		means[s.Name] = s.mean
 	}
 	alone, paired := make(map[string]bool), make(map[string]bool)
-	for seed := range uint64(1000) {
+	for seed := range uint64(2000) {
 		p, again := newPairPlan(seed, means), newPairPlan(seed, means)
 		is.Equal(p.String(), again.String())
 		var first, second prepared.Switches
--- a/internal/nodesoak/plan.go
+++ b/internal/nodesoak/plan.go
@@ -22,8 +22,12 @@
 	name   string
 	seed   uint64 // of its amounts
 	amount string // the amounts as text, where the stand-ins draw them
+	few    bool   // a switch of targets is on at one of fewTargets only
 }
 
+// fewTargets is the number of targets of which one has a switch that few have.
+const fewTargets = 3
+
 // step is something that a run does at a time after its begin.
 type step struct {
 	at   time.Duration
@@ -64,7 +68,7 @@
 				p.steps = append(p.steps, step{at, name})
 			}
 		} else {
-			s.amount = s.into(lasting, &prepared.Switches{})
+			s.amount, s.few = s.into(lasting, &prepared.Switches{}), r.IntN(2) == 0 && s.ofTargets(lasting)
 		}
 		p.switches = append(p.switches, s)
 	}
@@ -92,11 +96,21 @@
 	return ""
 }
 
+// ofTargets tells whether the switch is one of targets.
+func (s drawn) ofTargets(lasting []prepared.Draw) bool {
+	return slices.ContainsFunc(lasting, func(d prepared.Draw) bool { return d.Name == s.name && d.OfTargets })
+}
+
 // into turns on the switches of the plan that are the stand-ins'. Others keep their values.
-func (p *pairPlan) into(all *prepared.Switches) {
+func (p *pairPlan) into(all *prepared.Switches) { p.intoTarget(0, all) }
+
+// intoTarget is into for the target with an index.
+func (p *pairPlan) intoTarget(index int, all *prepared.Switches) {
 	lasting := prepared.Draws()
 	for _, s := range p.switches {
-		s.into(lasting, all)
+		if !s.few || index%fewTargets == 0 {
+			s.into(lasting, all)
+		}
 	}
 }
 
@@ -105,7 +119,11 @@
 	var b strings.Builder
 	fmt.Fprintf(&b, "seed %d:", p.seed)
 	for _, s := range p.switches {
-		fmt.Fprintf(&b, " [%s, %s]", s.name, s.amount)
+		few := ""
+		if s.few {
+			few = ", few targets"
+		}
+		fmt.Fprintf(&b, " [%s, %s%s]", s.name, s.amount, few)
 	}
 	for _, s := range p.steps {
 		fmt.Fprintf(&b, " %.1fs %s", s.at.Seconds(), s.name)
--- /dev/null
+++ b/internal/nodesoak/recurring_test.go
@@ -0,0 +1,150 @@
+package nodesoak
+
+import (
+	"fmt"
+	"syscall"
+	"time"
+
+	"zinniapin/internal/standin/prepared"
+	"zinniapin/platform"
+)
+
+// recurring is a switch that acts now and then, on average once in a mean time.
+type recurring struct {
+	Name string
+	mean time.Duration
+	act  func(d *deployment)
+}
+
+// recurringSwitches returns the switches of a run that the stand-ins do not have.
+func recurringSwitches() []recurring {
+	return []recurring{
+		{Name: "crashing parts of prompts", mean: 2 * time.Second, act: func(d *deployment) {
+			d.crashPart.Store(crashParts[d.random.IntN(len(crashParts))])
+		}},
+		{Name: "named limits", mean: 2 * time.Second, act: func(d *deployment) {
+			d.limitTarget(d.targets[d.random.IntN(len(d.targets))])
+		}},
+		{Name: "releases", mean: 2500 * time.Millisecond, act: (*deployment).release},
+		{Name: "older copies", mean: 2 * time.Second, act: func(d *deployment) {
+			d.rewind()
+			d.store.TakeCopy()
+			d.copiedAt = time.Now()
+		}},
+		{Name: "cut hosts", mean: 1500 * time.Millisecond, act: func(d *deployment) {
+			node := d.nodes[d.random.IntN(len(d.nodes))]
+			node.disturb()
+			node.store.set(mode(1 + d.random.IntN(4))) // any mode but pass
+			time.AfterFunc(d.faultTime(), func() { node.disturb(); node.store.set(pass) })
+		}},
+		{Name: "freezes", mean: 2 * time.Second, act: func(d *deployment) {
+			node := d.nodes[d.random.IntN(len(d.nodes))]
+			d.signal(node, syscall.SIGSTOP)
+			time.AfterFunc(d.faultTime(), func() { _ = node.signal(syscall.SIGCONT) })
+		}},
+		{Name: "crashes of all hosts", mean: 4 * time.Second, act: func(d *deployment) {
+			for _, node := range d.nodes {
+				d.signal(node, syscall.SIGKILL)
+				time.AfterFunc(d.faultTime()/3, func() { _ = node.start() })
+			}
+		}},
+		{Name: "lapsed entries", mean: 3 * time.Second, act: (*deployment).lapse},
+		{Name: "foreign entries", mean: time.Second, act: func(d *deployment) {
+			entries := []any{nil, []int{1}, map[string]any{"Service": 7}, map[string]any{"Service": "model", "State": "odd", "Address": "127.0.0.1:1"}, map[string]any{"Service": "model", "Address": ""}}
+			d.store.Write(platform.TargetsCollection, fmt.Sprint("foreign-", d.random.IntN(3)), entries[d.random.IntN(len(entries))])
+		}},
+		{Name: "dark targets", mean: 3 * time.Second, act: func(d *deployment) {
+			d.targets[d.random.IntN(len(d.targets))].FallSilent(2 * d.faultTime())
+		}},
+		{Name: "restarts of targets", mean: 2 * time.Second, act: func(d *deployment) {
+			s := d.targets[d.random.IntN(len(d.targets))]
+			s.Crash("")
+			if _, leaves := d.leftAt[s.ID]; leaves {
+				return
+			}
+			time.Sleep(200 * time.Millisecond)
+			d.store.Write(platform.TargetsCollection, s.ID, s.Entry(d.serviceOf(s), "z0"))
+		}},
+		{Name: "unannounced departures", mean: 3 * time.Second, act: func(d *deployment) {
+			d.startEngine(versions[d.random.IntN(len(versions))])
+			old := d.engines[0]
+			d.engines = d.engines[1:]
+			d.leftAt[old.ID] = time.Now()
+			d.store.Remove(platform.TargetsCollection, old.ID)
+		}},
+		{Name: "settings without a signal", mean: 2 * time.Second, act: func(d *deployment) {
+			node := d.nodes[d.random.IntN(len(d.nodes))]
+			changed := node.settings
+			changed.Bounds.GraceSeconds = 7 + d.random.Float64()
+			if err := node.writeSettings(changed); err != nil {
+				d.t.Error(err)
+			}
+		}},
+		{Name: "silent store", mean: 3 * time.Second, act: func(d *deployment) {
+			d.disturbAll()
+			d.store.SetSilent(true)
+			time.AfterFunc(d.faultTime(), func() { d.disturbAll(); d.store.SetSilent(false) })
+		}},
+		{Name: "crashes after a change", mean: 4 * time.Second, act: func(d *deployment) {
+			d.configure()
+			for _, node := range d.nodes {
+				d.signal(node, syscall.SIGKILL)
+				time.AfterFunc(d.faultTime()/3, func() { _ = node.start() })
+			}
+		}},
+		{Name: "starts without the store", mean: 4 * time.Second, act: func(d *deployment) {
+			node := d.nodes[d.random.IntN(len(d.nodes))]
+			d.signal(node, syscall.SIGKILL)
+			d.outage()
+			time.AfterFunc(300*time.Millisecond, func() { _ = node.start() })
+		}},
+	}
+}
+
+// serviceOf returns the service of a target.
+func (d *deployment) serviceOf(s *prepared.Target) string {
+	if s.Stage == "" {
+		return "desk"
+	}
+	return "model"
+}
+
+// faultTime draws the length of a fault; see contactTime.
+func (d *deployment) faultTime() time.Duration {
+	return time.Duration(300+d.random.IntN(2500)) * time.Millisecond
+}
+
+// signal signals a node.
+func (d *deployment) signal(p *process, s syscall.Signal) {
+	if err := p.signal(s); err != nil {
+		d.t.Errorf("cannot signal %s: %v", p.name, err)
+	}
+}
+
+// outage takes the store down for a while.
+func (d *deployment) outage() {
+	d.disturbAll()
+	d.store.SetDown(true)
+	time.AfterFunc(d.faultTime(), func() { d.disturbAll(); d.store.SetDown(false) })
+}
+
+// lapse lets the entries of some targets lapse in a short outage of the store. They are written again soon
+// after it.
+func (d *deployment) lapse() {
+	d.disturbAll()
+	d.store.SetDown(true)
+	var lapsed []*prepared.Target
+	for _, s := range d.targets {
+		if _, leaves := d.leftAt[s.ID]; !leaves && d.random.IntN(2) == 0 {
+			lapsed = append(lapsed, s)
+			d.store.Remove(platform.TargetsCollection, s.ID)
+		}
+	}
+	time.Sleep(time.Duration(d.random.IntN(500)) * time.Millisecond)
+	d.store.SetDown(false)
+	d.disturbAll()
+	time.Sleep(time.Duration(d.random.IntN(1500)) * time.Millisecond)
+	for _, s := range lapsed {
+		d.store.Write(platform.TargetsCollection, s.ID, s.Entry(d.serviceOf(s), "z0"))
+	}
+}
--- a/internal/standin/prepared/crash.go
+++ b/internal/standin/prepared/crash.go
@@ -11,6 +11,7 @@
 // crasher makes a target end as a killed process does and start again at the same address.
 type crasher struct {
 	crashes     []Crash
+	started     time.Time // the latest start after a crash
 	connections map[net.Conn]struct{}
 }
 
@@ -107,10 +108,17 @@
 		time.AfterFunc(20*time.Millisecond, func() { t.listenAgain(address) }) // a caller's connection has the port
 		return
 	}
-	t.listener = l
+	t.listener, t.crasher.started = l, time.Now()
 	go t.accept(l)
 }
 
+// startedAgain returns the latest start after a crash; the zero time if there was no crash.
+func (t *Target) startedAgain() time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.crasher.started
+}
+
 // track records an open connection until the returned function is called.
 func (t *Target) track(c net.Conn) (untrack func()) {
 	t.mu.Lock()
--- a/internal/standin/prepared/draw.go
+++ b/internal/standin/prepared/draw.go
@@ -9,6 +9,8 @@
 // Draw is a switch that a soak may draw.
 type Draw struct {
 	Name string
+	// OfTargets is set if it is a switch of targets.
+	OfTargets bool
 	// Into turns the switch on with amounts from r, and returns them as text. The same source gives the
 	// same amounts. Other switches keep their values.
 	Into func(r *rand.Rand, s *Switches) string
@@ -16,7 +18,11 @@
 
 // Draws returns the switches that a soak may draw.
 func Draws() []Draw {
-	return append(append(targetDraws(), storeDraws()...), dutyDraws()...)
+	all := targetDraws()
+	for i := range all {
+		all[i].OfTargets = true
+	}
+	return append(append(all, storeDraws()...), dutyDraws()...)
 }
 
 // targetDraws returns the switches of targets.
@@ -104,6 +110,10 @@
 // dutyDraws returns the switches of the server of the duties.
 func dutyDraws() []Draw {
 	return []Draw{
+		{Name: "duties that are down", Into: func(_ *rand.Rand, s *Switches) string {
+			s.Duties.Down = true
+			return "all the time"
+		}},
 		{Name: "slow duties", Into: func(r *rand.Rand, s *Switches) string {
 			return span(r, &s.Duties.Delay, 100*time.Millisecond, 2*time.Second)
 		}},
--- a/internal/standin/prepared/target.go
+++ b/internal/standin/prepared/target.go
@@ -141,6 +141,9 @@
 	if t.Version != "" {
 		entry["Version"] = t.Version
 	}
+	if started := t.startedAgain(); !started.IsZero() {
+		entry["born"] = started.UnixMilli()
+	}
 	return entry
 }
 
