Let seeds of pairs outlive new switches

A plan shuffled the list of all switches, so a new switch changed what every kept seed plays. Switches, their amounts and their times now follow from a hash of the seed and their name: a new one changes only the seeds that draw it. The test adds one and compares.

--- a/internal/nodesoak/pairs_test.go
+++ b/internal/nodesoak/pairs_test.go
@@ -201,5 +201,9 @@
 		}
 	}
 	is.Equal(len(alone), len(prepared.Draws())+len(means))
+	p, more := newPairPlan(7, means), maps.Clone(means)
+	more["a switch that seed 7 does not draw"] = time.Second
+	again := newPairPlan(7, more)
+	is.Equal(p.String(), again.String())
 	is.True(maps.Equal(alone, paired))
 }
--- a/internal/nodesoak/plan.go
+++ b/internal/nodesoak/plan.go
@@ -1,7 +1,10 @@
 package nodesoak
 
 import (
+	"cmp"
 	"fmt"
+	"hash/fnv"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -42,33 +45,31 @@
 }
 
 // newPairPlan draws one switch, or two in three of four runs. Those of recurring act now and then, with the
-// given mean time in between.
+// given mean time in between. A seed draws the same as before when there are more switches, unless it
+// draws one of the new ones.
 func newPairPlan(seed uint64, recurring map[string]time.Duration) pairPlan {
 	r := rand.New(rand.NewPCG(seed, seed+2))
 	p := pairPlan{seed: seed}
 	lasting := prepared.Draws()
-	var names []string
+	names := slices.Collect(maps.Keys(recurring))
 	for _, d := range lasting {
 		names = append(names, d.Name)
 	}
-	for name := range recurring {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	r.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
+	slices.SortFunc(names, func(a, b string) int { return cmp.Compare(hashOf(seed, a), hashOf(seed, b)) })
 	count := 2
 	if r.IntN(4) == 0 {
 		count = 1
 	}
 	for _, name := range names[:count] {
-		s := drawn{name: name, seed: r.Uint64()}
+		s := drawn{name: name, seed: hashOf(seed, name)}
+		amounts := rand.New(rand.NewPCG(s.seed, 2))
 		if mean, ok := recurring[name]; ok {
 			s.amount = mean.String()
-			for at := between(r, mean/2, 3*mean/2) / 2; at < pairTime; at += between(r, mean/2, 3*mean/2) {
+			for at := between(amounts, mean/2, 3*mean/2) / 2; at < pairTime; at += between(amounts, mean/2, 3*mean/2) {
 				p.steps = append(p.steps, step{at, name})
 			}
 		} else {
-			s.amount, s.few = s.into(lasting, &prepared.Switches{}), r.IntN(2) == 0 && s.ofTargets(lasting)
+			s.amount, s.few = s.into(lasting, &prepared.Switches{}), amounts.IntN(2) == 0 && s.ofTargets(lasting)
 		}
 		p.switches = append(p.switches, s)
 	}
@@ -81,6 +82,13 @@
 	return p
 }
 
+// hashOf returns a number that depends on a seed and a name.
+func hashOf(seed uint64, name string) uint64 {
+	h := fnv.New64a()
+	_, _ = fmt.Fprintf(h, "%s %d", name, seed)
+	return rand.NewPCG(h.Sum64(), seed).Uint64()
+}
+
 // between draws a time.
 func between(r *rand.Rand, least, most time.Duration) time.Duration {
 	return least + time.Duration(r.Int64N(int64(most-least)))
