--- a/internal/nodesoak/pairs_test.go
+++ b/internal/nodesoak/pairs_test.go
@@ -4,8 +4,6 @@
 	"flag"
 	"fmt"
 	"maps"
-	"os/exec"
-	"path/filepath"
 	"slices"
 	"syscall"
 	"testing"
@@ -29,11 +27,7 @@
 //
 //	go test ./internal/nodesoak -run TestPairs -nodesoak.seed 1101 -nodesoak.pairs 20 -v
 func TestPairs(t *testing.T) {
-	program := filepath.Join(t.TempDir(), "zinnia-node")
-	build := exec.Command("go", "build", "-o", program, "zinniapin/cmd/zinnia-node")
-	if out, err := build.CombinedOutput(); err != nil {
-		t.Fatalf("%v: %s", err, out)
-	}
+	program := nodeProgram(t)
 	seeds := ciPairs
 	if *seedFlag != 0 {
 		seeds = nil
--- a/internal/nodesoak/soak_test.go
+++ b/internal/nodesoak/soak_test.go
@@ -23,6 +23,7 @@
 	seedFlag    = flag.Uint64("nodesoak.seed", 0, "run this seed alone")
 	secondsFlag = flag.Int("nodesoak.seconds", 8, "seconds of faults in a run")
 	keepFlag    = flag.Bool("nodesoak.keep", false, "keep the logs of a run that passes too")
+	programFlag = flag.String("nodesoak.program", "", "path of the zinnia-node to run, of another revision perhaps; empty: built from this one")
 	nodesFlag   = flag.Int("nodesoak.nodes", 4, "node processes")
 )
 
@@ -39,11 +40,7 @@
 //
 //	go test ./internal/nodesoak -run TestSoak -nodesoak.seed 7 -nodesoak.seconds 60 -v
 func TestSoak(t *testing.T) {
-	program := filepath.Join(t.TempDir(), "zinnia-node")
-	build := exec.Command("go", "build", "-o", program, "zinniapin/cmd/zinnia-node")
-	if out, err := build.CombinedOutput(); err != nil {
-		t.Fatalf("%v: %s", err, out)
-	}
+	program := nodeProgram(t)
 	seeds := ciSeeds
 	if *seedFlag != 0 {
 		seeds = []uint64{*seedFlag}
@@ -53,6 +50,19 @@
 	}
 }
 
+// nodeProgram returns the path of the program to run: that of -nodesoak.program, or one that it builds.
+func nodeProgram(t *testing.T) string {
+	if *programFlag != "" {
+		return *programFlag
+	}
+	program := filepath.Join(t.TempDir(), "zinnia-node")
+	build := exec.Command("go", "build", "-o", program, "zinniapin/cmd/zinnia-node")
+	if out, err := build.CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	return program
+}
+
 // deployment is the system of one run: nodes, targets and the simulated platform.
 type deployment struct {
 	t        *testing.T
