Draw unfinished, ambiguous and unknown requests in pairs

Callers of the soak sent only sound requests. Three switches send requests that stop in their head or body, requests that hide another one, and unknown routes and keys; none of them may reach a target, and the latter two get 400, 404 or 401 unless the node answers 503 or not at all.

--- a/internal/nodesoak/pairs_test.go
+++ b/internal/nodesoak/pairs_test.go
@@ -98,6 +98,7 @@
 	t.Log(plan.String())
 	d := newDeployment(t, program, folder, seed)
 	d.crashPart.Store("")
+	d.rude = &rudeCaller{random: d.random}
 	calm := make(map[*prepared.Target]prepared.TargetSwitches)
 	d.onStart = func(s *prepared.Target) {
 		index := len(calm)
@@ -136,6 +137,7 @@
 	endCallers()
 	time.Sleep(time.Second) // wait for requests that targets execute late
 	d.check()
+	d.checkRude()
 }
 
 // follow takes the steps of a plan at their times. A step may come late, after one that takes long.
--- a/internal/nodesoak/recurring_test.go
+++ b/internal/nodesoak/recurring_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"net/http"
+	"strings"
 	"syscall"
 	"time"
 
@@ -92,6 +94,16 @@
 				time.AfterFunc(d.faultTime()/3, func() { _ = node.start() })
 			}
 		}},
+		{Name: "half requests", mean: 200 * time.Millisecond, act: func(d *deployment) {
+			d.rude.sendHalf(d.nodes[d.random.IntN(len(d.nodes))], d.key.Load().(string))
+		}},
+		{Name: "hidden requests", mean: 300 * time.Millisecond, act: func(d *deployment) {
+			d.expectRefusal(d.rude.hidden(d.key.Load().(string)), http.StatusBadRequest)
+		}},
+		{Name: "unknown routes and keys", mean: 300 * time.Millisecond, act: func(d *deployment) {
+			d.expectRefusal(d.rude.head("/none/a", d.key.Load().(string), "Content-Length: 0\r\n\r\n"), http.StatusNotFound)
+			d.expectRefusal(d.rude.head("/take/a", "no-key", "Content-Length: 0\r\n\r\n"), http.StatusUnauthorized)
+		}},
 		{Name: "starts without the store", mean: 4 * time.Second, act: func(d *deployment) {
 			node := d.nodes[d.random.IntN(len(d.nodes))]
 			d.signal(node, syscall.SIGKILL)
@@ -101,6 +113,26 @@
 	}
 }
 
+// expectRefusal sends a request that no target may get to a node, which may be down, stop or have no
+// configuration yet.
+func (d *deployment) expectRefusal(request string, want int) {
+	node := d.nodes[d.random.IntN(len(d.nodes))]
+	if status := statusOf(node, request); status != 0 && status != want && status != http.StatusServiceUnavailable {
+		d.t.Errorf("%s answered %d instead of %d to %q", node.name, status, want, request)
+	}
+}
+
+// checkRude verifies that no target got a request that it may not get.
+func (d *deployment) checkRude() {
+	for _, s := range d.targets {
+		for _, a := range s.Arrivals() {
+			if strings.HasPrefix(a.Header.Get("X-Request-Id"), rudeID) {
+				d.t.Errorf("target %s got %s of %d requests that no target may get", s.ID, a.Header.Get("X-Request-Id"), d.rude.sent)
+			}
+		}
+	}
+}
+
 // serviceOf returns the service of a target.
 func (d *deployment) serviceOf(s *prepared.Target) string {
 	if s.Stage == "" {
--- a/internal/nodesoak/soak_test.go
+++ b/internal/nodesoak/soak_test.go
@@ -88,6 +88,7 @@
 	leftAt map[string]time.Time
 	// onStart is called with each engine that starts in the run, unless it is nil.
 	onStart func(*prepared.Target)
+	rude    *rudeCaller // of runs of pairs
 }
 
 // soak runs one seed.
