--- a/internal/nodesoak/pairs_test.go
+++ b/internal/nodesoak/pairs_test.go
@@ -98,6 +98,7 @@
 	t.Log(plan.String())
 	d := newDeployment(t, program, folder, seed)
 	d.crashPart.Store("")
+	d.seed = seed
 	d.rude = &rudeCaller{random: d.random}
 	calm := make(map[*prepared.Target]prepared.TargetSwitches)
 	d.onStart = func(s *prepared.Target) {
--- a/internal/nodesoak/recurring_test.go
+++ b/internal/nodesoak/recurring_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"path/filepath"
 	"strings"
 	"syscall"
 	"time"
@@ -50,6 +51,10 @@
 				time.AfterFunc(d.faultTime()/3, func() { _ = node.start() })
 			}
 		}},
+		{Name: "added hosts", mean: 3 * time.Second, act: func(d *deployment) {
+			first := d.nodes[0]
+			d.addNode(first.program, filepath.Dir(first.settingsFile), d.seed)
+		}},
 		{Name: "lapsed entries", mean: 3 * time.Second, act: (*deployment).lapse},
 		{Name: "foreign entries", mean: time.Second, act: func(d *deployment) {
 			entries := []any{nil, []int{1}, map[string]any{"Service": 7}, map[string]any{"Service": "model", "State": "odd", "Address": "127.0.0.1:1"}, map[string]any{"Service": "model", "Address": ""}}
@@ -58,6 +63,14 @@
 		{Name: "dark targets", mean: 3 * time.Second, act: func(d *deployment) {
 			d.targets[d.random.IntN(len(d.targets))].FallSilent(2 * d.faultTime())
 		}},
+		{Name: "reused addresses", mean: 1500 * time.Millisecond, act: func(d *deployment) {
+			s := d.targets[d.random.IntN(len(d.targets))]
+			if _, leaves := d.leftAt[s.ID]; !leaves {
+				s.SetFaults(prepared.WrongInstance)
+				time.Sleep(200 * time.Millisecond)
+				d.store.Write(platform.TargetsCollection, s.ID, s.Entry(d.serviceOf(s), "z0"))
+			}
+		}},
 		{Name: "restarts of targets", mean: 2 * time.Second, act: func(d *deployment) {
 			s := d.targets[d.random.IntN(len(d.targets))]
 			s.Crash("")
--- a/internal/nodesoak/soak_test.go
+++ b/internal/nodesoak/soak_test.go
@@ -7,7 +7,6 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"slices"
 	"sync/atomic"
@@ -50,19 +49,6 @@
 	}
 }
 
-// nodeProgram returns the path of the program to run: that of -nodesoak.program, or one that it builds.
-func nodeProgram(t *testing.T) string {
-	if *programFlag != "" {
-		return *programFlag
-	}
-	program := filepath.Join(t.TempDir(), "zinnia-node")
-	build := exec.Command("go", "build", "-o", program, "zinniapin/cmd/zinnia-node")
-	if out, err := build.CombinedOutput(); err != nil {
-		t.Fatalf("%v: %s", err, out)
-	}
-	return program
-}
-
 // deployment is the system of one run: nodes, targets and the simulated platform.
 type deployment struct {
 	t        *testing.T
@@ -88,7 +74,9 @@
 	leftAt map[string]time.Time
 	// onStart is called with each engine that starts in the run, unless it is nil.
 	onStart func(*prepared.Target)
-	rude    *rudeCaller // of runs of pairs
+	// seed and rude are those of a run of a pair.
+	seed uint64
+	rude *rudeCaller
 }
 
 // soak runs one seed.
@@ -110,26 +98,6 @@
 	d.check()
 }
 
-// startCallers starts callers and returns a function that ends them.
-func (d *deployment) startCallers(seed uint64) (end func()) {
-	stop := make(chan struct{})
-	callers := 6
-	ended := make(chan struct{}, callers)
-	for i := range callers {
-		r := rand.New(rand.NewPCG(seed, uint64(i)))
-		go func() {
-			runCaller(r, fmt.Sprintf("c%d", i), d.nodes, func() string { return d.key.Load().(string) }, func() string { return d.crashPart.Load().(string) }, &d.attempts, stop)
-			ended <- struct{}{}
-		}()
-	}
-	return func() {
-		close(stop)
-		for range callers {
-			<-ended
-		}
-	}
-}
-
 // keepLogs copies the logs of a failed run, or of any if that is asked for, to the folder for temporary files.
 func keepLogs(t *testing.T, folder string, seed uint64) {
 	if !t.Failed() && !*keepFlag {
@@ -161,20 +129,8 @@
 		d.startEngine(versions[i%len(versions)])
 	}
 	d.configure()
-	for i := range *nodesFlag {
-		p, err := newProcess(program, folder, seed, i, d.store.Address(), d.duties.Address())
-		if err != nil {
-			t.Fatal(err)
-		}
-		d.nodes = append(d.nodes, p)
-		if err := p.start(); err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(func() {
-			_ = p.signal(syscall.SIGCONT)
-			_ = p.signal(syscall.SIGKILL)
-			p.waitEnded(5 * time.Second)
-		})
+	for range *nodesFlag {
+		d.addNode(program, folder, seed)
 	}
 	d.waitAllReady(10 * time.Second)
 	return d
--- a/internal/standin/prepared/draw.go
+++ b/internal/standin/prepared/draw.go
@@ -39,7 +39,6 @@
 		{Name: "answers of other requests", Into: faultShare(WrongRequestID, 0.02, 0.2)},
 		{Name: "second answers", Into: faultShare(ExtraResponse, 0.02, 0.3)},
 		{Name: "early answers", Into: faultShare(EarlyResponse, 0.02, 0.2)},
-		{Name: "reused addresses", Into: faultShare(WrongInstance, 0.02, 0.1)},
 		{Name: "broken streams", Into: faultShare(BrokenStream, 0.05, 0.3)},
 		{Name: "closed connections", Into: func(r *rand.Rand, s *Switches) string {
 			s.Target.CloseShare = between(r, 0.05, 1)
