Draw a request in pairs that crashes each target that runs it

No soak sent a request as a whole that crashes targets. A switch sends one again and again, at any host; a run fails if it reaches targets more than three times, from hosts in touch, later than 3 s after the third crash.

--- a/internal/nodesoak/pairs_test.go
+++ b/internal/nodesoak/pairs_test.go
@@ -18,7 +18,7 @@
 
 // ciPairs are the seeds of pairs that CI runs. A seed that has failed is added here together with the cause.
 var ciPairs = []uint64{
-	1101,
+	1129, // a request crashed one target after the other
 	1133, // targets crashed under one part of prompts
 	1313, // hosts together sent a target more than the limit that it named
 }
@@ -99,11 +99,17 @@
 	d := newDeployment(t, program, folder, seed)
 	d.crashPart.Store("")
 	d.seed = seed
-	d.rude = &rudeCaller{random: d.random}
+	d.rude = &rudeCaller{random: d.random, fatal: make(map[string]*process)}
 	calm := make(map[*prepared.Target]prepared.TargetSwitches)
 	d.onStart = func(s *prepared.Target) {
 		index := len(calm)
-		s.Change(func(c *prepared.TargetSwitches) { calm[s] = *c })
+		s.Change(func(c *prepared.TargetSwitches) {
+			c.CrashBodies = []string{fatalBody}
+			if c.RestartAfter == 0 {
+				c.RestartAfter = fatalRestart
+			}
+			calm[s] = *c
+		})
 		switchOn(s, index, &plan)
 	}
 	for _, s := range d.targets {
@@ -139,6 +145,7 @@
 	time.Sleep(time.Second) // wait for requests that targets execute late
 	d.check()
 	d.checkRude()
+	d.checkFatal()
 }
 
 // follow takes the steps of a plan at their times. A step may come late, after one that takes long.
--- a/internal/nodesoak/recurring_test.go
+++ b/internal/nodesoak/recurring_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"path/filepath"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
@@ -110,6 +111,9 @@
 		{Name: "half requests", mean: 200 * time.Millisecond, act: func(d *deployment) {
 			d.rude.sendHalf(d.nodes[d.random.IntN(len(d.nodes))], d.key.Load().(string))
 		}},
+		{Name: "crashing requests", mean: 150 * time.Millisecond, act: func(d *deployment) {
+			d.rude.sendFatal(d.nodes[d.random.IntN(len(d.nodes))], d.key.Load().(string))
+		}},
 		{Name: "hidden requests", mean: 300 * time.Millisecond, act: func(d *deployment) {
 			d.expectRefusal(d.rude.hidden(d.key.Load().(string)), http.StatusBadRequest)
 		}},
@@ -146,6 +150,34 @@
 	}
 }
 
+// checkFatal verifies that a request that crashes targets does not reach them for long.
+func (d *deployment) checkFatal() {
+	var crashes []time.Time
+	for _, s := range d.targets {
+		for _, c := range s.Crashes() {
+			if c.Part == fatalBody {
+				crashes = append(crashes, c.At)
+			}
+		}
+	}
+	slices.SortFunc(crashes, time.Time.Compare)
+	d.t.Logf("%d of %d requests that crash targets did so", len(crashes), len(d.rude.fatal))
+	if len(crashes) < 3 {
+		return
+	}
+	late := 0
+	for _, s := range d.targets {
+		for _, a := range s.Arrivals() {
+			if from := d.rude.fatal[a.Header.Get("X-Request-Id")]; from != nil && a.At.Sub(crashes[2]) > contactTime && from.inTouch(a.At) {
+				late++
+			}
+		}
+	}
+	if late > maxFatalRetries {
+		d.t.Errorf("a request that crashes targets reached them %d times later than %v after the third crash, %d crashed", late, contactTime, len(crashes))
+	}
+}
+
 // serviceOf returns the service of a target.
 func (d *deployment) serviceOf(s *prepared.Target) string {
 	if s.Stage == "" {
--- a/internal/nodesoak/rude.go
+++ b/internal/nodesoak/rude.go
@@ -15,10 +15,23 @@
 // halfRequestTime is how long a caller that stops in a request keeps its connection open.
 const halfRequestTime = 2 * time.Second
 
-// rudeCaller sends requests that are unfinished, ambiguous or not allowed. It belongs to one goroutine.
+const (
+	// fatalBody is the body of a request that crashes each target that begins to run it.
+	fatalBody = "fatal"
+	// fatalRestart is the time after which a target that crashed under it starts again.
+	fatalRestart = time.Second
+	// maxFatalRetries is the number of times that such a request may reach targets, sent by nodes that are in
+	// touch, later than contactTime after it has crashed the third.
+	maxFatalRetries = 3
+)
+
+// rudeCaller sends requests that are unfinished, ambiguous, not allowed or fatal to targets. It belongs to
+// one goroutine.
 type rudeCaller struct {
 	random *rand.Rand
 	sent   int
+	// fatal holds the nodes that got a request with fatalBody, by request id.
+	fatal map[string]*process
 }
 
 // head returns the head of a request with a new id, without the blank line after it.
@@ -59,6 +72,15 @@
 	return c.head("/take/a", key, headers[c.random.IntN(len(headers))]) + "\r\n0\r\n\r\n" + inside
 }
 
+// sendFatal sends the request that crashes targets, which is the same each time but for its id.
+func (c *rudeCaller) sendFatal(p *process, key string) {
+	c.sent++
+	id := fmt.Sprint("fatal-", c.sent)
+	c.fatal[id] = p
+	request := fmt.Sprintf("POST /take/fatal HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: %s\r\nX-Deadline-Ms: 3000\r\nX-Credential: %s\r\nContent-Length: %d\r\n\r\n%s", id, key, len(fatalBody), fatalBody)
+	go statusOf(p, request)
+}
+
 // statusOf sends a request on a connection of its own and returns the status of the answer; 0 if there is
 // none.
 func statusOf(p *process, request string) int {
