--- a/internal/standin/prepared/target.go
+++ b/internal/standin/prepared/target.go
@@ -59,8 +59,8 @@
 	freedHandles []string
 	silentUntil  time.Time
 	random       *rand.Rand
-	setTimes     int // how often Set was called, which ends the disturbances of earlier switches
-	// TargetSwitches may be changed directly before the first request, and by Set at any time.
+	setTimes     int // how often Change was called, which ends the disturbances of earlier switches
+	// TargetSwitches may be changed directly before the first request, and by Change at any time.
 	TargetSwitches
 	// Events is the number of events in a stream.
 	Events int
