Let soaks of real nodes with the same seed run side by side

The second number of the addresses follows from the process now.

go test ./internal/nodesoak passes beside other soaks, 2 min 10 s.

--- a/internal/nodesoak/process.go
+++ b/internal/nodesoak/process.go
@@ -59,10 +59,10 @@
 	meshPort
 )
 
-// hostAddress returns a loopback address for host i of a run. Runs with different seeds
-// use different addresses, so that parallel runs do not take ports from each other.
+// hostAddress returns a loopback address for host i of a run. Runs with different seeds, and those of
+// different processes, use different addresses, so that parallel runs do not take ports from each other.
 func hostAddress(seed uint64, i, port int) string {
-	return fmt.Sprintf("127.77.%d.%d:%d", seed%250, i+1, port)
+	return fmt.Sprintf("127.%d.%d.%d:%d", 64+os.Getpid()%128, seed%250, i+1, port)
 }
 
 // newProcess prepares a node without starting it. Its settings and its log are files in
