Record in the stand-ins what targets did and when

Cause: checks of a run need the end of each run, the answer that the target gave and whether the target itself broke off. Change: an arrival holds these, and the id and headers with which it came; an answer for another id no longer changes them afterwards. Calls of duties have a time, silences are kept. Measured: go test ./forward ./internal/standin/... passes.

--- a/internal/standin/prepared/dutyserver.go
+++ b/internal/standin/prepared/dutyserver.go
@@ -6,10 +6,12 @@
 	"net/http/httptest"
 	"strconv"
 	"sync"
+	"time"
 )
 
 // DutyCall is a call that the server received.
 type DutyCall struct {
+	At     time.Time
 	Path   string
 	Holder string // who carries out the duty, from the request header
 	Fence  uint64 // fencing token; 0 if it is missing or invalid
@@ -56,7 +58,7 @@
 
 // serve records one call and checks its fencing token.
 func (d *DutyServer) serve(w http.ResponseWriter, r *http.Request) {
-	c := DutyCall{Path: r.URL.Path, Holder: r.Header.Get("X-Duty-Holder"), Status: http.StatusOK}
+	c := DutyCall{At: time.Now(), Path: r.URL.Path, Holder: r.Header.Get("X-Duty-Holder"), Status: http.StatusOK}
 	c.Fence, _ = strconv.ParseUint(r.Header.Get("X-Fence-Token"), 10, 64) // an invalid token is 0, which is refused
 	if err := json.NewDecoder(r.Body).Decode(&c.Body); err != nil {
 		w.WriteHeader(http.StatusBadRequest)
--- a/internal/standin/prepared/target.go
+++ b/internal/standin/prepared/target.go
@@ -39,6 +39,7 @@
 	Body                           string
 	At                             time.Time
 	Executed                       bool // the target executed the request; false for a prefill stage
+	Record
 }
 
 // Target is a simulated back end with an address of its own.
@@ -56,6 +57,7 @@
 	freedHandles []string
 	header       string // further header lines of all responses, each with its line end
 	silentUntil  time.Time
+	silences     []Silence
 	// Events is the number of events in a stream, EventPause the time before each event,
 	// and BreakAfter the number of events after which a stream breaks off in the middle of
 	// the next event; 0 means that it does not.
@@ -129,7 +131,9 @@
 // that.
 func (t *Target) FallSilent(d time.Duration) {
 	t.mu.Lock()
-	t.silentUntil = time.Now().Add(d)
+	now := time.Now()
+	t.silentUntil = now.Add(d)
+	t.silences = append(t.silences, Silence{now, t.silentUntil})
 	t.mu.Unlock()
 }
 
@@ -253,9 +257,12 @@
 	}
 	prefill := request.Header.Get("X-Stage") == "prefill"
 	ran := f != RefuseNotRun && f != RefusePause && f != WrongInstance && f != RefuseUnmarked && !prefill
+	record := t.newRecord(request, f, prefill)
 	t.mu.Lock()
-	t.arrivals = append(t.arrivals, Arrival{request.Method, request.RequestURI, request.Host, request.Header, string(body), time.Now(), ran})
+	number := len(t.arrivals)
+	t.arrivals = append(t.arrivals, Arrival{request.Method, request.RequestURI, request.Host, request.Header.Clone(), string(body), time.Now(), ran, record})
 	t.mu.Unlock()
+	defer t.recordEnd(number)
 	if ran && t.crashOnBody(string(body)) {
 		return false
 	}
