Let the stand-in read the rest of a body after an early answer

Cause: it answered before it had read the body and took the body's bytes for the begin of the next request on the connection. Ruled out: a node that reuses the connection too early; it had sent the whole body. Change: the rest of the body is read after the answer.

--- a/internal/standin/prepared/target.go
+++ b/internal/standin/prepared/target.go
@@ -249,7 +249,11 @@
 		f = WrongInstance
 	}
 	if f == EarlyResponse {
-		return t.reply(c, request, http.StatusInternalServerError, "", "early")
+		if !t.reply(c, request, http.StatusInternalServerError, "", "early") {
+			return false
+		}
+		_, err := io.Copy(io.Discard, request.Body) // the rest of the body is no request
+		return err == nil
 	}
 	body, err := io.ReadAll(request.Body)
 	if err != nil {
