Judge sound requests beside crashes while no other part crashes targets

The platform excuses what unplanned disruption does. Change: requests sent between the first crash under another part and the time at which that part must be known count for neither side; one case either side.

--- a/internal/verdict/budget.go
+++ b/internal/verdict/budget.go
@@ -199,11 +199,13 @@
 		all := crashes[part]
 		slices.SortFunc(all, time.Time.Compare)
 		from := all[min(len(all), partCrashes)-1].Add(2 * j.bounds.Contact)
+		unsettled := j.unsettled(part, crashes)
 		during, begun, other, otherBegun := 0, 0, 0, 0
 		for i := range j.Requests {
 			r := &j.Requests[i]
 			parts := r.Prompt.parts()
-			if r.Crashing || r.Resumes != "" || len(parts) == 0 || !j.inTouch(r.Host, r.Sent) ||
+			in := func(s Span) bool { return !r.Sent.Before(s.From) && r.Sent.Before(s.To) }
+			if r.Crashing || r.Resumes != "" || len(parts) == 0 || !j.inTouch(r.Host, r.Sent) || slices.ContainsFunc(unsettled, in) ||
 				!shared[part][[3]string{r.Route, "key", r.Key}] && !shared[part][[3]string{r.Route, "part", parts[0]}] {
 				continue
 			}
@@ -222,3 +224,21 @@
 		}
 	}
 }
+
+// unsettled returns the times in which targets crashed for another reason than a part: under other parts, until
+// these are known, or for none.
+func (j *judge) unsettled(part string, crashes map[string][]time.Time) []Span {
+	var spans []Span
+	for other, all := range crashes {
+		if other != part {
+			all = slices.SortedFunc(slices.Values(all), time.Time.Compare)
+			spans = append(spans, Span{all[0], all[min(len(all), partCrashes)-1].Add(2 * j.bounds.Contact)})
+		}
+	}
+	for _, c := range j.Crashes {
+		if c.Part == "" {
+			spans = append(spans, Span{c.At, c.At.Add(2 * j.bounds.Contact)})
+		}
+	}
+	return spans
+}
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -161,3 +161,15 @@
 	used := r.End.Sub(r.Sent) + tolerance
 	return r.Deadline > 0 && used >= r.Deadline || timeout > 0 && used >= timeout
 }
+
+// InTouch returns how many requests were sent to hosts in touch, for which all promises hold.
+func InTouch(r Run, b Bounds) int {
+	j := newJudge(r, b)
+	n := 0
+	for i := range j.Requests {
+		if j.inTouch(j.Requests[i].Host, j.Requests[i].Sent) {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/verdict/verdict_test.go
+++ b/internal/verdict/verdict_test.go
@@ -260,6 +260,20 @@
 			}
 		}
 	}},
+	{"sound requests while another part crashes targets", Lost, func(w *world, broken bool) {
+		second := pick(broken, "dead", "other") // known 6 s after its last crash, at 32 s
+		w.Crashes = append(w.Crashes, Crash{Target: "x", Part: "dead", At: at(8000)}, Crash{Target: "x", Part: second, At: at(16_000)}, Crash{Target: "x", Part: second, At: at(26_000)})
+		for i := range 111 {
+			r, a := w.serve(fmt.Sprint(i), "talk", 400*i)
+			r.Crashing = i == 110
+			r.Prompt.Parts = pick(r.Crashing, "aa:1,dead:2,last:3", "aa:1,bb:3")
+			a.Prompt = r.Prompt
+			if i >= 40 && i < pick(broken, 110, 80) {
+				answer(r, 503)
+				a.Ran = false
+			}
+		}
+	}},
 	{"caller has left", Gone, func(w *world, broken bool) {
 		for i := range 4 {
 			r, a := w.serve(fmt.Sprint(i), "read", 0)
