--- a/internal/standin/prepared/record.go
+++ b/internal/standin/prepared/record.go
@@ -74,6 +74,16 @@
 	return after > 0 && after < left
 }
 
+// addArrival adds an arrival and returns its number. One that was read while a crash closed its connection
+// gets no answer.
+func (t *Target) addArrival(a Arrival) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	a.BrokeOff = a.BrokeOff || t.listener == nil
+	t.arrivals = append(t.arrivals, a)
+	return len(t.arrivals) - 1
+}
+
 // recordEnd records that the target has finished with an arrival.
 func (t *Target) recordEnd(number int) {
 	t.mu.Lock()
--- a/internal/standin/prepared/target.go
+++ b/internal/standin/prepared/target.go
@@ -261,11 +261,7 @@
 	}
 	prefill := request.Header.Get("X-Stage") == "prefill"
 	ran := f != RefuseNotRun && f != RefusePause && f != WrongInstance && f != RefuseUnmarked && !prefill
-	record := t.newRecord(request, f, prefill)
-	t.mu.Lock()
-	number := len(t.arrivals)
-	t.arrivals = append(t.arrivals, Arrival{request.Method, request.RequestURI, request.Host, request.Header.Clone(), string(body), time.Now(), ran, record})
-	t.mu.Unlock()
+	number := t.addArrival(Arrival{request.Method, request.RequestURI, request.Host, request.Header.Clone(), string(body), time.Now(), ran, t.newRecord(request, f, prefill)})
 	defer t.recordEnd(number)
 	if ran && t.crashOnBody(string(body)) {
 		return false
