Judge crashes under whole requests in the soak of real nodes

Cause: stand-ins crash on a body too; the soak put every crash down to a part. Change: a crash under no known part names the body, which tells requests that recur. Measured: go vet; the soak sends no such bodies yet.

--- a/internal/nodesoak/caller.go
+++ b/internal/nodesoak/caller.go
@@ -144,7 +144,7 @@
 	if s.Prompt.Parts != "" {
 		extra += fmt.Sprintf("X-Model: %s\r\nX-Token-Count: %s\r\nX-Prompt-Prefix: %s\r\n", s.Prompt.Model, s.Prompt.Tokens, s.Prompt.Parts)
 	}
-	s.Content = s.URI + " " + s.Key + " " + s.Body + " " + s.Prompt.Parts
+	s.Content = s.Body
 	s.Status, s.Complete, s.Answer, s.AnswerID, s.Signature, s.Begun, s.Left = 0, false, "", "", "", time.Time{}, time.Time{}
 	s.Sent = time.Now()
 	_ = c.SetDeadline(s.Sent.Add(patience))
--- a/internal/nodesoak/failing_targets_test.go
+++ b/internal/nodesoak/failing_targets_test.go
@@ -8,9 +8,6 @@
 	"zinniapin/internal/standin/prepared"
 )
 
-// crashParts are the parts of prompts that end engines.
-var crashParts = []string{"dead1", "dead2", "dead3"}
-
 // limitSpan is a time in which a target names a limit.
 type limitSpan struct {
 	target    *prepared.Target
--- a/internal/nodesoak/record.go
+++ b/internal/nodesoak/record.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -37,6 +38,9 @@
 	disruptions    []verdict.Disruption
 }
 
+// crashParts are the parts of prompts that end engines.
+var crashParts = []string{"dead1", "dead2", "dead3"}
+
 // point returns a span that begins and ends now.
 func point() verdict.Span {
 	now := time.Now()
@@ -112,7 +116,13 @@
 	}
 	r.Targets = append(r.Targets, target)
 	for _, c := range t.Crashes() {
-		r.Crashes = append(r.Crashes, verdict.Crash{Target: t.ID, Part: c.Part, At: c.At})
+		crash := verdict.Crash{Target: t.ID, At: c.At}
+		if slices.Contains(crashParts, c.Part) {
+			crash.Part = c.Part
+		} else {
+			crash.Content = c.Part // the body of the request that ended it
+		}
+		r.Crashes = append(r.Crashes, crash)
 	}
 	for _, a := range t.Arrivals() {
 		millis, _ := strconv.ParseFloat(a.Header.Get("X-Deadline-Ms"), 64) // a missing one is 0
