Notice node processes that end by themselves

Cause: the soak started such a process again and said nothing. Change: an end that no signal asked for is a finding, in the soak from the first one.

--- a/internal/nodesoak/process.go
+++ b/internal/nodesoak/process.go
@@ -9,7 +9,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -33,6 +32,8 @@
 	ended     chan struct{}
 	disturbed []verdict.Disruption
 	frozen    bool
+	told      bool // the process was told to end
+	ownEnds   []verdict.End
 }
 
 // disturb records that the node is disturbed at present. No disturbance lasts longer than contactTime without
@@ -48,17 +49,19 @@
 	p.disturbed = append(p.disturbed, verdict.Disruption{Host: p.name, Kind: kind, Span: point()})
 }
 
-// disruptions returns what was done to the node.
-func (p *process) disruptions() []verdict.Disruption {
+// addTo adds to a run what was done to the node, and how its process ended by itself.
+func (p *process) addTo(r *verdict.Run) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return slices.Clone(p.disturbed)
+	r.Disruptions = append(r.Disruptions, p.disturbed...)
+	r.OwnEnds = append(r.OwnEnds, p.ownEnds...)
 }
 
 // recordSignal records what a signal does to the node. The caller holds mu.
 func (p *process) recordSignal(s syscall.Signal) {
 	switch s {
 	case syscall.SIGTERM:
+		p.told = true
 		p.record(verdict.Term)
 	case syscall.SIGHUP:
 		p.record(verdict.Reload)
@@ -71,6 +74,7 @@
 		}
 		p.frozen = false
 	default:
+		p.told = true
 		p.record(verdict.Restart)
 	}
 }
@@ -173,7 +177,7 @@
 		return nil
 	}
 	p.record(verdict.Restart)
-	p.frozen = false
+	p.frozen, p.told = false, false
 	c := exec.Command(p.program, "--settings", p.settingsFile)
 	c.Stdout, c.Stderr = p.log, p.log
 	if err := c.Start(); err != nil {
@@ -184,6 +188,9 @@
 	go func() {
 		_ = c.Wait() // the exit status does not matter: the run kills and stops processes
 		p.mu.Lock()
+		if !p.told {
+			p.ownEnds = append(p.ownEnds, verdict.End{Host: p.name, At: time.Now()})
+		}
 		p.command = nil
 		p.mu.Unlock()
 		close(ended)
--- a/internal/verdict/bounds.go
+++ b/internal/verdict/bounds.go
@@ -45,6 +45,8 @@
 	// those that every version allows, by any host.
 	MaxDenied, MaxDeniedAlways int
 	DeniedRatio                float64
+	// MaxOwnEnds is how often a host's process may end by itself.
+	MaxOwnEnds int
 	// MaxSilence is the longest silence of a target that is no reason to end an answer.
 	MaxSilence time.Duration
 }
--- a/internal/verdict/ends.go
+++ b/internal/verdict/ends.go
@@ -200,3 +200,13 @@
 		j.find(Recover, j.To, "only %d of %d requests were served", n, sent)
 	}
 }
+
+// ownEnds checks how often processes ended that nobody had asked to. Such an end excuses nothing.
+func (j *judge) ownEnds() {
+	ends := make(map[string]int)
+	for _, e := range j.OwnEnds {
+		if ends[e.Host]++; ends[e.Host] == j.bounds.MaxOwnEnds+1 {
+			j.find(Fault, e.At, "the process of host %s ended by itself %d times", e.Host, ends[e.Host])
+		}
+	}
+}
--- a/internal/verdict/record.go
+++ b/internal/verdict/record.go
@@ -18,6 +18,7 @@
 	Configurations []Configuration
 	Duties         []DutyCall
 	Disruptions    []Disruption
+	OwnEnds        []End
 	// Fault is when the last fault began and Back when all hosts had started again after it; zero
 	// if recovery is not judged.
 	Fault, Back time.Time
@@ -136,6 +137,12 @@
 	Span
 }
 
+// End is an end of a host's process that nobody asked for.
+type End struct {
+	Host string
+	At   time.Time
+}
+
 // parts returns the parts of a prompt that other requests may share: all but the last.
 func (p Prompt) parts() []string {
 	all := strings.Split(p.Parts, ",")
