Report other shards while the order of one stays open

Cause: a controller closes the usage windows of its shards in one round and waits for all of them. Where another controller's order for a shard was open, the round waited until that order had lapsed, two minutes after its author was known to have ended, and then for the next author's order: also after the shard had passed to another owner. Where its own report had no answer it waited two minutes likewise. Meanwhile none of its other shards was reported.

Change: an attempt to report waits for no order. Executor.Try gives up at once when another author's order is open, and leaves an order without an answer to the background. What it saw of the other order is kept, so that the attempts, each made by the owner of that time, together replace it like one call of Do. That an order blocks a unit is logged once for each order.

--- a/authority/executor.go
+++ b/authority/executor.go
@@ -10,6 +10,7 @@
 	"github.com/gravitational/trace"
 	"github.com/rs/zerolog"
 
+	"zinniapin/event"
 	"zinniapin/result"
 	"zinniapin/store"
 	"zinniapin/target"
@@ -96,6 +97,7 @@
 	runsStarted uint64                   // number of runs started so far
 	minFences   map[string]uint64        // lowest usable fencing number, by unit
 	agents      map[string]Agent         // by unit; kept between runs
+	logged      map[string]string        // by unit: the other author's open order that was logged last
 }
 
 // NewExecutor returns an executor of the given author, a machine.Process.ID.
@@ -110,6 +112,7 @@
 		stop:      stop,
 		busy:      map[string]chan struct{}{},
 		agents:    map[string]Agent{},
+		logged:    map[string]string{},
 		minFences: map[string]uint64{},
 	}
 }
@@ -158,17 +161,31 @@
 // error is nil when the order took effect. If the context ends first, an order
 // that may have been sent is carried on in the background until it is closed.
 func (x *Executor) Do(ctx context.Context, unit string, fenced bool, d Driver, o Order) (Outcome, error) {
+	return x.do(ctx, unit, fenced, d, o, false)
+}
+
+// Try is Do without its waits. It gives up with Blocked as soon as another author's
+// order is found open, and leaves an order that was sent without an answer to the
+// background at once. What was observed of the other author's order is kept, so that
+// repeated calls replace it like one call of Do.
+func (x *Executor) Try(ctx context.Context, unit string, fenced bool, d Driver, o Order) (Outcome, error) {
+	return x.do(ctx, unit, fenced, d, o, true)
+}
+
+// do is Do, or Try if impatient is set.
+func (x *Executor) do(ctx context.Context, unit string, fenced bool, d Driver, o Order, impatient bool) (Outcome, error) {
 	runNumber, ok := x.reserve(unit)
 	if !ok {
 		return Blocked, result.New(result.OrderOpen, "an earlier order of this process to %s is not closed yet", unit)
 	}
 	r := &run{
-		executor: x,
-		unit:     unit,
-		driver:   d,
-		agent:    x.agent(unit, runNumber, fenced),
-		caller:   ctx,
-		outcome:  make(chan Outcome, 1),
+		executor:  x,
+		unit:      unit,
+		driver:    d,
+		agent:     x.agent(unit, runNumber, fenced),
+		caller:    ctx,
+		impatient: impatient,
+		outcome:   make(chan Outcome, 1),
 	}
 	o.Epoch = max(o.Epoch, x.minFence(unit))
 	x.runs.Go(func() {
@@ -220,6 +237,17 @@
 	delete(x.busy, r.unit)
 }
 
+// logBlock logs that another author's order is open, once for each order.
+func (x *Executor) logBlock(unit string, o Order) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.logged[unit] == o.ID {
+		return
+	}
+	x.logged[unit] = o.ID
+	event.OrderStuck.Log(x.options.Log).Str("unit", unit).Str("order", o.ID).Str("author", o.Author).Send()
+}
+
 // minFence returns the lowest fencing number that the unit's target may accept.
 func (x *Executor) minFence(unit string) uint64 {
 	x.mu.Lock()
--- a/authority/run.go
+++ b/authority/run.go
@@ -17,10 +17,10 @@
 	driver         Driver
 	agent          Agent
 	caller         context.Context // of the caller that waits for the outcome
+	impatient      bool            // the caller waits for nothing but calls, see Executor.Try
 	outcome        chan Outcome    // receives the outcome once; closed when the run ends
 	reported       bool            // the outcome was sent
 	lastPutUnknown bool            // the last update of the record had no answer
-	blockLogged    bool            // that another author's order is open was logged
 }
 
 // await returns the outcome. It returns false if the outcome is not known one poll
@@ -60,7 +60,25 @@
 			r.logClosed()
 		}
 		r.reportOutcome()
+		if r.impatient && action.Kind == DoPause {
+			action = r.stopWaiting(action)
+		}
+	}
+}
+
+// stopWaiting gives up an order that was not sent, and otherwise tells the caller that
+// the outcome is not known yet.
+func (r *run) stopWaiting(a Action) Action {
+	if r.agent.Cancellable() {
+		a = r.agent.Step(r.executor.options.Now(), Event{Kind: Cancelled})
+		r.reportOutcome()
+		return a
+	}
+	if !r.reported {
+		r.reported = true
+		r.outcome <- ""
 	}
+	return a
 }
 
 // cancelled reports whether the caller has stopped waiting.
@@ -182,9 +200,8 @@
 // is read after that end.
 func (r *run) probe(ctx context.Context, o Order) Event {
 	x := r.executor
-	if o.Author != x.author && !r.blockLogged {
-		r.blockLogged = true
-		event.OrderStuck.Log(x.options.Log).Str("unit", r.unit).Str("order", o.ID).Str("author", o.Author).Send()
+	if o.Author != x.author {
+		x.logBlock(r.unit, o)
 	}
 	ended := o.Author != x.author && x.liveness.AuthorEnded(o.Author)
 	found := r.driver.Probe(ctx, o)
--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -47,6 +47,7 @@
 	objects  *objects.Store
 	stores   []*faultyStore
 	hosts    *fakeHosts
+	reports  provider.Usage       // of controllers started from now on
 	running  []*Controller        // the current controllers
 	stops    []context.CancelFunc // of the controllers
 	gateways []*fakeGateway
@@ -89,7 +90,7 @@
 	self := machine.Process{Host: hostOf(i), Role: machine.Controller, Incarnation: incarnation, Zone: f.zones[i%len(f.zones)], Address: addressOf(i)}
 	k := New(Config{
 		Self: self, Seeds: []string{addressOf(0), addressOf(1), addressOf(2)}, Network: f.fabric.Network(self),
-		Store: f.stores[i], Hosts: f.hosts, Orders: &fakeOrders{}, Seed: 1, Log: testLog(),
+		Store: f.stores[i], Hosts: f.hosts, Orders: &fakeOrders{}, Reports: f.reports, Seed: 1, Log: testLog(),
 	})
 	ctx, stop := context.WithCancel(f.ctx)
 	f.running[i], f.stops[i] = k, stop
--- a/controller/usage.go
+++ b/controller/usage.go
@@ -10,6 +10,7 @@
 	"zinniapin/contract"
 	"zinniapin/event"
 	"zinniapin/membership"
+	"zinniapin/result"
 	"zinniapin/usage"
 )
 
@@ -116,13 +117,14 @@
 }
 
 // closeShard freezes and reports the ended windows of one shard. A failure is
-// retried at the next attempt.
+// retried at the next attempt. It does not wait for an order that another process has
+// open for the shard, since the other shards would wait with it.
 func (k *Controller) closeShard(ctx context.Context, windows *usage.Windows, shard int) {
 	_, err := windows.FreezeDue(ctx, shard)
 	if err == nil {
 		_, err = windows.Report(ctx, shard, k.executor, k.config.Reports)
 	}
-	if err != nil && ctx.Err() == nil {
+	if err != nil && ctx.Err() == nil && result.CodeOf(err) != result.OrderOpen { // the executor logs an open order
 		event.UsageNotReported.Log(k.config.Log).Int("shard", shard).Err(err).Send()
 	}
 }
--- a/usage/close.go
+++ b/usage/close.go
@@ -85,6 +85,8 @@
 // Report reports, in order, the frozen windows of a shard that are not reported yet,
 // and returns how many it reported. Each report is an order of the executor, so that
 // only one process reports a shard at a time. A repeated report has the same figures.
+// While another order for the shard is open, Report returns result.OrderOpen without
+// waiting for it; call it again later.
 func (w *Windows) Report(ctx context.Context, shardIndex int, x *authority.Executor, platform provider.Usage) (int, error) {
 	for reported := 0; ; reported++ {
 		h, _, err := w.readHead(ctx, shardIndex)
@@ -100,10 +102,23 @@
 		if err := w.markReported(ctx, shardIndex, h.Unreported); err != nil {
 			return reported, err
 		}
+		if err := waitClosed(ctx, shardIndex, x); err != nil {
+			return reported + 1, err
+		}
 		event.UsageWindowReported.Log(w.options.Log).Int("shard", shardIndex).Int64("window", h.Unreported).Send()
 	}
 }
 
+// closeTimeout bounds the wait until the order of a window that was reported is closed.
+const closeTimeout = 2 * time.Second
+
+// waitClosed waits until the executor may report the shard's next window.
+func waitClosed(ctx context.Context, shardIndex int, x *authority.Executor) error {
+	ctx, cancel := context.WithTimeout(ctx, closeTimeout)
+	defer cancel()
+	return x.WaitClosed(ctx, ReportUnit(shardIndex))
+}
+
 // reportWindow reports one frozen window, unless it is empty.
 func (w *Windows) reportWindow(ctx context.Context, shardIndex int, start int64, x *authority.Executor, platform provider.Usage) error {
 	c, err := w.readWindow(ctx, shardIndex, start)
@@ -115,11 +130,8 @@
 	if len(reports) == 0 {
 		return nil
 	}
-	if err := x.WaitClosed(ctx, ReportUnit(shardIndex)); err != nil {
-		return err
-	}
 	d := &reportDriver{windows: w, shardIndex: shardIndex, start: start, reports: reports, platform: platform}
-	_, err = x.Do(ctx, ReportUnit(shardIndex), false, d, authority.Order{Payload: fmt.Sprint(start)})
+	_, err = x.Try(ctx, ReportUnit(shardIndex), false, d, authority.Order{Payload: fmt.Sprint(start)})
 	if d.alreadyReported.Load() {
 		return nil
 	}
