Let accepted links keep their identity in the joined run

Cause: the gate of a simulated process wrapped a link anew for each call, so that the link on which a heartbeat came never equalled the one that was accepted. Controllers therefore ignored every link that another one had opened. Real links (yamuxlink) and those of the controllers' own tests pass the same object. A seed that restarted knew no address but those of the seeds and never learnt of the other controllers.

Change: the wrapped link is a value; two of them for one link are equal.

--- a/internal/soak/gate.go
+++ b/internal/soak/gate.go
@@ -301,11 +301,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return &gatedLink{l, n.gate}, nil
+	return gatedLink{l, n.gate}, nil
 }
 
 func (n *gatedNetwork) Listen(address string, h link.Handler, accept func(link.Link)) (string, func() error, error) {
-	return n.inner.Listen(address, n.serve(h), func(l link.Link) { accept(&gatedLink{l, n.gate}) })
+	return n.inner.Listen(address, n.serve(h), func(l link.Link) { accept(gatedLink{l, n.gate}) })
 }
 
 // serve wraps a handler so that a frozen process handles calls only after it wakes, when their
@@ -324,7 +324,7 @@
 			<-ctx.Done()
 			return nil, ctx.Err()
 		}
-		return h.Serve(ctx, &gatedLink{from, n.gate}, q)
+		return h.Serve(ctx, gatedLink{from, n.gate}, q)
 	})
 }
 
@@ -337,17 +337,18 @@
 	ctx, cancel := context.WithTimeout(context.Background(), lateCallTimeout)
 	defer cancel()
 	if _, err := n.gate.waitOutbound(ctx); err == nil {
-		_, _ = h.Serve(ctx, &gatedLink{from, n.gate}, q)
+		_, _ = h.Serve(ctx, gatedLink{from, n.gate}, q)
 	}
 }
 
-// gatedLink passes the calls of one process over a link through its gate.
+// gatedLink passes the calls of one process over a link through its gate. It is a value, so that
+// the link on which a call arrives equals the one that was accepted.
 type gatedLink struct {
 	link.Link
 	gate *gate
 }
 
-func (l *gatedLink) Call(ctx context.Context, q *wire.Envelope) (*wire.Envelope, error) {
+func (l gatedLink) Call(ctx context.Context, q *wire.Envelope) (*wire.Envelope, error) {
 	if _, err := l.gate.waitOutbound(ctx); err != nil {
 		return nil, err
 	}
@@ -355,7 +356,7 @@
 }
 
 // Peer implements link.Link.
-func (l *gatedLink) Peer() machine.Process { return l.Link.Peer() }
+func (l gatedLink) Peer() machine.Process { return l.Link.Peer() }
 
 // refuses tells a gateway whether connections to a target are refused.
 func (sim *simulation) refuses(ctx context.Context, t target.Target) bool {
