Keep to the limit while parts of a mesh join again

Cause: a grantor shares out the fraction of the limit that its live gateways are of those it knows. When several parts of a mesh joined, every former grantor saw all gateways as live at once and shared out all of the limit, until all gateways asked the same one. The bound of twice the limit holds for two grantors at a time, not for six.

Change: a gateway that became live counts in that fraction only after the term of short grants and the margin, 5 s. A grantor keeps the lowest number of live gateways of that time. Joining parts keep to what they had in sum.

--- a/controller/chaos_test.go
+++ b/controller/chaos_test.go
@@ -9,7 +9,6 @@
 	"zinniapin/contract"
 	"zinniapin/control"
 	"zinniapin/grant"
-	"zinniapin/internal/knownred"
 )
 
 // chaosRun makes random faults in a fleet. At every step it checks that revisions
@@ -132,7 +131,7 @@
 			f.within(30*time.Second, "all members live everywhere", f.membershipComplete)
 			t.Logf("seed %d: at most %.1f of 100 in use", seed, c.maxInUse)
 			if c.maxInUse > 2*100 {
-				knownred.Fail(t, "../KNOWN-RED.txt", "split-sum", "%.1f of 100 in use, want twice the limit at most", c.maxInUse)
+				t.Errorf("%.1f of 100 in use, want twice the limit at most", c.maxInUse)
 			}
 		})
 	}
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -225,7 +225,7 @@
 		}
 	}
 	k.mu.Unlock()
-	k.grants.prune(now, k.ownership)
+	k.grants.prune(now, k.fleetSize(now), k.ownership)
 	k.maintainPeers(ctx, now)
 }
 
--- a/controller/grants.go
+++ b/controller/grants.go
@@ -38,6 +38,35 @@
 	ownershipReadAt time.Time                      // when ownedSince was last updated
 	refutations     uint64                         // ownership.refutations at that time
 	ownedSince      [usage.DefaultShards]time.Time // since when this controller owns each shard; zero when it does not
+	lowestLive      lowestCounts                   // of live gateways
+}
+
+// lowestCounts holds the counts that no later one was below, and when each was last seen.
+type lowestCounts []seenCount
+
+// seenCount is a count and when it was last seen.
+type seenCount struct {
+	count int
+	at    time.Time
+}
+
+// see records a count and returns the lowest one that was seen within a span of time.
+func (c *lowestCounts) see(now time.Time, count int, span time.Duration) int {
+	kept := *c
+	for len(kept) > 0 && now.Sub(kept[0].at) > span {
+		kept = kept[1:]
+	}
+	for len(kept) > 0 && kept[len(kept)-1].count >= count {
+		kept = kept[:len(kept)-1]
+	}
+	*c = append(kept, seenCount{count, now})
+	return (*c)[0].count
+}
+
+// countJoined sets the number of gateways that joined a fleet of late. The caller holds g.mu.
+func (g *grantor) countJoined(now time.Time, f grant.Fleet) grant.Fleet {
+	f.Joined = f.Live - g.lowestLive.see(now, f.Live, grant.JoinSpan)
+	return f
 }
 
 // organisationGrants holds the grants of one organisation.
@@ -132,11 +161,12 @@
 	return controllers
 }
 
-// prune refreshes the ownership and drops the organisations that no gateway has
-// requested grants for within grantStateTTL.
-func (g *grantor) prune(now time.Time, readOwnership func() ownership) {
+// prune refreshes the ownership and the number of live gateways, and drops the
+// organisations that no gateway has requested grants for within grantStateTTL.
+func (g *grantor) prune(now time.Time, f grant.Fleet, readOwnership func() ownership) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.countJoined(now, f)
 	if now.Sub(g.ownershipReadAt) >= maxOwnershipAge {
 		g.updateOwnership(now, readOwnership())
 	}
@@ -238,6 +268,7 @@
 	reply := &wire.GrantReply{}
 	k.grants.mu.Lock()
 	defer k.grants.mu.Unlock()
+	fleet = k.grants.countJoined(now, fleet)
 	for _, d := range request.Demands {
 		g := k.allocate(now, request.Gateway, fleet, d)
 		k.metrics.countGrant(g != nil)
--- a/controller/grants_test.go
+++ b/controller/grants_test.go
@@ -27,7 +27,7 @@
 	o.owns[usage.ShardOf(name, usage.DefaultShards)] = true
 	readOwnership := func() ownership { return o }
 	g := newGrantor()
-	g.prune(now, readOwnership)
+	g.prune(now, fleet, readOwnership)
 	now = now.Add(time.Hour)
 	allocator, created := g.allocatorFor(now, name, readOwnership)
 	is.True(created)
@@ -36,14 +36,14 @@
 	is.Equal(share.Term, grant.LongTerm)
 
 	now = now.Add(grant.LongTerm - time.Second)
-	g.prune(now, readOwnership)
+	g.prune(now, fleet, readOwnership)
 	again, created := g.allocatorFor(now, name, readOwnership)
 	is.True(!created)
 	is.Equal(again.Outstanding(now).RequestsPerSecond, share.RequestsPerSecond)
 
 	o.owns = [usage.DefaultShards]bool{}
 	now = now.Add(10 * time.Second)
-	g.prune(now, readOwnership)
+	g.prune(now, fleet, readOwnership)
 	o.owns[usage.ShardOf(name, usage.DefaultShards)] = true
 	now = now.Add(2 * time.Second)
 	allocator, created = g.allocatorFor(now, name, readOwnership)
--- a/grant/grant.go
+++ b/grant/grant.go
@@ -37,7 +37,10 @@
 //
 // While a network partition splits the mesh into k parts with a grantor each, each part grants
 // as if it were alone. A grantor therefore shares out only the fraction live/known of L, where
-// known includes the gateways that it remembers from before the partition. While it remembers
+// known includes the gateways that it remembers from before the partition. When parts join, a
+// gateway counts as live here only after JoinSpan; otherwise every former grantor would share out
+// all of L until the parts agree on one. Long grants of the others may add LongTermFraction*L
+// until they end. While it remembers
 // them (membership forgets a gateway after 15 minutes), a part uses at most the larger of its
 // own fraction of L and of GuaranteedFraction*L, since its gateways count only the gateways
 // that they see live. The sum is then at most (1+(k-1)*GuaranteedFraction)*L. Once the other
@@ -114,14 +117,19 @@
 	Live int
 	// Known is the number of gateways that membership remembers, live or not.
 	Known int
+	// Joined is the number of the live gateways that were not live for all of JoinSpan, and so may
+	// hold grants of another grantor.
+	Joined int
 }
 
-// liveFraction returns the fraction of the known gateways that is live, at most 1.
-func (f Fleet) liveFraction() float64 {
-	if f.Known <= f.Live {
-		return 1
-	}
-	return float64(f.Live) / float64(f.Known)
+// JoinSpan is how long a gateway that became live may hold short grants of another grantor, whose
+// network partition it was in.
+const JoinSpan = Term + Margin
+
+// grantedFraction returns the fraction of the known gateways that was live for all of JoinSpan, at
+// most 1.
+func (f Fleet) grantedFraction() float64 {
+	return float64(f.Live-f.Joined) / float64(max(1, f.Live, f.Known))
 }
 
 // reservedShare returns the amount that is reserved for each gateway without a grant.
@@ -266,7 +274,7 @@
 		}
 	}
 	withoutGrant := max(0, f.Live-len(a.gateways))
-	available := contractAmount(limits).scale(f.liveFraction()).minus(reserve, withoutGrant)
+	available := contractAmount(limits).scale(f.grantedFraction()).minus(reserve, withoutGrant)
 	if f.longGrantsPossible() && now.Before(a.grantsFrom.Add(LongTerm-Term)) {
 		available = available.minus(contractAmount(limits).scale(LongTermFraction), 1)
 	}
--- a/grant/grant_test.go
+++ b/grant/grant_test.go
@@ -58,7 +58,7 @@
 func (m *fleetModel) requestGrant(t *rapid.T, allocator *Allocator) {
 	g := rapid.IntRange(0, len(m.inForce)-1).Draw(t, "gateway")
 	d := control.Demand{RequestsPerSecond: rapid.Float64Range(0, 500).Draw(t, "rate"), Concurrency: rapid.IntRange(0, 50).Draw(t, "concurrency")}
-	share, ok := allocator.Allocate(m.now, fmt.Sprint(g), m.limits, Fleet{len(m.inForce), len(m.inForce)}, d)
+	share, ok := allocator.Allocate(m.now, fmt.Sprint(g), m.limits, Fleet{Live: len(m.inForce), Known: len(m.inForce)}, d)
 	if ok {
 		m.inTransit = append(m.inTransit, issuedGrant{g, share.Amount, m.now.Add(share.Term)})
 	}
@@ -71,7 +71,7 @@
 	totalRate := rapid.Float64Range(0, 1.2).Draw(t, "part wanted by all") * m.limits.RequestsPerSecond
 	for g := range n {
 		d := control.Demand{RequestsPerSecond: totalRate / float64(n), Concurrency: 1}
-		if share, ok := m.grantor.Allocate(m.now, fmt.Sprint(g), m.limits, Fleet{n, n}, d); ok {
+		if share, ok := m.grantor.Allocate(m.now, fmt.Sprint(g), m.limits, Fleet{Live: n, Known: n}, d); ok {
 			m.inForce[g] = issuedGrant{g, share.Amount, m.now.Add(share.Term)}
 		}
 	}
@@ -146,7 +146,7 @@
 			asking := rapid.IntRange(0, n).Draw(t, "gateways that ask")
 			for g := range asking {
 				d := control.Demand{RequestsPerSecond: rapid.Float64Range(0, 300).Draw(t, "rate")}
-				share, ok := o.Allocate(now, fmt.Sprint(p, g), limits, Fleet{n, known}, d)
+				share, ok := o.Allocate(now, fmt.Sprint(p, g), limits, Fleet{Live: n, Known: known}, d)
 				if !ok {
 					t.Fatal("the grantor gives no grants yet")
 				}
--- a/grant/term.go
+++ b/grant/term.go
@@ -91,7 +91,7 @@
 			others = others.add(state.maxOutstanding().max(reserve))
 		}
 	}
-	limit := contractAmount(limits).scale(f.liveFraction())
+	limit := contractAmount(limits).scale(f.grantedFraction())
 	room := limit.scale(LongTermFraction).minus(longOutstanding, 1)
 	available := limit.minus(reserve, max(0, f.Live-len(a.gateways))).minus(others, 1)
 	room = room.min(available)
