Let a controller that has started wait for gateways cut off before

Cause: a gateway that is cut off from all others may serve on, so planned changes wait for 90 s from its last beat. A controller that started meanwhile learns of it as failed and dated its last beat 266 s back, the failure timeout of the largest mesh: it did not wait, and could change an engine's role under the gateway's requests.

Change: such a gateway counts as possibly running for 90 s from when the process learnt of it. Whether it counts as live and when it is forgotten is unchanged.

--- a/membership/member.go
+++ b/membership/member.go
@@ -90,6 +90,14 @@
 	}
 }
 
+// before orders records by host and role.
+func before(a, b *Member) bool {
+	if a.Process.Host != b.Process.Host {
+		return a.Process.Host < b.Process.Host
+	}
+	return a.Process.Role < b.Process.Role
+}
+
 const (
 	// minBeatInterval is the shortest time between two beats of a process.
 	minBeatInterval = time.Second
--- a/membership/table.go
+++ b/membership/table.go
@@ -46,6 +46,7 @@
 	staticChanged      uint64    // table version of the last change of the static part (Process, Via)
 	source             uint64    // incarnation of the peer that sent the last change; 0 if made here
 	suspectedAt        time.Time // when it became suspected (wire: Doubted) at this beat; zero if not
+	silentAt           time.Time // when a peer gave it out as failed, if its beat has not risen since; else zero
 }
 
 // New returns a table that holds only the record of this process. The
@@ -135,6 +136,9 @@
 		if !e.suspectedAt.IsZero() {
 			e.suspectedAt = earlier(e.suspectedAt.Add(gap), now)
 		}
+		if !e.silentAt.IsZero() {
+			e.silentAt = earlier(e.silentAt.Add(gap), now)
+		}
 	}
 	t.nextBeat = earlier(t.nextBeat.Add(gap), now)
 	t.started = earlier(t.started.Add(gap), now)
@@ -182,7 +186,7 @@
 	e.Member = m
 	e.lastBeat = now
 	e.lastBeatUnadjusted = now
-	e.suspectedAt = time.Time{}
+	e.suspectedAt, e.silentAt = time.Time{}, time.Time{}
 	t.markChanged(e, source, static)
 	if w.Doubted {
 		t.suspect(now, e, source)
@@ -230,6 +234,7 @@
 	e := &entry{Member: FromWire(w), lastBeat: now}
 	if w.Silent {
 		e.lastBeat = now.Add(-FailureTimeout(maxMembers) - time.Second)
+		e.silentAt = now
 	}
 	t.add(e)
 	t.markChanged(e, source, true)
@@ -366,31 +371,6 @@
 	return now.Sub(e.lastBeat) <= FailureTimeout(len(t.entries))
 }
 
-// UnreachableTimeout is how long after its last beat a process that is not live
-// may still be running, as far as this process can tell. After that it counts as
-// ended.
-const UnreachableTimeout = 90 * time.Second
-
-// UnreachableMembers returns the records of processes with the role that are not
-// live but may still be running: their last beat is at most UnreachableTimeout
-// old, they have not announced that they leave, and no other incarnation of the
-// role is live on their host.
-func (t *Table) UnreachableMembers(now time.Time, role machine.Role) []Member {
-	live := map[hostRole]bool{}
-	for _, m := range t.Members(now) {
-		live[hostRole{m.Process.Host, m.Process.Role}] = true
-	}
-	var unreachable []Member
-	for _, e := range t.entries {
-		mayRun := e.Process.Role == role && !e.Leaving && now.Sub(e.lastBeat) <= UnreachableTimeout
-		if mayRun && !live[hostRole{e.Process.Host, role}] {
-			unreachable = append(unreachable, e.Member)
-		}
-	}
-	sort.Slice(unreachable, func(i, j int) bool { return before(&unreachable[i], &unreachable[j]) })
-	return unreachable
-}
-
 // supersedes tells whether a rather than b is the present incarnation of a role
 // on a host.
 func (t *Table) supersedes(a, b *entry) bool {
@@ -403,14 +383,6 @@
 	return a.Process.Incarnation > b.Process.Incarnation
 }
 
-// before orders records by host and role.
-func before(a, b *Member) bool {
-	if a.Process.Host != b.Process.Host {
-		return a.Process.Host < b.Process.Host
-	}
-	return a.Process.Role < b.Process.Role
-}
-
 // HighestRevision returns the highest configuration revision of any live
 // process.
 func (t *Table) HighestRevision(now time.Time) contract.Revision {
--- a/membership/unreachable_test.go
+++ b/membership/unreachable_test.go
@@ -12,7 +12,8 @@
 // TestSilentGatewayMayRun checks a gateway whose heartbeats stop: it counts as
 // live, then as unreachable but possibly running, and as ended after
 // UnreachableTimeout. It counts as ended at once if it had announced that it
-// leaves, or when its next incarnation is live.
+// leaves, or when its next incarnation is live, and as possibly running if a peer gives it out as
+// failed to a process that has just started.
 func TestSilentGatewayMayRun(t *testing.T) {
 	gateway := func(incarnation uint64) Member {
 		m := controllerOn(1, incarnation)
@@ -42,6 +43,17 @@
 		is.Equal(len(table.UnreachableMembers(now, machine.Controller)), 0)
 		is.Equal(len(table.UnreachableMembers(now.Add(UnreachableTimeout), machine.Gateway)), 0)
 	})
+	t.Run("given out as failed", func(t *testing.T) {
+		is := is.New(t)
+		m := gateway(7)
+		told := m.ToWire()
+		told.Silent = true
+		table := New(controllerOn(0, 1), began)
+		table.Merge(began, 9, told)
+		is.Equal(len(table.Members(began)), 1)
+		is.Equal(len(table.UnreachableMembers(began.Add(UnreachableTimeout), machine.Gateway)), 1)
+		is.Equal(len(table.UnreachableMembers(began.Add(UnreachableTimeout+time.Second), machine.Gateway)), 0)
+	})
 	t.Run("leaving", func(t *testing.T) {
 		m := gateway(7)
 		m.Leaving = true
