--- a/internal/nodesoak/process.go
+++ b/internal/nodesoak/process.go
@@ -9,11 +9,11 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"slices"
 	"sync"
 	"syscall"
 	"time"
 
+	"zinniapin/internal/verdict"
 	"zinniapin/settings"
 	"zinniapin/zone"
 )
@@ -30,26 +30,53 @@
 	mu        sync.Mutex
 	command   *exec.Cmd
 	ended     chan struct{}
-	disturbed []time.Time
+	disturbed []verdict.Disruption
+	frozen    bool
+	told      bool // the process was told to end
+	ownEnds   []verdict.End
 }
 
-// contactTime is how long a node must have run undisturbed, with the store, until promises with a bound in
-// time hold for what it sends.
-const contactTime = 3 * time.Second
-
-// disturb records that the node is disturbed at present.
+// disturb records that the node is disturbed at present. No disturbance lasts longer than contactTime without
+// another one at its end.
 func (p *process) disturb() {
 	p.mu.Lock()
-	p.disturbed = append(p.disturbed, time.Now())
+	p.record(verdict.Harm)
 	p.mu.Unlock()
 }
 
-// inTouch tells whether the node had run undisturbed for contactTime at a time. No disturbance lasts longer
-// without another one at its end.
-func (p *process) inTouch(at time.Time) bool {
+// record records a disruption of the node. The caller holds mu.
+func (p *process) record(kind verdict.Kind) {
+	p.disturbed = append(p.disturbed, verdict.Disruption{Host: p.name, Kind: kind, Span: point()})
+}
+
+// addTo adds to a run what was done to the node, and how its process ended by itself.
+func (p *process) addTo(r *verdict.Run) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return !slices.ContainsFunc(p.disturbed, func(d time.Time) bool { return !d.After(at) && at.Sub(d) < contactTime })
+	r.Disruptions = append(r.Disruptions, p.disturbed...)
+	r.OwnEnds = append(r.OwnEnds, p.ownEnds...)
+}
+
+// recordSignal records what a signal does to the node. The caller holds mu.
+func (p *process) recordSignal(s syscall.Signal) {
+	switch s {
+	case syscall.SIGTERM:
+		p.told = true
+		p.record(verdict.Term)
+	case syscall.SIGHUP:
+		p.record(verdict.Reload)
+	case syscall.SIGSTOP:
+		p.record(verdict.Harm)
+		p.frozen = true
+	case syscall.SIGCONT:
+		if p.frozen {
+			p.record(verdict.Harm)
+		}
+		p.frozen = false
+	default:
+		p.told = true
+		p.record(verdict.Restart)
+	}
 }
 
 // Ports on which a node listens. Each node has a loopback address of its own.
@@ -149,7 +176,8 @@
 	if p.command != nil {
 		return nil
 	}
-	p.disturbed = append(p.disturbed, time.Now())
+	p.record(verdict.Restart)
+	p.frozen, p.told = false, false
 	c := exec.Command(p.program, "--settings", p.settingsFile)
 	c.Stdout, c.Stderr = p.log, p.log
 	if err := c.Start(); err != nil {
@@ -160,6 +188,9 @@
 	go func() {
 		_ = c.Wait() // the exit status does not matter: the run kills and stops processes
 		p.mu.Lock()
+		if !p.told {
+			p.ownEnds = append(p.ownEnds, verdict.End{Host: p.name, At: time.Now()})
+		}
 		p.command = nil
 		p.mu.Unlock()
 		close(ended)
@@ -174,7 +205,7 @@
 	if p.command == nil {
 		return nil
 	}
-	p.disturbed = append(p.disturbed, time.Now())
+	p.recordSignal(s)
 	err := p.command.Process.Signal(s)
 	if errors.Is(err, os.ErrProcessDone) {
 		return nil
--- a/internal/nodesoak/rude.go
+++ b/internal/nodesoak/rude.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"zinniapin/internal/verdict"
 )
 
 // rudeID begins the ids of requests that no target may get.
@@ -20,9 +22,6 @@
 	fatalBody = "fatal"
 	// fatalRestart is the time after which a target that crashed under it starts again.
 	fatalRestart = time.Second
-	// maxFatalRetries is the number of times that such a request may reach targets, sent by nodes that are in
-	// touch, later than contactTime after it has crashed the third.
-	maxFatalRetries = 3
 )
 
 // rudeCaller sends requests that are unfinished, ambiguous, not allowed or fatal to targets. It belongs to
@@ -30,8 +29,6 @@
 type rudeCaller struct {
 	random *rand.Rand
 	sent   int
-	// fatal holds the nodes that got a request with fatalBody, by request id.
-	fatal map[string]*process
 }
 
 // head returns the head of a request with a new id, without the blank line after it.
@@ -73,12 +70,18 @@
 }
 
 // sendFatal sends the request that crashes targets, which is the same each time but for its id.
-func (c *rudeCaller) sendFatal(p *process, key string) {
+func (c *rudeCaller) sendFatal(p *process, key string, l *attemptLog) {
 	c.sent++
-	id := fmt.Sprint("fatal-", c.sent)
-	c.fatal[id] = p
-	request := fmt.Sprintf("POST /take/fatal HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: %s\r\nX-Deadline-Ms: 3000\r\nX-Credential: %s\r\nContent-Length: %d\r\n\r\n%s", id, key, len(fatalBody), fatalBody)
-	go statusOf(p, request)
+	s := verdict.Request{ID: fmt.Sprint("fatal-", c.sent), Host: p.name, Route: "take", Body: fatalBody, Key: key, Crashing: true}
+	go func() {
+		conn, err := net.DialTimeout("tcp", p.settings.Listen, 300*time.Millisecond)
+		if err != nil {
+			return // the node is down
+		}
+		defer conn.Close() //nolint:errcheck // nothing more is written
+		exchange(conn, bufio.NewReader(conn), &s, "", callerPatience)
+		l.add(s)
+	}()
 }
 
 // statusOf sends a request on a connection of its own and returns the status of the answer; 0 if there is
--- a/internal/standin/prepared/disturb.go
+++ b/internal/standin/prepared/disturb.go
@@ -39,7 +39,9 @@
 // that.
 func (t *Target) FallSilent(d time.Duration) {
 	t.mu.Lock()
-	t.silentUntil = time.Now().Add(d)
+	now := time.Now()
+	t.silentUntil = now.Add(d)
+	t.silences = append(t.silences, Silence{now, t.silentUntil})
 	t.mu.Unlock()
 }
 
