--- a/forward/silence_test.go
+++ b/forward/silence_test.go
@@ -20,8 +20,8 @@
 // after a second.
 const silenceOf = 1500 * time.Millisecond
 
-// patient are the headers of a caller that waits longer than by default.
-var patient = []string{withoutDefaultHeaders, "X-Request-Id: id-1", "X-Deadline-Ms: 4900", "X-Credential: key-1"}
+// longWait are the headers of a caller that waits longer than by default.
+var longWait = []string{withoutDefaultHeaders, "X-Request-Id: id-1", "X-Deadline-Ms: 4900", "X-Credential: key-1"}
 
 // silentInStream starts targets of streams of six events, of which the first falls silent after its second
 // event and then goes on. Requests go to that one, since the others are full of work.
@@ -43,7 +43,7 @@
 		runs := silent.Runs()
 		ended := make(chan callResult, 1)
 		go func() {
-			ended <- h.call(http.MethodPost, "/draft/a", "p", append(patient[:len(patient):len(patient)], engineHeaders...)...)
+			ended <- h.call(http.MethodPost, "/draft/a", "p", append(longWait[:len(longWait):len(longWait)], engineHeaders...)...)
 		}()
 		for begun := time.Now(); time.Since(begun) < 90*time.Millisecond; time.Sleep(5 * time.Millisecond) {
 			if silent.Runs() > runs {
@@ -141,7 +141,7 @@
 			}
 		}
 	})
-	a := h.call(http.MethodPost, "/draft/a", "p", append(patient[:len(patient):len(patient)], longPrompt...)...)
+	a := h.call(http.MethodPost, "/draft/a", "p", append(longWait[:len(longWait):len(longWait)], longPrompt...)...)
 	is.NoErr(a.err)
 	is.Equal(a.status, http.StatusOK)
 	is.Equal(a.body, expectedStream(3))
@@ -161,7 +161,7 @@
 			for range 20 {
 				runs, ended := silent.Runs(), make(chan callResult, 1)
 				go func() {
-					ended <- h.call(http.MethodPost, "/draft/a", "p", append(patient[:len(patient):len(patient)], engineHeaders...)...)
+					ended <- h.call(http.MethodPost, "/draft/a", "p", append(longWait[:len(longWait):len(longWait)], engineHeaders...)...)
 				}()
 				time.Sleep(60 * time.Millisecond)
 				if silent.Runs() > runs {
@@ -190,7 +190,7 @@
 		other.Delay = 600 * time.Millisecond
 		h := newTestHandler(t, "model", silent, other)
 		for len(silent.Arrivals()) == 0 {
-			a := h.call(http.MethodPost, "/draft/a", "p", append(patient[:len(patient):len(patient)], engineHeaders...)...)
+			a := h.call(http.MethodPost, "/draft/a", "p", append(longWait[:len(longWait):len(longWait)], engineHeaders...)...)
 			is.NoErr(a.err)
 			is.Equal(a.body, expectedStream(3))
 		}
@@ -218,7 +218,7 @@
 			h := newTestHandler(t, "model", p, one, two)
 			ended := make(chan callResult, 1)
 			go func() {
-				ended <- h.call(http.MethodPost, "/draft/a", "p", append(patient[:len(patient):len(patient)], longPrompt...)...)
+				ended <- h.call(http.MethodPost, "/draft/a", "p", append(longWait[:len(longWait):len(longWait)], longPrompt...)...)
 			}()
 			for one.Runs()+two.Runs() == 0 {
 				time.Sleep(2 * time.Millisecond)
@@ -253,7 +253,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		go exchange(c, bufio.NewReader(c), http.MethodPost, "/draft/a", "p", append(patient[:len(patient):len(patient)], engineHeaders...)...)
+		go exchange(c, bufio.NewReader(c), http.MethodPost, "/draft/a", "p", append(longWait[:len(longWait):len(longWait)], engineHeaders...)...)
 		time.Sleep(70 * time.Millisecond)
 		if silent.Runs() > runs {
 			silent.FallSilent(3 * time.Second)
--- a/internal/nodesoak/caller.go
+++ b/internal/nodesoak/caller.go
@@ -50,7 +50,7 @@
 		}
 		s.ID, s.Resumes, s.Host, s.Kept = fmt.Sprintf("%s-again-%d", first, try), first, node.name, false
 		events := strings.Count(body, "\n\n")
-		exchange(c, bufio.NewReader(c), &s, fmt.Sprintf("Last-Event-Id: %d\r\nResumes: %s\r\n", events, first), callerPatience)
+		exchange(c, bufio.NewReader(c), &s, fmt.Sprintf("Last-Event-Id: %d\r\nResumes: %s\r\n", events, first), callerTimeout)
 		_ = c.Close()
 		l.add(s)
 		l.mu.Lock()
@@ -70,8 +70,8 @@
 }
 
 const (
-	// callerDeadline is the time that callers name, callerPatience the time after which they leave.
-	callerDeadline, callerPatience = 3 * time.Second, 4 * time.Second
+	// callerDeadline is the time that callers name, callerTimeout the time after which they leave.
+	callerDeadline, callerTimeout = 3 * time.Second, 4 * time.Second
 	// leavers is the number of requests of which one is left early, within leavingTime.
 	leavers, leavingTime = 25, 400 * time.Millisecond
 )
@@ -108,11 +108,11 @@
 			}
 			s.Prompt, s.Crashing = promptOf(part), part != ""
 		}
-		patience := callerPatience
+		limit := callerTimeout
 		if leaving.IntN(leavers) == 0 {
-			patience = time.Duration(1 + leaving.Int64N(int64(leavingTime)))
+			limit = time.Duration(1 + leaving.Int64N(int64(leavingTime)))
 		}
-		kept = exchange(c, reader, &s, "", patience)
+		kept = exchange(c, reader, &s, "", limit)
 		if !kept {
 			_ = c.Close()
 			c = nil
@@ -134,8 +134,8 @@
 }
 
 // exchange sends a request with further headers, reads the response and records both. It closes the
-// connection when the caller's patience is over. It returns whether the connection can be used again.
-func exchange(c net.Conn, reader *bufio.Reader, s *verdict.Request, headers string, patience time.Duration) (reusable bool) {
+// connection when the caller's timeout has passed. It returns whether the connection can be used again.
+func exchange(c net.Conn, reader *bufio.Reader, s *verdict.Request, headers string, limit time.Duration) (reusable bool) {
 	s.Method, s.URI, s.Deadline = http.MethodPost, "/"+s.Route+"/a", callerDeadline
 	if s.Body == "" {
 		s.Body = "body"
@@ -150,10 +150,10 @@
 	s.Content = s.Body
 	s.Status, s.Complete, s.Answer, s.AnswerID, s.Signature, s.Begun, s.Left = 0, false, "", "", "", time.Time{}, time.Time{}
 	s.Sent = time.Now()
-	_ = c.SetDeadline(s.Sent.Add(patience))
+	_ = c.SetDeadline(s.Sent.Add(limit))
 	defer func() {
 		s.End = time.Now()
-		if !s.Complete && s.End.Sub(s.Sent) >= patience {
+		if !s.Complete && s.End.Sub(s.Sent) >= limit {
 			s.Left = s.End
 			_ = c.Close()
 		}
--- a/internal/nodesoak/rude.go
+++ b/internal/nodesoak/rude.go
@@ -79,7 +79,7 @@
 			return // the node is down
 		}
 		defer conn.Close() //nolint:errcheck // nothing more is written
-		exchange(conn, bufio.NewReader(conn), &s, "", callerPatience)
+		exchange(conn, bufio.NewReader(conn), &s, "", callerTimeout)
 		l.add(s)
 	}()
 }
