Run a request that may run only once in no search for its prompt

Cause: the search beside a silent prefill target made a whole attempt at a stream elsewhere, also of requests that may run only once. When the silent target went on first, the attempt was cancelled although it had run, and the request was run again with the prompt of the first target. Change: for such requests the search only has the prompt processed elsewhere, or chooses a target that does both.

--- a/forward/generate.go
+++ b/forward/generate.go
@@ -116,9 +116,16 @@
 			continue
 		}
 		attempt, outcome := r.prefill(ctx, d)
-		if outcome == attemptAnswered || outcome == attemptReplaced {
+		if outcome == attemptAnswered {
 			return attempt, nil
 		}
+		if outcome == attemptReplaced {
+			if found := r.processed; found != nil {
+				r.processed = nil
+				return *found, nil
+			}
+			return streamAttempt{}, nil
+		}
 		if outcome == attemptRejected {
 			continue
 		}
@@ -140,9 +147,9 @@
 
 // prefill lets the planned target process the prompt and picks the target that decodes. If no
 // target can decode, it releases the KV cache and returns attemptNotSent. If it returns attemptReplaced,
-// r.stream has begun in place of a silent target.
+// r.stream or r.processed is what was found in place of a silent target.
 func (r *request) prefill(ctx context.Context, d dispatch.Decision) (streamAttempt, attemptResult) {
-	ctx, w := r.watchSilence(ctx, d.Target, d, r.firstEventTimeout(d), func(ctx context.Context, w *silenceWatch) { r.searchStream(ctx, w, d.Target) })
+	ctx, w := r.watchSilence(ctx, d.Target, d, r.firstEventTimeout(d), func(ctx context.Context, w *silenceWatch) { r.searchPrefill(ctx, w, d.Target) })
 	defer w.stop()
 	ticket := r.beginAttempt(d.Target, d.UncachedTokens)
 	r.summary.prefilledAt = d.Target.ID
@@ -186,6 +193,30 @@
 	}, attemptAnswered
 }
 
+// searchPrefill looks for another target in place of one that is silent while it processes the prompt. A request
+// that may run only once is not run by the search: the prompt is processed elsewhere, or a target chosen that
+// does both.
+func (r *request) searchPrefill(ctx context.Context, w *silenceWatch, silent roster.Target) {
+	if r.route.Repeatable() {
+		r.searchStream(ctx, w, silent)
+		return
+	}
+	r.excluded[silent.ID] = true
+	summary := r.summary
+	if r.keyStillValid() && r.payArrivals(true) {
+		if attempt, end := r.nextStreamAttempt(ctx); end == nil {
+			if w.claim() {
+				r.processed = &attempt
+				return
+			}
+			if attempt.prefillSource != "" {
+				r.releaseCache(attempt.prefilled, attempt.handle)
+			}
+		}
+	}
+	r.restoreSummary(summary)
+}
+
 // releaseTimeout bounds the call that releases an unused KV cache.
 const releaseTimeout = time.Second
 
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -109,6 +109,8 @@
 	attemptWrites   int                // of events of the latest attempt to the caller
 	lastEventID     string             // of the last event sent to the caller
 	held            *heldResponse      // the first error response of a plain service; nil if there is none
+	// processed is the attempt to make once another target has processed the prompt in place of a silent one.
+	processed *streamAttempt
 	// stream and plain are the attempt that has begun to answer in place of a silent target.
 	stream          *stream
 	plain           *plainAttempt
--- a/forward/silence_test.go
+++ b/forward/silence_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"net"
 	"net/http"
 	"sync"
@@ -278,3 +279,32 @@
 		}
 	}
 }
+
+// A target falls silent while it processes the prompt of a request that may run only once, and goes on while
+// another one is at the prompt, or has it. The request runs once.
+func TestRequestWithASilentPrefillRunsOnce(t *testing.T) {
+	for _, silence := range []time.Duration{1600, 1700, 1800, 2600} {
+		t.Run(fmt.Sprint(silence), func(t *testing.T) {
+			is := is.New(t)
+			one, other := engine("p-1", "prefill"), engine("p-2", "prefill")
+			decodes := []*prepared.Target{engine("d-1", "decode"), engine("d-2", "decode")}
+			for _, d := range decodes {
+				d.Change(func(s *prepared.TargetSwitches) { s.EventPause = 200 * time.Millisecond })
+			}
+			h := newTestHandler(t, "model", append(decodes, one, other)...)
+			one.FallSilent(silence * time.Millisecond)
+			other.FallSilent(silence * time.Millisecond)
+			time.AfterFunc(700*time.Millisecond, func() {
+				for _, s := range []*prepared.Target{one, other} {
+					if len(s.Arrivals()) == 0 {
+						s.FallSilent(0) // the one that is tried second answers at once
+					}
+				}
+			})
+			a := h.call(http.MethodPost, "/reply/a", "p", append(longWait[:len(longWait):len(longWait)], longPrompt...)...)
+			is.NoErr(a.err)
+			is.Equal(a.body, expectedStream(3))
+			is.Equal(decodes[0].Runs()+decodes[1].Runs(), 1)
+		})
+	}
+}
