--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -162,6 +162,7 @@
 	notices          map[target.ID]*notice
 	fleet            fleet
 	marks            recentMarks
+	quarantines      []Quarantine // not yet taken to be logged
 }
 
 // New returns a planner for a host in availability zone z. The seed is that of its
--- a/dispatch/health.go
+++ b/dispatch/health.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"zinniapin/roster"
 	"zinniapin/target"
 )
 
@@ -274,13 +275,32 @@
 		h.unreachableInARow++
 		h.unreachableFrom = host
 	}
-	if h.unreachableInARow >= maxUnreachableInARow || h.samples >= minSamples && h.failureShare > p.failureShare[service]+maxFailureExcess {
+	unreachable := h.unreachableInARow >= maxUnreachableInARow
+	if unreachable || h.samples >= minSamples && h.failureShare > p.failureShare[service]+maxFailureExcess {
 		h.quarantine(now, p.random.Float64())
+		p.quarantines = append(p.quarantines, Quarantine{Target: s.target, Host: host, Unreachable: unreachable, For: h.quarantinedUntil.Sub(now)})
 		return true
 	}
 	return false
 }
 
+// Quarantine tells why a target gets no requests for some time.
+type Quarantine struct {
+	Target roster.Target
+	// Host is the peer that reported the last failure, empty if that was this host.
+	Host string
+	// Unreachable is set if the target did not answer; otherwise it failed more often than its service.
+	Unreachable bool
+	For         time.Duration
+}
+
+// TakeQuarantines returns the quarantines that began since the last call.
+func (p *Planner) TakeQuarantines() []Quarantine {
+	taken := p.quarantines
+	p.quarantines = nil
+	return taken
+}
+
 // observeLatency records the latency of a plain service's target. A latency of 0
 // stands for none.
 func (p *Planner) observeLatency(now time.Time, s *state, latency time.Duration) {
--- a/event/node.go
+++ b/event/node.go
@@ -41,5 +41,6 @@
 	PromptPartCleared  = define(7045, "prompt_part_cleared", zerolog.InfoLevel, "Requests with these parts are sent again: targets answered such requests, another part explains the crashes, or they are long past.", "none")
 	TargetLimited      = define(7046, "target_limited", zerolog.InfoLevel, "A target named in an answer how many requests a second it takes from all hosts together, or another number than before, or named none any more.", "Look for the cause at the target if this lasts.")
 	TargetSilent       = define(7047, "target_silent", zerolog.InfoLevel, "A target has sent nothing for so long that another one is to take over the request.", "Check the target if this recurs.")
+	TargetQuarantined  = define(7048, "target_quarantined", zerolog.WarnLevel, "A target gets no requests of this host for some time, since it did not answer or failed much more often than its service; the line names the peer whose report decided it, or none.", "Check the target, and the links of the hosts that report it.")
 	LinesDropped       = define(7035, "lines_dropped", zerolog.WarnLevel, "Log lines were dropped because the log output was too slow.", "none")
 )
--- a/node/node.go
+++ b/node/node.go
@@ -334,6 +334,7 @@
 	if len(expired) > 0 {
 		n.publishTargets()
 	}
+	n.logQuarantines()
 	n.gossip.ticks++
 	if n.gossip.ticks%10 != 0 {
 		return
@@ -354,6 +355,24 @@
 	}
 }
 
+// logQuarantines logs the quarantines of targets that began since the last call.
+func (n *Node) logQuarantines() {
+	n.handler.PlannerMu.Lock()
+	begun := n.handler.Planner.TakeQuarantines()
+	n.handler.PlannerMu.Unlock()
+	if len(begun) == 0 {
+		return
+	}
+	names := make(map[string]string)
+	for _, p := range n.livePeers() {
+		names[planHostName(peers.HostKey(p.Digest.Host))] = p.Digest.Host
+	}
+	for _, q := range begun {
+		event.TargetQuarantined.Log(n.log).Str("target", string(q.Target.ID)).Str("address", q.Target.Address).
+			Str("peer", names[q.Host]).Bool("unreachable", q.Unreachable).Float64("seconds", q.For.Seconds()).Send()
+	}
+}
+
 const (
 	// balancerDetectTime is how long the load balancer may take to notice that a
 	// node is not ready: two checks one second apart, and the network delay.
