Show that a host without links to targets serves nobody

What callers saw: hosts that have lost their links to all targets serve a third of the first attempts or fewer, and hosts beside them send sound targets nothing.

--- a/dispatch/report_test.go
+++ b/dispatch/report_test.go
@@ -195,3 +195,29 @@
 		}
 	}
 }
+
+// A host to which no target answers has lost its own way to them, perhaps: its word must not keep others from sound
+// targets.
+func TestHostToWhichNoTargetAnswersReportsNone(t *testing.T) {
+	is := is.New(t)
+	p := planner(engines(0, 3, "a"), 1)
+	now := start
+	for range 5 {
+		for _, id := range []target.ID{"a-d0", "a-d1", "a-d2"} {
+			now = now.Add(50 * time.Millisecond)
+			p.Observe(now, id, dispatch.Unreachable, 0)
+		}
+	}
+	for _, r := range p.TakeReports() {
+		is.Equal(r.Unreachable, 0)
+	}
+	now = now.Add(50 * time.Millisecond)
+	p.Observe(now, "a-d0", dispatch.Answered, 0) // so the host has a way, and the others have failed
+	reported := make(map[uint32]int)
+	for _, r := range p.TakeReports() {
+		reported[r.Target] = r.Unreachable
+	}
+	is.Equal(reported[dispatch.KeyOf("a-d0")], 0)
+	is.True(reported[dispatch.KeyOf("a-d1")] > 0)
+	is.True(reported[dispatch.KeyOf("a-d2")] > 0)
+}
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -23,7 +23,9 @@
 	"zinniapin/internal/standin/prepared"
 	"zinniapin/node"
 	"zinniapin/platform"
+	"zinniapin/roster"
 	"zinniapin/settings"
+	"zinniapin/store"
 	"zinniapin/zone"
 )
 
@@ -34,6 +36,8 @@
 	duties *prepared.DutyServer
 	target *prepared.Target
 	seed   string // mesh address of the first node
+	// decodeTarget decodes entries of targets for the nodes that are started next; nil stands for platform.DecodeTarget.
+	decodeTarget func(store.Member) (roster.Target, error)
 }
 
 // testNode is a started node.
@@ -147,10 +151,14 @@
 	output := node.NewOutput(n.log)
 	log := zerolog.New(output).With().Timestamp().Str("host", host).Logger()
 	s := n.settings
+	decodeTarget := platform.DecodeTarget
+	if c.decodeTarget != nil {
+		decodeTarget = c.decodeTarget
+	}
 	n.node = node.New(s, node.Platform{
 		Objects: platform.NewObjects(s.Objects), Duties: platform.NewDuties(s.Orders), Protocol: platform.Protocol{},
 		TargetsCollection: platform.TargetsCollection, ConfigurationsCollection: platform.ConfigurationsCollection, ConfigurationName: platform.ConfigurationName,
-		DecodeTarget: platform.DecodeTarget, DecodeConfiguration: platform.DecodeConfiguration,
+		DecodeTarget: decodeTarget, DecodeConfiguration: platform.DecodeConfiguration,
 	}, output, &log)
 	go func() { n.ended <- n.node.Run(ctx) }()
 	c.t.Cleanup(n.stop)
