Report targets as unreachable only while others answer

What callers saw: hosts beside cut ones refused requests as busy with 1 candidate of 32, up to 20 s after the links had healed. Cause: a host that has lost its links reports each target to its peers, and the words of two such hosts, taken in turn, quarantine a sound target everywhere. The class: a failure seen by one observer alone is put down to what it observes.

A host now withholds such exchanges until another target has answered it, for 2 s, and drops those of targets that it knows it has no link to. Evidence: TestHostToWhichNoTargetAnswersReportsNone failed before (5 exchanges reported of each target); TestSilentTargetsAreKnownToAllHosts and all others of the package pass.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -163,6 +163,8 @@
 	fleet            fleet
 	marks            recentMarks
 	quarantines      []Quarantine // not yet taken to be logged
+	unconfirmed      map[target.ID]*unconfirmed
+	lostWays         LostWays
 }
 
 // New returns a planner for a host in availability zone z. The seed is that of its
@@ -180,6 +182,7 @@
 		latency:          map[target.Role]*latencyModel{target.Prefill: newLatencyModel(p.PrefillSpeed), target.Decode: newLatencyModel(p.DecodeSpeed)},
 		handoffMillis:    float64(handoffTime) / float64(time.Millisecond),
 		reports:          make(map[target.ID]*Report),
+		unconfirmed:      make(map[target.ID]*unconfirmed),
 		notices:          make(map[target.ID]*notice),
 		overloads:        make(map[string]*overloadDetector),
 		meanPromptTokens: make(map[string]float64),
--- a/dispatch/health.go
+++ b/dispatch/health.go
@@ -237,10 +237,10 @@
 // more often than its service does.
 func (p *Planner) Observe(now time.Time, id target.ID, o Outcome, latency time.Duration) {
 	s := p.targets[id]
-	if s == nil || o == NoEvidence {
+	if s == nil || o == NoEvidence || o == Unreachable && p.lostWays.lost(id) {
 		return
 	}
-	p.reportOutcome(id, o)
+	p.reportOutcome(now, id, o)
 	if !p.observeOutcome(now, s, o, "") && o == Answered {
 		p.observeLatency(now, s, latency)
 	}
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -48,15 +48,18 @@
 }
 
 // reportOutcome counts an exchange in the report on a target.
-func (p *Planner) reportOutcome(id target.ID, o Outcome) {
-	r := p.report(id)
-	switch o {
-	case Answered:
-		r.Answered++
-	case Failed:
-		r.Failed++
-	case Unreachable:
-		r.Unreachable++
+func (p *Planner) reportOutcome(now time.Time, id target.ID, o Outcome) {
+	if o == Unreachable {
+		p.withhold(now, id)
+		return
+	}
+	if !p.lostWays.lost(id) {
+		p.confirm(now, id)
+	}
+	if o == Answered {
+		p.report(id).Answered++
+	} else {
+		p.report(id).Failed++
 	}
 }
 
--- /dev/null
+++ b/dispatch/ways.go
@@ -0,0 +1,67 @@
+package dispatch
+
+import (
+	"time"
+
+	"zinniapin/target"
+)
+
+// A host that has lost its links to targets gets no answer from any of them, although they are sound. So it reports
+// a target to its peers only once another one has answered it since, and takes no answer for no evidence where it
+// knows that its own link is lost.
+
+// unconfirmedTTL is how long an exchange without an answer waits to be reported.
+const unconfirmedTTL = 2 * time.Second
+
+// unconfirmed counts exchanges with a target that brought no answer, since when no other target has answered.
+type unconfirmed struct {
+	count int
+	since time.Time
+}
+
+// LostWays are the targets that this host does not reach over its own links. Peers may reach them.
+type LostWays struct {
+	All     bool // targets that were not tried included
+	Targets map[target.ID]bool
+}
+
+// lost tells whether the host does not reach a target over its own links.
+func (l *LostWays) lost(id target.ID) bool { return l.All || l.Targets[id] }
+
+// SetLostWays replaces the targets that this host does not reach over its own links. What it took for failures of
+// those that are new among them is forgotten.
+func (p *Planner) SetLostWays(now time.Time, ways LostWays) {
+	before := p.lostWays
+	p.lostWays = ways
+	for id, s := range p.targets {
+		if before.lost(id) || !ways.lost(id) {
+			continue
+		}
+		delete(p.unconfirmed, id)
+		h := &s.health
+		h.unreachableInARow = 0
+		if s.quarantined(now) {
+			*h = health{answeredAt: h.answeredAt, latencyMillis: h.latencyMillis, ttlStart: h.ttlStart}
+		}
+	}
+}
+
+// withhold counts an exchange without an answer, to be reported when another target answers.
+func (p *Planner) withhold(now time.Time, id target.ID) {
+	u := p.unconfirmed[id]
+	if u == nil || now.Sub(u.since) > unconfirmedTTL {
+		u = &unconfirmed{since: now}
+		p.unconfirmed[id] = u
+	}
+	u.count++
+}
+
+// confirm reports the exchanges without an answer that were withheld, since a target has answered now.
+func (p *Planner) confirm(now time.Time, answered target.ID) {
+	for id, u := range p.unconfirmed {
+		if id != answered && now.Sub(u.since) <= unconfirmedTTL {
+			p.report(id).Unreachable += u.count
+		}
+	}
+	clear(p.unconfirmed)
+}
