Connect to targets through other hosts where a host's own links are lost

Cause: a host has one way to a target, its own link, and tries nothing else when that is lost. The class: the end of a path is taken for the end of what it leads to.

A connection that is refused, or not established within 120 ms, is now also asked of another host (package tunnel, a stream of a link); the first one is used, before any byte of the request was written, so nothing runs twice. What such connections show of the host's links is decided in package reach: a link is lost on the word of another host's connection, the others are tried within half a second, lost ones twice a second. A target that sends nothing for 400 ms has its link checked, since a kept connection may be lost without a sign; kept connections over lost links are dropped. Bytes from targets pass in frames, so the end of a tunnel does not look like the end of an answer. A host that stops grants no tunnels, says so on those that it carries and waits for their end. When no host reaches a target, requests are turned away at once.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -164,7 +164,7 @@
 	marks            recentMarks
 	quarantines      []Quarantine // not yet taken to be logged
 	unconfirmed      map[target.ID]*unconfirmed
-	lostWays         LostWays
+	lostLinks        map[target.ID]bool
 }
 
 // New returns a planner for a host in availability zone z. The seed is that of its
--- a/dispatch/health.go
+++ b/dispatch/health.go
@@ -237,7 +237,7 @@
 // more often than its service does.
 func (p *Planner) Observe(now time.Time, id target.ID, o Outcome, latency time.Duration) {
 	s := p.targets[id]
-	if s == nil || o == NoEvidence || o == Unreachable && p.lostWays.lost(id) {
+	if s == nil || o == NoEvidence || o == Unreachable && p.lostLinks[id] {
 		return
 	}
 	p.reportOutcome(now, id, o)
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -53,7 +53,7 @@
 		p.withhold(now, id)
 		return
 	}
-	if !p.lostWays.lost(id) {
+	if !p.lostLinks[id] {
 		p.confirm(now, id)
 	}
 	if o == Answered {
--- a/dispatch/ways.go
+++ b/dispatch/ways.go
@@ -19,22 +19,14 @@
 	since time.Time
 }
 
-// LostWays are the targets that this host does not reach over its own links. Peers may reach them.
-type LostWays struct {
-	All     bool // targets that were not tried included
-	Targets map[target.ID]bool
-}
-
-// lost tells whether the host does not reach a target over its own links.
-func (l *LostWays) lost(id target.ID) bool { return l.All || l.Targets[id] }
-
-// SetLostWays replaces the targets that this host does not reach over its own links. What it took for failures of
-// those that are new among them is forgotten.
-func (p *Planner) SetLostWays(now time.Time, ways LostWays) {
-	before := p.lostWays
-	p.lostWays = ways
-	for id, s := range p.targets {
-		if before.lost(id) || !ways.lost(id) {
+// SetLostLinks replaces the targets to which this host has lost its own links. Peers may reach them. What it took for
+// failures of those that are new among them is forgotten.
+func (p *Planner) SetLostLinks(now time.Time, lost map[target.ID]bool) {
+	before := p.lostLinks
+	p.lostLinks = lost
+	for id := range lost {
+		s := p.targets[id]
+		if before[id] || s == nil {
 			continue
 		}
 		delete(p.unconfirmed, id)
--- a/event/node.go
+++ b/event/node.go
@@ -42,5 +42,7 @@
 	TargetLimited      = define(7046, "target_limited", zerolog.InfoLevel, "A target named in an answer how many requests a second it takes from all hosts together, or another number than before, or named none any more.", "Look for the cause at the target if this lasts.")
 	TargetSilent       = define(7047, "target_silent", zerolog.InfoLevel, "A target has sent nothing for so long that another one is to take over the request.", "Check the target if this recurs.")
 	TargetQuarantined  = define(7048, "target_quarantined", zerolog.WarnLevel, "A target gets no requests of this host for some time, since it did not answer or failed much more often than its service; the line names the peer whose report decided it, or none.", "Check the target, and the links of the hosts that report it.")
+	LinksLost          = define(7049, "links_lost", zerolog.WarnLevel, "This host cannot connect to targets to which other hosts can, or to any; its requests to them go through other hosts.", "Check the network between the host and the targets.")
+	LinksBack          = define(7050, "links_back", zerolog.InfoLevel, "This host can connect to targets over its own links again.", "none")
 	LinesDropped       = define(7035, "lines_dropped", zerolog.WarnLevel, "Log lines were dropped because the log output was too slow.", "none")
 )
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -50,7 +50,7 @@
 // until there is something for the caller and returns whether there is; nil begins nothing. It must not touch
 // the request, which a search for another target may be using. A prefill does not count as running the request.
 func (r *request) send(ctx context.Context, w *silenceWatch, t roster.Target, out *upstream.Request, prefill bool, begin func(*upstream.Response) bool) (*upstream.Response, attemptResult) {
-	r.summary.framing, r.summary.partial = "", 0
+	r.summary.framing, r.summary.through, r.summary.partial = "", "", 0
 	r.countSend(prefill)
 	w.await()
 	response, err := r.h.Pool.Do(ctx, t.Address, out)
@@ -78,7 +78,7 @@
 	if err != nil {
 		return nil, r.handleSendError(ctx, t, err, prefill)
 	}
-	r.summary.framing = response.Framing
+	r.summary.framing, r.summary.through = response.Framing, response.Through
 	// The request id may be missing in a refusal. It cannot belong to an earlier request, since the
 	// pool returns only connections on which nothing arrived while they were idle.
 	if info.NotRun && (info.ID == "" || ofRequest) {
@@ -174,7 +174,7 @@
 // logFailedAttempt logs and counts an attempt without a usable response.
 func (r *request) logFailedAttempt(t roster.Target, err error, how string) {
 	line := event.AttemptEnded.Log(r.h.Log).Str("request", r.info.ID).Str("target", string(t.ID)).Str("address", t.Address).
-		Str("how", how).Int("events", r.summary.events).Str("execution", r.sent.execution().String()).Str("framing", string(r.summary.framing)).Int("partial_event_bytes", r.summary.partial).
+		Str("how", how).Int("events", r.summary.events).Str("execution", r.sent.execution().String()).Str("framing", string(r.summary.framing)).Str("through", r.summary.through).Int("partial_event_bytes", r.summary.partial).
 		Float64("ms", milliseconds(time.Since(r.in.Arrived))).Err(err)
 	if how == "broken" || how == "stale" {
 		line = line.Str("whole", nameOf(r.requestPart())) // the target may have crashed
--- a/forward/request_log.go
+++ b/forward/request_log.go
@@ -19,6 +19,7 @@
 	events      int               // writes of complete events to the caller
 	resumed     int               // further attempts after the response had started
 	framing     upstream.Framing  // of the latest response of a target
+	through     string            // host through which that response came; empty for none
 	version     string            // software version of the target of the latest attempt at a stream
 	partial     int               // bytes after the last complete event when the latest stream ended
 	status      int
@@ -60,6 +61,9 @@
 	if r.summary.framing != "" {
 		line = line.Str("framing", string(r.summary.framing))
 	}
+	if r.summary.through != "" {
+		line = line.Str("through", r.summary.through)
+	}
 	if r.summary.version != "" {
 		line = line.Str("version", r.summary.version)
 	}
--- a/internal/capacity/configure.go
+++ b/internal/capacity/configure.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net"
 	"sync"
 	"time"
 
@@ -70,6 +71,11 @@
 	return copied, proto.Unmarshal(raw, copied)
 }
 
+// Open implements link.Link.
+func (*replicaLink) Open(context.Context, *wire.Envelope) (*wire.Envelope, net.Conn, error) {
+	return nil, nil, link.ErrClosed
+}
+
 // Peer implements link.Link.
 func (*replicaLink) Peer() machine.Process { return machine.Process{} }
 
--- a/link/link.go
+++ b/link/link.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 
 	"zinniapin/machine"
 	"zinniapin/wire"
@@ -32,6 +33,9 @@
 	// Call sends a request and returns the reply. If the reply is a Failure,
 	// Call returns it as a *result.Error.
 	Call(ctx context.Context, request *wire.Envelope) (*wire.Envelope, error)
+	// Open sends a request that asks for a stream and returns the reply. If the peer grants the stream, it is
+	// returned as well and outlives ctx; the caller must close it.
+	Open(ctx context.Context, request *wire.Envelope) (reply *wire.Envelope, stream net.Conn, err error)
 	// Done is closed when the link has ended.
 	Done() <-chan struct{}
 	// Close ends the link and the calls under way.
@@ -43,6 +47,23 @@
 	Serve(ctx context.Context, from Link, request *wire.Envelope) (*wire.Envelope, error)
 }
 
+// StreamHandler is a Handler that grants streams. For a request that asks for one, Open is called in place of Serve.
+// If it returns serve, that is called with the stream once the reply was sent, and the stream is closed when it
+// returns.
+type StreamHandler interface {
+	Handler
+	Open(ctx context.Context, from Link, request *wire.Envelope) (reply *wire.Envelope, serve func(net.Conn), err error)
+}
+
+// AsksForStream tells whether a request asks for a stream.
+func AsksForStream(request *wire.Envelope) bool { return request.GetTunnelRequest() != nil }
+
+// Grants tells whether a reply grants the stream that was asked for.
+func Grants(reply *wire.Envelope) bool {
+	r := reply.GetTunnelReply()
+	return r != nil && r.Outcome == wire.TunnelReply_CONNECTED
+}
+
 // HandlerFunc is a function used as a Handler.
 type HandlerFunc func(ctx context.Context, from Link, request *wire.Envelope) (*wire.Envelope, error)
 
--- a/link/memlink/memlink.go
+++ b/link/memlink/memlink.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"net"
 	"sync"
 	"time"
 
@@ -238,6 +239,34 @@
 	return reply, nil
 }
 
+// Open implements link.Link. A stream does not follow later partitions of its hosts.
+func (e *endpoint) Open(ctx context.Context, request *wire.Envelope) (*wire.Envelope, net.Conn, error) {
+	h, ok := e.other.handler.(link.StreamHandler)
+	if !ok {
+		return nil, nil, result.New(result.LinkRefused, "the process grants no streams")
+	}
+	if err := e.checkReachable(ctx); err != nil {
+		return nil, nil, link.CallError(err)
+	}
+	received, err := e.fabric.transmit(ctx, e.self, e.peer, request)
+	if err != nil {
+		return nil, nil, link.CallError(err)
+	}
+	reply, serve, err := h.Open(ctx, e.other, received)
+	if err != nil {
+		return nil, nil, err
+	}
+	if serve == nil {
+		return reply, nil, nil
+	}
+	near, far := net.Pipe()
+	go func() {
+		serve(far)
+		_ = far.Close()
+	}()
+	return reply, near, nil
+}
+
 // exchange delivers a request to the peer's handler and returns its reply.
 func (e *endpoint) exchange(ctx context.Context, request *wire.Envelope) (*wire.Envelope, error) {
 	if err := e.checkReachable(ctx); err != nil {
--- a/link/yamuxlink/link.go
+++ b/link/yamuxlink/link.go
@@ -60,15 +60,41 @@
 	return reply, nil
 }
 
+// Open implements link.Link.
+func (s *session) Open(ctx context.Context, request *wire.Envelope) (*wire.Envelope, net.Conn, error) {
+	stream, err := s.mux.OpenStream()
+	if err != nil {
+		return nil, nil, link.CallError(trace.NewAggregate(link.ErrClosed, err))
+	}
+	reply, err := s.exchangeOn(ctx, stream, request)
+	if err == nil {
+		err = link.ErrorOf(reply)
+	}
+	if err == nil && link.Grants(reply) && ctx.Err() == nil {
+		_ = stream.SetDeadline(time.Time{})
+		return reply, stream, nil
+	}
+	_ = stream.Close()
+	if err == nil && link.Grants(reply) {
+		err = ctx.Err()
+	}
+	return reply, nil, link.CallError(err)
+}
+
 // exchange opens a stream for the call, sends the request and reads the reply.
 func (s *session) exchange(ctx context.Context, request *wire.Envelope) (*wire.Envelope, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
 	stream, err := s.mux.OpenStream()
 	if err != nil {
 		return nil, trace.NewAggregate(link.ErrClosed, err)
 	}
 	defer func() { _ = stream.Close() }()
+	return s.exchangeOn(ctx, stream, request)
+}
+
+// exchangeOn sends a request on a stream and reads the reply.
+func (s *session) exchangeOn(ctx context.Context, stream net.Conn, request *wire.Envelope) (*wire.Envelope, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
 	stop := context.AfterFunc(ctx, func() { _ = stream.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
 	if err := writeMessage(stream, request, link.MaxMessageBytes); err != nil {
@@ -92,27 +118,40 @@
 			return
 		}
 		s.callSlots <- struct{}{}
-		go s.serveCall(ctx, stream)
+		go func() {
+			serve := s.serveCall(ctx, stream)
+			<-s.callSlots
+			if serve != nil { // streams outlive their calls and take no slot
+				serve(stream)
+			}
+			_ = stream.Close()
+		}()
 	}
 }
 
 // serveCall reads the request of one call from a stream, serves it and writes the
-// reply, or a Failure if the reply cannot be sent.
-func (s *session) serveCall(ctx context.Context, stream net.Conn) {
-	defer func() { <-s.callSlots }()
-	defer func() { _ = stream.Close() }()
+// reply, or a Failure if the reply cannot be sent. It returns what goes on with the stream, or nil.
+func (s *session) serveCall(ctx context.Context, stream net.Conn) func(net.Conn) {
 	_ = stream.SetDeadline(time.Now().Add(serveTimeout))
 	request, err := readMessage(stream, link.MaxMessageBytes)
 	if err != nil {
-		return
+		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, serveTimeout)
 	defer cancel()
-	reply, err := s.handler.Serve(ctx, s, request)
+	var reply *wire.Envelope
+	var serve func(net.Conn)
+	if h, ok := s.handler.(link.StreamHandler); ok && link.AsksForStream(request) {
+		reply, serve, err = h.Open(ctx, s, request)
+	} else {
+		reply, err = s.handler.Serve(ctx, s, request)
+	}
 	if err != nil {
-		reply = link.FailureOf(err)
+		reply, serve = link.FailureOf(err), nil
 	}
-	if err := writeMessage(stream, reply, link.MaxMessageBytes); err != nil {
+	if err := writeMessage(stream, reply, link.MaxMessageBytes); err != nil && serve == nil {
 		_ = writeMessage(stream, link.FailureOf(err), link.MaxMessageBytes)
 	}
+	_ = stream.SetDeadline(time.Time{})
+	return serve
 }
--- a/node/node.go
+++ b/node/node.go
@@ -96,6 +96,7 @@
 	sequence atomic.Uint64
 	gossip   gossip
 	duties   *dutyRunner
+	links    *targetLinks
 	streams  *streamVersions
 	era      storeEra
 	// hasCaughtUp is set once the configuration was found to be as new as that of peers.
@@ -143,6 +144,7 @@
 		OnStreamNotice: n.streams.handleNotice,
 	}
 	n.network = &yamuxlink.Network{Self: n.self, Log: log}
+	n.links = newTargetLinks(n)
 	n.duties = newDutyRunner(n, duty.NewElector(s.Host, time.Duration(s.Bounds.LeaseMillis)*time.Millisecond, now))
 	return n
 }
@@ -207,6 +209,7 @@
 	n.rosterMu.Unlock()
 	n.streams.observeTargets(all)
 	n.handler.Crashes.ObserveTargets(all)
+	n.links.setTargets(all)
 	n.handler.PlannerMu.Lock()
 	n.handler.Planner.SetTargets(time.Now(), all)
 	n.handler.PlannerMu.Unlock()
@@ -252,7 +255,7 @@
 	if err := n.mesh.Listen(n.settings.Mesh, n.settings.Seeds); err != nil {
 		return err
 	}
-	_, stopLinks, err := n.network.Listen(n.settings.Mesh, n.snapshotHandler(), acceptLink)
+	_, stopLinks, err := n.network.Listen(n.settings.Mesh, peerHandler{n}, acceptLink)
 	if err != nil {
 		return err
 	}
@@ -335,6 +338,7 @@
 		n.publishTargets()
 	}
 	n.logQuarantines()
+	n.pool.ProbeLinks()
 	n.gossip.ticks++
 	if n.gossip.ticks%10 != 0 {
 		return
@@ -342,6 +346,8 @@
 	n.measureDemand(now)
 	n.updateFleet(now)
 	n.pool.CloseExpired()
+	n.links.tunnels.CloseIdle()
+	n.links.logLost()
 	n.handler.Crashes.Expire()
 	n.handler.PlannerMu.Lock()
 	n.handler.Planner.Tick(now)
@@ -388,6 +394,7 @@
 	begun := time.Now()
 	n.leaving.Store(true)
 	n.server.Drain()
+	n.links.carried.Leave()
 	event.NodeStopping.Log(n.log).Int("connections", n.server.Connections()).Send()
 	grace := seconds(n.currentSettings().Bounds.GraceSeconds) - graceMargin
 	ctx, cancel := context.WithDeadline(context.Background(), begun.Add(grace))
@@ -401,6 +408,7 @@
 	closeListener()
 	n.server.CloseIdle()
 	n.server.Wait(ctx)
+	n.links.carried.Drain(ctx)
 	select {
 	case <-handedOver:
 	case <-ctx.Done():
--- a/node/snapshot.go
+++ b/node/snapshot.go
@@ -10,8 +10,6 @@
 	"time"
 
 	"zinniapin/event"
-	"zinniapin/link"
-	"zinniapin/result"
 	"zinniapin/roster"
 	"zinniapin/route"
 	"zinniapin/target"
@@ -23,7 +21,7 @@
 func (n *Node) requestSnapshot(d *wire.HostDigest) {
 	ctx, cancel := context.WithTimeout(context.Background(), snapshotTimeout)
 	defer cancel()
-	l, err := n.network.Dial(ctx, d.Address, n.snapshotHandler())
+	l, err := n.network.Dial(ctx, d.Address, peerHandler{n})
 	if err != nil {
 		event.SnapshotFailed.Log(n.log).Str("peer", d.Host).Err(err).Send()
 		return
@@ -133,38 +131,32 @@
 	return json.NewDecoder(io.LimitReader(z, maxConfigurationBytes)).Decode(into)
 }
 
-// snapshotHandler answers snapshot requests of peers.
-func (n *Node) snapshotHandler() link.Handler {
-	return link.HandlerFunc(func(_ context.Context, _ link.Link, request *wire.Envelope) (*wire.Envelope, error) {
-		wanted := request.GetSnapshotRequest()
-		if wanted == nil {
-			return nil, result.New(result.LinkRefused, "a node answers snapshot requests only")
-		}
-		reply := &wire.SnapshotReply{}
-		p, err := n.compressConfiguration()
-		if err != nil {
-			return nil, err
-		}
-		if p.version > wanted.ConfigurationVersion {
-			reply.Configuration = p.data
-		}
-		n.rosterMu.Lock()
-		synced, entries := n.roster.HasSynced(), n.roster.Entries()
-		reply.TargetsRevision = n.roster.Revision()
-		n.rosterMu.Unlock()
-		if !synced || reply.TargetsRevision <= wanted.TargetsRevision {
-			return &wire.Envelope{Body: &wire.Envelope_SnapshotReply{SnapshotReply: reply}}, nil
-		}
-		changed := []roster.Entry{}
-		for _, e := range entries {
-			reply.TargetIds = append(reply.TargetIds, string(e.Target.ID))
-			if e.Revision > wanted.TargetsRevision {
-				changed = append(changed, e)
-			}
-		}
-		if reply.Targets, err = json.Marshal(changed); err != nil {
-			return nil, err
-		}
+// snapshot answers a peer's request for a snapshot.
+func (n *Node) snapshot(wanted *wire.SnapshotRequest) (*wire.Envelope, error) {
+	reply := &wire.SnapshotReply{}
+	p, err := n.compressConfiguration()
+	if err != nil {
+		return nil, err
+	}
+	if p.version > wanted.ConfigurationVersion {
+		reply.Configuration = p.data
+	}
+	n.rosterMu.Lock()
+	synced, entries := n.roster.HasSynced(), n.roster.Entries()
+	reply.TargetsRevision = n.roster.Revision()
+	n.rosterMu.Unlock()
+	if !synced || reply.TargetsRevision <= wanted.TargetsRevision {
 		return &wire.Envelope{Body: &wire.Envelope_SnapshotReply{SnapshotReply: reply}}, nil
-	})
+	}
+	changed := []roster.Entry{}
+	for _, e := range entries {
+		reply.TargetIds = append(reply.TargetIds, string(e.Target.ID))
+		if e.Revision > wanted.TargetsRevision {
+			changed = append(changed, e)
+		}
+	}
+	if reply.Targets, err = json.Marshal(changed); err != nil {
+		return nil, err
+	}
+	return &wire.Envelope{Body: &wire.Envelope_SnapshotReply{SnapshotReply: reply}}, nil
 }
--- a/peers/mesh.go
+++ b/peers/mesh.go
@@ -331,6 +331,13 @@
 	return m.table.liveAddresses(now)
 }
 
+// LiveHosts returns the other hosts that somebody has heard from lately and that are not about to stop.
+func (m *Mesh) LiveHosts(now time.Time) []Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.table.liveHosts(now)
+}
+
 // SmallFleet reports whether a fleet with that many other hosts is small, so that
 // all hosts get everything.
 func SmallFleet(others int) bool { return others < smallFleetHosts }
--- a/peers/table.go
+++ b/peers/table.go
@@ -254,6 +254,24 @@
 	return all
 }
 
+// Member is a live host by the address at which it takes links.
+type Member struct{ Address, Zone string }
+
+// liveHosts returns the live members that are not about to stop, as far as known.
+func (t *Table) liveHosts(now time.Time) []Member {
+	leaving := make(map[string]bool)
+	for _, p := range t.peers {
+		leaving[p.Digest.Address] = p.Digest.Leaving
+	}
+	var all []Member
+	for a, m := range t.members {
+		if m.live(now) && !leaving[a] {
+			all = append(all, Member{a, m.zone})
+		}
+	}
+	return all
+}
+
 // live reports whether anybody has heard from the member lately.
 func (m *member) live(now time.Time) bool { return now.Sub(m.heardAt) < memberLiveness }
 
--- /dev/null
+++ b/reach/reach_test.go
@@ -0,0 +1,166 @@
+package reach_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"zinniapin/reach"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// newTable returns a table with targets a, b, c and so on.
+func newTable(targets int) (*reach.Table, []string) {
+	t := reach.New(1)
+	var all []string
+	for i := range targets {
+		all = append(all, string(rune('a'+i)))
+	}
+	t.SetTargets(all)
+	return t, all
+}
+
+// A target that nobody reaches is at fault itself, and leaves the links to others as they are.
+func TestTargetThatNobodyReachesLosesNoLink(t *testing.T) {
+	is := is.New(t)
+	table, _ := newTable(3)
+	is.True(!table.Failed("a"))
+	is.True(!table.Failed("b"))
+	table.Connected(start, "c")
+	is.True(!table.Failed("a"))
+	is.Equal(len(table.Lost()), 0)
+	is.Equal(table.Probes(start), nil)
+}
+
+// Once one link is lost, all others are tried within half a second, and those that fail count as lost without the word
+// of another host.
+func TestAllLinksAreTriedOnceOneIsLost(t *testing.T) {
+	is := is.New(t)
+	table, all := newTable(20)
+	is.True(table.Bypassed("a"))
+	is.True(!table.Bypassed("a"))
+	now := start
+	for range 5 {
+		for _, p := range table.Probes(now) {
+			if p < "f" {
+				table.Failed(p)
+			} else {
+				table.Connected(now, p)
+			}
+		}
+		now = now.Add(100 * time.Millisecond)
+	}
+	for _, a := range all {
+		is.Equal(table.IsLost(a), a < "f")
+	}
+}
+
+// A link that is back brings the others back for a try, since a partition ends for all at once.
+func TestLinksComeBackTogether(t *testing.T) {
+	is := is.New(t)
+	table, _ := newTable(4)
+	table.Bypassed("a")
+	table.Bypassed("b")
+	now := start
+	tried := make(map[string]bool)
+	for range 30 { // a lost link is tried again twice a second
+		now = now.Add(100 * time.Millisecond)
+		for _, p := range table.Probes(now) {
+			tried[p] = true
+		}
+	}
+	is.True(tried["a"])
+	is.True(tried["b"])
+	is.True(!table.Connected(now, "c")) // it was never lost
+	is.True(table.IsLost("a"))
+	is.True(table.Connected(now, "a"))
+	is.Equal(len(table.Lost()), 0)
+}
+
+// A host without any other that could tell takes its links for lost only if it reaches no target at all.
+func TestHostThatReachesNoTargetHasLostAllLinks(t *testing.T) {
+	is := is.New(t)
+	table, all := newTable(6)
+	table.Failed("a")
+	is.Equal(table.Probes(start), nil)
+	table.Failed("b")
+	news, now := false, start
+	for range 3 {
+		for _, p := range table.Probes(now) {
+			news = table.Failed(p) || news
+		}
+		now = now.Add(100 * time.Millisecond)
+	}
+	is.True(news)
+	is.Equal(len(table.Lost()), len(all))
+	_, known := table.Comparable("a")
+	is.True(!known) // so a target that fails is not at fault
+	is.True(table.Connected(now, "c"))
+	is.Equal(len(table.Lost()), 0)
+}
+
+// The only target of a host that cannot be connected to is at fault.
+func TestOnlyTargetIsNotALostLink(t *testing.T) {
+	is := is.New(t)
+	table, _ := newTable(1)
+	is.True(!table.Failed("a"))
+	is.True(!table.IsLost("a"))
+	other, known := table.Comparable("a")
+	is.Equal(other, "")
+	is.True(known)
+}
+
+// Targets that are gone are forgotten with what is known of their links.
+func TestTargetsThatAreGoneAreForgotten(t *testing.T) {
+	is := is.New(t)
+	table, _ := newTable(3)
+	table.Bypassed("a")
+	is.True(table.SetTargets([]string{"b", "c"}))
+	is.Equal(len(table.Lost()), 0)
+	is.True(!table.SetTargets([]string{"a", "b", "c"}))
+	is.True(!table.IsLost("a"))
+}
+
+// A silent target is checked once a second, and not at all once its link is known to be lost.
+func TestSilentTargetsAreCheckedSeldom(t *testing.T) {
+	is := is.New(t)
+	table, _ := newTable(3)
+	is.True(table.MayCheck(start, "a"))
+	is.True(!table.MayCheck(start.Add(900*time.Millisecond), "a"))
+	is.True(table.MayCheck(start.Add(time.Second), "a"))
+	table.Bypassed("b")
+	is.True(!table.MayCheck(start, "b"))
+}
+
+// Hosts of the own zone are asked first, then those of the target's, at random among each, and those that were of no
+// use lately not at all.
+func TestHostsAreAskedByZone(t *testing.T) {
+	is := is.New(t)
+	table, _ := newTable(2)
+	var all []reach.Host
+	for i := range 12 {
+		all = append(all, reach.Host{Address: fmt.Sprint(i), Zone: []string{"other", "target", "own"}[i%3]})
+	}
+	firsts := make(map[string]bool)
+	for range 100 {
+		order := table.Order(start, all, "own", "target")
+		is.Equal(len(order), 6)
+		for i, h := range order {
+			is.Equal(h.Zone == "own", i < 4)
+			is.True(h.Zone != "other")
+		}
+		firsts[order[0].Address] = true
+	}
+	is.Equal(len(firsts), 4)
+	table.HasNoWay(start, "2")
+	table.DoesNotAnswer(start, "5")
+	order := table.Order(start.Add(500*time.Millisecond), all, "own", "target")
+	is.True(!slices.ContainsFunc(order, func(h reach.Host) bool { return h.Address == "2" || h.Address == "5" }))
+	later := table.Order(start.Add(1500*time.Millisecond), all, "own", "target")
+	is.True(slices.ContainsFunc(later, func(h reach.Host) bool { return h.Address == "2" }))
+	is.True(!slices.ContainsFunc(later, func(h reach.Host) bool { return h.Address == "5" }))
+}
--- a/socket/socket.go
+++ b/socket/socket.go
@@ -3,6 +3,7 @@
 
 import (
 	"errors"
+	"net"
 	"syscall"
 	"time"
 
@@ -21,3 +22,12 @@
 		return errors.Join(err, setErr)
 	}
 }
+
+// Reset closes a connection and drops what was written and not sent yet. The other end of a TCP connection sees a
+// reset.
+func Reset(c net.Conn) {
+	if t, ok := c.(*net.TCPConn); ok {
+		_ = t.SetLinger(0) // fails only if the connection is already closed
+	}
+	_ = c.Close()
+}
--- /dev/null
+++ b/tunnel/server.go
@@ -0,0 +1,170 @@
+package tunnel
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"sync"
+
+	"zinniapin/socket"
+	"zinniapin/target"
+	"zinniapin/wire"
+)
+
+// maxTunnels bounds the tunnels that a host carries for others at a time.
+const maxTunnels = 1024
+
+// Server carries tunnels for other hosts. It is safe for concurrent use.
+type Server struct {
+	// Connect connects to a target over the host's own links. If it returns no connection, the outcome tells why.
+	Connect func(ctx context.Context, id target.ID, startedMillis int64) (net.Conn, wire.TunnelReply_Outcome)
+
+	mu      sync.Mutex
+	open    map[*carried]struct{}
+	pending int // being connected, or not yet carried
+	leaving bool
+	idle    chan struct{} // closed when the last tunnel ends; nil unless Drain waits
+}
+
+// carried is a tunnel that a host carries for another one.
+type carried struct {
+	stream, conn net.Conn
+
+	mu     sync.Mutex // guards writes to stream
+	buffer [headerBytes + maxFrameBytes]byte
+}
+
+// Open answers the request for a tunnel. If it was granted, serve must be called: it carries the tunnel on a stream until
+// its end.
+func (s *Server) Open(ctx context.Context, request *wire.TunnelRequest) (reply *wire.Envelope, serve func(net.Conn)) {
+	answer := func(o wire.TunnelReply_Outcome) *wire.Envelope {
+		return &wire.Envelope{Body: &wire.Envelope_TunnelReply{TunnelReply: &wire.TunnelReply{Outcome: o}}}
+	}
+	s.mu.Lock()
+	if s.leaving || len(s.open)+s.pending >= maxTunnels {
+		s.mu.Unlock()
+		return answer(wire.TunnelReply_BUSY), nil
+	}
+	s.pending++
+	s.mu.Unlock()
+	conn, outcome := s.Connect(ctx, target.ID(request.Target), request.Born)
+	if conn == nil {
+		s.mu.Lock()
+		s.pending--
+		s.checkIdle()
+		s.mu.Unlock()
+		return answer(outcome), nil
+	}
+	return answer(wire.TunnelReply_CONNECTED), func(stream net.Conn) { s.carry(&carried{stream: stream, conn: conn}) }
+}
+
+// carry copies bytes between a tunnel and its target until either ends.
+func (s *Server) carry(c *carried) {
+	s.mu.Lock()
+	if s.open == nil {
+		s.open = make(map[*carried]struct{})
+	}
+	s.open[c] = struct{}{}
+	s.pending--
+	left := s.leaving
+	s.mu.Unlock()
+	if left {
+		c.send(leaving)
+	}
+	var copies sync.WaitGroup
+	copies.Go(func() {
+		_, _ = io.Copy(writerOnly{c.conn}, readerOnly{c.stream})
+		socket.Reset(c.conn) // the other host has ended or given up the tunnel
+	})
+	copies.Go(c.copyAnswers)
+	copies.Wait()
+	s.mu.Lock()
+	delete(s.open, c)
+	s.checkIdle()
+	s.mu.Unlock()
+}
+
+// readerOnly and writerOnly hide that a connection can copy by itself, which takes a pipe.
+type (
+	readerOnly struct{ io.Reader }
+	writerOnly struct{ io.Writer }
+)
+
+// copyAnswers copies what the target sends.
+func (c *carried) copyAnswers() {
+	defer c.stream.Close() //nolint:errcheck // nothing more is written
+	buffer := c.buffer[:]
+	for {
+		n, err := c.conn.Read(buffer[headerBytes:])
+		if n > 0 {
+			putHeader(buffer, data, n)
+			c.mu.Lock()
+			_, writeErr := c.stream.Write(buffer[:headerBytes+n])
+			c.mu.Unlock()
+			if writeErr != nil {
+				socket.Reset(c.conn)
+				return
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			c.send(end)
+			return
+		}
+		if err != nil {
+			c.send(broken)
+			return
+		}
+	}
+}
+
+// send sends a frame without contents. A tunnel that is lost meanwhile needs none.
+func (c *carried) send(k kind) {
+	var header [headerBytes]byte
+	putHeader(header[:], k, 0)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_, _ = c.stream.Write(header[:])
+}
+
+// Carried returns the number of tunnels.
+func (s *Server) Carried() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.open)
+}
+
+// checkIdle tells Drain when the last tunnel has ended. The caller holds mu.
+func (s *Server) checkIdle() {
+	if s.idle != nil && len(s.open)+s.pending == 0 {
+		close(s.idle)
+		s.idle = nil
+	}
+}
+
+// Leave grants no further tunnels and tells the hosts at the others to use them for no further request.
+func (s *Server) Leave() {
+	s.mu.Lock()
+	s.leaving = true
+	var all []*carried
+	for c := range s.open {
+		all = append(all, c)
+	}
+	s.mu.Unlock()
+	for _, c := range all {
+		go c.send(leaving) // the other host may be slow to read
+	}
+}
+
+// Drain waits after Leave until all tunnels have ended or the context ends.
+func (s *Server) Drain(ctx context.Context) {
+	idle := make(chan struct{})
+	s.mu.Lock()
+	s.idle = idle
+	s.checkIdle()
+	s.mu.Unlock()
+	select {
+	case <-idle:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/upstream/detour_test.go
@@ -0,0 +1,175 @@
+package upstream_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"zinniapin/internal/standin/prepared"
+	"zinniapin/reach"
+	"zinniapin/upstream"
+)
+
+// otherHost stands in for another host with its own links.
+type otherHost struct {
+	word    upstream.Word // unless it is Connected
+	targets map[string]string
+	asked   atomic.Int32
+}
+
+// Hosts implements upstream.Detours.
+func (o *otherHost) Hosts(string) ([]reach.Host, string, string) {
+	return []reach.Host{{Address: "other", Zone: "a"}}, "a", "a"
+}
+
+// Open implements upstream.Detours.
+func (o *otherHost) Open(_ context.Context, _, address string) (net.Conn, upstream.Word) {
+	o.asked.Add(1)
+	if o.word != upstream.Connected {
+		return nil, o.word
+	}
+	c, err := net.Dial("tcp", o.targets[address])
+	if err != nil {
+		return nil, upstream.Refused
+	}
+	return c, upstream.Connected
+}
+
+// answering starts a target that answers each request, at once or after the channel is closed.
+func answering(t *testing.T, after <-chan struct{}) string {
+	t.Helper()
+	return listen(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		for {
+			if _, err := http.ReadRequest(r); err != nil {
+				return
+			}
+			if after != nil {
+				<-after
+			}
+			_, _ = io.WriteString(c, okResponse)
+		}
+	})
+}
+
+// newDetour returns a pool with another host, and two ways to targets.
+func newDetour(t *testing.T) (p *upstream.Pool, o *otherHost, first, second *prepared.Way, lost *atomic.Int32) {
+	t.Helper()
+	first, second = prepared.NewWay(answering(t, nil)), prepared.NewWay(answering(t, nil))
+	t.Cleanup(first.Close)
+	t.Cleanup(second.Close)
+	o = &otherHost{targets: map[string]string{first.Address(): answering(t, nil), second.Address(): answering(t, nil)}}
+	lost = &atomic.Int32{}
+	p = upstream.NewPool()
+	p.UseDetours(o, func(all map[string]bool) { lost.Store(int32(len(all))) })
+	p.SetTargets([]string{first.Address(), second.Address()})
+	return p, o, first, second, lost
+}
+
+// A request goes through another host once a connection is refused or not answered, and then at once.
+func TestLostLinkIsBypassed(t *testing.T) {
+	for _, mode := range prepared.WayModes {
+		t.Run(string(mode), func(t *testing.T) {
+			is := is.New(t)
+			p, o, first, _, lost := newDetour(t)
+			first.Set(mode)
+			body, err := get(p, first.Address())
+			is.NoErr(err)
+			is.Equal(body, "ok")
+			is.Equal(lost.Load(), int32(1))
+			is.Equal(o.asked.Load(), int32(1))
+			begun := time.Now()
+			for range 5 {
+				_, err := get(p, first.Address())
+				is.NoErr(err)
+			}
+			is.True(time.Since(begun) < 100*time.Millisecond)
+			first.Set(prepared.WayOpen)
+			for begun := time.Now(); lost.Load() > 0 && time.Since(begun) < 3*time.Second; time.Sleep(20 * time.Millisecond) {
+				p.ProbeLinks()
+			}
+			is.Equal(lost.Load(), int32(0))
+			direct := first.Accepted()
+			_, err = get(p, first.Address())
+			is.NoErr(err)
+			is.True(direct > 0)
+			is.Equal(o.asked.Load(), int32(1)) // the tunnel was dropped, and no other asked for
+		})
+	}
+}
+
+// A kept connection whose link has fallen silent is found out by the request that meets it, and the next ones go through
+// another host.
+func TestSilentKeptConnectionIsFoundOut(t *testing.T) {
+	is := is.New(t)
+	p, _, first, _, lost := newDetour(t)
+	for range 3 {
+		_, err := get(p, first.Address())
+		is.NoErr(err)
+	}
+	first.Set(prepared.WaySilent)
+	met := make(chan error, 1)
+	go func() { _, err := get(p, first.Address()); met <- err }()
+	for begun := time.Now(); lost.Load() == 0 && time.Since(begun) < 2*time.Second; time.Sleep(10 * time.Millisecond) {
+	}
+	is.Equal(lost.Load(), int32(1))
+	_, err := get(p, first.Address())
+	is.NoErr(err)
+	is.True(errors.Is(<-met, upstream.ErrNoResponse)) // it may have run
+}
+
+// A slow target is no lost link: the check finds that connections to it are established.
+func TestSlowTargetIsNoLostLink(t *testing.T) {
+	is := is.New(t)
+	slow := make(chan struct{})
+	address := answering(t, slow)
+	o := &otherHost{targets: map[string]string{address: address}}
+	p := upstream.NewPool()
+	p.UseDetours(o, func(map[string]bool) { t.Error("a link was taken for lost") })
+	p.SetTargets([]string{address, "127.0.0.1:1"})
+	time.AfterFunc(700*time.Millisecond, func() { close(slow) })
+	_, err := get(p, address)
+	is.NoErr(err)
+	is.Equal(o.asked.Load(), int32(0))
+}
+
+// When other hosts say that a target is down, it is; when they do not reach it either, nothing is known of it.
+func TestWordOfOtherHostsTellsWhoIsAtFault(t *testing.T) {
+	for word, noWay := range map[upstream.Word]bool{upstream.Refused: false, upstream.Unanswered: false, upstream.NoWay: true, upstream.NoAnswer: true} {
+		is := is.New(t)
+		p, o, first, second, _ := newDetour(t)
+		o.word = word
+		first.Set(prepared.WayReset)
+		second.Set(prepared.WayReset)
+		_, err := get(p, first.Address())
+		is.True(errors.Is(err, upstream.ErrNotSent))
+		_, err = get(p, second.Address())
+		is.True(errors.Is(err, upstream.ErrNotSent))
+		is.Equal(errors.Is(err, upstream.ErrNoWay), noWay)
+	}
+}
+
+// A host connects for another one over its own links only, and puts a failure down to the target only while it reaches
+// others.
+func TestHostConnectsForAnotherOne(t *testing.T) {
+	is := is.New(t)
+	p, o, first, second, _ := newDetour(t)
+	c, word := p.ConnectFor(t.Context(), first.Address())
+	is.Equal(word, upstream.Connected)
+	is.NoErr(c.Close())
+	first.Set(prepared.WayReset)
+	_, word = p.ConnectFor(t.Context(), first.Address())
+	is.Equal(word, upstream.Refused) // the second can be reached
+	second.Set(prepared.WayReset)
+	time.Sleep(300 * time.Millisecond) // what it could connect to before proves nothing
+	_, word = p.ConnectFor(t.Context(), first.Address())
+	is.Equal(word, upstream.NoWay)
+	is.Equal(o.asked.Load(), int32(0))
+}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
@@ -17,6 +18,7 @@
 	"syscall"
 	"time"
 
+	"zinniapin/reach"
 	"zinniapin/socket"
 )
 
@@ -75,20 +77,26 @@
 	Fresh bool
 }
 
-// Pool keeps idle connections to targets for reuse. It is safe for concurrent use.
+// Pool opens connections to targets and keeps idle ones for reuse. It is safe for concurrent use.
 type Pool struct {
-	mu   sync.Mutex
-	idle map[string][]*connection // by address, the most recently used last
-	// Opened counts the connections opened since the start.
+	mu     sync.Mutex
+	idle   map[string][]*connection // by address, the most recently used last
+	dialer dialer
+	// Opened counts the connections opened over this host's own links since the start.
 	Opened atomic.Int64
 }
 
-// NewPool returns an empty pool.
-func NewPool() *Pool { return &Pool{idle: make(map[string][]*connection)} }
+// NewPool returns an empty pool of a host that has no others to ask for connections.
+func NewPool() *Pool {
+	p := &Pool{idle: make(map[string][]*connection)}
+	p.dialer = dialer{opened: &p.Opened, table: reach.New(rand.Uint64())}
+	return p
+}
 
 // connection is one connection to a target.
 type connection struct {
 	net         net.Conn
+	detour      bool         // it passes through another host
 	limiter     *headLimiter // under reader
 	reader      *bufio.Reader
 	address     string
@@ -97,21 +105,10 @@
 	watchResult chan bool // receives true if nothing arrived while the connection was idle
 }
 
-// dial opens a connection.
-func (p *Pool) dial(ctx context.Context, address string) (*connection, error) {
-	d := net.Dialer{Timeout: connectTimeout, Control: socket.UserTimeout(tcpUserTimeout), KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 10 * time.Second, Interval: 5 * time.Second, Count: 4}}
-	c, err := d.DialContext(ctx, "tcp", address)
-	if err != nil {
-		return nil, errors.Join(ErrNotSent, err)
-	}
-	p.Opened.Add(1)
-	return newConnection(c, address), nil
-}
-
 // newConnection returns a connection over c to the target at an address.
-func newConnection(c net.Conn, address string) *connection {
+func newConnection(c net.Conn, address string, detour bool) *connection {
 	limiter := &headLimiter{conn: c, left: -1}
-	return &connection{net: c, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes), address: address, idleTimeout: defaultIdleTimeout}
+	return &connection{net: c, detour: detour, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes), address: address, idleTimeout: defaultIdleTimeout}
 }
 
 // headLimiter reads from a connection, at most left bytes unless that is negative. A head that never
@@ -137,11 +134,12 @@
 
 // reset resets a connection with a request in progress. An ordinary close would still deliver the
 // bytes that were written, for instance after a network partition has healed.
-func (c *connection) reset() {
-	if t, ok := c.net.(*net.TCPConn); ok {
-		_ = t.SetLinger(0) // fails only if the connection is already closed
-	}
-	_ = c.net.Close()
+func (c *connection) reset() { socket.Reset(c.net) }
+
+// leaving tells whether the connection passes through a host that is about to stop.
+func (c *connection) leaving() bool {
+	through, ok := c.net.(interface{ Leaving() bool })
+	return ok && through.Leaving()
 }
 
 // take removes an idle connection from the pool and returns it, or nil if there is none on which
@@ -158,7 +156,7 @@
 		p.idle[address] = idle[:len(idle)-1]
 		p.mu.Unlock()
 		age := time.Since(c.idleSince)
-		if !c.stopWatch() || age > c.idleTimeout {
+		if !c.stopWatch() || age > c.idleTimeout || c.leaving() {
 			_ = c.net.Close()
 			continue
 		}
@@ -175,7 +173,7 @@
 func (p *Pool) put(c *connection) {
 	c.idleSince = time.Now()
 	p.mu.Lock()
-	full := len(p.idle[c.address]) >= maxIdlePerTarget
+	full := len(p.idle[c.address]) >= maxIdlePerTarget || c.leaving() || c.detour && !p.dialer.isLost(c.address)
 	if !full {
 		c.startWatch()
 		p.idle[c.address] = append(p.idle[c.address], c)
@@ -193,7 +191,7 @@
 	for address, idle := range p.idle {
 		kept := idle[:0]
 		for _, c := range idle {
-			if time.Since(c.idleSince) > c.idleTimeout {
+			if time.Since(c.idleSince) > c.idleTimeout || c.leaving() {
 				expired = append(expired, c)
 			} else {
 				kept = append(kept, c)
@@ -251,6 +249,8 @@
 	Length  int64
 	Framing Framing
 	Body    io.Reader
+	// Through is the host through which the response came, empty if it came over this host's own links.
+	Through string
 
 	pool                *Pool
 	conn                *connection
@@ -270,7 +270,7 @@
 	kept := c != nil
 	if !kept {
 		var err error
-		if c, err = p.dial(ctx, address); err != nil {
+		if c, err = p.dialer.dial(ctx, address); err != nil {
 			return nil, err
 		}
 	}
@@ -302,6 +302,7 @@
 			written <- err
 		}()
 	}
+	defer p.watchLink(c)()
 	c.limiter.left, c.limiter.read = maxHeadBytes, 0
 	parsed, err := readHead(c.reader, r.Method)
 	c.limiter.left = -1
@@ -313,20 +314,19 @@
 		return fail(ErrNoResponse, err)
 	}
 	response := &Response{Status: parsed.StatusCode, Header: parsed.Header, Length: parsed.ContentLength, Framing: framingOf(parsed),
-		pool: p, conn: c, parsed: parsed, bodyWritten: written, stopWatchingContext: stop}
+		Through: c.through(), pool: p, conn: c, parsed: parsed, bodyWritten: written, stopWatchingContext: stop}
 	response.Body = &body{response: response}
 	return response, nil
 }
 
-// Refuses tells whether connections to an address are refused, as they are once the process that listened
-// there has ended. A connection that is accepted is kept for later requests.
+// Refuses tells whether a target refuses connections, as it does once the process that listened there has ended. A
+// connection that is accepted is kept for later requests.
 func (p *Pool) Refuses(ctx context.Context, address string) bool {
-	c, err := p.dial(ctx, address)
-	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
+	c, refused := p.dialer.refuses(ctx, address)
+	if c != nil {
+		p.put(c)
 	}
-	p.put(c)
-	return false
+	return refused
 }
 
 // IsClosed tells whether an error of Do, or of reading a body, means that the target has closed the
