Take refused connections for a crash only if other hosts are refused, too

Cause: answers that break off, followed by refused connections, were taken for the end of the target's process. That holds only over links that work.

A host whose connections are refused now asks another one to connect; without a word from any, it compares with another target.

--- a/node/lost_way_test.go
+++ b/node/lost_way_test.go
@@ -174,6 +174,7 @@
 				is.True(10*served >= 9*sent)
 				is.True(!n.log.contains("target_quarantined")) // peers reach the targets
 			}
+			is.True(!c.cut.log.contains("target_crashed"))
 			c.ways.set(prepared.WayOpen)
 			before := c.ways.accepted()
 			eventually(t, 3*time.Second, "the host uses its own links again", func() bool {
@@ -224,3 +225,29 @@
 		eventually(t, 2*time.Second, "served again", func() bool { return n.get("/read/a", "key-1") == http.StatusOK })
 	}
 }
+
+// Connections that are reset, and new ones that are refused, are no crash of the target if other hosts reach it: the
+// requests that were under way must not be rejected anywhere.
+func TestResetLinksAreNoCrashOfTargets(t *testing.T) {
+	is := is.New(t)
+	c := newCutCluster(t)
+	for _, s := range c.targets {
+		s.Change(func(s *prepared.TargetSwitches) { s.Delay = 300 * time.Millisecond })
+	}
+	c.load(c.cut, 100*time.Millisecond)
+	var loads sync.WaitGroup
+	for range 3 { // three crashes of targets under a request would block it
+		loads.Go(func() { c.load(c.cut, 100*time.Millisecond) })
+		time.Sleep(200 * time.Millisecond)
+		c.ways.set(prepared.WayReset)
+		time.Sleep(600 * time.Millisecond)
+		c.ways.set(prepared.WayOpen)
+		time.Sleep(700 * time.Millisecond)
+		loads.Wait()
+	}
+	is.True(c.cut.log.contains("links_lost"))
+	for _, n := range append(c.healthy, c.cut) {
+		is.True(!n.log.contains("target_crashed"))
+		is.True(!n.log.contains("prompt_part_blocked"))
+	}
+}
--- a/upstream/dial.go
+++ b/upstream/dial.go
@@ -305,12 +305,23 @@
 // proofTimeout bounds the connecting to another target for comparison.
 const proofTimeout = 40 * time.Millisecond
 
-// refuses tells whether connections to a target are refused. A connection that is accepted is returned.
+// refuses tells whether connections to a target are refused for another reason than that this host's links are lost.
+// A connection that is accepted is returned.
 func (d *dialer) refuses(ctx context.Context, address string) (*connection, bool) {
-	c, err := d.connect(ctx, address)
-	if err != nil {
-		return nil, errors.Is(err, syscall.ECONNREFUSED)
+	if !d.isLost(address) {
+		c, err := d.connect(ctx, address)
+		if err == nil {
+			d.connected(address)
+			return newConnection(c, address, false), false
+		}
+		if !errors.Is(err, syscall.ECONNREFUSED) {
+			return nil, false
+		}
+	}
+	c, word := d.detour(ctx, address)
+	if c != nil {
+		d.bypassed(address)
+		return newConnection(c, address, true), false
 	}
-	d.connected(address)
-	return newConnection(c, address, false), false
+	return nil, word == Refused || word != Unanswered && !d.isLost(address) && d.proven(address)
 }
