Play hosts that lose their links in the soak of real nodes, and judge callers host by host

Cause: the soak had no links between nodes and targets, and the checks summed over all hosts, so hosts that served nobody did not show. Package verdict judges RECOVER as the platform states it.

--- a/internal/nodesoak/pairs_test.go
+++ b/internal/nodesoak/pairs_test.go
@@ -96,7 +96,7 @@
 	}
 	plan := newPairPlan(seed, means)
 	t.Log(plan.String())
-	d := newDeployment(t, program, folder, seed)
+	d := startDeployment(t, program, folder, seed, slices.ContainsFunc(plan.switches, func(s drawn) bool { return s.name == lostLinks }))
 	d.crashPart.Store("")
 	d.seed = seed
 	d.rude = &rudeCaller{random: d.random}
@@ -136,6 +136,9 @@
 			s.Header = header
 		})
 	}
+	for _, p := range d.nodes {
+		p.links.set(prepared.WayOpen)
+	}
 	d.store.Change(func(s *prepared.StoreSwitches) { *s = prepared.StoreSwitches{Down: s.Down} })
 	d.duties.Change(func(s *prepared.DutySwitches) { *s = prepared.DutySwitches{} })
 	d.endFaults()
--- a/internal/nodesoak/process.go
+++ b/internal/nodesoak/process.go
@@ -23,6 +23,7 @@
 	name         string
 	settings     settings.Node
 	store        *proxy
+	links        *links
 	program      string
 	settingsFile string
 	log          *os.File
@@ -100,6 +101,8 @@
 	if p.store, err = newProxy(storeAddress); err != nil {
 		return nil, err
 	}
+	p.links = newLinks(i)
+	p.store.rewrite = p.links.rewrite
 	p.settings = settings.Node{
 		Host: p.name, Zone: zone.Name(fmt.Sprint("z", i%2)), Region: "north", Listen: hostAddress(seed, i, listenPort),
 		Ready: hostAddress(seed, i, readyPort), Mesh: hostAddress(seed, i, meshPort),
--- a/internal/nodesoak/proxy.go
+++ b/internal/nodesoak/proxy.go
@@ -31,6 +31,8 @@
 type proxy struct {
 	listener net.Listener
 	target   string // address to which connections are forwarded
+	// rewrite changes bytes from the target in place; nil changes none. It must be set before the first connection.
+	rewrite func([]byte)
 
 	mu    sync.Mutex
 	mode  mode
@@ -125,6 +127,9 @@
 		if err != nil {
 			return
 		}
+		if !outward && p.rewrite != nil {
+			p.rewrite(buffer[:n])
+		}
 		switch m := p.currentMode(); {
 		case m == silence, m == oneWay && !outward:
 			continue
--- a/internal/nodesoak/record.go
+++ b/internal/nodesoak/record.go
@@ -27,6 +27,7 @@
 		LimitFactor: 1.5, LimitSlack: 5, LimitWindow: 4 * time.Second,
 		RequireFence: true, Lease: 1500 * time.Millisecond, Thaw: 300 * time.Millisecond,
 		UsageWindow: 2 * time.Second, UsageLate: 10 * time.Second, UsageTolerance: 0.05,
+		CutShare: 2. / 3, MaxCutFailures: 10, CutFailureRatio: 0.02,
 		RecoveryShare: 0.5, ServedShare: 0.25, MaxDenied: 5, DeniedRatio: 0.002, MaxSilence: 1500 * time.Millisecond,
 	}
 }
--- a/internal/nodesoak/recurring_test.go
+++ b/internal/nodesoak/recurring_test.go
@@ -120,6 +120,14 @@
 			d.expectRefusal(d.rude.head("/none/a", d.key.Load().(string), "Content-Length: 0\r\n\r\n"), http.StatusNotFound)
 			d.expectRefusal(d.rude.head("/take/a", "no-key", "Content-Length: 0\r\n\r\n"), http.StatusUnauthorized)
 		}},
+		{Name: "lost links", mean: 2 * time.Second, act: func(d *deployment) {
+			mode := prepared.WayModes[d.random.IntN(len(prepared.WayModes))]
+			for _, i := range d.random.Perm(len(d.nodes))[:1+d.random.IntN(len(d.nodes)-1)] {
+				node := d.nodes[i]
+				node.links.set(mode)
+				time.AfterFunc(d.faultTime(), func() { node.links.set(prepared.WayOpen) })
+			}
+		}},
 		{Name: "starts without the store", mean: 4 * time.Second, act: func(d *deployment) {
 			node := d.nodes[d.random.IntN(len(d.nodes))]
 			d.signal(node, syscall.SIGKILL)
@@ -129,6 +137,9 @@
 	}
 }
 
+// lostLinks is the switch that cuts the links of some nodes to all targets.
+const lostLinks = "lost links" // as in recurringSwitches
+
 // expectRefusal sends a request that no target may get to a node, which may be down, stop or have no
 // configuration yet.
 func (d *deployment) expectRefusal(request string, want int) {
--- a/internal/nodesoak/soak_test.go
+++ b/internal/nodesoak/soak_test.go
@@ -76,6 +76,9 @@
 	// seed and rude are those of a run of a pair.
 	seed uint64
 	rude *rudeCaller
+	// linked makes nodes reach targets by ways of their own.
+	linked bool
+	cuts   []verdict.Cut
 }
 
 // soak runs one seed.
@@ -113,7 +116,12 @@
 // newDeployment starts the simulated platform, the targets and the nodes, and waits until
 // all nodes are ready.
 func newDeployment(t *testing.T, program, folder string, seed uint64) *deployment {
-	d := &deployment{t: t, random: rand.New(rand.NewPCG(seed, seed+1)), store: prepared.NewStore(), duties: prepared.NewDutyServer(), begun: time.Now(), leftAt: make(map[string]time.Time)}
+	return startDeployment(t, program, folder, seed, false)
+}
+
+// startDeployment is newDeployment; linked tells whether each node reaches targets by ways of its own.
+func startDeployment(t *testing.T, program, folder string, seed uint64, linked bool) *deployment {
+	d := &deployment{t: t, linked: linked, random: rand.New(rand.NewPCG(seed, seed+1)), store: prepared.NewStore(), duties: prepared.NewDutyServer(), begun: time.Now(), leftAt: make(map[string]time.Time)}
 	t.Cleanup(d.store.Close)
 	t.Cleanup(d.duties.Close)
 	d.store.CountEras()
@@ -122,6 +130,7 @@
 		s.Echo = true
 		t.Cleanup(s.Close)
 		d.targets = append(d.targets, s)
+		d.linkNodes(s)
 		d.store.Write(platform.TargetsCollection, s.ID, s.Entry("desk", "z0"))
 	}
 	for i := range 4 {
@@ -147,6 +156,7 @@
 	}
 	d.t.Cleanup(s.Close)
 	d.targets, d.engines = append(d.targets, s), append(d.engines, s)
+	d.linkNodes(s)
 	d.store.Write(platform.TargetsCollection, s.ID, s.Entry("model", "z0"))
 }
 
@@ -322,7 +332,7 @@
 
 // run returns what callers, targets and the platform observed.
 func (d *deployment) run() verdict.Run {
-	r := verdict.Run{From: d.begun, To: time.Now(), Requests: d.attempts.all, Fault: d.quietFrom, Back: d.quietFrom}
+	r := verdict.Run{From: d.begun, To: time.Now(), Requests: d.attempts.all, Fault: d.quietFrom, Back: d.quietFrom, Cuts: d.cuts}
 	for _, t := range d.targets {
 		var limits []verdict.Limit
 		for _, l := range d.limits {
--- a/internal/nodesoak/start_test.go
+++ b/internal/nodesoak/start_test.go
@@ -50,6 +50,12 @@
 		d.t.Fatal(err)
 	}
 	d.nodes = append(d.nodes, p)
+	if d.linked {
+		d.t.Cleanup(p.links.close)
+		for _, s := range d.targets {
+			p.links.add(s.Address())
+		}
+	}
 	if err := p.start(); err != nil {
 		d.t.Fatal(err)
 	}
--- a/internal/standin/prepared/way.go
+++ b/internal/standin/prepared/way.go
@@ -48,14 +48,23 @@
 // other connection takes its port while it refuses connections.
 func NewWay(target string) *Way {
 	n := wayHosts.Add(1)
-	l, err := listenQueue(fmt.Sprintf("127.%d.%d.%d:0", 30+os.Getpid()%60, 1+n/250, 1+n%250), wayBacklog)
+	w, err := NewWayAt(fmt.Sprintf("127.%d.%d.%d:0", 30+os.Getpid()%60, 1+n/250, 1+n%250), target)
 	if err != nil {
 		panic(err) // listening on loopback works on every machine that runs the tests
 	}
+	return w
+}
+
+// NewWayAt is NewWay with the address of the way.
+func NewWayAt(address, target string) (*Way, error) {
+	l, err := listenQueue(address, wayBacklog)
+	if err != nil {
+		return nil, err
+	}
 	w := &Way{address: l.Addr().String(), target: target, open: make(map[net.Conn]struct{}), listener: l}
 	w.changed = sync.NewCond(&w.mu)
 	go w.accept(l)
-	return w
+	return w, nil
 }
 
 const (
--- a/internal/verdict/bounds.go
+++ b/internal/verdict/bounds.go
@@ -39,6 +39,11 @@
 	// streams, if RecoveryBefore was served before the fault.
 	Recovery                      time.Duration
 	RecoveryShare, RecoveryBefore float64
+	// CutShare is how often, compared with other hosts, those without links to targets must serve requests from the
+	// contact time after the links were cut, if more than MaxCutFailures and CutFailureRatio of all fail there.
+	CutShare        float64
+	MaxCutFailures  int
+	CutFailureRatio float64
 	// ServedShare is the share of all requests that must be served.
 	ServedShare float64
 	// MaxDenied and DeniedRatio bound proper requests that are denied by hosts in touch; MaxDeniedAlways
--- a/internal/verdict/record.go
+++ b/internal/verdict/record.go
@@ -19,6 +19,7 @@
 	Duties         []DutyCall
 	Disruptions    []Disruption
 	OwnEnds        []End
+	Cuts           []Cut
 	// Fault is when the last fault began and Back when all hosts had started again after it; zero
 	// if recovery is not judged.
 	Fault, Back time.Time
@@ -119,6 +120,12 @@
 	Counts                map[string]int
 }
 
+// Cut is a time in which hosts had no links to targets. They stay in touch.
+type Cut struct {
+	Hosts []string
+	Span
+}
+
 // Kind is a kind of disruption.
 type Kind int
 
--- a/internal/verdict/verdict_test.go
+++ b/internal/verdict/verdict_test.go
@@ -16,7 +16,7 @@
 	Rollback: 250 * time.Millisecond, Grace: 8 * time.Second, LossSlack: 200 * time.Millisecond, RetryRatio: 0.2, RetrySlack: 5, RetryWindow: 10 * time.Second,
 	LimitFactor: 1.5, LimitSlack: 5, LimitWindow: 4 * time.Second, RequireFence: true, Lease: 3 * time.Second, Thaw: 300 * time.Millisecond,
 	UsageWindow: 5 * time.Second, UsageLate: 10 * time.Second, UsageTolerance: 0.05, Recovery: 12 * time.Second, RecoveryShare: 0.25, RecoveryBefore: 0.25,
-	MaxDenied: 5, DeniedRatio: 0.002, MaxDeniedAlways: 10, MaxOwnEnds: 2, MaxSilence: 1500 * time.Millisecond,
+	CutShare: 2. / 3, MaxCutFailures: 10, CutFailureRatio: 0.02, MaxDenied: 5, DeniedRatio: 0.002, MaxDeniedAlways: 10, MaxOwnEnds: 2, MaxSilence: 1500 * time.Millisecond,
 }
 
 // start is when a record's run begins, at the begin of a usage window.
@@ -190,6 +190,29 @@
 		r, _ := w.serve("a", "read", 0)
 		r.Key = pick(broken, "other", "key")
 	}},
+	{"hosts without links serve less than two thirds", Recover, func(w *world, broken bool) {
+		w.Cuts = []Cut{{Hosts: []string{"h2"}, Span: span(0, 20_000)}}
+		for i := range 60 {
+			w.serve(fmt.Sprint("a", i), "read", 3000+10*i)
+			r, a := w.serve(fmt.Sprint("b", i), "read", 3000+10*i)
+			if r.Host = "h2"; i < pick(broken, 21, 20) {
+				answer(r, 503)
+				a.Ran = false
+			}
+		}
+	}},
+	{"failures of hosts without links that are few", Recover, func(w *world, broken bool) {
+		w.Cuts = []Cut{{Hosts: []string{"h2"}, Span: span(0, 20_000)}}
+		for i := range 40 {
+			w.serve(fmt.Sprint("a", i), "read", 3000+10*i)
+		}
+		for i := range pick(broken, 12, 10) {
+			r, a := w.serve(fmt.Sprint("b", i), "read", 3000+10*i)
+			r.Host = "h2"
+			answer(r, 503)
+			a.Ran = false
+		}
+	}},
 	{"repeats in a window", Budget, func(w *world, broken bool) {
 		for i := range 7 {
 			w.serve(fmt.Sprint(i), "read", 0)
