Give the opening of connections a package of its own

Cause: the decision between a host's own links and other hosts lived inside the pool of zinnia-node's connections, where zinnia-gateway cannot use it. It moves to package detour, unchanged. Metrics name connections, tunnels and lost links.

--- a/upstream/dial.go
+++ b/detour/dial.go
@@ -1,8 +1,14 @@
-package upstream
+// Package detour opens connections to targets: over this host's own links or, where these are lost, through other hosts.
+// Package reach decides which links are lost, package tunnel carries the connections.
+//
+// A connection is opened before any byte of a request is written to it, so that trying two ways at a time runs
+// nothing twice.
+package detour
 
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -13,9 +19,9 @@
 	"zinniapin/socket"
 )
 
-// ErrNoWay is joined to ErrNotSent if this host does not reach the target over its own links and no other host does,
-// or none could be asked. It says nothing of the target.
-var ErrNoWay = errors.New("upstream: no way to the target over this host's links or another host")
+// ErrNoWay means that this host does not reach the target over its own links and no other host does, or none could be
+// asked. It says nothing of the target.
+var ErrNoWay = errors.New("detour: no way to the target over this host's links or another host")
 
 // Word is what another host says of a target to which it was asked to connect.
 type Word int
@@ -29,8 +35,8 @@
 	NoAnswer        // the host did not answer, or has no room
 )
 
-// Detours connects to targets through other hosts.
-type Detours interface {
+// Hosts connects to targets through other hosts.
+type Hosts interface {
 	// Hosts returns the other hosts, the availability zone of this one and that of the target at an address.
 	Hosts(address string) (all []reach.Host, ownZone, targetZone string)
 	// Open asks a host to connect to the target at an address. The connection is nil unless the word is Connected.
@@ -38,41 +44,77 @@
 }
 
 const (
+	// connectTimeout bounds the opening of a connection. Targets are in the same region, a few
+	// milliseconds away.
+	connectTimeout = 400 * time.Millisecond
+	// userTimeout bounds how long written bytes stay unacknowledged. It is longer than any
+	// request takes, so that the kernel does not drop the connection before a reset does: a reset
+	// discards the unsent bytes of the request and tells the target, a drop by the kernel does not.
+	userTimeout = 30 * time.Second
 	// hedgeDelay is the time without a connection after which another host is asked as well. Targets are a few
 	// milliseconds away.
 	hedgeDelay = 120 * time.Millisecond
 	// askTimeout bounds the time in which another host answers, which may have to connect to a silent target.
 	askTimeout = 200 * time.Millisecond
-	// checkAfter is the time without a byte of a response after which the link to its target is checked.
-	checkAfter = 400 * time.Millisecond
 	// detourTimeout bounds the connecting for another host. It is below its askTimeout.
 	detourTimeout = 150 * time.Millisecond
 )
 
-// dialer connects to targets, over other hosts where this host's own links are lost. It is safe for concurrent use.
-type dialer struct {
-	detours Detours // nil if there are no other hosts
-	// onChange is called with the targets whose links are lost when that changes; nil if nobody is told.
-	onChange func(lost map[string]bool)
-	opened   *atomic.Int64
+// Options configure a Dialer. The zero value is that of a host that has no others to ask.
+type Options struct {
+	Hosts Hosts
+	// OnChange is called with the addresses of the targets whose links are lost, whenever these change.
+	OnChange func(lost map[string]bool)
+}
+
+// Dialer connects to targets. It is safe for concurrent use.
+type Dialer struct {
+	// Opened counts the connections opened over this host's own links, Asked the requests for one to other hosts.
+	Opened, Asked atomic.Int64
+	options       Options
 
 	mu    sync.Mutex
 	table *reach.Table
-	asked atomic.Int64 // connections asked of other hosts
 }
 
-// dial connects to a target. Its errors are ErrNotSent, joined with ErrNoWay where the target is not at fault.
-func (d *dialer) dial(ctx context.Context, address string) (*connection, error) {
+// New returns a dialer whose links all work.
+func New(o Options) *Dialer { return &Dialer{options: o, table: reach.New(rand.Uint64())} }
+
+// SetTargets replaces the addresses of the targets.
+func (d *Dialer) SetTargets(addresses []string) {
+	d.mu.Lock()
+	changed := d.table.SetTargets(addresses)
+	d.mu.Unlock()
+	if changed {
+		d.changed()
+	}
+}
+
+// IsLost tells whether the link to a target is lost.
+func (d *Dialer) IsLost(address string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.table.IsLost(address)
+}
+
+// Conn is a connection to a target.
+type Conn struct {
+	net.Conn
+	Detour bool // it passes through another host
+}
+
+// Dial connects to a target. Its error is joined with ErrNoWay where the target is not at fault.
+func (d *Dialer) Dial(ctx context.Context, address string) (Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
 	defer cancel()
-	if d.isLost(address) {
-		c, word := d.detour(ctx, address)
-		if c == nil {
-			return nil, errors.Join(ErrNotSent, word.err())
-		}
-		return newConnection(c, address, true), nil
+	if !d.IsLost(address) {
+		return d.race(ctx, address)
+	}
+	c, word := d.detour(ctx, address)
+	if c == nil {
+		return Conn{}, word.err()
 	}
-	return d.race(ctx, address)
+	return Conn{c, true}, nil
 }
 
 // err returns the error for a target that another host has not reached.
@@ -95,7 +137,7 @@
 }
 
 // race connects directly and, if that fails or takes long, through another host. The first connection is used.
-func (d *dialer) race(ctx context.Context, address string) (*connection, error) {
+func (d *Dialer) race(ctx context.Context, address string) (Conn, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	direct, other := make(chan attempt, 1), make(chan attempt, 1)
@@ -108,7 +150,7 @@
 	var failed error // of the direct attempt
 	asking, word := false, NoAnswer
 	ask := func() {
-		if asking = d.detours != nil; asking {
+		if asking = d.options.Hosts != nil; asking {
 			go func() {
 				c, w := d.detour(ctx, address)
 				other <- attempt{conn: c, word: w}
@@ -123,7 +165,7 @@
 					go closeLate(other)
 				}
 				d.connected(address)
-				return newConnection(a.conn, address, false), nil
+				return Conn{a.conn, false}, nil
 			}
 			if failed = a.err; !asking && word == NoAnswer && ctx.Err() == nil {
 				ask()
@@ -139,22 +181,22 @@
 					go closeLate(direct)
 				}
 				d.bypassed(address)
-				return newConnection(a.conn, address, true), nil
+				return Conn{a.conn, true}, nil
 			}
 		}
 		if failed != nil && !asking {
 			if errors.Is(ctx.Err(), context.Canceled) {
-				return nil, errors.Join(ErrNotSent, failed) // the caller has left
+				return Conn{}, failed // the caller has left
 			}
-			return nil, d.failure(address, word, failed)
+			return Conn{}, d.failure(address, word, failed)
 		}
 	}
 }
 
 // failure records that neither this host nor another one has connected to a target, and returns the error.
-func (d *dialer) failure(address string, word Word, failed error) error {
+func (d *Dialer) failure(address string, word Word, failed error) error {
 	if word == Refused || word == Unanswered {
-		return errors.Join(ErrNotSent, failed)
+		return failed
 	}
 	d.mu.Lock()
 	news := d.table.Failed(address)
@@ -164,9 +206,9 @@
 		d.changed()
 	}
 	if lost {
-		failed = errors.Join(failed, ErrNoWay)
+		return errors.Join(failed, ErrNoWay)
 	}
-	return errors.Join(ErrNotSent, failed)
+	return failed
 }
 
 // closeLate closes the connection of an attempt that came too late.
@@ -177,29 +219,29 @@
 }
 
 // connect connects to a target over this host's own links.
-func (d *dialer) connect(ctx context.Context, address string) (net.Conn, error) {
-	n := net.Dialer{Timeout: connectTimeout, Control: socket.UserTimeout(tcpUserTimeout), KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 10 * time.Second, Interval: 5 * time.Second, Count: 4}}
+func (d *Dialer) connect(ctx context.Context, address string) (net.Conn, error) {
+	n := net.Dialer{Timeout: connectTimeout, Control: socket.UserTimeout(userTimeout), KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 10 * time.Second, Interval: 5 * time.Second, Count: 4}}
 	c, err := n.DialContext(ctx, "tcp", address)
 	if err == nil {
-		d.opened.Add(1)
+		d.Opened.Add(1)
 	}
 	return c, err
 }
 
 // detour connects to a target through another host. The word is Connected only with a connection.
-func (d *dialer) detour(ctx context.Context, address string) (net.Conn, Word) {
-	if d.detours == nil {
+func (d *Dialer) detour(ctx context.Context, address string) (net.Conn, Word) {
+	if d.options.Hosts == nil {
 		return nil, NoAnswer
 	}
-	all, ownZone, targetZone := d.detours.Hosts(address)
+	all, ownZone, targetZone := d.options.Hosts.Hosts(address)
 	d.mu.Lock()
 	hosts := d.table.Order(time.Now(), all, ownZone, targetZone)
 	d.mu.Unlock()
 	last := NoAnswer
 	for _, h := range hosts {
 		askCtx, cancel := context.WithTimeout(ctx, askTimeout)
-		d.asked.Add(1)
-		c, word := d.detours.Open(askCtx, h.Address, address)
+		d.Asked.Add(1)
+		c, word := d.options.Hosts.Open(askCtx, h.Address, address)
 		cancel()
 		now := time.Now()
 		switch word {
@@ -224,15 +266,8 @@
 	return nil, last
 }
 
-// isLost tells whether the link to a target is lost.
-func (d *dialer) isLost(address string) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.table.IsLost(address)
-}
-
 // connected records a connection over this host's own links.
-func (d *dialer) connected(address string) {
+func (d *Dialer) connected(address string) {
 	d.mu.Lock()
 	back := d.table.Connected(time.Now(), address)
 	d.mu.Unlock()
@@ -242,7 +277,7 @@
 }
 
 // bypassed records that another host has connected to a target while this one could not.
-func (d *dialer) bypassed(address string) {
+func (d *Dialer) bypassed(address string) {
 	d.mu.Lock()
 	news := d.table.Bypassed(address)
 	d.mu.Unlock()
@@ -252,18 +287,19 @@
 }
 
 // changed tells which links are lost.
-func (d *dialer) changed() {
+func (d *Dialer) changed() {
 	d.mu.Lock()
 	lost := d.table.Lost()
 	d.mu.Unlock()
-	if d.onChange != nil {
-		d.onChange(lost)
+	if d.options.OnChange != nil {
+		d.options.OnChange(lost)
 	}
 }
 
-// connectFor connects to a target for another host.
-func (d *dialer) connectFor(ctx context.Context, address string) (net.Conn, Word) {
-	if d.isLost(address) {
+// ConnectFor connects to a target for another host, over this host's own links. The connection is nil unless the word is
+// Connected.
+func (d *Dialer) ConnectFor(ctx context.Context, address string) (net.Conn, Word) {
+	if d.IsLost(address) {
 		return nil, NoWay
 	}
 	ctx, cancel := context.WithTimeout(ctx, detourTimeout)
@@ -283,7 +319,7 @@
 }
 
 // proven tells whether this host's own links work, so that a target that it cannot connect to is at fault.
-func (d *dialer) proven(address string) bool {
+func (d *Dialer) proven(address string) bool {
 	d.mu.Lock()
 	proven := d.table.Proven(time.Now())
 	other, known := d.table.Comparable(address)
@@ -305,23 +341,63 @@
 // proofTimeout bounds the connecting to another target for comparison.
 const proofTimeout = 40 * time.Millisecond
 
-// refuses tells whether connections to a target are refused for another reason than that this host's links are lost.
-// A connection that is accepted is returned.
-func (d *dialer) refuses(ctx context.Context, address string) (*connection, bool) {
-	if !d.isLost(address) {
+// Refuses tells whether connections to a target are refused for another reason than that this host's links are lost, as
+// they are once its process has ended. A connection that is accepted is returned; otherwise that is nil inside.
+func (d *Dialer) Refuses(ctx context.Context, address string) (Conn, bool) {
+	if !d.IsLost(address) {
 		c, err := d.connect(ctx, address)
 		if err == nil {
 			d.connected(address)
-			return newConnection(c, address, false), false
+			return Conn{c, false}, false
 		}
 		if !errors.Is(err, syscall.ECONNREFUSED) {
-			return nil, false
+			return Conn{}, false
 		}
 	}
 	c, word := d.detour(ctx, address)
 	if c != nil {
 		d.bypassed(address)
-		return newConnection(c, address, true), false
+		return Conn{c, true}, false
+	}
+	return Conn{}, word == Refused || word != Unanswered && !d.IsLost(address) && d.proven(address)
+}
+
+// Probe connects directly to some of the targets whose links are lost, in the background, to learn whether they are
+// back. It is to be called several times a second. Each connection is passed to use.
+func (d *Dialer) Probe(use func(address string, c Conn)) {
+	d.mu.Lock()
+	probes := d.table.Probes(time.Now())
+	d.mu.Unlock()
+	for _, address := range probes {
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), detourTimeout)
+			defer cancel()
+			c, err := d.connect(ctx, address)
+			if err != nil {
+				_ = d.failure(address, NoWay, err) // the target may be at fault, which other hosts then say
+				return
+			}
+			d.connected(address)
+			use(address, Conn{c, false})
+		}()
+	}
+}
+
+// Check finds out whether the link to a target that has been silent is lost, unless it is known to be or was checked
+// just now. The connection that it opened is passed to use.
+func (d *Dialer) Check(address string, use func(address string, c Conn)) {
+	d.mu.Lock()
+	may := d.options.Hosts != nil && d.table.MayCheck(time.Now(), address)
+	d.mu.Unlock()
+	if !may {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), connectTimeout)
+	defer cancel()
+	if c, err := d.race(ctx, address); err == nil {
+		use(address, c)
 	}
-	return nil, word == Refused || word != Unanswered && !d.isLost(address) && d.proven(address)
 }
+
+// Drop is a use of connections that resets them.
+func Drop(_ string, c Conn) { socket.Reset(c.Conn) }
--- a/node/links.go
+++ b/node/links.go
@@ -6,6 +6,9 @@
 	"sync"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
+	"zinniapin/detour"
 	"zinniapin/event"
 	"zinniapin/link"
 	"zinniapin/reach"
@@ -13,12 +16,11 @@
 	"zinniapin/roster"
 	"zinniapin/target"
 	"zinniapin/tunnel"
-	"zinniapin/upstream"
 	"zinniapin/wire"
 )
 
 // targetLinks are this host's links to targets: its own, and the tunnels through other hosts that stand in for those
-// that are lost. It implements upstream.Detours.
+// that are lost. It implements detour.Hosts.
 type targetLinks struct {
 	n       *Node
 	tunnels tunnel.Client // through other hosts
@@ -31,16 +33,39 @@
 	logged    int             // number of lost links in the log last
 }
 
-var _ upstream.Detours = (*targetLinks)(nil)
+var _ detour.Hosts = (*targetLinks)(nil)
 
 // newTargetLinks returns the links of a node and makes its pool of connections use them.
 func newTargetLinks(n *Node) *targetLinks {
 	l := &targetLinks{n: n, tunnels: tunnel.Client{Network: n.network, Handler: peerHandler{n}}}
 	l.carried.Connect = l.connect
 	n.pool.UseDetours(l, l.setLost)
+	l.register(n.registry)
 	return l
 }
 
+// register registers the metrics of the links.
+func (l *targetLinks) register(r prometheus.Registerer) {
+	r.MustRegister(
+		prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "zinnia_target_connections_total", Help: "Connections to targets over this host's own links."}, func() float64 {
+			own, _ := l.n.pool.Opened()
+			return float64(own)
+		}),
+		prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "zinnia_tunnels_asked_total", Help: "Requests to other hosts for a tunnel to a target."}, func() float64 {
+			_, asked := l.n.pool.Opened()
+			return float64(asked)
+		}),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "zinnia_links_lost", Help: "Targets to which this host has lost its own links."}, func() float64 {
+			l.mu.Lock()
+			defer l.mu.Unlock()
+			return float64(len(l.lost))
+		}),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "zinnia_tunnels_carried", Help: "Tunnels that this host carries for others."}, func() float64 {
+			return float64(l.carried.Carried())
+		}),
+	)
+}
+
 // setTargets replaces the targets.
 func (l *targetLinks) setTargets(all []roster.Target) {
 	byAddress, byID := make(map[string]roster.Target, len(all)), make(map[target.ID]roster.Target, len(all))
@@ -55,7 +80,7 @@
 	l.n.pool.SetTargets(addresses)
 }
 
-// Hosts implements upstream.Detours.
+// Hosts implements detour.Hosts.
 func (l *targetLinks) Hosts(address string) (all []reach.Host, ownZone, targetZone string) {
 	l.mu.Lock()
 	t := l.byAddress[address]
@@ -66,29 +91,29 @@
 	return all, string(l.n.settings.Zone), string(t.Zone)
 }
 
-// Open implements upstream.Detours.
-func (l *targetLinks) Open(ctx context.Context, host, address string) (net.Conn, upstream.Word) {
+// Open implements detour.Hosts.
+func (l *targetLinks) Open(ctx context.Context, host, address string) (net.Conn, detour.Word) {
 	l.mu.Lock()
 	t, listed := l.byAddress[address]
 	l.mu.Unlock()
 	if !listed {
-		return nil, upstream.NoWay
+		return nil, detour.NoWay
 	}
 	conn, outcome, err := l.tunnels.Open(ctx, host, t.ID, t.StartedMillis)
 	if err != nil {
-		return nil, upstream.NoAnswer
+		return nil, detour.NoAnswer
 	}
 	switch outcome {
 	case wire.TunnelReply_CONNECTED:
-		return conn, upstream.Connected
+		return conn, detour.Connected
 	case wire.TunnelReply_NO_WAY:
-		return nil, upstream.NoWay
+		return nil, detour.NoWay
 	case wire.TunnelReply_REFUSED:
-		return nil, upstream.Refused
+		return nil, detour.Refused
 	case wire.TunnelReply_UNANSWERED:
-		return nil, upstream.Unanswered
+		return nil, detour.Unanswered
 	default:
-		return nil, upstream.NoAnswer
+		return nil, detour.NoAnswer
 	}
 }
 
@@ -102,11 +127,11 @@
 	}
 	conn, word := l.n.pool.ConnectFor(ctx, t.Address)
 	switch word {
-	case upstream.Connected:
+	case detour.Connected:
 		return conn, wire.TunnelReply_CONNECTED
-	case upstream.Refused:
+	case detour.Refused:
 		return nil, wire.TunnelReply_REFUSED
-	case upstream.Unanswered:
+	case detour.Unanswered:
 		return nil, wire.TunnelReply_UNANSWERED
 	default:
 		return nil, wire.TunnelReply_NO_WAY
--- a/upstream/detour_test.go
+++ b/upstream/detour_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/matryer/is"
 
+	"zinniapin/detour"
 	"zinniapin/internal/standin/prepared"
 	"zinniapin/reach"
 	"zinniapin/upstream"
@@ -20,27 +21,27 @@
 
 // otherHost stands in for another host with its own links.
 type otherHost struct {
-	word    upstream.Word // unless it is Connected
+	word    detour.Word // unless it is Connected
 	targets map[string]string
 	asked   atomic.Int32
 }
 
-// Hosts implements upstream.Detours.
+// Hosts implements detour.Hosts.
 func (o *otherHost) Hosts(string) ([]reach.Host, string, string) {
 	return []reach.Host{{Address: "other", Zone: "a"}}, "a", "a"
 }
 
-// Open implements upstream.Detours.
-func (o *otherHost) Open(_ context.Context, _, address string) (net.Conn, upstream.Word) {
+// Open implements detour.Hosts.
+func (o *otherHost) Open(_ context.Context, _, address string) (net.Conn, detour.Word) {
 	o.asked.Add(1)
-	if o.word != upstream.Connected {
+	if o.word != detour.Connected {
 		return nil, o.word
 	}
 	c, err := net.Dial("tcp", o.targets[address])
 	if err != nil {
-		return nil, upstream.Refused
+		return nil, detour.Refused
 	}
-	return c, upstream.Connected
+	return c, detour.Connected
 }
 
 // answering starts a target that answers each request, at once or after the channel is closed.
@@ -142,7 +143,7 @@
 
 // When other hosts say that a target is down, it is; when they do not reach it either, nothing is known of it.
 func TestWordOfOtherHostsTellsWhoIsAtFault(t *testing.T) {
-	for word, noWay := range map[upstream.Word]bool{upstream.Refused: false, upstream.Unanswered: false, upstream.NoWay: true, upstream.NoAnswer: true} {
+	for word, noWay := range map[detour.Word]bool{detour.Refused: false, detour.Unanswered: false, detour.NoWay: true, detour.NoAnswer: true} {
 		is := is.New(t)
 		p, o, first, second, _ := newDetour(t)
 		o.word = word
@@ -152,7 +153,7 @@
 		is.True(errors.Is(err, upstream.ErrNotSent))
 		_, err = get(p, second.Address())
 		is.True(errors.Is(err, upstream.ErrNotSent))
-		is.Equal(errors.Is(err, upstream.ErrNoWay), noWay)
+		is.Equal(errors.Is(err, detour.ErrNoWay), noWay)
 	}
 }
 
@@ -162,14 +163,14 @@
 	is := is.New(t)
 	p, o, first, second, _ := newDetour(t)
 	c, word := p.ConnectFor(t.Context(), first.Address())
-	is.Equal(word, upstream.Connected)
+	is.Equal(word, detour.Connected)
 	is.NoErr(c.Close())
 	first.Set(prepared.WayReset)
 	_, word = p.ConnectFor(t.Context(), first.Address())
-	is.Equal(word, upstream.Refused) // the second can be reached
+	is.Equal(word, detour.Refused) // the second can be reached
 	second.Set(prepared.WayReset)
 	time.Sleep(300 * time.Millisecond) // what it could connect to before proves nothing
 	_, word = p.ConnectFor(t.Context(), first.Address())
-	is.Equal(word, upstream.NoWay)
+	is.Equal(word, detour.NoWay)
 	is.Equal(o.asked.Load(), int32(0))
 }
--- a/upstream/fuzz_test.go
+++ b/upstream/fuzz_test.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"testing"
 	"time"
+
+	"zinniapin/detour"
 )
 
 // FuzzResponse feeds bytes to the reader of responses as a target would send them before it closes its
@@ -32,7 +34,7 @@
 			_ = remote.Close()
 		}()
 		p := NewPool()
-		p.put(newConnection(local, "target", false))
+		p.put(newConnection(detour.Conn{Conn: local}, "target"))
 		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 		defer cancel()
 		response, err := p.Do(ctx, "target", &Request{Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{}})
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -7,18 +7,16 @@
 	"context"
 	"errors"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
-	"zinniapin/reach"
+	"zinniapin/detour"
 	"zinniapin/socket"
 )
 
@@ -38,13 +36,6 @@
 )
 
 const (
-	// connectTimeout bounds the opening of a connection. Targets are in the same region, a few
-	// milliseconds away.
-	connectTimeout = 400 * time.Millisecond
-	// tcpUserTimeout bounds how long written bytes stay unacknowledged. It is longer than any
-	// request takes, so that the kernel does not drop the connection before reset does: a reset
-	// discards the unsent bytes of the request and tells the target, a drop by the kernel does not.
-	tcpUserTimeout = 30 * time.Second
 	// maxHeadBytes bounds the heads of a response, informational ones included.
 	maxHeadBytes = 64 << 10
 	// readBufferBytes is the size of the read buffer of a connection.
@@ -81,16 +72,12 @@
 type Pool struct {
 	mu     sync.Mutex
 	idle   map[string][]*connection // by address, the most recently used last
-	dialer dialer
-	// Opened counts the connections opened over this host's own links since the start.
-	Opened atomic.Int64
+	dialer *detour.Dialer
 }
 
 // NewPool returns an empty pool of a host that has no others to ask for connections.
 func NewPool() *Pool {
-	p := &Pool{idle: make(map[string][]*connection)}
-	p.dialer = dialer{opened: &p.Opened, table: reach.New(rand.Uint64())}
-	return p
+	return &Pool{idle: make(map[string][]*connection), dialer: detour.New(detour.Options{})}
 }
 
 // connection is one connection to a target.
@@ -106,9 +93,9 @@
 }
 
 // newConnection returns a connection over c to the target at an address.
-func newConnection(c net.Conn, address string, detour bool) *connection {
-	limiter := &headLimiter{conn: c, left: -1}
-	return &connection{net: c, detour: detour, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes), address: address, idleTimeout: defaultIdleTimeout}
+func newConnection(c detour.Conn, address string) *connection {
+	limiter := &headLimiter{conn: c.Conn, left: -1}
+	return &connection{net: c.Conn, detour: c.Detour, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes), address: address, idleTimeout: defaultIdleTimeout}
 }
 
 // headLimiter reads from a connection, at most left bytes unless that is negative. A head that never
@@ -173,7 +160,7 @@
 func (p *Pool) put(c *connection) {
 	c.idleSince = time.Now()
 	p.mu.Lock()
-	full := len(p.idle[c.address]) >= maxIdlePerTarget || c.leaving() || c.detour && !p.dialer.isLost(c.address)
+	full := len(p.idle[c.address]) >= maxIdlePerTarget || c.leaving() || c.detour && !p.dialer.IsLost(c.address)
 	if !full {
 		c.startWatch()
 		p.idle[c.address] = append(p.idle[c.address], c)
@@ -269,10 +256,11 @@
 	}
 	kept := c != nil
 	if !kept {
-		var err error
-		if c, err = p.dialer.dial(ctx, address); err != nil {
-			return nil, err
+		opened, err := p.dialer.Dial(ctx, address)
+		if err != nil {
+			return nil, errors.Join(ErrNotSent, err)
 		}
+		c = newConnection(opened, address)
 	}
 	if ctx.Err() != nil {
 		_ = c.net.Close()
@@ -322,9 +310,9 @@
 // Refuses tells whether a target refuses connections, as it does once the process that listened there has ended. A
 // connection that is accepted is kept for later requests.
 func (p *Pool) Refuses(ctx context.Context, address string) bool {
-	c, refused := p.dialer.refuses(ctx, address)
-	if c != nil {
-		p.put(c)
+	c, refused := p.dialer.Refuses(ctx, address)
+	if c.Conn != nil {
+		p.keep(address, c)
 	}
 	return refused
 }
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -73,7 +73,7 @@
 		is.NoErr(err)
 		is.Equal(body, "ok")
 	}
-	is.Equal(p.Opened.Load(), int64(1))
+	is.Equal(ownOpened(p), int64(1))
 }
 
 // A target closes a pooled connection when it gets the next request. The pool does not send the
@@ -165,7 +165,7 @@
 	a, err := p.Do(context.Background(), address, &upstream.Request{Method: "GET", Target: "/", Host: "h", Header: http.Header{}, MaxIdle: 20 * time.Millisecond})
 	is.NoErr(err)
 	a.Close()
-	is.Equal(p.Opened.Load(), int64(2))
+	is.Equal(ownOpened(p), int64(2))
 }
 
 // A refused connect returns ErrNotSent.
@@ -224,7 +224,7 @@
 	a.Close()
 	_, err = get(p, address)
 	is.NoErr(err)
-	is.Equal(p.Opened.Load(), int64(2))
+	is.Equal(ownOpened(p), int64(2))
 }
 
 // The context of a request ends before the response. The connection is reset, so that bytes still
@@ -279,3 +279,9 @@
 		t.Fatal("the connection was not closed within 1 s after the context ended")
 	}
 }
+
+// ownOpened returns how many connections a pool opened over the host's own links.
+func ownOpened(p *upstream.Pool) int64 {
+	own, _ := p.Opened()
+	return own
+}
