Join the links to targets in one package for all daemons

Cause: what zinnia-node needs to reach targets through other hosts (dialer, tunnels, metrics, log) stood in package node, out of reach of zinnia-gateway and zinnia-controller, which have the same fault.

--- a/forward/helpers_test.go
+++ b/forward/helpers_test.go
@@ -15,6 +15,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
+	"zinniapin/detour"
 	"zinniapin/dispatch"
 	"zinniapin/forward"
 	"zinniapin/ingress"
@@ -98,7 +99,7 @@
 	h.setTable(configuration())
 	log := zerolog.New(zerolog.NewTestWriter(t)).Level(zerolog.ErrorLevel)
 	h.handler = forward.New(&forward.Handler{
-		Protocol: platform.Protocol{}, Pool: upstream.NewPool(), Versions: &h.origins,
+		Protocol: platform.Protocol{}, Pool: upstream.NewPool(detour.New(detour.Options{})), Versions: &h.origins,
 		View: func() forward.View {
 			h.mu.Lock()
 			defer h.mu.Unlock()
--- a/node/links.go
+++ b/node/links.go
@@ -3,181 +3,48 @@
 import (
 	"context"
 	"net"
-	"sync"
 	"time"
 
-	"github.com/prometheus/client_golang/prometheus"
-
-	"zinniapin/detour"
-	"zinniapin/event"
 	"zinniapin/link"
 	"zinniapin/reach"
 	"zinniapin/result"
 	"zinniapin/roster"
 	"zinniapin/target"
-	"zinniapin/tunnel"
+	"zinniapin/targetlink"
 	"zinniapin/wire"
 )
 
-// targetLinks are this host's links to targets: its own, and the tunnels through other hosts that stand in for those
-// that are lost. It implements detour.Hosts.
-type targetLinks struct {
-	n       *Node
-	tunnels tunnel.Client // through other hosts
-	carried tunnel.Server // for other hosts
-
-	mu        sync.Mutex
-	byAddress map[string]roster.Target
-	byID      map[target.ID]roster.Target
-	lost      map[string]bool // targets by address
-	logged    int             // number of lost links in the log last
-}
-
-var _ detour.Hosts = (*targetLinks)(nil)
-
-// newTargetLinks returns the links of a node and makes its pool of connections use them.
-func newTargetLinks(n *Node) *targetLinks {
-	l := &targetLinks{n: n, tunnels: tunnel.Client{Network: n.network, Handler: peerHandler{n}}}
-	l.carried.Connect = l.connect
-	n.pool.UseDetours(l, l.setLost)
-	l.register(n.registry)
+// newTargetLinks returns the links of a node to targets.
+func newTargetLinks(n *Node) *targetlink.Links {
+	l := targetlink.New(targetlink.Options{Zone: n.settings.Zone, Network: n.network, Handler: peerHandler{n}, Hosts: n.linkHosts, OnLost: n.linksLost, Log: n.log})
+	l.Register(n.registry)
 	return l
 }
 
-// register registers the metrics of the links.
-func (l *targetLinks) register(r prometheus.Registerer) {
-	r.MustRegister(
-		prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "zinnia_target_connections_total", Help: "Connections to targets over this host's own links."}, func() float64 {
-			own, _ := l.n.pool.Opened()
-			return float64(own)
-		}),
-		prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "zinnia_tunnels_asked_total", Help: "Requests to other hosts for a tunnel to a target."}, func() float64 {
-			_, asked := l.n.pool.Opened()
-			return float64(asked)
-		}),
-		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "zinnia_links_lost", Help: "Targets to which this host has lost its own links."}, func() float64 {
-			l.mu.Lock()
-			defer l.mu.Unlock()
-			return float64(len(l.lost))
-		}),
-		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "zinnia_tunnels_carried", Help: "Tunnels that this host carries for others."}, func() float64 {
-			return float64(l.carried.Carried())
-		}),
-	)
-}
-
-// setTargets replaces the targets.
-func (l *targetLinks) setTargets(all []roster.Target) {
-	byAddress, byID := make(map[string]roster.Target, len(all)), make(map[target.ID]roster.Target, len(all))
-	addresses := make([]string, 0, len(all))
-	for _, t := range all {
-		byAddress[t.Address], byID[t.ID] = t, t
-		addresses = append(addresses, t.Address)
-	}
-	l.mu.Lock()
-	l.byAddress, l.byID = byAddress, byID
-	l.mu.Unlock()
-	l.n.pool.SetTargets(addresses)
-}
-
-// Hosts implements detour.Hosts.
-func (l *targetLinks) Hosts(address string) (all []reach.Host, ownZone, targetZone string) {
-	l.mu.Lock()
-	t := l.byAddress[address]
-	l.mu.Unlock()
-	for _, m := range l.n.mesh.LiveHosts(time.Now()) {
+// linkHosts returns the hosts that may connect to targets for this one.
+func (n *Node) linkHosts() []reach.Host {
+	var all []reach.Host
+	for _, m := range n.mesh.LiveHosts(time.Now()) {
 		all = append(all, reach.Host{Address: m.Address, Zone: m.Zone})
 	}
-	return all, string(l.n.settings.Zone), string(t.Zone)
+	return all
 }
 
-// Open implements detour.Hosts.
-func (l *targetLinks) Open(ctx context.Context, host, address string) (net.Conn, detour.Word) {
-	l.mu.Lock()
-	t, listed := l.byAddress[address]
-	l.mu.Unlock()
-	if !listed {
-		return nil, detour.NoWay
-	}
-	conn, outcome, err := l.tunnels.Open(ctx, host, t.ID, t.StartedMillis)
-	if err != nil {
-		return nil, detour.NoAnswer
-	}
-	switch outcome {
-	case wire.TunnelReply_CONNECTED:
-		return conn, detour.Connected
-	case wire.TunnelReply_NO_WAY:
-		return nil, detour.NoWay
-	case wire.TunnelReply_REFUSED:
-		return nil, detour.Refused
-	case wire.TunnelReply_UNANSWERED:
-		return nil, detour.Unanswered
-	default:
-		return nil, detour.NoAnswer
-	}
-}
-
-// connect connects to a target for another host, which may know an older or a newer start of it.
-func (l *targetLinks) connect(ctx context.Context, id target.ID, startedMillis int64) (net.Conn, wire.TunnelReply_Outcome) {
-	l.mu.Lock()
-	t, listed := l.byID[id]
-	l.mu.Unlock()
-	if !listed || t.StartedMillis != startedMillis {
-		return nil, wire.TunnelReply_NO_WAY
-	}
-	conn, word := l.n.pool.ConnectFor(ctx, t.Address)
-	switch word {
-	case detour.Connected:
-		return conn, wire.TunnelReply_CONNECTED
-	case detour.Refused:
-		return nil, wire.TunnelReply_REFUSED
-	case detour.Unanswered:
-		return nil, wire.TunnelReply_UNANSWERED
-	default:
-		return nil, wire.TunnelReply_NO_WAY
-	}
-}
-
-// setLost takes in the targets to which this host has lost its own links.
-func (l *targetLinks) setLost(lost map[string]bool) {
-	l.mu.Lock()
-	first := len(l.lost) == 0
-	l.lost = lost
-	l.mu.Unlock()
-	if first || len(lost) == 0 {
-		l.logLost()
-	}
-	l.informPlanner()
-}
-
-// logLost logs how many links are lost if that has changed.
-func (l *targetLinks) logLost() {
-	l.mu.Lock()
-	lost, targets := len(l.lost), len(l.byAddress)
-	changed := lost != l.logged
-	l.logged = lost
-	l.mu.Unlock()
-	switch {
-	case changed && lost > 0:
-		event.LinksLost.Log(l.n.log).Int("lost", lost).Int("targets", targets).Send()
-	case changed:
-		event.LinksBack.Log(l.n.log).Int("targets", targets).Send()
-	}
+// linksLost takes in the targets to which this host has lost its own links.
+func (n *Node) linksLost(addresses map[string]bool, ids map[target.ID]bool) {
+	n.pool.CloseOutdated(addresses)
+	n.handler.PlannerMu.Lock()
+	n.handler.Planner.SetLostLinks(time.Now(), ids)
+	n.handler.PlannerMu.Unlock()
 }
 
-// informPlanner tells the planner to which targets this host has lost its own links.
-func (l *targetLinks) informPlanner() {
-	l.mu.Lock()
-	lost := make(map[target.ID]bool)
-	for address := range l.lost {
-		if t, listed := l.byAddress[address]; listed {
-			lost[t.ID] = true
-		}
+// linkTargets returns targets as their links need them.
+func linkTargets(all []roster.Target) []targetlink.Target {
+	linked := make([]targetlink.Target, 0, len(all))
+	for _, t := range all {
+		linked = append(linked, targetlink.Target{ID: t.ID, Address: t.Address, Zone: t.Zone, StartedMillis: t.StartedMillis})
 	}
-	l.mu.Unlock()
-	l.n.handler.PlannerMu.Lock()
-	l.n.handler.Planner.SetLostLinks(time.Now(), lost)
-	l.n.handler.PlannerMu.Unlock()
+	return linked
 }
 
 // peerHandler serves the calls of peers: requests for snapshots and for tunnels.
@@ -196,6 +63,5 @@
 
 // Open implements link.StreamHandler.
 func (h peerHandler) Open(ctx context.Context, _ link.Link, request *wire.Envelope) (*wire.Envelope, func(net.Conn), error) {
-	reply, serve := h.n.links.carried.Open(ctx, request.GetTunnelRequest())
-	return reply, serve, nil
+	return h.n.links.ServeTunnel(ctx, request.GetTunnelRequest())
 }
--- a/node/node.go
+++ b/node/node.go
@@ -35,6 +35,7 @@
 	"zinniapin/settings"
 	"zinniapin/store"
 	"zinniapin/target"
+	"zinniapin/targetlink"
 	"zinniapin/truetime"
 	"zinniapin/upstream"
 	"zinniapin/zone"
@@ -96,7 +97,7 @@
 	sequence atomic.Uint64
 	gossip   gossip
 	duties   *dutyRunner
-	links    *targetLinks
+	links    *targetlink.Links
 	streams  *streamVersions
 	era      storeEra
 	// hasCaughtUp is set once the configuration was found to be as new as that of peers.
@@ -124,9 +125,12 @@
 			Host: machine.HostID(s.Host), Role: machine.Node, Incarnation: rand.Uint64(),
 			Zone: zone.Zone{Name: s.Zone, Region: s.Region}, Address: s.Mesh,
 		},
-		roster: roster.New(), pool: upstream.NewPool(), clock: truetime.New(), registry: daemon.NewRegistry(),
+		roster: roster.New(), clock: truetime.New(), registry: daemon.NewRegistry(),
 	}
 	n.reloaded.Store(&s)
+	n.network = &yamuxlink.Network{Self: n.self, Log: log}
+	n.links = newTargetLinks(n)
+	n.pool = upstream.NewPool(n.links.Dialer)
 	n.ledger = metering.NewLedger(metering.Process{Host: s.Host, Incarnation: n.self.Incarnation}, seconds(s.Bounds.UsageWindowSeconds))
 	n.streams = newStreamVersions(n)
 	n.handler = forward.New(&forward.Handler{
@@ -143,8 +147,6 @@
 		OnDigest: n.handleDigest, OnRelayed: n.handleRelayed, OnZone: n.handleZone, OnPeerFound: n.peerFound, OnPeerLost: n.peerLost,
 		OnStreamNotice: n.streams.handleNotice,
 	}
-	n.network = &yamuxlink.Network{Self: n.self, Log: log}
-	n.links = newTargetLinks(n)
 	n.duties = newDutyRunner(n, duty.NewElector(s.Host, time.Duration(s.Bounds.LeaseMillis)*time.Millisecond, now))
 	return n
 }
@@ -209,7 +211,7 @@
 	n.rosterMu.Unlock()
 	n.streams.observeTargets(all)
 	n.handler.Crashes.ObserveTargets(all)
-	n.links.setTargets(all)
+	n.links.SetTargets(linkTargets(all))
 	n.handler.PlannerMu.Lock()
 	n.handler.Planner.SetTargets(time.Now(), all)
 	n.handler.PlannerMu.Unlock()
@@ -346,8 +348,7 @@
 	n.measureDemand(now)
 	n.updateFleet(now)
 	n.pool.CloseExpired()
-	n.links.tunnels.CloseIdle()
-	n.links.logLost()
+	n.links.Maintain()
 	n.handler.Crashes.Expire()
 	n.handler.PlannerMu.Lock()
 	n.handler.Planner.Tick(now)
@@ -394,7 +395,7 @@
 	begun := time.Now()
 	n.leaving.Store(true)
 	n.server.Drain()
-	n.links.carried.Leave()
+	n.links.Leave()
 	event.NodeStopping.Log(n.log).Int("connections", n.server.Connections()).Send()
 	grace := seconds(n.currentSettings().Bounds.GraceSeconds) - graceMargin
 	ctx, cancel := context.WithDeadline(context.Background(), begun.Add(grace))
@@ -408,7 +409,7 @@
 	closeListener()
 	n.server.CloseIdle()
 	n.server.Wait(ctx)
-	n.links.carried.Drain(ctx)
+	n.links.Drain(ctx)
 	select {
 	case <-handedOver:
 	case <-ctx.Done():
--- a/upstream/detour_test.go
+++ b/upstream/detour_test.go
@@ -61,17 +61,20 @@
 }
 
 // newDetour returns a pool with another host, and two ways to targets.
-func newDetour(t *testing.T) (p *upstream.Pool, o *otherHost, first, second *prepared.Way, lost *atomic.Int32) {
+func newDetour(t *testing.T) (d *detour.Dialer, p *upstream.Pool, o *otherHost, first, second *prepared.Way, lost *atomic.Int32) {
 	t.Helper()
 	first, second = prepared.NewWay(answering(t, nil)), prepared.NewWay(answering(t, nil))
 	t.Cleanup(first.Close)
 	t.Cleanup(second.Close)
 	o = &otherHost{targets: map[string]string{first.Address(): answering(t, nil), second.Address(): answering(t, nil)}}
 	lost = &atomic.Int32{}
-	p = upstream.NewPool()
-	p.UseDetours(o, func(all map[string]bool) { lost.Store(int32(len(all))) })
-	p.SetTargets([]string{first.Address(), second.Address()})
-	return p, o, first, second, lost
+	d = detour.New(detour.Options{Hosts: o, OnChange: func(all map[string]bool) {
+		p.CloseOutdated(all)
+		lost.Store(int32(len(all)))
+	}})
+	p = upstream.NewPool(d)
+	d.SetTargets([]string{first.Address(), second.Address()})
+	return d, p, o, first, second, lost
 }
 
 // A request goes through another host once a connection is refused or not answered, and then at once.
@@ -79,7 +82,7 @@
 	for _, mode := range prepared.WayModes {
 		t.Run(string(mode), func(t *testing.T) {
 			is := is.New(t)
-			p, o, first, _, lost := newDetour(t)
+			_, p, o, first, _, lost := newDetour(t)
 			first.Set(mode)
 			body, err := get(p, first.Address())
 			is.NoErr(err)
@@ -110,7 +113,7 @@
 // another host.
 func TestSilentKeptConnectionIsFoundOut(t *testing.T) {
 	is := is.New(t)
-	p, _, first, _, lost := newDetour(t)
+	_, p, _, first, _, lost := newDetour(t)
 	for range 3 {
 		_, err := get(p, first.Address())
 		is.NoErr(err)
@@ -132,9 +135,9 @@
 	slow := make(chan struct{})
 	address := answering(t, slow)
 	o := &otherHost{targets: map[string]string{address: address}}
-	p := upstream.NewPool()
-	p.UseDetours(o, func(map[string]bool) { t.Error("a link was taken for lost") })
-	p.SetTargets([]string{address, "127.0.0.1:1"})
+	d := detour.New(detour.Options{Hosts: o, OnChange: func(map[string]bool) { t.Error("a link was taken for lost") }})
+	p := upstream.NewPool(d)
+	d.SetTargets([]string{address, "127.0.0.1:1"})
 	time.AfterFunc(700*time.Millisecond, func() { close(slow) })
 	_, err := get(p, address)
 	is.NoErr(err)
@@ -145,7 +148,7 @@
 func TestWordOfOtherHostsTellsWhoIsAtFault(t *testing.T) {
 	for word, noWay := range map[detour.Word]bool{detour.Refused: false, detour.Unanswered: false, detour.NoWay: true, detour.NoAnswer: true} {
 		is := is.New(t)
-		p, o, first, second, _ := newDetour(t)
+		_, p, o, first, second, _ := newDetour(t)
 		o.word = word
 		first.Set(prepared.WayReset)
 		second.Set(prepared.WayReset)
@@ -161,16 +164,16 @@
 // others.
 func TestHostConnectsForAnotherOne(t *testing.T) {
 	is := is.New(t)
-	p, o, first, second, _ := newDetour(t)
-	c, word := p.ConnectFor(t.Context(), first.Address())
+	d, _, o, first, second, _ := newDetour(t)
+	c, word := d.ConnectFor(t.Context(), first.Address())
 	is.Equal(word, detour.Connected)
 	is.NoErr(c.Close())
 	first.Set(prepared.WayReset)
-	_, word = p.ConnectFor(t.Context(), first.Address())
+	_, word = d.ConnectFor(t.Context(), first.Address())
 	is.Equal(word, detour.Refused) // the second can be reached
 	second.Set(prepared.WayReset)
 	time.Sleep(300 * time.Millisecond) // what it could connect to before proves nothing
-	_, word = p.ConnectFor(t.Context(), first.Address())
+	_, word = d.ConnectFor(t.Context(), first.Address())
 	is.Equal(word, detour.NoWay)
 	is.Equal(o.asked.Load(), int32(0))
 }
--- a/upstream/fuzz_test.go
+++ b/upstream/fuzz_test.go
@@ -33,7 +33,7 @@
 			}
 			_ = remote.Close()
 		}()
-		p := NewPool()
+		p := NewPool(detour.New(detour.Options{}))
 		p.put(newConnection(detour.Conn{Conn: local}, "target"))
 		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 		defer cancel()
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -75,10 +75,8 @@
 	dialer *detour.Dialer
 }
 
-// NewPool returns an empty pool of a host that has no others to ask for connections.
-func NewPool() *Pool {
-	return &Pool{idle: make(map[string][]*connection), dialer: detour.New(detour.Options{})}
-}
+// NewPool returns an empty pool that opens connections by a dialer.
+func NewPool(d *detour.Dialer) *Pool { return &Pool{idle: make(map[string][]*connection), dialer: d} }
 
 // connection is one connection to a target.
 type connection struct {
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/matryer/is"
 
+	"zinniapin/detour"
 	"zinniapin/upstream"
 )
 
@@ -67,13 +68,13 @@
 			_, _ = io.WriteString(c, okResponse)
 		}
 	})
-	p := upstream.NewPool()
+	p, d := newPool()
 	for range 5 {
 		body, err := get(p, address)
 		is.NoErr(err)
 		is.Equal(body, "ok")
 	}
-	is.Equal(ownOpened(p), int64(1))
+	is.Equal(d.Opened.Load(), int64(1))
 }
 
 // A target closes a pooled connection when it gets the next request. The pool does not send the
@@ -94,7 +95,7 @@
 			_, _ = io.WriteString(c, okResponse)
 		}
 	})
-	p := upstream.NewPool()
+	p, _ := newPool()
 	_, err := get(p, address)
 	is.NoErr(err)
 	_, err = get(p, address)
@@ -118,7 +119,7 @@
 					_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra")
 				}
 			})
-			p := upstream.NewPool()
+			p, _ := newPool()
 			first, err := get(p, address)
 			is.NoErr(err)
 			is.Equal(first, "0")
@@ -139,7 +140,7 @@
 		}
 		_ = c.Close()
 	})
-	p := upstream.NewPool()
+	p, _ := newPool()
 	for range 3 {
 		_, err := get(p, address)
 		is.NoErr(err)
@@ -158,14 +159,14 @@
 			_, _ = io.WriteString(c, okResponse)
 		}
 	})
-	p := upstream.NewPool()
+	p, d := newPool()
 	_, err := get(p, address)
 	is.NoErr(err)
 	time.Sleep(60 * time.Millisecond)
 	a, err := p.Do(context.Background(), address, &upstream.Request{Method: "GET", Target: "/", Host: "h", Header: http.Header{}, MaxIdle: 20 * time.Millisecond})
 	is.NoErr(err)
 	a.Close()
-	is.Equal(ownOpened(p), int64(2))
+	is.Equal(d.Opened.Load(), int64(2))
 }
 
 // A refused connect returns ErrNotSent.
@@ -175,7 +176,7 @@
 	is.NoErr(err)
 	address := l.Addr().String()
 	is.NoErr(l.Close())
-	_, err = get(upstream.NewPool(), address)
+	_, err = get(upstream.NewPool(detour.New(detour.Options{})), address)
 	is.True(errors.Is(err, upstream.ErrNotSent))
 }
 
@@ -192,7 +193,7 @@
 		}
 		_ = c.Close()
 	})
-	p := upstream.NewPool()
+	p, _ := newPool()
 	_, err := get(p, address)
 	is.True(err != nil)
 	body, err := get(p, address)
@@ -215,7 +216,7 @@
 			_, _ = io.Copy(io.Discard, request.Body)
 		}
 	})
-	p := upstream.NewPool()
+	p, d := newPool()
 	long := &upstream.Request{Method: "POST", Target: "/", Host: "h", Header: http.Header{}, Body: []byte(strings.Repeat("x", 8<<20)), HasBody: true}
 	a, err := p.Do(context.Background(), address, long)
 	is.NoErr(err)
@@ -224,7 +225,7 @@
 	a.Close()
 	_, err = get(p, address)
 	is.NoErr(err)
-	is.Equal(ownOpened(p), int64(2))
+	is.Equal(d.Opened.Load(), int64(2))
 }
 
 // The context of a request ends before the response. The connection is reset, so that bytes still
@@ -239,7 +240,7 @@
 	})
 	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
 	defer cancel()
-	_, err := upstream.NewPool().Do(ctx, address, &upstream.Request{Method: "GET", Target: "/", Host: "h", Header: http.Header{}})
+	_, err := upstream.NewPool(detour.New(detour.Options{})).Do(ctx, address, &upstream.Request{Method: "GET", Target: "/", Host: "h", Header: http.Header{}})
 	is.True(errors.Is(err, upstream.ErrNoResponse))
 	is.True(errors.Is(<-ended, syscall.ECONNRESET))
 }
@@ -254,7 +255,7 @@
 		_, err := r.ReadByte()
 		ended <- err
 	})
-	a, err := upstream.NewPool().Do(context.Background(), address, &upstream.Request{Method: "GET", Target: "/", Host: "h", Header: http.Header{}})
+	a, err := upstream.NewPool(detour.New(detour.Options{})).Do(context.Background(), address, &upstream.Request{Method: "GET", Target: "/", Host: "h", Header: http.Header{}})
 	is.NoErr(err)
 	a.Close()
 	is.True(errors.Is(<-ended, syscall.ECONNRESET))
@@ -271,7 +272,7 @@
 	})
 	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
 	defer cancel()
-	_, err := upstream.NewPool().Do(ctx, address, &upstream.Request{Method: "GET", Target: "/", Host: "h", Header: http.Header{}})
+	_, err := upstream.NewPool(detour.New(detour.Options{})).Do(ctx, address, &upstream.Request{Method: "GET", Target: "/", Host: "h", Header: http.Header{}})
 	is.True(errors.Is(err, upstream.ErrNoResponse))
 	select {
 	case <-closed:
@@ -280,8 +281,8 @@
 	}
 }
 
-// ownOpened returns how many connections a pool opened over the host's own links.
-func ownOpened(p *upstream.Pool) int64 {
-	own, _ := p.Opened()
-	return own
+// newPool returns a pool of a host that has no others to ask for connections, and its dialer.
+func newPool() (*upstream.Pool, *detour.Dialer) {
+	d := detour.New(detour.Options{})
+	return upstream.NewPool(d), d
 }
