Let gateways reach targets through controllers where their own links are lost

It connects to engines and plain services over its own host's links alone, and takes a reset followed by refused connections for a crash, of which all gateways learn. zinnia-controller polls engines in the same way.

A gateway now asks the controllers that it is linked to for a tunnel; a controller that has lost its own links asks another one, which then uses only its own, so tunnels have no loops. Orders to engines always take the direct way: bytes that wait in a tunnel could reach an engine after the order was given up.

Evidence: in TestGatewayWithoutLinksServesThroughControllers 0 of 20 requests are served where links hang or are reset if the gateway has nobody to ask, and all with this. TestGatewayIsLedThroughTwoControllers, TestTunnelsHaveNoLoops, TestTunnelsAreCarriedByRole. Tests of gateway, controller, uplink and the adapters pass.

--- a/cmd/zinnia-controller/main.go
+++ b/cmd/zinnia-controller/main.go
@@ -23,7 +23,9 @@
 	"zinniapin/settings"
 	"zinniapin/store/budget"
 	"zinniapin/store/httpstore"
+	"zinniapin/target"
 	"zinniapin/target/httpengine"
+	"zinniapin/targetlink"
 	"zinniapin/zone"
 )
 
@@ -86,13 +88,21 @@
 	timeout := time.Duration(s.Platform.TimeoutMillis) * time.Millisecond
 	objects := budget.New(httpstore.New(s.Platform.Objects, timeout), budget.Options{Rate: storeRate, Burst: storeBurst, Seed: seed})
 	metrics.MustRegister(objects.Collector())
+	network := &yamuxlink.Network{Self: self, TLS: certificates.TLS(), Log: &log}
+	var engines *httpengine.Client
+	links := targetlink.New(targetlink.Options{Zone: s.Zone, Network: network, Handler: controller.NoCalls, Log: &log, OnLost: func(map[string]bool, map[target.ID]bool) {
+		engines.CloseIdle() // idle connections over lost links may be silent, those through others are no longer needed
+	}})
+	links.Register(metrics)
+	engines = httpengine.New(httpengine.Options{Dial: links.DialContext, OnSilent: links.CheckSilent})
 	return controller.Config{
 		Self:         self,
 		Seeds:        s.Seeds,
-		Network:      &yamuxlink.Network{Self: self, TLS: certificates.TLS(), Log: &log},
+		Network:      network,
+		Links:        links,
 		Store:        objects,
 		Hosts:        httpapi.NewHosts(s.Platform.Hosts, timeout),
-		Orders:       httpengine.New(httpengine.Options{}),
+		Orders:       engines,
 		Reports:      httpapi.NewUsage(s.Platform.Usage, timeout),
 		TargetOrders: httpapi.NewTargets(s.Platform.Targets, timeout),
 		Seed:         seed,
--- a/cmd/zinnia-gateway/assemble.go
+++ b/cmd/zinnia-gateway/assemble.go
@@ -20,7 +20,9 @@
 	"zinniapin/settings"
 	"zinniapin/store/budget"
 	"zinniapin/store/httpstore"
+	"zinniapin/target"
 	"zinniapin/target/httpengine"
+	"zinniapin/targetlink"
 	"zinniapin/uplink"
 	"zinniapin/zone"
 )
@@ -89,18 +91,27 @@
 // chosen.
 func assemble(s settings.Gateway, self machine.Process, loaded *secrets, log zerolog.Logger, registry *prometheus.Registry) *parts {
 	registry.MustRegister(loaded.links)
-	p := &parts{
-		engines: httpengine.New(httpengine.Options{}),
-		objects: httpstore.New(s.Platform.Objects, settings.Millis(s.Platform.TimeoutMillis)),
-	}
+	p := &parts{objects: httpstore.New(s.Platform.Objects, settings.Millis(s.Platform.TimeoutMillis))}
 	p.claims = newClaims(s, p.objects, &log, registry)
+	up := newUplink(s, self, loaded.links, &log)
+	var services *gateway.HTTPServices
+	links := targetlink.New(targetlink.Options{Zone: s.Zone, Link: up.Link, Log: &log, OnLost: func(map[string]bool, map[target.ID]bool) {
+		p.engines.CloseIdle() // idle connections over lost links may be silent, those through controllers are no longer needed
+		services.CloseIdle()
+	}})
+	links.AskHosts(up.Controllers)
+	links.Register(registry)
+	p.engines = httpengine.New(httpengine.Options{Dial: links.DialContext, OnSilent: links.CheckSilent})
+	services = gateway.NewHTTPServices(links)
 	p.options = gateway.Options{
 		Process:   self,
 		Settings:  s,
 		ResumeKey: loaded.resumeKey,
 		Engines:   p.engines,
+		Services:  services,
+		Links:     links,
 		Claims:    p.claims,
-		Uplink:    newUplink(s, self, loaded.links, &log),
+		Uplink:    up,
 		Log:       log,
 		Registry:  registry,
 		Seed:      rand.Uint64(),
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -28,6 +28,7 @@
 	"zinniapin/result"
 	"zinniapin/store"
 	"zinniapin/target"
+	"zinniapin/targetlink"
 	"zinniapin/targetview"
 	"zinniapin/zone"
 )
@@ -45,6 +46,9 @@
 	Store store.Store
 	// Hosts is the platform's list of hosts.
 	Hosts provider.Hosts
+	// Links are the controller's links to targets, over which it connects for
+	// gateways and other controllers; nil stands for none.
+	Links *targetlink.Links
 	// Orders reads the reports of targets and sends orders to engines.
 	Orders target.Orders
 	// Reports is the platform's interface for usage reports; with nil this
@@ -112,6 +116,9 @@
 	// When the executor probes the outcome of an order, it asks prober whether the host of the
 	// order's target is gone and whether another controller that issued the order has ended.
 	prober := &liveness{controller: k, ended: map[string]bool{}, lastProbe: map[string]time.Time{}}
+	if c.Links != nil {
+		c.Links.AskHosts(k.linkHosts)
+	}
 	k.executor = authority.NewExecutor(c.Store, c.Self.ID(), prober, authority.Options{Log: c.Log})
 	if c.TargetOrders != nil && c.Orders != nil {
 		k.plan = planning.New(planFleet{k}, k.executor, c.Orders, c.TargetOrders, planning.Options{Log: c.Log})
@@ -127,7 +134,7 @@
 // first calls Leave.
 func (k *Controller) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
-	_, stop, err := k.config.Network.Listen(k.config.Self.Address, link.HandlerFunc(k.serve), func(l link.Link) {
+	_, stop, err := k.config.Network.Listen(k.config.Self.Address, streamHandler{k}, func(l link.Link) {
 		k.handleAccepted(ctx, l)
 	})
 	if err != nil {
@@ -140,6 +147,9 @@
 	// address takes that as proof that this one sends no more orders.
 	defer k.executor.Close()
 	group.Go(func() error { return k.every(ctx, tickInterval, k.tick) })
+	if k.config.Links != nil {
+		group.Go(func() error { return k.every(ctx, linksInterval, k.maintainLinks) })
+	}
 	group.Go(func() error { return k.watchConfiguration(ctx) })
 	group.Go(func() error { return k.every(ctx, hostListInterval, k.pollHosts) })
 	group.Go(func() error { return k.every(ctx, pollInterval, k.pollTargets) })
@@ -241,6 +251,10 @@
 	k.leaving = true
 	k.members.Update(func(m *membership.Member) { m.Leaving = true })
 	k.mu.Unlock()
+	if k.config.Links != nil {
+		k.config.Links.Leave()
+		defer k.config.Links.Drain(ctx)
+	}
 	select {
 	case <-time.After(leaveDelay):
 	case <-ctx.Done():
--- a/detour/dial.go
+++ b/detour/dial.go
@@ -23,6 +23,10 @@
 // asked. It says nothing of the target.
 var ErrNoWay = errors.New("detour: no way to the target over this host's links or another host")
 
+// ErrTargetDown is joined to the error of a connection to a target that another host, whose links work, does not reach
+// either.
+var ErrTargetDown = errors.New("detour: other hosts do not reach the target either")
+
 // Word is what another host says of a target to which it was asked to connect.
 type Word int
 
@@ -121,9 +125,9 @@
 func (w Word) err() error {
 	switch w {
 	case Refused:
-		return syscall.ECONNREFUSED
+		return errors.Join(syscall.ECONNREFUSED, ErrTargetDown)
 	case Unanswered:
-		return syscall.ETIMEDOUT
+		return errors.Join(syscall.ETIMEDOUT, ErrTargetDown)
 	default:
 		return ErrNoWay
 	}
@@ -196,7 +200,7 @@
 // failure records that neither this host nor another one has connected to a target, and returns the error.
 func (d *Dialer) failure(address string, word Word, failed error) error {
 	if word == Refused || word == Unanswered {
-		return failed
+		return errors.Join(failed, ErrTargetDown)
 	}
 	d.mu.Lock()
 	news := d.table.Failed(address)
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -9,6 +9,7 @@
 	"zinniapin/poison"
 	"zinniapin/routing"
 	"zinniapin/target"
+	"zinniapin/targetlink"
 	"zinniapin/usage"
 )
 
@@ -33,6 +34,7 @@
 	now := time.Now()
 	g.fleet.observe(now, view)
 	g.crashes.observeTargets(view)
+	g.options.Links.SetTargets(targetlink.TargetsOf(view))
 	g.targetsObserved.Store(true)
 	g.moveStreams(now)
 	g.updateCapacities(now)
--- a/gateway/crash_guard.go
+++ b/gateway/crash_guard.go
@@ -2,12 +2,9 @@
 
 import (
 	"context"
-	"errors"
-	"net"
 	"slices"
 	"strconv"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -65,17 +62,6 @@
 // evidence which comes back from others is recognised.
 func wallTime() time.Time { return time.Now().Truncate(time.Millisecond) }
 
-// refusesConnections tells whether connections to a target are refused, as they are once its
-// process has ended.
-func refusesConnections(ctx context.Context, t target.Target) bool {
-	var dialer net.Dialer
-	conn, err := dialer.DialContext(ctx, "tcp", t.Address)
-	if err == nil {
-		_ = conn.Close()
-	}
-	return errors.Is(err, syscall.ECONNREFUSED)
-}
-
 // answered records that a target answered a request and went on.
 func (c *crashGuard) answered(part requestPart) {
 	if part.size > maxSoundBytes && !c.hasSuspects() {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -20,11 +20,13 @@
 	"zinniapin/claim"
 	"zinniapin/contract"
 	"zinniapin/control"
+	"zinniapin/detour"
 	"zinniapin/machine"
 	"zinniapin/result"
 	"zinniapin/routing"
 	"zinniapin/settings"
 	"zinniapin/target"
+	"zinniapin/targetlink"
 	"zinniapin/usage"
 )
 
@@ -41,6 +43,8 @@
 	Engines target.Requests
 	// Services calls plain services; nil stands for NewHTTPServices.
 	Services Services
+	// Links are the gateway's links to targets; nil stands for those of a host that has no others.
+	Links *targetlink.Links
 	// Refuses tells whether connections to a target are refused; nil stands for trying one.
 	Refuses func(context.Context, target.Target) bool
 	// Claims records non-repeatable calls, so that each runs at most once.
@@ -90,13 +94,22 @@
 		return nil, result.New(result.BadSettings, "the key has %d bytes, at least %d are required", len(o.ResumeKey), MinResumeKeyBytes).At("resume_key_file")
 	}
 	if o.Services == nil {
-		o.Services = NewHTTPServices()
+		o.Services = NewHTTPServices(o.Links)
+	}
+	if o.Links == nil {
+		o.Links = targetlink.New(targetlink.Options{Log: &o.Log})
 	}
 	if o.Registry == nil {
 		o.Registry = prometheus.NewRegistry()
 	}
 	if o.Refuses == nil {
-		o.Refuses = refusesConnections
+		o.Refuses = func(ctx context.Context, t target.Target) bool {
+			c, refused := o.Links.Refuses(ctx, t.Address)
+			if c.Conn != nil {
+				_ = c.Close()
+			}
+			return refused
+		}
 	}
 	g := &Gateway{
 		options:           o,
@@ -181,6 +194,8 @@
 		case now := <-tick.C:
 			g.moveStreams(now)
 			g.crashes.expire()
+			g.options.Links.Probe(detour.Drop)
+			g.options.Links.Maintain()
 			g.mu.Lock()
 			g.admission.Sweep(now)
 			g.mu.Unlock()
--- a/gateway/helpers_test.go
+++ b/gateway/helpers_test.go
@@ -114,11 +114,23 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	tg.configure(g)
+	g.Observe(tg.view)
+	return tg
+}
+
+// configure makes a gateway that of the test and gives it a configuration.
+func (tg *testGateway) configure(g *Gateway) {
 	tg.g = g
 	g.Configure(newSnapshot(1, nil))
 	g.SetConnectivity(control.Connectivity{Controllers: 1, LiveGateways: 1, ConfirmedAt: time.Now()})
-	g.Observe(tg.view)
-	return tg
+}
+
+// use makes a gateway that of the test, with a listener.
+func (tg *testGateway) use(t testing.TB, g *Gateway) {
+	tg.configure(g)
+	tg.server = httptest.NewServer(g)
+	t.Cleanup(tg.server.Close)
 }
 
 // send sends an HTTP request and returns the response and its body.
--- a/gateway/services.go
+++ b/gateway/services.go
@@ -10,6 +10,7 @@
 
 	"zinniapin/internal/oncehttp"
 	"zinniapin/target"
+	"zinniapin/targetlink"
 )
 
 // Headers and limits of calls to plain services.
@@ -56,11 +57,19 @@
 	client *oncehttp.Client
 }
 
-// NewHTTPServices returns a client that uses no proxy and follows no redirects.
-func NewHTTPServices() *HTTPServices {
-	return &HTTPServices{oncehttp.New(serviceDialTimeout, serviceIdleConns)}
+// NewHTTPServices returns a client that uses no proxy and follows no redirects. It connects over links; nil stands for
+// those of a host that has no others.
+func NewHTTPServices(links *targetlink.Links) *HTTPServices {
+	o := oncehttp.Options{DialTimeout: serviceDialTimeout, Idle: serviceIdleConns}
+	if links != nil {
+		o.Dial, o.OnSilent = links.DialContext, links.CheckSilent
+	}
+	return &HTTPServices{oncehttp.New(o)}
 }
 
+// CloseIdle closes idle connections.
+func (s *HTTPServices) CloseIdle() { s.client.Close() }
+
 // Call implements Services. It passes a non-nil body even if the body is empty, so that
 // net/http cannot rewind it: net/http would resend a request without a body if a reused
 // connection breaks early.
--- a/internal/oncehttp/client.go
+++ b/internal/oncehttp/client.go
@@ -18,23 +18,45 @@
 // maxHeadBytes bounds the head of a response.
 const maxHeadBytes = 64 << 10
 
+// silentTime is the time without a response after which Options.OnSilent is called.
+const silentTime = 400 * time.Millisecond
+
+// Dial opens a connection to an address.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Options configure a Client.
+type Options struct {
+	// DialTimeout bounds the opening of a connection, unless Dial is set.
+	DialTimeout time.Duration
+	// Dial opens connections; nil stands for a plain one.
+	Dial Dial
+	// Idle is the number of idle connections to keep for each address.
+	Idle int
+	// OnSilent is called when no response has begun within 400 ms; nil if nobody is told.
+	OnSilent func(address string)
+}
+
 // Client sends HTTP requests. It is safe for concurrent use.
 type Client struct {
 	transport *http.Transport
+	onSilent  func(address string)
 }
 
-// New returns a client that keeps up to idle connections open to each address.
-func New(dialTimeout time.Duration, idle int) *Client {
-	return &Client{transport: &http.Transport{
-		DialContext:            dialCounting(&net.Dialer{Timeout: dialTimeout}),
-		MaxIdleConnsPerHost:    idle,
+// New returns a client.
+func New(o Options) *Client {
+	if o.Dial == nil {
+		o.Dial = (&net.Dialer{Timeout: o.DialTimeout}).DialContext
+	}
+	return &Client{onSilent: o.OnSilent, transport: &http.Transport{
+		DialContext:            dialCounting(o.Dial),
+		MaxIdleConnsPerHost:    o.Idle,
 		IdleConnTimeout:        idleTimeout,
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: maxHeadBytes,
 	}}
 }
 
-// Close closes the idle connections.
+// Close closes the idle connections. The client can still be used.
 func (c *Client) Close() {
 	c.transport.CloseIdleConnections()
 }
@@ -65,6 +87,10 @@
 	for name, values := range header {
 		request.Header[name] = values
 	}
+	if c.onSilent != nil {
+		timer := time.AfterFunc(silentTime, func() { c.onSilent(request.URL.Host) })
+		defer timer.Stop()
+	}
 	response, err = c.transport.RoundTrip(request)
 	if err != nil {
 		return nil, tracker.finish(), err
--- a/internal/oncehttp/conn.go
+++ b/internal/oncehttp/conn.go
@@ -52,9 +52,9 @@
 }
 
 // dialCounting returns a dial function for connections that count their writes.
-func dialCounting(d *net.Dialer) func(context.Context, string, string) (net.Conn, error) {
+func dialCounting(dial Dial) Dial {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
-		conn, err := d.DialContext(ctx, network, address)
+		conn, err := dial(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/standin/prepared/way.go
+++ b/internal/standin/prepared/way.go
@@ -1,6 +1,7 @@
 package prepared
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -222,7 +223,7 @@
 				return
 			}
 		}
-		if err == io.EOF {
+		if errors.Is(err, io.EOF) {
 			_ = to.Close()
 			return
 		}
--- a/node/links.go
+++ b/node/links.go
@@ -16,7 +16,8 @@
 
 // newTargetLinks returns the links of a node to targets.
 func newTargetLinks(n *Node) *targetlink.Links {
-	l := targetlink.New(targetlink.Options{Zone: n.settings.Zone, Network: n.network, Handler: peerHandler{n}, Hosts: n.linkHosts, OnLost: n.linksLost, Log: n.log})
+	l := targetlink.New(targetlink.Options{Zone: n.settings.Zone, Network: n.network, Handler: peerHandler{n}, OnLost: n.linksLost, Log: n.log})
+	l.AskHosts(n.linkHosts)
 	l.Register(n.registry)
 	return l
 }
--- a/provider/httpapi/httpapi.go
+++ b/provider/httpapi/httpapi.go
@@ -34,7 +34,7 @@
 
 // newAPIClient returns a client of the interface at a base URL.
 func newAPIClient(base string, timeout time.Duration) apiClient {
-	return apiClient{strings.TrimSuffix(base, "/"), timeout, oncehttp.New(timeout, maxIdleConns)}
+	return apiClient{strings.TrimSuffix(base, "/"), timeout, oncehttp.New(oncehttp.Options{DialTimeout: timeout, Idle: maxIdleConns})}
 }
 
 // Close closes idle connections.
--- a/store/httpstore/httpstore.go
+++ b/store/httpstore/httpstore.go
@@ -43,7 +43,7 @@
 	return &Store{
 		baseURL: strings.TrimSuffix(base, "/") + Path,
 		timeout: timeout,
-		http:    oncehttp.New(timeout, maxIdleConns),
+		http:    oncehttp.New(oncehttp.Options{DialTimeout: timeout, Idle: maxIdleConns}),
 	}
 }
 
--- a/target/httpengine/client.go
+++ b/target/httpengine/client.go
@@ -22,6 +22,12 @@
 type Options struct {
 	// DialTimeout limits the time to open a connection. Default 1 s.
 	DialTimeout time.Duration
+	// Dial opens the connections for requests and reports in place of a plain
+	// dialer. Orders always use a plain one.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// OnSilent is called with the address of an engine that does not begin to
+	// answer within 400 ms; nil if nobody is told.
+	OnSilent func(address string)
 	// CallTimeout limits reading from an engine and cancelling an attempt.
 	// Default 2 s.
 	CallTimeout time.Duration
@@ -73,11 +79,14 @@
 	return &Client{
 		options:    o,
 		dialer:     &net.Dialer{Timeout: o.DialTimeout},
-		http:       oncehttp.New(o.DialTimeout, o.IdleConns),
+		http:       oncehttp.New(oncehttp.Options{DialTimeout: o.DialTimeout, Dial: o.Dial, Idle: o.IdleConns, OnSilent: o.OnSilent}),
 		orderSlots: map[string]chan struct{}{},
 	}
 }
 
+// CloseIdle closes idle connections.
+func (c *Client) CloseIdle() { c.http.Close() }
+
 // Close waits for cancellations in progress and closes idle connections. Streams must have
 // been closed.
 func (c *Client) Close() {
--- a/targetlink/targetlink.go
+++ b/targetlink/targetlink.go
@@ -4,12 +4,15 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync"
+	"syscall"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
+	"zinniapin/control"
 	"zinniapin/detour"
 	"zinniapin/event"
 	"zinniapin/link"
@@ -29,14 +32,23 @@
 	StartedMillis int64
 }
 
+// TargetsOf returns the targets of a view.
+func TargetsOf(view []control.TargetState) []Target {
+	all := make([]Target, 0, len(view))
+	for _, s := range view {
+		all = append(all, Target{ID: s.Target.ID, Address: s.Target.Address, Zone: s.Target.Zone})
+	}
+	return all
+}
+
 // Options configure Links.
 type Options struct {
 	Zone zone.Name // availability zone of this host
-	// Network opens links to other hosts, whose calls Handler serves.
+	// Link returns an open link to another host. If it is nil, Network opens links, over which Handler serves the other
+	// host's calls.
+	Link    func(host string) (link.Link, error)
 	Network link.Network
 	Handler link.Handler
-	// Hosts returns the other hosts that may carry tunnels; nil if there are none.
-	Hosts func() []reach.Host
 	// OnLost is called with the targets to which this host has lost its own links, by address and by id, whenever
 	// these change; nil if nobody is told.
 	OnLost func(addresses map[string]bool, ids map[target.ID]bool)
@@ -47,8 +59,9 @@
 type Links struct {
 	*detour.Dialer
 	options Options
-	tunnels tunnel.Client // through other hosts
-	carried tunnel.Server // for other hosts
+	hosts   func() []reach.Host // nil if there are no others
+	tunnels tunnel.Client       // through other hosts
+	carried tunnel.Server       // for other hosts
 
 	mu        sync.Mutex
 	byAddress map[string]Target
@@ -59,16 +72,21 @@
 
 // New returns links that all work.
 func New(o Options) *Links {
-	l := &Links{options: o, tunnels: tunnel.Client{Network: o.Network, Handler: o.Handler}}
-	l.carried.Connect = l.connect
-	d := detour.Options{OnChange: l.setLost}
-	if o.Hosts != nil {
-		d.Hosts = l
-	}
-	l.Dialer = detour.New(d)
+	l := &Links{options: o, tunnels: tunnel.Client{Link: o.Link, Network: o.Network, Handler: o.Handler}}
+	l.Dialer = detour.New(detour.Options{Hosts: l, OnChange: l.setLost})
 	return l
 }
 
+// AskHosts sets the function that returns the other hosts that may carry tunnels. It must be called before the links are
+// in use; without it no host is asked.
+func (l *Links) AskHosts(hosts func() []reach.Host) { l.hosts = hosts }
+
+// DialContext connects to the target at an address, for use by http.Transport.
+func (l *Links) DialContext(ctx context.Context, _, address string) (net.Conn, error) {
+	c, err := l.Dial(ctx, address)
+	return c.Conn, err
+}
+
 // Register registers the metrics of the links.
 func (l *Links) Register(r prometheus.Registerer) {
 	r.MustRegister(
@@ -97,15 +115,26 @@
 	l.Dialer.SetTargets(addresses)
 }
 
+// CheckSilent finds out whether the link to the target at an address, which has not begun to answer, is lost.
+func (l *Links) CheckSilent(address string) { l.Check(address, detour.Drop) }
+
 // Maintain closes unused tunnels and logs how many links are lost. It is to be called about once a second.
 func (l *Links) Maintain() {
 	l.tunnels.CloseIdle()
 	l.logLost()
 }
 
-// ServeTunnel answers another host's request for a tunnel, as link.StreamHandler does.
+// ServeTunnel answers another host's request for a tunnel, as link.StreamHandler does. The target is connected to over
+// this host's own links.
 func (l *Links) ServeTunnel(ctx context.Context, request *wire.TunnelRequest) (*wire.Envelope, func(net.Conn), error) {
-	reply, serve := l.carried.Open(ctx, request)
+	reply, serve := l.carried.Open(ctx, request, l.connectFor)
+	return reply, serve, nil
+}
+
+// ServeTunnelByAnyWay is ServeTunnel for a process that asks no other host, so that the target may be connected to through
+// one.
+func (l *Links) ServeTunnelByAnyWay(ctx context.Context, request *wire.TunnelRequest) (*wire.Envelope, func(net.Conn), error) {
+	reply, serve := l.carried.Open(ctx, request, l.connectByAnyWay)
 	return reply, serve, nil
 }
 
@@ -120,7 +149,10 @@
 	l.mu.Lock()
 	t := l.byAddress[address]
 	l.mu.Unlock()
-	return l.options.Hosts(), string(l.options.Zone), string(t.Zone)
+	if l.hosts != nil {
+		all = l.hosts()
+	}
+	return all, string(l.options.Zone), string(t.Zone)
 }
 
 // Open implements detour.Hosts.
@@ -149,12 +181,18 @@
 	}
 }
 
-// connect connects to a target for another host, which may know an older or a newer start of it.
-func (l *Links) connect(ctx context.Context, id target.ID, startedMillis int64) (net.Conn, wire.TunnelReply_Outcome) {
+// find returns the target of a request, unless another start of it is known here.
+func (l *Links) find(request *wire.TunnelRequest) (Target, bool) {
 	l.mu.Lock()
-	t, listed := l.byID[id]
-	l.mu.Unlock()
-	if !listed || t.StartedMillis != startedMillis {
+	defer l.mu.Unlock()
+	t, listed := l.byID[target.ID(request.Target)]
+	return t, listed && t.StartedMillis == request.Born
+}
+
+// connectFor connects to a target for another host.
+func (l *Links) connectFor(ctx context.Context, request *wire.TunnelRequest) (net.Conn, wire.TunnelReply_Outcome) {
+	t, listed := l.find(request)
+	if !listed {
 		return nil, wire.TunnelReply_NO_WAY
 	}
 	conn, word := l.ConnectFor(ctx, t.Address)
@@ -170,6 +208,25 @@
 	}
 }
 
+// connectByAnyWay connects to a target for another process, through a further host if necessary.
+func (l *Links) connectByAnyWay(ctx context.Context, request *wire.TunnelRequest) (net.Conn, wire.TunnelReply_Outcome) {
+	t, listed := l.find(request)
+	if !listed {
+		return nil, wire.TunnelReply_NO_WAY
+	}
+	c, err := l.Dial(ctx, t.Address)
+	switch {
+	case err == nil:
+		return c.Conn, wire.TunnelReply_CONNECTED
+	case !errors.Is(err, detour.ErrTargetDown):
+		return nil, wire.TunnelReply_NO_WAY
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return nil, wire.TunnelReply_REFUSED
+	default:
+		return nil, wire.TunnelReply_UNANSWERED
+	}
+}
+
 // setLost takes in the targets to which this host has lost its own links.
 func (l *Links) setLost(lost map[string]bool) {
 	ids := make(map[target.ID]bool, len(lost))
--- a/tunnel/client.go
+++ b/tunnel/client.go
@@ -17,6 +17,9 @@
 
 // Client asks other hosts for tunnels, over one link to each. It is safe for concurrent use.
 type Client struct {
+	// Link returns an open link to a host; nil stands for links that the client opens and closes by itself, by
+	// Network.
+	Link    func(host string) (link.Link, error)
 	Network link.Network
 	// Handler serves the calls of the other hosts on these links.
 	Handler link.Handler
@@ -41,6 +44,35 @@
 // Open asks the host at an address for a connection to a target. If it returns an error, the host gave no answer;
 // otherwise the outcome is the host's word, and the connection is nil unless that is CONNECTED.
 func (c *Client) Open(ctx context.Context, host string, id target.ID, startedMillis int64) (*Conn, wire.TunnelReply_Outcome, error) {
+	request := &wire.TunnelRequest{Target: string(id), Born: startedMillis}
+	if c.Link == nil {
+		return c.openShared(ctx, host, request)
+	}
+	l, err := c.Link(host)
+	if err != nil {
+		return nil, 0, err
+	}
+	stream, outcome, err := open(ctx, l, request)
+	if stream == nil {
+		return nil, outcome, err
+	}
+	return newConn(stream, host), outcome, nil
+}
+
+// open asks for a tunnel over a link.
+func open(ctx context.Context, l link.Link, request *wire.TunnelRequest) (net.Conn, wire.TunnelReply_Outcome, error) {
+	reply, stream, err := l.Open(ctx, &wire.Envelope{Body: &wire.Envelope_TunnelRequest{TunnelRequest: request}})
+	if err == nil && reply.GetTunnelReply() == nil {
+		err = errOtherReply
+	}
+	if err != nil {
+		return nil, 0, err
+	}
+	return stream, reply.GetTunnelReply().Outcome, nil
+}
+
+// openShared is Open over a link of the client's own.
+func (c *Client) openShared(ctx context.Context, host string, request *wire.TunnelRequest) (*Conn, wire.TunnelReply_Outcome, error) {
 	s := c.share(host)
 	granted := false
 	defer func() {
@@ -57,18 +89,13 @@
 	if s.err != nil {
 		return nil, 0, s.err
 	}
-	request := &wire.TunnelRequest{Target: string(id), Born: startedMillis}
-	reply, stream, err := s.link.Open(ctx, &wire.Envelope{Body: &wire.Envelope_TunnelRequest{TunnelRequest: request}})
-	if err == nil && reply.GetTunnelReply() == nil {
-		err = errOtherReply
-	}
+	stream, outcome, err := open(ctx, s.link, request)
 	if err != nil {
 		if !errors.Is(ctx.Err(), context.Canceled) {
 			c.drop(host, s)
 		}
 		return nil, 0, err
 	}
-	outcome := reply.GetTunnelReply().Outcome
 	if stream == nil {
 		return nil, outcome, nil
 	}
--- a/tunnel/conn.go
+++ b/tunnel/conn.go
@@ -138,6 +138,6 @@
 		return nil
 	}
 	err := c.Conn.Close()
-	_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // a stream that is closed here still waits for the other end
+	_ = c.SetReadDeadline(time.Unix(1, 0)) // a stream that is closed here still waits for the other end
 	return err
 }
--- a/tunnel/server.go
+++ b/tunnel/server.go
@@ -8,18 +8,17 @@
 	"sync"
 
 	"zinniapin/socket"
-	"zinniapin/target"
 	"zinniapin/wire"
 )
 
 // maxTunnels bounds the tunnels that a host carries for others at a time.
 const maxTunnels = 1024
 
+// Connect connects to the target of a request. If it returns no connection, the outcome tells why.
+type Connect func(ctx context.Context, request *wire.TunnelRequest) (net.Conn, wire.TunnelReply_Outcome)
+
 // Server carries tunnels for other hosts. It is safe for concurrent use.
 type Server struct {
-	// Connect connects to a target over the host's own links. If it returns no connection, the outcome tells why.
-	Connect func(ctx context.Context, id target.ID, startedMillis int64) (net.Conn, wire.TunnelReply_Outcome)
-
 	mu      sync.Mutex
 	open    map[*carried]struct{}
 	pending int // being connected, or not yet carried
@@ -37,7 +36,7 @@
 
 // Open answers the request for a tunnel. If it was granted, serve must be called: it carries the tunnel on a stream until
 // its end.
-func (s *Server) Open(ctx context.Context, request *wire.TunnelRequest) (reply *wire.Envelope, serve func(net.Conn)) {
+func (s *Server) Open(ctx context.Context, request *wire.TunnelRequest, connect Connect) (reply *wire.Envelope, serve func(net.Conn)) {
 	answer := func(o wire.TunnelReply_Outcome) *wire.Envelope {
 		return &wire.Envelope{Body: &wire.Envelope_TunnelReply{TunnelReply: &wire.TunnelReply{Outcome: o}}}
 	}
@@ -48,7 +47,7 @@
 	}
 	s.pending++
 	s.mu.Unlock()
-	conn, outcome := s.Connect(ctx, target.ID(request.Target), request.Born)
+	conn, outcome := connect(ctx, request)
 	if conn == nil {
 		s.mu.Lock()
 		s.pending--
--- a/tunnel/tunnel_test.go
+++ b/tunnel/tunnel_test.go
@@ -17,7 +17,6 @@
 	"zinniapin/link/memlink"
 	"zinniapin/machine"
 	"zinniapin/socket"
-	"zinniapin/target"
 	"zinniapin/tunnel"
 	"zinniapin/wire"
 )
@@ -32,12 +31,13 @@
 // serving serves requests for tunnels.
 type serving struct {
 	link.HandlerFunc
-	server *tunnel.Server
+	server  *tunnel.Server
+	connect tunnel.Connect
 }
 
 // Open implements link.StreamHandler.
 func (s serving) Open(ctx context.Context, _ link.Link, request *wire.Envelope) (*wire.Envelope, func(net.Conn), error) {
-	reply, serve := s.server.Open(ctx, request.GetTunnelRequest())
+	reply, serve := s.server.Open(ctx, request.GetTunnelRequest(), s.connect)
 	return reply, serve, nil
 }
 
@@ -49,7 +49,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = l.Close() })
-	p := &pair{targets: make(chan net.Conn, 8)}
+	p := &pair{targets: make(chan net.Conn, 8), server: &tunnel.Server{}}
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -59,8 +59,8 @@
 			p.targets <- c
 		}
 	}()
-	p.server = &tunnel.Server{Connect: func(_ context.Context, id target.ID, _ int64) (net.Conn, wire.TunnelReply_Outcome) {
-		if id != "t" {
+	connect := func(_ context.Context, request *wire.TunnelRequest) (net.Conn, wire.TunnelReply_Outcome) {
+		if request.Target != "t" {
 			return nil, wire.TunnelReply_NO_WAY
 		}
 		c, err := net.Dial("tcp", l.Addr().String())
@@ -68,10 +68,10 @@
 			return nil, wire.TunnelReply_REFUSED
 		}
 		return c, wire.TunnelReply_CONNECTED
-	}}
+	}
 	fabric := memlink.NewFabric()
 	far := fabric.Network(machine.Process{Host: "far", Role: machine.Node})
-	if _, _, err := far.Listen("far", serving{server: p.server}, func(link.Link) {}); err != nil {
+	if _, _, err := far.Listen("far", serving{server: p.server, connect: connect}, func(link.Link) {}); err != nil {
 		t.Fatal(err)
 	}
 	p.client = &tunnel.Client{Network: fabric.Network(machine.Process{Host: "near", Role: machine.Node})}
--- a/uplink/link.go
+++ b/uplink/link.go
@@ -11,6 +11,7 @@
 	"zinniapin/event"
 	"zinniapin/link"
 	"zinniapin/membership"
+	"zinniapin/reach"
 	"zinniapin/result"
 	"zinniapin/wire"
 )
@@ -86,6 +87,31 @@
 	return u.links[slot].link.Peer().Address
 }
 
+// Controllers returns the controllers to which links are open, as hosts that may connect to targets for the gateway.
+func (u *Uplink) Controllers() []reach.Host {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	var all []reach.Host
+	for _, up := range u.links {
+		if up != nil {
+			all = append(all, reach.Host{Address: up.link.Peer().Address, Zone: string(up.link.Peer().Zone.Name)})
+		}
+	}
+	return all
+}
+
+// Link returns the open link to a controller.
+func (u *Uplink) Link(address string) (link.Link, error) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for _, up := range u.links {
+		if up != nil && up.link.Peer().Address == address {
+			return up.link, nil
+		}
+	}
+	return nil, link.ErrClosed
+}
+
 // runLink sends heartbeats over a link until the link or ctx ends, too many heartbeats in
 // succession fail, or a better controller is available. It returns the link to the better
 // controller if that is already open, or nil.
