--- a/internal/verdict/verdict_test.go
+++ b/internal/verdict/verdict_test.go
@@ -201,6 +201,17 @@
 			}
 		}
 	}},
+	{"hosts without links deny keys that are not in force everywhere", Recover, func(w *world, broken bool) {
+		w.Cuts = []Cut{{Hosts: []string{"h2"}, Span: span(0, 20_000)}}
+		w.configure(pick(broken, 500, 2500), "new", "desk") // in force 2 s later
+		for i := range 60 {
+			a, _ := w.serve(fmt.Sprint("a", i), "read", 3000+20*i)
+			b, arrival := w.serve(fmt.Sprint("b", i), "read", 3000+20*i)
+			a.Key, b.Key, b.Host = "new", "new", "h2"
+			answer(b, 503)
+			arrival.Ran = false
+		}
+	}},
 	{"failures of hosts without links that are few", Recover, func(w *world, broken bool) {
 		w.Cuts = []Cut{{Hosts: []string{"h2"}, Span: span(0, 20_000)}}
 		for i := range 40 {
--- a/node/lost_way_test.go
+++ b/node/lost_way_test.go
@@ -251,3 +251,24 @@
 		is.True(!n.log.contains("prompt_part_blocked"))
 	}
 }
+
+// A host that stops finishes what it carries for others, and gets nothing new of them.
+func TestHostThatStopsCutsNoTunnel(t *testing.T) {
+	is := is.New(t)
+	c := newCutCluster(t)
+	for _, s := range c.targets {
+		s.Change(func(s *prepared.TargetSwitches) { s.Delay = 100 * time.Millisecond })
+	}
+	c.ways.set(prepared.WayReset)
+	c.load(c.cut, time.Second) // the host notices, and both others carry tunnels
+	stopping := c.healthy[0]
+	stopping.stop()
+	served, sent := c.load(c.cut, 4*time.Second)
+	is.Equal(served, sent)
+	select {
+	case <-stopping.ended:
+	case <-time.After(6 * time.Second):
+		t.Fatal("the host waits for tunnels that carry nothing")
+	}
+	is.Equal(len(c.runsTwice()), 0)
+}
