Ask a host that lacks one target for others all the same

Cause: a host that said it had no way to one target was left out for all targets for a second, and with it those that it did reach. Class: what was learnt of one path is applied to others.

Hosts are now left out target by target, and for all only if they say that they have lost all links; those that helped lately are asked first, and up to twelve instead of six.

--- a/detour/dial.go
+++ b/detour/dial.go
@@ -34,6 +34,7 @@
 const (
 	Connected  Word = iota
 	NoWay           // the host does not reach the target either
+	NoLinks         // it has lost its links to all targets
 	Refused         // the target refuses connections
 	Unanswered      // the target does not answer
 	NoAnswer        // the host did not answer, or has no room
@@ -239,7 +240,7 @@
 	}
 	all, ownZone, targetZone := d.options.Hosts.Hosts(address)
 	d.mu.Lock()
-	hosts := d.table.Order(time.Now(), all, ownZone, targetZone)
+	hosts := d.table.Order(time.Now(), address, all, ownZone, targetZone)
 	d.mu.Unlock()
 	last := NoAnswer
 	for _, h := range hosts {
@@ -247,21 +248,12 @@
 		d.Asked.Add(1)
 		c, word := d.options.Hosts.Open(askCtx, h.Address, address)
 		cancel()
-		now := time.Now()
+		d.note(h.Address, address, word, ctx.Err() == nil)
 		switch word {
 		case Connected, Refused, Unanswered:
 			return c, word
-		case NoWay:
-			d.mu.Lock()
-			d.table.HasNoWay(now, h.Address)
-			d.mu.Unlock()
+		case NoWay, NoLinks:
 			last = NoWay
-		default:
-			if ctx.Err() == nil { // otherwise it may have been given too little time
-				d.mu.Lock()
-				d.table.DoesNotAnswer(now, h.Address)
-				d.mu.Unlock()
-			}
 		}
 		if ctx.Err() != nil {
 			break
@@ -270,6 +262,23 @@
 	return nil, last
 }
 
+// note records the word of a host on a target. Without enough time its silence means nothing.
+func (d *Dialer) note(host, address string, word Word, hadTime bool) {
+	now := time.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	switch {
+	case word == Connected:
+		d.table.Helped(now, host)
+	case word == NoWay:
+		d.table.HasNoWay(now, host, address)
+	case word == NoLinks:
+		d.table.HasNoLinks(now, host)
+	case word == NoAnswer && hadTime:
+		d.table.DoesNotAnswer(now, host)
+	}
+}
+
 // connected records a connection over this host's own links.
 func (d *Dialer) connected(address string) {
 	d.mu.Lock()
@@ -303,7 +312,13 @@
 // ConnectFor connects to a target for another host, over this host's own links. The connection is nil unless the word is
 // Connected.
 func (d *Dialer) ConnectFor(ctx context.Context, address string) (net.Conn, Word) {
-	if d.IsLost(address) {
+	d.mu.Lock()
+	lost, all := d.table.IsLost(address), d.table.AllLost()
+	d.mu.Unlock()
+	switch {
+	case all:
+		return nil, NoLinks
+	case lost:
 		return nil, NoWay
 	}
 	ctx, cancel := context.WithTimeout(ctx, detourTimeout)
--- a/reach/reach.go
+++ b/reach/reach.go
@@ -37,13 +37,13 @@
 	connectedAt time.Time // latest connection
 	probedAt    time.Time // latest probe of a lost link
 	triedAt     map[string]time.Time
-	avoided     map[string]time.Time // hosts not to ask until then, by address
+	asked       map[string]*asked // what other hosts answered, by address
 }
 
 // New returns the table of a host whose links all work. The seed is that of its random choices.
 func New(seed uint64) *Table {
 	return &Table{random: rand.New(rand.NewPCG(seed, 3)), lost: make(map[string]bool), working: make(map[string]bool), failed: make(map[string]bool),
-		triedAt: make(map[string]time.Time), avoided: make(map[string]time.Time)}
+		triedAt: make(map[string]time.Time), asked: make(map[string]*asked)}
 }
 
 // Lost returns the targets whose links are lost.
@@ -58,6 +58,9 @@
 // IsLost tells whether the link to a target is lost.
 func (t *Table) IsLost(address string) bool { return t.lost[address] }
 
+// AllLost tells whether the links to all targets are lost.
+func (t *Table) AllLost() bool { return len(t.lost) > 0 && len(t.lost) == len(t.listed) }
+
 // SetTargets replaces the targets. It returns whether a lost link was among those that are gone.
 func (t *Table) SetTargets(addresses []string) bool {
 	t.listed = addresses
--- a/reach/reach_test.go
+++ b/reach/reach_test.go
@@ -147,20 +147,26 @@
 	}
 	firsts := make(map[string]bool)
 	for range 100 {
-		order := table.Order(start, all, "own", "target")
-		is.Equal(len(order), 6)
+		order := table.Order(start, "a", all, "own", "target")
+		is.Equal(len(order), 12)
 		for i, h := range order {
-			is.Equal(h.Zone == "own", i < 4)
-			is.True(h.Zone != "other")
+			is.Equal(h.Zone, []string{"own", "target", "other"}[i/4])
 		}
 		firsts[order[0].Address] = true
 	}
 	is.Equal(len(firsts), 4)
-	table.HasNoWay(start, "2")
+	table.HasNoWay(start, "2", "a")
 	table.DoesNotAnswer(start, "5")
-	order := table.Order(start.Add(500*time.Millisecond), all, "own", "target")
-	is.True(!slices.ContainsFunc(order, func(h reach.Host) bool { return h.Address == "2" || h.Address == "5" }))
-	later := table.Order(start.Add(1500*time.Millisecond), all, "own", "target")
+	table.HasNoLinks(start, "8")
+	table.Helped(start, "11")
+	order := table.Order(start.Add(500*time.Millisecond), "a", all, "own", "target")
+	is.True(!slices.ContainsFunc(order, func(h reach.Host) bool { return h.Address == "2" || h.Address == "5" || h.Address == "8" }))
+	is.Equal(order[0].Address, "11") // it helped
+	other := table.Order(start.Add(500*time.Millisecond), "b", all, "own", "target")
+	is.True(slices.ContainsFunc(other, func(h reach.Host) bool { return h.Address == "2" })) // it may reach another target
+	is.Equal(len(table.Order(start, "a", make([]reach.Host, 20), "own", "target")), 12)
+	later := table.Order(start.Add(1500*time.Millisecond), "a", all, "own", "target")
 	is.True(slices.ContainsFunc(later, func(h reach.Host) bool { return h.Address == "2" }))
+	is.True(slices.ContainsFunc(later, func(h reach.Host) bool { return h.Address == "8" }))
 	is.True(!slices.ContainsFunc(later, func(h reach.Host) bool { return h.Address == "5" }))
 }
--- a/targetlink/targetlink.go
+++ b/targetlink/targetlink.go
@@ -172,6 +172,8 @@
 		return conn, detour.Connected
 	case wire.TunnelReply_NO_WAY:
 		return nil, detour.NoWay
+	case wire.TunnelReply_NO_LINKS:
+		return nil, detour.NoLinks
 	case wire.TunnelReply_REFUSED:
 		return nil, detour.Refused
 	case wire.TunnelReply_UNANSWERED:
@@ -203,6 +205,8 @@
 		return nil, wire.TunnelReply_REFUSED
 	case detour.Unanswered:
 		return nil, wire.TunnelReply_UNANSWERED
+	case detour.NoLinks:
+		return nil, wire.TunnelReply_NO_LINKS
 	default:
 		return nil, wire.TunnelReply_NO_WAY
 	}
