--- a/upstream/detour_test.go
+++ b/upstream/detour_test.go
@@ -177,3 +177,32 @@
 	is.Equal(word, detour.NoWay)
 	is.Equal(o.asked.Load(), int32(0))
 }
+
+// A target that answers other requests meanwhile needs no check of its link, however long one takes.
+func TestTargetThatIsHeardIsNotChecked(t *testing.T) {
+	is := is.New(t)
+	address := listen(t, func(n int, c net.Conn, r *bufio.Reader) {
+		for {
+			if _, err := http.ReadRequest(r); err != nil {
+				return
+			}
+			if n == 0 {
+				time.Sleep(900 * time.Millisecond)
+			}
+			_, _ = io.WriteString(c, okResponse)
+		}
+	})
+	d := detour.New(detour.Options{Hosts: &otherHost{targets: map[string]string{address: address}}})
+	p := upstream.NewPool(d)
+	d.SetTargets([]string{address, "127.0.0.1:1"})
+	slow := make(chan error, 1)
+	go func() { _, err := get(p, address); slow <- err }()
+	time.Sleep(50 * time.Millisecond)
+	for range 12 {
+		_, err := get(p, address)
+		is.NoErr(err)
+		time.Sleep(50 * time.Millisecond)
+	}
+	is.NoErr(<-slow)
+	is.Equal(d.Opened.Load(), int64(2))
+}
--- a/upstream/links.go
+++ b/upstream/links.go
@@ -10,6 +10,9 @@
 // checkAfter is the time without a byte of a response after which the link to its target is checked.
 const checkAfter = 400 * time.Millisecond
 
+// heardTTL is how long it is remembered when a target was heard last; longer than checkAfter.
+const heardTTL = 10 * time.Second
+
 // keep adds a new connection to the pool.
 func (p *Pool) keep(address string, c detour.Conn) { p.put(newConnection(c, address)) }
 
@@ -42,13 +45,32 @@
 // back. It is to be called several times a second.
 func (p *Pool) ProbeLinks() { p.dialer.Probe(p.keep) }
 
-// watchLink checks the link to a target that is silent after a request was written to it, since a kept connection
-// may be lost without a sign. The function that it returns ends the watch.
+// hear records that a response of a target has begun to come.
+func (p *Pool) hear(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.heard[address] = time.Now()
+}
+
+// heardSince tells whether a response of a target has begun to come since a time.
+func (p *Pool) heardSince(address string, since time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.heard[address].After(since)
+}
+
+// watchLink checks the link to a target that is silent after a request was written to it, on all connections, since a
+// kept connection may be lost without a sign. The function that it returns ends the watch.
 func (p *Pool) watchLink(c *connection) func() {
 	if c.detour {
 		return func() {}
 	}
-	timer := time.AfterFunc(checkAfter, func() { p.CheckLink(c.address) })
+	written := time.Now()
+	timer := time.AfterFunc(checkAfter, func() {
+		if !p.heardSince(c.address, written) {
+			p.CheckLink(c.address)
+		}
+	})
 	return func() { timer.Stop() }
 }
 
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -72,11 +72,14 @@
 type Pool struct {
 	mu     sync.Mutex
 	idle   map[string][]*connection // by address, the most recently used last
+	heard  map[string]time.Time     // when the latest response of a target began to come over this host's own links
 	dialer *detour.Dialer
 }
 
 // NewPool returns an empty pool that opens connections by a dialer.
-func NewPool(d *detour.Dialer) *Pool { return &Pool{idle: make(map[string][]*connection), dialer: d} }
+func NewPool(d *detour.Dialer) *Pool {
+	return &Pool{idle: make(map[string][]*connection), heard: make(map[string]time.Time), dialer: d}
+}
 
 // connection is one connection to a target.
 type connection struct {
@@ -172,6 +175,11 @@
 // CloseExpired closes connections that were idle for longer than their timeout.
 func (p *Pool) CloseExpired() {
 	p.mu.Lock()
+	for address, at := range p.heard {
+		if time.Since(at) > heardTTL {
+			delete(p.heard, address)
+		}
+	}
 	var expired []*connection
 	for address, idle := range p.idle {
 		kept := idle[:0]
@@ -292,6 +300,9 @@
 	c.limiter.left, c.limiter.read = maxHeadBytes, 0
 	parsed, err := readHead(c.reader, r.Method)
 	c.limiter.left = -1
+	if err == nil && !c.detour {
+		p.hear(address)
+	}
 	if err != nil && kept && c.limiter.read == 0 && ctx.Err() == nil && isClosed(err) {
 		p.dropIdle(address)
 		err = errors.Join(ErrStale, err)
