Tell changes of lost links in their order

What callers would see: a link that was back could pass for lost until the next change, so that failures of its target counted for nothing. Cause: the set of lost links was read and told without a lock in between. Evidence: TestLatestChangeIsToldLast failed before (1 lost link told last, 0 are) and passes in 3 of 3 runs.

--- a/detour/dial.go
+++ b/detour/dial.go
@@ -78,8 +78,9 @@
 	Opened, Asked atomic.Int64
 	options       Options
 
-	mu    sync.Mutex
-	table *reach.Table
+	telling sync.Mutex // held while OnChange is called, so that the latest change is told last
+	mu      sync.Mutex
+	table   *reach.Table
 }
 
 // New returns a dialer whose links all work.
@@ -301,6 +302,8 @@
 
 // changed tells which links are lost.
 func (d *Dialer) changed() {
+	d.telling.Lock()
+	defer d.telling.Unlock()
 	d.mu.Lock()
 	lost := d.table.Lost()
 	d.mu.Unlock()
