End tunnels that nobody reads

What callers would see: a host that carries tunnels for others runs out of them (1,024), and targets work on for callers that have left. Cause: the end of a tunnel shows when its host reads from the stream; while it waits for bytes to be read, by the other host or by the target, it does not. Class: a wait without a limit on one side hides the end on the other.

The wait for the other host ends with the stream, that for a target after 30 s.

--- a/tunnel/server.go
+++ b/tunnel/server.go
@@ -1,24 +1,34 @@
 package tunnel
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
 	"net"
 	"sync"
+	"time"
 
 	"zinniapin/socket"
 	"zinniapin/wire"
 )
 
-// maxTunnels bounds the tunnels that a host carries for others at a time.
-const maxTunnels = 1024
+const (
+	// maxTunnels bounds the tunnels that a host carries for others at a time.
+	maxTunnels = 1024
+	// stuckTimeout is the default of Server.StuckTimeout.
+	stuckTimeout = 30 * time.Second
+)
 
 // Connect connects to the target of a request. If it returns no connection, the outcome tells why.
 type Connect func(ctx context.Context, request *wire.TunnelRequest) (net.Conn, wire.TunnelReply_Outcome)
 
 // Server carries tunnels for other hosts. It is safe for concurrent use.
 type Server struct {
+	// StuckTimeout is how long a target may leave bytes unread until its tunnel is ended: while they wait, the end of
+	// the tunnel at the other host is not noticed. Default 30 s.
+	StuckTimeout time.Duration
+
 	mu      sync.Mutex
 	open    map[*carried]struct{}
 	pending int // being connected, or not yet carried
@@ -73,8 +83,9 @@
 	}
 	var copies sync.WaitGroup
 	copies.Go(func() {
-		_, _ = io.Copy(writerOnly{c.conn}, readerOnly{c.stream})
-		socket.Reset(c.conn) // the other host has ended or given up the tunnel
+		_, _ = io.Copy(timedWriter{c.conn, cmp.Or(s.StuckTimeout, stuckTimeout)}, readerOnly{c.stream})
+		socket.Reset(c.conn)                           // the other host has ended or given up the tunnel
+		_ = c.stream.SetWriteDeadline(time.Unix(1, 0)) // it may have stopped reading before
 	})
 	copies.Go(c.copyAnswers)
 	copies.Wait()
@@ -84,11 +95,20 @@
 	s.mu.Unlock()
 }
 
-// readerOnly and writerOnly hide that a connection can copy by itself, which takes a pipe.
-type (
-	readerOnly struct{ io.Reader }
-	writerOnly struct{ io.Writer }
-)
+// readerOnly hides that a connection can copy by itself, which takes a pipe.
+type readerOnly struct{ io.Reader }
+
+// timedWriter writes to a connection, with a limit for each write.
+type timedWriter struct {
+	conn  net.Conn
+	limit time.Duration
+}
+
+// Write implements io.Writer.
+func (w timedWriter) Write(p []byte) (int, error) {
+	_ = w.conn.SetWriteDeadline(time.Now().Add(w.limit))
+	return w.conn.Write(p)
+}
 
 // copyAnswers copies what the target sends.
 func (c *carried) copyAnswers() {
--- a/tunnel/tunnel_test.go
+++ b/tunnel/tunnel_test.go
@@ -25,6 +25,8 @@
 type pair struct {
 	client  *tunnel.Client
 	server  *tunnel.Server
+	handler link.Handler  // of the second
+	address string        // of the second
 	targets chan net.Conn // accepted at the target
 }
 
@@ -71,7 +73,8 @@
 	}
 	fabric := memlink.NewFabric()
 	far := fabric.Network(machine.Process{Host: "far", Role: machine.Node})
-	if _, _, err := far.Listen("far", serving{server: p.server, connect: connect}, func(link.Link) {}); err != nil {
+	p.handler, p.address = serving{server: p.server, connect: connect}, "far"
+	if _, _, err := far.Listen(p.address, p.handler, func(link.Link) {}); err != nil {
 		t.Fatal(err)
 	}
 	p.client = &tunnel.Client{Network: fabric.Network(machine.Process{Host: "near", Role: machine.Node})}
@@ -81,7 +84,7 @@
 // open opens a tunnel and returns both of its ends.
 func (p *pair) open(t *testing.T) (near *tunnel.Conn, far net.Conn) {
 	t.Helper()
-	near, outcome, err := p.client.Open(t.Context(), "far", "t", 0)
+	near, outcome, err := p.client.Open(t.Context(), p.address, "t", 0)
 	if err != nil || outcome != wire.TunnelReply_CONNECTED {
 		t.Fatal(outcome, err)
 	}
