Compare a target that fails with others of its service, since it failed

Cause: a host took its links for working since it had connected to a target of another service, or to one just before the cut. Class: evidence of one path vouches for another, or for a later time.

Links are judged within each service now: lost, back, probed and proven. Only a connection since the failure proves them, to any of up to three targets. Reports of a target are confirmed by answers of its own service.

Evidence: TestTargetsAreComparedWithinTheirGroup, TestLinksOfAGroupAreLostAndComeBackAlone and TestAnswersOfAnotherServiceConfirmNothing hold it; the first and last fail without the groups.

--- a/detour/dial.go
+++ b/detour/dial.go
@@ -86,10 +86,10 @@
 // New returns a dialer whose links all work.
 func New(o Options) *Dialer { return &Dialer{options: o, table: reach.New(rand.Uint64())} }
 
-// SetTargets replaces the addresses of the targets.
-func (d *Dialer) SetTargets(addresses []string) {
+// SetTargets replaces the targets.
+func (d *Dialer) SetTargets(all []reach.Target) {
 	d.mu.Lock()
-	changed := d.table.SetTargets(addresses)
+	changed := d.table.SetTargets(all)
 	d.mu.Unlock()
 	if changed {
 		d.changed()
@@ -326,12 +326,13 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, detourTimeout)
 	defer cancel()
+	begun := time.Now()
 	c, err := d.connect(ctx, address)
 	switch {
 	case err == nil:
 		d.connected(address)
 		return c, Connected
-	case !d.proven(address):
+	case !d.proven(begun, address):
 		return nil, NoWay
 	case errors.Is(err, syscall.ECONNREFUSED):
 		return nil, Refused
@@ -340,32 +341,44 @@
 	}
 }
 
-// proven tells whether this host's own links work, so that a target that it cannot connect to is at fault.
-func (d *Dialer) proven(address string) bool {
+// proven tells whether this host's own links to targets like the given one have worked since a time, so that it is at
+// fault if this host could not connect to it then.
+func (d *Dialer) proven(since time.Time, address string) bool {
 	d.mu.Lock()
-	proven := d.table.Proven(time.Now())
-	other, known := d.table.Comparable(address)
+	proven := d.table.Proven(since, address)
+	others, known := d.table.Comparable(address)
 	d.mu.Unlock()
-	if proven || other == "" {
+	if proven || len(others) == 0 {
 		return proven || known // without another target there is nothing to compare with
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), proofTimeout)
 	defer cancel()
-	c, err := d.connect(ctx, other)
-	if err != nil {
-		return false
+	results := make(chan bool, len(others))
+	for _, other := range others {
+		go func() {
+			c, err := d.connect(ctx, other)
+			if err == nil {
+				d.connected(other)
+				socket.Reset(c)
+			}
+			results <- err == nil
+		}()
+	}
+	for range others {
+		if <-results {
+			return true
+		}
 	}
-	d.connected(other)
-	socket.Reset(c)
-	return true
+	return false
 }
 
-// proofTimeout bounds the connecting to another target for comparison.
+// proofTimeout bounds the connecting to other targets for comparison.
 const proofTimeout = 40 * time.Millisecond
 
 // Refuses tells whether connections to a target are refused for another reason than that this host's links are lost, as
 // they are once its process has ended. A connection that is accepted is returned; otherwise that is nil inside.
 func (d *Dialer) Refuses(ctx context.Context, address string) (Conn, bool) {
+	begun := time.Now()
 	if !d.IsLost(address) {
 		c, err := d.connect(ctx, address)
 		if err == nil {
@@ -381,7 +394,7 @@
 		d.bypassed(address)
 		return Conn{c, true}, false
 	}
-	return Conn{}, word == Refused || word != Unanswered && !d.IsLost(address) && d.proven(address)
+	return Conn{}, word == Refused || word != Unanswered && !d.IsLost(address) && d.proven(begun, address)
 }
 
 // Probe connects directly to some of the targets whose links are lost, in the background, to learn whether they are
--- a/detour/dial_test.go
+++ b/detour/dial_test.go
@@ -54,7 +54,7 @@
 		told = len(lost)
 		mu.Unlock()
 	}})
-	d.SetTargets([]string{way.Address()})
+	d.SetTargets([]reach.Target{{Address: way.Address()}})
 	lost := make(chan error, 1)
 	go func() { _, err := d.Dial(t.Context(), way.Address()); lost <- err }()
 	time.Sleep(100 * time.Millisecond)
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -53,8 +53,8 @@
 		p.withhold(now, id)
 		return
 	}
-	if !p.lostLinks[id] {
-		p.confirm(now, id)
+	if s := p.targets[id]; s != nil && !p.lostLinks[id] {
+		p.confirm(now, s)
 	}
 	if o == Answered {
 		p.report(id).Answered++
--- a/dispatch/report_test.go
+++ b/dispatch/report_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -221,3 +222,25 @@
 	is.True(reported[dispatch.KeyOf("a-d1")] > 0)
 	is.True(reported[dispatch.KeyOf("a-d2")] > 0)
 }
+
+// Links to the targets of one service may be lost while those to others work: answers of another service vouch for
+// nothing.
+func TestAnswersOfAnotherServiceConfirmNothing(t *testing.T) {
+	is := is.New(t)
+	all := engines(0, 2, "a")
+	all = append(all, roster.Target{ID: "d1", Service: "desk", Address: "d1"}, roster.Target{ID: "d2", Service: "desk", Address: "d2"}, roster.Target{ID: "s1", Service: "single", Address: "s1"})
+	p := planner(all, 1)
+	for _, id := range []target.ID{"a-d0", "s1"} {
+		p.Observe(start, id, dispatch.Unreachable, 0)
+	}
+	p.Observe(start, "d1", dispatch.Answered, 0)
+	reported := make(map[uint32]int)
+	for _, r := range p.TakeReports() {
+		reported[r.Target] = r.Unreachable
+	}
+	is.Equal(reported[dispatch.KeyOf("a-d0")], 0)
+	is.Equal(reported[dispatch.KeyOf("s1")], 1) // it is alone in its service
+	p.Observe(start, "a-d1", dispatch.Answered, 0)
+	reports := p.TakeReports()
+	is.True(slices.ContainsFunc(reports, func(r dispatch.Report) bool { return r.Target == dispatch.KeyOf("a-d0") && r.Unreachable == 1 }))
+}
--- a/dispatch/ways.go
+++ b/dispatch/ways.go
@@ -6,9 +6,9 @@
 	"zinniapin/target"
 )
 
-// A host that has lost its links to targets gets no answer from any of them, although they are sound. So it reports
-// a target to its peers only once another one has answered it since, and takes no answer for no evidence where it
-// knows that its own link is lost.
+// A host that has lost its links to targets gets no answer from any of them, although they are sound; it may be those
+// of one service alone. So it reports a target to its peers only once another one of its service has answered it since,
+// and takes no answer for no evidence where it knows that its own link is lost.
 
 // unconfirmedTTL is how long an exchange without an answer waits to be reported.
 const unconfirmedTTL = 2 * time.Second
@@ -48,12 +48,17 @@
 	u.count++
 }
 
-// confirm reports the exchanges without an answer that were withheld, since a target has answered now.
-func (p *Planner) confirm(now time.Time, answered target.ID) {
+// confirm reports the exchanges without an answer that were withheld for targets of a service, since one of it has
+// answered now. Targets that are alone in their service are confirmed by any other.
+func (p *Planner) confirm(now time.Time, answered *state) {
 	for id, u := range p.unconfirmed {
-		if id != answered && now.Sub(u.since) <= unconfirmedTTL {
+		s := p.targets[id]
+		if s != nil && s.target.Service != answered.target.Service && len(p.services[s.target.Service]) > 1 {
+			continue
+		}
+		if s != nil && s != answered && now.Sub(u.since) <= unconfirmedTTL {
 			p.report(id).Unreachable += u.count
 		}
+		delete(p.unconfirmed, id)
 	}
-	clear(p.unconfirmed)
 }
--- a/node/links.go
+++ b/node/links.go
@@ -43,7 +43,7 @@
 func linkTargets(all []roster.Target) []targetlink.Target {
 	linked := make([]targetlink.Target, 0, len(all))
 	for _, t := range all {
-		linked = append(linked, targetlink.Target{ID: t.ID, Address: t.Address, Zone: t.Zone, StartedMillis: t.StartedMillis})
+		linked = append(linked, targetlink.Target{ID: t.ID, Address: t.Address, Zone: t.Zone, Service: t.Service, StartedMillis: t.StartedMillis})
 	}
 	return linked
 }
--- a/reach/reach_test.go
+++ b/reach/reach_test.go
@@ -20,10 +20,19 @@
 	for i := range targets {
 		all = append(all, string(rune('a'+i)))
 	}
-	t.SetTargets(all)
+	t.SetTargets(listed(all...))
 	return t, all
 }
 
+// listed returns targets of one group.
+func listed(addresses ...string) []reach.Target {
+	var all []reach.Target
+	for _, a := range addresses {
+		all = append(all, reach.Target{Address: a})
+	}
+	return all
+}
+
 // A target that nobody reaches is at fault itself, and leaves the links to others as they are.
 func TestTargetThatNobodyReachesLosesNoLink(t *testing.T) {
 	is := is.New(t)
@@ -109,8 +118,8 @@
 	table, _ := newTable(1)
 	is.True(!table.Failed("a"))
 	is.True(!table.IsLost("a"))
-	other, known := table.Comparable("a")
-	is.Equal(other, "")
+	others, known := table.Comparable("a")
+	is.Equal(len(others), 0)
 	is.True(known)
 }
 
@@ -119,9 +128,9 @@
 	is := is.New(t)
 	table, _ := newTable(3)
 	table.Bypassed("a")
-	is.True(table.SetTargets([]string{"b", "c"}))
+	is.True(table.SetTargets(listed("b", "c")))
 	is.Equal(len(table.Lost()), 0)
-	is.True(!table.SetTargets([]string{"a", "b", "c"}))
+	is.True(!table.SetTargets(listed("a", "b", "c")))
 	is.True(!table.IsLost("a"))
 }
 
@@ -170,3 +179,45 @@
 	is.True(slices.ContainsFunc(later, func(h reach.Host) bool { return h.Address == "8" }))
 	is.True(!slices.ContainsFunc(later, func(h reach.Host) bool { return h.Address == "5" }))
 }
+
+// The links to targets of one service may be lost while those to others work: a target is compared with others of its
+// service, if there are any.
+func TestTargetsAreComparedWithinTheirGroup(t *testing.T) {
+	is := is.New(t)
+	table := reach.New(1)
+	table.SetTargets([]reach.Target{{"e1", "engines"}, {"e2", "engines"}, {"e3", "engines"}, {"d1", "desk"}, {"d2", "desk"}, {"s1", "single"}})
+	table.Connected(start, "d1")
+	is.True(table.Proven(start.Add(-time.Millisecond), "d2"))
+	is.True(!table.Proven(start, "d2")) // the links may have been lost since
+	is.True(!table.Proven(start.Add(-time.Millisecond), "e1"))
+	others, known := table.Comparable("e1")
+	slices.Sort(others)
+	is.Equal(others, []string{"e2", "e3"})
+	is.True(known)
+	others, _ = table.Comparable("s1")
+	is.Equal(len(others), 3)
+	table.Bypassed("e2")
+	table.Bypassed("e3")
+	others, known = table.Comparable("e1")
+	is.Equal(len(others), 0)
+	is.True(!known)
+}
+
+// Each group has a state of its own.
+func TestLinksOfAGroupAreLostAndComeBackAlone(t *testing.T) {
+	is := is.New(t)
+	table := reach.New(1)
+	table.SetTargets([]reach.Target{{"e1", "engines"}, {"e2", "engines"}, {"d1", "desk"}, {"d2", "desk"}})
+	table.Failed("e1")
+	table.Connected(start, "d1")
+	is.True(table.Failed("e2")) // so all engines are out of reach
+	is.True(!table.Failed("d2"))
+	is.Equal(len(table.Lost()), 2)
+	is.True(!table.AllLost())
+	table.Failed("d1")
+	is.True(table.AllLost())
+	is.Equal(len(table.Probes(start.Add(time.Second))), 2) // one of each group
+	is.True(table.Connected(start, "d2"))
+	is.True(table.IsLost("e1"))
+	is.True(!table.IsLost("d1"))
+}
--- a/targetlink/targetlink.go
+++ b/targetlink/targetlink.go
@@ -28,6 +28,7 @@
 	ID      target.ID
 	Address string
 	Zone    zone.Name
+	Service string // or the pool of an engine
 	// StartedMillis tells starts of a target with the same id apart; 0 where that is not known.
 	StartedMillis int64
 }
@@ -36,7 +37,7 @@
 func TargetsOf(view []control.TargetState) []Target {
 	all := make([]Target, 0, len(view))
 	for _, s := range view {
-		all = append(all, Target{ID: s.Target.ID, Address: s.Target.Address, Zone: s.Target.Zone})
+		all = append(all, Target{ID: s.Target.ID, Address: s.Target.Address, Zone: s.Target.Zone, Service: s.Target.Pool})
 	}
 	return all
 }
@@ -104,15 +105,15 @@
 // SetTargets replaces the targets.
 func (l *Links) SetTargets(all []Target) {
 	byAddress, byID := make(map[string]Target, len(all)), make(map[target.ID]Target, len(all))
-	addresses := make([]string, 0, len(all))
+	reached := make([]reach.Target, 0, len(all))
 	for _, t := range all {
 		byAddress[t.Address], byID[t.ID] = t, t
-		addresses = append(addresses, t.Address)
+		reached = append(reached, reach.Target{Address: t.Address, Group: t.Service})
 	}
 	l.mu.Lock()
 	l.byAddress, l.byID = byAddress, byID
 	l.mu.Unlock()
-	l.Dialer.SetTargets(addresses)
+	l.Dialer.SetTargets(reached)
 }
 
 // CheckSilent finds out whether the link to the target at an address, which has not begun to answer, is lost.
--- a/upstream/detour_test.go
+++ b/upstream/detour_test.go
@@ -73,7 +73,7 @@
 		lost.Store(int32(len(all)))
 	}})
 	p = upstream.NewPool(d)
-	d.SetTargets([]string{first.Address(), second.Address()})
+	d.SetTargets([]reach.Target{{Address: first.Address()}, {Address: second.Address()}})
 	return d, p, o, first, second, lost
 }
 
@@ -137,7 +137,7 @@
 	o := &otherHost{targets: map[string]string{address: address}}
 	d := detour.New(detour.Options{Hosts: o, OnChange: func(map[string]bool) { t.Error("a link was taken for lost") }})
 	p := upstream.NewPool(d)
-	d.SetTargets([]string{address, "127.0.0.1:1"})
+	d.SetTargets([]reach.Target{{Address: address}, {Address: "127.0.0.1:1"}})
 	time.AfterFunc(700*time.Millisecond, func() { close(slow) })
 	_, err := get(p, address)
 	is.NoErr(err)
@@ -171,8 +171,7 @@
 	first.Set(prepared.WayReset)
 	_, word = d.ConnectFor(t.Context(), first.Address())
 	is.Equal(word, detour.Refused) // the second can be reached
-	second.Set(prepared.WayReset)
-	time.Sleep(300 * time.Millisecond) // what it could connect to before proves nothing
+	second.Set(prepared.WayReset)  // what it could connect to before proves nothing
 	_, word = d.ConnectFor(t.Context(), first.Address())
 	is.Equal(word, detour.NoWay)
 	is.Equal(o.asked.Load(), int32(0))
@@ -194,7 +193,7 @@
 	})
 	d := detour.New(detour.Options{Hosts: &otherHost{targets: map[string]string{address: address}}})
 	p := upstream.NewPool(d)
-	d.SetTargets([]string{address, "127.0.0.1:1"})
+	d.SetTargets([]reach.Target{{Address: address}, {Address: "127.0.0.1:1"}})
 	slow := make(chan error, 1)
 	go func() { _, err := get(p, address); slow <- err }()
 	time.Sleep(50 * time.Millisecond)
