Leave out of LOST what the cut of a host's own links broke off

A request under way while its host loses its links is left out now; one whose host keeps them counts as before, as the new case shows.

--- a/internal/verdict/cuts.go
+++ b/internal/verdict/cuts.go
@@ -38,6 +38,14 @@
 	}
 }
 
+// lostLinks tells whether a request's host lost its links to targets while the request was under way. That breaks off what
+// passes over them.
+func (j *judge) lostLinks(r *Request) bool {
+	return slices.ContainsFunc(j.Cuts, func(c Cut) bool {
+		return slices.Contains(c.Hosts, r.Host) && !c.From.Before(r.Sent) && !c.From.After(r.End)
+	})
+}
+
 // servedByHost returns what each host in touch served in a cut, from the contact time after its begin.
 func (j *judge) servedByHost(c Cut) []HostServed {
 	byHost := make(map[string]*HostServed)
--- a/internal/verdict/ends.go
+++ b/internal/verdict/ends.go
@@ -43,7 +43,7 @@
 // cut tells whether the system ended a request's connection without a complete answer, with time left and
 // though no target had broken off, or another one had gone on with it.
 func (j *judge) cut(r *Request) bool {
-	if r.Complete || !r.Left.IsZero() || !r.Whole || r.timeUp(j.route(r).Timeout) {
+	if r.Complete || !r.Left.IsZero() || !r.Whole || r.timeUp(j.route(r).Timeout) || j.lostLinks(r) {
 		return false
 	}
 	all := j.arrivals[r.ID]
--- a/internal/verdict/verdict_test.go
+++ b/internal/verdict/verdict_test.go
@@ -348,6 +348,13 @@
 		r, _ := w.serve("a", pick(broken, "read", "talk"), 100)
 		cutOff(r, 120)
 	}},
+	{"cut as the host lost its links", Lost, func(w *world, broken bool) {
+		w.Cuts = []Cut{{Hosts: []string{pick(broken, "h2", "h1")}, Span: span(4500, 9000)}}
+		w.disrupt("h1", Reload, 4000, 4000)
+		r, a := w.serve("a", "talk", 4200)
+		cutOff(r, 4600)
+		a.Ended = at(5000)
+	}},
 	{"cut beside a configuration", Lost, func(w *world, broken bool) {
 		w.configure(0, "key", "desk")
 		for i := range 20 {
