--- a/internal/nodesoak/links_test.go
+++ b/internal/nodesoak/links_test.go
@@ -1,7 +1,6 @@
 package nodesoak
 
 import (
-	"fmt"
 	"math/rand/v2"
 	"syscall"
 	"testing"
@@ -56,17 +55,7 @@
 //
 //	go test ./internal/nodesoak -run TestHostsWithoutLinks -nodesoak.seed 2101 -nodesoak.pairs 20 -v
 func TestHostsWithoutLinks(t *testing.T) {
-	program := nodeProgram(t)
-	seeds := ciCuts
-	if *seedFlag != 0 {
-		seeds = nil
-		for i := range *pairsFlag {
-			seeds = append(seeds, *seedFlag+uint64(i))
-		}
-	}
-	for _, seed := range seeds {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { runCuts(t, program, seed) })
-	}
+	runSeeds(t, ciCuts, runCuts)
 }
 
 // runCuts runs one seed.
--- a/internal/nodesoak/pairs_test.go
+++ b/internal/nodesoak/pairs_test.go
@@ -14,7 +14,7 @@
 	"zinniapin/internal/standin/prepared"
 )
 
-var pairsFlag = flag.Int("nodesoak.pairs", 1, "pairs of switches to run, from -nodesoak.seed on")
+var pairsFlag = flag.Int("nodesoak.pairs", 1, "runs of TestPairs and TestHostsWithoutLinks, from -nodesoak.seed on")
 
 // ciPairs are the seeds of pairs that CI runs. A seed that has failed is added here together with the cause.
 var ciPairs = []uint64{
@@ -31,8 +31,12 @@
 //
 //	go test ./internal/nodesoak -run TestPairs -nodesoak.seed 1101 -nodesoak.pairs 20 -v
 func TestPairs(t *testing.T) {
+	runSeeds(t, ciPairs, runPair)
+}
+
+// runSeeds runs the seeds of CI, or those from -nodesoak.seed on, each as a test of its own.
+func runSeeds(t *testing.T, seeds []uint64, run func(t *testing.T, program string, seed uint64)) {
 	program := nodeProgram(t)
-	seeds := ciPairs
 	if *seedFlag != 0 {
 		seeds = nil
 		for i := range *pairsFlag {
@@ -40,7 +44,7 @@
 		}
 	}
 	for _, seed := range seeds {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { runPair(t, program, seed) })
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { run(t, program, seed) })
 	}
 }
 
--- a/link/yamuxlink/stream_test.go
+++ b/link/yamuxlink/stream_test.go
@@ -29,6 +29,22 @@
 	return &wire.Envelope{Body: &wire.Envelope_TunnelReply{TunnelReply: &wire.TunnelReply{Outcome: outcome}}}, func(c net.Conn) { _, _ = io.Copy(c, c) }, nil
 }
 
+// linkToEcho returns a link to a process that grants each stream.
+func linkToEcho(t *testing.T) link.Link {
+	t.Helper()
+	address, stop, err := newNetwork("host-b", nil).Listen("127.0.0.1:0", echoStreams{echo}, func(link.Link) {})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = stop() })
+	l, err := newNetwork("host-a", nil).Dial(context.Background(), address, echo)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	return l
+}
+
 // tunnelRequest returns a request for a tunnel to a target.
 func tunnelRequest(id string) *wire.Envelope {
 	return &wire.Envelope{Body: &wire.Envelope_TunnelRequest{TunnelRequest: &wire.TunnelRequest{Target: id}}}
@@ -37,13 +53,7 @@
 // Streams outlive the calls by which they were opened and leave room for calls, however many there are.
 func TestStreamsOutliveTheirCalls(t *testing.T) {
 	is := is.New(t)
-	n := newNetwork("host-b", nil)
-	address, stop, err := n.Listen("127.0.0.1:0", echoStreams{echo}, func(link.Link) {})
-	is.NoErr(err)
-	t.Cleanup(func() { _ = stop() })
-	l, err := newNetwork("host-a", nil).Dial(context.Background(), address, echo)
-	is.NoErr(err)
-	t.Cleanup(func() { _ = l.Close() })
+	l := linkToEcho(t)
 	var streams []net.Conn
 	for range maxConcurrentCalls + 10 {
 		ctx, cancel := context.WithTimeout(context.Background(), eventTimeout)
@@ -53,7 +63,7 @@
 		is.True(link.Grants(reply))
 		streams = append(streams, stream)
 	}
-	_, err = l.Call(context.Background(), statusRequest("echo", "hello"))
+	_, err := l.Call(context.Background(), statusRequest("echo", "hello"))
 	is.NoErr(err)
 	got := make([]byte, 2)
 	for _, s := range streams {
@@ -71,13 +81,7 @@
 
 func TestStreamThatIsNotGranted(t *testing.T) {
 	is := is.New(t)
-	n := newNetwork("host-b", nil)
-	address, stop, err := n.Listen("127.0.0.1:0", echoStreams{echo}, func(link.Link) {})
-	is.NoErr(err)
-	t.Cleanup(func() { _ = stop() })
-	l, err := newNetwork("host-a", nil).Dial(context.Background(), address, echo)
-	is.NoErr(err)
-	t.Cleanup(func() { _ = l.Close() })
+	l := linkToEcho(t)
 	reply, stream, err := l.Open(context.Background(), tunnelRequest("none"))
 	is.NoErr(err)
 	is.True(stream == nil)
