Name answers of other hosts by the usual term

Cause: what another host answers was called its word, which a reader has to guess. It is the outcome of asking. No behaviour changes; tests of detour, targetlink, upstream, reach and tunnel pass.

--- a/detour/dial.go
+++ b/detour/dial.go
@@ -27,25 +27,25 @@
 // either.
 var ErrTargetDown = errors.New("detour: other hosts do not reach the target either")
 
-// Word is what another host says of a target to which it was asked to connect.
-type Word int
+// Outcome is the result of asking another host to connect to a target.
+type Outcome int
 
-// Words of other hosts.
+// Outcomes of such a request.
 const (
-	Connected  Word = iota
-	NoWay           // the host does not reach the target either
-	NoLinks         // it has lost its links to all targets
-	Refused         // the target refuses connections
-	Unanswered      // the target does not answer
-	NoAnswer        // the host did not answer, or has no room
+	Connected  Outcome = iota
+	NoWay              // the host does not reach the target either
+	NoLinks            // it has lost its links to all targets
+	Refused            // the target refuses connections
+	Unanswered         // the target does not answer
+	NoAnswer           // the host did not answer, or has no room
 )
 
 // Hosts connects to targets through other hosts.
 type Hosts interface {
 	// Hosts returns the other hosts, the availability zone of this one and that of the target at an address.
 	Hosts(address string) (all []reach.Host, ownZone, targetZone string)
-	// Open asks a host to connect to the target at an address. The connection is nil unless the word is Connected.
-	Open(ctx context.Context, host, address string) (net.Conn, Word)
+	// Open asks a host to connect to the target at an address. The connection is nil unless the outcome is Connected.
+	Open(ctx context.Context, host, address string) (net.Conn, Outcome)
 }
 
 const (
@@ -116,15 +116,15 @@
 	if !d.IsLost(address) {
 		return d.race(ctx, address)
 	}
-	c, word := d.detour(ctx, address)
+	c, outcome := d.detour(ctx, address)
 	if c == nil {
-		return Conn{}, word.err()
+		return Conn{}, outcome.err()
 	}
 	return Conn{c, true}, nil
 }
 
 // err returns the error for a target that another host has not reached.
-func (w Word) err() error {
+func (w Outcome) err() error {
 	switch w {
 	case Refused:
 		return errors.Join(syscall.ECONNREFUSED, ErrTargetDown)
@@ -137,9 +137,9 @@
 
 // attempt is the end of one of two attempts to connect.
 type attempt struct {
-	conn net.Conn
-	word Word
-	err  error // of the direct attempt
+	conn    net.Conn
+	outcome Outcome
+	err     error // of the direct attempt
 }
 
 // race connects directly and, if that fails or takes long, through another host. The first connection is used.
@@ -154,12 +154,12 @@
 	hedge := time.NewTimer(hedgeDelay)
 	defer hedge.Stop()
 	var failed error // of the direct attempt
-	asking, word := false, NoAnswer
+	asking, outcome := false, NoAnswer
 	ask := func() {
 		if asking = d.options.Hosts != nil; asking {
 			go func() {
-				c, w := d.detour(ctx, address)
-				other <- attempt{conn: c, word: w}
+				c, o := d.detour(ctx, address)
+				other <- attempt{conn: c, outcome: o}
 			}()
 		}
 	}
@@ -173,7 +173,7 @@
 				d.connected(address)
 				return Conn{a.conn, false}, nil
 			}
-			if failed = a.err; !asking && word == NoAnswer && ctx.Err() == nil {
+			if failed = a.err; !asking && outcome == NoAnswer && ctx.Err() == nil {
 				ask()
 			}
 		case <-hedge.C:
@@ -181,7 +181,7 @@
 				ask()
 			}
 		case a := <-other:
-			asking, word = false, a.word
+			asking, outcome = false, a.outcome
 			if a.conn != nil {
 				if failed == nil {
 					go closeLate(direct)
@@ -194,14 +194,14 @@
 			if errors.Is(ctx.Err(), context.Canceled) {
 				return Conn{}, failed // the caller has left
 			}
-			return Conn{}, d.failure(address, word, failed)
+			return Conn{}, d.failure(address, outcome, failed)
 		}
 	}
 }
 
 // failure records that neither this host nor another one has connected to a target, and returns the error.
-func (d *Dialer) failure(address string, word Word, failed error) error {
-	if word == Refused || word == Unanswered {
+func (d *Dialer) failure(address string, outcome Outcome, failed error) error {
+	if outcome == Refused || outcome == Unanswered {
 		return errors.Join(failed, ErrTargetDown)
 	}
 	d.mu.Lock()
@@ -234,8 +234,8 @@
 	return c, err
 }
 
-// detour connects to a target through another host. The word is Connected only with a connection.
-func (d *Dialer) detour(ctx context.Context, address string) (net.Conn, Word) {
+// detour connects to a target through another host. The outcome is Connected only with a connection.
+func (d *Dialer) detour(ctx context.Context, address string) (net.Conn, Outcome) {
 	if d.options.Hosts == nil {
 		return nil, NoAnswer
 	}
@@ -247,12 +247,12 @@
 	for _, h := range hosts {
 		askCtx, cancel := context.WithTimeout(ctx, askTimeout)
 		d.Asked.Add(1)
-		c, word := d.options.Hosts.Open(askCtx, h.Address, address)
+		c, outcome := d.options.Hosts.Open(askCtx, h.Address, address)
 		cancel()
-		d.note(h.Address, address, word, ctx.Err() == nil)
-		switch word {
+		d.note(h.Address, address, outcome, ctx.Err() == nil)
+		switch outcome {
 		case Connected, Refused, Unanswered:
-			return c, word
+			return c, outcome
 		case NoWay, NoLinks:
 			last = NoWay
 		}
@@ -263,19 +263,19 @@
 	return nil, last
 }
 
-// note records the word of a host on a target. Without enough time its silence means nothing.
-func (d *Dialer) note(host, address string, word Word, hadTime bool) {
+// note records what a host answered about a target. If it had too little time, its silence means nothing.
+func (d *Dialer) note(host, address string, outcome Outcome, hadTime bool) {
 	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	switch {
-	case word == Connected:
+	case outcome == Connected:
 		d.table.Helped(now, host)
-	case word == NoWay:
+	case outcome == NoWay:
 		d.table.HasNoWay(now, host, address)
-	case word == NoLinks:
+	case outcome == NoLinks:
 		d.table.HasNoLinks(now, host)
-	case word == NoAnswer && hadTime:
+	case outcome == NoAnswer && hadTime:
 		d.table.DoesNotAnswer(now, host)
 	}
 }
@@ -312,9 +312,9 @@
 	}
 }
 
-// ConnectFor connects to a target for another host, over this host's own links. The connection is nil unless the word is
+// ConnectFor connects to a target for another host, over this host's own links. The connection is nil unless the outcome is
 // Connected.
-func (d *Dialer) ConnectFor(ctx context.Context, address string) (net.Conn, Word) {
+func (d *Dialer) ConnectFor(ctx context.Context, address string) (net.Conn, Outcome) {
 	d.mu.Lock()
 	lost, all := d.table.IsLost(address), d.table.AllLost()
 	d.mu.Unlock()
@@ -389,12 +389,12 @@
 			return Conn{}, false
 		}
 	}
-	c, word := d.detour(ctx, address)
+	c, outcome := d.detour(ctx, address)
 	if c != nil {
 		d.bypassed(address)
 		return Conn{c, true}, false
 	}
-	return Conn{}, word == Refused || word != Unanswered && !d.IsLost(address) && d.proven(begun, address)
+	return Conn{}, outcome == Refused || outcome != Unanswered && !d.IsLost(address) && d.proven(begun, address)
 }
 
 // Probe connects directly to some of the targets whose links are lost, in the background, to learn whether they are
--- a/detour/dial_test.go
+++ b/detour/dial_test.go
@@ -23,7 +23,7 @@
 }
 
 // Open implements detour.Hosts.
-func (o otherHost) Open(_ context.Context, _, address string) (net.Conn, detour.Word) {
+func (o otherHost) Open(_ context.Context, _, address string) (net.Conn, detour.Outcome) {
 	c, err := net.Dial("tcp", o.targets[address])
 	if err != nil {
 		return nil, detour.Refused
--- a/reach/reach.go
+++ b/reach/reach.go
@@ -1,5 +1,5 @@
 // Package reach keeps what a host knows of its own links: which targets it cannot connect to although other hosts
-// can, and which of these hosts to ask for a connection. A host takes its links for lost only on the word of a
+// can, and which of these hosts to ask for a connection. A host takes its links for lost only on the evidence of a
 // connection that another host made at the same time, or once it can connect to no target of a group, such as those of a
 // service; until then a target that does not answer is the target's fault.
 //
@@ -34,7 +34,7 @@
 	// which this host has connected since the first was lost.
 	lost, working map[string]bool
 	// failed are the targets that could not be connected to since the latest connection to one of their group, and of
-	// which no other host had a word.
+	// which no other host knew anything.
 	failed      map[string]bool
 	connectedAt map[string]time.Time // latest connection, by group
 	probedAt    time.Time            // latest probe of a lost link
@@ -146,7 +146,7 @@
 	return true
 }
 
-// Failed records that this host could not connect to a target of which no other host had a word. While links to
+// Failed records that this host could not connect to a target of which no other host knew anything. While links to
 // others of its group are lost, this one counts as lost, too; otherwise all of the group do once none of them works. It
 // returns whether any is lost that was not before.
 func (t *Table) Failed(address string) bool {
--- a/reach/reach_test.go
+++ b/reach/reach_test.go
@@ -45,8 +45,8 @@
 	is.Equal(table.Probes(start), nil)
 }
 
-// Once one link is lost, all others are tried within half a second, and those that fail count as lost without the word
-// of another host.
+// Once one link is lost, all others are tried within half a second, and those that fail count as lost without asking
+// another host.
 func TestAllLinksAreTriedOnceOneIsLost(t *testing.T) {
 	is := is.New(t)
 	table, all := newTable(20)
--- a/targetlink/targetlink.go
+++ b/targetlink/targetlink.go
@@ -157,7 +157,7 @@
 }
 
 // Open implements detour.Hosts.
-func (l *Links) Open(ctx context.Context, host, address string) (net.Conn, detour.Word) {
+func (l *Links) Open(ctx context.Context, host, address string) (net.Conn, detour.Outcome) {
 	l.mu.Lock()
 	t, listed := l.byAddress[address]
 	l.mu.Unlock()
@@ -198,8 +198,8 @@
 	if !listed {
 		return nil, wire.TunnelReply_NO_WAY
 	}
-	conn, word := l.ConnectFor(ctx, t.Address)
-	switch word {
+	conn, outcome := l.ConnectFor(ctx, t.Address)
+	switch outcome {
 	case detour.Connected:
 		return conn, wire.TunnelReply_CONNECTED
 	case detour.Refused:
--- a/tunnel/client.go
+++ b/tunnel/client.go
@@ -42,7 +42,7 @@
 var errOtherReply = errors.New("tunnel: the host did not answer the request for a tunnel")
 
 // Open asks the host at an address for a connection to a target. If it returns an error, the host gave no answer;
-// otherwise the outcome is the host's word, and the connection is nil unless that is CONNECTED.
+// otherwise the outcome is the host's answer, and the connection is nil unless that is CONNECTED.
 func (c *Client) Open(ctx context.Context, host string, id target.ID, startedMillis int64) (*Conn, wire.TunnelReply_Outcome, error) {
 	request := &wire.TunnelRequest{Target: string(id), Born: startedMillis}
 	if c.Link == nil {
--- a/upstream/detour_test.go
+++ b/upstream/detour_test.go
@@ -21,7 +21,7 @@
 
 // otherHost stands in for another host with its own links.
 type otherHost struct {
-	word    detour.Word // unless it is Connected
+	outcome detour.Outcome // unless it is Connected
 	targets map[string]string
 	asked   atomic.Int32
 }
@@ -32,10 +32,10 @@
 }
 
 // Open implements detour.Hosts.
-func (o *otherHost) Open(_ context.Context, _, address string) (net.Conn, detour.Word) {
+func (o *otherHost) Open(_ context.Context, _, address string) (net.Conn, detour.Outcome) {
 	o.asked.Add(1)
-	if o.word != detour.Connected {
-		return nil, o.word
+	if o.outcome != detour.Connected {
+		return nil, o.outcome
 	}
 	c, err := net.Dial("tcp", o.targets[address])
 	if err != nil {
@@ -146,10 +146,10 @@
 
 // When other hosts say that a target is down, it is; when they do not reach it either, nothing is known of it.
 func TestWordOfOtherHostsTellsWhoIsAtFault(t *testing.T) {
-	for word, noWay := range map[detour.Word]bool{detour.Refused: false, detour.Unanswered: false, detour.NoWay: true, detour.NoAnswer: true} {
+	for outcome, noWay := range map[detour.Outcome]bool{detour.Refused: false, detour.Unanswered: false, detour.NoWay: true, detour.NoAnswer: true} {
 		is := is.New(t)
 		_, p, o, first, second, _ := newDetour(t)
-		o.word = word
+		o.outcome = outcome
 		first.Set(prepared.WayReset)
 		second.Set(prepared.WayReset)
 		_, err := get(p, first.Address())
@@ -165,15 +165,15 @@
 func TestHostConnectsForAnotherOne(t *testing.T) {
 	is := is.New(t)
 	d, _, o, first, second, _ := newDetour(t)
-	c, word := d.ConnectFor(t.Context(), first.Address())
-	is.Equal(word, detour.Connected)
+	c, outcome := d.ConnectFor(t.Context(), first.Address())
+	is.Equal(outcome, detour.Connected)
 	is.NoErr(c.Close())
 	first.Set(prepared.WayReset)
-	_, word = d.ConnectFor(t.Context(), first.Address())
-	is.Equal(word, detour.Refused) // the second can be reached
-	second.Set(prepared.WayReset)  // what it could connect to before proves nothing
-	_, word = d.ConnectFor(t.Context(), first.Address())
-	is.Equal(word, detour.NoWay)
+	_, outcome = d.ConnectFor(t.Context(), first.Address())
+	is.Equal(outcome, detour.Refused) // the second can be reached
+	second.Set(prepared.WayReset)     // what it could connect to before proves nothing
+	_, outcome = d.ConnectFor(t.Context(), first.Address())
+	is.Equal(outcome, detour.NoWay)
 	is.Equal(o.asked.Load(), int32(0))
 }
 
