Log the versions listed and the origin of each stream taken up

The logs of an incident of joined streams could not tell a host that decided by an old list from one that decided by a record: only take-ups for which other hosts were asked had a line, and no line named the versions of targets. stream_origin is now logged for each take-up, with the age and the revision of the list; versions_listed names a service's versions when they change.

--- a/affinity/affinity.go
+++ b/affinity/affinity.go
@@ -72,6 +72,20 @@
 	}
 }
 
+// Listed returns the versions of each service whose targets were in the latest list, in order.
+func (v *Versions) Listed() map[string][]string {
+	all := make(map[string][]string, len(v.services))
+	for service, versions := range v.services {
+		for version, s := range versions {
+			if s.listed {
+				all[service] = append(all[service], version)
+			}
+		}
+		slices.Sort(all[service])
+	}
+	return all
+}
+
 // since returns the versions of a service that were listed at any time since a moment.
 func (v *Versions) since(service string, from time.Time) []string {
 	var all []string
--- a/node/node.go
+++ b/node/node.go
@@ -209,7 +209,7 @@
 	all := n.roster.Targets()
 	revision := n.roster.Revision()
 	n.rosterMu.Unlock()
-	n.streams.observeTargets(all)
+	n.streams.observeTargets(all, revision)
 	n.handler.Crashes.ObserveTargets(all)
 	n.links.SetTargets(linkTargets(all))
 	n.handler.PlannerMu.Lock()
--- a/node/stream_versions.go
+++ b/node/stream_versions.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"zinniapin/affinity"
 	"zinniapin/event"
 	"zinniapin/forward"
@@ -55,11 +58,17 @@
 	return &streamVersions{node: n, versions: affinity.NewVersions(), records: affinity.NewRecords(), waiting: make(map[*streamQuestion]bool)}
 }
 
-// observeTargets takes in a complete list of targets.
-func (s *streamVersions) observeTargets(all []roster.Target) {
+// observeTargets takes in a complete list of targets as of a revision of the store.
+func (s *streamVersions) observeTargets(all []roster.Target, revision uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	before := s.versions.Listed()
 	s.versions.Observe(time.Now(), all)
+	for service, versions := range s.versions.Listed() {
+		if !slices.Equal(before[service], versions) {
+			event.VersionsListed.Log(s.node.log).Str("service", service).Strs("versions", versions).Uint64("revision", revision).Send()
+		}
+	}
 }
 
 // Began implements forward.StreamVersions.
@@ -95,27 +104,43 @@
 // Origin implements forward.StreamVersions.
 func (s *streamVersions) Origin(ctx context.Context, service, request string, age time.Duration) (string, bool) {
 	now, stream := time.Now(), affinity.KeyOf(request)
-	s.mu.Lock()
-	version, known := s.records.Get(stream)
-	if !known && !s.versions.Recorded(now, service) {
-		version, known = s.versions.Sole(now, service)
-	}
-	s.mu.Unlock()
-	if known {
-		return version, true
-	}
 	answer, asked, answered := streamAnswer{}, 0, 0
-	if request != "" {
-		answer, asked, answered = s.ask(ctx, now, stream)
+	version, how := s.known(now, service, stream)
+	if how == originUnknown {
+		if request != "" {
+			answer, asked, answered = s.ask(ctx, now, stream)
+		}
+		if version, how = answer.version, "answer"; !answer.known {
+			version, how = s.presume(service, age)
+		}
 	}
-	how := "answer"
-	if version, known = answer.version, answer.known; !known {
-		version, how = s.presume(service, age)
-		known = how != originUnknown
+	s.logOrigin(request, how, version, now).Str("from", answer.from).Int("asked", asked).Int("answered", answered).Send()
+	return version, how != originUnknown
+}
+
+// known returns the version of a stream without asking other hosts, and how it was found.
+func (s *streamVersions) known(now time.Time, service string, stream uint64) (version, how string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if version, ok := s.records.Get(stream); ok {
+		return version, "record"
 	}
-	event.StreamOrigin.Log(s.node.log).Str("stream", request).Str("how", how).Str("version", version).Str("from", answer.from).
-		Int("asked", asked).Int("answered", answered).Float64("ms", float64(time.Since(now).Microseconds())/1000).Send()
-	return version, known
+	if !s.versions.Recorded(now, service) {
+		if version, ok := s.versions.Sole(now, service); ok {
+			return version, "alone"
+		}
+	}
+	return "", originUnknown
+}
+
+// logOrigin returns the line about the version of a stream, which its caller completes and sends.
+func (s *streamVersions) logOrigin(request, how, version string, asked time.Time) *zerolog.Event {
+	s.node.rosterMu.Lock()
+	revision := s.node.roster.Revision()
+	s.node.rosterMu.Unlock()
+	milliseconds := func(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
+	return event.StreamOrigin.Log(s.node.log).Str("stream", request).Str("how", how).Str("version", version).Uint64("revision", revision).
+		Float64("list_age_ms", milliseconds(time.Since(s.node.targetsStore.lastAnswer()))).Float64("ms", milliseconds(time.Since(asked)))
 }
 
 // originUnknown is how a stream's origin was found if it was not.
