Show streams joined at a host that is out of step with the others

Operators saw streams that broke off during a release, were taken up at a host that was cut off or stood still while targets of a new version joined, and went on there at another version, with nothing in the answer to show it.

Tests with real nodes over loopback, without any change of logic.

Tests cut hosts off from each other by Reaches of peers.Mesh and yamuxlink.Network; stand-ins of targets can start again as another version.

--- a/internal/standin/prepared/crash.go
+++ b/internal/standin/prepared/crash.go
@@ -96,6 +96,21 @@
 	time.AfterFunc(t.RestartAfter, func() { t.listenAgain(address) })
 }
 
+// CrashInto is Crash; the target starts again as another software version.
+func (t *Target) CrashInto(version string, restartAfter time.Duration) {
+	t.mu.Lock()
+	t.Version, t.RestartAfter = version, restartAfter
+	t.mu.Unlock()
+	t.Crash("")
+}
+
+// softwareVersion returns the version of the target's software.
+func (t *Target) softwareVersion() string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.Version
+}
+
 // listenAgain opens the listener anew, unless the target was closed for good.
 func (t *Target) listenAgain(address string) {
 	t.mu.Lock()
--- a/internal/standin/prepared/target.go
+++ b/internal/standin/prepared/target.go
@@ -140,8 +140,8 @@
 	entry := map[string]any{
 		"Service": service, "Address": t.Address(), "Zone": zone, "Slots": 8, "State": "ready", "Stage": t.Stage, "Seq": 1,
 	}
-	if t.Version != "" {
-		entry["Version"] = t.Version
+	if version := t.softwareVersion(); version != "" {
+		entry["Version"] = version
 	}
 	if started := t.startedAgain(); !started.IsZero() {
 		entry["born"] = started.UnixMilli()
@@ -321,7 +321,7 @@
 		_, _ = r.Peek(1)
 		close(disconnected)
 	}()
-	first := t.FirstID
+	first, version := t.FirstID, t.softwareVersion()
 	if last, err := strconv.Atoi(request.Header.Get("Last-Event-Id")); err == nil {
 		first = last + 1
 	}
@@ -329,7 +329,7 @@
 		if !t.pause(switches.EventPause, disconnected) {
 			return false
 		}
-		event := Event(i, t.Version)
+		event := Event(i, version)
 		if switches.BreakAfter > 0 && i-first >= switches.BreakAfter {
 			breakInside(c, event, switches)
 			return false
--- a/link/yamuxlink/network.go
+++ b/link/yamuxlink/network.go
@@ -45,6 +45,9 @@
 	TLS *tls.Config
 	// Log receives the events of links.
 	Log *zerolog.Logger
+	// Reaches reports whether links to an address can be opened; nil if all can. Tests cut hosts off
+	// with it.
+	Reaches func(address string) bool
 }
 
 var _ link.Network = (*Network)(nil)
@@ -53,6 +56,10 @@
 func (n *Network) Dial(ctx context.Context, address string, h link.Handler) (link.Link, error) {
 	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
 	defer cancel()
+	if n.Reaches != nil && !n.Reaches(address) {
+		<-ctx.Done()
+		return nil, result.Wrap(ctx.Err(), result.LinkFailed, "cannot connect to the process").At(address)
+	}
 	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, result.Wrap(err, result.LinkFailed, "cannot connect to the process").At(address)
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -38,6 +38,10 @@
 	seed   string // mesh address of the first node
 	// decodeTarget decodes entries of targets for the nodes that are started next; nil stands for platform.DecodeTarget.
 	decodeTarget func(store.Member) (roster.Target, error)
+	// objects is the address at which the nodes that are started next find the store; empty stands for its own.
+	objects string
+	// onNew is called with each node before it runs, if it is set.
+	onNew func(*testNode)
 }
 
 // testNode is a started node.
@@ -103,7 +107,8 @@
 	c.store.Write(platform.ConfigurationsCollection, platform.ConfigurationName, json.RawMessage(fmt.Sprintf(`{"Version":%d,
 	"Routes":[{"Name":"read","Host":"shop.example","PathPrefix":"/read/","Kind":"idempotent","TimeoutMs":2000,"TargetLatencyMs":150,"Service":"desk","MaxAttempts":2},
 	 {"Name":"take","Host":"shop.example","PathPrefix":"/take/","Kind":"non_idempotent","TimeoutMs":5000,"TargetLatencyMs":150,"Service":"desk","MaxAttempts":1},
-	 {"Name":"draft","Host":"shop.example","PathPrefix":"/draft/","Kind":"stream","TimeoutMs":5000,"TargetLatencyMs":500,"TargetGapMs":300,"Service":"model","MaxAttempts":1,"Resumable":true}],
+	 {"Name":"draft","Host":"shop.example","PathPrefix":"/draft/","Kind":"stream","TimeoutMs":5000,"TargetLatencyMs":500,"TargetGapMs":300,"Service":"model","MaxAttempts":1,"Resumable":true},
+	 {"Name":"essay","Host":"shop.example","PathPrefix":"/essay/","Kind":"stream","TimeoutMs":5000,"TargetLatencyMs":500,"TargetGapMs":300,"Service":"model","MaxAttempts":3,"Resumable":true}],
 	"Services":[{"Name":"model","Engine":{"Slots":8,"KvCapacityTokens":1000000,"KvTokenBytes":1000,"LinkMbps":100000,"KvHoldS":5,"Stride":10}},{"Name":"desk","Scaling":{"Min":1,"Max":4,"BootS":1,"SpotPrice":0.2,"ZonePrices":{"a":1.0,"b":1.0}}}],
 	"Limits":{"MaxHeaderBytes":8192,"MaxBodyBytes":100000,"HeaderTimeoutMs":1000,"IdleTimeoutMs":5000},
 	"Tenants":[{"Name":"parents","ApiKeys":["%s"]}]}`, version, key)))
@@ -141,6 +146,9 @@
 		Bounds: settings.NodeBounds{GraceSeconds: 8, LeaseMillis: 1000, RetryRatio: 0.2, RetrySlack: 50, RetryWindowSeconds: 10, UsageWindowSeconds: 2, UsageLateSeconds: 10},
 		Log:    settings.Log{Level: "info"},
 	}}
+	if c.objects != "" {
+		n.settings.Objects = c.objects
+	}
 	if c.seed == "" {
 		c.seed = n.settings.Mesh
 	}
@@ -160,6 +168,9 @@
 		TargetsCollection: platform.TargetsCollection, ConfigurationsCollection: platform.ConfigurationsCollection, ConfigurationName: platform.ConfigurationName,
 		DecodeTarget: decodeTarget, DecodeConfiguration: platform.DecodeConfiguration,
 	}, output, &log)
+	if c.onNew != nil {
+		c.onNew(n)
+	}
 	go func() { n.ended <- n.node.Run(ctx) }()
 	c.t.Cleanup(n.stop)
 	return n
--- a/peers/mesh.go
+++ b/peers/mesh.go
@@ -89,6 +89,9 @@
 	OnZone    func(s *wire.ZoneSummary)
 	// OnStreamNotice is called with each stream notice and the address of its sender.
 	OnStreamNotice func(from string, s *wire.StreamNotice)
+	// Reaches reports whether datagrams pass between this host and an address; nil if all do. Tests
+	// cut hosts off with it.
+	Reaches func(address string) bool
 	// HoldsDuties reports whether this host holds the duties, so that the relays of all
 	// zones have to know that it lives.
 	HoldsDuties func() bool
@@ -196,6 +199,9 @@
 		if err != nil {
 			continue // the kernel reports that an earlier datagram was not delivered
 		}
+		if m.Reaches != nil && !m.Reaches(from.String()) {
+			continue
+		}
 		d := &wire.HostDigest{}
 		if proto.Unmarshal(buffer[:n], d) != nil {
 			continue // not a digest
@@ -313,6 +319,9 @@
 		if err != nil {
 			continue // a peer sent an invalid address, which expires by itself
 		}
+		if m.Reaches != nil && !m.Reaches(address) {
+			continue
+		}
 		_, _ = m.conn.WriteToUDPAddrPort(data, at) // the next digest makes up for a lost one
 	}
 	return nil
