--- a/node/out_of_step_cluster_test.go
+++ b/node/out_of_step_cluster_test.go
@@ -100,7 +100,7 @@
 
 // draft is an answer to a request for a stream.
 type draft struct {
-	id, code   string
+	id         string
 	status     int
 	retryAfter string
 	versions   []string // that produced events, in their order
