--- a/internal/nodesoak/soak_test.go
+++ b/internal/nodesoak/soak_test.go
@@ -351,13 +351,16 @@
 }
 
 // check verifies that the run kept all promises.
-func (d *deployment) check() {
+func (d *deployment) check() { d.judge(d.t.Errorf) }
+
+// judge reports the promises that the run broke.
+func (d *deployment) judge(broken func(format string, args ...any)) {
 	r := d.run()
 	begun := time.Now()
 	findings := verdict.Check(r, bounds())
 	d.t.Logf("%d requests, %d of them by nodes in touch, and %d arrivals were judged in %v", len(r.Requests), verdict.InTouch(r, bounds()), len(r.Arrivals), time.Since(begun))
 	for _, f := range findings {
-		report := d.t.Errorf
+		report := broken
 		if f.Priced() {
 			report = d.t.Logf
 		}
--- a/internal/standin/prepared/store.go
+++ b/internal/standin/prepared/store.go
@@ -4,7 +4,9 @@
 package prepared
 
 import (
+	"bytes"
 	"encoding/json"
+	"fmt"
 	"io"
 	"maps"
 	"math/rand/v2"
@@ -24,6 +26,20 @@
 		Revision uint64
 	}
 	Spec json.RawMessage
+	// item is the object as WriteItem got it; empty for other objects.
+	item string
+}
+
+// encode returns the object as answers hold it.
+func (o Object) encode() []byte {
+	if o.item != "" {
+		return []byte(strings.NewReplacer("NAME", o.Metadata.Name, "REVISION", strconv.FormatUint(o.Metadata.Revision, 10)).Replace(o.item))
+	}
+	data, err := json.Marshal(o)
+	if err != nil {
+		panic(err) // the spec of other objects is valid
+	}
+	return data
 }
 
 // storeChange is one entry of the change history of the store, which watches read.
@@ -134,7 +150,15 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.write(kind, name, raw)
+	s.write(kind, Object{Spec: raw}, name)
+}
+
+// WriteItem writes an object that answers hold as the given bytes, of which the store checks nothing. NAME
+// and REVISION stand for its name and its revision.
+func (s *Store) WriteItem(kind, name, item string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.write(kind, Object{Spec: json.RawMessage("null"), item: item}, name)
 }
 
 // Remove deletes an object if it exists.
@@ -160,10 +184,9 @@
 }
 
 // write writes an object at a new revision. The caller holds mu.
-func (s *Store) write(kind, name string, spec json.RawMessage) Object {
-	var o Object
+func (s *Store) write(kind string, o Object, name string) Object {
 	s.revision++
-	o.Metadata.Name, o.Metadata.Revision, o.Spec = name, s.revision, spec
+	o.Metadata.Name, o.Metadata.Revision = name, s.revision
 	if s.objects[kind] == nil {
 		s.objects[kind] = make(map[string]Object)
 	}
@@ -233,7 +256,7 @@
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	reply(w, http.StatusOK, o)
+	reply(w, http.StatusOK, o.encode())
 }
 
 // list answers with the objects of a kind whose names are higher than one, sorted by name; with those of
@@ -253,7 +276,11 @@
 	if more {
 		items = items[:pageSize]
 	}
-	reply(w, http.StatusOK, map[string]any{"items": items, "HasMore": more, "CurrentRev": revision})
+	encoded := make([][]byte, 0, len(items))
+	for _, o := range items {
+		encoded = append(encoded, o.encode())
+	}
+	reply(w, http.StatusOK, fmt.Appendf(nil, `{"items":[%s],"HasMore":%t,"CurrentRev":%d}`, bytes.Join(encoded, []byte(",")), more, revision))
 }
 
 // watch answers with the changes of a kind after a revision, as soon as there are any;
@@ -265,7 +292,7 @@
 	timeout := time.After(time.Duration(waitMillis) * time.Millisecond)
 	cut := s.watchLimit()
 	for {
-		events := []map[string]any{}
+		var events [][]byte
 		s.mu.Lock()
 		if after < s.compactedTo || after > s.revision {
 			s.mu.Unlock()
@@ -274,7 +301,7 @@
 		}
 		for _, c := range s.history {
 			if c.kind == kind && c.revision > after {
-				events = append(events, map[string]any{"Object": c.object, "Deleted": c.deleted})
+				events = append(events, fmt.Appendf(nil, `{"Object":%s,"Deleted":%t}`, c.object.encode(), c.deleted))
 			}
 		}
 		revision, changed := s.revision, s.changed
@@ -293,7 +320,7 @@
 			}
 		}
 		if timedOut || len(events) > 0 {
-			reply(w, http.StatusOK, map[string]any{"events": events, "CurrentRev": revision})
+			reply(w, http.StatusOK, fmt.Appendf(nil, `{"events":[%s],"CurrentRev":%d}`, bytes.Join(events, []byte(",")), revision))
 			return
 		}
 	}
@@ -318,7 +345,7 @@
 		s.holdUnanswered(r)
 		return
 	}
-	reply(w, status, result)
+	reply(w, status, result.encode())
 }
 
 // apply carries out a write if its condition holds. It returns the object, the status of the answer and
@@ -339,15 +366,11 @@
 	if s.switches.AnswersToLose > 0 {
 		s.switches.AnswersToLose--
 	}
-	return s.write(kind, name, o.Spec), http.StatusOK, lost
+	return s.write(kind, Object{Spec: o.Spec}, name), http.StatusOK, lost
 }
 
 // reply writes a response with a JSON body.
-func reply(w http.ResponseWriter, status int, v any) {
-	data, err := json.Marshal(v)
-	if err != nil {
-		panic(err) // all values that are passed here can be encoded
-	}
+func reply(w http.ResponseWriter, status int, data []byte) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
 	_, _ = w.Write(data) // the caller may have disconnected
