Let the platform's objects be deleted

What the hosts keep in the store for a time is to be removed again: an object is deleted under the condition of its revision, as it is replaced.

--- a/store/collections.go
+++ b/store/collections.go
@@ -58,4 +58,7 @@
 	// or ErrConflict. If the era of the revision is over, it returns ErrUnknown: the store may have
 	// given out the revision again.
 	Replace(ctx context.Context, collection, name string, revision uint64, value []byte) (Member, error)
+	// Delete removes a member if its revision is still the given one. Its errors are those of Replace, and
+	// ErrNotFound.
+	Delete(ctx context.Context, collection, name string, revision uint64) error
 }
