Tell the version of a stream that is taken up by evidence alone

Callers who took a stream up got events of two software versions joined (ORDER): after all hosts had been killed, at any host that had just started within a minute of a release, and at a host that was out of step with the others.

Cause: what a host had not seen counted as not having been. A host that had just started took the only version in its list for the only one there was; one with an old list asked nobody; one that found no record, or got no answer, presumed the version that was alone before. And the records were in the memory of four hosts, so that after a kill of all hosts streams were refused although their targets were there (LOST).

Change: a version is told by a record (of this host, of another one, in the store) or by a history of the service's versions that goes back far enough and is confirmed with the store after the take-up has come; without the store by hosts that confirm it, or where most agree that the store answers nobody. Else the stream is refused with a time to come back. Histories are written when a version comes or goes, records in batches while several versions are about.

The tests of affinity.Sole and Presumed are replaced by tests of Find, which holds them to more: a sole version needs a history. TestTrailOfAResumedStream took up a stream that nobody had begun; it begins one now.

--- a/affinity/affinity_test.go
+++ b/affinity/affinity_test.go
@@ -31,64 +31,126 @@
 	return all
 }
 
-// While a service has had one version, its streams began at that one.
-func TestSoleVersionNeedsNoRecord(t *testing.T) {
+// expect checks what a history tells of the last ten seconds.
+func expect(t *testing.T, v *affinity.Versions, seconds float64, version string, finding affinity.Finding) {
+	t.Helper()
+	if got, f := v.Find(at(seconds), "s", 10*time.Second); got != version || f != finding {
+		t.Errorf("%v s: %q, %v; expected %q, %v", seconds, got, f, version, finding)
+	}
+}
+
+// A host that has just started cannot tell which version was there before. Once its history reaches back far
+// enough, a version that was alone all the time is the one that began a stream.
+func TestSoleVersionNeedsAHistory(t *testing.T) {
 	is := is.New(t)
 	v := affinity.NewVersions()
+	expect(t, v, 0, "", affinity.Incomplete)
 	v.Observe(at(0), targets("v1", "v1"))
-	is.True(v.Recorded(at(1), "s")) // the host may have missed an earlier version
+	expect(t, v, 9, "", affinity.Incomplete)
+	expect(t, v, 10, "v1", affinity.Sole)
+	is.True(v.Recorded(at(59), "s"))
 	is.True(!v.Recorded(at(61), "s"))
-	version, ok := v.Sole(at(61), "s")
-	is.True(ok)
-	is.Equal(version, "v1")
-	_, ok = v.Sole(at(61), "another service")
-	is.True(!ok)
+	_, finding := v.Find(at(61), "another service", 10*time.Second)
+	is.Equal(finding, affinity.Incomplete)
 }
 
-// A release replaces v1 by v2. Streams are recorded from the first target of v2 until v1 has been
-// gone for as long as a stream can be taken up. An unrecorded stream began at v1 until none of
-// that time can be left.
-func TestReleaseIsRecordedThroughout(t *testing.T) {
+// A release replaces v1 by v2. From the first target of v2 until v1 has been gone for as long as a stream can
+// be old, the history tells no version.
+func TestReleaseHasSeveralVersions(t *testing.T) {
 	is := is.New(t)
 	v := affinity.NewVersions()
 	v.Observe(at(0), targets("v1", "v1"))
 	v.Observe(at(100), targets("v1", "v2"))
-	is.True(v.Recorded(at(100), "s"))
-	version, ok := v.Presumed(at(105), "s", 10*time.Second)
-	is.True(ok)
-	is.Equal(version, "v1")
-	_, ok = v.Presumed(at(111), "s", 10*time.Second) // may be either by now
-	is.True(!ok)
+	expect(t, v, 100, "", affinity.Several)
 	v.Observe(at(120), targets("v2", "v2"))
+	expect(t, v, 129, "", affinity.Several)
+	expect(t, v, 131, "v2", affinity.Sole)
 	is.True(v.Recorded(at(179), "s"))
-	_, ok = v.Sole(at(179), "s")
-	is.True(!ok)
 	is.True(!v.Recorded(at(181), "s"))
-	version, ok = v.Sole(at(181), "s")
-	is.True(ok)
-	is.Equal(version, "v2")
+	v.Observe(at(190), nil)
+	expect(t, v, 199, "v2", affinity.Sole)
+	expect(t, v, 201, "", affinity.None)
+}
+
+// A version that only a confirmation has shown counts though the next list, an older one, lacks it.
+func TestConfirmedVersionOutlivesAnOlderList(t *testing.T) {
+	v := affinity.NewVersions()
+	v.Observe(at(0), targets("v1"))
+	v.Note(at(20), targets("v1", "v2"))
+	expect(t, v, 20, "", affinity.Several)
+	v.Observe(at(20.1), targets("v1"))
+	expect(t, v, 29, "", affinity.Several)
+}
+
+// stored writes the history of one host to the store, as of a list of targets.
+func stored(v *affinity.Versions, seconds float64, before affinity.StoredHistory, listed ...string) affinity.StoredHistory {
+	present := make(map[string]bool)
+	for _, version := range listed {
+		present[version] = true
+	}
+	next, _ := v.Export(at(seconds), "s", before, present)
+	return next
 }
 
-// A host that has just started cannot tell which version was there before.
-func TestNewHostPresumesNothing(t *testing.T) {
+// All hosts are lost while v1 leaves. A host that starts later knows from the store that it was there.
+func TestHistoryOutlastsAllHosts(t *testing.T) {
 	is := is.New(t)
 	v := affinity.NewVersions()
 	v.Observe(at(0), targets("v1"))
-	v.Observe(at(1), targets("v1", "v2"))
-	_, ok := v.Presumed(at(2), "s", 10*time.Second)
-	is.True(!ok)
+	held := stored(v, 0, affinity.StoredHistory{}, "v1")
+	_, differs := v.Export(at(1), "s", held, map[string]bool{"v1": true})
+	is.True(!differs)
+	v.Observe(at(50), targets("v1", "v2"))
+	held = stored(v, 50, held, "v1", "v2")
+
+	next := affinity.NewVersions()
+	next.Observe(at(60), targets("v2"))
+	next.Merge(at(60), "s", held)
+	expect(t, next, 60, "", affinity.Several)
+	held = stored(next, 60, held, "v2")
+	expect(t, next, 71, "v2", affinity.Sole)
+
+	last := affinity.NewVersions()
+	last.Merge(at(65), "s", held)
+	last.Observe(at(65), targets("v2"))
+	expect(t, last, 65, "", affinity.Several)
+	expect(t, last, 71, "v2", affinity.Sole)
+}
+
+// The store holds what a host began until it can no longer be taken up; a later process of the host keeps it.
+func TestStoredRecords(t *testing.T) {
+	is := is.New(t)
+	var s affinity.StoredRecords
+	for i := range 20 {
+		s.Add(uint64(i), affinity.Record{Service: "s", Version: []string{"v1", "v2"}[i%2], Target: uint32(i), At: at(float64(i) / 2)})
+	}
+	s.Expire(at(5))
+	var next affinity.StoredRecords
+	next.Add(18, affinity.Record{Service: "s", Version: "v1", Target: 18, At: at(9)}) // held by both
+	next.Merge(s)
+	versions := make(map[uint64]string)
+	next.All(func(stream uint64, r affinity.Record) {
+		is.Equal(r.Service, "s")
+		is.Equal(uint64(r.Target), stream)
+		is.Equal(versions[stream], "") // once each
+		versions[stream] = r.Version
+	})
+	is.Equal(len(versions), 10)
+	is.Equal(versions[10], "v1")
+	is.Equal(versions[19], "v2")
+	is.True(!next.Newest().Before(at(9)))
 }
 
 // Records expire, and the first one of a stream stays.
 func TestRecordsExpire(t *testing.T) {
 	is := is.New(t)
 	r := affinity.NewRecords()
-	r.Put(at(0), 1, "v1")
-	r.Put(at(1), 1, "v2")
-	version, ok := r.Get(1)
+	r.Put(at(0), 1, affinity.Record{Version: "v1"})
+	r.Put(at(1), 1, affinity.Record{Version: "v2"})
+	record, ok := r.Get(1)
 	is.True(ok)
-	is.Equal(version, "v1")
-	r.Put(at(61), 2, "v2")
+	is.Equal(record.Version, "v1")
+	r.Put(at(61), 2, affinity.Record{Version: "v2"})
 	_, ok = r.Get(1)
 	is.True(!ok)
 }
--- a/dispatch/marks.go
+++ b/dispatch/marks.go
@@ -24,6 +24,11 @@
 	return false
 }
 
+// MarkProcessed records that a target has processed a prompt, the part that is its own included.
+func (p *Planner) MarkProcessed(now time.Time, key uint32, parts []Part) {
+	p.MarkCached(now, key, chainsOf(parts))
+}
+
 // MarkCached records that a peer sent a prompt with these leading parts to a target,
 // which therefore has them cached.
 func (p *Planner) MarkCached(now time.Time, key uint32, chains []uint32) {
--- a/event/node.go
+++ b/event/node.go
@@ -45,5 +45,6 @@
 	LinksLost          = define(7049, "links_lost", zerolog.WarnLevel, "This host cannot connect to targets to which other hosts can, or to any; its requests to them go through other hosts.", "Check the network between the host and the targets.")
 	LinksBack          = define(7050, "links_back", zerolog.InfoLevel, "This host can connect to targets over its own links again.", "none")
 	VersionsListed     = define(7051, "versions_listed", zerolog.InfoLevel, "The software versions of a service's targets changed in this host's list.", "none")
+	StreamsNotStored   = define(7052, "streams_not_stored", zerolog.WarnLevel, "The versions of streams that this host began could not be written to the store; it goes on trying.", "Check the store if this recurs. Until then these streams can be taken up only while this host, or one of those that it told, runs.")
 	LinesDropped       = define(7035, "lines_dropped", zerolog.WarnLevel, "Log lines were dropped because the log output was too slow.", "none")
 )
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -218,6 +218,13 @@
 	return float64(deadline) < returningShare*float64(longest)
 }
 
+// longestDeadline returns the longest time for which callers on a route have said that they wait.
+func (h *Handler) longestDeadline(routeName string) time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.longestDeadlines[routeName]
+}
+
 // countRequest counts a request for the retry budget and the demand of a service.
 func (h *Handler) countRequest(service string, tokens int) {
 	h.mu.Lock()
--- a/forward/helpers_test.go
+++ b/forward/helpers_test.go
@@ -46,25 +46,25 @@
 // any version.
 type origins struct {
 	mu  sync.Mutex
-	all map[string]string // versions by request
+	all map[string]forward.StreamOrigin // by request
 }
 
 // Began implements forward.StreamVersions.
-func (o *origins) Began(_, request, version string) {
+func (o *origins) Began(_, request string, at forward.StreamOrigin, _ time.Duration) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.all == nil {
-		o.all = make(map[string]string)
+		o.all = make(map[string]forward.StreamOrigin)
 	}
-	o.all[request] = version
+	o.all[request] = at
 }
 
 // Origin implements forward.StreamVersions.
-func (o *origins) Origin(_ context.Context, _, request string, _ time.Duration) (string, bool) {
+func (o *origins) Origin(_ context.Context, _, request string, _ time.Duration) (forward.StreamOrigin, bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	version, ok := o.all[request]
-	return version, ok
+	at, ok := o.all[request]
+	return at, ok
 }
 
 // configuration returns the configuration of a testHandler: one route for each kind of request.
--- a/forward/version.go
+++ b/forward/version.go
@@ -4,17 +4,25 @@
 	"context"
 	"time"
 
+	"zinniapin/dispatch"
 	"zinniapin/result"
 	"zinniapin/roster"
 )
 
 // StreamVersions records and finds the software versions at which streams began.
 type StreamVersions interface {
-	// Began records that the first event of a stream is about to be sent to the caller of a request.
-	Began(service, request, version string)
-	// Origin returns the version at which the stream of a request began, at most age ago. It returns
-	// false if that cannot be told. It may ask other hosts.
-	Origin(ctx context.Context, service, request string, age time.Duration) (string, bool)
+	// Began records that the first event of a stream is about to be sent to the caller of a request. The
+	// stream may be taken up until it is of the given age.
+	Began(service, request string, o StreamOrigin, age time.Duration)
+	// Origin returns where the stream of a request began, at most age ago. It returns
+	// false if its version cannot be told. It may ask other hosts and the store.
+	Origin(ctx context.Context, service, request string, age time.Duration) (StreamOrigin, bool)
+}
+
+// StreamOrigin is where a stream began.
+type StreamOrigin struct {
+	Version string // of the target's software
+	Target  uint32 // as by dispatch.KeyOf; 0 if unknown
 }
 
 // versionUnknownRetryAfter is the Retry-After when no host that answers knows the origin of a
@@ -24,13 +32,15 @@
 // fixOrigin makes a stream that the caller takes up go on at the version that began it. If it
 // returns false, it has refused the request, since events of two versions do not fit together.
 func (r *request) fixOrigin(ctx context.Context) bool {
-	age := time.Duration(r.route.TimeoutMillis) * time.Millisecond
-	version, known := r.h.Versions.Origin(ctx, r.service.Name, r.info.Resumes, age)
+	origin, known := r.h.Versions.Origin(ctx, r.service.Name, r.info.Resumes, r.streamAge())
 	if !known {
 		r.refuse(result.VersionUnknown, versionUnknownRetryAfter)
 		return false
 	}
-	r.job.Version, r.job.VersionFixed = version, true
+	r.job.Version, r.job.VersionFixed = origin.Version, true
+	r.h.PlannerMu.Lock()
+	r.h.Planner.MarkProcessed(time.Now(), origin.Target, r.info.PromptParts)
+	r.h.PlannerMu.Unlock()
 	return true
 }
 
@@ -42,6 +52,15 @@
 	}
 	r.job.Version, r.job.VersionFixed = t.Version, true
 	if r.route.Resumable {
-		r.h.Versions.Began(r.service.Name, r.info.ID, t.Version)
+		r.h.Versions.Began(r.service.Name, r.info.ID, StreamOrigin{t.Version, dispatch.KeyOf(t.ID)}, r.streamAge())
 	}
 }
+
+// maxStreamAge bounds the age that callers' deadlines can ask for.
+const maxStreamAge = time.Minute
+
+// streamAge returns the age up to which streams of the route may be taken up: until the time that the
+// route allows is over, or that for which callers have said that they wait.
+func (r *request) streamAge() time.Duration {
+	return max(time.Duration(r.route.TimeoutMillis)*time.Millisecond, min(r.h.longestDeadline(r.route.Name), maxStreamAge))
+}
--- a/node/era.go
+++ b/node/era.go
@@ -34,7 +34,8 @@
 }
 
 // observeEra takes in the era of a revision that the store, or a peer, has shown. When a later era has
-// begun, the collections are listed again and the holder of the duties reads its record.
+// begun, the collections are listed again, the holder of the duties reads its record, and histories that were lost
+// are written again.
 func (n *Node) observeEra(revision uint64, from string) {
 	if revision == 0 {
 		return
@@ -47,4 +48,5 @@
 	n.targetsStore.requestRelist()
 	n.configurationStore.requestRelist()
 	n.duties.requestConfirm()
+	n.streams.requestSync()
 }
--- a/node/node.go
+++ b/node/node.go
@@ -293,6 +293,8 @@
 	go n.mesh.Receive()
 	go n.followCollection(ctx, n.configurationFollower())
 	go n.followCollection(ctx, n.targetsFollower())
+	go n.streams.keepHistories(ctx)
+	go n.streams.keepRecords(ctx)
 	go n.announce(ctx)
 	go n.runEvery(ctx, peers.DigestInterval(), n.sendDigests)
 	go n.runEvery(ctx, tickInterval, n.tick)
--- a/node/request_timeline_test.go
+++ b/node/request_timeline_test.go
@@ -139,6 +139,7 @@
 	cluster.store.Write(platform.TargetsCollection, "e-1", engine.Entry("model", "a"))
 	n := cluster.startNode("h1")
 	eventually(t, 3*time.Second, "ready", n.ready)
+	n.send("first", "/draft/a", "key-1", http.Header{"X-Token-Count": {"100,20"}})
 	n.send("again", "/draft/a", "key-1", http.Header{"X-Token-Count": {"100,20"}, "Last-Event-Id": {"1"}, "Resumes": {"first"}})
 	expectLogged(t, "again", "request_done", n, "resumes=first", "after_event=1", "version=v7")
 }
--- a/node/stream_versions.go
+++ b/node/stream_versions.go
@@ -6,8 +6,6 @@
 	"sync"
 	"time"
 
-	"github.com/rs/zerolog"
-
 	"zinniapin/affinity"
 	"zinniapin/event"
 	"zinniapin/forward"
@@ -15,223 +13,215 @@
 	"zinniapin/wire"
 )
 
-const (
-	// recordReplicas is the number of hosts that hold the record of a stream besides the one that
-	// began it.
-	recordReplicas = 3
-	// askedReplicas is the number of hosts that are asked for it: one more, since the list of hosts
-	// may have changed.
-	askedReplicas = recordReplicas + 1
-	// askTimeout bounds the wait for an answer, and askInterval is the time after which hosts that
-	// have not answered are asked again.
-	askTimeout  = 160 * time.Millisecond
-	askInterval = 40 * time.Millisecond
-)
+// clockMargin is the error of times that hosts have written to the store, and of their order: twice the
+// most by which the clock of a host that has just started may be off.
+const clockMargin = 10 * time.Second
 
-// streamVersions implements forward.StreamVersions: it keeps records for other hosts and asks them
-// for theirs.
+// streamVersions implements forward.StreamVersions: it tells the versions of streams by records of this
+// host, of others and of the store, and by the history of versions.
 type streamVersions struct {
 	node *Node
+	// confirm reads the present versions and the histories from the store, search the records of streams.
+	confirm, search sharedCall
+	changed         chan struct{} // receives when histories in the store may have to change
 
 	mu       sync.Mutex
 	versions *affinity.Versions
 	records  *affinity.Records
+	found    *affinity.Records           // records of other hosts that the store holds
+	windows  map[string]time.Duration    // by service: the longest time before a take-up in which its stream can have begun
+	findings map[string]affinity.Finding // by service: the latest finding about that time
+	stored   affinity.StoredRecords      // what the store is to hold for this host
+	pending  bool                        // stored has streams that the store does not hold
 	waiting  map[*streamQuestion]bool
-}
-
-// streamQuestion is a question to other hosts that is not answered yet.
-type streamQuestion struct {
-	stream  uint64
-	answers chan streamAnswer
-}
-
-// streamAnswer is the answer of a host.
-type streamAnswer struct {
-	from, version string
-	known         bool
+	asked    uint64 // questions for histories so far
 }
 
 var _ forward.StreamVersions = (*streamVersions)(nil)
 
 // newStreamVersions returns the stream versions of a node.
 func newStreamVersions(n *Node) *streamVersions {
-	return &streamVersions{node: n, versions: affinity.NewVersions(), records: affinity.NewRecords(), waiting: make(map[*streamQuestion]bool)}
+	s := &streamVersions{
+		node: n, changed: make(chan struct{}, 1), versions: affinity.NewVersions(), records: affinity.NewRecords(), found: affinity.NewRecords(),
+		windows: make(map[string]time.Duration), findings: make(map[string]affinity.Finding), waiting: make(map[*streamQuestion]bool),
+	}
+	s.confirm.call, s.search.call = s.readVersions, s.readRecords
+	return s
 }
 
 // observeTargets takes in a complete list of targets as of a revision of the store.
 func (s *streamVersions) observeTargets(all []roster.Target, revision uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	before := s.versions.Listed()
-	s.versions.Observe(time.Now(), all)
+	now, before := s.node.clock.Now(), s.versions.Listed()
+	s.versions.Observe(now, all)
 	for service, versions := range s.versions.Listed() {
 		if !slices.Equal(before[service], versions) {
 			event.VersionsListed.Log(s.node.log).Str("service", service).Strs("versions", versions).Uint64("revision", revision).Send()
+			s.requestSync()
 		}
+		s.find(now, service, 0)
 	}
 }
 
-// Began implements forward.StreamVersions.
-func (s *streamVersions) Began(service, request, version string) {
-	now, stream := time.Now(), affinity.KeyOf(request)
-	s.mu.Lock()
-	s.records.Put(now, stream, version)
-	shared := s.versions.Recorded(now, service)
-	s.mu.Unlock()
-	if shared {
-		s.send(&wire.StreamNotice{Kind: wire.StreamNotice_BEGAN, Stream: stream, Version: version}, s.replicas(now, stream, recordReplicas))
+// requestSync makes keepHistories compare the histories in the store with this host's.
+func (s *streamVersions) requestSync() {
+	select {
+	case s.changed <- struct{}{}:
+	default: // requested already
 	}
 }
 
-// replicas returns the addresses of the other hosts that hold the record of a stream.
-func (s *streamVersions) replicas(now time.Time, stream uint64, n int) []string {
-	var others []string
-	for _, a := range s.node.mesh.LiveAddresses(now) {
-		if a != s.node.settings.Mesh {
-			others = append(others, a)
+// window returns the time before a take-up in which the stream can have begun. The caller holds mu.
+func (s *streamVersions) window(service string, age time.Duration) time.Duration {
+	s.windows[service] = max(s.windows[service], age+clockMargin)
+	return s.windows[service]
+}
+
+// find returns what the history tells of a service. When it ceases to show a sole version, the streams that
+// began lately are to be stored. The caller holds mu.
+func (s *streamVersions) find(now time.Time, service string, age time.Duration) (string, affinity.Finding) {
+	window := s.window(service, age)
+	version, finding := s.versions.Find(now, service, window)
+	if finding != affinity.Sole && s.findings[service] == affinity.Sole {
+		for stream, r := range s.records.Since(service, now.Add(-window)) {
+			s.store(stream, r)
 		}
 	}
-	return affinity.Replicas(stream, others, n)
+	s.findings[service] = finding
+	return version, finding
 }
 
-// send sends a notice to hosts.
-func (s *streamVersions) send(notice *wire.StreamNotice, hosts []string) {
-	if err := s.node.mesh.SendStreamNotice(notice, hosts); err != nil {
-		s.node.log.Error().Err(err).Msg("could not send a stream notice to peers")
-	}
+// store makes writeRecords write a stream. The caller holds mu.
+func (s *streamVersions) store(stream uint64, r affinity.Record) {
+	s.stored.Add(stream, r)
+	s.pending = true
 }
 
-// Origin implements forward.StreamVersions.
-func (s *streamVersions) Origin(ctx context.Context, service, request string, age time.Duration) (string, bool) {
-	now, stream := time.Now(), affinity.KeyOf(request)
-	answer, asked, answered := streamAnswer{}, 0, 0
-	version, how := s.known(now, service, stream)
-	if how == originUnknown {
-		if request != "" {
-			answer, asked, answered = s.ask(ctx, now, stream)
-		}
-		if version, how = answer.version, "answer"; !answer.known {
-			version, how = s.presume(service, age)
-		}
-	}
-	s.logOrigin(request, how, version, now).Str("from", answer.from).Int("asked", asked).Int("answered", answered).Send()
-	return version, how != originUnknown
+// Began implements forward.StreamVersions.
+func (s *streamVersions) Began(service, request string, o forward.StreamOrigin, age time.Duration) {
+	s.record(service, affinity.KeyOf(request), o, age)
 }
 
-// known returns the version of a stream without asking other hosts, and how it was found.
-func (s *streamVersions) known(now time.Time, service string, stream uint64) (version, how string) {
+// record records where a stream began, with other hosts and in the store where that is needed.
+func (s *streamVersions) record(service string, stream uint64, o forward.StreamOrigin, age time.Duration) {
+	now := s.node.clock.Now()
+	r := affinity.Record{Service: service, Version: o.Version, Target: o.Target, At: now}
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	if version, ok := s.records.Get(stream); ok {
-		return version, "record"
+	s.records.Put(now, stream, r)
+	if _, finding := s.find(now, service, age); finding != affinity.Sole {
+		s.store(stream, r)
 	}
-	if !s.versions.Recorded(now, service) {
-		if version, ok := s.versions.Sole(now, service); ok {
-			return version, "alone"
-		}
+	shared := s.versions.Recorded(now, service)
+	s.mu.Unlock()
+	if shared {
+		s.send(&wire.StreamNotice{Kind: wire.StreamNotice_BEGAN, Stream: stream, Version: o.Version, Target: o.Target, Service: service}, s.replicas(stream, recordReplicas))
 	}
-	return "", originUnknown
 }
 
-// logOrigin returns the line about the version of a stream, which its caller completes and sends.
-func (s *streamVersions) logOrigin(request, how, version string, asked time.Time) *zerolog.Event {
-	s.node.rosterMu.Lock()
-	revision := s.node.roster.Revision()
-	s.node.rosterMu.Unlock()
-	milliseconds := func(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
-	return event.StreamOrigin.Log(s.node.log).Str("stream", request).Str("how", how).Str("version", version).Uint64("revision", revision).
-		Float64("list_age_ms", milliseconds(time.Since(s.node.targetsStore.lastAnswer()))).Float64("ms", milliseconds(time.Since(asked)))
+// Evidence for the version of a stream, as stream_origin names it.
+const (
+	evidenceRecord  = "record"  // of this host
+	evidenceHistory = "history" // of the service, confirmed with the store
+	evidenceAnswer  = "answer"  // of another host, which has a record
+	evidenceStored  = "stored"  // record in the store
+	evidencePeer    = "peer"    // history that another host has confirmed
+	evidenceOutage  = "outage"  // history; the store answers no host
+	evidenceNone    = "unknown"
+)
+
+// Origin implements forward.StreamVersions.
+func (s *streamVersions) Origin(ctx context.Context, service, request string, age time.Duration) (forward.StreamOrigin, bool) {
+	o := origin{s: s, service: service, age: age, begun: time.Now()}
+	if request != "" {
+		o.stream = affinity.KeyOf(request)
+	}
+	at, how := o.find(ctx)
+	if how != evidenceNone && how != evidenceRecord && request != "" {
+		s.record(service, o.stream, at, age)
+	}
+	o.log(request, at.Version, how)
+	return at, how != evidenceNone
 }
 
-// originUnknown is how a stream's origin was found if it was not.
-const originUnknown = "unknown"
+// origin is the search for the version of one stream.
+type origin struct {
+	s               *streamVersions
+	service         string
+	stream          uint64 // 0 if the caller does not name the request that began it
+	age             time.Duration
+	begun           time.Time
+	from            string // host whose answer was decisive
+	asked, answered int
+}
 
-// presume returns the version at which an unrecorded stream began, by the versions that this host has
-// listed, and how it was found.
-func (s *streamVersions) presume(service string, age time.Duration) (version, how string) {
-	now := time.Now()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if version, ok := s.versions.Sole(now, service); ok {
-		return version, "sole"
+// find returns where the stream began and the evidence for it.
+func (o *origin) find(ctx context.Context) (at forward.StreamOrigin, how string) {
+	s := o.s
+	if at, ok := s.recorded(o.stream); ok {
+		return at, evidenceRecord
 	}
-	if version, ok := s.versions.Presumed(now, service, age); ok {
-		return version, "presumed"
+	answers := make(chan streamAnswer, 1)
+	go func() { answers <- o.ask(ctx) }()
+	version, finding, err := s.confirmHistory(ctx, o.service, o.age)
+	if err == nil && finding == affinity.Sole {
+		return forward.StreamOrigin{Version: version}, evidenceHistory
 	}
-	return "", originUnknown
+	if answer := <-answers; answer.known {
+		o.from = answer.from
+		return answer.origin, evidenceAnswer
+	}
+	if err == nil && o.stream != 0 && s.searchRecords(ctx) == nil {
+		if at, ok := s.recorded(o.stream); ok {
+			return at, evidenceStored
+		}
+	}
+	if err != nil && finding == affinity.Sole {
+		return o.withoutStore(ctx, version)
+	}
+	return at, evidenceNone
 }
 
-// ask asks the hosts that hold the record of a stream, until one has it, all have answered or
-// askTimeout is over. It returns an answer with a record if there is one, the number of hosts asked
-// and the number of those that answered.
-func (s *streamVersions) ask(ctx context.Context, now time.Time, stream uint64) (answer streamAnswer, asked, answered int) {
-	hosts := s.replicas(now, stream, askedReplicas)
-	q := &streamQuestion{stream: stream, answers: make(chan streamAnswer, 2*askedReplicas)}
-	s.mu.Lock()
-	s.waiting[q] = true
-	s.mu.Unlock()
-	defer func() {
-		s.mu.Lock()
-		delete(s.waiting, q)
-		s.mu.Unlock()
-	}()
-	silent := make(map[string]bool, len(hosts))
-	for _, h := range hosts {
-		silent[h] = true
-	}
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
-	defer cancel()
-	again := time.NewTicker(askInterval)
-	defer again.Stop()
-	s.askSilent(stream, silent)
-	for len(silent) > 0 {
-		select {
-		case a := <-q.answers:
-			delete(silent, a.from)
-			if a.known {
-				return a, len(hosts), len(hosts) - len(silent)
-			}
-		case <-again.C:
-			s.askSilent(stream, silent)
-		case <-ctx.Done():
-			return streamAnswer{}, len(hosts), len(hosts) - len(silent)
-		}
+// withoutStore returns the version that this host knows as the sole one if another host confirms it, or if the
+// store answers nobody and no host knows of a later change. A host that most others do not hear can't tell.
+func (o *origin) withoutStore(ctx context.Context, sole string) (at forward.StreamOrigin, how string) {
+	answer, storeAway := o.askHistory(ctx)
+	switch {
+	case answer.known:
+		o.from = answer.from
+		return answer.origin, evidencePeer
+	case answer.several || !storeAway || o.s.node.behindPeers():
+		return at, evidenceNone
+	default:
+		return forward.StreamOrigin{Version: sole}, evidenceOutage
 	}
-	return streamAnswer{}, len(hosts), len(hosts)
 }
 
-// askSilent asks the hosts that have not answered.
-func (s *streamVersions) askSilent(stream uint64, silent map[string]bool) {
-	hosts := make([]string, 0, len(silent))
-	for h := range silent {
-		hosts = append(hosts, h)
+// recorded returns where a stream began that this host has a record of.
+func (s *streamVersions) recorded(stream uint64) (forward.StreamOrigin, bool) {
+	if stream == 0 {
+		return forward.StreamOrigin{}, false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r, ok := s.records.Get(stream)
+	if !ok {
+		r, ok = s.found.Get(stream)
 	}
-	s.send(&wire.StreamNotice{Kind: wire.StreamNotice_ASKED, Stream: stream}, hosts)
+	return forward.StreamOrigin{Version: r.Version, Target: r.Target}, ok
 }
 
-// handleNotice handles a notice of another host.
-func (s *streamVersions) handleNotice(from string, notice *wire.StreamNotice) {
-	switch notice.Kind {
-	case wire.StreamNotice_BEGAN:
-		s.mu.Lock()
-		s.records.Put(time.Now(), notice.Stream, notice.Version)
-		s.mu.Unlock()
-	case wire.StreamNotice_ASKED:
-		s.mu.Lock()
-		version, known := s.records.Get(notice.Stream)
-		s.mu.Unlock()
-		s.send(&wire.StreamNotice{Kind: wire.StreamNotice_ANSWERED, Stream: notice.Stream, Version: version, Known: known}, []string{from})
-	case wire.StreamNotice_ANSWERED:
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		for q := range s.waiting {
-			if q.stream != notice.Stream {
-				continue
-			}
-			select {
-			case q.answers <- streamAnswer{from, notice.Version, notice.Known}:
-			default: // repeated answers; the first ones are enough
-			}
-		}
+// log logs the evidence for the version of a stream.
+func (o *origin) log(request, version, how string) {
+	n := o.s.node
+	n.rosterMu.Lock()
+	revision := n.roster.Revision()
+	n.rosterMu.Unlock()
+	milliseconds := func(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
+	line := event.StreamOrigin.Log(n.log).Str("stream", request).Str("how", how).Str("version", version).Uint64("revision", revision).
+		Str("from", o.from).Int("asked", o.asked).Int("answered", o.answered).Float64("ms", milliseconds(time.Since(o.begun)))
+	if last := n.targetsStore.lastAnswer(); !last.IsZero() {
+		line = line.Float64("list_age_ms", milliseconds(time.Since(last)))
 	}
+	line.Send()
 }
--- /dev/null
+++ b/node/version_store.go
@@ -0,0 +1,323 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"zinniapin/affinity"
+	"zinniapin/event"
+	"zinniapin/roster"
+	"zinniapin/store"
+)
+
+// Collections of the store that hold what must outlast all hosts.
+const (
+	// historiesCollection has an affinity.StoredHistory a service, by its name.
+	historiesCollection = "software-versions"
+	// recordsCollection has an affinity.StoredRecords a host, by its name.
+	recordsCollection = "stream-versions"
+)
+
+const (
+	// confirmTimeout bounds the calls that confirm a history, searchTimeout the one that searches the records in
+	// the store, and awayTimeout the wait for either while the store does not answer.
+	confirmTimeout = 500 * time.Millisecond
+	searchTimeout  = time.Second
+	awayTimeout    = 150 * time.Millisecond
+	// historySpread is the time over which hosts spread their look at the histories after a change, most of which
+	// need no write then.
+	historySpread = 100 * time.Millisecond
+	// maxWriteDelay is the longest time between two attempts to write a history, or records.
+	maxWriteDelay = 2 * time.Second
+	// minRecordInterval is the shortest time between two writes of a host's records, and recordIntervalPerHost
+	// what each other host adds, so that all hosts together stay well below the store's rate.
+	minRecordInterval     = 150 * time.Millisecond
+	recordIntervalPerHost = 5 * time.Millisecond
+)
+
+// confirmHistory returns what the history of a service tells, confirmed with the store after the call. If the
+// store does not answer, the error is set and the finding is what this host knows.
+func (s *streamVersions) confirmHistory(ctx context.Context, service string, age time.Duration) (string, affinity.Finding, error) {
+	find := func() (string, affinity.Finding) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.find(s.node.clock.Now(), service, age)
+	}
+	version, finding := find()
+	if finding == affinity.Several {
+		return version, finding, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, s.storeTimeout(confirmTimeout))
+	defer cancel()
+	err := s.confirm.join(ctx)
+	version, finding = find()
+	return version, finding, err
+}
+
+// readVersions reads the histories and the present targets from the store.
+func (s *streamVersions) readVersions() error {
+	ctx, cancel := context.WithTimeout(context.Background(), confirmTimeout)
+	defer cancel()
+	_, _, err := s.readHistories(ctx)
+	return err
+}
+
+// heldHistory is a history in the store.
+type heldHistory struct {
+	stored   affinity.StoredHistory
+	revision uint64 // 0 if the store holds none
+}
+
+// readHistories takes in the histories and the list of targets in the store, and returns both: the histories, and
+// the versions listed, by service.
+func (s *streamVersions) readHistories(ctx context.Context) (map[string]heldHistory, map[string]map[string]bool, error) {
+	objects := s.node.platform.Objects
+	histories, err := objects.List(ctx, historiesCollection)
+	if err != nil {
+		return nil, nil, err
+	}
+	listing, err := objects.List(ctx, s.node.platform.TargetsCollection)
+	if err != nil {
+		return nil, nil, err
+	}
+	held, listed := make(map[string]heldHistory), make(map[string]map[string]bool)
+	var targets []roster.Target
+	for _, m := range listing.Members {
+		t, err := s.node.platform.DecodeTarget(m)
+		if err != nil {
+			continue // the follower of the targets logs it
+		}
+		targets = append(targets, t)
+		if listed[t.Service] == nil {
+			listed[t.Service] = make(map[string]bool)
+		}
+		listed[t.Service][t.Version] = true
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.node.clock.Now()
+	for _, m := range histories.Members {
+		h := heldHistory{revision: m.Revision}
+		if json.Unmarshal(m.Value, &h.stored) != nil {
+			h.stored = affinity.StoredHistory{} // of another writer; it is replaced
+		}
+		held[m.Name] = h
+		s.versions.Merge(now, m.Name, h.stored)
+	}
+	s.versions.Note(now, targets)
+	return held, listed, nil
+}
+
+// keepHistories writes the histories of versions when they change.
+func (s *streamVersions) keepHistories(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.changed:
+		}
+		time.Sleep(rand.N(historySpread))
+		for delay := minRetryDelay; ctx.Err() == nil && !s.syncHistories(ctx); delay = min(2*delay, maxWriteDelay) {
+			time.Sleep(delay/2 + rand.N(delay))
+		}
+	}
+}
+
+// syncHistories takes in the histories in the store and writes those that differ from what this host knows. It
+// returns whether all are written. In a large fleet the hosts that watch the store write for all.
+func (s *streamVersions) syncHistories(ctx context.Context) bool {
+	held, listed, err := s.readHistories(ctx)
+	if err != nil {
+		return false
+	}
+	if !s.node.shouldWatchStore() {
+		return true
+	}
+	written := true
+	for service := range listed {
+		s.mu.Lock()
+		next, differs := s.versions.Export(s.node.clock.Now(), service, held[service].stored, listed[service])
+		s.mu.Unlock()
+		if differs {
+			written = s.writeHistory(ctx, service, next, held[service].revision) && written
+		}
+	}
+	return written
+}
+
+// writeHistory writes the history of a service over the revision held, and returns whether that was done.
+func (s *streamVersions) writeHistory(ctx context.Context, service string, next affinity.StoredHistory, revision uint64) bool {
+	value, err := json.Marshal(next)
+	if err != nil {
+		s.node.log.Error().Err(err).Msg("could not encode a history of versions")
+		return true
+	}
+	objects := s.node.platform.Objects
+	if revision == 0 {
+		_, err = objects.Create(ctx, historiesCollection, service, value)
+	} else {
+		_, err = objects.Replace(ctx, historiesCollection, service, revision, value)
+	}
+	return err == nil
+}
+
+// recordInterval is the time between two writes of this host's records.
+func (s *streamVersions) recordInterval() time.Duration {
+	return minRecordInterval + recordIntervalPerHost*time.Duration(s.node.mesh.LiveMembers(time.Now()))
+}
+
+// keepRecords writes the records of streams for which there is no other evidence, and removes them when
+// they have expired.
+func (s *streamVersions) keepRecords(ctx context.Context) {
+	w := recordWriter{s: s}
+	for delay := time.Duration(0); ctx.Err() == nil; {
+		time.Sleep(max(delay, s.recordInterval()))
+		err := w.write(ctx)
+		switch {
+		case err == nil:
+			delay = 0
+		case delay == 0 && ctx.Err() == nil:
+			event.StreamsNotStored.Log(s.node.log).Err(err).Send()
+			delay = minRetryDelay
+		default:
+			delay = min(2*delay, maxWriteDelay)
+		}
+	}
+}
+
+// recordWriter writes this host's records to the store.
+type recordWriter struct {
+	s        *streamVersions
+	revision uint64 // of what the store holds; 0 if unknown
+}
+
+// write writes the records if there are new ones, and deletes them once all have expired.
+func (w *recordWriter) write(ctx context.Context) error {
+	s := w.s
+	s.mu.Lock()
+	s.stored.Expire(s.node.clock.Now().Add(-s.longestWindow()))
+	pending, empty := s.pending, len(s.stored.Groups) == 0
+	s.mu.Unlock()
+	switch {
+	case pending:
+		return w.replace(ctx)
+	case empty && w.revision != 0:
+		err := s.node.platform.Objects.Delete(ctx, recordsCollection, s.node.settings.Host, w.revision)
+		w.revision = 0
+		if errors.Is(err, store.ErrNotFound) {
+			return nil
+		}
+		return err
+	}
+	return nil
+}
+
+// replace writes the records over what the store holds. What an earlier process of the host wrote is kept.
+func (w *recordWriter) replace(ctx context.Context) error {
+	s, objects, host := w.s, w.s.node.platform.Objects, w.s.node.settings.Host
+	create := false
+	if w.revision == 0 {
+		held, err := objects.Get(ctx, recordsCollection, host)
+		switch {
+		case errors.Is(err, store.ErrNotFound):
+			create = true
+		case err != nil:
+			return err
+		default:
+			w.revision = held.Revision
+			if earlier, err := affinity.DecodeStoredRecords(held.Value); err == nil { // else of another writer
+				s.mu.Lock()
+				s.stored.Merge(earlier)
+				s.mu.Unlock()
+			}
+		}
+	}
+	s.mu.Lock()
+	value, err := json.Marshal(s.stored)
+	s.pending = false
+	s.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	var held store.Member
+	if create {
+		held, err = objects.Create(ctx, recordsCollection, host, value)
+	} else {
+		held, err = objects.Replace(ctx, recordsCollection, host, w.revision, value)
+	}
+	if err != nil {
+		s.mu.Lock()
+		s.pending = true
+		s.mu.Unlock()
+		w.revision = 0
+		return err
+	}
+	w.revision = held.Revision
+	return nil
+}
+
+// longestWindow returns the longest time for which a record is needed. The caller holds mu.
+func (s *streamVersions) longestWindow() time.Duration {
+	longest := clockMargin
+	for _, w := range s.windows {
+		longest = max(longest, w)
+	}
+	return longest
+}
+
+// searchRecords takes in the records that the store holds, as of a time after the call.
+func (s *streamVersions) searchRecords(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, s.storeTimeout(searchTimeout))
+	defer cancel()
+	return s.search.join(ctx)
+}
+
+// storeTimeout returns how long to wait for the store, given the usual bound.
+func (s *streamVersions) storeTimeout(usual time.Duration) time.Duration {
+	if s.node.targetsStore.reachable() {
+		return usual
+	}
+	return awayTimeout
+}
+
+// readRecords reads the records in the store.
+func (s *streamVersions) readRecords() error {
+	ctx, cancel := context.WithTimeout(context.Background(), searchTimeout)
+	defer cancel()
+	objects := s.node.platform.Objects
+	listing, err := objects.List(ctx, recordsCollection)
+	if err != nil {
+		return err
+	}
+	now := s.node.clock.Now()
+	for _, m := range listing.Members {
+		records, err := affinity.DecodeStoredRecords(m.Value)
+		if err != nil {
+			continue // of another writer
+		}
+		if s.node.isHolder() && now.Sub(records.Newest()) > leftRecordsTTL {
+			_ = objects.Delete(ctx, recordsCollection, m.Name, m.Revision) // a later search does it if this fails
+			continue
+		}
+		s.mu.Lock()
+		records.All(func(stream uint64, r affinity.Record) { s.found.Put(now, stream, r) })
+		s.mu.Unlock()
+	}
+	return nil
+}
+
+// leftRecordsTTL is how long the records of a host that is gone stay in the store.
+const leftRecordsTTL = 10 * time.Minute
+
+// behindPeers tells whether a peer has announced a later change of the targets than this host knows.
+func (n *Node) behindPeers() bool {
+	n.rosterMu.Lock()
+	revision := n.roster.Revision()
+	n.rosterMu.Unlock()
+	n.gossip.mu.Lock()
+	defer n.gossip.mu.Unlock()
+	return n.gossip.newestTargets > revision
+}
