Serve any kind of object in the stand-in store as the protocol says

The stand-in of the platform's store knew no removal by a call, no status and no finalizers, took a replacement that changes nothing for a change, answered 409 instead of 404 when the object to replace was missing, listed any number of objects at once and had no rates. Code that removes its objects or lives within the rates could not be tested with it.

It serves DELETE with the condition in the query, PUT of the status, finalizers, pages of at most 500 objects or 1 MB, answers 429 beyond the rates of writes and reads that a test sets, counts the most calls in a second, returns old data to reads with Serializable if a test asks for it, and carries out late changes within a range of times, removals too.

--- a/internal/standin/prepared/store.go
+++ b/internal/standin/prepared/store.go
@@ -19,11 +19,18 @@
 
 // Object is an object in the store.
 type Object struct {
-	Metadata struct {
-		Name     string
-		Revision uint64
-	}
-	Spec json.RawMessage
+	Metadata Metadata
+	Spec     json.RawMessage
+	Status   json.RawMessage
+}
+
+// Metadata is the metadata of an object. Created is the revision at which it was created.
+type Metadata struct {
+	Name       string
+	Revision   uint64
+	Created    uint64
+	Finalizers []string
+	Deleting   bool
 }
 
 // storeChange is one entry of the change history of the store, which watches read.
@@ -48,6 +55,9 @@
 	setTimes    int // how often Change was called, which ends the compactions of earlier switches
 	random      *rand.Rand
 	calls       map[string]int // by method and kind of object, separated by a blank
+	writes      rate
+	reads       rate
+	stale       staleObjects
 	closing     chan struct{}
 	era         uint64 // in the answers' Store-Era header, unless it is 0
 	copy        storeCopy
@@ -134,22 +144,18 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.write(kind, name, raw)
+	o := s.objects[kind][name]
+	o.Spec = raw
+	s.write(kind, name, o)
 }
 
 // Remove deletes an object if it exists.
 func (s *Store) Remove(kind, name string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	o, ok := s.objects[kind][name]
-	if !ok {
-		return
+	if _, ok := s.objects[kind][name]; ok {
+		s.remove(kind, name)
 	}
-	delete(s.objects[kind], name)
-	s.revision++
-	o.Metadata.Revision = s.revision
-	s.history = append(s.history, storeChange{kind, s.revision, o, true})
-	s.wakeWatches()
 }
 
 // Read returns an object's spec, or nil if there is no such object.
@@ -159,20 +165,6 @@
 	return s.objects[kind][name].Spec
 }
 
-// write writes an object at a new revision. The caller holds mu.
-func (s *Store) write(kind, name string, spec json.RawMessage) Object {
-	var o Object
-	s.revision++
-	o.Metadata.Name, o.Metadata.Revision, o.Spec = name, s.revision, spec
-	if s.objects[kind] == nil {
-		s.objects[kind] = make(map[string]Object)
-	}
-	s.objects[kind][name] = o
-	s.history = append(s.history, storeChange{kind, s.revision, o, false})
-	s.wakeWatches()
-	return o
-}
-
 // wakeWatches wakes all waiting watches. The caller holds mu.
 func (s *Store) wakeWatches() {
 	close(s.changed)
@@ -185,7 +177,7 @@
 	s.mu.Lock()
 	s.calls[r.Method+" "+kind]++
 	switches, era := s.switches, s.era
-	refused := s.random.Float64() < switches.RefuseShare
+	refused := s.random.Float64() < switches.RefuseShare || !s.withinRate(r)
 	s.mu.Unlock()
 	if era > 0 {
 		w.Header().Set("Store-Era", strconv.FormatUint(era, 10))
@@ -204,13 +196,13 @@
 	time.Sleep(switches.Delay)
 	switch {
 	case r.Method == http.MethodGet && name != "":
-		s.get(w, kind, name)
+		s.get(w, kind, name, serializable(r))
 	case r.Method == http.MethodGet && r.URL.Query().Has("Watch"):
 		s.watch(w, r, kind)
 	case r.Method == http.MethodGet:
-		s.list(w, kind, r.URL.Query().Get("after"), switches.PageSize)
+		s.list(w, kind, r.URL.Query().Get("after"), switches.PageSize, serializable(r))
 	default:
-		s.put(w, r, kind, name)
+		s.change(w, r, kind, name)
 	}
 }
 
@@ -225,9 +217,10 @@
 }
 
 // get answers with one object.
-func (s *Store) get(w http.ResponseWriter, kind, name string) {
+func (s *Store) get(w http.ResponseWriter, kind, name string, mayBeStale bool) {
 	s.mu.Lock()
-	o, ok := s.objects[kind][name]
+	objects, _ := s.view(mayBeStale)
+	o, ok := objects[kind][name]
 	s.mu.Unlock()
 	if !ok {
 		w.WriteHeader(http.StatusNotFound)
@@ -236,24 +229,27 @@
 	reply(w, http.StatusOK, o)
 }
 
-// list answers with the objects of a kind whose names are higher than one, sorted by name; with those of
-// one page if pages have a size.
-func (s *Store) list(w http.ResponseWriter, kind, after string, pageSize int) {
+// list answers with a page of the objects of a kind whose names are higher than one, sorted by name.
+func (s *Store) list(w http.ResponseWriter, kind, after string, pageSize int, mayBeStale bool) {
+	if pageSize == 0 {
+		pageSize = maxPageItems
+	}
 	s.mu.Lock()
-	items := make([]Object, 0, len(s.objects[kind]))
-	for name, o := range s.objects[kind] {
+	objects, revision := s.view(mayBeStale)
+	items := make([]Object, 0, len(objects[kind]))
+	for name, o := range objects[kind] {
 		if name > after {
 			items = append(items, o)
 		}
 	}
-	revision := s.revision
 	s.mu.Unlock()
 	sort.Slice(items, func(i, j int) bool { return items[i].Metadata.Name < items[j].Metadata.Name })
-	more := pageSize > 0 && len(items) > pageSize
-	if more {
-		items = items[:pageSize]
+	size, n := 0, 0
+	for n < len(items) && n < pageSize && (n == 0 || size+len(items[n].Spec) <= maxPageBytes) {
+		size += len(items[n].Spec)
+		n++
 	}
-	reply(w, http.StatusOK, map[string]any{"items": items, "HasMore": more, "CurrentRev": revision})
+	reply(w, http.StatusOK, map[string]any{"items": items[:n], "HasMore": n < len(items), "CurrentRev": revision})
 }
 
 // watch answers with the changes of a kind after a revision, as soon as there are any;
@@ -262,7 +258,7 @@
 func (s *Store) watch(w http.ResponseWriter, r *http.Request, kind string) {
 	after, _ := strconv.ParseUint(r.URL.Query().Get("Watch"), 10, 64)
 	waitMillis, _ := strconv.Atoi(r.URL.Query().Get("WaitMs"))
-	timeout := time.After(time.Duration(waitMillis) * time.Millisecond)
+	timeout := time.After(min(time.Duration(waitMillis)*time.Millisecond, maxWatchWait))
 	cut := s.watchLimit()
 	for {
 		events := []map[string]any{}
@@ -299,49 +295,6 @@
 	}
 }
 
-// put creates an object (POST) or replaces one (PUT). It answers 409 if the object to
-// create exists, or if the one to replace is missing or has another revision than the call
-// states.
-func (s *Store) put(w http.ResponseWriter, r *http.Request, kind, name string) {
-	var o Object
-	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
-		w.WriteHeader(http.StatusBadRequest)
-		return
-	}
-	if by, late := s.nextLate(); late {
-		time.AfterFunc(by, func() { s.apply(r.Method, kind, name, o) })
-		s.holdUnanswered(r)
-		return
-	}
-	result, status, lost := s.apply(r.Method, kind, name, o)
-	if lost {
-		s.holdUnanswered(r)
-		return
-	}
-	reply(w, status, result)
-}
-
-// apply carries out a write if its condition holds. It returns the object, the status of the answer and
-// whether the answer is lost.
-func (s *Store) apply(method, kind, name string, o Object) (result Object, status int, lost bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	current, exists := s.objects[kind][o.Metadata.Name]
-	conflict := method == http.MethodPost && exists ||
-		method == http.MethodPut && (!exists || o.Metadata.Revision != 0 && o.Metadata.Revision != current.Metadata.Revision)
-	if conflict {
-		return current, http.StatusConflict, false
-	}
-	if name == "" {
-		name = o.Metadata.Name
-	}
-	lost = s.switches.AnswersToLose > 0 || s.random.Float64() < s.switches.LoseShare
-	if s.switches.AnswersToLose > 0 {
-		s.switches.AnswersToLose--
-	}
-	return s.write(kind, name, o.Spec), http.StatusOK, lost
-}
-
 // reply writes a response with a JSON body.
 func reply(w http.ResponseWriter, status int, v any) {
 	data, err := json.Marshal(v)
--- a/internal/standin/prepared/store_disturb.go
+++ b/internal/standin/prepared/store_disturb.go
@@ -60,7 +60,11 @@
 func (s *Store) nextLate() (time.Duration, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.switches.LateBy, s.random.Float64() < s.switches.LateShare
+	by := s.switches.LateBy
+	if more := s.switches.LateMost - by; more > 0 {
+		by += time.Duration(s.random.Int64N(int64(more)))
+	}
+	return by, s.random.Float64() < s.switches.LateShare
 }
 
 // watchLimit returns a channel that tells when a watch is cut off; nil if it is not.
--- a/internal/standin/prepared/switches.go
+++ b/internal/standin/prepared/switches.go
@@ -64,17 +64,22 @@
 	// writes for which that holds afterwards.
 	AnswersToLose int
 	LoseShare     float64
-	// LateShare is the share of writes without an answer that are carried out after LateBy, if their
-	// condition holds then.
-	LateShare float64
-	LateBy    time.Duration
+	// LateShare is the share of writes without an answer that are carried out after LateBy, or after a time
+	// between LateBy and LateMost if that is longer, if their condition holds then.
+	LateShare        float64
+	LateBy, LateMost time.Duration
 	// Delay is the time before each call is carried out.
 	Delay time.Duration
 	// RefuseShare is the share of calls that get status 429.
 	RefuseShare float64
+	// WritesPerS and ReadsPerS are the calls a second beyond which calls get status 429; 0: no limit. Reads
+	// with Serializable do not count.
+	WritesPerS, ReadsPerS int
+	// StaleBy is the age up to which reads with Serializable return old data; 0: they return none.
+	StaleBy time.Duration
 	// MaxWatch is how long a watch may wait; it is then cut off. 0: as long as it asks for.
 	MaxWatch time.Duration
-	// PageSize is the number of objects in a page of a list; 0: all.
+	// PageSize is the number of objects in a page of a list; 0: as many as the platform's store gives.
 	PageSize int
 	// CompactEvery is how often the store drops its change history; 0: never.
 	CompactEvery time.Duration
