Kill all nodes in the middle of releases in the node soak; judge refused take-ups

Callers saw streams joined from two versions, and streams refused though targets of their version were there, after all hosts had been killed in a release. No soak killed all nodes in a release and took streams up with retries, and the verdict judged joined streams only: a node that refuses each take-up passed.

TestAllNodesKilledInARelease kills all nodes at the same moment, most of them, or all again soon after their start, while one engine of a new version serves, all old ones leave, or both versions stay. Longer runs disturb nodes and store besides. The verdict finds LOST when of 20 streams taken up one after the other less than a quarter goes on, though targets of their version were listed; a disturbed store and nodes that are cut off or frozen excuse it, kills do not.

--- a/internal/nodesoak/record.go
+++ b/internal/nodesoak/record.go
@@ -28,6 +28,7 @@
 		RequireFence: true, Lease: 1500 * time.Millisecond, Thaw: 300 * time.Millisecond,
 		UsageWindow: 2 * time.Second, UsageLate: 10 * time.Second, UsageTolerance: 0.05,
 		CutShare: 2. / 3, MaxCutFailures: 10, CutFailureRatio: 0.02,
+		TakeUps: 20, WentOnShare: 0.25,
 		RecoveryShare: 0.5, ServedShare: 0.25, MaxDenied: 5, DeniedRatio: 0.002, MaxSilence: 1500 * time.Millisecond,
 	}
 }
@@ -109,9 +110,10 @@
 	return "model"
 }
 
-// addTarget adds what a target observed to a run. leaves is when it said that it leaves; zero if it did not.
-func addTarget(r *verdict.Run, t *prepared.Target, leaves time.Time, limits []verdict.Limit) {
-	target := verdict.Target{ID: t.ID, Service: serviceOf(t), Leaves: leaves, Limits: limits}
+// addTarget adds what a target observed to a run. listed is when the store listed it, leaves when it said that it
+// leaves; zero if it did not.
+func addTarget(r *verdict.Run, t *prepared.Target, listed, leaves time.Time, limits []verdict.Limit) {
+	target := verdict.Target{ID: t.ID, Service: serviceOf(t), Version: t.Version, Listed: listed, Leaves: leaves, Limits: limits}
 	for _, s := range t.Silences() {
 		target.Silences = append(target.Silences, verdict.Span(s))
 	}
--- a/internal/nodesoak/soak_test.go
+++ b/internal/nodesoak/soak_test.go
@@ -71,6 +71,8 @@
 	quietFrom time.Time // when the faults had ended, but for parts of prompts that end targets
 	// leftAt maps each target that has left to the time when it said so.
 	leftAt map[string]time.Time
+	// listedAt maps each engine to the time when the store listed it.
+	listedAt map[string]time.Time
 	// onStart is called with each engine that starts in the run, unless it is nil.
 	onStart func(*prepared.Target)
 	// seed and rude are those of a run of a pair.
@@ -121,7 +123,7 @@
 
 // startDeployment is newDeployment; linked tells whether each node reaches targets by ways of its own.
 func startDeployment(t *testing.T, program, folder string, seed uint64, linked bool) *deployment {
-	d := &deployment{t: t, linked: linked, random: rand.New(rand.NewPCG(seed, seed+1)), store: prepared.NewStore(), duties: prepared.NewDutyServer(), begun: time.Now(), leftAt: make(map[string]time.Time)}
+	d := &deployment{t: t, linked: linked, random: rand.New(rand.NewPCG(seed, seed+1)), store: prepared.NewStore(), duties: prepared.NewDutyServer(), begun: time.Now(), leftAt: make(map[string]time.Time), listedAt: make(map[string]time.Time)}
 	t.Cleanup(d.store.Close)
 	t.Cleanup(d.duties.Close)
 	d.store.CountEras()
@@ -158,6 +160,7 @@
 	d.targets, d.engines = append(d.targets, s), append(d.engines, s)
 	d.linkNodes(s)
 	d.store.Write(platform.TargetsCollection, s.ID, s.Entry("model", "z0"))
+	d.listedAt[s.ID] = time.Now()
 }
 
 // release replaces the engine that has served longest by one of a random version.
@@ -340,7 +343,7 @@
 				limits = append(limits, verdict.Limit{PerSecond: l.perSecond, Span: verdict.Span{From: l.from, To: l.to}})
 			}
 		}
-		addTarget(&r, t, d.leftAt[t.ID], limits)
+		addTarget(&r, t, d.listedAt[t.ID], d.leftAt[t.ID], limits)
 	}
 	for _, p := range d.nodes {
 		p.addTo(&r)
@@ -352,17 +355,21 @@
 
 // check verifies that the run kept all promises.
 func (d *deployment) check() {
-	r := d.run()
-	begun := time.Now()
-	findings := verdict.Check(r, bounds())
-	d.t.Logf("%d requests, %d of them by nodes in touch, and %d arrivals were judged in %v", len(r.Requests), verdict.InTouch(r, bounds()), len(r.Arrivals), time.Since(begun))
-	for _, f := range findings {
+	for _, f := range d.findings() {
 		report := d.t.Errorf
 		if f.Priced() {
 			report = d.t.Logf
 		}
 		report("%s at %.3f s: %s", f.Rule, f.At.Sub(d.begun).Seconds(), f.Text)
 	}
+}
+
+// findings judges the run.
+func (d *deployment) findings() []verdict.Finding {
+	r := d.run()
+	begun := time.Now()
+	findings := verdict.Check(r, bounds())
+	d.t.Logf("%d requests, %d of them by nodes in touch, and %d arrivals were judged in %v", len(r.Requests), verdict.InTouch(r, bounds()), len(r.Arrivals), time.Since(begun))
 	statuses := make(map[int]int)
 	for _, s := range r.Requests {
 		if s.Complete {
@@ -370,4 +377,5 @@
 		}
 	}
 	d.t.Logf("answers by status %v, %d duty calls, %d of %d streams taken up went on, %d crashes", statuses, len(r.Duties), d.attempts.wentOn, d.attempts.takenUp, len(r.Crashes))
+	return findings
 }
--- a/internal/verdict/bounds.go
+++ b/internal/verdict/bounds.go
@@ -44,6 +44,10 @@
 	CutShare        float64
 	MaxCutFailures  int
 	CutFailureRatio float64
+	// TakeUps is the number of streams taken up one after the other of which WentOnShare must go on, if targets of
+	// their version are there; 0 judges none.
+	TakeUps     int
+	WentOnShare float64
 	// ServedShare is the share of all requests that must be served.
 	ServedShare float64
 	// MaxDenied and DeniedRatio bound proper requests that are denied by hosts in touch; MaxDeniedAlways
--- a/internal/verdict/record.go
+++ b/internal/verdict/record.go
@@ -83,6 +83,8 @@
 // Target is one start of a target.
 type Target struct {
 	ID, Service string
+	Version     string    // of its software
+	Listed      time.Time // when the store listed it; zero if from the start
 	Leaves      time.Time // when the store acknowledged that it leaves; zero if it does not
 	Limits      []Limit
 	Silences    []Span // times without a byte after which the target went on
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -48,7 +48,7 @@
 		j.answers, j.streams, j.unasked, j.runs, j.denied, j.routes,
 		j.retryWindows, j.attempts, j.deadlines, j.crashers, j.besideCrashers,
 		j.leaving, j.pauses, j.limits, j.applied, j.regressions, j.timeouts,
-		j.gone, j.keptLost, j.plannedLost, j.configurationLost, j.silences, j.recovery, j.served, j.cutHosts, j.ownEnds,
+		j.gone, j.keptLost, j.plannedLost, j.configurationLost, j.silences, j.recovery, j.served, j.cutHosts, j.ownEnds, j.takenUp,
 		j.usageCounts, j.fences, j.turns, j.staleCalls, j.usageDue,
 	} {
 		check()
