--- a/internal/nodesoak/soak_test.go
+++ b/internal/nodesoak/soak_test.go
@@ -354,9 +354,12 @@
 }
 
 // check verifies that the run kept all promises.
-func (d *deployment) check() {
+func (d *deployment) check() { d.judge(d.t.Errorf) }
+
+// judge reports the promises that the run broke.
+func (d *deployment) judge(broken func(format string, args ...any)) {
 	for _, f := range d.findings() {
-		report := d.t.Errorf
+		report := broken
 		if f.Priced() {
 			report = d.t.Logf
 		}
--- a/internal/standin/prepared/store.go
+++ b/internal/standin/prepared/store.go
@@ -4,7 +4,9 @@
 package prepared
 
 import (
+	"bytes"
 	"encoding/json"
+	"fmt"
 	"io"
 	"maps"
 	"math/rand/v2"
@@ -22,6 +24,8 @@
 	Metadata Metadata
 	Spec     json.RawMessage
 	Status   json.RawMessage
+	// item is the object as WriteItem got it; empty for other objects.
+	item string
 }
 
 // Metadata is the metadata of an object. Created is the revision at which it was created.
@@ -33,6 +37,18 @@
 	Deleting   bool
 }
 
+// encode returns the object as answers hold it.
+func (o Object) encode() []byte {
+	if o.item != "" {
+		return []byte(strings.NewReplacer("NAME", o.Metadata.Name, "REVISION", strconv.FormatUint(o.Metadata.Revision, 10)).Replace(o.item))
+	}
+	data, err := json.Marshal(o)
+	if err != nil {
+		panic(err) // the spec of other objects is valid
+	}
+	return data
+}
+
 // storeChange is one entry of the change history of the store, which watches read.
 type storeChange struct {
 	kind     string
@@ -145,10 +161,18 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	o := s.objects[kind][name]
-	o.Spec = raw
+	o.Spec, o.item = raw, ""
 	s.write(kind, name, o)
 }
 
+// WriteItem writes an object that answers hold as the given bytes, of which the store checks nothing. NAME
+// and REVISION stand for its name and its revision.
+func (s *Store) WriteItem(kind, name, item string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.write(kind, name, Object{Spec: json.RawMessage("null"), item: item})
+}
+
 // Remove deletes an object if it exists.
 func (s *Store) Remove(kind, name string) {
 	s.mu.Lock()
@@ -226,7 +250,7 @@
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	reply(w, http.StatusOK, o)
+	reply(w, http.StatusOK, o.encode())
 }
 
 // list answers with a page of the objects of a kind whose names are higher than one, sorted by name.
@@ -244,12 +268,15 @@
 	}
 	s.mu.Unlock()
 	sort.Slice(items, func(i, j int) bool { return items[i].Metadata.Name < items[j].Metadata.Name })
-	size, n := 0, 0
-	for n < len(items) && n < pageSize && (n == 0 || size+len(items[n].Spec) <= maxPageBytes) {
-		size += len(items[n].Spec)
-		n++
+	encoded, size := make([][]byte, 0, min(len(items), pageSize)), 0
+	for _, o := range items {
+		item := o.encode()
+		if len(encoded) == pageSize || len(encoded) > 0 && size+len(item) > maxPageBytes {
+			break
+		}
+		encoded, size = append(encoded, item), size+len(item)
 	}
-	reply(w, http.StatusOK, map[string]any{"items": items[:n], "HasMore": n < len(items), "CurrentRev": revision})
+	reply(w, http.StatusOK, fmt.Appendf(nil, `{"items":[%s],"HasMore":%t,"CurrentRev":%d}`, bytes.Join(encoded, []byte(",")), len(encoded) < len(items), revision))
 }
 
 // watch answers with the changes of a kind after a revision, as soon as there are any;
@@ -261,7 +288,7 @@
 	timeout := time.After(min(time.Duration(waitMillis)*time.Millisecond, maxWatchWait))
 	cut := s.watchLimit()
 	for {
-		events := []map[string]any{}
+		var events [][]byte
 		s.mu.Lock()
 		if after < s.compactedTo || after > s.revision {
 			s.mu.Unlock()
@@ -270,7 +297,7 @@
 		}
 		for _, c := range s.history {
 			if c.kind == kind && c.revision > after {
-				events = append(events, map[string]any{"Object": c.object, "Deleted": c.deleted})
+				events = append(events, fmt.Appendf(nil, `{"Object":%s,"Deleted":%t}`, c.object.encode(), c.deleted))
 			}
 		}
 		revision, changed := s.revision, s.changed
@@ -289,18 +316,14 @@
 			}
 		}
 		if timedOut || len(events) > 0 {
-			reply(w, http.StatusOK, map[string]any{"events": events, "CurrentRev": revision})
+			reply(w, http.StatusOK, fmt.Appendf(nil, `{"events":[%s],"CurrentRev":%d}`, bytes.Join(events, []byte(",")), revision))
 			return
 		}
 	}
 }
 
 // reply writes a response with a JSON body.
-func reply(w http.ResponseWriter, status int, v any) {
-	data, err := json.Marshal(v)
-	if err != nil {
-		panic(err) // all values that are passed here can be encoded
-	}
+func reply(w http.ResponseWriter, status int, data []byte) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
 	_, _ = w.Write(data) // the caller may have disconnected
--- a/internal/standin/prepared/store_write.go
+++ b/internal/standin/prepared/store_write.go
@@ -75,7 +75,7 @@
 		w.WriteHeader(status)
 		return
 	}
-	reply(w, status, result)
+	reply(w, status, result.encode())
 }
 
 // apply carries out a change if its condition holds. It returns the object, the status of the answer and
@@ -100,6 +100,7 @@
 		return s.delete(call.kind, current), http.StatusOK, lost
 	}
 	next := current
+	next.item = ""
 	if call.status {
 		next.Status = call.object.Status
 	} else {
