Run the landed build beside this one in the node soak

Nothing showed that hosts of the build in service and of the next one get along: streams taken up across builds, duties, configuration, notices, and objects in the store that one of them does not know.

TestOldBuildBesideNew builds the commit that deploy/system.toml names under production from the repository's history, replaces its nodes by this build's, one by one, in the middle of a release of targets, and half of them back. Targets break streams off, callers take them up at any node. The store gets kinds of objects and fields that neither build knows. Streams that a node of the older build joins or refuses are logged, all else is judged for both. A missing commit fails the test and says why; -nodesoak.beside names another program.

--- a/internal/nodesoak/process.go
+++ b/internal/nodesoak/process.go
@@ -201,6 +201,13 @@
 	return nil
 }
 
+// setProgram sets the program of the next start.
+func (p *process) setProgram(program string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.program = program
+}
+
 // signal sends a signal to this process if it is running.
 func (p *process) signal(s syscall.Signal) error {
 	p.mu.Lock()
--- a/internal/nodesoak/versions_test.go
+++ b/internal/nodesoak/versions_test.go
@@ -36,6 +36,9 @@
 	*deployment
 	latest int // number of the newest version
 	old    []*prepared.Target
+	// older is the program of an older build, and programs what each node ran from when on.
+	older    string
+	programs map[string][]programSince
 
 	mu    sync.Mutex
 	notes []string // what was done when
--- a/internal/standin/prepared/store_write.go
+++ b/internal/standin/prepared/store_write.go
@@ -164,3 +164,15 @@
 	s.wakeWatches()
 	return o
 }
+
+// Edit replaces the specs of objects of a kind, as other writers do; one that is returned unchanged stays.
+func (s *Store) Edit(kind string, edit func(name string, spec json.RawMessage) json.RawMessage) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for name, o := range s.objects[kind] {
+		if next := edit(name, o.Spec); !bytes.Equal(next, o.Spec) {
+			o.Spec, o.item = next, ""
+			s.write(kind, name, o)
+		}
+	}
+}
