Check the first event of a stream that a caller takes up

Callers whose stream a target went on with at another event than the one after Last-Event-Id would get events twice, or miss some, with nothing to show it (ORDER). Within an answer the first event of the next target has to follow the last one sent; the last event that the caller has from an earlier answer was not taken for that. It is now, so that such an attempt counts as broken off.

No run of real nodes has shown this; found by reading.

--- a/forward/handler.go
+++ b/forward/handler.go
@@ -107,7 +107,7 @@
 	connectFailures int                // targets that could not be connected to
 	excluded        map[target.ID]bool // targets that failed and get no further attempt
 	attemptWrites   int                // of events of the latest attempt to the caller
-	lastEventID     string             // of the last event sent to the caller
+	lastEventID     string             // of the last event that the caller has
 	held            *heldResponse      // the first error response of a plain service; nil if there is none
 	// processed is the attempt to make once another target has processed the prompt in place of a silent one.
 	processed *streamAttempt
@@ -154,7 +154,7 @@
 // has refused the request.
 func (r *request) admit() bool {
 	info, err := r.h.Protocol.ParseRequest(r.in.Header)
-	r.info, r.sharedParts = info, sharedPartIDs(info.PromptParts)
+	r.info, r.sharedParts, r.lastEventID = info, sharedPartIDs(info.PromptParts), info.LastEventID
 	table := r.view.Table
 	if table == nil {
 		r.refuse(result.NodeNotReady, notReadyRetryAfter)
--- a/internal/standin/prepared/target.go
+++ b/internal/standin/prepared/target.go
@@ -68,6 +68,8 @@
 	Events int
 	// FirstID is the id of the first event of a new stream.
 	FirstID int
+	// FromStart makes all streams begin with that event, whichever event a request goes on after.
+	FromStart bool
 	// Echo makes the body of a plain response the id of its request.
 	Echo bool
 	// Stage is the stage that an engine runs; empty for plain services.
@@ -322,7 +324,7 @@
 		close(disconnected)
 	}()
 	first, version := t.FirstID, t.softwareVersion()
-	if last, err := strconv.Atoi(request.Header.Get("Last-Event-Id")); err == nil {
+	if last, err := strconv.Atoi(request.Header.Get("Last-Event-Id")); err == nil && !t.FromStart {
 		first = last + 1
 	}
 	for i := first; i < t.FirstID+t.Events; i++ {
