--- a/internal/nodesoak/releases_test.go
+++ b/internal/nodesoak/releases_test.go
@@ -172,11 +172,21 @@
 // releaseBriefly starts an engine of a new version that leaves soon.
 func (d *releaseRun) releaseBriefly() {
 	s := d.startVersion(d.nextVersion())
-	time.Sleep(time.Duration(300+d.random.IntN(1500)) * time.Millisecond)
+	time.Sleep(time.Duration(50+d.random.IntN(1500)) * time.Millisecond)
 	d.engines = slices.DeleteFunc(d.engines, func(e *prepared.Target) bool { return e == s })
 	d.leave(s, 0)
 }
 
+// restartInto makes an engine start again as another version, under its id and at its address. Its entry follows later.
+func (d *releaseRun) restartInto() {
+	s := d.engines[d.random.IntN(len(d.engines))]
+	version, down := d.nextVersion(), time.Duration(50+d.random.IntN(400))*time.Millisecond
+	d.note("%s of %s ends, and starts as %s after %v", s.ID, s.Version, version, down)
+	s.CrashInto(version, down)
+	time.Sleep(down + time.Duration(d.random.IntN(500))*time.Millisecond)
+	d.store.Write(platform.TargetsCollection, s.ID, s.Entry("model", "z0"))
+}
+
 // nodesToBlock draws some nodes, at most blockedShare of them.
 func (d *releaseRun) nodesToBlock() []*process {
 	var all []*process
@@ -234,7 +244,7 @@
 // disturbRelease does one thing beside the callers.
 func (d *releaseRun) disturbRelease() {
 	span := d.faultTime()
-	switch d.random.IntN(16) {
+	switch d.random.IntN(18) {
 	case 0, 1:
 		d.releaseAll()
 	case 2:
@@ -267,6 +277,8 @@
 		d.killMany(span / 4)
 	case 14, 15:
 		d.releaseBesideBlocked(span)
+	case 16, 17:
+		d.restartInto()
 	case 12:
 		d.note("engines break streams")
 		for _, s := range d.engines {
--- a/internal/standin/prepared/record.go
+++ b/internal/standin/prepared/record.go
@@ -34,7 +34,7 @@
 	if stream {
 		r.Due, r.Signature, r.Answer = now.Add(time.Duration(t.Events)*t.switches().EventPause), t.ID, ""
 		for i := t.FirstID; i < t.FirstID+t.Events; i++ {
-			r.Answer += Event(i, t.Version)
+			r.Answer += Event(i, t.softwareVersion())
 		}
 		r.BrokeOff = t.breaksStream(request, f)
 	}
