--- a/forward/take_up_test.go
+++ b/forward/take_up_test.go
@@ -5,6 +5,8 @@
 	"testing"
 
 	"github.com/matryer/is"
+
+	"zinniapin/forward"
 )
 
 // A caller takes up a stream after its third event, and a target begins with the first one again. The answer has no
@@ -15,7 +17,7 @@
 	odd, sound := versioned("d-1", "v1"), versioned("d-2", "v1")
 	odd.FromStart = true
 	h := newTestHandler(t, "model", odd, sound)
-	h.origins.Began("model", "first", "v1")
+	h.origins.Began("model", "first", forward.StreamOrigin{Version: "v1"}, 0)
 	for range 20 { // until the odd target has been tried first
 		a := h.call(http.MethodPost, "/draft/a", "p", resume...)
 		is.NoErr(a.err)
@@ -29,7 +31,7 @@
 	alone := versioned("d-3", "v1")
 	alone.FromStart = true
 	h = newTestHandler(t, "model", alone)
-	h.origins.Began("model", "first", "v1")
+	h.origins.Began("model", "first", forward.StreamOrigin{Version: "v1"}, 0)
 	a := h.call(http.MethodPost, "/draft/a", "p", resume...)
 	is.True(a.err != nil || a.status != http.StatusOK)
 }
