Hold hosts cut off for some seconds, and in twos, to joining no stream

A host that has lost its peers a few seconds ago no longer knows whom to ask, and two hosts that are cut off together confirm each other's old list. Streams are taken up all at once, so that a slow refusal does not move later ones past the moment in question.

--- a/node/out_of_step_cluster_test.go
+++ b/node/out_of_step_cluster_test.go
@@ -25,6 +25,7 @@
 
 	mu   sync.Mutex
 	away map[string]bool // mesh addresses of hosts that are cut off from all others
+	part map[string]bool // of hosts that are cut off from those that are not in it
 }
 
 // stepHost is a host with a way of its own to the store.
@@ -37,7 +38,7 @@
 // newStepCluster starts hosts and engines of v1, and waits until all hosts know each other.
 func newStepCluster(t *testing.T, hosts int) *stepCluster {
 	t.Helper()
-	c := &stepCluster{testCluster: newTestCluster(t), engines: make(map[string][]*prepared.Target), away: make(map[string]bool)}
+	c := &stepCluster{testCluster: newTestCluster(t), engines: make(map[string][]*prepared.Target), away: make(map[string]bool), part: make(map[string]bool)}
 	c.engines["v1"] = c.versionedEngines(3, "v1")
 	for i := range hosts {
 		c.start(fmt.Sprint("h", i+1))
@@ -57,7 +58,7 @@
 		n.node.SetReaches(func(address string) bool {
 			c.mu.Lock()
 			defer c.mu.Unlock()
-			return !c.away[n.settings.Mesh] && !c.away[address]
+			return !c.away[n.settings.Mesh] && !c.away[address] && c.part[n.settings.Mesh] == c.part[address]
 		})
 	}
 	h.testNode = c.startNode(name)
@@ -85,6 +86,15 @@
 	}
 }
 
+// split cuts some hosts off from the others, but not from each other.
+func (c *stepCluster) split(hosts ...*stepHost) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, h := range hosts {
+		c.part[h.settings.Mesh] = true
+	}
+}
+
 // release adds engines of v2. If it replaces those of v1, these get no new work from hosts that know.
 func (c *stepCluster) release(replace bool) {
 	c.engines["v2"] = c.versionedEngines(3, "v2")
@@ -148,29 +158,41 @@
 	bad                     []string // what is wrong with those that are joined
 }
 
-// takeUp takes up streams at a host.
+// takeUp takes up streams at a host, all at once.
 func takeUp(begun []draft, at *testNode) takenUp {
 	var all takenUp
+	var mu sync.Mutex
+	var calls sync.WaitGroup
 	for _, one := range begun {
-		two := at.draft("/draft/a", one.id+"-again", one.id)
-		switch {
-		case two.status == http.StatusServiceUnavailable && len(two.versions) == 0:
-			all.refused++
-			if wait, err := strconv.ParseFloat(two.retryAfter, 64); err != nil || wait <= 0 {
-				all.bad = append(all.bad, fmt.Sprintf("%s was refused without a time to come back: %q", two.id, two.retryAfter))
-			}
-		case two.status != http.StatusOK:
-			all.bad = append(all.bad, fmt.Sprintf("%s was answered %d", two.id, two.status))
-		case !slices.Equal(one.versions, two.versions):
-			all.joined++
-			all.bad = append(all.bad, fmt.Sprintf("%s began at %v and went on at %v", one.id, one.versions, two.versions))
-		default:
-			all.wentOn++
-		}
+		calls.Go(func() {
+			two := at.draft("/draft/a", uniqueID(), one.id)
+			mu.Lock()
+			defer mu.Unlock()
+			all.add(one, two)
+		})
 	}
+	calls.Wait()
 	return all
 }
 
+// add counts a stream and the answer to the request that took it up.
+func (a *takenUp) add(one, two draft) {
+	switch {
+	case two.status == http.StatusServiceUnavailable && len(two.versions) == 0:
+		a.refused++
+		if wait, err := strconv.ParseFloat(two.retryAfter, 64); err != nil || wait <= 0 {
+			a.bad = append(a.bad, fmt.Sprintf("%s was refused without a time to come back: %q", one.id, two.retryAfter))
+		}
+	case two.status != http.StatusOK:
+		a.bad = append(a.bad, fmt.Sprintf("%s was answered %d", one.id, two.status))
+	case !slices.Equal(one.versions, two.versions):
+		a.joined++
+		a.bad = append(a.bad, fmt.Sprintf("%s began at %v and went on at %v", one.id, one.versions, two.versions))
+	default:
+		a.wentOn++
+	}
+}
+
 // begin begins n streams at a version through hosts in turn, which may take more attempts.
 func (c *stepCluster) begin(n int, version string, hosts ...*stepHost) []draft {
 	c.t.Helper()
--- a/node/out_of_step_long_test.go
+++ b/node/out_of_step_long_test.go
@@ -41,10 +41,17 @@
 		c.setAway(true, c.hosts[0])
 		return begun
 	}},
-	{"cut off from store and peers", 3, "stale-list", func(c *stepCluster) []draft {
-		c.hosts[2].way.Set(prepared.WaySilent)
-		c.setAway(true, c.hosts[2])
-		return c.beginAtRelease()
+	{"cut off from store and peers", 3, "stale-list", func(c *stepCluster) []draft { return c.beginBehindACut(0) }},
+	{"cut off, has lost its peers", 3, "stale-list", func(c *stepCluster) []draft { return c.beginBehindACut(3 * time.Second) }},
+	{"cut off for long", 3, "stale-list", func(c *stepCluster) []draft { return c.beginBehindACut(8 * time.Second) }},
+	{"two of five cut off, in touch with each other", 5, "stale-list", func(c *stepCluster) []draft {
+		for _, h := range c.hosts[3:] {
+			h.way.Set(prepared.WaySilent)
+		}
+		c.split(c.hosts[3:]...)
+		begun := c.beginAtRelease()
+		time.Sleep(3 * time.Second)
+		return begun
 	}},
 	{"between two watches, first host dead", 6, "stale-list", func(c *stepCluster) []draft {
 		late := c.hosts[5]
@@ -73,6 +80,16 @@
 	return c.begin(8, "v2", c.hosts[0])
 }
 
+// beginBehindACut is beginAtRelease with the last host cut off from the store and from its peers, some time ago at its end.
+func (c *stepCluster) beginBehindACut(ago time.Duration) []draft {
+	last := c.hosts[len(c.hosts)-1]
+	last.way.Set(prepared.WaySilent)
+	c.setAway(true, last)
+	begun := c.beginAtRelease()
+	time.Sleep(ago)
+	return begun
+}
+
 // One version has served for a long time, and one host is out of step when the next one joins: streams that began there
 // through another host do not go on at the old version.
 func TestHostOutOfStepJoinsNoStream(t *testing.T) {
--- a/node/out_of_step_test.go
+++ b/node/out_of_step_test.go
@@ -94,7 +94,7 @@
 			return c.begin(4, "v2", c.hosts[0])
 		}},
 		{"replicas have left", 6, func(c *stepCluster) []draft {
-			begun := c.begin(12, "v2", c.hosts[0])
+			begun := c.begin(24, "v2", c.hosts[0])
 			c.setAway(true, c.hosts[:4]...)
 			return begun
 		}},
