--- a/internal/nodesoak/beside_test.go
+++ b/internal/nodesoak/beside_test.go
@@ -235,9 +235,7 @@
 		v.writeAsNewer()
 		time.Sleep(v.faultTime())
 	}
-	if len(v.old) > versionEngines {
-		v.drain()
-	}
+	v.retire()
 }
 
 // newerKinds are kinds of objects that only a newer build writes.
--- a/internal/nodesoak/killed_test.go
+++ b/internal/nodesoak/killed_test.go
@@ -92,9 +92,7 @@
 		v.kill(nodes, down/2)
 	}
 	time.Sleep(settleTime)
-	if len(v.old) > versionEngines {
-		v.drain()
-	}
+	v.retire()
 }
 
 // disturbBeside disturbs a node or the store for a time.
--- a/internal/nodesoak/versions_test.go
+++ b/internal/nodesoak/versions_test.go
@@ -103,6 +103,17 @@
 	v.old = nil
 }
 
+// retire makes the engines of earlier versions leave if there are many, once enough of the newest serve.
+func (v *versionRun) retire() {
+	if len(v.old) <= versionEngines {
+		return
+	}
+	if missing := versionEngines - len(v.engines); missing > 0 {
+		v.startMore(missing)
+	}
+	v.drain()
+}
+
 // remove removes the entry of an engine that leaves without a notice.
 func (v *versionRun) remove(s *prepared.Target) {
 	v.leftAt[s.ID] = time.Now()
