Close a listed version in the stored history as of now, and drop old ones

A host that had lost a release's history (deleted, or a store that came back from an older copy) wrote the version in its own list as closed at its latest change of targets, though it had begun streams at it until then. Other hosts took the version that came after for the only one. And versions that had left long ago were merged from the store and written again, so that the object grew for ever.

--- a/affinity/affinity_test.go
+++ b/affinity/affinity_test.go
@@ -196,3 +196,34 @@
 		is.True(kept[h] > 750 && kept[h] < 1050) // 900 on the mean
 	}
 }
+
+// The store has lost its history, and lists a release that this host's own list lacks yet. The version that this host lists
+// is not closed as of its latest change: streams have begun at it until now.
+func TestListedVersionIsNotClosedInThePast(t *testing.T) {
+	v := affinity.NewVersions()
+	v.Observe(at(0), targets("v1"))
+	v.Note(at(600), targets("v2"))
+	stored, _ := v.Export(at(600), "s", affinity.StoredHistory{}, map[string]bool{"v2": true})
+	other := affinity.NewVersions()
+	other.Merge(at(601), "s", stored)
+	other.Note(at(601), targets("v2"))
+	expect(t, other, 601, "", affinity.Several)
+}
+
+// Releases follow each other for a day. What the store holds of a service stays small.
+func TestStoredHistoryDoesNotGrow(t *testing.T) {
+	var stored affinity.StoredHistory
+	v := affinity.NewVersions()
+	for i := range 100 {
+		now := at(float64(i) * 864)
+		version := fmt.Sprint("v", i)
+		v.Observe(now, targets(version))
+		v.Merge(now, "s", stored)
+		if next, differs := v.Export(now, "s", stored, map[string]bool{version: true}); differs {
+			stored = next
+		}
+	}
+	if n := len(stored.Versions); n > 3 {
+		t.Errorf("the store holds %d versions of which all but one left more than 10 minutes ago", n)
+	}
+}
--- a/affinity/stored.go
+++ b/affinity/stored.go
@@ -65,7 +65,14 @@
 	for version, s := range h.versions {
 		at := StoredSpan{FirstMillis: s.first.UnixMilli()}
 		if !listed[version] {
-			at.LastMillis = max(s.last.UnixMilli(), 1)
+			last := s.last
+			if s.listed {
+				last = now // in this host's own list, with which it begins streams
+			}
+			if now.Sub(last) > historyTTL {
+				continue
+			}
+			at.LastMillis = max(last.UnixMilli(), 1)
 		}
 		held, ok := stored.Versions[version]
 		differs = differs || !ok || (held.LastMillis == 0) != listed[version]
