Log the answers to a question for a record without a data race

The search for a record runs beside the look at the history, and wrote how many hosts it had asked while the line stream_origin was logged, whose figures could be off for that reason.

go test -race ./node -run 'Version|Origin|Killed|Step|Stream' reported the race in TestHostOutOfStepJoinsNoStream and TestStreamsOfALongServingVersionGoOn.

--- a/node/stream_notices.go
+++ b/node/stream_notices.go
@@ -64,15 +64,20 @@
 	}
 }
 
-// ask asks the hosts that hold the record of the stream.
-func (o *origin) ask(ctx context.Context) streamAnswer {
-	if o.stream == 0 {
-		return streamAnswer{}
+// recordAnswer is the answer to a question for a record, with the number of hosts that were asked and that answered.
+type recordAnswer struct {
+	streamAnswer
+	asked, answered int
+}
+
+// askRecord asks the hosts that hold the record of a stream; 0 is none.
+func (s *streamVersions) askRecord(ctx context.Context, stream uint64) recordAnswer {
+	if stream == 0 {
+		return recordAnswer{}
 	}
-	hosts := o.s.replicas(o.stream, askedReplicas)
-	answer, silent := o.s.question(ctx, &wire.StreamNotice{Kind: wire.StreamNotice_ASKED, Stream: o.stream}, wire.StreamNotice_ANSWERED, hosts, askTimeout)
-	o.asked, o.answered = len(hosts), len(hosts)-len(silent)
-	return answer
+	hosts := s.replicas(stream, askedReplicas)
+	answer, silent := s.question(ctx, &wire.StreamNotice{Kind: wire.StreamNotice_ASKED, Stream: stream}, wire.StreamNotice_ANSWERED, hosts, askTimeout)
+	return recordAnswer{answer, len(hosts), len(hosts) - len(silent)}
 }
 
 // askHistory asks other hosts to confirm with the store which versions the service had. Besides their
--- a/node/stream_versions.go
+++ b/node/stream_versions.go
@@ -161,13 +161,15 @@
 	if at, ok := s.recorded(o.stream); ok {
 		return at, evidenceRecord
 	}
-	answers := make(chan streamAnswer, 1)
-	go func() { answers <- o.ask(ctx) }()
+	answers := make(chan recordAnswer, 1)
+	go func() { answers <- s.askRecord(ctx, o.stream) }()
 	version, finding, err := s.confirmHistory(ctx, o.service, o.age)
 	if err == nil && finding == affinity.Sole {
 		return forward.StreamOrigin{Version: version}, evidenceHistory
 	}
-	if answer := <-answers; answer.known {
+	answer := <-answers
+	o.asked, o.answered = answer.asked, answer.answered
+	if answer.known {
 		o.from = answer.from
 		return answer.origin, evidenceAnswer
 	}
