Show streams joined by what counts as evidence of their version

Hosts without the store agree that it is away though others reach it; a history is taken for complete though a version was not written, was lost, or served a host with an old list; the history of another service is asked; streams are older than is assumed; answers to an earlier process are taken.

--- a/node/export_test.go
+++ b/node/export_test.go
@@ -1,5 +1,7 @@
 package node
 
+import "zinniapin/wire"
+
 // SetReaches cuts a node off from the other nodes whose addresses it returns false for. It must be called before Run.
 func (n *Node) SetReaches(reaches func(address string) bool) {
 	n.mesh.Reaches, n.network.Reaches = reaches, reaches
@@ -10,3 +12,8 @@
 	n.handler.PlannerMu.Lock()
 	return n.handler.PlannerMu.Unlock
 }
+
+// HandleHistoryAnswer handles the answer of a host to a question for a history by its number: that it is of one version.
+func (n *Node) HandleHistoryAnswer(from string, question uint64, version string) {
+	n.streams.handleNotice(from, &wire.StreamNotice{Kind: wire.StreamNotice_HISTORY_ANSWERED, Stream: question, Version: version, Known: true})
+}
--- a/node/out_of_step_cluster_test.go
+++ b/node/out_of_step_cluster_test.go
@@ -25,6 +25,8 @@
 
 	mu   sync.Mutex
 	away map[string]bool // mesh addresses of hosts that are cut off from all others
+	// apart are the mesh addresses of hosts that reach each other and no others.
+	apart map[string]bool
 }
 
 // stepHost is a host with a way of its own to the store.
@@ -37,7 +39,7 @@
 // newStepCluster starts hosts and engines of v1, and waits until all hosts know each other.
 func newStepCluster(t *testing.T, hosts int) *stepCluster {
 	t.Helper()
-	c := &stepCluster{testCluster: newTestCluster(t), engines: make(map[string][]*prepared.Target), away: make(map[string]bool)}
+	c := &stepCluster{testCluster: newTestCluster(t), engines: make(map[string][]*prepared.Target), away: make(map[string]bool), apart: make(map[string]bool)}
 	c.engines["v1"] = c.versionedEngines(3, "v1")
 	for i := range hosts {
 		c.start(fmt.Sprint("h", i+1))
@@ -57,7 +59,7 @@
 		n.node.SetReaches(func(address string) bool {
 			c.mu.Lock()
 			defer c.mu.Unlock()
-			return !c.away[n.settings.Mesh] && !c.away[address]
+			return !c.away[n.settings.Mesh] && !c.away[address] && c.apart[n.settings.Mesh] == c.apart[address]
 		})
 	}
 	h.testNode = c.startNode(name)
@@ -85,6 +87,15 @@
 	}
 }
 
+// setApart cuts hosts off from the others, but not from each other.
+func (c *stepCluster) setApart(hosts ...*stepHost) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, h := range hosts {
+		c.apart[h.settings.Mesh] = true
+	}
+}
+
 // release adds engines of v2. If it replaces those of v1, these get no new work from hosts that know.
 func (c *stepCluster) release(replace bool) {
 	c.engines["v2"] = c.versionedEngines(3, "v2")
