Take no answer to a question of an earlier process for one for a history

Questions for histories were counted from 1 in each process. A peer that had stood still, or whose answer was late, answered the question of the process before, and the new one took that for the answer to its own with the same number: of another service, or of another time. Streams went on at that version (ORDER).

Numbers begin at random.

--- a/node/stream_versions.go
+++ b/node/stream_versions.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -34,7 +35,9 @@
 	stored   affinity.StoredRecords      // what the store is to hold for this host
 	pending  bool                        // stored has streams that the store does not hold
 	waiting  map[*streamQuestion]bool
-	asked    uint64 // questions for histories so far
+	// asked is the number of the latest question for a history. The first is random, so that no answer to an earlier
+	// process of this host matches.
+	asked uint64
 }
 
 var _ forward.StreamVersions = (*streamVersions)(nil)
@@ -44,6 +47,7 @@
 	s := &streamVersions{
 		node: n, changed: make(chan struct{}, 1), versions: affinity.NewVersions(), records: affinity.NewRecords(), found: affinity.NewRecords(),
 		windows: make(map[string]time.Duration), findings: make(map[string]affinity.Finding), waiting: make(map[*streamQuestion]bool),
+		asked: rand.Uint64(),
 	}
 	s.confirm.call, s.search.call = s.readVersions, s.readRecords
 	return s
