--- a/node/out_of_step_long_test.go
+++ b/node/out_of_step_long_test.go
@@ -48,7 +48,7 @@
 		for _, h := range c.hosts[3:] {
 			h.way.Set(prepared.WaySilent)
 		}
-		c.split(c.hosts[3:]...)
+		c.setApart(c.hosts[3:]...)
 		begun := c.beginAtRelease()
 		time.Sleep(3 * time.Second)
 		return begun
