Take streams of a route without a timeout for up to a minute old

A stream of a route without TimeoutMs was taken for 0 s old at most at a host that had not yet seen a caller's deadline, so that a history of the last 10 s was evidence for its version (ORDER: 1 of 1 joined). It counts as up to a minute old now.

--- a/forward/version.go
+++ b/forward/version.go
@@ -56,11 +56,15 @@
 	}
 }
 
-// maxStreamAge bounds the age that callers' deadlines can ask for.
+// maxStreamAge is the age up to which streams of a route without a timeout may be taken up. It bounds the age that callers'
+// deadlines can ask for.
 const maxStreamAge = time.Minute
 
 // streamAge returns the age up to which streams of the route may be taken up: until the time that the
 // route allows is over, or that for which callers have said that they wait.
 func (r *request) streamAge() time.Duration {
+	if r.route.TimeoutMillis <= 0 {
+		return maxStreamAge
+	}
 	return max(time.Duration(r.route.TimeoutMillis)*time.Millisecond, min(r.h.longestDeadline(r.route.Name), maxStreamAge))
 }
