Let a host of a large fleet that hears nobody agree with nobody

From 2.5 to 6 s after a host of a large fleet had been cut off it heard from no peer, but most members still counted as live. It asked none, took that for the agreement of most that the store is away, and let streams go on at the version of its own old list (ORDER: 4 joined). It needs as many hosts as are asked for a record now, and most members must have been heard from within the time that digests count.

--- a/node/stream_notices.go
+++ b/node/stream_notices.go
@@ -87,11 +87,10 @@
 	live, known := s.node.livePeers(), s.node.mesh.KnownHostCount()
 	slices.SortStableFunc(live, func(a, b *peers.Peer) int { return cmp.Compare(storeRank(a), storeRank(b)) })
 	if s.node.largeFleet() {
-		if 2*s.node.mesh.LiveMembers(now) < known {
+		if 2*s.node.mesh.HeardMembers(now) < known || len(live) < askedReplicas {
 			return streamAnswer{}, false
 		}
-		live = live[:min(askedReplicas, len(live))]
-		known = len(live)
+		live, known = live[:askedReplicas], askedReplicas
 	}
 	hosts := make([]string, 0, len(live))
 	for _, p := range live {
--- a/peers/mesh.go
+++ b/peers/mesh.go
@@ -147,6 +147,13 @@
 	return m.table.LiveMembers(now)
 }
 
+// HeardMembers returns the number of other hosts that somebody has heard from within livenessTimeout.
+func (m *Mesh) HeardMembers(now time.Time) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.table.heardMembers(now)
+}
+
 // Relays reports whether this host relays for others of its zone.
 func (m *Mesh) Relays(now time.Time) bool {
 	m.mu.Lock()
--- a/peers/table.go
+++ b/peers/table.go
@@ -232,6 +232,17 @@
 // cut off from this one may go on serving.
 func (t *Table) KnownHostCount() int { return len(t.members) }
 
+// heardMembers returns the number of other hosts that somebody has heard from within livenessTimeout.
+func (t *Table) heardMembers(now time.Time) int {
+	n := 0
+	for _, m := range t.members {
+		if now.Sub(m.heardAt) < livenessTimeout {
+			n++
+		}
+	}
+	return n
+}
+
 // LiveMembers returns the number of other hosts that somebody has heard from lately.
 func (t *Table) LiveMembers(now time.Time) int {
 	n := 0
