Begin streams at a version once the store shows that it serves

A version's history was written up to 0.2 s after streams had begun at it. The first stream of a version waits now until the history in the store names the version, 10 ms as a rule; half a second at most, and 0.15 s while the store does not answer, since requests are served without it. Any host writes that looks at the histories, in a large fleet within a second.

Times in the store that lie in the future count as now.

--- a/affinity/stored.go
+++ b/affinity/stored.go
@@ -21,6 +21,9 @@
 	LastMillis  int64 `json:"last_ms,omitempty"`
 }
 
+// Open tells whether some host lists the version.
+func (s StoredSpan) Open() bool { return s.FirstMillis != 0 && s.LastMillis == 0 }
+
 // historyTTL is how long a version that is not listed any more is remembered.
 const historyTTL = 10 * time.Minute
 
@@ -34,7 +37,7 @@
 	for version, at := range stored.Versions {
 		last := now // some host lists it, or it left while no host was there
 		if at.LastMillis > 0 {
-			last = time.UnixMilli(at.LastMillis)
+			last = earlier(now, time.UnixMilli(at.LastMillis))
 		}
 		s := h.versions[version]
 		if s == nil {
@@ -75,7 +78,7 @@
 			at.LastMillis = max(last.UnixMilli(), 1)
 		}
 		held, ok := stored.Versions[version]
-		differs = differs || !ok || (held.LastMillis == 0) != listed[version]
+		differs = differs || !ok || held.Open() != listed[version]
 		next.Versions[version] = at
 	}
 	return next, differs
--- a/forward/helpers_test.go
+++ b/forward/helpers_test.go
@@ -50,7 +50,7 @@
 }
 
 // Began implements forward.StreamVersions.
-func (o *origins) Began(_, request string, at forward.StreamOrigin, _ time.Duration) {
+func (o *origins) Began(_ context.Context, _, request string, at forward.StreamOrigin, _ time.Duration) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.all == nil {
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -169,7 +169,7 @@
 		return r.handleErrorStatus(s)
 	}
 	t := s.attempt.target
-	err := r.relayEvents(s)
+	err := r.relayEvents(ctx, s)
 	switch {
 	case err == nil:
 		r.answered()
@@ -292,7 +292,7 @@
 
 // relayEvents sends complete events to the caller until the target ends its stream properly. The
 // bytes of an incomplete event are discarded if the stream goes on elsewhere.
-func (r *request) relayEvents(s *stream) error {
+func (r *request) relayEvents(ctx context.Context, s *stream) error {
 	r.attemptWrites = 0
 	if s.failed != nil {
 		return s.failed
@@ -303,7 +303,7 @@
 		}
 		if len(s.events) > 0 {
 			if r.attemptWrites == 0 {
-				r.fixVersion(s.attempt.target)
+				r.fixVersion(ctx, s.attempt.target)
 			}
 			if err := r.writeEvents(s.response, s.events); err != nil {
 				return err
--- a/forward/take_up_test.go
+++ b/forward/take_up_test.go
@@ -17,7 +17,7 @@
 	odd, sound := versioned("d-1", "v1"), versioned("d-2", "v1")
 	odd.FromStart = true
 	h := newTestHandler(t, "model", odd, sound)
-	h.origins.Began("model", "first", forward.StreamOrigin{Version: "v1"}, 0)
+	h.origins.Began(t.Context(), "model", "first", forward.StreamOrigin{Version: "v1"}, 0)
 	for range 20 { // until the odd target has been tried first
 		a := h.call(http.MethodPost, "/draft/a", "p", resume...)
 		is.NoErr(a.err)
@@ -31,7 +31,7 @@
 	alone := versioned("d-3", "v1")
 	alone.FromStart = true
 	h = newTestHandler(t, "model", alone)
-	h.origins.Began("model", "first", forward.StreamOrigin{Version: "v1"}, 0)
+	h.origins.Began(t.Context(), "model", "first", forward.StreamOrigin{Version: "v1"}, 0)
 	a := h.call(http.MethodPost, "/draft/a", "p", resume...)
 	is.True(a.err != nil || a.status != http.StatusOK)
 }
--- a/forward/version.go
+++ b/forward/version.go
@@ -12,8 +12,8 @@
 // StreamVersions records and finds the software versions at which streams began.
 type StreamVersions interface {
 	// Began records that the first event of a stream is about to be sent to the caller of a request. The
-	// stream may be taken up until it is of the given age.
-	Began(service, request string, o StreamOrigin, age time.Duration)
+	// stream may be taken up until it is of the given age. The first stream of a version may wait for the store.
+	Began(ctx context.Context, service, request string, o StreamOrigin, age time.Duration)
 	// Origin returns where the stream of a request began, at most age ago. It returns
 	// false if its version cannot be told. It may ask other hosts and the store.
 	Origin(ctx context.Context, service, request string, age time.Duration) (StreamOrigin, bool)
@@ -46,13 +46,13 @@
 
 // fixVersion makes a stream go on at the version of the target that sent its first event, and
 // records that version for a caller that takes the stream up later.
-func (r *request) fixVersion(t roster.Target) {
+func (r *request) fixVersion(ctx context.Context, t roster.Target) {
 	if r.job.VersionFixed {
 		return
 	}
 	r.job.Version, r.job.VersionFixed = t.Version, true
 	if r.route.Resumable {
-		r.h.Versions.Began(r.service.Name, r.info.ID, StreamOrigin{t.Version, dispatch.KeyOf(t.ID)}, r.streamAge())
+		r.h.Versions.Began(ctx, r.service.Name, r.info.ID, StreamOrigin{t.Version, dispatch.KeyOf(t.ID)}, r.streamAge())
 	}
 }
 
--- a/forward/version_test.go
+++ b/forward/version_test.go
@@ -84,7 +84,7 @@
 	is := is.New(t)
 	one, two := versioned("d-1", "v1"), versioned("d-2", "v2")
 	h := newTestHandler(t, "model", one, two)
-	h.origins.Began("model", "first", forward.StreamOrigin{Version: "v1"}, time.Minute)
+	h.origins.Began(t.Context(), "model", "first", forward.StreamOrigin{Version: "v1"}, time.Minute)
 	resume := append([]string{"Last-Event-Id: 3", "Resumes: first"}, engineHeaders...)
 	a := h.call(http.MethodPost, "/draft/a", "p", resume...)
 	is.NoErr(a.err)
--- a/node/stream_versions.go
+++ b/node/stream_versions.go
@@ -22,9 +22,10 @@
 // host, of others and of the store, and by the history of versions.
 type streamVersions struct {
 	node *Node
-	// confirm reads the present versions and the histories from the store, search the records of streams.
-	confirm, search sharedCall
-	changed         chan struct{} // receives when histories in the store may have to change
+	// confirm reads the present versions and the histories from the store, announce writes the histories that
+	// differ as well, search reads the records of streams.
+	confirm, announce, search sharedCall
+	changed                   chan struct{} // receives when histories in the store may have to change
 
 	mu       sync.Mutex
 	versions *affinity.Versions
@@ -37,7 +38,10 @@
 	waiting  map[*streamQuestion]bool
 	// asked is the number of the latest question for a history. The first is random, so that no answer to an earlier
 	// process of this host matches.
-	asked uint64
+	asked   uint64
+	answers int // answers to such questions that are being prepared
+	// announced are the versions that the histories in the store show as listed, by service.
+	announced map[string]map[string]bool
 }
 
 var _ forward.StreamVersions = (*streamVersions)(nil)
@@ -47,9 +51,9 @@
 	s := &streamVersions{
 		node: n, changed: make(chan struct{}, 1), versions: affinity.NewVersions(), records: affinity.NewRecords(), found: affinity.NewRecords(),
 		windows: make(map[string]time.Duration), findings: make(map[string]affinity.Finding), waiting: make(map[*streamQuestion]bool),
-		asked: rand.Uint64(),
+		asked: rand.Uint64(), announced: make(map[string]map[string]bool),
 	}
-	s.confirm.call, s.search.call = s.readVersions, s.readRecords
+	s.confirm.call, s.announce.call, s.search.call = s.readVersions, s.syncHistories, s.readRecords
 	return s
 }
 
@@ -61,6 +65,11 @@
 	s.versions.Observe(now, all)
 	for service, versions := range s.versions.Listed() {
 		if !slices.Equal(before[service], versions) {
+			for version := range s.announced[service] {
+				if !slices.Contains(before[service], version) {
+					delete(s.announced[service], version) // another host may have found it gone meanwhile
+				}
+			}
 			event.VersionsListed.Log(s.node.log).Str("service", service).Strs("versions", versions).Uint64("revision", revision).Send()
 			s.requestSync()
 		}
@@ -103,8 +112,17 @@
 }
 
 // Began implements forward.StreamVersions.
-func (s *streamVersions) Began(service, request string, o forward.StreamOrigin, age time.Duration) {
+func (s *streamVersions) Began(ctx context.Context, service, request string, o forward.StreamOrigin, age time.Duration) {
 	s.record(service, affinity.KeyOf(request), o, age)
+	s.mu.Lock()
+	announced := s.announced[service][o.Version]
+	s.mu.Unlock()
+	if announced {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, s.storeTimeout(confirmTimeout))
+	defer cancel()
+	_ = s.announce.join(ctx) // requests are served without the store; keepHistories goes on trying
 }
 
 // record records where a stream began, with other hosts and in the store where that is needed.
--- a/node/version_store.go
+++ b/node/version_store.go
@@ -27,9 +27,10 @@
 	confirmTimeout = 500 * time.Millisecond
 	searchTimeout  = time.Second
 	awayTimeout    = 150 * time.Millisecond
-	// historySpread is the time over which hosts spread their look at the histories after a change, most of which
-	// need no write then.
-	historySpread = 100 * time.Millisecond
+	// historySpread is the time over which the hosts of a small fleet spread their look at the histories after a
+	// change, most of which need no write then; historySpreadLarge is that in a large one.
+	historySpread      = 100 * time.Millisecond
+	historySpreadLarge = time.Second
 	// maxWriteDelay is the longest time between two attempts to write a history, or records.
 	maxWriteDelay = 2 * time.Second
 	// minRecordInterval is the shortest time between two writes of a host's records, and recordIntervalPerHost
@@ -106,6 +107,7 @@
 		}
 		held[m.Name] = h
 		s.versions.Merge(now, m.Name, h.stored)
+		s.noteAnnounced(m.Name, h.stored)
 	}
 	s.versions.Note(now, targets)
 	return held, listed, nil
@@ -119,41 +121,46 @@
 			return
 		case <-s.changed:
 		}
-		time.Sleep(rand.N(historySpread))
-		for delay := minRetryDelay; ctx.Err() == nil && !s.syncHistories(ctx); delay = min(2*delay, maxWriteDelay) {
+		time.Sleep(rand.N(s.historySpread()))
+		for delay := minRetryDelay; ctx.Err() == nil && s.announce.join(ctx) != nil; delay = min(2*delay, maxWriteDelay) {
 			time.Sleep(delay/2 + rand.N(delay))
 		}
 	}
 }
 
+// historySpread returns the time over which hosts spread their look at the histories after a change.
+func (s *streamVersions) historySpread() time.Duration {
+	if s.node.largeFleet() {
+		return historySpreadLarge
+	}
+	return historySpread
+}
+
 // syncHistories takes in the histories in the store and writes those that differ from what this host knows. It
-// returns whether all are written. In a large fleet the hosts that watch the store write for all.
-func (s *streamVersions) syncHistories(ctx context.Context) bool {
+// returns an error unless all are written.
+func (s *streamVersions) syncHistories() error {
+	ctx, cancel := context.WithTimeout(context.Background(), searchTimeout)
+	defer cancel()
 	held, listed, err := s.readHistories(ctx)
 	if err != nil {
-		return false
-	}
-	if !s.node.shouldWatchStore() {
-		return true
+		return err
 	}
-	written := true
 	for service := range listed {
 		s.mu.Lock()
 		next, differs := s.versions.Export(s.node.clock.Now(), service, held[service].stored, listed[service])
 		s.mu.Unlock()
 		if differs {
-			written = s.writeHistory(ctx, service, next, held[service].revision) && written
+			err = errors.Join(err, s.writeHistory(ctx, service, next, held[service].revision))
 		}
 	}
-	return written
+	return err
 }
 
-// writeHistory writes the history of a service over the revision held, and returns whether that was done.
-func (s *streamVersions) writeHistory(ctx context.Context, service string, next affinity.StoredHistory, revision uint64) bool {
+// writeHistory writes the history of a service over the revision held.
+func (s *streamVersions) writeHistory(ctx context.Context, service string, next affinity.StoredHistory, revision uint64) error {
 	value, err := json.Marshal(next)
 	if err != nil {
-		s.node.log.Error().Err(err).Msg("could not encode a history of versions")
-		return true
+		return err
 	}
 	objects := s.node.platform.Objects
 	if revision == 0 {
@@ -161,7 +168,21 @@
 	} else {
 		_, err = objects.Replace(ctx, historiesCollection, service, revision, value)
 	}
-	return err == nil
+	if err == nil {
+		s.mu.Lock()
+		s.noteAnnounced(service, next)
+		s.mu.Unlock()
+	}
+	return err
+}
+
+// noteAnnounced notes which versions the store shows as listed. The caller holds mu.
+func (s *streamVersions) noteAnnounced(service string, stored affinity.StoredHistory) {
+	all := make(map[string]bool, len(stored.Versions))
+	for version, at := range stored.Versions {
+		all[version] = at.Open()
+	}
+	s.announced[service] = all
 }
 
 // recordInterval is the time between two writes of this host's records.
