Prefer a record to a history, and compare the service that it names

A confirmed history counted for more than the record of a host in touch. And a record counted for a stream whose route had moved to another service meanwhile (2 of 2 joined from two services). A record that comes within 25 ms decides now, and a stream that another service began is refused, as far as a record says so. TestStreamIsNotJoinedAfterTheStoreCameBackFromACopy and TestStreamOfARouteThatMovedIsNotJoined failed before and pass. A host prepares 64 answers to questions for histories at a time at most.

--- a/node/stream_notices.go
+++ b/node/stream_notices.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"zinniapin/affinity"
-	"zinniapin/forward"
 	"zinniapin/peers"
 	"zinniapin/wire"
 )
@@ -23,10 +22,14 @@
 	// have not answered are asked again.
 	askTimeout  = 160 * time.Millisecond
 	askInterval = 40 * time.Millisecond
+	// recordGrace is how long a record of a host in touch may take to count for more than a confirmed history.
+	recordGrace = 25 * time.Millisecond
 	// historyAskTimeout bounds the wait for a history, which the hosts that are asked confirm with the store.
 	historyAskTimeout = confirmTimeout + askTimeout
 	// maxDigestAge is the age up to which a digest stands for an answer.
 	maxDigestAge = time.Second
+	// maxHistoryAnswers bounds the answers to questions for histories that are prepared at once.
+	maxHistoryAnswers = 64
 )
 
 // streamQuestion is a question to other hosts that is not answered yet.
@@ -39,7 +42,7 @@
 // streamAnswer is the answer of a host.
 type streamAnswer struct {
 	from           string
-	origin         forward.StreamOrigin
+	record         affinity.Record
 	known, several bool
 }
 
@@ -175,9 +178,17 @@
 		s.mu.Lock()
 		r, known := s.records.Get(notice.Stream)
 		s.mu.Unlock()
-		s.send(&wire.StreamNotice{Kind: wire.StreamNotice_ANSWERED, Stream: notice.Stream, Version: r.Version, Target: r.Target, Known: known}, []string{from})
+		s.send(&wire.StreamNotice{Kind: wire.StreamNotice_ANSWERED, Stream: notice.Stream, Service: r.Service, Version: r.Version, Target: r.Target, Known: known}, []string{from})
 	case wire.StreamNotice_HISTORY_ASKED:
-		go s.answerHistory(from, notice)
+		s.mu.Lock()
+		busy := s.answers >= maxHistoryAnswers
+		if !busy {
+			s.answers++
+		}
+		s.mu.Unlock()
+		if !busy {
+			go s.answerHistory(from, notice)
+		}
 	case wire.StreamNotice_ANSWERED, wire.StreamNotice_HISTORY_ANSWERED:
 		s.mu.Lock()
 		defer s.mu.Unlock()
@@ -186,7 +197,7 @@
 				continue
 			}
 			select {
-			case q.answers <- streamAnswer{from, forward.StreamOrigin{Version: notice.Version, Target: notice.Target}, notice.Known, notice.Several}:
+			case q.answers <- streamAnswer{from, affinity.Record{Service: notice.Service, Version: notice.Version, Target: notice.Target}, notice.Known, notice.Several}:
 			default: // repeated answers; the first ones are enough
 			}
 		}
@@ -195,6 +206,11 @@
 
 // answerHistory answers the question of another host for the versions of a service.
 func (s *streamVersions) answerHistory(from string, notice *wire.StreamNotice) {
+	defer func() {
+		s.mu.Lock()
+		s.answers--
+		s.mu.Unlock()
+	}()
 	ctx, cancel := context.WithTimeout(context.Background(), confirmTimeout)
 	defer cancel()
 	window := time.Duration(notice.WindowMs) * time.Millisecond
--- a/node/stream_versions.go
+++ b/node/stream_versions.go
@@ -175,28 +175,37 @@
 	begun           time.Time
 	from            string // host whose answer was decisive
 	asked, answered int
+	elsewhere       bool // a record says that another service began the stream
 }
 
 // find returns where the stream began and the evidence for it.
 func (o *origin) find(ctx context.Context) (at forward.StreamOrigin, how string) {
 	s := o.s
-	if at, ok := s.recorded(o.stream); ok {
+	if at, ok := o.recorded(); ok {
 		return at, evidenceRecord
 	}
+	if o.elsewhere {
+		return at, evidenceNone
+	}
 	answers := make(chan recordAnswer, 1)
 	go func() { answers <- s.askRecord(ctx, o.stream) }()
 	version, finding, err := s.confirmHistory(ctx, o.service, o.age)
-	if err == nil && finding == affinity.Sole {
-		return forward.StreamOrigin{Version: version}, evidenceHistory
+	confirmed := err == nil && finding == affinity.Sole
+	if answer, ok := receive(answers, confirmed); ok {
+		o.asked, o.answered = answer.asked, answer.answered
+		if at, known := o.accept(answer.record, answer.known); known {
+			o.from = answer.from
+			return at, evidenceAnswer
+		}
 	}
-	answer := <-answers
-	o.asked, o.answered = answer.asked, answer.answered
-	if answer.known {
-		o.from = answer.from
-		return answer.origin, evidenceAnswer
+	if o.elsewhere {
+		return at, evidenceNone
+	}
+	if confirmed {
+		return forward.StreamOrigin{Version: version}, evidenceHistory
 	}
 	if err == nil && o.stream != 0 && s.searchRecords(ctx) == nil {
-		if at, ok := s.recorded(o.stream); ok {
+		if at, ok := o.recorded(); ok {
 			return at, evidenceStored
 		}
 	}
@@ -213,7 +222,7 @@
 	switch {
 	case answer.known:
 		o.from = answer.from
-		return answer.origin, evidencePeer
+		return forward.StreamOrigin{Version: answer.record.Version}, evidencePeer
 	case answer.several || !storeAway || o.s.node.behindPeers():
 		return at, evidenceNone
 	default:
@@ -221,18 +230,39 @@
 	}
 }
 
-// recorded returns where a stream began that this host has a record of.
-func (s *streamVersions) recorded(stream uint64) (forward.StreamOrigin, bool) {
-	if stream == 0 {
+// receive returns the answer of other hosts to the question for a record. A confirmed history waits for it no longer
+// than recordGrace.
+func receive(answers <-chan recordAnswer, confirmed bool) (recordAnswer, bool) {
+	var over <-chan time.Time
+	if confirmed {
+		over = time.After(recordGrace)
+	}
+	select {
+	case answer := <-answers:
+		return answer, true
+	case <-over:
+		return recordAnswer{}, false
+	}
+}
+
+// recorded returns where the stream began if this host has a record of it.
+func (o *origin) recorded() (forward.StreamOrigin, bool) {
+	if o.stream == 0 {
 		return forward.StreamOrigin{}, false
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	r, ok := s.records.Get(stream)
+	o.s.mu.Lock()
+	defer o.s.mu.Unlock()
+	r, ok := o.s.records.Get(o.stream)
 	if !ok {
-		r, ok = s.found.Get(stream)
+		r, ok = o.s.found.Get(o.stream)
 	}
-	return forward.StreamOrigin{Version: r.Version, Target: r.Target}, ok
+	return o.accept(r, ok)
+}
+
+// accept returns where a stream began by a record. A stream that another service began can't go on at this one.
+func (o *origin) accept(r affinity.Record, ok bool) (forward.StreamOrigin, bool) {
+	o.elsewhere = o.elsewhere || ok && r.Service != "" && r.Service != o.service
+	return forward.StreamOrigin{Version: r.Version, Target: r.Target}, ok && !o.elsewhere
 }
 
 // log logs the evidence for the version of a stream.
