Read each object of the store's answers by itself

Callers were refused every request for engines (479 in a run of 11 s) after one entry nested 20,000 deep had been written among those of the targets, from when the engines that were listed before had left.

Cause: an answer was decoded in one piece. encoding/json refuses input nested deeper than 10,000, so one such item made lists, watches and the answer of Get unreadable; the list of targets stood still and the store counted as lost. An item whose metadata was odd was skipped before its name was read: in a watch its target stayed in use, and a page of such items was asked for again without end (3529 calls in 0.5 s).

The part of TestOddEntryCostsOnlyItsTarget that is still red belongs to odd-entry-used: other odd entries with the address of the spoiled one are used.

--- a/internal/nodesoak/odd_entries_test.go
+++ b/internal/nodesoak/odd_entries_test.go
@@ -68,9 +68,7 @@
 	}
 	endCallers()
 	time.Sleep(time.Second) // wait for requests that targets execute late
-	d.judge(func(format string, args ...any) {
-		knownred.Fail(t, "../../KNOWN-RED.txt", "odd-entry", format, args...)
-	})
+	d.check()
 	for _, p := range d.nodes {
 		log, err := os.ReadFile(p.log.Name())
 		if err != nil {
--- a/internal/nodesoak/soak_test.go
+++ b/internal/nodesoak/soak_test.go
@@ -351,16 +351,13 @@
 }
 
 // check verifies that the run kept all promises.
-func (d *deployment) check() { d.judge(d.t.Errorf) }
-
-// judge reports the promises that the run broke.
-func (d *deployment) judge(broken func(format string, args ...any)) {
+func (d *deployment) check() {
 	r := d.run()
 	begun := time.Now()
 	findings := verdict.Check(r, bounds())
 	d.t.Logf("%d requests, %d of them by nodes in touch, and %d arrivals were judged in %v", len(r.Requests), verdict.InTouch(r, bounds()), len(r.Arrivals), time.Since(begun))
 	for _, f := range findings {
-		report := broken
+		report := d.t.Errorf
 		if f.Priced() {
 			report = d.t.Logf
 		}
--- a/node/odd_entry_test.go
+++ b/node/odd_entry_test.go
@@ -50,7 +50,7 @@
 	for i, e := range odd {
 		cluster.store.WriteItem(platform.TargetsCollection, fmt.Sprint("odd-", i), e.Item)
 	}
-	for _, oddity := range []string{"deep object", "odd finalizers", "two addresses"} {
+	for _, oddity := range []string{"deep object", "odd finalizers", "odd revision", "two addresses"} {
 		i := slices.IndexFunc(odd, func(e prepared.OddEntry) bool { return e.Oddity == oddity })
 		cluster.store.WriteItem(platform.TargetsCollection, "i-1", odd[i].Item)
 		time.Sleep(time.Second)
@@ -61,13 +61,13 @@
 			}
 		}
 		if sent := len(cluster.target.Arrivals()) - before; sent+failed > 0 {
-			knownred.Fail(t, "../KNOWN-RED.txt", "odd-entry", "%s: %d requests reach the target whose entry is odd, %d of 30 fail", oddity, sent, failed)
+			knownred.Fail(t, "../KNOWN-RED.txt", "odd-entry-used", "%s: %d requests reach the target whose entry is odd, %d of 30 fail", oddity, sent, failed)
 		}
 		cluster.store.Write(platform.TargetsCollection, "i-1", cluster.target.Entry("desk", "a"))
 		if !within(time.Second, func() bool {
 			return n.get("/read/a", "key-1") == http.StatusOK && len(cluster.target.Arrivals()) > before
 		}) {
-			knownred.Fail(t, "../KNOWN-RED.txt", "odd-entry", "%s: the target is not used again", oddity)
+			t.Errorf("%s: the target is not used again", oddity)
 		}
 	}
 }
--- a/store/collections.go
+++ b/store/collections.go
@@ -20,6 +20,8 @@
 	// milliseconds of Unix time; 0 if the object does not contain it.
 	WriterStartedMillis int64
 	Value               []byte // as written
+	// Err tells why the object cannot be read; nil if it can. An odd object has no Value, but a name.
+	Err error
 }
 
 // Listing is the contents of a collection as of one revision of the store.
