--- a/Makefile
+++ b/Makefile
@@ -64,6 +64,7 @@
 	go test ./gateway -run '^$$' -fuzz FuzzResumeToken -fuzztime $(FUZZ_SECONDS)s
 	go test ./strictjson -run '^$$' -fuzz FuzzDecode -fuzztime $(FUZZ_SECONDS)s
 	go test ./rawjson -run '^$$' -fuzz FuzzSplit -fuzztime $(FUZZ_SECONDS)s
+	go test ./platform -run '^$$' -fuzz FuzzEntry -fuzztime $(FUZZ_SECONDS)s
 	go test ./usage -run '^$$' -fuzz FuzzDecodeWindow -fuzztime $(FUZZ_SECONDS)s
 	go test ./upstream -run '^$$' -fuzz FuzzResponse -fuzztime $(FUZZ_SECONDS)s
 	go test ./tunnel -run '^$$' -fuzz FuzzFrames -fuzztime $(FUZZ_SECONDS)s
