Log each odd entry once

Each list and each event repeated a line for every odd entry: 19 entries made 95 further lines in five lists, and 2000 entries 2000 lines, at a time at which the log should explain other things.

--- a/internal/nodesoak/odd_entries_test.go
+++ b/internal/nodesoak/odd_entries_test.go
@@ -11,7 +11,6 @@
 	"testing"
 	"time"
 
-	"zinniapin/internal/knownred"
 	"zinniapin/internal/standin/prepared"
 	"zinniapin/platform"
 )
@@ -78,7 +77,7 @@
 			t.Errorf("%s names odd entries as targets %d times", p.name, used)
 		}
 		if len(log) > maxLogBytes {
-			knownred.Fail(t, "../../KNOWN-RED.txt", "odd-entry-log", "the log of %s has %d bytes", p.name, len(log))
+			t.Errorf("the log of %s has %d bytes", p.name, len(log))
 		}
 	}
 }
--- a/node/follow.go
+++ b/node/follow.go
@@ -229,12 +229,9 @@
 		onList: func(l store.Listing, afterOutage bool) {
 			var entries []roster.Entry
 			for _, m := range l.Members {
-				t, err := n.platform.DecodeTarget(m)
-				if err != nil {
-					event.EntryBad.Log(n.log).Str("entry", m.Name).Uint64("revision", m.Revision).Err(err).Send()
-					continue
+				if t, ok := n.decodeEntry(m); ok {
+					entries = append(entries, roster.Entry{Target: t, Revision: m.Revision})
 				}
-				entries = append(entries, roster.Entry{Target: t, Revision: m.Revision})
 			}
 			n.applyTargetList(entries, l.Revision, afterOutage)
 		},
@@ -257,14 +254,14 @@
 // applyTargetChange applies one change of an entry to the roster. An entry that
 // cannot be decoded removes its target. The caller holds rosterMu.
 func (n *Node) applyTargetChange(change store.Change) {
-	t, err := n.platform.DecodeTarget(change.Member)
-	if err != nil && !change.Deleted {
-		event.EntryBad.Log(n.log).Str("entry", change.Member.Name).Uint64("revision", change.Member.Revision).Err(err).Send()
-	}
-	if err != nil {
-		t.ID = targetID(change.Member.Name)
+	e := roster.Entry{Target: roster.Target{ID: targetID(change.Member.Name)}, Revision: change.Member.Revision}
+	usable := false
+	if !change.Deleted {
+		if t, ok := n.decodeEntry(change.Member); ok {
+			e.Target, usable = t, true
+		}
 	}
-	n.roster.ApplyChange(time.Now(), roster.Entry{Target: t, Revision: change.Member.Revision}, change.Deleted || err != nil)
+	n.roster.ApplyChange(time.Now(), e, !usable)
 }
 
 // applyTargetList applies a complete list of targets to the roster and passes
--- a/node/node.go
+++ b/node/node.go
@@ -100,6 +100,8 @@
 	links    *targetlink.Links
 	streams  *streamVersions
 	era      storeEra
+	// oddEntries remembers which odd entries were logged.
+	oddEntries oddEntries
 	// hasCaughtUp is set once the configuration was found to be as new as that of peers.
 	hasCaughtUp atomic.Bool
 	registry    *prometheus.Registry
--- a/node/odd_entry_test.go
+++ b/node/odd_entry_test.go
@@ -89,12 +89,13 @@
 		cluster.store.SetDown(false)
 		time.Sleep(time.Second)
 	}
+	listed, _ := n.log.count(`"entry_bad"`)
 	for i := range 2000 {
 		cluster.store.Write(platform.TargetsCollection, fmt.Sprint("many-", i), json.RawMessage(`{"Service":"s"}`))
 	}
 	time.Sleep(time.Second)
-	if times, longest := n.log.count(`"entry_bad"`); times > first+200 || longest > 2000 {
-		knownred.Fail(t, "../KNOWN-RED.txt", "odd-entry-log", "%d lines after the first list, %d after five and 2000 further entries; the longest has %d bytes", first, times, longest)
+	if times, longest := n.log.count(`"entry_bad"`); first == 0 || listed > first || times > 100 || longest > 2000 {
+		t.Errorf("%d lines after the first list, %d after five more, %d after 2000 further entries; the longest has %d bytes", first, listed, times, longest)
 	}
 }
 
