Replace a record of the hosts' own that another writer spoiled

No host took the duties again, so that no usage was reported and no target ordered, once another writer had spoiled their record; a host whose own entry among those of the hosts was spoiled did not publish its address any more.

Cause: what could not be decoded was an error of the call, and the call was repeated. A fence at the highest number would have made the next one 0.

A record that cannot be read, or whose fence no process can have written, counts as one of an earlier era: it is replaced at its revision with a fence above that and above all known ones, and windows that ended before are not reported again. A holder that finds its record spoiled claims it anew with the counts that it has frozen. A host replaces its own entry whatever it holds.

That an odd address among the hosts' fills digests was not seen: only live addresses are told.

--- a/node/announce.go
+++ b/node/announce.go
@@ -69,16 +69,16 @@
 	var revision uint64
 	for _, member := range listing.Members {
 		var record hostRecord
-		if json.Unmarshal(member.Value, &record) != nil {
-			continue // written by another release; gossip also finds that host
-		}
-		addresses = append(addresses, record.Address)
+		err := json.Unmarshal(member.Value, &record)
 		if member.Name == n.settings.Host {
-			if record.Address == n.settings.Mesh {
+			if err == nil && record.Address == n.settings.Mesh {
 				return true
 			}
-			revision = member.Revision
+			revision = member.Revision // replaced whatever it holds
 		}
+		if err == nil {
+			addresses = append(addresses, record.Address)
+		} // otherwise another release or writer wrote it; gossip also finds that host
 	}
 	n.mesh.AddAddresses(addresses)
 	value, err := json.Marshal(hostRecord{n.settings.Mesh})
--- a/node/duty_record.go
+++ b/node/duty_record.go
@@ -11,7 +11,8 @@
 	"zinniapin/store"
 )
 
-// readRecord reads the record. A missing one has a revision without a number within its era.
+// readRecord reads the record. A missing one has a revision without a number within its era; one that
+// another writer spoiled is empty and outdated.
 func (r *dutyRunner) readRecord(ctx context.Context) (duty.Record, uint64, error) {
 	member, err := r.node.platform.Objects.Get(ctx, dutiesCollection, dutiesName)
 	if errors.Is(err, store.ErrNotFound) {
@@ -21,10 +22,12 @@
 		return duty.Record{}, 0, err // followCollection logs store outages
 	}
 	r.node.observeEra(member.Revision, "store")
-	var record duty.Record
-	if err := json.Unmarshal(member.Value, &record); err != nil {
-		event.DutiesFailed.Log(r.node.log).Err(err).Send()
-		return duty.Record{}, 0, err
+	record, err := duty.Decode(member.Value, member.Revision)
+	if member.Err != nil {
+		err = member.Err
+	}
+	if err != nil {
+		event.DutiesFailed.Log(r.node.log).Uint64("revision", member.Revision).Err(err).Send()
 	}
 	return record, member.Revision, nil
 }
@@ -32,11 +35,7 @@
 // claim writes this process into the record, with the next fence.
 func (r *dutyRunner) claim(ctx context.Context, record duty.Record, revision uint64) bool {
 	_, knownFence := r.newestHolder()
-	at := r.node.clock.Now()
-	r.node.ledgerMu.Lock()
-	window := r.node.ledger.WindowAt(at)
-	r.node.ledgerMu.Unlock()
-	next := record.Claim(r.node.settings.Host, r.node.self.Incarnation, revision, knownFence, uint64(window))
+	next := record.Claim(r.node.settings.Host, r.node.self.Incarnation, revision, knownFence, r.window())
 	if !r.writeRecord(ctx, next, revision) {
 		return false
 	}
@@ -44,6 +43,14 @@
 	return true
 }
 
+// window returns the usage window that is open.
+func (r *dutyRunner) window() uint64 {
+	at := r.node.clock.Now()
+	r.node.ledgerMu.Lock()
+	defer r.node.ledgerMu.Unlock()
+	return uint64(r.node.ledger.WindowAt(at))
+}
+
 // writeRecord writes the record by a conditional update on its revision, without a number within its
 // era for a new record, and returns whether it was written. When the answer is lost, it
 // reads the record back to find out. A record that the store took in a later era than that of its fence
@@ -131,13 +138,16 @@
 	r.mu.Unlock()
 }
 
-// renew claims the duties again after the store came back from an older copy and lost this process's
-// hold, or that of a later holder: only the store's latest record decides among those who believe to
+// renew claims the duties again after the store came back from an older copy, or another writer spoiled the
+// record, so that it lost this process's hold, or that of a later holder: only the store's latest record decides among those who believe to
 // hold them. The counts of windows that this process has frozen are written again.
 func (r *dutyRunner) renew(ctx context.Context, now time.Time, revision uint64) bool {
-	former := r.record.Fence
-	if !r.claim(ctx, r.record, revision) {
-		r.stopHolding(now, "the store came back from an older copy")
+	former, record := r.record.Fence, r.record
+	if !record.Outdated(revision) { // the stored one was spoiled, which may have been a later holder's
+		record.DueFrom = max(record.DueFrom, r.window())
+	}
+	if !r.claim(ctx, record, revision) {
+		r.stopHolding(now, "the record was lost and could not be written again")
 		return false
 	}
 	r.setConfirmed()
--- a/node/odd_entry_test.go
+++ b/node/odd_entry_test.go
@@ -9,7 +9,6 @@
 	"testing"
 	"time"
 
-	"zinniapin/internal/knownred"
 	"zinniapin/internal/standin/prepared"
 	"zinniapin/platform"
 	"zinniapin/roster"
@@ -137,6 +136,8 @@
 		"deep":   `{"Metadata":{"Name":"NAME","Revision":REVISION},"Spec":` + strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000) + `}`,
 		"text":   `{"Metadata":{"Name":"NAME","Revision":REVISION},"Spec":"none"}`,
 		"number": `{"Metadata":{"Name":"NAME","Revision":REVISION},"Spec":{"holder":"h9","fence":1e400}}`,
+		"high":   `{"Metadata":{"Name":"NAME","Revision":REVISION},"Spec":{"holder":"h9","fence":18446744073709551615}}`,
+		"empty":  `{"Metadata":{"Name":"NAME","Revision":REVISION},"Spec":{}}`,
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -144,8 +145,23 @@
 			cluster.store.WriteItem("zinnia-duties", "holder", item)
 			n := cluster.startNode("h1")
 			eventually(t, 3*time.Second, "ready", n.ready)
-			if !within(12*time.Second, func() bool { return len(cluster.duties.Calls("/usage")) > 0 }) {
-				knownred.Fail(t, "../KNOWN-RED.txt", "odd-record", "no usage is reported")
+			reported := func(more int) func() bool { // windows without a request are not
+				return func() bool {
+					_ = n.get("/read/a", "key-1")
+					return len(cluster.duties.Calls("/usage")) > more
+				}
+			}
+			if !within(12*time.Second, reported(0)) {
+				t.Fatal("no usage is reported")
+			}
+			before := cluster.duties.Calls("/usage")
+			cluster.store.WriteItem("zinnia-duties", "holder", item) // while this host holds them
+			if !within(12*time.Second, reported(len(before))) {
+				t.Fatal("no usage is reported after the record was spoiled again")
+			}
+			after := cluster.duties.Calls("/usage")[len(before)]
+			if last := before[len(before)-1]; after.Fence <= last.Fence || after.Body["WindowId"].(float64) <= last.Body["WindowId"].(float64) {
+				t.Errorf("window %v with fence %d is reported after %v with %d", after.Body["WindowId"], after.Fence, last.Body["WindowId"], last.Fence)
 			}
 		})
 	}
@@ -165,6 +181,6 @@
 	time.Sleep(4 * time.Second)
 	lost, _ := a.log.count(`"peer_lost"`)
 	if lost > 0 || !published {
-		knownred.Fail(t, "../KNOWN-RED.txt", "odd-record", "peers were lost %d times; published: %t", lost, published)
+		t.Errorf("peers were lost %d times; published: %t", lost, published)
 	}
 }
