Read each host of the platform's list by itself

The same cause as for the entries of targets, in the adapter that controllers use: one host nested too deeply, or of another form, made the list of hosts unreadable, and targets with any address were taken.

Hosts.List splits the answer before it decodes a host, leaves out what cannot be read, and a target whose address is not IP:port of one host. The check of the address is that of package target, which roster uses, too. null is no list.

Evidence: TestOddHostCostsOnlyItself failed before (exceeded max depth).

--- a/provider/httpapi/httpapi.go
+++ b/provider/httpapi/httpapi.go
@@ -19,7 +19,9 @@
 
 	"zinniapin/internal/oncehttp"
 	"zinniapin/provider"
+	"zinniapin/rawjson"
 	"zinniapin/store"
+	"zinniapin/target"
 )
 
 // maxIdleConns is the number of idle connections kept to each interface.
@@ -45,35 +47,44 @@
 // call sends a request with a JSON value as its body, or without a body if the value
 // is nil, and decodes the answer into out.
 func (c *apiClient) call(ctx context.Context, method, path string, value, out any) error {
+	data, err := c.fetch(ctx, method, path, value)
+	if err != nil {
+		return err
+	}
+	if err := json.Unmarshal(data, out); err != nil {
+		return fmt.Errorf("%w: %w", store.ErrUnknown, err)
+	}
+	return nil
+}
+
+// fetch is call without decoding the answer, which it returns.
+func (c *apiClient) fetch(ctx context.Context, method, path string, value any) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
 	var body []byte
 	if value != nil {
 		var err error
 		if body, err = json.Marshal(value); err != nil {
-			return fmt.Errorf("%w: %w", store.ErrUnavailable, err)
+			return nil, fmt.Errorf("%w: %w", store.ErrUnavailable, err)
 		}
 	}
 	header := http.Header{"Content-Type": {"application/json"}}
 	response, sent, err := c.http.Do(ctx, method, c.baseURL+path, header, body)
 	if err != nil && !sent {
-		return fmt.Errorf("%w: %w", store.ErrUnavailable, err)
+		return nil, fmt.Errorf("%w: %w", store.ErrUnavailable, err)
 	}
 	if err != nil {
-		return fmt.Errorf("%w: %w", store.ErrUnknown, err)
+		return nil, fmt.Errorf("%w: %w", store.ErrUnknown, err)
 	}
 	defer func() { _ = response.Body.Close() }()
 	data, err := io.ReadAll(io.LimitReader(response.Body, MaxBodyBytes))
 	if err != nil {
-		return fmt.Errorf("%w: %w", store.ErrUnknown, err)
+		return nil, fmt.Errorf("%w: %w", store.ErrUnknown, err)
 	}
 	if response.StatusCode != http.StatusOK {
-		return statusError(response.StatusCode, data)
-	}
-	if err := json.Unmarshal(data, out); err != nil {
-		return fmt.Errorf("%w: %w", store.ErrUnknown, err)
+		return nil, statusError(response.StatusCode, data)
 	}
-	return nil
+	return data, nil
 }
 
 // statusError returns the error for a response with a status other than 200.
@@ -161,15 +172,23 @@
 	return &Hosts{newAPIClient(base, timeout)}
 }
 
-// List implements provider.Hosts.
+// List implements provider.Hosts. It leaves out hosts that cannot be read, and those whose target has no
+// address.
 func (h *Hosts) List(ctx context.Context) ([]provider.Host, error) {
-	var wire []Host
-	if err := h.call(ctx, http.MethodGet, HostsPath, nil, &wire); err != nil {
+	data, err := h.fetch(ctx, http.MethodGet, HostsPath, nil)
+	if err != nil {
 		return nil, err
 	}
-	hosts := make([]provider.Host, len(wire))
-	for i, host := range wire {
-		hosts[i] = host.Host()
+	var hosts []provider.Host
+	err = rawjson.Elements(data, func(raw []byte) {
+		var wire Host
+		if json.Unmarshal(raw, &wire) != nil || wire.ID == "" || wire.Target != nil && target.CheckAddress(wire.Target.Address) != nil {
+			return
+		}
+		hosts = append(hosts, wire.Host())
+	})
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", store.ErrUnknown, err)
 	}
 	return hosts, nil
 }
--- a/provider/httpapi/httpapi_test.go
+++ b/provider/httpapi/httpapi_test.go
@@ -2,6 +2,10 @@
 
 import (
 	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -118,3 +122,23 @@
 	is.NoErr(err)
 	is.Equal(len(list), 1)
 }
+
+// One odd host made the list of hosts unreadable as a whole.
+func TestOddHostCostsOnlyItself(t *testing.T) {
+	is := is.New(t)
+	answer := `[{"id":"a","state":"live","target":{"id":"t","address":"10.0.0.1:80"}},
+	 {"id":"deep","state":` + strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000) + `},null,7,{"id":1},
+	 {"id":"port","state":"live","target":{"id":"u","address":"10.0.0.2:99999"}},{"id":"z","state":"gone"}]`
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, answer) }))
+	defer s.Close()
+	hosts := httpapi.NewHosts(s.URL, timeout)
+	defer hosts.Close()
+	all, err := hosts.List(t.Context())
+	is.NoErr(err)
+	is.Equal(len(all), 2)
+	is.Equal(all[0].Target.ID, target.ID("t"))
+	is.Equal(all[1].ID, "z")
+	answer = `null`
+	_, err = hosts.List(t.Context())
+	is.True(err != nil) // no list is not an empty one
+}
--- a/roster/check.go
+++ b/roster/check.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"net/netip"
 	"strings"
 	"unicode"
 	"unicode/utf8"
@@ -35,7 +34,7 @@
 			return fmt.Errorf("the %s %.*q %w", name.of, shownBytes, name.text, err)
 		}
 	}
-	if err := checkAddress(t.Address); err != nil {
+	if err := target.CheckAddress(t.Address); err != nil {
 		return fmt.Errorf("the address %.*q %w", shownBytes, t.Address, err)
 	}
 	if t.Slots < 1 || t.Slots > maxSlots {
@@ -68,21 +67,3 @@
 
 // odd tells whether a rune cannot be part of a name.
 func odd(r rune) bool { return !unicode.IsPrint(r) || r == utf8.RuneError }
-
-// broadcast is the address of all hosts of a network.
-var broadcast = netip.AddrFrom4([4]byte{255, 255, 255, 255})
-
-// checkAddress returns what is wrong with an address, which must be IP:port of one host.
-func checkAddress(address string) error {
-	at, err := netip.ParseAddrPort(address)
-	switch {
-	case err != nil:
-		return errors.New("is not IP:port")
-	case at.Port() == 0:
-		return errors.New("has no port")
-	case at.Addr().IsUnspecified() || at.Addr().IsMulticast() || at.Addr().Unmap() == broadcast:
-		return errors.New("is not that of one host")
-	default:
-		return nil
-	}
-}
