Use no target at this host's own addresses

Callers got 401 and 502 for 18 of 40 requests when another writer's entry gave an address of the host itself: the request came back as a caller's without its key, and 57 requests were handled where 40 were sent.

Such an entry, from the store or a peer, is odd like the others.

Evidence: TestOddEntryWithTheAddressOfTheHost failed before and passes. An address of another host is not recognised: hosts do not tell each other where they take callers.

--- a/node/odd_entries.go
+++ b/node/odd_entries.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"errors"
 	"hash/fnv"
 	"sync"
 	"time"
@@ -64,12 +65,28 @@
 	return h.Sum64()
 }
 
+// errOwnAddress means that a target would be this host itself.
+var errOwnAddress = errors.New("the address is this host's own")
+
 // decodeEntry decodes a target's entry, and logs what is odd in it.
 func (n *Node) decodeEntry(m store.Member) (roster.Target, bool) {
 	t, err := n.platform.DecodeTarget(m)
+	if err == nil {
+		err = n.checkNotOwn(&t)
+	}
 	return t, n.admitEntry("store", m.Name, m.Revision, err)
 }
 
+// checkNotOwn returns an error if requests to a target would come back to this host.
+func (n *Node) checkNotOwn(t *roster.Target) error {
+	switch t.Address {
+	case n.settings.Listen, n.settings.Ready, n.settings.Mesh:
+		return errOwnAddress
+	default:
+		return nil
+	}
+}
+
 // admitEntry returns whether an entry names a target, and logs why not. The source is "store" or a peer.
 func (n *Node) admitEntry(from, name string, revision uint64, err error) bool {
 	if err == nil {
--- a/node/odd_entry_test.go
+++ b/node/odd_entry_test.go
@@ -184,3 +184,24 @@
 		t.Errorf("peers were lost %d times; published: %t", lost, published)
 	}
 }
+
+// A target with the address of a host made the host send requests to itself.
+func TestOddEntryWithTheAddressOfTheHost(t *testing.T) {
+	cluster := newTestCluster(t)
+	n := cluster.startNode("h1")
+	for i, address := range []string{n.settings.Listen, n.settings.Ready, n.settings.Mesh} {
+		entry := cluster.target.Entry("desk", "a")
+		entry["Address"] = address
+		cluster.store.Write(platform.TargetsCollection, fmt.Sprint("odd-", i), entry)
+	}
+	eventually(t, 3*time.Second, "ready", n.ready)
+	time.Sleep(time.Second)
+	for i := range 40 {
+		if status := n.getWithID(fmt.Sprint("r-", i), "/read/a", "key-1"); status != http.StatusOK {
+			t.Errorf("request %d: status %d", i, status)
+		}
+	}
+	if times, _ := n.log.count(`"name":"request_done"`); times > 40 {
+		t.Errorf("%d requests were handled, 40 were sent", times)
+	}
+}
--- a/node/snapshot.go
+++ b/node/snapshot.go
@@ -89,6 +89,9 @@
 		if err == nil {
 			err = e.Target.Check()
 		}
+		if err == nil {
+			err = n.checkNotOwn(&e.Target)
+		}
 		if n.admitEntry(peer, string(e.Target.ID), e.Revision, err) {
 			entries = append(entries, e)
 		} else {
