Draw odd entries in the soak of pairs

The switch foreign entries drew five values, all of which encoding/json reads, so that none of the faults of odd entries showed. The switch odd entries writes any of the 67 that the stand-in knows among those of the targets and, at times, in place of a host's own entry.

--- a/internal/nodesoak/odd_entries_test.go
+++ b/internal/nodesoak/odd_entries_test.go
@@ -23,6 +23,18 @@
 	return slices.DeleteFunc(prepared.OddEntries(sound), func(o prepared.OddEntry) bool { return !taken.MatchString(o.Oddity) })
 }
 
+// writeOdd writes an odd entry among those of the targets or, at times, in place of a host's own.
+func (d *deployment) writeOdd() {
+	sound := d.targets[d.random.IntN(len(d.targets))]
+	all := prepared.OddEntries(sound.Entry(serviceOf(sound), "z0"))
+	item := all[d.random.IntN(len(all))].Item
+	if d.random.IntN(8) == 0 {
+		d.store.WriteItem("zinnia-hosts", d.nodes[d.random.IntN(len(d.nodes))].name, item)
+		return
+	}
+	d.store.WriteItem(platform.TargetsCollection, fmt.Sprint("odd-", d.random.IntN(20)), item)
+}
+
 // Another writer leaves odd entries among the targets while targets come and go and a node starts again.
 //
 //	go test ./internal/nodesoak -run TestOddEntriesBesideReleases -nodesoak.odd 'deep object' -v
--- a/internal/nodesoak/recurring_test.go
+++ b/internal/nodesoak/recurring_test.go
@@ -60,6 +60,7 @@
 			entries := []any{nil, []int{1}, map[string]any{"Service": 7}, map[string]any{"Service": "model", "State": "odd", "Address": "127.0.0.1:1"}, map[string]any{"Service": "model", "Address": ""}}
 			d.store.Write(platform.TargetsCollection, fmt.Sprint("foreign-", d.random.IntN(3)), entries[d.random.IntN(len(entries))])
 		}},
+		{Name: "odd entries", mean: 300 * time.Millisecond, act: (*deployment).writeOdd},
 		{Name: "dark targets", mean: 3 * time.Second, act: func(d *deployment) {
 			d.targets[d.random.IntN(len(d.targets))].FallSilent(2 * d.faultTime())
 		}},
