Order no targets in a zone that only an odd entry names

The platform was asked for a target in a zone that does not exist, which had got the lowest price, 0, since the configuration gives none.

Cause: each zone of an entry counted as one in which its service runs.

Where the configuration has prices of zones, targets of other zones are not counted among those that orders complete; they serve on.

Evidence: TestOddEntryOfAnUnknownZoneGetsNoOrders failed before and passes.

--- a/node/odd_entry_test.go
+++ b/node/odd_entry_test.go
@@ -205,3 +205,19 @@
 		t.Errorf("%d requests were handled, 40 were sent", times)
 	}
 }
+
+// Targets were ordered in the availability zone that only an odd entry names.
+func TestOddEntryOfAnUnknownZoneGetsNoOrders(t *testing.T) {
+	cluster := newTestCluster(t)
+	odd := prepared.NewTarget("odd-1")
+	t.Cleanup(odd.Close)
+	cluster.store.Write(platform.TargetsCollection, "odd-1", odd.Entry("desk", "nowhere"))
+	n := cluster.startNode("h1")
+	eventually(t, 3*time.Second, "ready", n.ready)
+	eventually(t, 15*time.Second, "orders", func() bool { return len(cluster.duties.Calls("/scale")) > 2 })
+	for _, c := range cluster.duties.Calls("/scale") {
+		if c.Body["Zone"] == "nowhere" {
+			t.Errorf("ordered %v", c.Body)
+		}
+	}
+}
--- a/node/pools.go
+++ b/node/pools.go
@@ -112,7 +112,7 @@
 }
 
 // targetsByZone counts the targets of a service in each zone, without draining
-// ones.
+// ones. Where zones have prices, one without is none in which the service runs.
 func (r *dutyRunner) targetsByZone(s *route.Service) []scaling.Zone {
 	byName := make(map[string]*scaling.Zone)
 	for name := range s.Scaling.ZonePrices {
@@ -124,6 +124,9 @@
 			continue
 		}
 		z := byName[string(t.Zone)]
+		if z == nil && len(s.Scaling.ZonePrices) > 0 {
+			continue
+		}
 		if z == nil {
 			z = &scaling.Zone{Name: string(t.Zone)}
 			byName[z.Name] = z
