--- a/node/odd_entry_test.go
+++ b/node/odd_entry_test.go
@@ -221,3 +221,21 @@
 		}
 	}
 }
+
+// An entry with the address of another target costs at most the requests that the target refuses as not its own.
+func TestOddEntryWithTheAddressOfAnotherTarget(t *testing.T) {
+	cluster := newTestCluster(t)
+	for i := range 3 {
+		cluster.store.Write(platform.TargetsCollection, fmt.Sprint("odd-", i), cluster.target.Entry("desk", "a"))
+	}
+	n := cluster.startNode("h1")
+	eventually(t, 3*time.Second, "ready", n.ready)
+	statuses := make(map[int]int)
+	for i := range 60 {
+		statuses[n.sendBody(http.MethodPost, fmt.Sprint("r-", i), "/take/a", "key-1", "x", http.Header{})]++
+	}
+	if statuses[http.StatusOK] < 57 {
+		t.Errorf("answers by status %v", statuses)
+	}
+	t.Log(statuses)
+}
