--- a/rawjson/rawjson.go
+++ b/rawjson/rawjson.go
@@ -7,6 +7,7 @@
 	"bytes"
 	"encoding/json"
 	"errors"
+	"unicode/utf8"
 )
 
 var (
@@ -32,15 +33,24 @@
 		if err != nil {
 			return err
 		}
-		var name string
-		if json.Unmarshal(raw, &name) != nil {
-			name = ""
-		}
-		visit(name, value)
+		visit(unquote(raw), value)
 		return nil
 	})
 }
 
+// unquote returns the text of a JSON string; empty if it is none.
+func unquote(raw []byte) string {
+	inner := raw[1 : len(raw)-1]
+	if !bytes.ContainsFunc(inner, func(r rune) bool { return r == '\\' || r < ' ' || r >= utf8.RuneSelf }) {
+		return string(inner)
+	}
+	var name string
+	if json.Unmarshal(raw, &name) != nil {
+		return ""
+	}
+	return name
+}
+
 // Elements calls visit with each element of an array, in order.
 func Elements(data []byte, visit func(value []byte)) error {
 	return split(data, '[', ']', func(s *scanner) error {
@@ -160,13 +170,12 @@
 
 // skipScalar goes on after a scalar other than a string, or after one byte between values.
 func (s *scanner) skipScalar() {
-	length := bytes.IndexAny(s.data[s.at:], "{}[]\",: \t\r\n")
-	switch {
-	case length < 0:
-		s.at = len(s.data)
-	case length == 0:
-		s.at++
-	default:
-		s.at += length
+	from := s.at
+	for ; s.at < len(s.data); s.at++ {
+		switch s.data[s.at] {
+		case '{', '}', '[', ']', '"', ',', ':', ' ', '\t', '\r', '\n':
+			s.at = max(s.at, from+1)
+			return
+		}
 	}
 }
