--- a/node/out_of_step_long_test.go
+++ b/node/out_of_step_long_test.go
@@ -102,6 +102,7 @@
 	for i, w := range waysOutOfStep {
 		t.Run(w.name, func(t *testing.T) {
 			c := clusters[i]
+			c.t = t
 			expectNoneJoined(t, w.tag, takeUp(w.join(c), c.hosts[len(c.hosts)-1].testNode))
 		})
 	}
@@ -130,6 +131,7 @@
 	for i, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			c := clusters[i]
+			c.t = t
 			begun := c.begin(6, "v1", c.hosts[0])
 			test.disturb(c)
 			if all := takeUp(begun, c.hosts[2].testNode); all.wentOn != len(begun) {
--- a/node/stream_notices.go
+++ b/node/stream_notices.go
@@ -43,6 +43,12 @@
 	known, several bool
 }
 
+// reply is the decisive answer of the hosts that were asked, if there is one.
+type reply struct {
+	answer          streamAnswer
+	asked, answered int
+}
+
 // decisive tells whether further answers can add nothing.
 func (a streamAnswer) decisive() bool { return a.known || a.several }
 
@@ -65,14 +71,13 @@
 }
 
 // ask asks the hosts that hold the record of the stream.
-func (o *origin) ask(ctx context.Context) streamAnswer {
+func (o *origin) ask(ctx context.Context) reply {
 	if o.stream == 0 {
-		return streamAnswer{}
+		return reply{}
 	}
 	hosts := o.s.replicas(o.stream, askedReplicas)
 	answer, silent := o.s.question(ctx, &wire.StreamNotice{Kind: wire.StreamNotice_ASKED, Stream: o.stream}, wire.StreamNotice_ANSWERED, hosts, askTimeout)
-	o.asked, o.answered = len(hosts), len(hosts)-len(silent)
-	return answer
+	return reply{answer, len(hosts), len(hosts) - len(silent)}
 }
 
 // askHistory asks other hosts to confirm with the store which versions the service had. Besides their
--- a/node/stream_versions.go
+++ b/node/stream_versions.go
@@ -161,15 +161,17 @@
 	if at, ok := s.recorded(o.stream); ok {
 		return at, evidenceRecord
 	}
-	answers := make(chan streamAnswer, 1)
-	go func() { answers <- o.ask(ctx) }()
+	replies := make(chan reply, 1)
+	go func() { replies <- o.ask(ctx) }()
 	version, finding, err := s.confirmHistory(ctx, o.service, o.age)
 	if err == nil && finding == affinity.Sole {
 		return forward.StreamOrigin{Version: version}, evidenceHistory
 	}
-	if answer := <-answers; answer.known {
-		o.from = answer.from
-		return answer.origin, evidenceAnswer
+	r := <-replies
+	o.asked, o.answered = r.asked, r.answered
+	if r.answer.known {
+		o.from = r.answer.from
+		return r.answer.origin, evidenceAnswer
 	}
 	if err == nil && o.stream != 0 && s.searchRecords(ctx) == nil {
 		if at, ok := s.recorded(o.stream); ok {
