Show streams refused that began before a release at hosts that were lost

Streams of the only version are neither told to other hosts, once a host has run for a minute, nor stored. If the hosts that began them are lost before they list a second version, callers are refused (version_unknown) until none of their time is left, though engines of their version serve.

--- a/node/origin_evidence_test.go
+++ b/node/origin_evidence_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"zinniapin/internal/knownred"
 	"zinniapin/internal/standin/prepared"
 	"zinniapin/platform"
 )
@@ -234,3 +235,39 @@
 	eventually(t, 3*time.Second, "ready", late.ready)
 	expectNoneJoined(t, "history-of-a-copy", takeUp(begun, late.testNode))
 }
+
+// One version has served for a long time, a host dies, and a moment later another version joins. The streams that the dead
+// host began can be told to be of the first one, whose engines serve on.
+func TestStreamsOfAHostThatDiedBeforeAReleaseGoOn(t *testing.T) {
+	t.Parallel()
+	c := newStepCluster(t, 4)
+	time.Sleep(longOneVersion)
+	begun := c.begin(8, "v1", c.hosts[0])
+	c.setAway(true, c.hosts[0])
+	c.hosts[0].way.Set(prepared.WaySilent)
+	c.release(false)
+	c.awaitVersion("v2", c.hosts[1:]...)
+	all := takeUp(begun, c.hosts[3].testNode)
+	if all.wentOn != len(begun) {
+		knownred.Fail(t, knownRed, "died-before-a-release", "%d of %d streams went on, %d were refused: %v", all.wentOn, len(begun), all.refused, all.bad)
+	}
+}
+
+// All hosts are killed while one version serves, and another one joins before they are back. The streams that they began
+// can be told to be of the first one, whose engines serve on.
+func TestStreamsGoOnAfterAllHostsWereKilledBeforeARelease(t *testing.T) {
+	t.Parallel()
+	c := newSettledCluster(t, 1)
+	begun := c.begin(8, "v1", c.hosts[0])
+	time.Sleep(time.Second) // what must last is written
+	c.hosts[0].way.Set(prepared.WaySilent)
+	c.setAway(true, c.hosts[0])
+	c.release(false)
+	c.seed = ""
+	again := c.start("again")
+	eventually(t, 3*time.Second, "ready", again.ready)
+	all := takeUp(begun, again.testNode)
+	if all.wentOn != len(begun) {
+		knownred.Fail(t, knownRed, "killed-before-a-release", "%d of %d streams went on, %d were refused: %v", all.wentOn, len(begun), all.refused, all.bad)
+	}
+}
