Tell other hosts of each stream that begins

While a service had had one version for a minute, no host told others of the streams that it began, since the version needed no record. Versions.Recorded, which decided that, is gone with its lines of the tests.

--- a/affinity/versions.go
+++ b/affinity/versions.go
@@ -22,7 +22,6 @@
 // Versions tracks which software versions each service has had.
 type Versions struct {
 	services map[string]*history
-	startsAt time.Time // of the first list
 }
 
 // NewVersions returns a tracker without any list.
@@ -30,9 +29,6 @@
 
 // Observe takes in a complete list of targets.
 func (v *Versions) Observe(now time.Time, targets []roster.Target) {
-	if v.startsAt.IsZero() {
-		v.startsAt = now
-	}
 	for _, h := range v.services {
 		for version, s := range h.versions {
 			if s.listed {
@@ -91,20 +87,6 @@
 	return all
 }
 
-// Recorded tells whether streams of a service are recorded with other hosts: it has had several versions
-// lately, or the host has not listed targets for long enough to know.
-func (v *Versions) Recorded(now time.Time, service string) bool {
-	recent := 0
-	if h := v.services[service]; h != nil {
-		for _, s := range h.versions {
-			if s.within(now.Add(-RecordTTL)) {
-				recent++
-			}
-		}
-	}
-	return now.Sub(v.startsAt) < RecordTTL || recent > 1
-}
-
 // within tells whether the version was listed at any time since a moment.
 func (s *span) within(from time.Time) bool { return s.listed || !s.last.Before(from) }
 
--- a/node/stream_versions.go
+++ b/node/stream_versions.go
@@ -125,7 +125,7 @@
 	_ = s.announce.join(ctx) // requests are served without the store; keepHistories goes on trying
 }
 
-// record records where a stream began, with other hosts and in the store where that is needed.
+// record records where a stream began, with other hosts, and in the store where that is needed.
 func (s *streamVersions) record(service string, stream uint64, o forward.StreamOrigin, age time.Duration) {
 	now := s.node.clock.Now()
 	r := affinity.Record{Service: service, Version: o.Version, Target: o.Target, At: now}
@@ -134,11 +134,8 @@
 	if _, finding := s.find(now, service, age); finding != affinity.Sole {
 		s.store(stream, r)
 	}
-	shared := s.versions.Recorded(now, service)
 	s.mu.Unlock()
-	if shared {
-		s.send(&wire.StreamNotice{Kind: wire.StreamNotice_BEGAN, Stream: stream, Version: o.Version, Target: o.Target, Service: service}, s.replicas(stream, recordReplicas))
-	}
+	s.send(&wire.StreamNotice{Kind: wire.StreamNotice_BEGAN, Stream: stream, Version: o.Version, Target: o.Target, Service: service}, s.replicas(stream, recordReplicas))
 }
 
 // Evidence for the version of a stream, as stream_origin names it.
--- a/node/version_store.go
+++ b/node/version_store.go
@@ -36,7 +36,7 @@
 	// minRecordInterval is the shortest time between two writes of a host's records, and recordIntervalPerHost
 	// what each other host adds, so that all hosts together stay well below the store's rate.
 	minRecordInterval     = 150 * time.Millisecond
-	recordIntervalPerHost = 5 * time.Millisecond
+	recordIntervalPerHost = 8 * time.Millisecond
 )
 
 // confirmHistory returns what the history of a service tells, confirmed with the store after the call. If the
