Let no record stand that a restarted target contradicts

What callers saw: a target was started anew under its id as another software version; until its new entry was listed, streams began there were recorded as of the old version. Taken up, and within one answer, they went on at the old version.

Cause: a record names the version of the entry that the host had. An entry is older than the process that answers: the id and the address are the same, so X-Expect-Instance matches.

Change: records carry when their stream began, also in notices and in what the store holds. A record is no evidence while its target is listed at another version whose start is not at least a second later than the stream's beginning; the hosts asked do not answer with such a record either, and an answer that has begun does not go on elsewhere. Targets that come back with the same version, as after a crash, void nothing.

What remains: an answer that goes on at a target which started again before its new entry is listed (unlisted-restart); no list can tell.

--- a/affinity/records.go
+++ b/affinity/records.go
@@ -11,8 +11,8 @@
 // Record is the beginning of a stream.
 type Record struct {
 	Service, Version string
-	Target           uint32 // key of the target that began it, which may have its prompt cached; 0 if unknown
-	At               time.Time
+	Target           uint32    // key of the target that began it, which may have its prompt cached; 0 if unknown
+	At               time.Time // when the stream began
 }
 
 // Records holds the beginnings of streams by key.
@@ -30,7 +30,7 @@
 // NewRecords returns an empty set of records.
 func NewRecords() *Records { return &Records{records: make(map[uint64]Record)} }
 
-// Put records a stream now. The first record of a stream stays.
+// Put records a stream, which began now unless the record says otherwise. The first record of a stream stays.
 func (r *Records) Put(now time.Time, stream uint64, record Record) {
 	for len(r.order) > 0 && (now.Sub(r.order[0].at) > RecordTTL || len(r.order) >= maxRecords) {
 		delete(r.records, r.order[0].stream)
@@ -39,7 +39,9 @@
 	if _, ok := r.records[stream]; ok {
 		return
 	}
-	record.At = now
+	if record.At.IsZero() {
+		record.At = now
+	}
 	r.records[stream] = record
 	r.order = append(r.order, recorded{stream, now})
 }
--- a/affinity/stored.go
+++ b/affinity/stored.go
@@ -127,11 +127,13 @@
 	return s, nil
 }
 
-// All calls a function with each stream.
+// All calls a function with each stream, which began no later than its record says.
 func (s *StoredRecords) All(f func(stream uint64, r Record)) {
 	for _, g := range s.Groups {
 		for b := g.Streams; len(b) >= streamBytes; b = b[streamBytes:] {
-			f(binary.BigEndian.Uint64(b), Record{Service: g.Service, Version: g.Version, Target: binary.BigEndian.Uint32(b[keyBytes:])})
+			f(binary.BigEndian.Uint64(b), Record{
+				Service: g.Service, Version: g.Version, Target: binary.BigEndian.Uint32(b[keyBytes:]), At: time.UnixMilli(g.BegunMillis).Add(groupTime),
+			})
 		}
 	}
 }
--- a/forward/generate.go
+++ b/forward/generate.go
@@ -95,6 +95,9 @@
 		if end := r.endPoisoned(ctx); end != nil {
 			return streamAttempt{}, end
 		}
+		if r.out.Started() && !r.originStands() {
+			return streamAttempt{}, func() { r.fail(ctx) }
+		}
 		d := r.plan()
 		if d.Refused() {
 			return streamAttempt{}, func() {
--- a/forward/helpers_test.go
+++ b/forward/helpers_test.go
@@ -67,6 +67,9 @@
 	return at, ok
 }
 
+// Stands implements forward.StreamVersions.
+func (o *origins) Stands(string) bool { return true }
+
 // configuration returns the configuration of a testHandler: one route for each kind of request.
 func configuration() *route.Configuration {
 	plain := func(name, prefix string, kind route.Kind, attempts int) route.Route {
--- a/forward/version.go
+++ b/forward/version.go
@@ -17,6 +17,8 @@
 	// Origin returns where the stream of a request began, at most age ago. It returns
 	// false if its version cannot be told. It may ask other hosts and the store.
 	Origin(ctx context.Context, service, request string, age time.Duration) (StreamOrigin, bool)
+	// Stands tells whether nothing contradicts the version that was recorded for the stream of a request.
+	Stands(request string) bool
 }
 
 // StreamOrigin is where a stream began.
@@ -68,3 +70,11 @@
 	}
 	return max(time.Duration(r.route.TimeoutMillis)*time.Millisecond, min(r.h.longestDeadline(r.route.Name), maxStreamAge))
 }
+
+// originStands tells whether the stream may still go on at the version that it has.
+func (r *request) originStands() bool {
+	if r.info.LastEventID != "" {
+		return r.h.Versions.Stands(r.info.Resumes)
+	}
+	return r.h.Versions.Stands(r.info.ID)
+}
--- a/node/out_of_step_long_test.go
+++ b/node/out_of_step_long_test.go
@@ -185,6 +185,24 @@
 	})
 }
 
+// A target is started anew as another version under its id. Streams that it began before go on elsewhere at their version.
+func TestStreamGoesOnAfterItsTargetStartedAgain(t *testing.T) {
+	t.Parallel()
+	c := newStepCluster(t, 2)
+	begun := c.begin(12, "v1", c.hosts[0])
+	time.Sleep(1500 * time.Millisecond)
+	again := c.engines["v1"][0]
+	again.CrashInto("v2", 20*time.Millisecond)
+	time.Sleep(100 * time.Millisecond)
+	c.store.Write(platform.TargetsCollection, again.ID, again.Entry("model", "a"))
+	time.Sleep(2 * watchInterval)
+	for _, h := range c.hosts {
+		if all := takeUp(begun, h.testNode); all.wentOn != len(begun) {
+			t.Errorf("%d of %d streams went on, %d were refused: %v", all.wentOn, len(begun), all.refused, all.bad)
+		}
+	}
+}
+
 // A stream breaks off, and a target that is listed at its version has started again as another one meanwhile. The answer
 // does not go on there.
 func TestAnswerDoesNotGoOnAtATargetThatStartedAgain(t *testing.T) {
@@ -201,7 +219,7 @@
 			all.bad = append(all.bad, "one answer has "+one.versions[0]+" and "+one.versions[1])
 		}
 	}
-	expectNoneJoined(t, "restarted-target", all)
+	expectNoneJoined(t, "unlisted-restart", all)
 }
 
 // newRestartCluster is a cluster in which the first engine of v1 has started again as v2 under its old entry. It returns
--- a/node/stream_notices.go
+++ b/node/stream_notices.go
@@ -172,13 +172,16 @@
 	switch notice.Kind {
 	case wire.StreamNotice_BEGAN:
 		s.mu.Lock()
-		s.records.Put(s.node.clock.Now(), notice.Stream, affinity.Record{Service: notice.Service, Version: notice.Version, Target: notice.Target})
+		s.records.Put(s.node.clock.Now(), notice.Stream, s.recordOf(notice))
 		s.mu.Unlock()
 	case wire.StreamNotice_ASKED:
 		s.mu.Lock()
 		r, known := s.records.Get(notice.Stream)
+		known = known && !s.doubtful(r)
 		s.mu.Unlock()
-		s.send(&wire.StreamNotice{Kind: wire.StreamNotice_ANSWERED, Stream: notice.Stream, Service: r.Service, Version: r.Version, Target: r.Target, Known: known}, []string{from})
+		s.send(&wire.StreamNotice{
+			Kind: wire.StreamNotice_ANSWERED, Stream: notice.Stream, Service: r.Service, Version: r.Version, Target: r.Target, Known: known, WindowMs: s.age(r),
+		}, []string{from})
 	case wire.StreamNotice_HISTORY_ASKED:
 		s.mu.Lock()
 		busy := s.answers >= maxHistoryAnswers
@@ -197,13 +200,18 @@
 				continue
 			}
 			select {
-			case q.answers <- streamAnswer{from, affinity.Record{Service: notice.Service, Version: notice.Version, Target: notice.Target}, notice.Known, notice.Several}:
+			case q.answers <- streamAnswer{from, s.recordOf(notice), notice.Known, notice.Several}:
 			default: // repeated answers; the first ones are enough
 			}
 		}
 	}
 }
 
+// recordOf returns the record in a notice.
+func (s *streamVersions) recordOf(notice *wire.StreamNotice) affinity.Record {
+	return affinity.Record{Service: notice.Service, Version: notice.Version, Target: notice.Target, At: s.begunAgo(notice.WindowMs)}
+}
+
 // answerHistory answers the question of another host for the versions of a service.
 func (s *streamVersions) answerHistory(from string, notice *wire.StreamNotice) {
 	defer func() {
--- a/node/stream_versions.go
+++ b/node/stream_versions.go
@@ -42,6 +42,8 @@
 	answers int // answers to such questions that are being prepared
 	// announced are the versions that the histories in the store show as listed, by service.
 	announced map[string]map[string]bool
+	// targets are those of the latest list by their keys.
+	targets map[uint32]roster.Target
 }
 
 var _ forward.StreamVersions = (*streamVersions)(nil)
@@ -63,6 +65,7 @@
 	defer s.mu.Unlock()
 	now, before := s.node.clock.Now(), s.versions.Listed()
 	s.versions.Observe(now, all)
+	s.observeStarts(all)
 	for service, versions := range s.versions.Listed() {
 		if !slices.Equal(before[service], versions) {
 			for version := range s.announced[service] {
@@ -113,7 +116,7 @@
 
 // Began implements forward.StreamVersions.
 func (s *streamVersions) Began(ctx context.Context, service, request string, o forward.StreamOrigin, age time.Duration) {
-	s.record(service, affinity.KeyOf(request), o, age)
+	s.record(service, affinity.KeyOf(request), o, s.node.clock.Now(), age)
 	s.mu.Lock()
 	announced := s.announced[service][o.Version]
 	s.mu.Unlock()
@@ -126,9 +129,9 @@
 }
 
 // record records where a stream began, with other hosts and in the store where that is needed.
-func (s *streamVersions) record(service string, stream uint64, o forward.StreamOrigin, age time.Duration) {
+func (s *streamVersions) record(service string, stream uint64, o forward.StreamOrigin, begun time.Time, age time.Duration) {
 	now := s.node.clock.Now()
-	r := affinity.Record{Service: service, Version: o.Version, Target: o.Target, At: now}
+	r := affinity.Record{Service: service, Version: o.Version, Target: o.Target, At: begun}
 	s.mu.Lock()
 	s.records.Put(now, stream, r)
 	if _, finding := s.find(now, service, age); finding != affinity.Sole {
@@ -137,7 +140,7 @@
 	shared := s.versions.Recorded(now, service)
 	s.mu.Unlock()
 	if shared {
-		s.send(&wire.StreamNotice{Kind: wire.StreamNotice_BEGAN, Stream: stream, Version: o.Version, Target: o.Target, Service: service}, s.replicas(stream, recordReplicas))
+		s.send(&wire.StreamNotice{Kind: wire.StreamNotice_BEGAN, Stream: stream, Version: o.Version, Target: o.Target, Service: service, WindowMs: s.age(r)}, s.replicas(stream, recordReplicas))
 	}
 }
 
@@ -154,13 +157,13 @@
 
 // Origin implements forward.StreamVersions.
 func (s *streamVersions) Origin(ctx context.Context, service, request string, age time.Duration) (forward.StreamOrigin, bool) {
-	o := origin{s: s, service: service, age: age, begun: time.Now()}
+	o := origin{s: s, service: service, age: age, begun: time.Now(), at: s.node.clock.Now()}
 	if request != "" {
 		o.stream = affinity.KeyOf(request)
 	}
 	at, how := o.find(ctx)
 	if how != evidenceNone && how != evidenceRecord && request != "" {
-		s.record(service, o.stream, at, age)
+		s.record(service, o.stream, at, o.at, age)
 	}
 	o.log(request, at.Version, how)
 	return at, how != evidenceNone
@@ -173,7 +176,8 @@
 	stream          uint64 // 0 if the caller does not name the request that began it
 	age             time.Duration
 	begun           time.Time
-	from            string // host whose answer was decisive
+	at              time.Time // when the stream began, by its record
+	from            string    // host whose answer was decisive
 	asked, answered int
 	elsewhere       bool // a record says that another service began the stream
 }
@@ -193,7 +197,7 @@
 	confirmed := err == nil && finding == affinity.Sole
 	if answer, ok := receive(answers, confirmed); ok {
 		o.asked, o.answered = answer.asked, answer.answered
-		if at, known := o.accept(answer.record, answer.known); known {
+		if at, known := o.acceptAnswer(answer.record, answer.known); known {
 			o.from = answer.from
 			return at, evidenceAnswer
 		}
@@ -259,10 +263,22 @@
 	return o.accept(r, ok)
 }
 
+// acceptAnswer is accept for the record of another host.
+func (o *origin) acceptAnswer(r affinity.Record, ok bool) (forward.StreamOrigin, bool) {
+	o.s.mu.Lock()
+	defer o.s.mu.Unlock()
+	return o.accept(r, ok)
+}
+
 // accept returns where a stream began by a record. A stream that another service began can't go on at this one.
+// The caller holds mu.
 func (o *origin) accept(r affinity.Record, ok bool) (forward.StreamOrigin, bool) {
 	o.elsewhere = o.elsewhere || ok && r.Service != "" && r.Service != o.service
-	return forward.StreamOrigin{Version: r.Version, Target: r.Target}, ok && !o.elsewhere
+	if !ok || o.elsewhere || o.s.doubtful(r) {
+		return forward.StreamOrigin{}, false
+	}
+	o.at = r.At
+	return forward.StreamOrigin{Version: r.Version, Target: r.Target}, true
 }
 
 // log logs the evidence for the version of a stream.
