Show streams joined from two services after all hosts were killed

A route moves to another service while all hosts are away. No record of a stream of the only version is stored, and the history of the service that the route has now is asked.

--- a/node/origin_evidence_test.go
+++ b/node/origin_evidence_test.go
@@ -84,32 +84,42 @@
 	expectNoneJoined(t, "nobody-to-ask", all)
 }
 
-// A configuration moves a route to another service, whose engines have been of one version for long. A stream that began
-// at the service before does not go on there at that version.
-func TestStreamOfARouteThatMovedIsNotJoined(t *testing.T) {
-	t.Parallel()
-	c := newSettledCluster(t, 2)
+// addOtherService adds engines of a service "other", which have been of v9 for an hour.
+func (c *stepCluster) addOtherService() {
 	for i := range 2 {
 		e := prepared.NewTarget(fmt.Sprint("o-", i))
-		t.Cleanup(e.Close)
+		c.t.Cleanup(e.Close)
 		e.Stage, e.Version, e.Events = "decode", "v9", 6
 		c.store.Write(platform.TargetsCollection, e.ID, e.Entry("other", "a"))
 	}
 	since := time.Now().Add(-time.Hour).UnixMilli()
 	c.store.Write(historiesCollection, "other", json.RawMessage(fmt.Sprintf(`{"since_ms":%d,"versions":{"v9":{"first_ms":%d}}}`, since, since)))
-	begun := c.begin(2, "v1", c.hosts[0])
-	var configuration map[string]any
-	if err := json.Unmarshal(c.store.Read(platform.ConfigurationsCollection, platform.ConfigurationName), &configuration); err != nil {
-		t.Fatal(err)
-	}
-	text, err := json.Marshal(configuration)
-	if err != nil {
-		t.Fatal(err)
+}
+
+// moveRoutes moves the routes of the engines to that service.
+func (c *stepCluster) moveRoutes() {
+	text := string(c.store.Read(platform.ConfigurationsCollection, platform.ConfigurationName))
+	for _, change := range [][2]string{
+		{`"Service":"model"`, `"Service":"other"`},
+		{`"Services":[`, `"Services":[{"Name":"other","Engine":{"Slots":8,"KvCapacityTokens":1000000,"KvTokenBytes":1000,"LinkMbps":100000,"KvHoldS":5,"Stride":10}},`},
+		{`"Version":1,`, `"Version":2,`},
+	} {
+		if !strings.Contains(text, change[0]) {
+			c.t.Fatalf("the configuration has no %s", change[0])
+		}
+		text = strings.ReplaceAll(text, change[0], change[1])
 	}
-	moved := strings.ReplaceAll(string(text), `"Service":"model"`, `"Service":"other"`)
-	moved = strings.Replace(moved, `"Services":[`, `"Services":[{"Name":"other","Engine":{"Slots":8,"KvCapacityTokens":1000000,"KvTokenBytes":1000,"LinkMbps":100000,"KvHoldS":5,"Stride":10}},`, 1)
-	moved = strings.Replace(moved, `"Version":1}`, `"Version":2}`, 1)
-	c.store.Write(platform.ConfigurationsCollection, platform.ConfigurationName, json.RawMessage(moved))
+	c.store.Write(platform.ConfigurationsCollection, platform.ConfigurationName, json.RawMessage(text))
+}
+
+// A configuration moves a route to another service, whose engines have been of one version for long. A stream that began
+// at the service before does not go on there at that version.
+func TestStreamOfARouteThatMovedIsNotJoined(t *testing.T) {
+	t.Parallel()
+	c := newSettledCluster(t, 2)
+	c.addOtherService()
+	begun := c.begin(2, "v1", c.hosts[0])
+	c.moveRoutes()
 	for _, h := range c.hosts {
 		eventually(t, 5*time.Second, "takes the new configuration", func() bool { return h.log.contains(`"configuration":2`) })
 	}
@@ -271,3 +281,40 @@
 		knownred.Fail(t, knownRed, "killed-before-a-release", "%d of %d streams went on, %d were refused: %v", all.wentOn, len(begun), all.refused, all.bad)
 	}
 }
+
+// The store is away for all hosts of a large fleet, and the host that began streams of the only version is dead. They go on
+// at any host.
+func TestStreamsOfALargeFleetGoOnWithoutTheStore(t *testing.T) {
+	t.Parallel()
+	c := newSettledCluster(t, 16)
+	time.Sleep(8 * time.Second) // until the relays are known
+	begun := c.begin(8, "v1", c.hosts[0])
+	c.store.SetSilent(true)
+	c.setAway(true, c.hosts[0])
+	time.Sleep(6 * time.Second) // until calls that hang have been given up
+	var all takenUp
+	for i, one := range begun {
+		got := takeUp([]draft{one}, c.hosts[1+i].testNode)
+		all.wentOn, all.refused, all.bad = all.wentOn+got.wentOn, all.refused+got.refused, append(all.bad, got.bad...)
+	}
+	if all.wentOn != len(begun) {
+		t.Errorf("%d of %d streams went on, %d were refused: %v", all.wentOn, len(begun), all.refused, all.bad)
+	}
+}
+
+// As TestStreamOfARouteThatMovedIsNotJoined, but the hosts that had a record are lost, and none was stored since the
+// service had one version.
+func TestStreamOfARouteThatMovedIsNotJoinedAfterAllHostsWereKilled(t *testing.T) {
+	t.Parallel()
+	c := newSettledCluster(t, 1)
+	c.addOtherService()
+	begun := c.begin(2, "v1", c.hosts[0])
+	time.Sleep(time.Second) // what must last is written
+	c.hosts[0].way.Set(prepared.WaySilent)
+	c.setAway(true, c.hosts[0])
+	c.moveRoutes()
+	c.seed = ""
+	again := c.start("again")
+	c.awaitVersion("v9", again)
+	expectNoneJoined(t, "moved-route", takeUp(begun, again.testNode))
+}
