--- a/node/origin_evidence_test.go
+++ b/node/origin_evidence_test.go
@@ -288,7 +288,7 @@
 	t.Parallel()
 	c := newSettledCluster(t, 16)
 	time.Sleep(8 * time.Second) // until the relays are known
-	var begun []draft // of which no host that is left has a record
+	var begun []draft           // of which no host that is left has a record
 	for i := range 8 {
 		begun = append(begun, draft{id: fmt.Sprint("lost-", i), versions: []string{"v1"}})
 	}
