--- a/node/stream_origin_fleet_test.go
+++ b/node/stream_origin_fleet_test.go
@@ -81,3 +81,49 @@
 		knownred.Fail(t, "../KNOWN-RED.txt", "host-without-peers", "%d of %d streams began at v1 and went on at v2", joined, streams)
 	}
 }
+
+// A version of which one target serves for some milliseconds is listed by the hosts that watch the store alone. A stream
+// that began at it does not go on at the version that was there before and after, at a host that never listed the other.
+func TestStreamOfAVersionThatCameAndWentIsNotJoined(t *testing.T) {
+	cluster, nodes := startLargeFleet(t)
+	older := cluster.versionedEngines(2, "v1")
+	time.Sleep(18 * time.Second) // until v1 has been alone for longer than a stream can be old
+	newer := cluster.versionedEngines(4, "v2")
+	lists := func(n *testNode) bool { return n.log.contains(`"v2"`) }
+	var watcher *testNode
+	eventually(t, time.Second, "v2 at some host", func() bool {
+		for _, n := range nodes {
+			if lists(n) {
+				watcher = n
+			}
+		}
+		return watcher != nil
+	})
+	begun := ""
+	for i := 0; begun == "" && i < 20; i++ {
+		id := fmt.Sprint("brief-", i)
+		watcher.send(id, "/draft/a", "key-1", http.Header{"X-Token-Count": {"100,20"}})
+		if ranAt(newer, id) != nil {
+			begun = id
+		}
+	}
+	for _, e := range newer {
+		cluster.store.Remove(platform.TargetsCollection, e.ID)
+	}
+	asked, joined := 0, 0
+	for _, n := range nodes {
+		if lists(n) {
+			continue
+		}
+		again := "again-" + n.settings.Host
+		n.send(again, "/draft/a", "key-1", http.Header{"X-Token-Count": {"100,20"}, "Last-Event-Id": {"3"}, "Resumes": {begun}})
+		asked++
+		if ranAt(older, again) != nil {
+			joined++
+		}
+	}
+	t.Logf("%q began at v2; it was taken up at %d hosts that had not listed v2, and joined at %d", begun, asked, joined)
+	if begun == "" || asked == 0 || joined > 0 {
+		t.Errorf("the stream %q was taken up at %d hosts that had not listed v2, and joined at %d", begun, asked, joined)
+	}
+}
