--- a/internal/nodesoak/killed_test.go
+++ b/internal/nodesoak/killed_test.go
@@ -9,6 +9,7 @@
 	"zinniapin/internal/knownred"
 	"zinniapin/internal/standin/prepared"
 	"zinniapin/internal/verdict"
+	"zinniapin/platform"
 )
 
 // ciKilled are the seeds of TestAllNodesKilledInARelease that CI runs.
@@ -181,13 +182,21 @@
 			v.t.Errorf("%s at %.3f s: %s", f.Rule, f.At.Sub(v.begun).Seconds(), f.Text)
 		}
 	}
-	for _, f := range verdict.Check(v.withoutOlder(run), bounds()) {
+	atThis := v.withoutOlder(run)
+	wentOn, takenUp := verdict.TakeUps(atThis, bounds())
+	for _, f := range verdict.Check(atThis, bounds()) {
 		if isRefusal(f) {
 			refused++
 			fail(refusedTag, f)
 		}
 	}
-	v.t.Logf("%d streams joined, %d by the older build, %d series of take-ups refused; versions up to v%d", joined, joinedByOlder, refused, v.latest)
+	v.t.Logf("%d streams joined, %d by the older build; %d of %d went on whose version was there, %d series refused; versions up to v%d",
+		joined, joinedByOlder, wentOn, takenUp, refused, v.latest)
+	writes, reads := v.store.MostInASecond()
+	v.t.Logf("the store got %d writes and %d reads in a second at most, and refused %d calls for their rate", writes, reads, v.store.OverRate())
+	for _, kind := range append([]string{platform.TargetsCollection, "zinnia-duties"}, systemKinds...) {
+		v.t.Logf("calls for %s: GET %d, POST %d, PUT %d, DELETE %d", kind, v.store.Calls("GET", kind), v.store.Calls("POST", kind), v.store.Calls("PUT", kind), v.store.Calls("DELETE", kind))
+	}
 	if joined+refused > 0 || v.t.Failed() {
 		v.report()
 	}
--- a/internal/nodesoak/versions_test.go
+++ b/internal/nodesoak/versions_test.go
@@ -28,6 +28,8 @@
 	takeUpRetries, takeUpTime = 3, 6 * time.Second
 	// versionDrain is how long the entry of an engine that leaves stays in the store.
 	versionDrain = time.Second
+	// storeWrites and storeReads are the calls of the store a second beyond which it refuses calls.
+	storeWrites, storeReads = 400, 2000
 )
 
 // versionRun is a run in which software versions of the engines follow each other, under callers that take up the
@@ -48,6 +50,7 @@
 func newVersionRun(d *deployment) *versionRun {
 	v := &versionRun{deployment: d}
 	d.crashPart.Store("")
+	d.store.Change(func(s *prepared.StoreSwitches) { s.WritesPerS, s.ReadsPerS = storeWrites, storeReads })
 	d.onStart = func(s *prepared.Target) {
 		s.Events = versionEvents
 		s.Change(func(c *prepared.TargetSwitches) { c.EventPause = versionPause })
--- a/internal/verdict/takeups.go
+++ b/internal/verdict/takeups.go
@@ -18,6 +18,29 @@
 	if j.bounds.TakeUps == 0 {
 		return
 	}
+	all := j.takeUps()
+	wentOn := 0
+	for i, t := range all {
+		if t.wentOn {
+			wentOn++
+		}
+		first := i + 1 - j.bounds.TakeUps
+		if first < 0 {
+			continue
+		}
+		if float64(wentOn) < j.bounds.WentOnShare*float64(j.bounds.TakeUps) {
+			j.find(Lost, t.at, "of %d streams that callers took up from %v before on, %d went on, though targets of their version were there",
+				j.bounds.TakeUps, t.at.Sub(all[first].at), wentOn)
+			return
+		}
+		if all[first].wentOn {
+			wentOn--
+		}
+	}
+}
+
+// takeUps returns the streams that were taken up and could go on, in order of time.
+func (j *judge) takeUps() []takeUp {
 	followers := make(map[string][]*Request)
 	for i := range j.Requests {
 		if r := &j.Requests[i]; r.Resumes != "" {
@@ -34,24 +57,19 @@
 		}
 	}
 	slices.SortFunc(all, func(a, b takeUp) int { return a.at.Compare(b.at) })
-	wentOn := 0
-	for i, t := range all {
+	return all
+}
+
+// TakeUps returns how many of the streams that were taken up while targets of their version were there went on, and
+// their number.
+func TakeUps(r Run, b Bounds) (wentOn, all int) {
+	takeUps := newJudge(r, b).takeUps()
+	for _, t := range takeUps {
 		if t.wentOn {
 			wentOn++
 		}
-		first := i + 1 - j.bounds.TakeUps
-		if first < 0 {
-			continue
-		}
-		if float64(wentOn) < j.bounds.WentOnShare*float64(j.bounds.TakeUps) {
-			j.find(Lost, t.at, "of %d streams that callers took up from %v before on, %d went on, though targets of their version were there",
-				j.bounds.TakeUps, t.at.Sub(all[first].at), wentOn)
-			return
-		}
-		if all[first].wentOn {
-			wentOn--
-		}
 	}
+	return wentOn, len(takeUps)
 }
 
 // canGoOn tells whether a stream that broke off could go on at each of the attempts to take it up.
