--- a/node/stream_notices.go
+++ b/node/stream_notices.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"zinniapin/affinity"
-	"zinniapin/forward"
 	"zinniapin/peers"
 	"zinniapin/wire"
 )
@@ -23,10 +22,14 @@
 	// have not answered are asked again.
 	askTimeout  = 160 * time.Millisecond
 	askInterval = 40 * time.Millisecond
+	// recordGrace is how long a record of a host in touch may take to count for more than a confirmed history.
+	recordGrace = 25 * time.Millisecond
 	// historyAskTimeout bounds the wait for a history, which the hosts that are asked confirm with the store.
 	historyAskTimeout = confirmTimeout + askTimeout
 	// maxDigestAge is the age up to which a digest stands for an answer.
 	maxDigestAge = time.Second
+	// maxHistoryAnswers bounds the answers to questions for histories that are prepared at once.
+	maxHistoryAnswers = 64
 )
 
 // streamQuestion is a question to other hosts that is not answered yet.
@@ -39,7 +42,7 @@
 // streamAnswer is the answer of a host.
 type streamAnswer struct {
 	from           string
-	origin         forward.StreamOrigin
+	record         affinity.Record
 	known, several bool
 }
 
@@ -64,15 +67,20 @@
 	}
 }
 
-// ask asks the hosts that hold the record of the stream.
-func (o *origin) ask(ctx context.Context) streamAnswer {
-	if o.stream == 0 {
-		return streamAnswer{}
+// recordAnswer is the answer to a question for a record, with the number of hosts that were asked and that answered.
+type recordAnswer struct {
+	streamAnswer
+	asked, answered int
+}
+
+// askRecord asks the hosts that hold the record of a stream; 0 is none.
+func (s *streamVersions) askRecord(ctx context.Context, stream uint64) recordAnswer {
+	if stream == 0 {
+		return recordAnswer{}
 	}
-	hosts := o.s.replicas(o.stream, askedReplicas)
-	answer, silent := o.s.question(ctx, &wire.StreamNotice{Kind: wire.StreamNotice_ASKED, Stream: o.stream}, wire.StreamNotice_ANSWERED, hosts, askTimeout)
-	o.asked, o.answered = len(hosts), len(hosts)-len(silent)
-	return answer
+	hosts := s.replicas(stream, askedReplicas)
+	answer, silent := s.question(ctx, &wire.StreamNotice{Kind: wire.StreamNotice_ASKED, Stream: stream}, wire.StreamNotice_ANSWERED, hosts, askTimeout)
+	return recordAnswer{answer, len(hosts), len(hosts) - len(silent)}
 }
 
 // askHistory asks other hosts to confirm with the store which versions the service had. Besides their
@@ -82,11 +90,10 @@
 	live, known := s.node.livePeers(), s.node.mesh.KnownHostCount()
 	slices.SortStableFunc(live, func(a, b *peers.Peer) int { return cmp.Compare(storeRank(a), storeRank(b)) })
 	if s.node.largeFleet() {
-		if 2*s.node.mesh.LiveMembers(now) < known {
+		if 2*s.node.mesh.HeardMembers(now) < known || len(live) < askedReplicas {
 			return streamAnswer{}, false
 		}
-		live = live[:min(askedReplicas, len(live))]
-		known = len(live)
+		live, known = live[:askedReplicas], askedReplicas
 	}
 	hosts := make([]string, 0, len(live))
 	for _, p := range live {
@@ -171,9 +178,17 @@
 		s.mu.Lock()
 		r, known := s.records.Get(notice.Stream)
 		s.mu.Unlock()
-		s.send(&wire.StreamNotice{Kind: wire.StreamNotice_ANSWERED, Stream: notice.Stream, Version: r.Version, Target: r.Target, Known: known}, []string{from})
+		s.send(&wire.StreamNotice{Kind: wire.StreamNotice_ANSWERED, Stream: notice.Stream, Service: r.Service, Version: r.Version, Target: r.Target, Known: known}, []string{from})
 	case wire.StreamNotice_HISTORY_ASKED:
-		go s.answerHistory(from, notice)
+		s.mu.Lock()
+		busy := s.answers >= maxHistoryAnswers
+		if !busy {
+			s.answers++
+		}
+		s.mu.Unlock()
+		if !busy {
+			go s.answerHistory(from, notice)
+		}
 	case wire.StreamNotice_ANSWERED, wire.StreamNotice_HISTORY_ANSWERED:
 		s.mu.Lock()
 		defer s.mu.Unlock()
@@ -182,7 +197,7 @@
 				continue
 			}
 			select {
-			case q.answers <- streamAnswer{from, forward.StreamOrigin{Version: notice.Version, Target: notice.Target}, notice.Known, notice.Several}:
+			case q.answers <- streamAnswer{from, affinity.Record{Service: notice.Service, Version: notice.Version, Target: notice.Target}, notice.Known, notice.Several}:
 			default: // repeated answers; the first ones are enough
 			}
 		}
@@ -191,6 +206,11 @@
 
 // answerHistory answers the question of another host for the versions of a service.
 func (s *streamVersions) answerHistory(from string, notice *wire.StreamNotice) {
+	defer func() {
+		s.mu.Lock()
+		s.answers--
+		s.mu.Unlock()
+	}()
 	ctx, cancel := context.WithTimeout(context.Background(), confirmTimeout)
 	defer cancel()
 	window := time.Duration(notice.WindowMs) * time.Millisecond
--- a/node/stream_versions.go
+++ b/node/stream_versions.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -21,9 +22,10 @@
 // host, of others and of the store, and by the history of versions.
 type streamVersions struct {
 	node *Node
-	// confirm reads the present versions and the histories from the store, search the records of streams.
-	confirm, search sharedCall
-	changed         chan struct{} // receives when histories in the store may have to change
+	// confirm reads the present versions and the histories from the store, announce writes the histories that
+	// differ as well, search reads the records of streams.
+	confirm, announce, search sharedCall
+	changed                   chan struct{} // receives when histories in the store may have to change
 
 	mu       sync.Mutex
 	versions *affinity.Versions
@@ -34,7 +36,12 @@
 	stored   affinity.StoredRecords      // what the store is to hold for this host
 	pending  bool                        // stored has streams that the store does not hold
 	waiting  map[*streamQuestion]bool
-	asked    uint64 // questions for histories so far
+	// asked is the number of the latest question for a history. The first is random, so that no answer to an earlier
+	// process of this host matches.
+	asked   uint64
+	answers int // answers to such questions that are being prepared
+	// announced are the versions that the histories in the store show as listed, by service.
+	announced map[string]map[string]bool
 }
 
 var _ forward.StreamVersions = (*streamVersions)(nil)
@@ -44,8 +51,9 @@
 	s := &streamVersions{
 		node: n, changed: make(chan struct{}, 1), versions: affinity.NewVersions(), records: affinity.NewRecords(), found: affinity.NewRecords(),
 		windows: make(map[string]time.Duration), findings: make(map[string]affinity.Finding), waiting: make(map[*streamQuestion]bool),
+		asked: rand.Uint64(), announced: make(map[string]map[string]bool),
 	}
-	s.confirm.call, s.search.call = s.readVersions, s.readRecords
+	s.confirm.call, s.announce.call, s.search.call = s.readVersions, s.syncHistories, s.readRecords
 	return s
 }
 
@@ -57,6 +65,11 @@
 	s.versions.Observe(now, all)
 	for service, versions := range s.versions.Listed() {
 		if !slices.Equal(before[service], versions) {
+			for version := range s.announced[service] {
+				if !slices.Contains(before[service], version) {
+					delete(s.announced[service], version) // another host may have found it gone meanwhile
+				}
+			}
 			event.VersionsListed.Log(s.node.log).Str("service", service).Strs("versions", versions).Uint64("revision", revision).Send()
 			s.requestSync()
 		}
@@ -99,8 +112,17 @@
 }
 
 // Began implements forward.StreamVersions.
-func (s *streamVersions) Began(service, request string, o forward.StreamOrigin, age time.Duration) {
+func (s *streamVersions) Began(ctx context.Context, service, request string, o forward.StreamOrigin, age time.Duration) {
 	s.record(service, affinity.KeyOf(request), o, age)
+	s.mu.Lock()
+	announced := s.announced[service][o.Version]
+	s.mu.Unlock()
+	if announced {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, s.storeTimeout(confirmTimeout))
+	defer cancel()
+	_ = s.announce.join(ctx) // requests are served without the store; keepHistories goes on trying
 }
 
 // record records where a stream began, with other hosts and in the store where that is needed.
@@ -153,26 +175,37 @@
 	begun           time.Time
 	from            string // host whose answer was decisive
 	asked, answered int
+	elsewhere       bool // a record says that another service began the stream
 }
 
 // find returns where the stream began and the evidence for it.
 func (o *origin) find(ctx context.Context) (at forward.StreamOrigin, how string) {
 	s := o.s
-	if at, ok := s.recorded(o.stream); ok {
+	if at, ok := o.recorded(); ok {
 		return at, evidenceRecord
 	}
-	answers := make(chan streamAnswer, 1)
-	go func() { answers <- o.ask(ctx) }()
+	if o.elsewhere {
+		return at, evidenceNone
+	}
+	answers := make(chan recordAnswer, 1)
+	go func() { answers <- s.askRecord(ctx, o.stream) }()
 	version, finding, err := s.confirmHistory(ctx, o.service, o.age)
-	if err == nil && finding == affinity.Sole {
-		return forward.StreamOrigin{Version: version}, evidenceHistory
+	confirmed := err == nil && finding == affinity.Sole
+	if answer, ok := receive(answers, confirmed); ok {
+		o.asked, o.answered = answer.asked, answer.answered
+		if at, known := o.accept(answer.record, answer.known); known {
+			o.from = answer.from
+			return at, evidenceAnswer
+		}
 	}
-	if answer := <-answers; answer.known {
-		o.from = answer.from
-		return answer.origin, evidenceAnswer
+	if o.elsewhere {
+		return at, evidenceNone
+	}
+	if confirmed {
+		return forward.StreamOrigin{Version: version}, evidenceHistory
 	}
 	if err == nil && o.stream != 0 && s.searchRecords(ctx) == nil {
-		if at, ok := s.recorded(o.stream); ok {
+		if at, ok := o.recorded(); ok {
 			return at, evidenceStored
 		}
 	}
@@ -189,7 +222,7 @@
 	switch {
 	case answer.known:
 		o.from = answer.from
-		return answer.origin, evidencePeer
+		return forward.StreamOrigin{Version: answer.record.Version}, evidencePeer
 	case answer.several || !storeAway || o.s.node.behindPeers():
 		return at, evidenceNone
 	default:
@@ -197,18 +230,39 @@
 	}
 }
 
-// recorded returns where a stream began that this host has a record of.
-func (s *streamVersions) recorded(stream uint64) (forward.StreamOrigin, bool) {
-	if stream == 0 {
+// receive returns the answer of other hosts to the question for a record. A confirmed history waits for it no longer
+// than recordGrace.
+func receive(answers <-chan recordAnswer, confirmed bool) (recordAnswer, bool) {
+	var over <-chan time.Time
+	if confirmed {
+		over = time.After(recordGrace)
+	}
+	select {
+	case answer := <-answers:
+		return answer, true
+	case <-over:
+		return recordAnswer{}, false
+	}
+}
+
+// recorded returns where the stream began if this host has a record of it.
+func (o *origin) recorded() (forward.StreamOrigin, bool) {
+	if o.stream == 0 {
 		return forward.StreamOrigin{}, false
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	r, ok := s.records.Get(stream)
+	o.s.mu.Lock()
+	defer o.s.mu.Unlock()
+	r, ok := o.s.records.Get(o.stream)
 	if !ok {
-		r, ok = s.found.Get(stream)
+		r, ok = o.s.found.Get(o.stream)
 	}
-	return forward.StreamOrigin{Version: r.Version, Target: r.Target}, ok
+	return o.accept(r, ok)
+}
+
+// accept returns where a stream began by a record. A stream that another service began can't go on at this one.
+func (o *origin) accept(r affinity.Record, ok bool) (forward.StreamOrigin, bool) {
+	o.elsewhere = o.elsewhere || ok && r.Service != "" && r.Service != o.service
+	return forward.StreamOrigin{Version: r.Version, Target: r.Target}, ok && !o.elsewhere
 }
 
 // log logs the evidence for the version of a stream.
