--- a/internal/nodesoak/beside_test.go
+++ b/internal/nodesoak/beside_test.go
@@ -217,7 +217,6 @@
 
 // disturbMixed does one thing to nodes of both builds.
 func (v *versionRun) disturbMixed(program string) {
-	rounds := []killRound{oldLeave, bothStay, oneStays, noneNew}
 	node, other := v.nodes[v.random.IntN(len(v.nodes))], []string{v.older, program}[v.random.IntN(2)]
 	switch v.random.IntN(6) {
 	case 0:
@@ -225,7 +224,7 @@
 	case 1:
 		v.replace(node, other, syscall.SIGKILL)
 	case 2:
-		v.killInRelease(rounds[v.random.IntN(len(rounds))], v.some(1+v.random.IntN(len(v.nodes))), 0)
+		v.killInRelease(v.drawRound(), v.some(1+v.random.IntN(len(v.nodes))), 0)
 	case 3:
 		v.replaceAll(other, len(v.nodes))
 	case 4:
--- a/internal/nodesoak/killed_test.go
+++ b/internal/nodesoak/killed_test.go
@@ -27,8 +27,12 @@
 	bothStay killRound = "both versions stay"
 	oneStays killRound = "one engine of the new version"
 	noneNew  killRound = "no release"
+	takeBack killRound = "the new version is taken back"
 )
 
+// killRounds are all rounds. The first two are those of CI.
+var killRounds = []killRound{oldLeave, bothStay, oneStays, noneNew, takeBack}
+
 // TestAllNodesKilledInARelease kills all nodes, or most, at the same moment while a version of the engines is released, some
 // of them again soon after their start. The first two rounds are the same for each seed; in later ones, nodes and
 // store are disturbed besides:
@@ -47,11 +51,10 @@
 	time.Sleep(500 * time.Millisecond)
 	endCallers := v.call(seed)
 	time.Sleep(time.Second)
-	rounds := []killRound{oldLeave, bothStay, oneStays, noneNew}
 	begun := time.Now()
 	for i := 0; i < 2 || time.Since(begun) < time.Duration(*secondsFlag)*time.Second; i++ {
 		if i < 2 {
-			v.killInRelease(rounds[i], v.nodes, 0)
+			v.killInRelease(killRounds[i], v.nodes, 0)
 			continue
 		}
 		if v.random.IntN(2) == 0 {
@@ -61,7 +64,7 @@
 		if v.random.IntN(3) == 0 {
 			killed = v.some(len(v.nodes) - 1)
 		}
-		v.killInRelease(rounds[v.random.IntN(len(rounds))], killed, v.random.IntN(3))
+		v.killInRelease(v.drawRound(), killed, v.random.IntN(3))
 	}
 	v.endFaults()
 	v.quietFrom = time.Now()
@@ -71,6 +74,9 @@
 	v.judge()
 }
 
+// drawRound draws a round.
+func (v *versionRun) drawRound() killRound { return killRounds[v.random.IntN(len(killRounds))] }
+
 // killInRelease begins a release and kills nodes in the middle of it, and again some times soon after their start.
 func (v *versionRun) killInRelease(round killRound, nodes []*process, again int) {
 	v.note("%s", round)
@@ -84,6 +90,9 @@
 		v.drain()
 	case bothStay:
 		v.startMore(versionEngines/2 - 1)
+	case takeBack:
+		v.engines, v.old = v.old, v.engines
+		v.drain()
 	}
 	time.Sleep(time.Duration(v.random.IntN(700)) * time.Millisecond)
 	down := time.Duration(300+v.random.IntN(1500)) * time.Millisecond
