--- a/forward/plain.go
+++ b/forward/plain.go
@@ -38,6 +38,9 @@
 
 // forwardToService forwards a request to a plain service, one whose targets are no model engines.
 func (r *request) forwardToService(ctx context.Context) {
+	if r.route.Resumable && r.info.LastEventID != "" && !r.fixOrigin(ctx) {
+		return
+	}
 	for {
 		if end := r.endPoisoned(ctx); end != nil {
 			if r.held == nil {
@@ -90,6 +93,9 @@
 	}
 	r.endAttempt(a.ticket, a.target.ID, dispatch.Answered, time.Since(a.begun))
 	r.sent.ran = true
+	if r.route.Resumable && a.response.Status == http.StatusOK {
+		r.fixVersion(ctx, a.target)
+	}
 	r.writeResponse(a.response, a.body, a.more)
 	return attemptAnswered
 }
