Store only streams that a caller may still take up

After a kill of all 63 hosts of a grown fleet callers were served later than before: each host read the records of all others again for each take-up that found none, and the records were those of all streams of the last 18 s.

A stream that was sent whole leaves the records a second later, so that they hold a few streams a host. A host searches them each 0.2 s at most, in a large fleet each second, and writes each 0.15 s and 12 ms for each other host, 1.5 s at most.

The first streams of a version go on waiting if another host wrote the history first and wrote something else; a conflict counted as done.

--- a/affinity/records.go
+++ b/affinity/records.go
@@ -13,6 +13,7 @@
 	Service, Version string
 	Target           uint32    // key of the target that began it, which may have its prompt cached; 0 if unknown
 	At               time.Time // when the stream began
+	Ended            bool      // the stream was sent whole
 }
 
 // Records holds the beginnings of streams by key.
@@ -52,11 +53,19 @@
 	return record, ok
 }
 
-// Since returns the streams of a service that were recorded since a moment.
+// End notes that a stream was sent whole.
+func (r *Records) End(stream uint64) {
+	if record, ok := r.records[stream]; ok {
+		record.Ended = true
+		r.records[stream] = record
+	}
+}
+
+// Since returns the streams of a service that were recorded since a moment and not sent whole.
 func (r *Records) Since(service string, from time.Time) iter.Seq2[uint64, Record] {
 	return func(yield func(uint64, Record) bool) {
 		for _, o := range r.order {
-			if record := r.records[o.stream]; record.Service == service && !o.at.Before(from) && !yield(o.stream, record) {
+			if record := r.records[o.stream]; record.Service == service && !record.Ended && !o.at.Before(from) && !yield(o.stream, record) {
 				return
 			}
 		}
--- a/affinity/stored.go
+++ b/affinity/stored.go
@@ -114,8 +114,6 @@
 	keyBytes    = 8
 	// groupTime is the time within which the streams of a group begin.
 	groupTime = time.Second
-	// maxStoredStreams bounds the streams that the store holds for a host; the oldest are left out first.
-	maxStoredStreams = 1 << 15
 )
 
 // DecodeStoredRecords decodes what the store holds for a host.
@@ -167,34 +165,3 @@
 func (g *StoredGroup) add(stream uint64, target uint32) {
 	g.Streams = binary.BigEndian.AppendUint32(binary.BigEndian.AppendUint64(g.Streams, stream), target)
 }
-
-// Merge adds the streams of an earlier value, which may be an earlier process's or this one's.
-func (s *StoredRecords) Merge(earlier StoredRecords) {
-	own := make(map[uint64]bool)
-	s.All(func(stream uint64, _ Record) { own[stream] = true })
-	var groups []StoredGroup
-	for _, g := range earlier.Groups {
-		kept := StoredGroup{BegunMillis: g.BegunMillis, Service: g.Service, Version: g.Version}
-		for b := g.Streams; len(b) >= streamBytes; b = b[streamBytes:] {
-			if !own[binary.BigEndian.Uint64(b)] {
-				kept.Streams = append(kept.Streams, b[:streamBytes]...)
-			}
-		}
-		if len(kept.Streams) > 0 {
-			groups = append(groups, kept)
-		}
-	}
-	s.Groups = append(groups, s.Groups...)
-}
-
-// Expire drops groups that began before a moment, and the oldest ones beyond maxStoredStreams.
-func (s *StoredRecords) Expire(from time.Time) {
-	total := 0
-	for i := len(s.Groups) - 1; i >= 0; i-- {
-		total += len(s.Groups[i].Streams) / streamBytes
-		if g := &s.Groups[i]; time.UnixMilli(g.BegunMillis).Before(from) || total > maxStoredStreams {
-			s.Groups = append([]StoredGroup(nil), s.Groups[i+1:]...)
-			return
-		}
-	}
-}
--- a/forward/helpers_test.go
+++ b/forward/helpers_test.go
@@ -67,6 +67,9 @@
 	return at, ok
 }
 
+// Ended implements forward.StreamVersions.
+func (o *origins) Ended(string) {}
+
 // Stands implements forward.StreamVersions.
 func (o *origins) Stands(string) bool { return true }
 
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -173,6 +173,9 @@
 	switch {
 	case err == nil:
 		r.answered()
+		if r.route.Resumable {
+			r.h.Versions.Ended(r.streamRequest())
+		}
 		r.endAttempt(s.ticket, t.ID, dispatch.Answered, 0)
 		r.sent.ran = true
 		s.response.Close()
--- a/forward/version.go
+++ b/forward/version.go
@@ -17,6 +17,8 @@
 	// Origin returns where the stream of a request began, at most age ago. It returns
 	// false if its version cannot be told. It may ask other hosts and the store.
 	Origin(ctx context.Context, service, request string, age time.Duration) (StreamOrigin, bool)
+	// Ended records that a stream was sent whole to the caller of a request, under the id of the request that began it.
+	Ended(request string)
 	// Stands tells whether nothing contradicts the version that was recorded for the stream of a request.
 	Stands(request string) bool
 }
@@ -72,9 +74,12 @@
 }
 
 // originStands tells whether the stream may still go on at the version that it has.
-func (r *request) originStands() bool {
+func (r *request) originStands() bool { return r.h.Versions.Stands(r.streamRequest()) }
+
+// streamRequest returns the id of the request that began the stream.
+func (r *request) streamRequest() string {
 	if r.info.LastEventID != "" {
-		return r.h.Versions.Stands(r.info.Resumes)
+		return r.info.Resumes
 	}
-	return r.h.Versions.Stands(r.info.ID)
+	return r.info.ID
 }
--- a/node/stream_versions.go
+++ b/node/stream_versions.go
@@ -33,9 +33,11 @@
 	found    *affinity.Records           // records of other hosts that the store holds
 	windows  map[string]time.Duration    // by service: the longest time before a take-up in which its stream can have begun
 	findings map[string]affinity.Finding // by service: the latest finding about that time
-	stored   affinity.StoredRecords      // what the store is to hold for this host
-	pending  bool                        // stored has streams that the store does not hold
-	waiting  map[*streamQuestion]bool
+	// unfinished are the streams that the store is to hold for this host.
+	unfinished *affinity.Unfinished
+	waiting    map[*streamQuestion]bool
+	// searchedAt is when the latest search of the records in the store began.
+	searchedAt time.Time
 	// asked is the number of the latest question for a history. The first is random, so that no answer to an earlier
 	// process of this host matches.
 	asked   uint64
@@ -52,7 +54,7 @@
 func newStreamVersions(n *Node) *streamVersions {
 	s := &streamVersions{
 		node: n, changed: make(chan struct{}, 1), versions: affinity.NewVersions(), records: affinity.NewRecords(), found: affinity.NewRecords(),
-		windows: make(map[string]time.Duration), findings: make(map[string]affinity.Finding), waiting: make(map[*streamQuestion]bool),
+		windows: make(map[string]time.Duration), findings: make(map[string]affinity.Finding), waiting: make(map[*streamQuestion]bool), unfinished: affinity.NewUnfinished(),
 		asked: rand.Uint64(), announced: make(map[string]map[string]bool),
 	}
 	s.confirm.call, s.announce.call, s.search.call = s.readVersions, s.syncHistories, s.readRecords
@@ -110,22 +112,37 @@
 
 // store makes writeRecords write a stream. The caller holds mu.
 func (s *streamVersions) store(stream uint64, r affinity.Record) {
-	s.stored.Add(stream, r)
-	s.pending = true
+	s.unfinished.Add(s.node.clock.Now(), stream, r)
 }
 
-// Began implements forward.StreamVersions.
+// Began implements forward.StreamVersions. The first streams of a version wait until the store has its history, but
+// requests are served without the store, too.
 func (s *streamVersions) Began(ctx context.Context, service, request string, o forward.StreamOrigin, age time.Duration) {
 	s.record(service, affinity.KeyOf(request), o, s.node.clock.Now(), age)
-	s.mu.Lock()
-	announced := s.announced[service][o.Version]
-	s.mu.Unlock()
-	if announced {
+	if s.isAnnounced(service, o.Version) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, s.storeTimeout(confirmTimeout))
 	defer cancel()
-	_ = s.announce.join(ctx) // requests are served without the store; keepHistories goes on trying
+	for s.announce.join(ctx) != nil && ctx.Err() == nil && !s.isAnnounced(service, o.Version) {
+		time.Sleep(minRetryDelay / 2) // another host wrote first, perhaps something else
+	}
+}
+
+// isAnnounced tells whether the history in the store shows a version as listed.
+func (s *streamVersions) isAnnounced(service, version string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.announced[service][version]
+}
+
+// Ended implements forward.StreamVersions.
+func (s *streamVersions) Ended(request string) {
+	stream := affinity.KeyOf(request)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.records.End(stream)
+	s.unfinished.End(s.node.clock.Now(), stream)
 }
 
 // record records where a stream began, with other hosts, and in the store where that is needed.
--- a/node/version_store.go
+++ b/node/version_store.go
@@ -33,10 +33,15 @@
 	historySpreadLarge = time.Second
 	// maxWriteDelay is the longest time between two attempts to write a history, or records.
 	maxWriteDelay = 2 * time.Second
-	// minRecordInterval is the shortest time between two writes of a host's records, and recordIntervalPerHost
-	// what each other host adds, so that all hosts together stay well below the store's rate.
+	// minRecordInterval is the time between two writes of a host's records, to which each other host adds
+	// recordIntervalPerHost up to maxRecordInterval, so that all hosts together stay well below the store's rate.
 	minRecordInterval     = 150 * time.Millisecond
-	recordIntervalPerHost = 8 * time.Millisecond
+	recordIntervalPerHost = 12 * time.Millisecond
+	maxRecordInterval     = 1500 * time.Millisecond
+	// searchInterval is the time between two searches of the records in the store in a small fleet,
+	// searchIntervalLarge that in a large one. What hosts write meanwhile their peers know as well.
+	searchInterval      = 200 * time.Millisecond
+	searchIntervalLarge = time.Second
 )
 
 // confirmHistory returns what the history of a service tells, confirmed with the store after the call. If the
@@ -187,7 +192,7 @@
 
 // recordInterval is the time between two writes of this host's records.
 func (s *streamVersions) recordInterval() time.Duration {
-	return minRecordInterval + recordIntervalPerHost*time.Duration(s.node.mesh.LiveMembers(time.Now()))
+	return min(minRecordInterval+recordIntervalPerHost*time.Duration(s.node.mesh.LiveMembers(time.Now())), maxRecordInterval)
 }
 
 // keepRecords writes the records of streams for which there is no other evidence, and removes them when
@@ -219,13 +224,15 @@
 func (w *recordWriter) write(ctx context.Context) error {
 	s := w.s
 	s.mu.Lock()
-	s.stored.Expire(s.node.clock.Now().Add(-s.longestWindow()))
-	pending, empty := s.pending, len(s.stored.Groups) == 0
+	now := s.node.clock.Now()
+	oldest := now.Add(-s.longestWindow())
+	s.unfinished.Expire(now, oldest)
+	unwritten, over := s.unfinished.HasUnwritten(), s.unfinished.AddedBefore(oldest)
 	s.mu.Unlock()
 	switch {
-	case pending:
+	case unwritten:
 		return w.replace(ctx)
-	case empty && w.revision != 0:
+	case over && w.revision != 0:
 		err := s.node.platform.Objects.Delete(ctx, recordsCollection, s.node.settings.Host, w.revision)
 		w.revision = 0
 		if errors.Is(err, store.ErrNotFound) {
@@ -251,15 +258,15 @@
 			w.revision = held.Revision
 			if earlier, err := affinity.DecodeStoredRecords(held.Value); err == nil { // else of another writer
 				s.mu.Lock()
-				s.stored.Merge(earlier)
+				s.unfinished.Merge(earlier)
 				s.mu.Unlock()
 			}
 		}
 	}
 	s.mu.Lock()
-	value, err := json.Marshal(s.stored)
-	s.pending = false
+	records, unwritten := s.unfinished.Value()
 	s.mu.Unlock()
+	value, err := json.Marshal(records)
 	if err != nil {
 		return err
 	}
@@ -270,13 +277,13 @@
 		held, err = objects.Replace(ctx, recordsCollection, host, w.revision, value)
 	}
 	if err != nil {
-		s.mu.Lock()
-		s.pending = true
-		s.mu.Unlock()
 		w.revision = 0
 		return err
 	}
 	w.revision = held.Revision
+	s.mu.Lock()
+	s.unfinished.Written(unwritten)
+	s.mu.Unlock()
 	return nil
 }
 
@@ -289,8 +296,18 @@
 	return longest
 }
 
-// searchRecords takes in the records that the store holds, as of a time after the call.
+// searchRecords takes in the records that the store holds, unless that was done a moment ago.
 func (s *streamVersions) searchRecords(ctx context.Context) error {
+	interval := searchInterval
+	if s.node.largeFleet() {
+		interval = searchIntervalLarge
+	}
+	s.mu.Lock()
+	recent := time.Since(s.searchedAt) < interval
+	s.mu.Unlock()
+	if recent {
+		return nil
+	}
 	ctx, cancel := context.WithTimeout(ctx, s.storeTimeout(searchTimeout))
 	defer cancel()
 	return s.search.join(ctx)
@@ -308,12 +325,15 @@
 func (s *streamVersions) readRecords() error {
 	ctx, cancel := context.WithTimeout(context.Background(), searchTimeout)
 	defer cancel()
-	objects := s.node.platform.Objects
+	objects, begun := s.node.platform.Objects, time.Now()
 	listing, err := objects.List(ctx, recordsCollection)
 	if err != nil {
 		return err
 	}
 	now := s.node.clock.Now()
+	s.mu.Lock()
+	s.searchedAt = begun
+	s.mu.Unlock()
 	for _, m := range listing.Members {
 		records, err := affinity.DecodeStoredRecords(m.Value)
 		if err != nil {
