--- a/node/stream_versions.go
+++ b/node/stream_versions.go
@@ -155,7 +155,9 @@
 		s.store(stream, r)
 	}
 	s.mu.Unlock()
-	s.send(&wire.StreamNotice{Kind: wire.StreamNotice_BEGAN, Stream: stream, Version: o.Version, Target: o.Target, Service: service, WindowMs: s.age(r)}, s.replicas(stream, recordReplicas))
+	s.send(&wire.StreamNotice{
+		Kind: wire.StreamNotice_BEGAN, Stream: stream, Version: o.Version, Target: o.Target, Service: service, WindowMs: s.age(r),
+	}, s.replicas(stream, recordReplicas))
 }
 
 // Evidence for the version of a stream, as stream_origin names it.
