--- a/internal/nodesoak/versions_test.go
+++ b/internal/nodesoak/versions_test.go
@@ -49,6 +49,7 @@
 // newVersionRun makes a deployment serve one version.
 func newVersionRun(d *deployment) *versionRun {
 	v := &versionRun{deployment: d}
+	v.noteStalls()
 	d.crashPart.Store("")
 	d.store.Change(func(s *prepared.StoreSwitches) { s.WritesPerS, s.ReadsPerS = storeWrites, storeReads })
 	d.onStart = func(s *prepared.Target) {
@@ -70,6 +71,29 @@
 	v.notes = append(v.notes, fmt.Sprintf("%7.3f ", time.Since(v.begun).Seconds())+fmt.Sprintf(format, args...))
 }
 
+const (
+	// pulse is how often a run looks whether its own process stands still, and maxPulse the time from which it does.
+	pulse, maxPulse = 20 * time.Millisecond, 300 * time.Millisecond
+)
+
+// noteStalls notes when the process of the test, which holds the store, the targets and the callers, stood still.
+func (v *versionRun) noteStalls() {
+	stop := make(chan struct{})
+	v.t.Cleanup(func() { close(stop) })
+	go func() {
+		for last := time.Now(); ; last = time.Now() {
+			select {
+			case <-stop:
+				return
+			case <-time.After(pulse):
+			}
+			if stood := time.Since(last); stood > maxPulse {
+				v.note("the test's own process stood still for %v until now", stood.Round(time.Millisecond))
+			}
+		}
+	}()
+}
+
 // report logs the notes.
 func (v *versionRun) report() {
 	v.mu.Lock()
