Let all hosts agree that the store is away, not most

A host whose store did not answer took its own history for evidence when most hosts said that the store answered them no more than it. All known hosts have to agree now; since each beginning is told to three hosts, streams go on without the store by their records as a rule. A host that reaches the store and whose history is not complete no longer counts as one that the store does not answer.

--- a/affinity/stored.go
+++ b/affinity/stored.go
@@ -84,15 +84,6 @@
 	return next, differs
 }
 
-// Services returns the services that have a history.
-func (v *Versions) Services() []string {
-	all := make([]string, 0, len(v.services))
-	for service := range v.services {
-		all = append(all, service)
-	}
-	return all
-}
-
 // StoredRecords is the form in which the store holds the streams that a host began.
 type StoredRecords struct {
 	Groups []StoredGroup `json:"groups"`
--- a/node/stream_notices.go
+++ b/node/stream_notices.go
@@ -84,16 +84,18 @@
 }
 
 // askHistory asks other hosts to confirm with the store which versions the service had. Besides their
-// answer it returns whether most hosts agree that the store answers none of them.
+// answer it returns whether all hosts agree that the store answers none of them. In a large fleet a sample decides, while
+// most hosts have been heard from.
 func (o *origin) askHistory(ctx context.Context) (answer streamAnswer, storeAway bool) {
 	s, now := o.s, time.Now()
 	live, known := s.node.livePeers(), s.node.mesh.KnownHostCount()
 	slices.SortStableFunc(live, func(a, b *peers.Peer) int { return cmp.Compare(storeRank(a), storeRank(b)) })
 	if s.node.largeFleet() {
-		if 2*s.node.mesh.HeardMembers(now) < known || len(live) < askedReplicas {
+		if 2*s.node.mesh.HeardMembers(now) < known || len(live) == 0 {
 			return streamAnswer{}, false
 		}
-		live, known = live[:askedReplicas], askedReplicas
+		live = live[:min(askedReplicas, len(live))]
+		known = len(live)
 	}
 	hosts := make([]string, 0, len(live))
 	for _, p := range live {
@@ -104,13 +106,13 @@
 	question := &wire.StreamNotice{Kind: wire.StreamNotice_HISTORY_ASKED, Stream: s.asked, Service: o.service, WindowMs: uint64(s.window(o.service, o.age).Milliseconds())}
 	s.mu.Unlock()
 	answer, silent := s.question(ctx, question, wire.StreamNotice_HISTORY_ANSWERED, hosts, historyAskTimeout)
-	agree := 1
+	agree := 0
 	for _, p := range live {
 		if !silent[p.Digest.Address] || !p.Digest.StoreReachable && now.Sub(p.LastSeen) < maxDigestAge {
 			agree++
 		}
 	}
-	return answer, 2*agree > known+1
+	return answer, agree >= known
 }
 
 // storeRank orders the hosts that are asked to confirm a history: those first that reach the store.
@@ -184,9 +186,9 @@
 		}, []string{from})
 	case wire.StreamNotice_HISTORY_ASKED:
 		s.mu.Lock()
-		busy := s.answers >= maxHistoryAnswers
+		busy := s.answering >= maxHistoryAnswers
 		if !busy {
-			s.answers++
+			s.answering++
 		}
 		s.mu.Unlock()
 		if !busy {
@@ -216,7 +218,7 @@
 func (s *streamVersions) answerHistory(from string, notice *wire.StreamNotice) {
 	defer func() {
 		s.mu.Lock()
-		s.answers--
+		s.answering--
 		s.mu.Unlock()
 	}()
 	ctx, cancel := context.WithTimeout(context.Background(), confirmTimeout)
@@ -225,6 +227,6 @@
 	version, finding, err := s.confirmHistory(ctx, notice.Service, max(window-clockMargin, 0))
 	s.send(&wire.StreamNotice{
 		Kind: wire.StreamNotice_HISTORY_ANSWERED, Stream: notice.Stream, Version: version,
-		Known: err == nil && finding == affinity.Sole, Several: finding == affinity.Several,
+		Known: err == nil && finding == affinity.Sole, Several: finding == affinity.Several || err == nil && finding != affinity.Sole,
 	}, []string{from})
 }
--- a/node/stream_versions.go
+++ b/node/stream_versions.go
@@ -40,8 +40,8 @@
 	searchedAt time.Time
 	// asked is the number of the latest question for a history. The first is random, so that no answer to an earlier
 	// process of this host matches.
-	asked   uint64
-	answers int // answers to such questions that are being prepared
+	asked     uint64
+	answering int // answers to such questions that are being prepared
 	// announced are the versions that the histories in the store show as listed, by service.
 	announced map[string]map[string]bool
 	// targets are those of the latest list by their keys.
@@ -236,7 +236,7 @@
 }
 
 // withoutStore returns the version that this host knows as the sole one if another host confirms it, or if the
-// store answers nobody and no host knows of a later change. A host that most others do not hear can't tell.
+// store answers nobody and no host knows of a later change. A host that is cut off from another one can't tell.
 func (o *origin) withoutStore(ctx context.Context, sole string) (at forward.StreamOrigin, how string) {
 	answer, storeAway := o.askHistory(ctx)
 	switch {
