Write histories without listing the targets again

After a kill of all 63 hosts of a grown fleet all requests were served later, those of plain services as well: each host listed 140 to 280 targets again for each look at the histories, and again after each conflict, at a fifth of a core. A host writes the versions of the list that it has; it marks a version as gone only if that list is not older than the history. Only a small fleet lists the targets to confirm a history.

--- a/node/version_store.go
+++ b/node/version_store.go
@@ -63,12 +63,28 @@
 	return version, finding, err
 }
 
-// readVersions reads the histories and the present targets from the store.
+// readVersions reads the histories from the store, and in a small fleet the present targets: a host of a build that does not
+// announce versions may have begun streams at one that no history names yet.
 func (s *streamVersions) readVersions() error {
 	ctx, cancel := context.WithTimeout(context.Background(), confirmTimeout)
 	defer cancel()
-	_, _, err := s.readHistories(ctx)
-	return err
+	if _, err := s.readHistories(ctx); err != nil || s.node.largeFleet() {
+		return err
+	}
+	listing, err := s.node.platform.Objects.List(ctx, s.node.platform.TargetsCollection)
+	if err != nil {
+		return err
+	}
+	var targets []roster.Target
+	for _, m := range listing.Members {
+		if t, err := s.node.platform.DecodeTarget(m); err == nil { // else the follower of the targets logs it
+			targets = append(targets, t)
+		}
+	}
+	s.mu.Lock()
+	s.versions.Note(s.node.clock.Now(), targets)
+	s.mu.Unlock()
+	return nil
 }
 
 // heldHistory is a history in the store.
@@ -77,31 +93,13 @@
 	revision uint64 // 0 if the store holds none
 }
 
-// readHistories takes in the histories and the list of targets in the store, and returns both: the histories, and
-// the versions listed, by service.
-func (s *streamVersions) readHistories(ctx context.Context) (map[string]heldHistory, map[string]map[string]bool, error) {
-	objects := s.node.platform.Objects
-	histories, err := objects.List(ctx, historiesCollection)
-	if err != nil {
-		return nil, nil, err
-	}
-	listing, err := objects.List(ctx, s.node.platform.TargetsCollection)
+// readHistories takes in the histories in the store and returns them by service.
+func (s *streamVersions) readHistories(ctx context.Context) (map[string]heldHistory, error) {
+	histories, err := s.node.platform.Objects.List(ctx, historiesCollection)
 	if err != nil {
-		return nil, nil, err
-	}
-	held, listed := make(map[string]heldHistory), make(map[string]map[string]bool)
-	var targets []roster.Target
-	for _, m := range listing.Members {
-		t, err := s.node.platform.DecodeTarget(m)
-		if err != nil {
-			continue // the follower of the targets logs it
-		}
-		targets = append(targets, t)
-		if listed[t.Service] == nil {
-			listed[t.Service] = make(map[string]bool)
-		}
-		listed[t.Service][t.Version] = true
+		return nil, err
 	}
+	held := make(map[string]heldHistory)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.node.clock.Now()
@@ -114,8 +112,7 @@
 		s.versions.Merge(now, m.Name, h.stored)
 		s.noteAnnounced(m.Name, h.stored)
 	}
-	s.versions.Note(now, targets)
-	return held, listed, nil
+	return held, nil
 }
 
 // keepHistories writes the histories of versions when they change.
@@ -141,26 +138,56 @@
 	return historySpread
 }
 
+// errListIsOlder means that a history names a version as listed that this host's list lacks, but may be newer than the list.
+var errListIsOlder = errors.New("the list of targets is older than a history")
+
 // syncHistories takes in the histories in the store and writes those that differ from what this host knows. It
-// returns an error unless all are written.
+// returns an error unless all agree.
 func (s *streamVersions) syncHistories() error {
 	ctx, cancel := context.WithTimeout(context.Background(), searchTimeout)
 	defer cancel()
-	held, listed, err := s.readHistories(ctx)
+	held, err := s.readHistories(ctx)
 	if err != nil {
 		return err
 	}
-	for service := range listed {
+	all, revision := s.listedVersions()
+	for service, listed := range all {
+		h := held[service]
+		if h.revision > revision {
+			for version, at := range h.stored.Versions {
+				if at.Open() && !listed[version] {
+					listed[version] = true
+					err = errListIsOlder
+				}
+			}
+		}
 		s.mu.Lock()
-		next, differs := s.versions.Export(s.node.clock.Now(), service, held[service].stored, listed[service])
+		next, differs := s.versions.Export(s.node.clock.Now(), service, h.stored, listed)
 		s.mu.Unlock()
 		if differs {
-			err = errors.Join(err, s.writeHistory(ctx, service, next, held[service].revision))
+			err = errors.Join(err, s.writeHistory(ctx, service, next, h.revision))
 		}
 	}
 	return err
 }
 
+// listedVersions returns the versions in this host's list of targets by service, and its revision.
+func (s *streamVersions) listedVersions() (map[string]map[string]bool, uint64) {
+	n := s.node
+	n.rosterMu.Lock()
+	targets, revision := n.roster.Targets(), n.roster.Revision()
+	n.rosterMu.Unlock()
+	all := make(map[string]map[string]bool)
+	for i := range targets {
+		t := &targets[i]
+		if all[t.Service] == nil {
+			all[t.Service] = make(map[string]bool)
+		}
+		all[t.Service][t.Version] = true
+	}
+	return all, revision
+}
+
 // writeHistory writes the history of a service over the revision held.
 func (s *streamVersions) writeHistory(ctx context.Context, service string, next affinity.StoredHistory, revision uint64) error {
 	value, err := json.Marshal(next)
