Start no node of the soak while its settings file is broken

A node ended by itself in the soak (FAULT): the soak had broken its settings file on purpose, to see that a reload refuses it, and started the node, killed before, within those 0.2 s. That is the soak's doing: the platform writes whole settings at each start. A node is started, and reads its file, while no broken one is in place; breaking it beside a running node goes on.

--- a/internal/nodesoak/process.go
+++ b/internal/nodesoak/process.go
@@ -28,6 +28,8 @@
 	settingsFile string
 	log          *os.File
 
+	fileMu sync.Mutex // held while the settings file is broken, or a process reads it at its start; taken before mu
+
 	mu        sync.Mutex
 	command   *exec.Cmd
 	ended     chan struct{}
@@ -155,6 +157,8 @@
 // reload changes the grace period in the settings and makes the process reload them. If
 // broken is set, it first makes the process reload a file that is not valid JSON.
 func (p *process) reload(broken bool, grace float64) error {
+	p.fileMu.Lock()
+	defer p.fileMu.Unlock()
 	if broken {
 		if err := p.replaceFile([]byte(`{"host": `)); err != nil {
 			return err
@@ -172,13 +176,22 @@
 	return p.signal(syscall.SIGHUP)
 }
 
-// start starts the process unless it is running.
+// settingsReadTime is the time within which a process that starts has read its settings.
+const settingsReadTime = time.Second
+
+// start starts the process unless it is running. Its settings file is sound until it has read it.
 func (p *process) start() error {
+	if p.running() {
+		return nil
+	}
+	p.fileMu.Lock()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.command != nil {
+		p.fileMu.Unlock()
 		return nil
 	}
+	time.AfterFunc(settingsReadTime, p.fileMu.Unlock)
 	p.record(verdict.Restart)
 	p.frozen, p.told = false, false
 	c := exec.Command(p.program, "--settings", p.settingsFile)
@@ -208,6 +221,13 @@
 	p.program = program
 }
 
+// running tells whether the process runs.
+func (p *process) running() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.command != nil
+}
+
 // signal sends a signal to this process if it is running.
 func (p *process) signal(s syscall.Signal) error {
 	p.mu.Lock()
