Begin streams at once while the store does not answer

A host that started while the store did not answer knew no history, and each stream waited 0.15 s for one before its first event, as long as the store was away. It waits no longer if the last call to the store failed: versions do not change meanwhile but through peers.

--- a/node/stream_versions.go
+++ b/node/stream_versions.go
@@ -110,7 +110,7 @@
 	return version, finding
 }
 
-// store makes writeRecords write a stream. The caller holds mu.
+// store makes keepRecords write a stream. The caller holds mu.
 func (s *streamVersions) store(stream uint64, r affinity.Record) {
 	s.unfinished.Add(s.node.clock.Now(), stream, r)
 }
@@ -119,10 +119,10 @@
 // requests are served without the store, too.
 func (s *streamVersions) Began(ctx context.Context, service, request string, o forward.StreamOrigin, age time.Duration) {
 	s.record(service, affinity.KeyOf(request), o, s.node.clock.Now(), age)
-	if s.isAnnounced(service, o.Version) {
+	if s.isAnnounced(service, o.Version) || !s.node.targetsStore.reachable() {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, s.storeTimeout(confirmTimeout))
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
 	for s.announce.join(ctx) != nil && ctx.Err() == nil && !s.isAnnounced(service, o.Version) {
 		time.Sleep(minRetryDelay / 2) // another host wrote first, perhaps something else
@@ -173,7 +173,7 @@
 
 // Origin implements forward.StreamVersions.
 func (s *streamVersions) Origin(ctx context.Context, service, request string, age time.Duration) (forward.StreamOrigin, bool) {
-	o := origin{s: s, service: service, age: age, begun: time.Now(), at: s.node.clock.Now()}
+	o := origin{s: s, service: service, age: age, searchBegan: time.Now(), at: s.node.clock.Now()}
 	if request != "" {
 		o.stream = affinity.KeyOf(request)
 	}
@@ -191,7 +191,7 @@
 	service         string
 	stream          uint64 // 0 if the caller does not name the request that began it
 	age             time.Duration
-	begun           time.Time
+	searchBegan     time.Time
 	at              time.Time // when the stream began, by its record
 	from            string    // host whose answer was decisive
 	asked, answered int
@@ -305,7 +305,7 @@
 	n.rosterMu.Unlock()
 	milliseconds := func(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
 	line := event.StreamOrigin.Log(n.log).Str("stream", request).Str("how", how).Str("version", version).Uint64("revision", revision).
-		Str("from", o.from).Int("asked", o.asked).Int("answered", o.answered).Float64("ms", milliseconds(time.Since(o.begun)))
+		Str("from", o.from).Int("asked", o.asked).Int("answered", o.answered).Float64("ms", milliseconds(time.Since(o.searchBegan)))
 	if last := n.targetsStore.lastAnswer(); !last.IsZero() {
 		line = line.Float64("list_age_ms", milliseconds(time.Since(last)))
 	}
