Name the collections of versions and streams like the others

The collections in the store that hold the versions of services and the streams that began lately had names without the prefix that those of the hosts and the duties have, by which other writers know whose they are.

--- a/internal/nodesoak/beside_test.go
+++ b/internal/nodesoak/beside_test.go
@@ -238,11 +238,11 @@
 }
 
 // newerKinds are kinds of objects that only a newer build writes.
-var newerKinds = []string{"zinnia-later", "software-versions-later", "stream-versions-later"}
+var newerKinds = []string{"zinnia-later", "zinnia-versions-later", "zinnia-streams-later"}
 
 // systemKinds are the kinds that builds of the system write, and newerFields what a newer one adds to their objects.
 var (
-	systemKinds = []string{"zinnia-hosts", "software-versions", "stream-versions"}
+	systemKinds = []string{"zinnia-hosts", "zinnia-versions", "zinnia-streams"}
 	newerFields = json.RawMessage(`{"since":1,"of":["a",null,{"b":1.5e300}]}`)
 )
 
--- a/node/origin_evidence_test.go
+++ b/node/origin_evidence_test.go
@@ -13,7 +13,7 @@
 )
 
 // historiesCollection holds the histories of versions.
-const historiesCollection = "software-versions"
+const historiesCollection = "zinnia-versions"
 
 // writeHistory writes a history by which the engines have been of v1 for an hour.
 func (c *testCluster) writeHistory() {
--- a/node/version_store.go
+++ b/node/version_store.go
@@ -16,9 +16,9 @@
 // Collections of the store that hold what must outlast all hosts.
 const (
 	// historiesCollection has an affinity.StoredHistory a service, by its name.
-	historiesCollection = "software-versions"
+	historiesCollection = "zinnia-versions"
 	// recordsCollection has an affinity.StoredRecords a host, by its name.
-	recordsCollection = "stream-versions"
+	recordsCollection = "zinnia-streams"
 )
 
 const (
