Test what crowds of clients make the processes hold

Cause: clients that keep to no limit ended a process: it ran out of memory. No test sends large, slow or unfinished requests from many connections. Change: internal/crowd starts the programs with lowered limits, opens 60 to 400 connections and checks that the process lives, that its memory and descriptors stay within memory_mb and descriptors of its settings, and that an ordinary request is answered beside the crowd and afterwards. Both settings are read and checked, not heeded yet. make test runs these tests after all others.

--- a/Makefile
+++ b/Makefile
@@ -20,8 +20,10 @@
 up: build
 	go run ./internal/demo --up
 
+# The tests of what processes hold come after all others, since they measure memory.
 test:
-	go test ./...
+	go test $$(go list ./... | grep -v /internal/crowd$$)
+	go test ./internal/crowd
 
 lint: tools
 	golangci-lint run ./...
--- a/internal/deploy/process.go
+++ b/internal/deploy/process.go
@@ -102,6 +102,9 @@
 	return trace.Wrap(p.command.Process.Signal(s))
 }
 
+// PID returns the id of the process.
+func (p *Process) PID() int { return p.command.Process.Pid }
+
 // Done returns a channel that is closed when the process has ended.
 func (p *Process) Done() <-chan struct{} {
 	return p.done
--- a/settings/node.go
+++ b/settings/node.go
@@ -38,6 +38,9 @@
 	Duties NodeDuties `json:"duties"`
 	// MemoryMB is the memory that the process may use, in MB.
 	MemoryMB int `json:"memory_mb"`
+	// Descriptors is the number of files and sockets that the process may have
+	// open. Default is the process's limit of open files.
+	Descriptors int `json:"descriptors,omitempty"`
 	// LinkMbps is the speed of the host's network link, 0 when it is not known. In a large
 	// fleet hosts with fast links pass on the digests of others. Default 0.
 	LinkMbps float64 `json:"link_mbps,omitempty"`
@@ -127,7 +130,8 @@
 			p.Add(path, "must be above 0")
 		}
 	}
-	positive("memory_mb", float64(n.MemoryMB))
+	checkMemory(p, &n.MemoryMB, 0)
+	checkDescriptors(p, n.Descriptors)
 	positive("bounds.grace_seconds", n.Bounds.GraceSeconds)
 	positive("bounds.lease_ms", float64(n.Bounds.LeaseMillis))
 	positive("bounds.retry_window_seconds", n.Bounds.RetryWindowSeconds)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -28,6 +28,11 @@
 	Region zone.Region `json:"region"`
 	// Operators is the IP:port of /healthz, /readyz and /metrics.
 	Operators string `json:"operators"`
+	// MemoryMB is the memory that the process may use, in MB. Default 512.
+	MemoryMB int `json:"memory_mb,omitempty"`
+	// Descriptors is the number of files and sockets that the process may have
+	// open. Default is the process's limit of open files.
+	Descriptors int `json:"descriptors,omitempty"`
 	// OperatorsTLS makes the process serve operators by HTTPS; without it, it
 	// serves them by plaintext HTTP.
 	OperatorsTLS *ServerTLS `json:"operators_tls,omitempty"`
@@ -134,12 +139,40 @@
 	p.Required("zone", string(c.Zone))
 	p.Required("region", string(c.Region))
 	p.Address("operators", c.Operators)
+	checkMemory(p, &c.MemoryMB, defaultMemoryMB)
+	checkDescriptors(p, c.Descriptors)
 	c.OperatorsTLS.check(p, "operators_tls")
 	c.Log.check(p)
 	c.TLS.check(p)
 	c.Platform.check(p)
 }
 
+const (
+	// defaultMemoryMB is the default of Common.MemoryMB.
+	defaultMemoryMB = 512
+	// minMemoryMB is the memory with which a process can still hold one body of the largest size.
+	minMemoryMB = 32
+	// minDescriptors leaves some for callers beside the connections of the process itself.
+	minDescriptors = 128
+)
+
+// checkMemory sets the default of memory_mb, and records a value that is too low.
+func checkMemory(p *Problems, value *int, fallback int) {
+	if *value == 0 {
+		*value = fallback
+	}
+	if *value < minMemoryMB {
+		p.Add("memory_mb", "must be at least %d", minMemoryMB)
+	}
+}
+
+// checkDescriptors records a number of descriptors that is too low.
+func checkDescriptors(p *Problems, value int) {
+	if value != 0 && value < minDescriptors {
+		p.Add("descriptors", "must be at least %d", minDescriptors)
+	}
+}
+
 // check records the mistakes in the log settings and sets the default level.
 func (l *Log) check(p *Problems) {
 	if l.Level == "" {
