Bound what callers make a node hold

Cause: a node counted bodies only after it had read them, so that any number of them was held at a time, and not in the buffers in which they grow; nothing bounded connections, their read buffers of 32 KiB and their unread input. Callers saw the process end for lack of memory. Change: package intake. Ledger, without input or output, decides who may hold what: the bytes of all connections together, and the connections at each address. Budget and Conn carry it out. Bytes are counted before they are held, in the capacity of their buffers. A request that is not complete can be ended in favour of others, the highest product of bytes and age first, so that a sound caller finds room beside any number of unfinished requests; complete ones are kept, large ones up to three quarters of the bound. What is refused was not sent anywhere: 503 with Retry-After, or a closed connection where no head was read. The bound is 0.4 of memory_mb; callers have three eighths of the descriptors. The read buffer of a connection takes 4 KiB until a head needs more. TestLargestBody: a single body of 4 MiB is served.

--- a/cmd/zinnia-controller/main.go
+++ b/cmd/zinnia-controller/main.go
@@ -121,7 +121,7 @@
 	if err := k.Register(metrics); err != nil {
 		return err
 	}
-	operators, err := daemon.NewOperatorsServer(s.Operators, operatorsTLS, metrics, k.Ready)
+	operators, err := daemon.NewOperatorsServer(s.Operators, operatorsTLS, nil, metrics, k.Ready)
 	if err != nil {
 		return err
 	}
--- a/cmd/zinnia-gateway/serve.go
+++ b/cmd/zinnia-gateway/serve.go
@@ -10,6 +10,7 @@
 
 	"zinniapin/daemon"
 	"zinniapin/gateway"
+	"zinniapin/intake"
 	"zinniapin/invariant"
 	"zinniapin/settings"
 )
@@ -44,11 +45,11 @@
 	if err != nil {
 		return err
 	}
-	operators, err := daemon.NewOperatorsServer(s.Operators, loaded.operators, registry, g.Ready)
+	operators, err := daemon.NewOperatorsServer(s.Operators, loaded.operators, nil, registry, g.Ready)
 	if err != nil {
 		return err
 	}
-	listener, err := daemon.ListenTLS("listen", s.Listen, loaded.callers)
+	listener, err := daemon.ListenTLS("listen", s.Listen, loaded.callers, nil, intake.Callers)
 	if err != nil {
 		return errors.Join(err, operators.Close())
 	}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -24,6 +24,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/rs/zerolog"
 
+	"zinniapin/intake"
 	"zinniapin/invariant"
 	"zinniapin/result"
 )
@@ -55,6 +56,18 @@
 	}
 }
 
+// memoryLimitShare is the share of a process's memory that is set as the soft limit
+// of the Go runtime; the program, sockets and what the limit is exceeded by need the rest.
+const memoryLimitShare = 0.6
+
+// LimitMemory sets the soft memory limit of the Go runtime unless the environment
+// variable GOMEMLIMIT sets it.
+func LimitMemory(memoryMB int) {
+	if os.Getenv("GOMEMLIMIT") == "" {
+		debug.SetMemoryLimit(int64(float64(memoryMB) * memoryLimitShare * (1 << 20)))
+	}
+}
+
 // NewRegistry returns a metrics registry with the collectors that are the same in
 // every process.
 func NewRegistry() *prometheus.Registry {
@@ -76,8 +89,8 @@
 
 // NewOperatorsServer listens at address, with TLS unless secured is nil. The
 // function ready returns why the process is not ready, or nil.
-func NewOperatorsServer(address string, tlsConfig *tls.Config, r *prometheus.Registry, ready func() error) (*OperatorsServer, error) {
-	listener, err := ListenTLS("operators", address, tlsConfig)
+func NewOperatorsServer(address string, tlsConfig *tls.Config, b *intake.Budget, r *prometheus.Registry, ready func() error) (*OperatorsServer, error) {
+	listener, err := ListenTLS("operators", address, tlsConfig, b, intake.Operators)
 	if err != nil {
 		return nil, err
 	}
@@ -92,9 +105,18 @@
 		}
 		fmt.Fprintln(w, "ready")
 	})
-	routes.Handle("/metrics", promhttp.HandlerFor(r, promhttp.HandlerOpts{}))
-	server := &http.Server{Handler: routes, ReadHeaderTimeout: operatorsTimeout}
-	return &OperatorsServer{server: server, listener: listener}, nil
+	routes.Handle("/metrics", MetricsHandler(r))
+	return &OperatorsServer{server: NewServer(routes), listener: listener}, nil
+}
+
+// MetricsHandler serves the metrics of a registry.
+func MetricsHandler(r *prometheus.Registry) http.Handler {
+	return promhttp.HandlerFor(r, promhttp.HandlerOpts{})
+}
+
+// NewServer returns a server for requests without a body, as operators and load balancers send them.
+func NewServer(h http.Handler) *http.Server {
+	return &http.Server{Handler: h, ReadHeaderTimeout: operatorsTimeout}
 }
 
 // Address returns the address at which the server listens.
@@ -116,17 +138,21 @@
 	return trace.Wrap(o.server.Close())
 }
 
-// Listen listens at a TCP address from a field of the settings. The error names
-// the field.
-func Listen(field, address string) (net.Listener, error) {
-	listener, err := net.Listen("tcp", address)
+// Listen listens at a TCP address from a field of the settings. The connections are
+// accepted within the budget, unless that is nil. The error names the field.
+func Listen(field, address string, b *intake.Budget, k intake.Kind) (net.Listener, error) {
+	var config net.ListenConfig
+	if k.ReceiveBytes > 0 {
+		config.Control = intake.ReceiveBuffer(k.ReceiveBytes)
+	}
+	listener, err := config.Listen(context.Background(), "tcp", address)
 	if errors.Is(err, syscall.EADDRINUSE) {
 		return nil, result.New(result.AddressInUse, "%s is in use", address).At(field)
 	}
 	if err != nil {
 		return nil, result.Wrap(err, result.BadSettings, "cannot listen at %s", address).At(field)
 	}
-	return listener, nil
+	return b.Listen(listener, k), nil
 }
 
 // Signals returns two contexts. The first is cancelled by the first SIGTERM or
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -10,18 +10,19 @@
 	"github.com/matryer/is"
 	"go.uber.org/goleak"
 
+	"zinniapin/intake"
 	"zinniapin/result"
 )
 
 func TestListenNamesTheField(t *testing.T) {
 	is := is.New(t)
-	first, err := Listen("listen", "127.0.0.1:0")
+	first, err := Listen("listen", "127.0.0.1:0", nil, intake.Operators)
 	is.NoErr(err)
 	defer func() { _ = first.Close() }()
-	_, err = Listen("operators", first.Addr().String())
+	_, err = Listen("operators", first.Addr().String(), nil, intake.Operators)
 	is.Equal(result.CodeOf(err), result.AddressInUse)
 	is.Equal(result.Of(err).Place, "operators")
-	_, err = Listen("operators", "127.0.0.1")
+	_, err = Listen("operators", "127.0.0.1", nil, intake.Operators)
 	is.Equal(result.CodeOf(err), result.BadSettings)
 	is.Equal(result.Of(err).Place, "operators")
 }
@@ -49,7 +50,7 @@
 func TestOperators(t *testing.T) {
 	is := is.New(t)
 	var notReady error = result.New(result.NotReady, "no configuration")
-	server, err := NewOperatorsServer("127.0.0.1:0", nil, NewRegistry(), func() error { return notReady })
+	server, err := NewOperatorsServer("127.0.0.1:0", nil, nil, NewRegistry(), func() error { return notReady })
 	is.NoErr(err)
 	served := make(chan error, 1)
 	go func() { served <- server.Serve() }()
--- a/daemon/tls.go
+++ b/daemon/tls.go
@@ -8,6 +8,7 @@
 
 	"zinniapin/certfile"
 	"zinniapin/event"
+	"zinniapin/intake"
 	"zinniapin/result"
 	"zinniapin/settings"
 )
@@ -46,8 +47,8 @@
 }
 
 // ListenTLS is like Listen, but with TLS unless the configuration is nil.
-func ListenTLS(field, address string, tlsConfig *tls.Config) (net.Listener, error) {
-	listener, err := Listen(field, address)
+func ListenTLS(field, address string, tlsConfig *tls.Config, b *intake.Budget, k intake.Kind) (net.Listener, error) {
+	listener, err := Listen(field, address, b, k)
 	if err != nil || tlsConfig == nil {
 		return listener, err
 	}
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -6,6 +6,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -15,6 +16,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"zinniapin/intake"
 )
 
 // Handler handles requests. Serve must start or abort a response.
@@ -44,8 +47,14 @@
 }
 
 const (
-	// headBufferBytes is the size of the read buffer of a connection. A head must fit into it.
+	// readBufferBytes is the size of the read buffer of a connection, and headBufferBytes that for heads which do not fit
+	// into it. A head must fit into the latter.
+	readBufferBytes = 4 << 10
 	headBufferBytes = 32 << 10
+	// headCopies is how often a head is held while it is parsed, the read buffer included.
+	headCopies = 4
+	// fullRetryAfter is the Retry-After of requests that are refused since the process can hold no more, in seconds.
+	fullRetryAfter = "1"
 	// bodyTimeout bounds the time to read a body.
 	bodyTimeout = 10 * time.Second
 	// writeTimeout bounds one write to a caller, which may not be reading.
@@ -59,12 +68,9 @@
 	Handler Handler
 	// Limits returns the limits in force.
 	Limits func() Limits
-	// MaxBodyMemoryBytes bounds the bytes of all request bodies held at once; 0 means no bound.
-	MaxBodyMemoryBytes int64
 
-	bodyBytes   atomic.Int64 // bytes of request bodies held
-	draining    atomic.Bool  // set by Drain
-	closingIdle atomic.Bool  // set by CloseIdle
+	draining    atomic.Bool // set by Drain
+	closingIdle atomic.Bool // set by CloseIdle
 	mu          sync.Mutex
 	conns       map[*conn]struct{}
 }
@@ -84,10 +90,12 @@
 			}
 			return err
 		}
-		if t, ok := c.(*net.TCPConn); ok {
+		if t, ok := c.(interface {
+			SetKeepAliveConfig(net.KeepAliveConfig) error
+		}); ok {
 			_ = t.SetKeepAliveConfig(net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: 2}) // only speeds up the detection of dead callers
 		}
-		k := &conn{server: s, net: c, reader: bufio.NewReaderSize(c, headBufferBytes)}
+		k := &conn{server: s, net: c, held: intake.ConnOf(c), reader: bufio.NewReaderSize(c, readBufferBytes)}
 		s.mu.Lock()
 		if s.conns == nil {
 			s.conns = make(map[*conn]struct{})
@@ -144,7 +152,9 @@
 type conn struct {
 	server *Server
 	net    net.Conn
+	held   *intake.Conn // net, if its listener bounds what connections hold
 	reader *bufio.Reader
+	grown  bool       // the reader has the size for large heads
 	mu     sync.Mutex // guards idle and the read deadline set with it
 	idle   bool       // waiting for a request
 }
@@ -180,6 +190,8 @@
 // serveRequest reads and handles one request. It returns whether the connection stays open.
 func (c *conn) serveRequest(reused bool) bool {
 	limits := c.server.Limits()
+	c.shrinkReader()
+	c.held.Rest()
 	wait := limits.IdleTimeout
 	if !reused {
 		wait = max(limits.HeadTimeout, limits.IdleTimeout)
@@ -190,8 +202,8 @@
 	if err != nil {
 		return false
 	}
-	var head []byte
-	head, err = peekHead(c.reader, min(limits.HeadBytes, headBufferBytes-1))
+	c.held.Yield()
+	head, err := c.peekHead(min(limits.HeadBytes, headBufferBytes-1))
 	if err == nil {
 		err = checkHead(head)
 	}
@@ -208,18 +220,55 @@
 	}
 	w := &Writer{conn: c, method: r.Method, close: parsed.Close || parsed.ProtoMinor == 0, noChunks: parsed.ProtoMinor == 0, server: c.server}
 	body, status := c.readBody(parsed, limits)
+	if status == 0 && c.held.Keep() != nil {
+		status = http.StatusServiceUnavailable
+	}
 	if status != 0 {
 		if status > 0 {
 			w.close = true
-			w.Refuse(status, nil)
+			w.Refuse(status, refusalHeader(status))
 		}
 		return false
 	}
-	defer c.server.bodyBytes.Add(-int64(len(body)))
 	r.Body = body
 	return c.runHandler(r, w)
 }
 
+// refusalHeader returns the headers of a response that refuses a request with a status.
+func refusalHeader(status int) http.Header {
+	if status != http.StatusServiceUnavailable {
+		return nil
+	}
+	return http.Header{"Retry-After": {fullRetryAfter}}
+}
+
+// peekHead is peekHead with a larger read buffer where the head needs one.
+func (c *conn) peekHead(limit int) ([]byte, error) {
+	head, err := peekHead(c.reader, limit)
+	if !errors.Is(err, errHeadTooLarge) || c.grown || c.reader.Buffered() > limit {
+		return head, err
+	}
+	if err := c.held.Reserve(headCopies * headBufferBytes); err != nil {
+		return nil, err
+	}
+	c.resizeReader(headBufferBytes)
+	return peekHead(c.reader, limit)
+}
+
+// shrinkReader replaces the large read buffer by an ordinary one if what is left in it fits.
+func (c *conn) shrinkReader() {
+	if c.grown && c.reader.Buffered() <= readBufferBytes {
+		c.resizeReader(readBufferBytes)
+	}
+}
+
+// resizeReader gives the reader a buffer of another size.
+func (c *conn) resizeReader(size int) {
+	buffered, _ := c.reader.Peek(c.reader.Buffered()) // cannot fail
+	c.reader = bufio.NewReaderSize(io.MultiReader(bytes.NewReader(bytes.Clone(buffered)), c.net), size)
+	c.grown = size > readBufferBytes
+}
+
 // refuseHead refuses a request with an invalid head. It sends no response if reading the head
 // failed. It returns false, since the connection is closed in either case.
 func (c *conn) refuseHead(err error) bool {
@@ -229,10 +278,12 @@
 		status = http.StatusRequestHeaderFieldsTooLarge
 	case errors.Is(err, errAmbiguous), errors.Is(err, errMalformed):
 		status = http.StatusBadRequest
+	case errors.Is(err, intake.ErrFull):
+		status = http.StatusServiceUnavailable
 	}
 	if status != 0 {
 		w := &Writer{conn: c, close: true, server: c.server}
-		w.Refuse(status, nil)
+		w.Refuse(status, refusalHeader(status))
 	}
 	return false
 }
@@ -246,24 +297,23 @@
 	if parsed.ContentLength == 0 {
 		return nil, 0
 	}
-	if c.server.MaxBodyMemoryBytes > 0 && c.server.bodyBytes.Load()+max(parsed.ContentLength, 0) > c.server.MaxBodyMemoryBytes {
-		return nil, http.StatusServiceUnavailable
-	}
 	if parsed.Header.Get("Expect") == "100-continue" {
 		if _, err := io.WriteString(c.net, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
 			return nil, -1
 		}
 	}
 	_ = c.net.SetReadDeadline(time.Now().Add(bodyTimeout))
-	body, err := io.ReadAll(io.LimitReader(parsed.Body, int64(limits.BodyBytes)+1))
-	if err != nil {
-		return nil, -1
-	}
-	if len(body) > limits.BodyBytes {
+	body, err := intake.ReadBody(c.held, parsed.Body, parsed.ContentLength, int64(limits.BodyBytes))
+	switch {
+	case err == nil:
+		return body, 0
+	case errors.Is(err, intake.ErrTooLarge):
 		return nil, http.StatusRequestEntityTooLarge
+	case errors.Is(err, intake.ErrFull), errors.Is(err, intake.ErrEvicted):
+		return nil, http.StatusServiceUnavailable
+	default:
+		return nil, -1
 	}
-	c.server.bodyBytes.Add(int64(len(body)))
-	return body, 0
 }
 
 // runHandler runs the handler and cancels its context if the caller disconnects. It returns whether
@@ -400,7 +450,7 @@
 // finish ends the body and returns whether the response is complete.
 func (w *Writer) finish() bool {
 	if w.aborted || !w.started {
-		if t, ok := w.conn.net.(*net.TCPConn); ok && w.started {
+		if t, ok := w.conn.net.(interface{ SetLinger(int) error }); ok && w.started {
 			_ = t.SetLinger(0) // closing resets the connection, which shows that the response is incomplete
 		}
 		return false
--- a/ingress/server_test.go
+++ b/ingress/server_test.go
@@ -14,8 +14,10 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/rs/zerolog"
 
 	"zinniapin/ingress"
+	"zinniapin/intake"
 )
 
 // handler records requests and responds by calling do, or with the body of the request.
@@ -48,7 +50,7 @@
 // start starts a server with a handler and returns the server and a function that connects to it.
 func start(t *testing.T, h *handler) (*ingress.Server, func() (net.Conn, *bufio.Reader)) {
 	t.Helper()
-	s := &ingress.Server{Handler: h, MaxBodyMemoryBytes: 1 << 20, Limits: func() ingress.Limits {
+	s := &ingress.Server{Handler: h, Limits: func() ingress.Limits {
 		return ingress.Limits{HeadBytes: 2000, BodyBytes: 10_000, HeadTimeout: 300 * time.Millisecond, IdleTimeout: time.Second}
 	}}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -56,7 +58,9 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = l.Close() })
-	go func() { _ = s.Serve(l) }()
+	log := zerolog.Nop()
+	bounded := intake.New(intake.Options{MemoryMB: 64, Descriptors: 256, Log: &log}).Listen(l, intake.Callers)
+	go func() { _ = s.Serve(bounded) }()
 	return s, func() (net.Conn, *bufio.Reader) {
 		c, err := net.Dial("tcp", l.Addr().String())
 		if err != nil {
--- /dev/null
+++ b/intake/budget.go
@@ -0,0 +1,223 @@
+// Package intake bounds what remote ends make a process hold: the connections at each of its listening addresses, and the
+// bytes of all of them together. Bytes are counted before they are held. If they would exceed the bound, connections whose
+// requests are not complete are ended in favour of others; see Ledger.
+package intake
+
+import (
+	"errors"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+
+	"zinniapin/event"
+)
+
+// Errors of connections. In both cases nothing was done with the request.
+var (
+	// ErrFull means that the process can hold no more.
+	ErrFull = errors.New("intake: the process can hold no more")
+	// ErrEvicted means that the connection was ended in favour of others.
+	ErrEvicted = errors.New("intake: the connection was ended in favour of others")
+)
+
+const (
+	// memoryShare is the share of a process's memory that remote ends can make it hold.
+	memoryShare = 0.4
+	// waitLimit bounds the wait for the bytes of evicted connections.
+	waitLimit = time.Second
+	// logInterval is the least interval between two log lines on refusals at one address.
+	logInterval = time.Second
+)
+
+// Kind is a kind of listening addresses.
+type Kind struct {
+	// Name tells the address apart in logs and metrics.
+	Name string
+	// Share is the share of the process's descriptors for its connections. What all kinds leave is for the process's own
+	// files and connections, of which a request in progress needs one.
+	Share float64
+	// ReceiveBytes bounds the unread input that the kernel keeps of a connection; 0 stands for the kernel's own bound.
+	ReceiveBytes int
+}
+
+// Kinds of listening addresses.
+var (
+	// Callers is the kind of addresses for callers.
+	Callers = Kind{"callers", 3.0 / 8, 32 << 10}
+	// Operators is the kind of addresses for readiness checks and metrics.
+	Operators = Kind{"operators", 1.0 / 16, 8 << 10}
+	// Links is the kind of addresses for links of a process that has callers as well. Their input is read at once.
+	Links = Kind{"links", 1.0 / 8, 0}
+	// ControllerLinks is Links for a process without callers.
+	ControllerLinks = Kind{"links", 3.0 / 8, 0}
+)
+
+// processBytes is what a connection holds in the process by itself: two stacks and buffers of 16 KiB, and a head of 4 KiB in
+// the copies that its parsing takes.
+const processBytes = 32 << 10
+
+// Options configure a Budget.
+type Options struct {
+	// MemoryMB is the memory of the process.
+	MemoryMB int
+	// Descriptors is the number of files and sockets that the process may have open; 0 stands for its limit of open files.
+	Descriptors int
+	Log         *zerolog.Logger
+	Registry    prometheus.Registerer // nil registers no metrics
+}
+
+// Budget is what the remote ends of a process make it hold. It is safe for concurrent use.
+type Budget struct {
+	descriptors int
+	log         *zerolog.Logger
+	refused     *prometheus.CounterVec
+
+	mu     sync.Mutex // guards the fields below, and the decisions
+	ledger *Ledger
+	conns  map[*Holder]*Conn
+	logged map[string]*refusals // by address
+}
+
+// refusals are the refusals at an address since the last log line.
+type refusals struct {
+	at              time.Time
+	full, evictions int
+}
+
+// New returns a budget of which nothing is used.
+func New(o Options) *Budget {
+	b := &Budget{descriptors: o.Descriptors, log: o.Log, ledger: NewLedger(bytesOf(o.MemoryMB)), conns: make(map[*Holder]*Conn), logged: make(map[string]*refusals)}
+	if b.descriptors == 0 {
+		b.descriptors = openFileLimit()
+	}
+	b.refused = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "zinnia_intake_refused_total", Help: "Connections that were refused or ended since the process can hold no more, by address and reason."}, []string{"address", "reason"})
+	if o.Registry != nil {
+		o.Registry.MustRegister(b.refused,
+			prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "zinnia_intake_bytes", Help: "Bytes that accepted connections make the process hold."}, func() float64 { used, _ := b.usage(); return used }),
+			prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "zinnia_intake_limit_bytes", Help: "Bytes that accepted connections may make the process hold."}, func() float64 { _, limit := b.usage(); return limit }))
+	}
+	return b
+}
+
+// bytesOf returns the bytes that remote ends can make a process hold.
+func bytesOf(memoryMB int) int64 { return int64(memoryShare * float64(memoryMB) * (1 << 20)) }
+
+// defaultOpenFiles stands for a limit of open files that cannot be read.
+const defaultOpenFiles = 1024
+
+// openFileLimit returns the process's limit of open files.
+func openFileLimit() int {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
+		return defaultOpenFiles
+	}
+	return int(min(limit.Cur, 1<<20))
+}
+
+// SetMemory changes the memory of the process, in MB.
+func (b *Budget) SetMemory(memoryMB int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ledger.SetLimit(bytesOf(memoryMB))
+}
+
+// usage returns the bytes that are held and those that may be.
+func (b *Budget) usage() (used, limit float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return float64(b.ledger.used), float64(b.ledger.limit)
+}
+
+// Listen returns a listener that accepts the connections of l within the budget. A nil budget bounds nothing.
+func (b *Budget) Listen(l net.Listener, k Kind) net.Listener {
+	if b == nil {
+		return l
+	}
+	return &listener{Listener: l, budget: b, address: &Address{Name: k.Name, Connections: int(k.Share * float64(b.descriptors)), ConnectionBytes: processBytes + int64(k.ReceiveBytes)}}
+}
+
+// open adds a connection and returns it, or nil if there can be no further one.
+func (b *Budget) open(c net.Conn, a *Address) *Conn {
+	b.mu.Lock()
+	h, evicted := b.ledger.Open(time.Now(), a)
+	var last *Conn
+	if evicted != nil {
+		last = b.conns[evicted]
+		b.count(a, true)
+	}
+	if h == nil {
+		b.count(a, false)
+		b.mu.Unlock()
+		return nil
+	}
+	k := &Conn{Conn: c, budget: b, holder: h, granted: make(chan struct{}, 1)}
+	b.conns[h] = k
+	b.mu.Unlock()
+	if last != nil {
+		_ = last.Close() // its descriptor is needed
+	}
+	if k.Reserve(a.ConnectionBytes) != nil {
+		b.remove(h)
+		return nil
+	}
+	return k
+}
+
+// reserve asks for bytes of a holder and ends the connections that were evicted for it.
+func (b *Budget) reserve(k *Conn, n int64) Outcome {
+	b.mu.Lock()
+	outcome, evicted := b.ledger.Reserve(time.Now(), k.holder, n)
+	var ended []*Conn
+	for _, h := range evicted {
+		ended = append(ended, b.conns[h])
+		b.count(h.address, true)
+	}
+	if outcome == Refused && !k.holder.ending {
+		b.count(k.holder.address, false)
+	}
+	b.mu.Unlock()
+	for _, c := range ended {
+		c.evict()
+	}
+	return outcome
+}
+
+// wake tells holders that their bytes were granted. The caller holds mu.
+func (b *Budget) wake(granted []*Holder) {
+	for _, h := range granted {
+		b.conns[h].granted <- struct{}{}
+	}
+}
+
+// remove removes a holder.
+func (b *Budget) remove(h *Holder) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.wake(b.ledger.Close(h))
+	delete(b.conns, h)
+}
+
+// count counts and logs a refusal. The caller holds mu.
+func (b *Budget) count(a *Address, eviction bool) {
+	r := b.logged[a.Name]
+	if r == nil {
+		r = &refusals{}
+		b.logged[a.Name] = r
+	}
+	if eviction {
+		r.evictions++
+		b.refused.WithLabelValues(a.Name, "evicted").Inc()
+	} else {
+		r.full++
+		b.refused.WithLabelValues(a.Name, "full").Inc()
+	}
+	if now := time.Now(); now.Sub(r.at) >= logInterval {
+		event.IntakeRefused.Log(b.log).Str("address", a.Name).Int("refused", r.full).Int("evicted", r.evictions).
+			Int("connections", a.open).Int("connection_limit", a.Connections).Int64("bytes", b.ledger.used).Int64("byte_limit", b.ledger.limit).Send()
+		*r = refusals{at: now}
+	}
+}
--- a/link/yamuxlink/network.go
+++ b/link/yamuxlink/network.go
@@ -18,6 +18,7 @@
 
 	"zinniapin/daemon"
 	"zinniapin/event"
+	"zinniapin/intake"
 	"zinniapin/link"
 	"zinniapin/machine"
 	"zinniapin/result"
@@ -45,6 +46,10 @@
 	TLS *tls.Config
 	// Log receives the events of links.
 	Log *zerolog.Logger
+	// Intake bounds what the accepted links make the process hold, and Kind is the kind of their address; with a nil Intake
+	// nothing is bounded.
+	Intake *intake.Budget
+	Kind   intake.Kind
 	// Reaches reports whether links to an address can be opened; nil if all can. Tests cut hosts off
 	// with it.
 	Reaches func(address string) bool
@@ -167,7 +172,7 @@
 
 // Listen implements link.Network.
 func (n *Network) Listen(address string, h link.Handler, accept func(link.Link)) (string, func() error, error) {
-	listener, err := daemon.Listen("links", address)
+	listener, err := daemon.Listen("links", address, n.Intake, n.Kind)
 	if err != nil {
 		return "", nil, err
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -15,7 +15,6 @@
 
 	"github.com/gorilla/mux"
 	"github.com/prometheus/client_golang/prometheus"
-	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/rs/zerolog"
 
 	"zinniapin/daemon"
@@ -24,6 +23,7 @@
 	"zinniapin/event"
 	"zinniapin/forward"
 	"zinniapin/ingress"
+	"zinniapin/intake"
 	"zinniapin/link/yamuxlink"
 	"zinniapin/machine"
 	"zinniapin/metering"
@@ -84,7 +84,9 @@
 	pool    *upstream.Pool
 	mesh    *peers.Mesh
 	network *yamuxlink.Network
-	clock   *truetime.Clock
+	// intake bounds what callers and others make the process hold.
+	intake *intake.Budget
+	clock  *truetime.Clock
 
 	ledgerMu sync.Mutex
 	ledger   *metering.Ledger
@@ -110,17 +112,10 @@
 	registry    *prometheus.Registry
 }
 
-// memoryLimitShare is the share of the allowed memory that is set as the soft
-// memory limit of the Go runtime; stacks and sockets need the rest.
-const memoryLimitShare = 0.6
-
 // gcPercent is the GOGC value; above the default of 100 it saves processor time
 // at the cost of memory, of which a node uses little.
 const gcPercent = 200
 
-// bodyMemoryShare is the share of the allowed memory for request bodies.
-const bodyMemoryShare = 0.25
-
 // New returns a node that is not started yet; Run starts it.
 func New(s settings.Node, p Platform, output *Output, log *zerolog.Logger) *Node {
 	now := time.Now()
@@ -133,6 +128,7 @@
 		roster: roster.New(), clock: truetime.New(), registry: daemon.NewRegistry(),
 	}
 	n.reloaded.Store(&s)
+	n.intake = intake.New(intake.Options{MemoryMB: s.MemoryMB, Descriptors: s.Descriptors, Log: log, Registry: n.registry})
 	n.network = &yamuxlink.Network{Self: n.self, Log: log}
 	n.links = newTargetLinks(n)
 	n.pool = upstream.NewPool(n.links.Dialer)
@@ -147,7 +143,7 @@
 		Planner: dispatch.New(dispatch.DefaultPolicy(), s.Zone, n.self.Incarnation),
 	})
 	n.registerSlowdownGauge()
-	n.server = &ingress.Server{Handler: n.handler, Limits: n.limits, MaxBodyMemoryBytes: int64(float64(s.MemoryMB) * bodyMemoryShare * (1 << 20))}
+	n.server = &ingress.Server{Handler: n.handler, Limits: n.limits}
 	n.mesh = &peers.Mesh{
 		Host: s.Host, Zone: string(s.Zone), Capacity: uint32(s.LinkMbps), Compose: n.composeDigest, UsageReporterHosts: n.reporters, HoldsDuties: n.isHolder,
 		OnDigest: n.handleDigest, OnRelayed: n.handleRelayed, OnZone: n.handleZone, OnPeerFound: n.peerFound, OnPeerLost: n.peerLost,
@@ -247,7 +243,7 @@
 			http.Error(w, err.Error(), http.StatusServiceUnavailable)
 		}
 	})
-	routes.Handle("/metrics", promhttp.HandlerFor(n.registry, promhttp.HandlerOpts{}))
+	routes.Handle("/metrics", daemon.MetricsHandler(n.registry))
 	return routes
 }
 
@@ -256,11 +252,11 @@
 func (n *Node) Run(graceful context.Context) error {
 	n.limitMemory()
 	daemon.SetGCPercent(gcPercent)
-	callerListener, err := daemon.Listen("listen", n.settings.Listen)
+	callerListener, err := daemon.Listen("listen", n.settings.Listen, n.intake, intake.Callers)
 	if err != nil {
 		return err
 	}
-	readyListener, err := daemon.Listen("ready", n.settings.Ready)
+	readyListener, err := daemon.Listen("ready", n.settings.Ready, nil, intake.Operators)
 	if err != nil {
 		return err
 	}
@@ -273,7 +269,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	readyServer := &http.Server{Handler: n.readyHandler(), ReadHeaderTimeout: 2 * time.Second}
+	readyServer := daemon.NewServer(n.readyHandler())
 	n.startBackground(ctx, func() { n.logServerExit("ready", readyServer.Serve(readyListener)) }, func() { n.logServerExit("callers", n.server.Serve(callerListener)) })
 	close(n.serving)
 	event.NodeStarted.Log(n.log).Str("listen", n.settings.Listen).Uint64("incarnation", n.self.Incarnation).Str("zone", string(n.settings.Zone)).Send()
--- a/node/reload.go
+++ b/node/reload.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"os"
-	"runtime/debug"
 	"time"
 
+	"zinniapin/daemon"
 	"zinniapin/event"
 	"zinniapin/settings"
 )
@@ -84,7 +84,9 @@
 	event.SettingsTaken.Log(n.log).Strs("changed", before.Differences(&applied)).Strs("at_next_start", applied.Differences(&next)).Send()
 }
 
-// limitMemory sets the soft memory limit of the Go runtime.
+// limitMemory bounds the memory of the process.
 func (n *Node) limitMemory() {
-	debug.SetMemoryLimit(int64(float64(n.currentSettings().MemoryMB) * memoryLimitShare * (1 << 20)))
+	memory := n.currentSettings().MemoryMB
+	daemon.LimitMemory(memory)
+	n.intake.SetMemory(memory)
 }
