Bound what clients of readiness checks and metrics make a process hold

Cause: the addresses for operators and the readiness check of a node took heads of 1 MiB from any number of connections, kept idle ones for ever, waited without limit for clients that do not read, and gathered metrics for all at once. Change: daemon.NewServer is the one server for such requests in all programs: heads of 8 KiB, limits of time for reading, writing and idling. Four requests for metrics are served at a time.

--- a/cmd/zinnia-controller/main.go
+++ b/cmd/zinnia-controller/main.go
@@ -16,6 +16,7 @@
 	"zinniapin/controller"
 	"zinniapin/daemon"
 	"zinniapin/event"
+	"zinniapin/intake"
 	"zinniapin/invariant"
 	"zinniapin/link/yamuxlink"
 	"zinniapin/machine"
@@ -46,7 +47,7 @@
 		return err
 	}
 	metrics := daemon.NewRegistry()
-	config, err := configure(s, metrics)
+	config, bounds, err := configure(s, metrics)
 	if err != nil {
 		return err
 	}
@@ -59,7 +60,8 @@
 		return nil
 	}
 	daemon.SetGCPercent(s.GCPercent)
-	return serve(s, config, operatorsTLS, metrics)
+	daemon.LimitMemory(s.MemoryMB)
+	return serve(s, config, operatorsTLS, bounds, metrics)
 }
 
 // Limits on the calls of one controller to the object API.
@@ -68,9 +70,10 @@
 	storeBurst = 300 // calls, enough for all parts of a configuration
 )
 
-// configure returns the controller's configuration, with the adapters of outside systems.
-// It registers the metrics of the certificates and of the object API.
-func configure(s *settings.Controller, metrics *prometheus.Registry) (controller.Config, error) {
+// configure returns the controller's configuration, with the adapters of outside systems,
+// and the bounds of what others make it hold. It registers the metrics of both, of the
+// certificates and of the object API.
+func configure(s *settings.Controller, metrics *prometheus.Registry) (controller.Config, *intake.Budget, error) {
 	log := daemon.NewLogger(os.Stderr, s.Log.Level, "zinnia-controller", s.Host)
 	self := machine.Process{
 		Host:        machine.HostID(s.Host),
@@ -81,13 +84,14 @@
 	}
 	certificates, err := yamuxlink.LoadCertificates(s.TLS, self, &log)
 	if err != nil {
-		return controller.Config{}, err
+		return controller.Config{}, nil, err
 	}
 	metrics.MustRegister(certificates)
 	seed := rand.Uint64()
 	timeout := time.Duration(s.Platform.TimeoutMillis) * time.Millisecond
 	objects := budget.New(httpstore.New(s.Platform.Objects, timeout), budget.Options{Rate: storeRate, Burst: storeBurst, Seed: seed})
 	metrics.MustRegister(objects.Collector())
+	bounds := intake.New(intake.Options{MemoryMB: s.MemoryMB, Descriptors: s.Descriptors, Log: &log, Registry: metrics})
 	network := &yamuxlink.Network{Self: self, TLS: certificates.TLS(), Log: &log}
 	var engines *httpengine.Client
 	links := targetlink.New(targetlink.Options{Zone: s.Zone, Network: network, Handler: controller.NoCalls, Log: &log, OnLost: func(map[string]bool, map[target.ID]bool) {
@@ -107,12 +111,12 @@
 		TargetOrders: httpapi.NewTargets(s.Platform.Targets, timeout),
 		Seed:         seed,
 		Log:          &log,
-	}, nil
+	}, bounds, nil
 }
 
 // serve runs the controller until a signal ends it. The operators' address uses TLS unless
 // operatorsTLS is nil.
-func serve(s *settings.Controller, config controller.Config, operatorsTLS *tls.Config, metrics *prometheus.Registry) error {
+func serve(s *settings.Controller, config controller.Config, operatorsTLS *tls.Config, bounds *intake.Budget, metrics *prometheus.Registry) error {
 	log := config.Log
 	invariant.SetLogger(log)
 	graceful, immediate, stopSignals := daemon.Signals(context.Background())
@@ -121,7 +125,7 @@
 	if err := k.Register(metrics); err != nil {
 		return err
 	}
-	operators, err := daemon.NewOperatorsServer(s.Operators, operatorsTLS, nil, metrics, k.Ready)
+	operators, err := daemon.NewOperatorsServer(s.Operators, operatorsTLS, bounds, metrics, k.Ready)
 	if err != nil {
 		return err
 	}
--- a/cmd/zinnia-controller/main_test.go
+++ b/cmd/zinnia-controller/main_test.go
@@ -121,7 +121,7 @@
 	for i, address := range seeds {
 		host := fmt.Sprint("host-", i)
 		is.NoErr(authority.WriteHost(directory, host, machine.Gateway, machine.Controller, machine.Operator))
-		config, err := configure(loadSettings(t, directory, host, address, seeds), prometheus.NewRegistry())
+		config, _, err := configure(loadSettings(t, directory, host, address, seeds), prometheus.NewRegistry())
 		is.NoErr(err)
 		log := zerolog.Nop()
 		config.Store, config.Hosts, config.Log = objectStore, nil, &log
--- a/cmd/zinnia-gateway/serve.go
+++ b/cmd/zinnia-gateway/serve.go
@@ -39,13 +39,15 @@
 	if err != nil {
 		return err
 	}
+	daemon.LimitMemory(s.MemoryMB)
 	registry := daemon.NewRegistry()
+	bounds := intake.New(intake.Options{MemoryMB: s.MemoryMB, Descriptors: s.Descriptors, Log: &log, Registry: registry})
 	parts := assemble(s, self, loaded, log, registry)
 	g, err := gateway.New(parts.options)
 	if err != nil {
 		return err
 	}
-	operators, err := daemon.NewOperatorsServer(s.Operators, loaded.operators, nil, registry, g.Ready)
+	operators, err := daemon.NewOperatorsServer(s.Operators, loaded.operators, bounds, registry, g.Ready)
 	if err != nil {
 		return err
 	}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"log"
 	"net"
 	"net/http"
 	"os"
@@ -29,9 +30,14 @@
 	"zinniapin/result"
 )
 
-// operatorsTimeout bounds the time that an OperatorsServer takes to read the
-// headers of a request.
-const operatorsTimeout = 5 * time.Second
+// Limits of requests of operators.
+const (
+	operatorsTimeout      = 5 * time.Second   // to read a request
+	operatorsWriteTimeout = 10 * time.Second  // from the head of a request to the end of its response
+	operatorsIdleTimeout  = 100 * time.Second // above the usual intervals of monitoring
+	operatorsHeadBytes    = 8 << 10
+	maxScrapes            = 4 // concurrent requests for metrics
+)
 
 // init sets the format of times in logs, which zerolog keeps in a global variable.
 func init() {
@@ -111,12 +117,18 @@
 
 // MetricsHandler serves the metrics of a registry.
 func MetricsHandler(r *prometheus.Registry) http.Handler {
-	return promhttp.HandlerFor(r, promhttp.HandlerOpts{})
+	return promhttp.HandlerFor(r, promhttp.HandlerOpts{MaxRequestsInFlight: maxScrapes})
 }
 
-// NewServer returns a server for requests without a body, as operators and load balancers send them.
+// NewServer returns a server for requests without a body, as operators and load balancers send them, that heeds the bounds
+// of its listener.
 func NewServer(h http.Handler) *http.Server {
-	return &http.Server{Handler: h, ReadHeaderTimeout: operatorsTimeout}
+	s := &http.Server{
+		Handler: h, MaxHeaderBytes: operatorsHeadBytes, ReadHeaderTimeout: operatorsTimeout, ReadTimeout: operatorsTimeout,
+		WriteTimeout: operatorsWriteTimeout, IdleTimeout: operatorsIdleTimeout, ErrorLog: log.New(io.Discard, "", 0),
+	}
+	intake.Bound(s)
+	return s
 }
 
 // Address returns the address at which the server listens.
--- a/node/node.go
+++ b/node/node.go
@@ -256,7 +256,7 @@
 	if err != nil {
 		return err
 	}
-	readyListener, err := daemon.Listen("ready", n.settings.Ready, nil, intake.Operators)
+	readyListener, err := daemon.Listen("ready", n.settings.Ready, n.intake, intake.Operators)
 	if err != nil {
 		return err
 	}
