Decode messages of a chat one by one, and do not escape prompts needlessly

Cause: a body of 4 MiB of empty messages was decoded whole before its messages were counted: each three bytes became a struct of 32 bytes in a slice that grows. Parts of a content did the same. Prompts of "<" grew to six times their size in the request to an engine, and bytes that are no UTF-8 to three times theirs in each copy. 60 such bodies made a gateway hold 7.8 GB. Change: messages and parts are decoded one by one, messages up to one more than is allowed; the prompt is rendered in one buffer; requests to engines escape only what JSON needs; a body that is not UTF-8 gets 400 with the reason.

--- a/gateway/chatbody.go
+++ b/gateway/chatbody.go
@@ -1,10 +1,13 @@
 package gateway
 
 import (
+	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"strconv"
 	"strings"
+	"unicode/utf8"
 
 	"zinniapin/result"
 )
@@ -12,7 +15,8 @@
 // Limits and defaults of a chat request.
 const (
 	maxMessages         = 4096
-	bytesPerToken       = 4 // for the token estimate, which is used until an engine reports a count
+	maxMessageHeadBytes = 32 // role and length of a message in a prompt
+	bytesPerToken       = 4  // for the token estimate, which is used until an engine reports a count
 	defaultMaxTokens    = 1024
 	affinityPrefixBytes = 2000 * bytesPerToken // leading part of the prompt that selects an engine
 )
@@ -22,7 +26,7 @@
 // Fields that would change the form of the answer are refused.
 type chatBody struct {
 	Model               string          `json:"model"`
-	Messages            []chatMessage   `json:"messages"`
+	Messages            chatMessages    `json:"messages"`
 	Stream              bool            `json:"stream"`
 	StreamOptions       *streamOptions  `json:"stream_options"`
 	MaxTokens           *int            `json:"max_tokens"`
@@ -42,6 +46,48 @@
 	IncludeUsage bool `json:"include_usage"`
 }
 
+// chatMessages are the messages of the conversation, or the first maxMessages + 1 of them if there are more. They are
+// decoded one by one, since many empty ones would take far more memory than the body.
+type chatMessages []chatMessage
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (m *chatMessages) UnmarshalJSON(data []byte) error {
+	*m = nil
+	return decodeElements(data, func(d *json.Decoder) error {
+		if len(*m) > maxMessages {
+			return errEnough
+		}
+		var next chatMessage
+		if err := d.Decode(&next); err != nil {
+			return err
+		}
+		*m = append(*m, next)
+		return nil
+	})
+}
+
+// errEnough ends decodeElements without an error.
+var errEnough = errors.New("no more elements are needed")
+
+// decodeElements calls next for each element of a JSON array, which it decodes. null has no elements.
+func decodeElements(data []byte, next func(*json.Decoder) error) error {
+	if string(data) == "null" {
+		return nil
+	}
+	d := json.NewDecoder(bytes.NewReader(data))
+	if start, err := d.Token(); err != nil || start != json.Delim('[') {
+		return errors.Join(errors.New("not an array"), err)
+	}
+	for d.More() {
+		if err := next(d); errors.Is(err, errEnough) {
+			return nil
+		} else if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // chatMessage is a message of the conversation.
 type chatMessage struct {
 	Role    string      `json:"role"`
@@ -64,16 +110,24 @@
 		*c = chatContent(text)
 		return nil
 	}
-	var parts []contentPart
-	if err := json.Unmarshal(data, &parts); err != nil {
-		return fmt.Errorf("content is neither text nor an array of text parts")
-	}
 	var b strings.Builder
-	for _, part := range parts {
-		if part.Type != "text" {
-			return fmt.Errorf("content part of type %q", part.Type)
+	other := ""
+	err := decodeElements(data, func(d *json.Decoder) error {
+		var part contentPart
+		if err := d.Decode(&part); err != nil {
+			return err
+		}
+		if part.Type != "text" && other == "" {
+			other = fmt.Sprintf("content part of type %q", part.Type)
 		}
 		b.WriteString(part.Text)
+		return nil
+	})
+	if err != nil {
+		return fmt.Errorf("content is neither text nor an array of text parts")
+	}
+	if other != "" {
+		return errors.New(other)
 	}
 	*c = chatContent(b.String())
 	return nil
@@ -81,6 +135,9 @@
 
 // parseChat decodes and validates a chat request.
 func parseChat(body []byte) (*chatBody, error) {
+	if !utf8.Valid(body) {
+		return nil, result.New(result.BadRequest, "the body is not UTF-8").At("body")
+	}
 	b := &chatBody{}
 	if err := json.Unmarshal(body, b); err != nil {
 		return nil, result.New(result.BadRequest, "%s", err).At("body")
@@ -161,6 +218,11 @@
 // conversations never render to the same prompt.
 func (b *chatBody) prompt() string {
 	var p strings.Builder
+	size := 0
+	for _, m := range b.Messages {
+		size += len(m.Content) + maxMessageHeadBytes
+	}
+	p.Grow(size)
 	for _, m := range b.Messages {
 		p.WriteString(m.Role)
 		p.WriteByte(' ')
--- a/target/httpengine/client.go
+++ b/target/httpengine/client.go
@@ -3,6 +3,7 @@
 package httpengine
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -96,10 +97,13 @@
 
 // Generate implements target.Requests.
 func (c *Client) Generate(ctx context.Context, t target.Target, r target.GenerateRequest) (target.Stream, error) {
-	body, err := json.Marshal(Generate(r))
-	if err != nil {
+	var encoded bytes.Buffer
+	encoder := json.NewEncoder(&encoded)
+	encoder.SetEscapeHTML(false) // escaped, a prompt of such characters takes six times its size
+	if err := encoder.Encode(Generate(r)); err != nil {
 		return nil, fmt.Errorf("%w: %w", target.ErrNotSent, err)
 	}
+	body := encoded.Bytes()
 	if len(body) > MaxRequestBytes {
 		return nil, fmt.Errorf("%w: request of %d bytes is too large", target.ErrNotSent, len(body))
 	}
