Bound what callers make a gateway hold

Cause: a gateway counted 4 MiB for each body without a length and nothing for the buffers in which bodies grow, for the copies that decoding makes, for heads, unread input and answers of services; it took any number of connections. Bodies that were announced and did not come took the whole bound, so that no other caller was answered for as long as they stayed open. Change: the listener for callers, intake.ReadBody and the connection's counts replace the gateway's own budget of bodies: the mechanism is the one of zinnia-node.

--- a/cmd/zinnia-gateway/serve.go
+++ b/cmd/zinnia-gateway/serve.go
@@ -51,7 +51,7 @@
 	if err != nil {
 		return err
 	}
-	listener, err := daemon.ListenTLS("listen", s.Listen, loaded.callers, nil, intake.Callers)
+	listener, err := daemon.ListenTLS("listen", s.Listen, loaded.callers, bounds, intake.Callers)
 	if err != nil {
 		return errors.Join(err, operators.Close())
 	}
--- a/gateway/chat.go
+++ b/gateway/chat.go
@@ -33,11 +33,10 @@
 	if err != nil {
 		return err
 	}
-	raw, free, err := g.readBody(w, r)
+	raw, err := g.readBody(w, r, chatCopies)
 	if err != nil {
 		return err
 	}
-	defer free()
 	body, err := parseChat(raw)
 	if err != nil {
 		return err
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -71,7 +71,6 @@
 	retryBudget *retryBudget
 	history     *history
 	metrics     *metrics
-	bodyBudget  *bodyBudget
 	loads       *loads
 	crashes     *crashGuard
 
@@ -118,7 +117,6 @@
 		ledger:            usage.NewLedger(o.Process.ID()),
 		retryBudget:       newRetryBudget(),
 		history:           newHistory(),
-		bodyBudget:        newBodyBudget(maxBodiesBytes),
 		loads:             newLoads(time.Now()),
 		crashes:           newCrashGuard(o.Refuses, &o.Log),
 		admission:         admission.New(o.Settings.QueueLength),
--- a/gateway/routes.go
+++ b/gateway/routes.go
@@ -3,14 +3,13 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"github.com/gorilla/mux"
 
 	"zinniapin/event"
+	"zinniapin/intake"
 	"zinniapin/result"
 )
 
@@ -18,7 +17,6 @@
 const (
 	maxHeaderBytes    = 32 << 10
 	maxBodyBytes      = 4 << 20
-	maxBodiesBytes    = 256 << 20 // for all requests in progress together
 	maxInFlight       = 8192
 	headerReadTimeout = 10 * time.Second
 	bodyReadTimeout   = 30 * time.Second
@@ -149,63 +147,44 @@
 	return r.URL.Path
 }
 
-// readBody reads a request body within the limits on size and time. The caller must call
-// free to return the body's bytes to the budget.
-func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request) (body []byte, free func(), err error) {
+// How often the bytes of a body are held until its call has ended, the body itself included.
+const (
+	// chatCopies are the body, the messages, the prompt while it is rendered, and the request to an engine, in which some
+	// characters are escaped.
+	chatCopies = 6
+	// serviceCopies are the body, what is searched for the key, and the buffers of the request to the service.
+	serviceCopies = 3
+)
+
+// readBody reads a request body within the limits on size and time, and of what the process may hold. copies is how often
+// its bytes are held until the call has ended.
+func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request, copies int64) ([]byte, error) {
 	if coding := r.Header.Get("Content-Encoding"); coding != "" && coding != "identity" {
-		return nil, nil, result.New(result.UnsupportedParameter, "compressed bodies are not supported").At("header Content-Encoding")
-	}
-	size := r.ContentLength
-	if size > maxBodyBytes {
-		return nil, nil, result.New(result.TooLarge, "the body exceeds %d bytes", maxBodyBytes).At("body")
-	}
-	if size < 0 {
-		size = maxBodyBytes
-	}
-	if !g.bodyBudget.acquire(size) {
-		return nil, nil, result.New(result.QueueFull, "too many large bodies are in progress").Retry(defaultRetryAfter)
+		return nil, result.New(result.UnsupportedParameter, "compressed bodies are not supported").At("header Content-Encoding")
 	}
+	held := intake.FromContext(r.Context())
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(time.Now().Add(bodyReadTimeout))
-	body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
-	_ = control.SetReadDeadline(time.Time{})
+	held.Yield()
+	body, err := intake.ReadBody(held, r.Body, r.ContentLength, maxBodyBytes)
 	if err == nil {
-		used := int64(len(body))
-		g.bodyBudget.release(size - used)
-		return body, func() { g.bodyBudget.release(used) }, nil
+		err = held.Reserve((copies - 1) * int64(len(body)))
 	}
-	g.bodyBudget.release(size)
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, nil, result.New(result.TooLarge, "the body exceeds %d bytes", maxBodyBytes).At("body")
+	if err == nil {
+		err = held.Keep()
 	}
-	return nil, nil, result.Wrap(err, result.BadRequest, "the body could not be read").At("body")
-}
-
-// bodyBudget limits the total size of the bodies of all requests in progress.
-type bodyBudget struct {
-	available atomic.Int64
-}
-
-// newBodyBudget returns a budget of n bytes.
-func newBodyBudget(n int64) *bodyBudget {
-	b := &bodyBudget{}
-	b.available.Store(n)
-	return b
-}
-
-// acquire takes n bytes from the budget, or returns false if fewer are available.
-func (b *bodyBudget) acquire(n int64) bool {
-	if b.available.Add(-n) >= 0 {
-		return true
+	_ = control.SetReadDeadline(time.Time{})
+	switch {
+	case err == nil:
+		return body, nil
+	case errors.Is(err, intake.ErrTooLarge):
+		return nil, result.New(result.TooLarge, "the body exceeds %d bytes", maxBodyBytes).At("body")
+	case errors.Is(err, intake.ErrFull), errors.Is(err, intake.ErrEvicted):
+		w.Header().Set("Connection", "close") // the rest of the body is not read
+		return nil, result.New(result.QueueFull, "too many large bodies are in progress").Retry(defaultRetryAfter)
+	default:
+		return nil, result.Wrap(err, result.BadRequest, "the body could not be read").At("body")
 	}
-	b.available.Add(n)
-	return false
-}
-
-// release returns n bytes to the budget.
-func (b *bodyBudget) release(n int64) {
-	b.available.Add(n)
 }
 
 // canceled returns the error of a request whose caller disconnected.
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -11,6 +11,7 @@
 	"github.com/gravitational/trace"
 
 	"zinniapin/event"
+	"zinniapin/intake"
 	"zinniapin/settings"
 )
 
@@ -36,6 +37,7 @@
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
+	intake.Bound(server)
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(listener) }()
 	event.ProcessStarted.Log(&g.log).Str("address", listener.Addr().String()).Send()
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -66,11 +66,10 @@
 	if err != nil {
 		return err
 	}
-	body, free, err := g.readBody(w, r)
+	body, err := g.readBody(w, r, serviceCopies)
 	if err != nil {
 		return err
 	}
-	defer free()
 	if err := c.credential.refuseKeyIn(r.URL, body); err != nil {
 		return err
 	}
--- a/gateway/services.go
+++ b/gateway/services.go
@@ -2,12 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 	"time"
 
+	"zinniapin/intake"
 	"zinniapin/internal/oncehttp"
 	"zinniapin/target"
 	"zinniapin/targetlink"
@@ -75,7 +76,10 @@
 // connection breaks early.
 func (s *HTTPServices) Call(ctx context.Context, t target.Target, r ServiceRequest) (ServiceResponse, error) {
 	u := &url.URL{Scheme: "http", Host: t.Address, Path: r.Path, RawQuery: r.Query}
-	body := append([]byte{}, r.Body...)
+	body := r.Body
+	if body == nil {
+		body = []byte{}
+	}
 	response, sent, err := s.client.Do(ctx, r.Method, u.String(), r.Header, body)
 	if err != nil && !sent {
 		return ServiceResponse{}, fmt.Errorf("%w: %w", target.ErrNotSent, err)
@@ -87,12 +91,12 @@
 	if response.Header.Get(headerNotRun) == "true" {
 		return ServiceResponse{}, fmt.Errorf("%w: status %d", target.ErrRefused, response.StatusCode)
 	}
-	responseBody, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
+	responseBody, err := intake.ReadBody(intake.FromContext(ctx), response.Body, response.ContentLength, maxAnswerBytes)
+	if errors.Is(err, intake.ErrTooLarge) {
+		return ServiceResponse{}, fmt.Errorf("%w: the answer exceeds %d bytes", target.ErrIncomplete, maxAnswerBytes)
+	}
 	if err != nil {
 		return ServiceResponse{}, fmt.Errorf("%w: %w", target.ErrIncomplete, err)
 	}
-	if len(responseBody) > maxAnswerBytes {
-		return ServiceResponse{}, fmt.Errorf("%w: the answer exceeds %d bytes", target.ErrIncomplete, maxAnswerBytes)
-	}
 	return ServiceResponse{response.StatusCode, response.Header, responseBody}, nil
 }
