Bound what links make a process hold

Cause: 64 connections that said nothing took all handshakes of a listener for links, so that no host, gateway or operator could open one for as long as others came. Beyond the handshake nothing was bounded in sum: links, streams that nobody reads yet, and messages, for each of which 16 MiB were allocated when four bytes had come. Each refused connection was a log line. Change: links are accepted within the process's intake.Budget. The input of a session's streams is counted as it arrives, in the buffers that yamux keeps, and messages in all their copies until they were handled; the buffer of a message grows with what has come. A link's age begins with its last whole message, so that links in use outlive those that only hold something; a link with tunnels is kept. Tunnels carried for other hosts are bounded by a sixteenth of the descriptors. Refused connections are logged ten times a second, with a count.

--- a/cmd/zinnia-controller/main.go
+++ b/cmd/zinnia-controller/main.go
@@ -92,9 +92,9 @@
 	objects := budget.New(httpstore.New(s.Platform.Objects, timeout), budget.Options{Rate: storeRate, Burst: storeBurst, Seed: seed})
 	metrics.MustRegister(objects.Collector())
 	bounds := intake.New(intake.Options{MemoryMB: s.MemoryMB, Descriptors: s.Descriptors, Log: &log, Registry: metrics})
-	network := &yamuxlink.Network{Self: self, TLS: certificates.TLS(), Log: &log}
+	network := &yamuxlink.Network{Self: self, TLS: certificates.TLS(), Log: &log, Intake: bounds, Kind: intake.ControllerLinks}
 	var engines *httpengine.Client
-	links := targetlink.New(targetlink.Options{Zone: s.Zone, Network: network, Handler: controller.NoCalls, Log: &log, OnLost: func(map[string]bool, map[target.ID]bool) {
+	links := targetlink.New(targetlink.Options{Zone: s.Zone, Network: network, Handler: controller.NoCalls, MaxTunnels: bounds.Tunnels(), Log: &log, OnLost: func(map[string]bool, map[target.ID]bool) {
 		engines.CloseIdle() // idle connections over lost links may be silent, those through others are no longer needed
 	}})
 	links.Register(metrics)
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -174,6 +174,8 @@
 
 // serve handles the requests of the connection one after the other.
 func (c *conn) serve() {
+	c.held.Retain()
+	defer c.held.Drop()
 	defer func() {
 		c.server.mu.Lock()
 		delete(c.server.conns, c)
--- a/intake/body.go
+++ b/intake/body.go
@@ -8,13 +8,20 @@
 // ErrTooLarge means that a body exceeds its limit.
 var ErrTooLarge = errors.New("intake: the body is too large")
 
+// Reserver counts bytes that are held, as Conn does.
+type Reserver interface {
+	Reserve(n int64) error
+	Release(n int64)
+	Evicted() bool
+}
+
 // firstBodyBytes is the size of the first buffer for a body.
 const firstBodyBytes = 16 << 10
 
 // ReadBody reads a body of length bytes, or of unknown length if that is negative, in buffers that grow with what has
-// arrived. The connection, which may be nil, counts the capacity of the result until it is released. The error is
+// arrived. c, which may be a nil *Conn, counts the capacity of the result until it is released. The error is
 // ErrTooLarge, ErrFull, ErrEvicted or one of the reader; nothing is counted then.
-func ReadBody(c *Conn, r io.Reader, length, limit int64) ([]byte, error) {
+func ReadBody(c Reserver, r io.Reader, length, limit int64) ([]byte, error) {
 	if length > limit {
 		return nil, ErrTooLarge
 	}
@@ -55,7 +62,7 @@
 }
 
 // grow returns a copy of a body with another capacity. Both are counted while the bytes are copied.
-func grow(c *Conn, body []byte, capacity int64) ([]byte, error) {
+func grow(c Reserver, body []byte, capacity int64) ([]byte, error) {
 	if err := c.Reserve(capacity); err != nil {
 		return nil, err
 	}
--- a/intake/budget.go
+++ b/intake/budget.go
@@ -40,7 +40,7 @@
 	// Share is the share of the process's descriptors for its connections. What all kinds leave is for the process's own
 	// files and connections, of which a request in progress needs one.
 	Share float64
-	// ReceiveBytes bounds the unread input that the kernel keeps of a connection; 0 stands for the kernel's own bound.
+	// ReceiveBytes bounds the unread input that the kernel keeps of a connection.
 	ReceiveBytes int
 }
 
@@ -50,12 +50,18 @@
 	Callers = Kind{"callers", 3.0 / 8, 32 << 10}
 	// Operators is the kind of addresses for readiness checks and metrics.
 	Operators = Kind{"operators", 1.0 / 16, 8 << 10}
-	// Links is the kind of addresses for links of a process that has callers as well. Their input is read at once.
-	Links = Kind{"links", 1.0 / 8, 0}
+	// Links is the kind of addresses for links of a process that has callers as well.
+	Links = Kind{"links", 1.0 / 16, 64 << 10}
 	// ControllerLinks is Links for a process without callers.
-	ControllerLinks = Kind{"links", 3.0 / 8, 0}
+	ControllerLinks = Kind{"links", 3.0 / 8, 64 << 10}
 )
 
+// tunnelShare is the share of the descriptors for connections to targets on behalf of other hosts.
+const tunnelShare = 1.0 / 16
+
+// Tunnels returns how many connections to targets the process may have on behalf of other hosts.
+func (b *Budget) Tunnels() int { return int(tunnelShare * float64(b.descriptors)) }
+
 // processBytes is what a connection holds in the process by itself: two stacks and buffers of 16 KiB, and a head of 4 KiB in
 // the copies that its parsing takes.
 const processBytes = 32 << 10
@@ -155,13 +161,14 @@
 		return nil
 	}
 	k := &Conn{Conn: c, budget: b, holder: h, granted: make(chan struct{}, 1)}
+	k.users.Store(1)
 	b.conns[h] = k
 	b.mu.Unlock()
 	if last != nil {
 		_ = last.Close() // its descriptor is needed
 	}
 	if k.Reserve(a.ConnectionBytes) != nil {
-		b.remove(h)
+		_ = k.Close()
 		return nil
 	}
 	return k
--- a/intake/conn.go
+++ b/intake/conn.go
@@ -68,6 +68,7 @@
 
 	mu      sync.Mutex // guards evicted and the deadline that it sets
 	evicted bool
+	users   atomic.Int32 // the socket, and what uses the bytes
 	closed  sync.Once
 
 	// meter counts input of a head that another package keeps; nil for others.
@@ -226,13 +227,27 @@
 	return c.Conn.Read(p)
 }
 
-// Close implements net.Conn. The bytes of the connection count as free from then on.
+// Close implements net.Conn. The bytes of the connection count as free once each Retain was followed by Drop.
 func (c *Conn) Close() error {
 	err := c.Conn.Close()
-	c.closed.Do(func() { c.budget.remove(c.holder) })
+	c.closed.Do(c.Drop)
 	return err
 }
 
+// Retain keeps the bytes of the connection counted after Close, until Drop.
+func (c *Conn) Retain() {
+	if c != nil {
+		c.users.Add(1)
+	}
+}
+
+// Drop ends what Retain began.
+func (c *Conn) Drop() {
+	if c != nil && c.users.Add(-1) == 0 {
+		c.budget.remove(c.holder)
+	}
+}
+
 // SetLinger is that of net.TCPConn.
 func (c *Conn) SetLinger(seconds int) error {
 	if t, ok := c.Conn.(*net.TCPConn); ok {
@@ -301,6 +316,7 @@
 	head := int64(s.MaxHeaderBytes) + headSlackBytes
 	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
 		k := ConnOf(c)
+		k.Retain()
 		k.CountHead(head, headCopies)
 		return context.WithValue(ctx, contextKey{}, k)
 	}
@@ -315,6 +331,8 @@
 		case http.StateIdle:
 			k.Rest()
 			k.CountHead(head, headCopies)
+		case http.StateClosed:
+			k.Drop()
 		}
 	}
 }
--- a/intake/ledger.go
+++ b/intake/ledger.go
@@ -53,6 +53,7 @@
 	kept    bool
 	ending  bool
 	gone    bool
+	closed  bool // its connection does not count any more
 }
 
 // NewLedger returns a ledger for a number of bytes.
@@ -76,8 +77,8 @@
 	Refused
 )
 
-// Open adds a connection. If its address has no further connection left, the one that has waited longest is evicted. It
-// returns nil if there is none that can be.
+// Open adds a connection. If its address has no further connection left, the one that has waited longest is evicted and is
+// to be closed at once. It returns nil if there is none that can be.
 func (l *Ledger) Open(now time.Time, a *Address) (h, evicted *Holder) {
 	if a.open >= a.Connections {
 		for other := range l.holders {
@@ -89,6 +90,8 @@
 			return nil, nil
 		}
 		l.evict(evicted)
+		evicted.closed = true
+		a.open--
 	}
 	h = &Holder{address: a, since: now}
 	l.holders[h] = struct{}{}
@@ -242,6 +245,8 @@
 	l.add(h, -h.bytes)
 	h.gone, h.kept = true, false
 	delete(l.holders, h)
-	h.address.open--
+	if !h.closed {
+		h.address.open--
+	}
 	return l.grant()
 }
--- a/internal/crowd/crowd.go
+++ b/internal/crowd/crowd.go
@@ -10,8 +10,9 @@
 	"time"
 )
 
-// Client sends bytes on a connection that is kept open after it returns. An error ends the connection.
-type Client func(c net.Conn) error
+// Client sends bytes on a connection that is kept open after it returns. An error ends the connection. A client that reads
+// from the connection by itself calls sent once it has sent everything and returns when the connection has ended.
+type Client func(c net.Conn, sent func()) error
 
 const (
 	// attempts is the number of connections that a client opens, one after the other, if they are closed on it.
@@ -59,7 +60,7 @@
 	if !c.add(conn) {
 		return false
 	}
-	if client(conn) == nil {
+	if client(conn, sent) == nil {
 		sent()
 		buffer := make([]byte, 512)
 		for err = nil; err == nil; { // until the process or Close ends the connection
@@ -112,12 +113,12 @@
 }
 
 // Silent sends nothing.
-func Silent(net.Conn) error { return nil }
+func Silent(net.Conn, func()) error { return nil }
 
 // Bytes returns a client that sends the bytes given and then count fillers.
 func Bytes(first string, count int) Client {
 	filler := bytes.Repeat([]byte("x"), pieceBytes)
-	return func(c net.Conn) error {
+	return func(c net.Conn, _ func()) error {
 		if _, err := c.Write([]byte(first)); err != nil {
 			return err
 		}
@@ -143,7 +144,7 @@
 func Chunks(head string, size, count int) Client {
 	chunk := fmt.Appendf(nil, "%x\r\n%s\r\n", size, bytes.Repeat([]byte("x"), size))
 	piece := bytes.Repeat(chunk, max(1, pieceBytes/len(chunk)))
-	return func(c net.Conn) error {
+	return func(c net.Conn, _ func()) error {
 		if _, err := c.Write([]byte(head + "Transfer-Encoding: chunked\r\n\r\n")); err != nil {
 			return err
 		}
--- a/internal/crowd/crowd_test.go
+++ b/internal/crowd/crowd_test.go
@@ -13,6 +13,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -173,7 +174,7 @@
 // messages returns a client that opens a link and on it a number of streams, on each of which it announces the largest
 // message and sends count bytes of it.
 func messages(streams, count int) crowd.Client {
-	return func(c net.Conn) error {
+	return func(c net.Conn, sent func()) error {
 		hello := &wire.Envelope{Body: &wire.Envelope_Hello{Hello: link.HelloOf(machine.Process{Host: "crowd", Role: machine.Node, Address: "127.0.0.1:1"})}}
 		if _, err := c.Write(binary.BigEndian.AppendUint32(nil, uint32(proto.Size(hello)))); err != nil {
 			return err
@@ -198,13 +199,15 @@
 		if err != nil {
 			return err
 		}
+		var all sync.WaitGroup
 		for range streams {
-			go func() {
+			all.Go(func() {
 				if s, err := session.OpenStream(); err == nil {
-					_ = crowd.Bytes(string(binary.BigEndian.AppendUint32(nil, link.MaxMessageBytes)), count)(s)
+					_ = crowd.Bytes(string(binary.BigEndian.AppendUint32(nil, link.MaxMessageBytes)), count)(s, sent)
 				}
-			}()
+			})
 		}
+		go func() { all.Wait(); sent() }()
 		<-session.CloseChan()
 		return io.EOF
 	}
--- a/link/yamuxlink/frame.go
+++ b/link/yamuxlink/frame.go
@@ -2,11 +2,14 @@
 
 import (
 	"encoding/binary"
+	"errors"
 	"io"
+	"sync"
 
 	"github.com/gravitational/trace"
 	"google.golang.org/protobuf/proto"
 
+	"zinniapin/intake"
 	"zinniapin/link"
 	"zinniapin/wire"
 )
@@ -31,21 +34,35 @@
 	return trace.Wrap(err)
 }
 
-// readMessage reads an envelope with a length prefix. It allocates no buffer for
-// a message that exceeds maxBytes.
-func readMessage(r io.Reader, maxBytes int) (*wire.Envelope, error) {
+// messageCopies is how often the bytes of a message are held until it was handled: received, and twice in its decoded form.
+const messageCopies = 3
+
+// readMessage reads an envelope with a length prefix. Its buffer grows with what has
+// arrived. All copies of the message are counted by h until done is called; after an
+// error nothing is.
+func readMessage(r io.Reader, maxBytes int, h *hold) (e *wire.Envelope, done func(), err error) {
 	var prefix [prefixBytes]byte
 	if _, err := io.ReadFull(r, prefix[:]); err != nil {
-		return nil, trace.Wrap(err)
+		return nil, nil, trace.Wrap(err)
+	}
+	body, err := intake.ReadBody(h, r, int64(binary.BigEndian.Uint32(prefix[:])), int64(maxBytes))
+	if errors.Is(err, intake.ErrTooLarge) {
+		return nil, nil, trace.Wrap(link.ErrTooLarge)
+	}
+	if err != nil {
+		return nil, nil, trace.Wrap(err)
 	}
-	size := binary.BigEndian.Uint32(prefix[:])
-	if uint64(size) > uint64(maxBytes) {
-		return nil, trace.Wrap(link.ErrTooLarge)
+	held := int64(cap(body))
+	copies := (messageCopies - 1) * held
+	if err := h.Reserve(copies); err != nil {
+		h.Release(held)
+		return nil, nil, trace.Wrap(err)
 	}
-	body := make([]byte, size)
-	if _, err := io.ReadFull(r, body); err != nil {
-		return nil, trace.Wrap(err)
+	done = sync.OnceFunc(func() { h.Release(held + copies) })
+	e = &wire.Envelope{}
+	if err := proto.Unmarshal(body, e); err != nil {
+		done()
+		return nil, nil, trace.Wrap(err)
 	}
-	e := &wire.Envelope{}
-	return e, trace.Wrap(proto.Unmarshal(body, e))
+	return e, done, nil
 }
--- a/link/yamuxlink/link.go
+++ b/link/yamuxlink/link.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -29,6 +30,7 @@
 	peer      machine.Process
 	handler   link.Handler
 	callSlots chan struct{}
+	hold      *hold
 }
 
 var _ link.Link = (*session)(nil)
@@ -100,16 +102,25 @@
 	if err := writeMessage(stream, request, link.MaxMessageBytes); err != nil {
 		return nil, err
 	}
-	reply, err := readMessage(stream, link.MaxMessageBytes)
+	reply, done, err := readMessage(stream, link.MaxMessageBytes, s.hold)
 	if err != nil && ctx.Err() != nil {
 		return nil, trace.Wrap(ctx.Err())
 	}
-	return reply, err
+	if err != nil {
+		return nil, err
+	}
+	done() // the caller of this process takes the reply over
+	s.hold.served()
+	return reply, nil
 }
 
 // serve accepts and serves the peer's calls until the session ends. The end of
 // the session cancels the contexts of the calls under way.
 func (s *session) serve() {
+	s.hold.conn.Retain()
+	defer s.hold.conn.Drop()
+	var calls sync.WaitGroup
+	defer calls.Wait() // what they hold is counted until then
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	for {
@@ -118,14 +129,17 @@
 			return
 		}
 		s.callSlots <- struct{}{}
-		go func() {
-			serve := s.serveCall(ctx, stream)
+		counted := &countedStream{stream, s.hold}
+		calls.Go(func() {
+			serve := s.serveCall(ctx, counted)
 			<-s.callSlots
 			if serve != nil { // streams outlive their calls and take no slot
-				serve(stream)
+				s.hold.addTunnels(1)
+				serve(counted)
+				s.hold.addTunnels(-1)
 			}
-			_ = stream.Close()
-		}()
+			_ = counted.Close()
+		})
 	}
 }
 
@@ -133,10 +147,12 @@
 // reply, or a Failure if the reply cannot be sent. It returns what goes on with the stream, or nil.
 func (s *session) serveCall(ctx context.Context, stream net.Conn) func(net.Conn) {
 	_ = stream.SetDeadline(time.Now().Add(serveTimeout))
-	request, err := readMessage(stream, link.MaxMessageBytes)
+	request, done, err := readMessage(stream, link.MaxMessageBytes, s.hold)
 	if err != nil {
 		return nil
 	}
+	defer done()
+	s.hold.served()
 	ctx, cancel := context.WithTimeout(ctx, serveTimeout)
 	defer cancel()
 	var reply *wire.Envelope
--- a/link/yamuxlink/network.go
+++ b/link/yamuxlink/network.go
@@ -10,11 +10,14 @@
 	"errors"
 	"io"
 	"net"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
 	"github.com/hashicorp/yamux"
 	"github.com/rs/zerolog"
+	"golang.org/x/time/rate"
 
 	"zinniapin/daemon"
 	"zinniapin/event"
@@ -33,8 +36,10 @@
 	maxHelloBytes = 4 << 10
 	// keepAliveInterval is the interval between two yamux keep-alive probes.
 	keepAliveInterval = 10 * time.Second
-	// maxHandshakes bounds the concurrent handshakes at one listener.
-	maxHandshakes = 64
+	// handshakeBytes bounds the input of a handshake, and handshakeCopies is how often
+	// it is held.
+	handshakeBytes  = 128 << 10
+	handshakeCopies = 2
 )
 
 // Network opens and accepts links over TCP. Its fields must not change once it is
@@ -53,6 +58,8 @@
 	// Reaches reports whether links to an address can be opened; nil if all can. Tests cut hosts off
 	// with it.
 	Reaches func(address string) bool
+
+	refusals, identityRefusals refusalLog
 }
 
 var _ link.Network = (*Network)(nil)
@@ -144,10 +151,11 @@
 // receiveHello reads the peer's Hello and returns the process that it describes,
 // or the error that the peer sent instead.
 func receiveHello(conn net.Conn) (machine.Process, error) {
-	message, err := readMessage(conn, maxHelloBytes)
+	message, done, err := readMessage(conn, maxHelloBytes, &hold{})
 	if err != nil {
 		return machine.Process{}, err
 	}
+	defer done()
 	if err := link.ErrorOf(message); err != nil {
 		return machine.Process{}, err
 	}
@@ -161,11 +169,17 @@
 	config := yamux.DefaultConfig()
 	config.KeepAliveInterval = keepAliveInterval
 	config.LogOutput = io.Discard
+	held := newHold(conn)
+	if held.conn != nil {
+		held.conn.EndHead()
+		held.conn.Rest()
+		conn = &countedConn{Conn: conn, hold: held}
+	}
 	mux, err := side(conn, config)
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	s := &session{mux: mux, peer: peer, handler: h, callSlots: make(chan struct{}, maxConcurrentCalls)}
+	s := &session{mux: mux, peer: peer, handler: h, callSlots: make(chan struct{}, maxConcurrentCalls), hold: held}
 	go s.serve()
 	return s, nil
 }
@@ -181,19 +195,43 @@
 	return listener.Addr().String(), stop, nil
 }
 
-// logRefusal logs why a connection was refused. An identity that the certificate
-// does not support has an event of its own.
+// Bounds of the log lines on refused connections of one kind.
+const (
+	refusalLogRate  = 10 // lines a second
+	refusalLogBurst = 20 // lines
+)
+
+// refusalLog bounds the log lines on refused connections of one kind.
+type refusalLog struct {
+	once     sync.Once
+	rate     *rate.Limiter
+	unlogged atomic.Int64 // refusals since the latest line
+}
+
+// take returns whether a refusal is logged, and how many before it were not.
+func (l *refusalLog) take() (logged bool, unlogged int64) {
+	l.once.Do(func() { l.rate = rate.NewLimiter(refusalLogRate, refusalLogBurst) })
+	if !l.rate.Allow() {
+		l.unlogged.Add(1)
+		return false, 0
+	}
+	return true, l.unlogged.Swap(0)
+}
+
+// logRefusal logs why a connection was refused, within a bound. An identity that the
+// certificate does not support has an event and a bound of its own.
 func (n *Network) logRefusal(conn net.Conn, err error) {
-	kind := event.LinkPeerRefused
+	kind, bound := event.LinkPeerRefused, &n.refusals
 	if result.CodeOf(err) == result.LinkIdentityRefused {
-		kind = event.LinkIdentityRefused
+		kind, bound = event.LinkIdentityRefused, &n.identityRefusals
+	}
+	if logged, unlogged := bound.take(); logged {
+		kind.Log(n.Log).Str("from", conn.RemoteAddr().String()).Int64("unlogged", unlogged).Err(err).Send()
 	}
-	kind.Log(n.Log).Str("from", conn.RemoteAddr().String()).Err(err).Send()
 }
 
 // acceptAll accepts connections until the listener closes.
 func (n *Network) acceptAll(listener net.Listener, h link.Handler, accept func(link.Link)) {
-	handshakes := make(chan struct{}, maxHandshakes)
 	for {
 		conn, err := listener.Accept()
 		if errors.Is(err, net.ErrClosed) {
@@ -203,11 +241,7 @@
 			time.Sleep(acceptRetryDelay)
 			continue
 		}
-		handshakes <- struct{}{}
-		go func() {
-			defer func() { <-handshakes }()
-			n.acceptOne(conn, h, accept)
-		}()
+		go n.acceptOne(conn, h, accept)
 	}
 }
 
@@ -219,6 +253,7 @@
 func (n *Network) acceptOne(conn net.Conn, h link.Handler, accept func(link.Link)) {
 	ctx, cancel := context.WithTimeout(context.Background(), helloTimeout)
 	defer cancel()
+	intake.ConnOf(conn).CountHead(handshakeBytes, handshakeCopies)
 	s, err := n.serverHandshake(ctx, conn, h)
 	if err != nil {
 		n.logRefusal(conn, err)
--- a/node/links.go
+++ b/node/links.go
@@ -16,7 +16,7 @@
 
 // newTargetLinks returns the links of a node to targets.
 func newTargetLinks(n *Node) *targetlink.Links {
-	l := targetlink.New(targetlink.Options{Zone: n.settings.Zone, Network: n.network, Handler: peerHandler{n}, OnLost: n.linksLost, Log: n.log})
+	l := targetlink.New(targetlink.Options{Zone: n.settings.Zone, Network: n.network, Handler: peerHandler{n}, MaxTunnels: n.intake.Tunnels(), OnLost: n.linksLost, Log: n.log})
 	l.AskHosts(n.linkHosts)
 	l.Register(n.registry)
 	return l
--- a/node/node.go
+++ b/node/node.go
@@ -129,7 +129,7 @@
 	}
 	n.reloaded.Store(&s)
 	n.intake = intake.New(intake.Options{MemoryMB: s.MemoryMB, Descriptors: s.Descriptors, Log: log, Registry: n.registry})
-	n.network = &yamuxlink.Network{Self: n.self, Log: log}
+	n.network = &yamuxlink.Network{Self: n.self, Log: log, Intake: n.intake, Kind: intake.Links}
 	n.links = newTargetLinks(n)
 	n.pool = upstream.NewPool(n.links.Dialer)
 	n.ledger = metering.NewLedger(metering.Process{Host: s.Host, Incarnation: n.self.Incarnation}, seconds(s.Bounds.UsageWindowSeconds))
--- a/targetlink/targetlink.go
+++ b/targetlink/targetlink.go
@@ -50,6 +50,8 @@
 	Link    func(host string) (link.Link, error)
 	Network link.Network
 	Handler link.Handler
+	// MaxTunnels bounds the tunnels that are carried for other hosts; 0 stands for the default of tunnel.Server.
+	MaxTunnels int
 	// OnLost is called with the targets to which this host has lost its own links, by address and by id, whenever
 	// these change; nil if nobody is told.
 	OnLost func(addresses map[string]bool, ids map[target.ID]bool)
@@ -74,6 +76,7 @@
 // New returns links that all work.
 func New(o Options) *Links {
 	l := &Links{options: o, tunnels: tunnel.Client{Link: o.Link, Network: o.Network, Handler: o.Handler}}
+	l.carried.Max = o.MaxTunnels
 	l.Dialer = detour.New(detour.Options{Hosts: l, OnChange: l.setLost})
 	return l
 }
--- a/tunnel/server.go
+++ b/tunnel/server.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	// maxTunnels bounds the tunnels that a host carries for others at a time.
+	// maxTunnels is the default of Server.Max.
 	maxTunnels = 1024
 	// stuckTimeout is the default of Server.StuckTimeout.
 	stuckTimeout = 30 * time.Second
@@ -28,6 +28,8 @@
 	// StuckTimeout is how long a target may leave bytes unread until its tunnel is ended: while they wait, the end of
 	// the tunnel at the other host is not noticed. Default 30 s.
 	StuckTimeout time.Duration
+	// Max bounds the tunnels that are carried at a time. Default 1024.
+	Max int
 
 	mu      sync.Mutex
 	open    map[*carried]struct{}
@@ -51,7 +53,7 @@
 		return &wire.Envelope{Body: &wire.Envelope_TunnelReply{TunnelReply: &wire.TunnelReply{Outcome: o}}}
 	}
 	s.mu.Lock()
-	if s.leaving || len(s.open)+s.pending >= maxTunnels {
+	if s.leaving || len(s.open)+s.pending >= cmp.Or(s.Max, maxTunnels) {
 		s.mu.Unlock()
 		return answer(wire.TunnelReply_BUSY), nil
 	}
