--- a/cmd/zinnia-gateway/serve.go
+++ b/cmd/zinnia-gateway/serve.go
@@ -10,6 +10,7 @@
 
 	"zinniapin/daemon"
 	"zinniapin/gateway"
+	"zinniapin/intake"
 	"zinniapin/invariant"
 	"zinniapin/settings"
 )
@@ -38,17 +39,19 @@
 	if err != nil {
 		return err
 	}
+	daemon.LimitMemory(s.MemoryMB)
 	registry := daemon.NewRegistry()
+	bounds := intake.New(intake.Options{MemoryMB: s.MemoryMB, Descriptors: s.Descriptors, Log: &log, Registry: registry})
 	parts := assemble(s, self, loaded, log, registry)
 	g, err := gateway.New(parts.options)
 	if err != nil {
 		return err
 	}
-	operators, err := daemon.NewOperatorsServer(s.Operators, loaded.operators, registry, g.Ready)
+	operators, err := daemon.NewOperatorsServer(s.Operators, loaded.operators, bounds, registry, g.Ready)
 	if err != nil {
 		return err
 	}
-	listener, err := daemon.ListenTLS("listen", s.Listen, loaded.callers)
+	listener, err := daemon.ListenTLS("listen", s.Listen, loaded.callers, bounds, intake.Callers)
 	if err != nil {
 		return errors.Join(err, operators.Close())
 	}
