Count what is kept of answers that callers do not read

Cause: a caller that does not read made a node hold up to 256 KiB of an answer, and any process what the kernel keeps of it, up to its own bound of some MiB a connection. Neither was counted. Change: listeners bound the kernel's buffers for output as well as for input, and the former are counted while a request is served. A node counts the answers of plain services that it reads before it passes them on; if it can hold no more, it passes on what is longer than 8 KiB as it comes.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -153,7 +153,7 @@
 // Listen listens at a TCP address from a field of the settings. The connections are
 // accepted within the budget, unless that is nil. The error names the field.
 func Listen(field, address string, b *intake.Budget, k intake.Kind) (net.Listener, error) {
-	config := net.ListenConfig{Control: intake.ReceiveBuffer(k.ReceiveBytes)}
+	config := net.ListenConfig{Control: k.Control}
 	listener, err := config.Listen(context.Background(), "tcp", address)
 	if errors.Is(err, syscall.EADDRINUSE) {
 		return nil, result.New(result.AddressInUse, "%s is in use", address).At(field)
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -216,15 +216,26 @@
 	}
 }
 
-// maxBufferedBytes is the size up to which a response body is read completely before any of it
-// is sent to the caller, so that the response of another target can replace one that breaks off.
-const maxBufferedBytes = 256 << 10
+const (
+	// maxBufferedBytes is the size up to which a response body is read completely before any of it
+	// is sent to the caller, so that the response of another target can replace one that breaks off.
+	maxBufferedBytes = 256 << 10
+	// uncountedBytes is that size while the process can hold no more for its callers.
+	uncountedBytes = 8 << 10
+)
 
 // readBuffered reads a response body up to maxBufferedBytes. If the body is longer, it returns
-// more as true and the rest is still to be read.
-func readBuffered(response *upstream.Response) (body []byte, more bool, err error) {
-	body, err = io.ReadAll(io.LimitReader(response.Body, maxBufferedBytes+1))
-	return body, len(body) > maxBufferedBytes, err
+// more as true and the rest is still to be read. reserve counts the bytes that are held.
+func readBuffered(response *upstream.Response, reserve func(int64) bool) (body []byte, more bool, err error) {
+	limit := int64(maxBufferedBytes)
+	if response.Length >= 0 {
+		limit = min(limit, response.Length)
+	}
+	if limit > uncountedBytes && !reserve(limit) {
+		limit = uncountedBytes
+	}
+	body, err = io.ReadAll(io.LimitReader(response.Body, limit+1))
+	return body, int64(len(body)) > limit, err
 }
 
 // writeResponse sends a target's response to the caller: the part of the body that was read and,
--- a/forward/generate.go
+++ b/forward/generate.go
@@ -163,7 +163,7 @@
 		r.endAttempt(ticket, d.Target.ID, plannerOutcome(outcome), 0)
 		return streamAttempt{}, outcome
 	}
-	body, _, err := readBuffered(response)
+	body, _, err := readBuffered(response, r.out.Reserve)
 	response.Close()
 	var prefilled PrefillResult
 	if err == nil && response.Status == http.StatusOK {
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -113,13 +113,13 @@
 	}
 	var err error
 	response, outcome := r.send(ctx, a.watch, a.target, r.targetRequest(a.target, AttemptInfo{Priority: -1}), false, func(response *upstream.Response) bool {
-		a.body, a.more, err = readBuffered(response)
+		a.body, a.more, err = readBuffered(response, r.out.Reserve)
 		return err == nil
 	})
 	if outcome == attemptAnswered {
 		r.countStart()
 		if response.Status >= http.StatusInternalServerError {
-			a.body, a.more, err = readBuffered(response) // send doesn't read errors
+			a.body, a.more, err = readBuffered(response, r.out.Reserve) // send doesn't read errors
 		}
 		if err != nil {
 			outcome = r.handleBrokenBody(ctx, a.target, response, err)
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -225,7 +225,7 @@
 // caller if no further attempt is allowed. A 503 is never sent on, since it would tell the caller
 // that nothing ran, which the target did not state.
 func (r *request) handleErrorStatus(s *stream) attemptResult {
-	body, more, err := readBuffered(s.response)
+	body, more, err := readBuffered(s.response, r.out.Reserve)
 	retry := r.route.Repeatable() && r.sent.attempts < r.route.Attempts
 	if err != nil || more || r.out.Started() || s.response.Status == http.StatusServiceUnavailable || retry {
 		r.closeStatus(s)
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -222,7 +222,7 @@
 	}
 	w := &Writer{conn: c, method: r.Method, close: parsed.Close || parsed.ProtoMinor == 0, noChunks: parsed.ProtoMinor == 0, server: c.server}
 	body, status := c.readBody(parsed, limits)
-	if status == 0 && c.held.Keep() != nil {
+	if status == 0 && c.held.Serve() != nil {
 		status = http.StatusServiceUnavailable
 	}
 	if status != 0 {
@@ -354,6 +354,10 @@
 	remaining  int64 // bytes of the body still to be written, if its length is known
 }
 
+// Reserve counts n bytes that are held for the response until it has ended. It returns false if the process can hold no
+// more; the response must then do without them.
+func (w *Writer) Reserve(n int64) bool { return w.conn.held.Reserve(n) == nil }
+
 // Started tells whether Start was called.
 func (w *Writer) Started() bool { return w.started }
 
--- a/intake/budget.go
+++ b/intake/budget.go
@@ -40,20 +40,20 @@
 	// Share is the share of the process's descriptors for its connections. What all kinds leave is for the process's own
 	// files and connections, of which a request in progress needs one.
 	Share float64
-	// ReceiveBytes bounds the unread input that the kernel keeps of a connection.
-	ReceiveBytes int
+	// ReceiveBytes bounds the unread input that the kernel keeps of a connection, and SendBytes the output that was not sent.
+	ReceiveBytes, SendBytes int
 }
 
 // Kinds of listening addresses.
 var (
 	// Callers is the kind of addresses for callers.
-	Callers = Kind{"callers", 3.0 / 8, 32 << 10}
+	Callers = Kind{"callers", 3.0 / 8, 32 << 10, 64 << 10}
 	// Operators is the kind of addresses for readiness checks and metrics.
-	Operators = Kind{"operators", 1.0 / 16, 8 << 10}
+	Operators = Kind{"operators", 1.0 / 16, 8 << 10, 32 << 10}
 	// Links is the kind of addresses for links of a process that has callers as well.
-	Links = Kind{"links", 1.0 / 16, 64 << 10}
+	Links = Kind{"links", 1.0 / 16, 64 << 10, 64 << 10}
 	// ControllerLinks is Links for a process without callers.
-	ControllerLinks = Kind{"links", 3.0 / 8, 64 << 10}
+	ControllerLinks = Kind{"links", 3.0 / 8, 64 << 10, 64 << 10}
 )
 
 // tunnelShare is the share of the descriptors for connections to targets on behalf of other hosts.
@@ -143,7 +143,7 @@
 	if b == nil {
 		return l
 	}
-	return &listener{Listener: l, budget: b, address: &Address{Name: k.Name, Connections: int(k.Share * float64(b.descriptors)), ConnectionBytes: processBytes + int64(k.ReceiveBytes)}}
+	return &listener{Listener: l, budget: b, address: &Address{Name: k.Name, Connections: int(k.Share * float64(b.descriptors)), ConnectionBytes: processBytes + int64(k.ReceiveBytes), AnswerBytes: int64(k.SendBytes)}}
 }
 
 // open adds a connection and returns it, or nil if there can be no further one.
--- a/intake/conn.go
+++ b/intake/conn.go
@@ -47,24 +47,26 @@
 	}
 }
 
-// ReceiveBuffer returns a control function for net.ListenConfig that bounds the unread input that the kernel keeps of each
-// connection.
-func ReceiveBuffer(bytes int) func(network, address string, raw syscall.RawConn) error {
-	return func(_, _ string, raw syscall.RawConn) error {
-		return raw.Control(func(fd uintptr) {
-			_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, bytes) // without it the kernel's own bound holds
-		})
-	}
+// Control is a control function for net.ListenConfig that bounds what the kernel keeps of each connection: input that was
+// not read, and output that was not sent.
+func (k Kind) Control(_, _ string, raw syscall.RawConn) error {
+	return raw.Control(func(fd uintptr) {
+		// Where these fail, the kernel's own bounds hold.
+		_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, k.ReceiveBytes)
+		_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, k.SendBytes)
+	})
 }
 
-// Conn is a connection that was accepted within a budget. Besides those of net.Conn, its methods may be called by one
-// goroutine at a time. On a nil Conn, which stands for a connection without bounds, they do nothing.
+// Conn is a connection that was accepted within a budget. It is safe for concurrent use, but for CountHead, EndHead and Rest,
+// which belong to the goroutine that reads. On a nil Conn, which stands for a connection without bounds, the methods beside
+// those of net.Conn do nothing.
 type Conn struct {
 	net.Conn
 	budget  *Budget
 	holder  *Holder
 	granted chan struct{}
-	bytes   int64 // bytes that are reserved
+	bytes   atomic.Int64 // reserved
+	asking  sync.Mutex   // held while bytes are asked for, since a holder waits for one request at a time
 
 	mu      sync.Mutex // guards evicted and the deadline that it sets
 	evicted bool
@@ -87,6 +89,8 @@
 	if c == nil {
 		return nil
 	}
+	c.asking.Lock()
+	defer c.asking.Unlock()
 	switch c.budget.reserve(c, n) {
 	case Granted:
 	case Refused:
@@ -96,7 +100,7 @@
 			return err
 		}
 	}
-	c.bytes += n
+	c.bytes.Add(n)
 	return nil
 }
 
@@ -134,7 +138,7 @@
 	if c == nil || n == 0 {
 		return
 	}
-	c.bytes -= n
+	c.bytes.Add(-n)
 	c.budget.mu.Lock()
 	defer c.budget.mu.Unlock()
 	c.budget.wake(c.budget.ledger.Release(c.holder, n))
@@ -157,6 +161,17 @@
 	return nil
 }
 
+// Serve is Keep for a request whose answer is about to be written. It counts what the kernel keeps of the answer, until Rest.
+func (c *Conn) Serve() error {
+	if c == nil {
+		return nil
+	}
+	if err := c.Reserve(c.holder.address.AnswerBytes); err != nil {
+		return err
+	}
+	return c.Keep()
+}
+
 // Yield lets the connection be evicted, since it waits for the next request or for the rest of one.
 func (c *Conn) Yield() {
 	if c == nil {
@@ -281,7 +296,7 @@
 // Rest gives back all bytes but those of every connection, and lets the connection be evicted.
 func (c *Conn) Rest() {
 	if c != nil {
-		c.Release(c.bytes - c.holder.address.ConnectionBytes)
+		c.Release(c.bytes.Load() - c.holder.address.ConnectionBytes)
 		c.Yield()
 	}
 }
@@ -325,7 +340,7 @@
 		switch state {
 		case http.StateActive: // the head is complete
 			k.EndHead()
-			if k.Keep() != nil {
+			if k.Serve() != nil {
 				_ = c.Close()
 			}
 		case http.StateIdle:
--- a/intake/ledger.go
+++ b/intake/ledger.go
@@ -40,6 +40,8 @@
 	// ConnectionBytes is what a connection holds by itself: stacks, buffers, the head of a request of ordinary size, and
 	// what the kernel keeps of its unread input.
 	ConnectionBytes int64
+	// AnswerBytes is what the kernel keeps of an answer that the other end does not read.
+	AnswerBytes int64
 
 	open int
 }
--- a/link/yamuxlink/network.go
+++ b/link/yamuxlink/network.go
@@ -173,6 +173,10 @@
 	if held.conn != nil {
 		held.conn.EndHead()
 		held.conn.Rest()
+		if err := held.conn.Serve(); err != nil { // for what the kernel keeps of this process's messages
+			return nil, trace.Wrap(err)
+		}
+		held.conn.Yield()
 		conn = &countedConn{Conn: conn, hold: held}
 	}
 	mux, err := side(conn, config)
