Log refusals and errors of connections within a bound

Cause: the servers of package net/http logged each failed handshake of a client by the global logger, and a gateway each body that it refused for lack of room. Change: event server_error, at most ten lines a second; bodies that are refused for lack of room are in intake_refused and zinnia_intake_refused_total, which count all of them. The template of a node's settings passes on the descriptors. Measured: go test ./gateway ./daemon ./settings ./cmd/... passes.

--- a/cmd/zinnia-controller/main.go
+++ b/cmd/zinnia-controller/main.go
@@ -125,7 +125,7 @@
 	if err := k.Register(metrics); err != nil {
 		return err
 	}
-	operators, err := daemon.NewOperatorsServer(s.Operators, operatorsTLS, bounds, metrics, k.Ready)
+	operators, err := daemon.NewOperatorsServer(s.Operators, operatorsTLS, bounds, metrics, log, k.Ready)
 	if err != nil {
 		return err
 	}
--- a/cmd/zinnia-gateway/serve.go
+++ b/cmd/zinnia-gateway/serve.go
@@ -47,7 +47,7 @@
 	if err != nil {
 		return err
 	}
-	operators, err := daemon.NewOperatorsServer(s.Operators, loaded.operators, bounds, registry, g.Ready)
+	operators, err := daemon.NewOperatorsServer(s.Operators, loaded.operators, bounds, registry, &log, g.Ready)
 	if err != nil {
 		return err
 	}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -15,6 +15,7 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"strings"
 	"syscall"
 	"time"
 
@@ -25,6 +26,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/rs/zerolog"
 
+	"zinniapin/event"
 	"zinniapin/intake"
 	"zinniapin/invariant"
 	"zinniapin/result"
@@ -95,7 +97,7 @@
 
 // NewOperatorsServer listens at address, with TLS unless secured is nil. The
 // function ready returns why the process is not ready, or nil.
-func NewOperatorsServer(address string, tlsConfig *tls.Config, b *intake.Budget, r *prometheus.Registry, ready func() error) (*OperatorsServer, error) {
+func NewOperatorsServer(address string, tlsConfig *tls.Config, b *intake.Budget, r *prometheus.Registry, log *zerolog.Logger, ready func() error) (*OperatorsServer, error) {
 	listener, err := ListenTLS("operators", address, tlsConfig, b, intake.Operators)
 	if err != nil {
 		return nil, err
@@ -112,7 +114,7 @@
 		fmt.Fprintln(w, "ready")
 	})
 	routes.Handle("/metrics", MetricsHandler(r))
-	return &OperatorsServer{server: NewServer(routes), listener: listener}, nil
+	return &OperatorsServer{server: NewServer(routes, log), listener: listener}, nil
 }
 
 // MetricsHandler serves the metrics of a registry.
@@ -122,15 +124,34 @@
 
 // NewServer returns a server for requests without a body, as operators and load balancers send them, that heeds the bounds
 // of its listener.
-func NewServer(h http.Handler) *http.Server {
+func NewServer(h http.Handler, log *zerolog.Logger) *http.Server {
 	s := &http.Server{
 		Handler: h, MaxHeaderBytes: operatorsHeadBytes, ReadHeaderTimeout: operatorsTimeout, ReadTimeout: operatorsTimeout,
-		WriteTimeout: operatorsWriteTimeout, IdleTimeout: operatorsIdleTimeout, ErrorLog: log.New(io.Discard, "", 0),
+		WriteTimeout: operatorsWriteTimeout, IdleTimeout: operatorsIdleTimeout, ErrorLog: ServerErrors(log),
 	}
 	intake.Bound(s)
 	return s
 }
 
+// serverErrorsPerSecond bounds the log lines of a server of package net/http.
+const serverErrorsPerSecond = 10
+
+// ServerErrors returns a logger for the errors that a server of package net/http reports, such as failed TLS handshakes
+// and panics.
+func ServerErrors(l *zerolog.Logger) *log.Logger {
+	bounded := l.Sample(&zerolog.BurstSampler{Burst: serverErrorsPerSecond, Period: time.Second})
+	return log.New(serverErrorWriter{&bounded}, "", 0)
+}
+
+// serverErrorWriter logs each message of package net/http as an event.
+type serverErrorWriter struct{ log *zerolog.Logger }
+
+// Write implements io.Writer.
+func (w serverErrorWriter) Write(message []byte) (int, error) {
+	event.ServerError.Log(w.log).Str("message", strings.TrimSpace(string(message))).Send()
+	return len(message), nil
+}
+
 // Address returns the address at which the server listens.
 func (o *OperatorsServer) Address() string {
 	return o.listener.Addr().String()
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -8,6 +8,7 @@
 	"testing"
 
 	"github.com/matryer/is"
+	"github.com/rs/zerolog"
 	"go.uber.org/goleak"
 
 	"zinniapin/intake"
@@ -50,7 +51,7 @@
 func TestOperators(t *testing.T) {
 	is := is.New(t)
 	var notReady error = result.New(result.NotReady, "no configuration")
-	server, err := NewOperatorsServer("127.0.0.1:0", nil, nil, NewRegistry(), func() error { return notReady })
+	server, err := NewOperatorsServer("127.0.0.1:0", nil, nil, NewRegistry(), new(zerolog.Nop()), func() error { return notReady })
 	is.NoErr(err)
 	served := make(chan error, 1)
 	go func() { served <- server.Serve() }()
--- a/daemon/tls_test.go
+++ b/daemon/tls_test.go
@@ -39,7 +39,7 @@
 	files := &settings.ServerTLS{Certificate: filepath.Join(directory, "host-1.pem"), Key: filepath.Join(directory, "host-1-key.pem")}
 	tlsConfig, err := ServerTLS("operators_tls", files, new(zerolog.Nop()))
 	is.NoErr(err)
-	server, err := NewOperatorsServer("127.0.0.1:0", tlsConfig, nil, NewRegistry(), func() error { return nil })
+	server, err := NewOperatorsServer("127.0.0.1:0", tlsConfig, nil, NewRegistry(), new(zerolog.Nop()), func() error { return nil })
 	is.NoErr(err)
 	served := make(chan error, 1)
 	go func() { served <- server.Serve() }()
--- a/gateway/routes.go
+++ b/gateway/routes.go
@@ -119,8 +119,10 @@
 		e = result.Wrap(err, result.Internal, "an unexpected error")
 	}
 	g.metrics.requests.WithLabelValues(c.kind, e.Code.String()).Inc()
-	event.RequestRefused.Log(&g.log).Str("request", c.id).Str("path", loggedPath(c, r)).Int("code", int(e.Code)).
-		Str("result", e.Code.String()).Str("execution", e.Execution.String()).Err(e.Err).Msg(e.Message)
+	if !errors.Is(err, intake.ErrFull) && !errors.Is(err, intake.ErrEvicted) { // the budget counts and logs these within a bound
+		event.RequestRefused.Log(&g.log).Str("request", c.id).Str("path", loggedPath(c, r)).Int("code", int(e.Code)).
+			Str("result", e.Code.String()).Str("execution", e.Execution.String()).Err(e.Err).Msg(e.Message)
+	}
 	g.history.add(decision{At: time.Now(), Request: c.id, Decision: "refused", Reason: e.Error(), Execution: e.Execution.String()})
 	var streamed *streamedError
 	if !errors.As(err, &streamed) {
@@ -181,7 +183,7 @@
 		return nil, result.New(result.TooLarge, "the body exceeds %d bytes", maxBodyBytes).At("body")
 	case errors.Is(err, intake.ErrFull), errors.Is(err, intake.ErrEvicted):
 		w.Header().Set("Connection", "close") // the rest of the body is not read
-		return nil, result.New(result.QueueFull, "too many large bodies are in progress").Retry(defaultRetryAfter)
+		return nil, result.Wrap(err, result.QueueFull, "too many large bodies are in progress").Retry(defaultRetryAfter)
 	default:
 		return nil, result.Wrap(err, result.BadRequest, "the body could not be read").At("body")
 	}
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -10,6 +10,7 @@
 
 	"github.com/gravitational/trace"
 
+	"zinniapin/daemon"
 	"zinniapin/event"
 	"zinniapin/intake"
 	"zinniapin/settings"
@@ -36,6 +37,7 @@
 		ReadHeaderTimeout: headerReadTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		ErrorLog:          daemon.ServerErrors(&g.log),
 	}
 	intake.Bound(server)
 	served := make(chan error, 1)
--- a/internal/docgen/settings.go
+++ b/internal/docgen/settings.go
@@ -206,7 +206,7 @@
 	{"retry_slack", "repeats"},
 	{"limit_overage", "share of the limit"},
 	{"limit_slack", "units of the limit"},
-	{"memory_mb", "MB"},
+	{"memory_mb", "MB"}, {"descriptors", "descriptors"},
 	{"requests_per_second", "requests/s"},
 	{"_per_second", "calls/s"},
 	{"tokens_per_minute", "tokens/min"},
--- a/node/node.go
+++ b/node/node.go
@@ -269,7 +269,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	readyServer := daemon.NewServer(n.readyHandler())
+	readyServer := daemon.NewServer(n.readyHandler(), n.log)
 	n.startBackground(ctx, func() { n.logServerExit("ready", readyServer.Serve(readyListener)) }, func() { n.logServerExit("callers", n.server.Serve(callerListener)) })
 	close(n.serving)
 	event.NodeStarted.Log(n.log).Str("listen", n.settings.Listen).Uint64("incarnation", n.self.Incarnation).Str("zone", string(n.settings.Zone)).Send()
--- a/settings/template_test.go
+++ b/settings/template_test.go
@@ -69,7 +69,7 @@
 // deployment are the values of a deployment without limits of organisations.
 const deployment = `{"NodeName": "h-1", "Zone": "z", "Region": "r", "Seeds": ["127.0.0.1:3"],
 	"Listen": {"Front": "127.0.0.1:1", "Ready": "127.0.0.1:2", "Control": "127.0.0.1:3"},
-	"Platform": {"Address": "127.0.0.1:4"}, "Cloud": {"Address": "127.0.0.1:5"}, "Limits": {"MemoryMb": 256, "LinkMbps": 10.5},
+	"Platform": {"Address": "127.0.0.1:4"}, "Cloud": {"Address": "127.0.0.1:5"}, "Limits": {"MaxFds": 4100, "MemoryMb": 256, "LinkMbps": 10.5},
 	"Bounds": {"GraceS": 8, "LeaseMs": 1500, "RetryBudgetRatio": 0.2, "RetryBudgetSlack": 50, "BudgetWindowS": 10, "UsageWindowS": 2, "UsageLateS": 10}}`
 
 // Guards against settings that are no JSON, or have other bounds, where a deployment leaves out some of them.
