Close links of gateways that are accepted as a controller ends

A controller that ends closes its links and then its listener. A link that a gateway opened in between stayed open: the gateway went on exchanging heartbeats with a controller that had ended and knew no configuration, and did not look for another one. Change: once a controller has closed its links, it closes those of gateways that are still being accepted. Links of controllers end with the context already.

--- a/controller/leave_test.go
+++ b/controller/leave_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/matryer/is"
 
+	"zinniapin/link"
+	"zinniapin/machine"
 	"zinniapin/usage"
 )
 
@@ -37,3 +39,36 @@
 		is.Equal(k.usage.relay.Len(), 0)
 	})
 }
+
+// lateLink is a link that was being accepted when the controller ended.
+type lateLink struct {
+	link.Link
+	peer machine.Process
+	done chan struct{}
+}
+
+func (l *lateLink) Peer() machine.Process { return l.peer }
+func (l *lateLink) Done() <-chan struct{} { return l.done }
+func (l *lateLink) Close() error          { close(l.done); return nil }
+
+// TestLinkOfAGatewayDoesNotOutliveItsController checks that a gateway's link which is accepted as the controller ends is
+// closed. The gateway would otherwise stay at a controller that knows no configuration.
+func TestLinkOfAGatewayDoesNotOutliveItsController(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1)
+		time.Sleep(time.Second)
+		k := f.running[0]
+		f.stops[0]()
+		time.Sleep(time.Second)
+		l := &lateLink{peer: machine.Process{Host: "host-9", Role: machine.Gateway}, done: make(chan struct{})}
+		ctx, cancel := context.WithCancel(f.ctx)
+		cancel()
+		k.handleAccepted(ctx, l)
+		synctest.Wait()
+		select {
+		case <-l.done:
+		default:
+			t.Fatal("the link stays open")
+		}
+	})
+}
--- a/controller/registry.go
+++ b/controller/registry.go
@@ -22,6 +22,8 @@
 	awaitingHeartbeat map[link.Link]chan struct{}
 	// indexedAcks holds the links over which usage is acknowledged by index.
 	indexedAcks map[link.Link]bool
+	// closed is set by closeAll.
+	closed bool
 }
 
 // peer is the link to another controller over which heartbeats are exchanged.
@@ -66,6 +68,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.gateways[l.Peer().ID()] = &gatewayLink{l, now}
+	if r.closed {
+		_ = l.Close()
+	}
 }
 
 // removeGateway removes the link of a gateway. It returns false when a newer link
@@ -312,10 +317,12 @@
 	}
 }
 
-// closeAll closes every link.
+// closeAll closes every link, and those of gateways that are added later: one that was being accepted
+// would otherwise stay open, and the gateway would take its answers for those of a controller.
 func (r *registry) closeAll() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.closed = true
 	for _, g := range r.gateways {
 		_ = g.link.Close()
 	}
