Describe the bounds of what others make a process hold

Cause: operators could not tell from the pages what a process can be made to hold, what it refuses then and which settings bound it.

--- a/settings/node.go
+++ b/settings/node.go
@@ -36,10 +36,12 @@
 	Orders string `json:"orders"`
 	// Duties are the duties that the platform requires of the nodes.
 	Duties NodeDuties `json:"duties"`
-	// MemoryMB is the memory that the process may use, in MB.
+	// MemoryMB is the memory that the process may use, in MB, at least 32. What
+	// others send may take 0.4 of it.
 	MemoryMB int `json:"memory_mb"`
 	// Descriptors is the number of files and sockets that the process may have
-	// open. Default is the process's limit of open files.
+	// open, at least 128. It is divided among callers, links, operators and the
+	// process's own connections. Default the process's limit of open files.
 	Descriptors int `json:"descriptors,omitempty"`
 	// LinkMbps is the speed of the host's network link, 0 when it is not known. In a large
 	// fleet hosts with fast links pass on the digests of others. Default 0.
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -28,10 +28,12 @@
 	Region zone.Region `json:"region"`
 	// Operators is the IP:port of /healthz, /readyz and /metrics.
 	Operators string `json:"operators"`
-	// MemoryMB is the memory that the process may use, in MB. Default 512.
+	// MemoryMB is the memory that the process may use, in MB, at least 32. What
+	// others send may take 0.4 of it. Default 512.
 	MemoryMB int `json:"memory_mb,omitempty"`
 	// Descriptors is the number of files and sockets that the process may have
-	// open. Default is the process's limit of open files.
+	// open, at least 128. It is divided among callers, links, operators and the
+	// process's own connections. Default the process's limit of open files.
 	Descriptors int `json:"descriptors,omitempty"`
 	// OperatorsTLS makes the process serve operators by HTTPS; without it, it
 	// serves them by plaintext HTTP.
