Count bytes that were given back until they are collected

Bytes counted as free once nothing referred to them; the collector, bounded by a soft limit only, got too little processor time to free them before as many were held again. The bound left too little beside the program itself, and a connection that was evicted while it waited for bytes went on waiting for up to a second. Change: bytes that are given back count as garbage until a collection has ended, which is started when a connection waits for them. The bound is 0.4 of what memory_mb is above 24, the least memory 48 MB. Waiting ends with an eviction. Large complete requests may have 0.85 of the bound, so that the largest chat fits into a gateway of 96 MB as before.

--- a/gateway/routes_test.go
+++ b/gateway/routes_test.go
@@ -52,14 +52,14 @@
 	_, body = tg.send("POST", "/v1/chat/completions", testKey, "x", "Content-Encoding", "gzip")
 	is.Equal(errorOf(body).Code, "unsupported_parameter")
 
-	// Of 32 MB a body of 4 MiB would take too much in all its copies. An ordinary request is served beside it, and nothing
+	// Of 48 MB a body of 4 MiB would take too much in all its copies. An ordinary request is served beside it, and nothing
 	// is counted once the connections have ended.
 	registry := prometheus.NewRegistry()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
 	server := &http.Server{Handler: tg.g, MaxHeaderBytes: maxHeaderBytes}
 	intake.Bound(server)
-	bounds := intake.New(intake.Options{MemoryMB: 32, Descriptors: 256, Log: &tg.g.log, Registry: registry})
+	bounds := intake.New(intake.Options{MemoryMB: 48, Descriptors: 256, Log: &tg.g.log, Registry: registry})
 	go func() { _ = server.Serve(bounds.Listen(listener, intake.Callers)) }()
 	t.Cleanup(func() { _ = server.Close() })
 	send := func(content string) (int, string) {
--- a/intake/budget.go
+++ b/intake/budget.go
@@ -6,6 +6,7 @@
 import (
 	"errors"
 	"net"
+	"runtime"
 	"sync"
 	"syscall"
 	"time"
@@ -25,7 +26,10 @@
 )
 
 const (
-	// memoryShare is the share of a process's memory that remote ends can make it hold.
+	// ownMB is the memory that a process takes without any remote end: its program and its own state.
+	ownMB = 24
+	// memoryShare is the share of the rest that remote ends can make the process hold. What is left is for its work and
+	// for what the garbage collector has not freed yet.
 	memoryShare = 0.4
 	// waitLimit bounds the wait for the bytes of evicted connections.
 	waitLimit = time.Second
@@ -85,7 +89,9 @@
 	mu     sync.Mutex // guards the fields below, and the decisions
 	ledger *Ledger
 	conns  map[*Holder]*Conn
-	logged map[string]*refusals // by address
+	// collecting is set while collect runs.
+	collecting bool
+	logged     map[string]*refusals // by address
 }
 
 // refusals are the refusals at an address since the last log line.
@@ -110,7 +116,7 @@
 }
 
 // bytesOf returns the bytes that remote ends can make a process hold.
-func bytesOf(memoryMB int) int64 { return int64(memoryShare * float64(memoryMB) * (1 << 20)) }
+func bytesOf(memoryMB int) int64 { return int64(memoryShare * float64(memoryMB-ownMB) * (1 << 20)) }
 
 // defaultOpenFiles stands for a limit of open files that cannot be read.
 const defaultOpenFiles = 1024
@@ -160,14 +166,14 @@
 		b.mu.Unlock()
 		return nil
 	}
-	k := &Conn{Conn: c, budget: b, holder: h, granted: make(chan struct{}, 1)}
+	k := &Conn{Conn: c, budget: b, holder: h, granted: make(chan struct{}, 1), ended: make(chan struct{})}
 	k.users.Store(1)
 	b.conns[h] = k
 	b.mu.Unlock()
 	if last != nil {
 		_ = last.Close() // its descriptor is needed
 	}
-	if k.Reserve(a.ConnectionBytes) != nil {
+	if k.reserveKernel(a.ConnectionBytes) != nil {
 		_ = k.Close()
 		return nil
 	}
@@ -186,6 +192,7 @@
 	if outcome == Refused && !k.holder.ending {
 		b.count(k.holder.address, false)
 	}
+	b.collectFor(outcome)
 	b.mu.Unlock()
 	for _, c := range ended {
 		c.evict()
@@ -200,12 +207,39 @@
 	}
 }
 
-// remove removes a holder.
-func (b *Budget) remove(h *Holder) {
+// collectFor starts to collect garbage if a holder waits. The caller holds mu.
+func (b *Budget) collectFor(o Outcome) {
+	if o == Waiting && !b.collecting {
+		b.collecting = true
+		go b.collect()
+	}
+}
+
+// collect collects garbage until no holder waits for it. The memory limit of the runtime is a soft one, which garbage
+// exceeds while the collector gets too little processor time.
+func (b *Budget) collect() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for len(b.ledger.queue) > 0 && b.ledger.garbage > 0 {
+		n := b.ledger.garbage
+		b.mu.Unlock()
+		runtime.GC()
+		b.mu.Lock()
+		b.wake(b.ledger.Collect(n))
+	}
+	b.collecting = false
+}
+
+// remove removes a holder, of which some bytes are left to the garbage collector.
+func (b *Budget) remove(h *Holder, garbage int64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.ledger.Discard(h, garbage)
 	b.wake(b.ledger.Close(h))
 	delete(b.conns, h)
+	if len(b.ledger.queue) > 0 {
+		b.collectFor(Waiting)
+	}
 }
 
 // count counts and logs a refusal. The caller holds mu.
--- a/intake/conn.go
+++ b/intake/conn.go
@@ -66,8 +66,12 @@
 	holder  *Holder
 	granted chan struct{}
 	bytes   atomic.Int64 // reserved
+	kernel  atomic.Int64 // those of them that the garbage collector does not free
 	asking  sync.Mutex   // held while bytes are asked for, since a holder waits for one request at a time
 
+	ended chan struct{} // closed once the connection was evicted or closed
+	end   sync.Once
+
 	mu      sync.Mutex // guards evicted and the deadline that it sets
 	evicted bool
 	users   atomic.Int32 // the socket, and what uses the bytes
@@ -111,6 +115,7 @@
 	select {
 	case <-c.granted:
 		return nil
+	case <-c.ended:
 	case <-timer.C:
 	}
 	c.budget.mu.Lock()
@@ -121,8 +126,11 @@
 	default:
 	}
 	c.budget.ledger.Cancel(c.holder)
-	c.budget.count(c.holder.address, false)
-	return c.reason()
+	err := c.reason()
+	if errors.Is(err, ErrFull) {
+		c.budget.count(c.holder.address, false)
+	}
+	return err
 }
 
 // reason returns why bytes are refused.
@@ -133,7 +141,7 @@
 	return ErrFull
 }
 
-// Release gives back n bytes that are no longer held.
+// Release gives back n bytes that are no longer referenced.
 func (c *Conn) Release(n int64) {
 	if c == nil || n == 0 {
 		return
@@ -141,7 +149,10 @@
 	c.bytes.Add(-n)
 	c.budget.mu.Lock()
 	defer c.budget.mu.Unlock()
-	c.budget.wake(c.budget.ledger.Release(c.holder, n))
+	c.budget.ledger.Discard(c.holder, n)
+	if len(c.budget.ledger.queue) > 0 {
+		c.budget.collectFor(Waiting)
+	}
 }
 
 // Keep keeps the connection from being evicted, since it has sent a complete request. The error is ErrFull or ErrEvicted.
@@ -166,12 +177,21 @@
 	if c == nil {
 		return nil
 	}
-	if err := c.Reserve(c.holder.address.AnswerBytes); err != nil {
+	if err := c.reserveKernel(c.holder.address.AnswerBytes); err != nil {
 		return err
 	}
 	return c.Keep()
 }
 
+// reserveKernel is Reserve for bytes that the garbage collector does not free.
+func (c *Conn) reserveKernel(n int64) error {
+	err := c.Reserve(n)
+	if err == nil {
+		c.kernel.Add(n)
+	}
+	return err
+}
+
 // Yield lets the connection be evicted, since it waits for the next request or for the rest of one.
 func (c *Conn) Yield() {
 	if c == nil {
@@ -197,6 +217,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.evicted = true
+	c.end.Do(func() { close(c.ended) })
 	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
 }
 
@@ -245,6 +266,7 @@
 // Close implements net.Conn. The bytes of the connection count as free once each Retain was followed by Drop.
 func (c *Conn) Close() error {
 	err := c.Conn.Close()
+	c.end.Do(func() { close(c.ended) })
 	c.closed.Do(c.Drop)
 	return err
 }
@@ -259,7 +281,7 @@
 // Drop ends what Retain began.
 func (c *Conn) Drop() {
 	if c != nil && c.users.Add(-1) == 0 {
-		c.budget.remove(c.holder)
+		c.budget.remove(c.holder, c.bytes.Load()-c.kernel.Load())
 	}
 }
 
@@ -295,10 +317,18 @@
 
 // Rest gives back all bytes but those of every connection, and lets the connection be evicted.
 func (c *Conn) Rest() {
-	if c != nil {
-		c.Release(c.bytes.Load() - c.holder.address.ConnectionBytes)
-		c.Yield()
+	if c == nil {
+		return
+	}
+	c.Release(c.bytes.Load() - c.kernel.Load())
+	if n := c.kernel.Load() - c.holder.address.ConnectionBytes; n > 0 {
+		c.bytes.Add(-n)
+		c.kernel.Add(-n)
+		c.budget.mu.Lock()
+		c.budget.wake(c.budget.ledger.Release(c.holder, n))
+		c.budget.mu.Unlock()
 	}
+	c.Yield()
 }
 
 // ConnOf returns the accepted connection under c, which may carry TLS, or nil if no budget accepted it.
--- a/intake/ledger.go
+++ b/intake/ledger.go
@@ -8,13 +8,15 @@
 
 // Ledger decides who may hold what. It is a plain type without input, output or clock; Budget carries out its decisions.
 //
-// Its invariant is that the bytes of all holders never exceed the limit. A holder that has not sent a complete request yet
+// Its invariant is that the bytes of all holders, and those that were given back and not collected yet, never exceed the
+// limit. A holder that has not sent a complete request yet
 // can be evicted in favour of another one, the highest product of bytes and age first: a sound client sends a request
 // within milliseconds, so that its product stays small, however many unfinished requests there are. A complete request
 // is kept until its answer was sent.
 type Ledger struct {
 	limit     int64
 	used      int64
+	garbage   int64 // bytes that were given back and may still be in memory
 	ending    int64 // bytes of holders that were evicted and have not gone yet
 	keptLarge int64 // bytes of kept holders with more than smallBytes
 	holders   map[*Holder]struct{}
@@ -26,7 +28,7 @@
 	// smallBytes is the size up to which a complete request may use the whole limit.
 	smallBytes = 256 << 10
 	// largeShare is the share of the limit for complete requests that are larger, so that some is left for the others.
-	largeShare = 0.75
+	largeShare = 0.85
 	// minAge is added to each age, so that holders which have just begun are compared by their bytes.
 	minAge = time.Millisecond
 )
@@ -106,7 +108,7 @@
 	if h.ending || h.gone {
 		return Refused, nil
 	}
-	if len(l.queue) == 0 && l.used+n <= l.limit {
+	if len(l.queue) == 0 && l.used+l.garbage+n <= l.limit {
 		l.add(h, n)
 		return Granted, nil
 	}
@@ -123,7 +125,8 @@
 	return Waiting, evicted
 }
 
-// choose returns the holders to evict, so that a holder can have n more bytes, and whether they are enough.
+// choose returns the holders to evict, so that a holder can have n more bytes, and whether they are enough. Garbage needs
+// nobody to be evicted.
 func (l *Ledger) choose(now time.Time, h *Holder, n int64) (chosen []*Holder, enough bool) {
 	need := l.used + l.queued + n - l.limit - l.ending
 	own := score(now, h, n)
@@ -174,7 +177,7 @@
 	if h.kept && h.bytes > smallBytes {
 		l.keptLarge += h.bytes
 	}
-	invariant.Check(h.bytes >= 0 && (n <= 0 || l.used <= l.limit), "intake_within_limit", "a holder has %d bytes, all have %d of %d", h.bytes, l.used, l.limit)
+	invariant.Check(h.bytes >= 0 && (n <= 0 || l.used+l.garbage <= l.limit), "intake_within_limit", "a holder has %d bytes, all have %d, %d are garbage, of %d", h.bytes, l.used, l.garbage, l.limit)
 }
 
 // Cancel withdraws the request of a holder that waits for bytes.
@@ -189,6 +192,20 @@
 	}
 }
 
+// Discard gives back n bytes of a holder that stay in memory until they are collected.
+func (l *Ledger) Discard(h *Holder, n int64) {
+	if !h.gone {
+		l.add(h, -n)
+		l.garbage += n
+	}
+}
+
+// Collect records that n bytes of garbage were collected, and returns the holders whose requests are granted now.
+func (l *Ledger) Collect(n int64) []*Holder {
+	l.garbage -= n
+	return l.grant()
+}
+
 // Release gives back n bytes of a holder and returns the holders whose requests are granted now.
 func (l *Ledger) Release(h *Holder, n int64) []*Holder {
 	if h.gone {
@@ -201,7 +218,7 @@
 // grant grants requests that wait, in their order.
 func (l *Ledger) grant() []*Holder {
 	var granted []*Holder
-	for len(l.queue) > 0 && l.used+l.queue[0].wants <= l.limit {
+	for len(l.queue) > 0 && l.used+l.garbage+l.queue[0].wants <= l.limit {
 		h := l.queue[0]
 		n := h.wants
 		l.Cancel(h)
--- a/intake/ledger_test.go
+++ b/intake/ledger_test.go
@@ -48,8 +48,11 @@
 				case action <= 2 && h.wants == 0:
 					_, others := l.Reserve(now, h, n)
 					evicted(others...)
-				case action == 3:
+				case action == 3 && n%2 == 0:
 					l.Release(h, min(n, h.bytes))
+				case action == 3:
+					l.Discard(h, min(n, h.bytes))
+					l.Collect(rapid.Int64Range(0, l.garbage).Draw(t, "collected"))
 				case action == 4:
 					l.Keep(h)
 				case action == 5:
@@ -69,10 +72,10 @@
 					kept += h.bytes
 				}
 			}
-			if used != l.used || queued != l.queued || kept != l.keptLarge || l.ending != 0 || used > limit || len(open) > a.Connections || a.open != len(open) {
+			if used != l.used || queued != l.queued || kept != l.keptLarge || l.ending != 0 || used+l.garbage > limit || len(open) > a.Connections || a.open != len(open) {
 				t.Fatalf("used %d of %d, queued %d of %d, kept %d of %d, ending %d, open %d of %d", l.used, used, l.queued, queued, l.keptLarge, kept, l.ending, a.open, len(open))
 			}
-			if len(l.queue) > 0 && l.used+l.queue[0].wants <= limit {
+			if len(l.queue) > 0 && l.used+l.garbage+l.queue[0].wants <= limit {
 				t.Fatal("a holder waits for bytes that are free")
 			}
 		}
--- a/settings/node.go
+++ b/settings/node.go
@@ -36,8 +36,8 @@
 	Orders string `json:"orders"`
 	// Duties are the duties that the platform requires of the nodes.
 	Duties NodeDuties `json:"duties"`
-	// MemoryMB is the memory that the process may use, in MB, at least 32. What
-	// others send may take 0.4 of it.
+	// MemoryMB is the memory that the process may use, in MB, at least 48. What
+	// others send may take 0.4 of what it is above 24.
 	MemoryMB int `json:"memory_mb"`
 	// Descriptors is the number of files and sockets that the process may have
 	// open, at least 128. It is divided among callers, links, operators and the
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -28,8 +28,8 @@
 	Region zone.Region `json:"region"`
 	// Operators is the IP:port of /healthz, /readyz and /metrics.
 	Operators string `json:"operators"`
-	// MemoryMB is the memory that the process may use, in MB, at least 32. What
-	// others send may take 0.4 of it. Default 512.
+	// MemoryMB is the memory that the process may use, in MB, at least 48. What
+	// others send may take 0.4 of what it is above 24. Default 512.
 	MemoryMB int `json:"memory_mb,omitempty"`
 	// Descriptors is the number of files and sockets that the process may have
 	// open, at least 128. It is divided among callers, links, operators and the
@@ -153,7 +153,7 @@
 	// defaultMemoryMB is the default of Common.MemoryMB.
 	defaultMemoryMB = 512
 	// minMemoryMB is the memory with which a process can still hold one body of the largest size.
-	minMemoryMB = 32
+	minMemoryMB = 48
 	// minDescriptors leaves some for callers beside the connections of the process itself.
 	minDescriptors = 128
 )
