Drop what closed streams of links have received

Cause: a stream that this process closes goes on to receive until the other end closes it, too, and yamux keeps its buffer as long, at the end of a session even for five minutes by a timer. The bytes counted as free at the close, so that a crowd whose streams were refused made a node hold more than its bound. Change: a stream is counted until both ends have closed it, with its own 16 KiB. What has arrived is read and its buffer dropped as it is closed, and again at the end of the session.

--- a/link/yamuxlink/hold.go
+++ b/link/yamuxlink/hold.go
@@ -2,8 +2,10 @@
 
 import (
 	"encoding/binary"
+	"io"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/hashicorp/yamux"
 
@@ -20,9 +22,11 @@
 }
 
 // input is what has arrived on a stream. The session keeps it in a buffer that doubles as it grows and does not shrink until
-// the stream is closed.
+// both ends have closed the stream: a stream that only this process has closed goes on to receive.
 type input struct {
-	unread, most int64
+	unread, most              int64
+	closedHere, closedByOther bool
+	stream                    *yamux.Stream // once this process has closed it
 }
 
 // bufferCopies is the size of the buffer of a stream and of the one that it replaces, as a multiple of what it held at most.
@@ -73,13 +77,21 @@
 	}
 }
 
-// open begins to count the input of a stream.
-func (h *hold) open(id uint32) {
+// streamBytes is what a stream holds by itself: a stack, and what the session keeps of it.
+const streamBytes = 16 << 10
+
+// open counts a stream and begins to count its input.
+func (h *hold) open(id uint32) error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.streams[id] == nil {
-		h.streams[id] = &input{}
+	if h.streams[id] != nil {
+		return nil
 	}
+	if err := h.conn.Reserve(streamBytes); err != nil {
+		return err
+	}
+	h.streams[id] = &input{}
+	return nil
 }
 
 // arrived counts input of a stream. That of others is dropped, or answers a call of this process.
@@ -109,21 +121,60 @@
 	}
 }
 
-// close drops what has arrived on a stream.
-func (h *hold) close(id uint32) {
+// close records that an end of a stream has closed it, and ends the count of the stream once both have.
+// stream is given by the end here.
+func (h *hold) close(id uint32, byOther bool, stream *yamux.Stream) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if in := h.streams[id]; in != nil {
-		h.conn.Release(bufferCopies * in.most)
+	in := h.streams[id]
+	if in == nil {
+		return
+	}
+	if stream != nil {
+		in.stream = stream
+	}
+	in.closedHere, in.closedByOther = in.closedHere || !byOther, in.closedByOther || byOther
+	if in.closedHere && in.closedByOther {
+		h.conn.Release(streamBytes + bufferCopies*in.most)
 		delete(h.streams, id)
 	}
 }
 
+// end drops the input of streams that the other end did not close. Timers of the session refer to them for minutes.
+func (h *hold) end() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, in := range h.streams {
+		if in.stream != nil {
+			drain(in.stream, in.stream)
+		}
+	}
+}
+
+// drainBytes and drainReads bound what is read of a stream that is closed.
+const (
+	drainBytes = 16 << 10
+	drainReads = 64
+)
+
+// drain reads what has arrived on a stream and frees its buffer.
+func drain(r io.Reader, s *yamux.Stream) {
+	_ = s.SetReadDeadline(time.Unix(1, 0))
+	buffer := make([]byte, drainBytes)
+	for range drainReads {
+		if _, err := r.Read(buffer); err != nil {
+			break
+		}
+	}
+	s.Shrink()
+}
+
 // Layout of the header of a yamux frame: version and type in a byte each, flags in two, stream and length in four.
 const (
 	frameHeaderBytes = 12
 	frameData        = 0
 	flagOpen         = 1
+	flagsClose       = 4 | 8 // closed or reset by the other end
 )
 
 // countedConn counts the input of a session's streams before the session holds it.
@@ -134,6 +185,7 @@
 	got    int    // bytes of the next header
 	stream uint32 // of the present frame
 	left   uint32 // bytes of its contents that have not come
+	closes bool   // the present frame is the last of its stream
 }
 
 // Read implements io.Reader.
@@ -146,6 +198,7 @@
 				return 0, err
 			}
 			in, c.left = in[m:], c.left-uint32(m)
+			c.checkClosed()
 			continue
 		}
 		m := copy(c.header[c.got:], in)
@@ -155,16 +208,29 @@
 		}
 		c.got = 0
 		c.stream = binary.BigEndian.Uint32(c.header[4:])
-		if binary.BigEndian.Uint16(c.header[2:])&flagOpen != 0 {
-			c.hold.open(c.stream)
+		flags := binary.BigEndian.Uint16(c.header[2:])
+		if flags&flagOpen != 0 {
+			if err := c.hold.open(c.stream); err != nil {
+				return 0, err
+			}
 		}
 		if c.header[1] == frameData {
 			c.left = binary.BigEndian.Uint32(c.header[8:])
 		}
+		c.closes = flags&flagsClose != 0
+		c.checkClosed()
 	}
 	return n, err
 }
 
+// checkClosed ends the stream of the present frame if that is its last one and has come whole.
+func (c *countedConn) checkClosed() {
+	if c.closes && c.left == 0 {
+		c.closes = false
+		c.hold.close(c.stream, true, nil)
+	}
+}
+
 // countedStream is a stream of the peer.
 type countedStream struct {
 	*yamux.Stream
@@ -180,7 +246,8 @@
 
 // Close implements io.Closer.
 func (s *countedStream) Close() error {
+	drain(s, s.Stream)
 	err := s.Stream.Close()
-	s.hold.close(s.StreamID())
+	s.hold.close(s.StreamID(), false, s.Stream)
 	return err
 }
--- a/link/yamuxlink/link.go
+++ b/link/yamuxlink/link.go
@@ -119,6 +119,7 @@
 func (s *session) serve() {
 	s.hold.conn.Retain()
 	defer s.hold.conn.Drop()
+	defer s.hold.end()
 	var calls sync.WaitGroup
 	defer calls.Wait() // what they hold is counted until then
 	ctx, cancel := context.WithCancel(context.Background())
