--- a/settings/settings.go
+++ b/settings/settings.go
@@ -28,10 +28,12 @@
 	Region zone.Region `json:"region"`
 	// Operators is the IP:port of /healthz, /readyz and /metrics.
 	Operators string `json:"operators"`
-	// MemoryMB is the memory that the process may use, in MB. Default 512.
+	// MemoryMB is the memory that the process may use, in MB, at least 48. What
+	// others send may take 0.4 of what it is above 24. Default 512.
 	MemoryMB int `json:"memory_mb,omitempty"`
 	// Descriptors is the number of files and sockets that the process may have
-	// open. Default is the process's limit of open files.
+	// open, at least 128. It is divided among callers, links, operators and the
+	// process's own connections. Default the process's limit of open files.
 	Descriptors int `json:"descriptors,omitempty"`
 	// OperatorsTLS makes the process serve operators by HTTPS; without it, it
 	// serves them by plaintext HTTP.
@@ -151,7 +153,7 @@
 	// defaultMemoryMB is the default of Common.MemoryMB.
 	defaultMemoryMB = 512
 	// minMemoryMB is the memory with which a process can still hold one body of the largest size.
-	minMemoryMB = 32
+	minMemoryMB = 48
 	// minDescriptors leaves some for callers beside the connections of the process itself.
 	minDescriptors = 128
 )
