Name the fields of the kinds of addresses

Cause: a reader cannot tell what the figures of a kind of addresses are. Change: field names, and one line for each bound of an address. Measured: go vet ./intake.

--- a/intake/budget.go
+++ b/intake/budget.go
@@ -51,13 +51,13 @@
 // Kinds of listening addresses.
 var (
 	// Callers is the kind of addresses for callers.
-	Callers = Kind{"callers", 3.0 / 8, 32 << 10, 64 << 10}
+	Callers = Kind{Name: "callers", Share: 3.0 / 8, ReceiveBytes: 32 << 10, SendBytes: 64 << 10}
 	// Operators is the kind of addresses for readiness checks and metrics.
-	Operators = Kind{"operators", 1.0 / 16, 8 << 10, 32 << 10}
+	Operators = Kind{Name: "operators", Share: 1.0 / 16, ReceiveBytes: 8 << 10, SendBytes: 32 << 10}
 	// Links is the kind of addresses for links of a process that has callers as well.
-	Links = Kind{"links", 1.0 / 16, 64 << 10, 64 << 10}
+	Links = Kind{Name: "links", Share: 1.0 / 16, ReceiveBytes: 64 << 10, SendBytes: 64 << 10}
 	// ControllerLinks is Links for a process without callers.
-	ControllerLinks = Kind{"links", 3.0 / 8, 64 << 10, 64 << 10}
+	ControllerLinks = Kind{Name: "links", Share: 3.0 / 8, ReceiveBytes: 64 << 10, SendBytes: 64 << 10}
 )
 
 // tunnelShare is the share of the descriptors for connections to targets on behalf of other hosts.
@@ -149,7 +149,13 @@
 	if b == nil {
 		return l
 	}
-	return &listener{Listener: l, budget: b, address: &Address{Name: k.Name, Connections: int(k.Share * float64(b.descriptors)), ConnectionBytes: processBytes + int64(k.ReceiveBytes), AnswerBytes: int64(k.SendBytes)}}
+	a := &Address{
+		Name:            k.Name,
+		Connections:     int(k.Share * float64(b.descriptors)),
+		ConnectionBytes: processBytes + int64(k.ReceiveBytes),
+		AnswerBytes:     int64(k.SendBytes),
+	}
+	return &listener{Listener: l, budget: b, address: a}
 }
 
 // open adds a connection and returns it, or nil if there can be no further one.
--- a/intake/conn.go
+++ b/intake/conn.go
@@ -64,10 +64,10 @@
 	net.Conn
 	budget  *Budget
 	holder  *Holder
-	granted chan struct{}
-	bytes   atomic.Int64 // reserved
-	kernel  atomic.Int64 // those of them that the garbage collector does not free
-	asking  sync.Mutex   // held while bytes are asked for, since a holder waits for one request at a time
+	granted chan struct{} // receives when bytes that were waited for are granted
+	bytes   atomic.Int64  // reserved
+	kernel  atomic.Int64  // those of them that the garbage collector does not free
+	asking  sync.Mutex    // held while bytes are asked for, since a holder waits for one request at a time
 
 	ended chan struct{} // closed once the connection was evicted or closed
 	end   sync.Once
