Let complete requests outrank unfinished ones when they need more

Cause: a request that had been running for long was refused room for its answer while unfinished requests held some, since its own age counted against it. A connection whose next request had arrived in part kept its large read buffer uncounted. Change: a kept connection evicts any that is not; the buffer is counted again.

--- a/ingress/server.go
+++ b/ingress/server.go
@@ -194,6 +194,9 @@
 	limits := c.server.Limits()
 	c.shrinkReader()
 	c.held.Rest()
+	if c.grown && c.held.Reserve(headCopies*headBufferBytes) != nil {
+		return false
+	}
 	wait := limits.IdleTimeout
 	if !reused {
 		wait = max(limits.HeadTimeout, limits.IdleTimeout)
--- a/intake/ledger.go
+++ b/intake/ledger.go
@@ -130,6 +130,9 @@
 func (l *Ledger) choose(now time.Time, h *Holder, n int64) (chosen []*Holder, enough bool) {
 	need := l.used + l.queued + n - l.limit - l.ending
 	own := score(now, h, n)
+	if h.kept {
+		own = 0 // its request may have run already
+	}
 	taken := make(map[*Holder]bool)
 	for need > 0 {
 		var most *Holder
--- a/intake/ledger_test.go
+++ b/intake/ledger_test.go
@@ -100,6 +100,27 @@
 	is.Equal(len(evicted), 1)
 	is.Equal(l.Close(evicted[0]), []*Holder{h})
 
+	for len(l.queue) > 0 || l.used < l.limit { // a complete request outranks all that are not
+		is.True(l.Keep(h))
+		outcome, evicted = l.Reserve(now.Add(time.Hour), h, 1<<20)
+		if outcome == Refused {
+			break
+		}
+		for _, other := range evicted {
+			l.Close(other)
+		}
+	}
+	is.Equal(l.used, h.bytes)
+	is.Equal(len(l.holders), 1)
+	l.Yield(now, h)
+	l.Release(h, h.bytes)
+	for range 4 {
+		other, _ := l.Open(now, a)
+		outcome, _ := l.Reserve(now, other, 2<<20)
+		is.Equal(outcome, Granted)
+		crowd = append(crowd, other)
+	}
+
 	for _, other := range crowd {
 		l.Keep(other) // as many complete large requests as may be
 	}
