Check the bytes of responses before net/http parses them

Callers saw: an answer in whose head the name of a field held a blank or a control byte came through, with that line passed on or with a body that was not the target's; an answer with the status 000 came through the gateway.

Cause: net/http is lenient where it parses responses. It accepts blanks in names, folded lines, lines that end with LF alone (so a field that begins with LF ends the head), repeated lengths, a length beside chunks, chunks in HTTP/1.0, other versions than 1.x, any status of three digits, and lengths with 204. The node skipped the status 000 as informational. Behind the parser most of this cannot be seen any more. The reply to an order was read without a bound on its head.

Change: stricthttp.Conn checks head, framing, chunks and trailer as the bytes come, bounds the heads to 64 KiB, and passes on nothing after the end of a response. All that read HTTP responses use it: upstream (targets and moves of engines, by own links and through other hosts), oncehttp (gateway and controller: services, engines, reports, object API, provider), orders to engines, and the node's clients of the platform.

--- /dev/null
+++ b/forward/malformed_test.go
@@ -0,0 +1,51 @@
+package forward_test
+
+import (
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"zinniapin/internal/standin/faulty"
+	"zinniapin/internal/standin/prepared"
+)
+
+// startFaulty makes a faulty server the only target of a handler.
+func (h *testHandler) startFaulty(serve func(*net.TCPConn)) {
+	s := faulty.Start(serve)
+	h.t.Cleanup(s.Close)
+	h.targets = h.targets[:1]
+	h.targets[0].Address = s.Address
+	h.handler.Planner.SetTargets(time.Now(), h.targets)
+}
+
+// answerKind is a kind of request and the body of its answer.
+type answerKind struct {
+	name, service, stage, path, body string
+	headers                          []string
+}
+
+// answerKinds returns a plain request and a stream, neither of which may be repeated.
+func answerKinds() []answerKind {
+	return []answerKind{
+		{"plain", "desk", "", "/take/a", "0123456789", nil},
+		{"stream", "model", "decode", "/reply/a", prepared.Event(1, "") + prepared.Event(2, ""), engineHeaders},
+	}
+}
+
+// A malformed response reaches no caller: neither as a success nor with a status or a field of the target.
+func TestMalformedResponsesReachNoCaller(t *testing.T) {
+	for _, kind := range answerKinds() {
+		for _, response := range faulty.Responses("X-Request-Id: ID\r\nX-Response-Signature: s\r\n", kind.body) {
+			t.Run(kind.name+", "+response.Name, func(t *testing.T) {
+				h := newTestHandler(t, kind.service, engine("t-1", kind.stage))
+				h.startFaulty(faulty.Respond(response.Bytes))
+				a := h.call(http.MethodPost, kind.path, "p", kind.headers...)
+				begun := kind.stage != "" && a.status == http.StatusOK && response.AfterBody
+				if begun && a.err == nil || !begun && (a.status != http.StatusBadGateway || a.header.Get("X-Response-Signature") != "") {
+					t.Errorf("status %d, header %v, body %q, error %v; want 502 of the host, or an incomplete stream", a.status, a.header, a.body, a.err)
+				}
+			})
+		}
+	}
+}
--- a/internal/oncehttp/client.go
+++ b/internal/oncehttp/client.go
@@ -1,5 +1,6 @@
 // Package oncehttp sends HTTP requests at most once, and reports for a failed request whether
-// any byte of it may have been sent.
+// any byte of it may have been sent. It accepts valid, complete responses only, as package
+// stricthttp tells them.
 package oncehttp
 
 import (
@@ -10,6 +11,8 @@
 	"net/http"
 	"net/http/httptrace"
 	"time"
+
+	"zinniapin/internal/stricthttp"
 )
 
 // idleTimeout is how long an idle connection is kept open.
@@ -38,7 +41,7 @@
 
 // Client sends HTTP requests. It is safe for concurrent use.
 type Client struct {
-	transport *http.Transport
+	transport *stricthttp.Transport
 	onSilent  func(address string)
 }
 
@@ -47,13 +50,13 @@
 	if o.Dial == nil {
 		o.Dial = (&net.Dialer{Timeout: o.DialTimeout}).DialContext
 	}
-	return &Client{onSilent: o.OnSilent, transport: &http.Transport{
+	return &Client{onSilent: o.OnSilent, transport: stricthttp.NewTransport(&http.Transport{
 		DialContext:            dialCounting(o.Dial),
 		MaxIdleConnsPerHost:    o.Idle,
 		IdleConnTimeout:        idleTimeout,
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: maxHeadBytes,
-	}}
+	})}
 }
 
 // Close closes the idle connections. The client can still be used.
--- a/internal/oncehttp/conn.go
+++ b/internal/oncehttp/conn.go
@@ -5,6 +5,8 @@
 	"net"
 	"net/http/httptrace"
 	"sync"
+
+	"zinniapin/internal/stricthttp"
 )
 
 // Conn is a connection that counts writes, so that its user knows whether a byte of a request
@@ -28,6 +30,9 @@
 	return c.Conn.Write(b)
 }
 
+// NetConn returns the connection beneath.
+func (c *Conn) NetConn() net.Conn { return c.Conn }
+
 // Writes returns the number of writes started so far.
 func (c *Conn) Writes() int {
 	c.mu.Lock()
@@ -84,11 +89,12 @@
 	if t.conn != nil && t.conn.Writes() != t.writesBefore {
 		t.sent = true
 	}
-	conn, ok := info.Conn.(*Conn)
+	strict, ok := info.Conn.(*stricthttp.Conn)
 	if !ok {
 		t.sent = true // writes to an unknown connection are not counted
 		return
 	}
+	conn := strict.NetConn().(*Conn) // as dialled
 	t.conn = conn
 	t.writesBefore = conn.Writes()
 }
--- /dev/null
+++ b/internal/stricthttp/transport.go
@@ -0,0 +1,34 @@
+package stricthttp
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+)
+
+// Transport is an http.Transport over connections that are a Conn.
+type Transport struct{ *http.Transport }
+
+// NewTransport makes t open its connections as a Conn. t.DialContext must be set, and t must not be used otherwise.
+func NewTransport(t *http.Transport) *Transport {
+	dial := t.DialContext
+	t.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return NewConn(c), nil
+	}
+	return &Transport{t}
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		if c, ok := info.Conn.(*Conn); ok {
+			c.Expect(r.Method)
+		}
+	}}
+	return t.Transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
+}
--- a/target/httpengine/orders.go
+++ b/target/httpengine/orders.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"zinniapin/internal/oncehttp"
+	"zinniapin/internal/stricthttp"
 	"zinniapin/target"
 )
 
@@ -61,13 +62,15 @@
 	request.Header.Set("Content-Type", "application/json")
 	request.Close = true
 	countedConn := oncehttp.NewConn(conn)
-	if err := request.Write(countedConn); err != nil {
+	strict := stricthttp.NewConn(countedConn)
+	strict.Expect(request.Method)
+	if err := request.Write(strict); err != nil {
 		if countedConn.Writes() == 0 {
 			return fmt.Errorf("%w: %w", target.ErrNotSent, err)
 		}
 		return fmt.Errorf("%w: %w", target.ErrIncomplete, err)
 	}
-	return readReply(conn, request)
+	return readReply(strict, request)
 }
 
 // closeReset closes a connection with a TCP reset, which discards unsent data. After a reply
@@ -80,7 +83,7 @@
 }
 
 // readReply reads the reply to an order.
-func readReply(conn net.Conn, request *http.Request) error {
+func readReply(conn *stricthttp.Conn, request *http.Request) error {
 	response, err := http.ReadResponse(bufio.NewReader(conn), request)
 	if err != nil {
 		return fmt.Errorf("%w: %w", target.ErrIncomplete, err)
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"zinniapin/detour"
+	"zinniapin/internal/stricthttp"
 	"zinniapin/socket"
 )
 
@@ -30,14 +31,9 @@
 	// ErrStale is joined to ErrNoResponse if the target closed a kept connection as the request came:
 	// it says nothing of the target, which may have closed the connection for being idle.
 	ErrStale = errors.New("upstream: the kept connection was closed")
-	// ErrHeadTooLarge is the cause of ErrNoResponse when a target sends a head that is too large, or
-	// too many informational ones.
-	ErrHeadTooLarge = errors.New("upstream: the head of the response exceeds 64 KiB")
 )
 
 const (
-	// maxHeadBytes bounds the heads of a response, informational ones included.
-	maxHeadBytes = 64 << 10
 	// readBufferBytes is the size of the read buffer of a connection.
 	readBufferBytes = 8 << 10
 	// maxInlineBytes is the largest body that is written before the response is read. A larger body
@@ -84,8 +80,8 @@
 // connection is one connection to a target.
 type connection struct {
 	net         net.Conn
-	detour      bool         // it passes through another host
-	limiter     *headLimiter // under reader
+	detour      bool             // it passes through another host
+	strict      *stricthttp.Conn // net, under reader
 	reader      *bufio.Reader
 	address     string
 	idleSince   time.Time // when it became idle
@@ -95,29 +91,8 @@
 
 // newConnection returns a connection over c to the target at an address.
 func newConnection(c detour.Conn, address string) *connection {
-	limiter := &headLimiter{conn: c.Conn, left: -1}
-	return &connection{net: c.Conn, detour: c.Detour, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes), address: address, idleTimeout: defaultIdleTimeout}
-}
-
-// headLimiter reads from a connection, at most left bytes unless that is negative. A head that never
-// ends would otherwise fill the memory.
-type headLimiter struct {
-	conn net.Conn
-	left int
-	read int // bytes of the present head
-}
-
-// Read implements io.Reader.
-func (l *headLimiter) Read(p []byte) (int, error) {
-	if l.left < 0 {
-		return l.conn.Read(p)
-	}
-	if l.left == 0 {
-		return 0, ErrHeadTooLarge
-	}
-	n, err := l.conn.Read(p[:min(len(p), l.left)])
-	l.left, l.read = l.left-n, l.read+n
-	return n, err
+	strict := stricthttp.NewConn(c.Conn)
+	return &connection{net: c.Conn, detour: c.Detour, strict: strict, reader: bufio.NewReaderSize(strict, readBufferBytes), address: address, idleTimeout: defaultIdleTimeout}
 }
 
 // reset resets a connection with a request in progress. An ordinary close would still deliver the
@@ -295,6 +270,7 @@
 		return nil, errors.Join(kind, err)
 	}
 	head := r.head()
+	c.strict.Expect(r.Method)
 	var written chan error
 	if len(r.Body) <= maxInlineBytes {
 		n, err := c.net.Write(append(head, r.Body...))
@@ -313,13 +289,11 @@
 		}()
 	}
 	defer p.watchLink(c)()
-	c.limiter.left, c.limiter.read = maxHeadBytes, 0
 	parsed, err := readHead(c.reader, r.Method)
-	c.limiter.left = -1
 	if err == nil && !c.detour {
 		p.hear(address)
 	}
-	if err != nil && kept && c.limiter.read == 0 && ctx.Err() == nil && isClosed(err) {
+	if err != nil && kept && c.strict.BytesRead() == 0 && ctx.Err() == nil && isClosed(err) {
 		p.dropIdle(address)
 		err = errors.Join(ErrStale, err)
 	}
@@ -362,7 +336,8 @@
 	}
 }
 
-// readHead reads the head of the final response and skips informational ones (1xx).
+// readHead reads the head of the final response and skips informational ones (1xx). What net/http would accept beyond
+// the protocol does not pass stricthttp.Conn, beneath the reader.
 func readHead(r *bufio.Reader, method string) (*http.Response, error) {
 	for {
 		response, err := http.ReadResponse(r, &http.Request{Method: method})
@@ -453,7 +428,7 @@
 // reusable tells whether the connection can carry another request: the target keeps it open, the
 // request was written completely and no unread bytes are left.
 func (r *Response) reusable() bool {
-	if !r.complete || r.parsed.Close || r.conn.reader.Buffered() > 0 {
+	if !r.complete || r.parsed.Close || r.conn.reader.Buffered() > 0 || !r.conn.strict.Usable() {
 		return false
 	}
 	if r.bodyWritten != nil {
