Tell a reset during an upload from the end of an answer

Callers saw: a target answered a long upload at once with a 200 without a length, sent part of its body and reset the connection while the upload was still being written. The caller got that part as a complete answer.

Cause: the kernel reports a reset to one call only. The write of the upload got it, and the read of the answer returned the end of the connection. An answer without a length ends there, so it passed for complete. The host in between of a tunnel told the other host of an orderly end for the same reason.

Change: at such an end stricthttp.Conn asks for the state of the TCP connection, which a reset leaves closed whoever got the error, and waits up to 200 ms for the writing of the request to end. If that failed or goes on, the answer is incomplete. A host that carries a tunnel does the same, and counts bytes that come from the other host within 50 ms.

--- a/forward/helpers_test.go
+++ b/forward/helpers_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -40,6 +41,7 @@
 	server  *ingress.Server
 	metrics *prometheus.Registry
 	origins origins
+	maxBody atomic.Int64 // bytes of a request's body
 }
 
 // origins records the origins of streams in place of a node. An unrecorded stream may have begun at
@@ -102,6 +104,7 @@
 func newTestHandler(t testing.TB, service string, all ...*prepared.Target) *testHandler {
 	t.Helper()
 	h := &testHandler{t: t, started: make(map[string]int), metrics: prometheus.NewRegistry()}
+	h.maxBody.Store(1 << 20)
 	h.setTable(configuration())
 	log := zerolog.New(zerolog.NewTestWriter(t)).Level(zerolog.ErrorLevel)
 	h.handler = forward.New(&forward.Handler{
@@ -127,7 +130,7 @@
 	h.handler.Planner.SetTargets(time.Now(), h.targets)
 	h.handler.Planner.SetServices(configuration().Services)
 	h.server = &ingress.Server{Handler: h.handler, Limits: func() ingress.Limits {
-		return ingress.Limits{HeadBytes: 8 << 10, BodyBytes: 1 << 20, HeadTimeout: time.Second, IdleTimeout: 5 * time.Second}
+		return ingress.Limits{HeadBytes: 8 << 10, BodyBytes: int(h.maxBody.Load()), HeadTimeout: time.Second, IdleTimeout: 5 * time.Second}
 	}}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/forward/malformed_test.go
+++ b/forward/malformed_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -49,3 +50,23 @@
 		}
 	}
 }
+
+// A target answers a long upload at once, without a length, and ends the connection while the upload is being written.
+// What it sent until then is no complete answer.
+func TestAnswerThatEndsDuringItsUploadIsIncomplete(t *testing.T) {
+	for name, end := range faulty.Ends {
+		for _, kind := range answerKinds() {
+			t.Run(kind.name+", "+name, func(t *testing.T) {
+				h := newTestHandler(t, kind.service, engine("t-1", kind.stage))
+				h.maxBody.Store(faulty.UploadBytes)
+				h.startFaulty(faulty.RespondEarly("HTTP/1.1"+head+"\r\n"+kind.body, end))
+				for range 5 {
+					a := h.call(http.MethodPost, kind.path, strings.Repeat("p", faulty.UploadBytes), kind.headers...)
+					if a.err == nil && a.status == http.StatusOK {
+						t.Fatalf("the caller got %q as a complete answer", a.body)
+					}
+				}
+			})
+		}
+	}
+}
--- a/gateway/malformed_test.go
+++ b/gateway/malformed_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"errors"
 	"net"
 	"net/http"
@@ -26,3 +27,15 @@
 		}
 	}
 }
+
+// A response without a length that ends while the call is being written is incomplete.
+func TestResponseThatEndsDuringItsUploadIsIncomplete(t *testing.T) {
+	for name, end := range faulty.Ends {
+		for range 5 {
+			r, err := callFaulty(t, faulty.RespondEarly("HTTP/1.1 200 OK\r\n\r\npart", end), bytes.Repeat([]byte("p"), faulty.UploadBytes))
+			if !errors.Is(err, target.ErrIncomplete) {
+				t.Errorf("%s: status %d, body %q, error %v", name, r.Status, r.Body, err)
+			}
+		}
+	}
+}
--- a/internal/stricthttp/conn.go
+++ b/internal/stricthttp/conn.go
@@ -1,13 +1,25 @@
 // Package stricthttp guards the reading of HTTP/1.1 responses from servers that may fail. net/http accepts responses
-// that two recipients may read differently. A Conn checks the bytes before net/http parses them.
+// that two recipients may read differently, and takes the end of a connection for the end of a response even if the
+// connection was reset. A Conn checks the bytes before net/http parses them, so that a response that passes is the
+// server's own and complete.
 package stricthttp
 
 import (
 	"errors"
+	"fmt"
+	"io"
 	"net"
 	"sync"
+	"syscall"
+	"time"
+
+	"zinniapin/socket"
 )
 
+// uploadTimeout is how long the writing of a request may go on after the end of its response. A server that read the
+// request had it completely before it ended the connection.
+const uploadTimeout = 200 * time.Millisecond
+
 // Conn is a connection to a server that carries one request at a time. It is safe for concurrent use.
 type Conn struct {
 	net.Conn
@@ -16,6 +28,14 @@
 	response *scanner // nil before the first request
 	err      error    // nothing more is read
 	read     int      // bytes read of the present response
+	upload   *upload
+}
+
+// upload is the writing of a request.
+type upload struct {
+	done chan struct{} // closed once err is set
+	err  error
+	once sync.Once
 }
 
 // NewConn returns a connection over c.
@@ -29,7 +49,20 @@
 func (c *Conn) Expect(method string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.response, c.read = newScanner(method), 0
+	c.response, c.read, c.upload = newScanner(method), 0, &upload{done: make(chan struct{})}
+}
+
+// Written tells the connection that the present request was written, or that this has failed.
+func (c *Conn) Written(err error) {
+	c.mu.Lock()
+	u := c.upload
+	c.mu.Unlock()
+	if u != nil {
+		u.once.Do(func() {
+			u.err = err
+			close(u.done)
+		})
+	}
 }
 
 // BytesRead returns the number of bytes read of the present response.
@@ -47,7 +80,7 @@
 }
 
 // Read implements io.Reader. It passes on no line that makes a response invalid, and no bytes after the end of a
-// response.
+// response. It returns io.EOF at the end of a response that ends with its connection only if that is complete.
 func (c *Conn) Read(p []byte) (int, error) {
 	if err := c.failed(); err != nil {
 		return 0, err
@@ -70,6 +103,15 @@
 			return n, nil
 		}
 	}
+	if errors.Is(err, io.EOF) && c.response != nil && c.response.next == toEnd {
+		u := c.upload
+		c.mu.Unlock()
+		err = endOf(c.Conn, u)
+		c.mu.Lock()
+		if !errors.Is(err, io.EOF) {
+			c.err = err
+		}
+	}
 	return n, err
 }
 
@@ -79,3 +121,23 @@
 	defer c.mu.Unlock()
 	return c.err
 }
+
+// endOf judges the end of a connection at which a response ends. It returns io.EOF if the response is complete: the
+// server closed the connection, rather than reset it, and had the whole request. A reset is not always seen in the
+// result of a read, since a concurrent write may take the error.
+func endOf(c net.Conn, u *upload) error {
+	timeout := time.NewTimer(uploadTimeout)
+	defer timeout.Stop()
+	select {
+	case <-u.done:
+	case <-timeout.C:
+		return fmt.Errorf("%w: the response ended before the request was written", io.ErrUnexpectedEOF)
+	}
+	if u.err != nil {
+		return fmt.Errorf("%w: the response ended although writing the request failed: %w", io.ErrUnexpectedEOF, u.err)
+	}
+	if socket.WasReset(c) {
+		return syscall.ECONNRESET
+	}
+	return io.EOF
+}
--- a/internal/stricthttp/conn_test.go
+++ b/internal/stricthttp/conn_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 
 	"github.com/matryer/is"
@@ -35,6 +36,7 @@
 func read(method, text string, size int) (int, string, error) {
 	c := NewConn(&pieces{text: text, size: size})
 	c.Expect(method)
+	c.Written(nil)
 	r := bufio.NewReader(c)
 	for {
 		response, err := http.ReadResponse(r, &http.Request{Method: method})
@@ -111,6 +113,46 @@
 	}
 }
 
+// A response that ends with its connection is complete only if its request was written and the connection was not reset.
+func TestEndOfAConnection(t *testing.T) {
+	failed := errors.New("failed")
+	for name, c := range map[string]struct {
+		written func(*Conn)
+		reset   bool
+		want    error
+	}{
+		"written":                  {func(c *Conn) { c.Written(nil) }, false, nil},
+		"written, reset":           {func(c *Conn) { c.Written(nil) }, true, syscall.ECONNRESET},
+		"writing failed":           {func(c *Conn) { c.Written(failed) }, false, failed},
+		"written in part":          {func(*Conn) {}, false, io.ErrUnexpectedEOF},
+		"written later":            {func(c *Conn) { go c.Written(nil) }, false, nil},
+		"written in part and read": {func(*Conn) {}, true, io.ErrUnexpectedEOF},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := faulty.Start(func(peer *net.TCPConn) {
+				_, _ = io.WriteString(peer, "HTTP/1.1 200 OK\r\n\r\nhello")
+				_, _ = peer.Read(make([]byte, 1))
+				if c.reset {
+					_ = peer.SetLinger(0)
+				}
+			})
+			defer s.Close()
+			raw, err := net.Dial("tcp", s.Address)
+			is.NoErr(err)
+			conn := NewConn(raw)
+			defer conn.Close() //nolint:errcheck // a test
+			conn.Expect("GET")
+			_, err = conn.Write([]byte("x"))
+			is.NoErr(err)
+			c.written(conn)
+			got, err := io.ReadAll(conn)
+			is.Equal(string(got), "HTTP/1.1 200 OK\r\n\r\nhello")
+			is.True(c.want == nil && err == nil || c.want != nil && (errors.Is(err, c.want) || errors.Is(err, syscall.ECONNRESET) && c.reset))
+		})
+	}
+}
+
 // FuzzResponse checks that a response means the same in pieces of any size.
 func FuzzResponse(f *testing.F) {
 	for _, response := range faulty.Responses("X-Note: 1\r\n", "0123456789") {
--- a/internal/stricthttp/transport.go
+++ b/internal/stricthttp/transport.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"sync/atomic"
 )
 
 // Transport is an http.Transport over connections that are a Conn.
@@ -25,10 +26,19 @@
 
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		if c, ok := info.Conn.(*Conn); ok {
-			c.Expect(r.Method)
-		}
-	}}
+	var conn atomic.Pointer[Conn] // the latest that was tried
+	trace := &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			if c, ok := info.Conn.(*Conn); ok {
+				c.Expect(r.Method)
+				conn.Store(c)
+			}
+		},
+		WroteRequest: func(info httptrace.WroteRequestInfo) {
+			if c := conn.Load(); c != nil {
+				c.Written(info.Err)
+			}
+		},
+	}
 	return t.Transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
 }
--- a/socket/socket.go
+++ b/socket/socket.go
@@ -49,3 +49,28 @@
 	})
 	return err != nil || !errors.Is(peekErr, unix.EAGAIN)
 }
+
+// WasReset tells whether a TCP connection was reset by the other end, or closed at this one. It is to be asked at the
+// end of what was read: a read may return io.EOF after a reset, since the kernel reports the reset to one call only,
+// which may be a concurrent write. It looks beneath wrappers with a method NetConn, and returns false for other
+// connections than TCP.
+func WasReset(c net.Conn) bool {
+	for {
+		wrapper, ok := c.(interface{ NetConn() net.Conn })
+		if !ok {
+			break
+		}
+		c = wrapper.NetConn()
+	}
+	t, ok := c.(*net.TCPConn)
+	if !ok {
+		return false
+	}
+	raw, err := t.SyscallConn()
+	if err != nil {
+		return true
+	}
+	var info *unix.TCPInfo
+	err = raw.Control(func(fd uintptr) { info, _ = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) })
+	return err != nil || info != nil && info.State == unix.BPF_TCP_CLOSE
+}
--- a/target/httpengine/orders.go
+++ b/target/httpengine/orders.go
@@ -64,7 +64,9 @@
 	countedConn := oncehttp.NewConn(conn)
 	strict := stricthttp.NewConn(countedConn)
 	strict.Expect(request.Method)
-	if err := request.Write(strict); err != nil {
+	err = request.Write(strict)
+	strict.Written(err)
+	if err != nil {
 		if countedConn.Writes() == 0 {
 			return fmt.Errorf("%w: %w", target.ErrNotSent, err)
 		}
--- a/tunnel/server.go
+++ b/tunnel/server.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"zinniapin/socket"
@@ -41,6 +42,7 @@
 // carried is a tunnel that a host carries for another one.
 type carried struct {
 	stream, conn net.Conn
+	begun, ended atomic.Int64 // number of writes to conn
 
 	mu     sync.Mutex // guards writes to stream
 	buffer [headerBytes + maxFrameBytes]byte
@@ -85,7 +87,7 @@
 	}
 	var copies sync.WaitGroup
 	copies.Go(func() {
-		_, _ = io.Copy(timedWriter{c.conn, cmp.Or(s.StuckTimeout, stuckTimeout)}, readerOnly{c.stream})
+		_, _ = io.Copy(timedWriter{c, cmp.Or(s.StuckTimeout, stuckTimeout)}, readerOnly{c.stream})
 		socket.Reset(c.conn)                           // the other host has ended or given up the tunnel
 		_ = c.stream.SetWriteDeadline(time.Unix(1, 0)) // it may have stopped reading before
 	})
@@ -100,18 +102,32 @@
 // readerOnly hides that a connection can copy by itself, which takes a pipe.
 type readerOnly struct{ io.Reader }
 
-// timedWriter writes to a connection, with a limit for each write.
+// timedWriter writes to the target of a tunnel, with a limit for each write.
 type timedWriter struct {
-	conn  net.Conn
+	*carried
 	limit time.Duration
 }
 
 // Write implements io.Writer.
 func (w timedWriter) Write(p []byte) (int, error) {
+	w.begun.Add(1)
+	defer w.ended.Add(1)
 	_ = w.conn.SetWriteDeadline(time.Now().Add(w.limit))
 	return w.conn.Write(p)
 }
 
+// lastWriteTime is the time after the end of a target's connection in which bytes to the target that are on the way
+// from the other host show.
+const lastWriteTime = 50 * time.Millisecond
+
+// endedInOrder tells whether a target that has ended its connection did so in order: it did not reset the connection,
+// and had taken all bytes to it.
+func (c *carried) endedInOrder() bool {
+	begun := c.begun.Load()
+	time.Sleep(lastWriteTime)
+	return c.begun.Load() == begun && c.ended.Load() == begun && !socket.WasReset(c.conn)
+}
+
 // copyAnswers copies what the target sends.
 func (c *carried) copyAnswers() {
 	defer c.stream.Close() //nolint:errcheck // nothing more is written
@@ -128,7 +144,7 @@
 				return
 			}
 		}
-		if errors.Is(err, io.EOF) {
+		if errors.Is(err, io.EOF) && c.endedInOrder() {
 			c.send(end)
 			return
 		}
--- a/tunnel/tunnel_test.go
+++ b/tunnel/tunnel_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/matryer/is"
 
+	"zinniapin/internal/standin/faulty"
 	"zinniapin/link"
 	"zinniapin/link/memlink"
 	"zinniapin/machine"
@@ -136,6 +137,31 @@
 	}
 }
 
+// A target that ends its connection while bytes to it are being written has not ended it properly, though the kernel may
+// report a reset to the write alone.
+func TestEndDuringAWriteIsNoEnd(t *testing.T) {
+	for name, end := range faulty.Ends {
+		t.Run(name, func(t *testing.T) {
+			for range 5 {
+				is := is.New(t)
+				near, far := newPair(t).open(t)
+				go func() { _, _ = near.Write(make([]byte, faulty.UploadBytes)) }()
+				_, _ = far.Write([]byte("part"))
+				got := make([]byte, 4)
+				_, err := io.ReadFull(near, got)
+				is.NoErr(err)
+				time.Sleep(5 * time.Millisecond) // the write waits for the target
+				go func() {
+					end(far.(*net.TCPConn))
+					_ = far.Close()
+				}()
+				_, err = near.Read(got)
+				is.True(errors.Is(err, syscall.ECONNRESET))
+			}
+		})
+	}
+}
+
 // A stream that ends without the frame that says so was lost on the way.
 func TestLostTunnelIsNoEnd(t *testing.T) {
 	is := is.New(t)
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -280,11 +280,13 @@
 		if err != nil {
 			return fail(ErrNoResponse, err)
 		}
+		c.strict.Written(nil)
 	} else {
 		written = make(chan error, 1)
 		go func() {
 			buffers := net.Buffers{head, r.Body}
 			_, err := buffers.WriteTo(c.net)
+			c.strict.Written(err)
 			written <- err
 		}()
 	}
