Use a connection no further after a refusal that names no request

Callers saw: 'not run, try again' for requests that a target had run or was running, and such requests ran at a second target, when a target wrote an earlier refusal once more on a kept connection.

Cause: a refusal of a target that is full has no request id. A copy of it that comes when the next request has been written cannot be told from the answer to that one. The check for bytes on idle connections is over by then.

Change: at the node, the connection of a response without a request id is closed; two ids are none. At the gateway, whose services and engines name no request in a refusal, a connection carries no request after a response with an error status. It is retired as soon as the head has come, before net/http may use it again, and a request that got it nevertheless goes out on another one, as nothing was written.

--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -63,7 +63,7 @@
 	var info ResponseInfo
 	ofRequest, begun := false, false
 	if err == nil {
-		info = r.h.Protocol.ParseResponse(response.Status, response.Header)
+		info = r.h.parseResponse(response)
 		ofRequest = info.ID == r.info.ID
 		if info.Misdirected {
 			r.h.OnMisdirected(t.ID)
@@ -88,8 +88,8 @@
 		return nil, r.handleSendError(ctx, t, err, prefill)
 	}
 	r.summary.framing, r.summary.through = response.Framing, response.Through
-	// The request id may be missing in a refusal. It cannot belong to an earlier request, since the
-	// pool returns only connections on which nothing arrived while they were idle.
+	// The request id may be missing in a refusal. It cannot be a late copy of an earlier one, since a
+	// connection carries no request after a response without id.
 	if info.NotRun && (info.ID == "" || ofRequest) {
 		if !prefill {
 			r.sent.notRun()
@@ -109,6 +109,16 @@
 	return response, attemptAnswered
 }
 
+// parseResponse decodes the status and headers of a response. Its connection is not used again if the response names
+// no request.
+func (h *Handler) parseResponse(response *upstream.Response) ResponseInfo {
+	info := h.Protocol.ParseResponse(response.Status, response.Header)
+	if info.ID == "" {
+		response.CloseAfter()
+	}
+	return info
+}
+
 // countSend counts an attempt, or a call to process the prompt, that is about to be written.
 func (r *request) countSend(prefill bool) {
 	if prefill {
--- a/forward/generate.go
+++ b/forward/generate.go
@@ -240,7 +240,7 @@
 			r.logFailedAttempt(t, err, "release") // the target frees the cache itself when its handle expires
 			return
 		}
-		r.h.heedNotices(t, r.h.Protocol.ParseResponse(response.Status, response.Header))
+		r.h.heedNotices(t, r.h.parseResponse(response))
 		drain(response)
 	}()
 }
--- a/forward/malformed_test.go
+++ b/forward/malformed_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	"zinniapin/internal/standin/faulty"
 	"zinniapin/internal/standin/prepared"
 )
@@ -70,3 +72,21 @@
 		}
 	}
 }
+
+// A target sends a refusal without a request id once more, late. The next request of that connection, which it runs, is
+// neither answered as not run nor sent to another target.
+func TestLateCopyOfARefusalIsNoAnswer(t *testing.T) {
+	is := is.New(t)
+	h := newTestHandler(t, "desk", engine("t-1", ""))
+	copier := faulty.Copier{
+		Refusal:  "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+		Response: "HTTP/1.1" + head + "Content-Length: 2\r\n\r\nok",
+	}
+	h.startFaulty(copier.Serve)
+	a := h.call(http.MethodPost, "/take/a", "x")
+	is.Equal(a.status, http.StatusServiceUnavailable) // the only target refused
+	is.Equal(copier.Runs.Load(), int32(0))
+	a = h.call(http.MethodPost, "/take/a", "x")
+	is.Equal(a.status, http.StatusOK)
+	is.Equal(copier.Runs.Load(), int32(1))
+}
--- a/forward/move_watch.go
+++ b/forward/move_watch.go
@@ -246,7 +246,7 @@
 	if err != nil {
 		return MoveResult{}, "no whole answer to the call: " + err.Error()
 	}
-	info := h.Protocol.ParseResponse(response.Status, response.Header)
+	info := h.parseResponse(response)
 	if info.Misdirected {
 		h.OnMisdirected(m.source.ID)
 	}
@@ -404,6 +404,7 @@
 		defer cancel()
 		response, err := h.Pool.Do(ctx, t.Address, &upstream.Request{Method: method, Target: path, Host: t.Address, Header: http.Header{}})
 		if err == nil {
+			h.parseResponse(response)
 			drain(response)
 		}
 	}()
--- a/gateway/malformed_test.go
+++ b/gateway/malformed_test.go
@@ -5,8 +5,11 @@
 	"errors"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 
+	"github.com/matryer/is"
+
 	"zinniapin/internal/standin/faulty"
 	"zinniapin/target"
 )
@@ -39,3 +42,20 @@
 		}
 	}
 }
+
+// A service sends a refusal once more, late. The next call, which it runs, is not taken for refused.
+func TestLateCopyOfARefusalOfAService(t *testing.T) {
+	is := is.New(t)
+	for _, length := range []string{"Content-Length: 0\r\n\r\n", "Content-Length: 4\r\n\r\nbusy"} {
+		copier := faulty.Copier{Refusal: "HTTP/1.1 503 Service Unavailable\r\nZinnia-Not-Run: true\r\n" + length, Response: "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"}
+		s := faulty.Start(copier.Serve)
+		t.Cleanup(s.Close)
+		tg := newTestGatewayWithServices(t, s.Address)
+		for i, want := range []int{http.StatusServiceUnavailable, http.StatusOK, http.StatusOK} {
+			response, body := tg.send("POST", "/v1/services/desk/deposits", testKey, deposit, "Idempotency-Key", strings.Repeat("k", i+1))
+			is.Equal(response.StatusCode, want)
+			is.Equal(copier.Runs.Load(), int32(i))
+			is.True(i == 0 || body == "ok")
+		}
+	}
+}
--- a/gateway/services.go
+++ b/gateway/services.go
@@ -61,13 +61,16 @@
 // NewHTTPServices returns a client that uses no proxy and follows no redirects. It connects over links; nil stands for
 // those of a host that has no others.
 func NewHTTPServices(links *targetlink.Links) *HTTPServices {
-	o := oncehttp.Options{DialTimeout: serviceDialTimeout, Idle: serviceIdleConns}
+	o := oncehttp.Options{DialTimeout: serviceDialTimeout, Idle: serviceIdleConns, Retires: mayRefuse}
 	if links != nil {
 		o.Dial, o.OnSilent = links.DialContext, links.CheckSilent
 	}
 	return &HTTPServices{oncehttp.New(o)}
 }
 
+// mayRefuse tells whether a response with a status may be a refusal, by headerNotRun.
+func mayRefuse(status int) bool { return status >= http.StatusBadRequest }
+
 // CloseIdle closes idle connections.
 func (s *HTTPServices) CloseIdle() { s.client.Close() }
 
@@ -88,7 +91,7 @@
 		return ServiceResponse{}, fmt.Errorf("%w: %w", target.ErrIncomplete, err)
 	}
 	defer func() { _ = response.Body.Close() }() // the needed part of the body has been read
-	if response.Header.Get(headerNotRun) == "true" {
+	if response.Header.Get(headerNotRun) == "true" && mayRefuse(response.StatusCode) {
 		return ServiceResponse{}, fmt.Errorf("%w: status %d", target.ErrRefused, response.StatusCode)
 	}
 	responseBody, err := intake.ReadBody(intake.FromContext(ctx), response.Body, response.ContentLength, maxAnswerBytes)
--- a/internal/oncehttp/client.go
+++ b/internal/oncehttp/client.go
@@ -6,6 +6,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -37,6 +38,10 @@
 	Idle int
 	// OnSilent is called when no response has begun within 400 ms; nil if nobody is told.
 	OnSilent func(address string)
+	// Retires tells whether a connection carries no further request after a response with a status. It
+	// is for refusals that do not tell to which request they belong: a copy of one that comes late
+	// would pass for the response to the next request. Nil stands for none.
+	Retires func(status int) bool
 }
 
 // Client sends HTTP requests. It is safe for concurrent use.
@@ -56,7 +61,7 @@
 		IdleConnTimeout:        idleTimeout,
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: maxHeadBytes,
-	})}
+	}, o.Retires)}
 }
 
 // Close closes the idle connections. The client can still be used.
@@ -77,6 +82,16 @@
 // sent is false only if no byte of the request has been sent and none will be. http.Transport
 // may send a GET without a body again.
 func (c *Client) Do(ctx context.Context, method, address string, header http.Header, body []byte) (response *http.Response, sent bool, err error) {
+	for {
+		response, sent, err = c.try(ctx, method, address, header, body)
+		if err == nil || sent || !errors.Is(err, stricthttp.ErrRetired) {
+			return response, sent, err
+		}
+	}
+}
+
+// try is Do over one connection, which may be retired.
+func (c *Client) try(ctx context.Context, method, address string, header http.Header, body []byte) (response *http.Response, sent bool, err error) {
 	tracker := &sendTracker{}
 	ctx = httptrace.WithClientTrace(ctx, tracker.trace())
 	request, err := http.NewRequestWithContext(ctx, method, address, nil)
--- a/internal/stricthttp/conn.go
+++ b/internal/stricthttp/conn.go
@@ -20,15 +20,21 @@
 // request had it completely before it ended the connection.
 const uploadTimeout = 200 * time.Millisecond
 
+// ErrRetired means that nothing of a request was written, since the connection is not to be used any more.
+var ErrRetired = errors.New("stricthttp: the connection is retired")
+
 // Conn is a connection to a server that carries one request at a time. It is safe for concurrent use.
 type Conn struct {
 	net.Conn
+	retires func(status int) bool // whether a response is the last of its connection; nil for none
 
 	mu       sync.Mutex
 	response *scanner // nil before the first request
 	err      error    // nothing more is read
 	read     int      // bytes read of the present response
 	upload   *upload
+	retired  bool // the present response is the last one
+	closed   bool // for writing: another request has come since
 }
 
 // upload is the writing of a request.
@@ -49,9 +55,21 @@
 func (c *Conn) Expect(method string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.closed = c.retired
 	c.response, c.read, c.upload = newScanner(method), 0, &upload{done: make(chan struct{})}
 }
 
+// Write implements io.Writer.
+func (c *Conn) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	closed := c.closed
+	c.mu.Unlock()
+	if closed {
+		return 0, ErrRetired
+	}
+	return c.Conn.Write(p)
+}
+
 // Written tells the connection that the present request was written, or that this has failed.
 func (c *Conn) Written(err error) {
 	c.mu.Lock()
@@ -92,6 +110,7 @@
 		var invalid error
 		n, invalid = c.response.scan(p[:n])
 		c.read += n
+		c.retired = c.retired || c.retires != nil && c.response.headEnded() && c.retires(c.response.status)
 		if invalid != nil {
 			c.err = invalid
 			if !errors.Is(invalid, ErrExtraBytes) {
@@ -119,6 +138,9 @@
 func (c *Conn) failed() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.err == nil && c.retired && (c.closed || c.response.next == complete) {
+		return ErrRetired
+	}
 	return c.err
 }
 
--- a/internal/stricthttp/scanner.go
+++ b/internal/stricthttp/scanner.go
@@ -65,6 +65,9 @@
 // newScanner returns a scanner for the response to a request.
 func newScanner(method string) *scanner { return &scanner{method: method} }
 
+// headEnded tells whether the head of the final response has come.
+func (s *scanner) headEnded() bool { return s.next != statusLine && s.next != fieldLine }
+
 // scan checks further bytes of the response. It returns how many of them belong to it, all unless there is an error.
 // An error is final.
 func (s *scanner) scan(p []byte) (int, error) {
--- a/internal/stricthttp/transport.go
+++ b/internal/stricthttp/transport.go
@@ -12,14 +12,16 @@
 type Transport struct{ *http.Transport }
 
 // NewTransport makes t open its connections as a Conn. t.DialContext must be set, and t must not be used otherwise.
-func NewTransport(t *http.Transport) *Transport {
+// A connection carries no further request after a response with a status for which retires returns true; nil stands
+// for none. A request that comes to such a connection fails with ErrRetired.
+func NewTransport(t *http.Transport, retires func(status int) bool) *Transport {
 	dial := t.DialContext
 	t.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
 		c, err := dial(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
-		return NewConn(c), nil
+		return &Conn{Conn: c, retires: retires}, nil
 	}
 	return &Transport{t}
 }
--- a/target/httpengine/client.go
+++ b/target/httpengine/client.go
@@ -80,7 +80,7 @@
 	return &Client{
 		options:    o,
 		dialer:     &net.Dialer{Timeout: o.DialTimeout},
-		http:       oncehttp.New(oncehttp.Options{DialTimeout: o.DialTimeout, Dial: o.Dial, Idle: o.IdleConns, OnSilent: o.OnSilent}),
+		http:       oncehttp.New(oncehttp.Options{DialTimeout: o.DialTimeout, Dial: o.Dial, Idle: o.IdleConns, OnSilent: o.OnSilent, Retires: isRefusal}),
 		orderSlots: map[string]chan struct{}{},
 	}
 }
@@ -133,6 +133,9 @@
 	return response, nil
 }
 
+// isRefusal tells whether a response with a status may be a refusal. It names no attempt.
+func isRefusal(status int) bool { return status != http.StatusOK }
+
 // errorFromStatus returns the error for a status other than 200. It is ErrRefused only if
 // the engine explicitly reports that it did not run the request.
 func errorFromStatus(status int, body io.Reader) error {
--- a/target/httpengine/malformed_test.go
+++ b/target/httpengine/malformed_test.go
@@ -66,3 +66,21 @@
 	is.True(errors.Is(newClient(t).Send(ctx, engine, target.Order{ID: "o"}), target.ErrIncomplete))
 	is.True(<-sent < most)
 }
+
+// An engine sends a refusal once more, late. The next request, which it runs, is not taken for refused.
+func TestLateCopyOfARefusalOfAnEngine(t *testing.T) {
+	is := is.New(t)
+	copier := faulty.Copier{
+		Refusal:  "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 16\r\n\r\n{\"not_run\":true}",
+		Response: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks(doneLine) + "0\r\n\r\n",
+	}
+	engine, client := faultyEngine(t, copier.Serve), newClient(t)
+	_, err := client.Generate(t.Context(), engine, request())
+	is.True(errors.Is(err, target.ErrRefused))
+	s, err := client.Generate(t.Context(), engine, request())
+	is.NoErr(err)
+	chunk, err := s.Next()
+	is.NoErr(err)
+	is.True(chunk.Done)
+	is.Equal(copier.Runs.Load(), int32(1))
+}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -242,8 +242,13 @@
 	bodyWritten         chan error // receives the result of a concurrent write of the request body
 	stopWatchingContext func() bool
 	complete            bool // the body was read to its end
+	last                bool // Close closes the connection
 }
 
+// CloseAfter makes Close close the connection. It is for responses that do not tell to which request they belong: a
+// copy of one that comes late would pass for the response to the next request.
+func (r *Response) CloseAfter() { r.last = true }
+
 // Do sends a request once and reads the head of the response. The connection is reset if ctx ends
 // before Close. An error is ErrNotSent or ErrNoResponse, joined with its cause.
 func (p *Pool) Do(ctx context.Context, address string, r *Request) (*Response, error) {
@@ -430,7 +435,7 @@
 // reusable tells whether the connection can carry another request: the target keeps it open, the
 // request was written completely and no unread bytes are left.
 func (r *Response) reusable() bool {
-	if !r.complete || r.parsed.Close || r.conn.reader.Buffered() > 0 || !r.conn.strict.Usable() {
+	if !r.complete || r.last || r.parsed.Close || r.conn.reader.Buffered() > 0 || !r.conn.strict.Usable() {
 		return false
 	}
 	if r.bodyWritten != nil {
