Answer every request before a planned stop ends the process

Callers saw: in a planned stop of a host, in calm, requests that came late in the grace period were taken and passed on; at its end they were cut with no answer, among them requests that may not be repeated.

Cause: the node closes idle connections when the balancer has noticed, but a request whose body ends later was served as ever, with the caller's deadline, and the process ended after the grace period whatever was in progress.

Change: a stop has two times. Until other hosts get the new connections, requests are taken for the time that is left. Later one is taken only if its deadline falls before the end; otherwise it is refused at once with 503 and a Retry-After, as another host takes it. At the end, 0.9 s before the process would be killed, what is in progress is cancelled and answered: 502 if it may have run, 503 if not; a stream that has begun ends visibly incomplete.

--- a/forward/handler.go
+++ b/forward/handler.go
@@ -8,6 +8,7 @@
 	"context"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -62,6 +63,10 @@
 
 	moves moveRegistry
 
+	stop      atomic.Pointer[stopTimes] // nil unless a stop is planned
+	stopped   context.Context           // ends with errHostStops at the end of a planned stop
+	cancelAll context.CancelCauseFunc   // of stopped
+
 	mu      sync.Mutex                     // guards the fields below
 	budgets map[string]*retrybudget.Budget // by service
 	// longestDeadlines holds the longest deadline of any caller by route. A caller with a shorter
@@ -84,6 +89,7 @@
 	h.longestDeadlines = make(map[string]time.Duration)
 	h.demand = make(map[string]*Demand)
 	h.started = time.Now()
+	h.stopped, h.cancelAll = context.WithCancelCause(context.Background())
 	if h.Crashes == nil {
 		h.Crashes = NewCrashGuard(h.Pool, time.Now, h.Log)
 	}
@@ -148,6 +154,7 @@
 func (h *Handler) Serve(ctx context.Context, in *ingress.Request, out *ingress.Writer) {
 	r := &request{h: h, in: in, out: out, view: h.View(), excluded: make(map[target.ID]bool)}
 	if r.admit() {
+		ctx, release := h.withStop(ctx)
 		ctx, cancel := context.WithDeadline(ctx, r.deadline)
 		if r.job.PromptTokens > 0 && r.service.Engine != nil {
 			r.forwardToEngine(ctx)
@@ -155,6 +162,7 @@
 			r.forwardToService(ctx)
 		}
 		cancel()
+		release()
 		r.refundUnits()
 		if r.summary.denied == nil {
 			r.count()
@@ -192,12 +200,16 @@
 		origin = info.Resumes // the stream goes on at the service that began it
 	}
 	r.service = table.SelectService(r.route, origin)
+	r.setDeadline()
+	if !r.boundByStop() {
+		return false
+	}
 	r.prepareJob()
 	return true
 }
 
-// prepareJob sets the deadline of the request and the job that the planner places.
-func (r *request) prepareJob() {
+// setDeadline sets the deadline of the request.
+func (r *request) setDeadline() {
 	left := r.info.Deadline
 	timeout := time.Duration(r.route.TimeoutMillis) * time.Millisecond
 	if left == 0 || timeout > 0 && timeout < left {
@@ -207,9 +219,13 @@
 		left = time.Minute // neither the caller nor the route has a deadline
 	}
 	r.deadline = r.in.Arrived.Add(left)
+}
+
+// prepareJob sets the job that the planner places.
+func (r *request) prepareJob() {
 	r.job = dispatch.Job{
 		Service: r.service.Name, PromptTokens: r.info.PromptTokens, Parts: r.info.PromptParts, Bytes: len(r.in.Body),
-		Objective: r.objective(), TimeLeft: left, RefusedBefore: r.h.isReturning(r.route.Name, r.info.Deadline),
+		Objective: r.objective(), TimeLeft: r.deadline.Sub(r.in.Arrived), RefusedBefore: r.h.isReturning(r.route.Name, r.info.Deadline),
 		Priority: route.Priority(r.route, r.organisation), MaxEventGap: time.Duration(r.route.GapMillis) * time.Millisecond,
 	}
 	r.job.OutputTokens, r.job.CarefulOutputTokens = outputLength(r.info)
--- a/forward/refusal.go
+++ b/forward/refusal.go
@@ -25,12 +25,16 @@
 // whether the request may have run and from why its context ended.
 func (r *request) fail(ctx context.Context) {
 	switch {
-	case errors.Is(ctx.Err(), context.Canceled):
+	case errors.Is(ctx.Err(), context.Canceled) && !hostStops(ctx):
 		r.summary.code = result.CallerLeft
 		r.out.Abort()
 	case r.out.Started():
 		r.summary.code = result.StreamCut
 		r.out.Abort()
+	case r.sent.execution() != result.NotRun && hostStops(ctx):
+		r.refuse(result.HostStopped, 0)
+	case hostStops(ctx):
+		r.refuse(result.HostStopping, hostStoppingRetryAfter)
 	case r.sent.execution() != result.NotRun && ctx.Err() != nil:
 		r.refuse(result.OutOfTime, 0)
 	case r.sent.execution() != result.NotRun:
--- a/node/node.go
+++ b/node/node.go
@@ -400,18 +400,24 @@
 	balancerDetectTime = 2500 * time.Millisecond
 	// graceMargin is the part of the grace period left for the exit itself.
 	graceMargin = 700 * time.Millisecond
+	// answerMargin is the part of the grace period before that in which requests that are still in progress at
+	// its beginning get their answers.
+	answerMargin = 200 * time.Millisecond
 )
 
 // shutDown drains the node: it reports itself as not ready, keeps accepting
 // callers until the load balancer has noticed, hands over the duties, and waits
-// for requests in progress until the grace period ends.
+// for requests in progress until the grace period ends. By then all of them have
+// been answered.
 func (n *Node) shutDown(closeListener func()) {
 	begun := time.Now()
 	n.leaving.Store(true)
 	n.server.Drain()
 	n.links.Leave()
-	event.NodeStopping.Log(n.log).Int("connections", n.server.Connections()).Send()
 	grace := seconds(n.currentSettings().Bounds.GraceSeconds) - graceMargin
+	closing := begun.Add(min(balancerDetectTime, grace/2))
+	n.handler.Stop(closing, begun.Add(grace-min(answerMargin, grace/2)))
+	event.NodeStopping.Log(n.log).Int("connections", n.server.Connections()).Send()
 	ctx, cancel := context.WithDeadline(context.Background(), begun.Add(grace))
 	defer cancel()
 	handedOver := make(chan struct{})
@@ -419,7 +425,7 @@
 		defer close(handedOver)
 		n.duties.handOver(ctx) // may wait for calls of a tick in progress
 	}()
-	time.Sleep(min(balancerDetectTime, grace/2) - time.Since(begun))
+	time.Sleep(time.Until(closing))
 	closeListener()
 	n.server.CloseIdle()
 	n.server.Wait(ctx)
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -1,6 +1,7 @@
 package node_test
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -42,6 +43,8 @@
 	objects string
 	// mesh is the mesh address of the node that is started next; empty stands for a free one.
 	mesh string
+	// graceSeconds is the grace period of the nodes that are started next; 0 stands for 8.
+	graceSeconds float64
 	// onNew is called with each node before it runs, if it is set.
 	onNew func(*testNode)
 }
@@ -145,7 +148,7 @@
 		Host: host, Zone: z, Region: "north", Listen: freeAddress(c.t), Ready: freeAddress(c.t), Mesh: freeAddress(c.t),
 		Objects: c.store.Address(), Orders: c.duties.Address(), MemoryMB: 200,
 		Duties: settings.NodeDuties{Usage: true, Scaling: true},
-		Bounds: settings.NodeBounds{GraceSeconds: 8, LeaseMillis: 1000, RetryRatio: 0.2, RetrySlack: 50, RetryWindowSeconds: 10, UsageWindowSeconds: 2, UsageLateSeconds: 10},
+		Bounds: settings.NodeBounds{GraceSeconds: cmp.Or(c.graceSeconds, 8), LeaseMillis: 1000, RetryRatio: 0.2, RetrySlack: 50, RetryWindowSeconds: 10, UsageWindowSeconds: 2, UsageLateSeconds: 10},
 		Log:    settings.Log{Level: "info"},
 	}}
 	if c.objects != "" {
--- a/result/codes_forward.go
+++ b/result/codes_forward.go
@@ -23,5 +23,7 @@
 	RequestBlocked  = define(8016, "request_blocked", http.StatusServiceUnavailable, exitFailure, "Several targets have crashed under the same request, by the same caller with the same method, path and body. The request has not run.", "Do not send it again as it is; the time given is when it will be tried again.")
 	LimitReached    = define(8017, "limit_reached", http.StatusTooManyRequests, exitFailure, "The limit of the organisation is reached, or the request counts more than the limit ever allows at once. The request has not run.", "Retry after the time given. The event limit_refused names the limit and what the request counts.")
 	LimitUnknown    = define(8018, "limit_unknown", http.StatusServiceUnavailable, exitFailure, "No host grants units of the organisation's limit, and the share of this host is lent or not yet in use. The request has not run.", "Retry after the time given, or at another host.")
+	HostStopping    = define(8019, "host_stopping", http.StatusServiceUnavailable, exitFailure, "The host is about to stop and cannot wait for an answer. The request has not run.", "Retry at another host, on a new connection.")
+	HostStopped     = define(8020, "host_stopped", http.StatusBadGateway, exitFailure, "The host stopped before a target had answered; a target may have run the request.", "Find out whether the request ran before repeating it.")
 	OutOfTimeNotRun = define(8011, "out_of_time_not_run", http.StatusServiceUnavailable, exitFailure, "The deadline of the request passed before any target ran it.", "Retry after the time given.")
 )
