Pass on no status that promises more than its target stated

Callers would see: 408 or 429 for a request that its target had run, which tells them that it has not run and never will.

Cause: only a 503 that does not state that the request has not run was held back. Besides, a target that has refused the memory of a moved run may be tried again with the same request, whose id a late copy of the refusal has.

Change: 408, 421, 429 and 503 without the statement count as errors of the target: another one is tried where the route allows it, else the caller gets 502. The second try after a refused memory uses a new connection.

Measured: TestStatusWithoutTheStatementPromisesNothing failed before for 408 and 429, plain and streamed, and passes now. The new connection has no test of its own.

--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -71,7 +71,7 @@
 		if info.ID == "" || ofRequest {
 			r.h.heedNotices(t, info)
 		}
-		begun = ofRequest && !info.NotRun && response.Status < http.StatusInternalServerError && (begin == nil || begin(response))
+		begun = ofRequest && !info.NotRun && !isError(response.Status) && (begin == nil || begin(response))
 	}
 	if w.settle(begun) {
 		if response != nil {
@@ -119,6 +119,22 @@
 	return info
 }
 
+// promisesNotRun tells whether a status tells callers that the request has not run. A target that sends one without
+// stating that it did not run the request has promised nothing, so that the response is not passed on.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
+// isError tells whether a response with a status, unless it states that the request has not run, is an error of its
+// target for which another one may be tried.
+func isError(status int) bool {
+	return status >= http.StatusInternalServerError || promisesNotRun(status)
+}
+
 // countSend counts an attempt, or a call to process the prompt, that is about to be written.
 func (r *request) countSend(prefill bool) {
 	if prefill {
--- a/forward/malformed_test.go
+++ b/forward/malformed_test.go
@@ -90,3 +90,16 @@
 	is.Equal(a.status, http.StatusOK)
 	is.Equal(copier.Runs.Load(), int32(1))
 }
+
+// A target that does not state that a request has not run promises nothing by its status either.
+func TestStatusWithoutTheStatementPromisesNothing(t *testing.T) {
+	for _, kind := range answerKinds() {
+		for _, status := range []string{"408 Request Timeout", "429 Too Many Requests", "503 Service Unavailable"} {
+			h := newTestHandler(t, kind.service, engine("t-1", kind.stage))
+			h.startFaulty(faulty.Respond("HTTP/1.1 " + status + "\r\nX-Request-Id: ID\r\nX-Response-Signature: s\r\nContent-Length: 0\r\n\r\n"))
+			if a := h.call(http.MethodPost, kind.path, "p", kind.headers...); a.status != http.StatusBadGateway {
+				t.Errorf("%s, %s: the caller got status %d", kind.name, status, a.status)
+			}
+		}
+	}
+}
--- a/forward/move.go
+++ b/forward/move.go
@@ -189,6 +189,7 @@
 	r.sent.attempts = attempts
 	if outcome == attemptRefused && !excluded {
 		delete(r.excluded, t.ID) // it may have refused the memory alone
+		r.freshConnection = true // a late copy of this refusal would have the id of the request
 	}
 	if outcome != attemptAnswered {
 		s.watch.stop()
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -91,7 +91,7 @@
 	}
 	defer a.close()
 	r.summary.firstEvent = time.Since(r.in.Arrived)
-	if a.response.Status >= http.StatusInternalServerError {
+	if isError(a.response.Status) {
 		return r.handleServerError(a)
 	}
 	r.endAttempt(a.ticket, a.target.ID, dispatch.Answered, time.Since(a.begun))
@@ -118,7 +118,7 @@
 	})
 	if outcome == attemptAnswered {
 		r.countStart()
-		if response.Status >= http.StatusInternalServerError {
+		if isError(response.Status) {
 			a.body, a.more, err = readBuffered(response, r.out.Reserve) // send doesn't read errors
 		}
 		if err != nil {
@@ -182,7 +182,7 @@
 		return a
 	case outcome != attemptAnswered:
 		return nil
-	case a.response.Status >= http.StatusInternalServerError:
+	case isError(a.response.Status):
 		r.holdError(a)
 		a.close()
 		return nil
@@ -196,20 +196,20 @@
 	a.watch.stop()
 }
 
-// holdError keeps the error response of a target for the case that no other one answers. A 503 is not kept,
-// since it would tell the caller that nothing ran, which the target did not state.
+// holdError keeps the error response of a target for the case that no other one answers, unless its status would
+// tell the caller that nothing ran, which the target did not state.
 func (r *request) holdError(a *plainAttempt) {
 	r.endAttempt(a.ticket, a.target.ID, dispatch.Failed, 0)
 	r.excluded[a.target.ID] = true
-	if a.response.Status != http.StatusServiceUnavailable && !a.more && r.held == nil {
+	if !promisesNotRun(a.response.Status) && !a.more && r.held == nil {
 		r.held = &heldResponse{a.response, a.body}
 	}
 }
 
-// handleServerError handles a response with a 5xx status. It is sent to the caller if no other attempt is
+// handleServerError handles a response with the status of an error. It is sent to the caller if no other attempt is
 // allowed.
 func (r *request) handleServerError(a *plainAttempt) attemptResult {
-	if a.response.Status == http.StatusServiceUnavailable || a.more || r.route.Repeatable() && r.sent.attempts < r.route.Attempts {
+	if promisesNotRun(a.response.Status) || a.more || r.route.Repeatable() && r.sent.attempts < r.route.Attempts {
 		r.holdError(a)
 		return attemptBroken
 	}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -222,12 +222,12 @@
 }
 
 // handleErrorStatus handles a response with another status than 200. It sends the response to the
-// caller if no further attempt is allowed. A 503 is never sent on, since it would tell the caller
-// that nothing ran, which the target did not state.
+// caller if no further attempt is allowed. A status that would tell the caller that nothing
+// ran, which the target did not state, is never sent on.
 func (r *request) handleErrorStatus(s *stream) attemptResult {
 	body, more, err := readBuffered(s.response, r.out.Reserve)
 	retry := r.route.Repeatable() && r.sent.attempts < r.route.Attempts
-	if err != nil || more || r.out.Started() || s.response.Status == http.StatusServiceUnavailable || retry {
+	if err != nil || more || r.out.Started() || promisesNotRun(s.response.Status) || retry {
 		r.closeStatus(s)
 		return attemptBroken
 	}
