Let targets of the soak send malformed responses as garbage

Cause: the soak's garbage was one text that no parser accepts, so that it could not find what a lenient one lets through.

Change: prepared.Garbage sends any of the malformed responses of package faulty, with the id and signature of the request.

--- a/internal/standin/prepared/target.go
+++ b/internal/standin/prepared/target.go
@@ -13,6 +13,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"zinniapin/internal/standin/faulty"
 )
 
 // Fault tells how a target misbehaves on a request.
@@ -249,6 +251,18 @@
 	return t.respond(c, r, request, f, prefill)
 }
 
+// garbage returns bytes that are no response to a request: without any likeness to one, or a malformed response.
+func (t *Target) garbage(request *http.Request) string {
+	responses := faulty.Responses(fmt.Sprintf("X-Request-Id: %s\r\nX-Response-Signature: s\r\n", request.Header.Get("X-Request-Id")), "garbage")
+	t.mu.Lock()
+	n := t.random.IntN(len(responses) + 1)
+	t.mu.Unlock()
+	if n == len(responses) {
+		return "\x16\x03\x01 this is no response\r\n\r\n"
+	}
+	return responses[n].Bytes
+}
+
 // respond responds to a request as its fault requires and returns whether the connection
 // stays open.
 func (t *Target) respond(c net.Conn, r *bufio.Reader, request *http.Request, f Fault, prefill bool) bool {
@@ -269,7 +283,7 @@
 		reset(c)
 		return false
 	case Garbage:
-		_, _ = io.WriteString(c, "\x16\x03\x01 this is no response\r\n\r\n")
+		_, _ = io.WriteString(c, t.garbage(request))
 		return false
 	case RunAndHang:
 		_, _ = r.Peek(1) // blocks until the caller disconnects
