Split the reading of a checked connection into its steps

Cause: Read did three things under one lock that it gave up in between. Change: scan and judgeEnd; wording of comments.

--- a/forward/stop.go
+++ b/forward/stop.go
@@ -16,13 +16,13 @@
 
 // stopTimes are the times of a planned stop.
 type stopTimes struct {
-	closing time.Time // from when on new connections go to other hosts
+	closing time.Time // from then on new connections go to other hosts
 	end     time.Time // when every request must have been answered
 }
 
 // decideLate returns the deadline of a request that came to a host with a planned stop, or false if the request is to
-// be refused. Until other hosts get new connections, the request is taken for the time that is left. Later it is taken
-// only if it has its answer before the end, whatever its target does: no other host would get it but for a refusal.
+// be refused. Until other hosts get the new connections, the request is taken for the time that is left. Later it is
+// taken only if its deadline falls before the end: a refusal sends it to another host at once.
 func (s *stopTimes) decideLate(now, deadline time.Time) (time.Time, bool) {
 	switch {
 	case s == nil || !deadline.After(s.end):
--- a/internal/stricthttp/conn.go
+++ b/internal/stricthttp/conn.go
@@ -104,34 +104,48 @@
 		return 0, err
 	}
 	n, err := c.Conn.Read(p)
+	n, invalid := c.scan(p[:n])
+	if invalid != nil {
+		return 0, invalid
+	}
+	if errors.Is(err, io.EOF) {
+		err = c.judgeEnd()
+	}
+	return n, err
+}
+
+// scan checks bytes that were read and returns how many of them are passed on. An error means that none are.
+func (c *Conn) scan(p []byte) (int, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if n > 0 && c.response != nil {
-		var invalid error
-		n, invalid = c.response.scan(p[:n])
-		c.read += n
-		c.retired = c.retired || c.retires != nil && c.response.headEnded() && c.retires(c.response.status)
-		if invalid != nil {
-			c.err = invalid
-			if !errors.Is(invalid, ErrExtraBytes) {
-				n = 0
-			}
-			if n == 0 {
-				return 0, invalid
-			}
-			return n, nil
-		}
+	if len(p) == 0 || c.response == nil {
+		return len(p), nil
 	}
-	if errors.Is(err, io.EOF) && c.response != nil && c.response.next == toEnd {
-		u := c.upload
-		c.mu.Unlock()
-		err = endOf(c.Conn, u)
+	n, err := c.response.scan(p)
+	c.read += n
+	c.retired = c.retired || c.retires != nil && c.response.headEnded() && c.retires(c.response.status)
+	if c.err = err; err == nil || n > 0 && errors.Is(err, ErrExtraBytes) {
+		return n, nil
+	}
+	return 0, err
+}
+
+// judgeEnd returns the error of a read at the end of the connection: io.EOF, unless a response ends there that is not
+// complete.
+func (c *Conn) judgeEnd() error {
+	c.mu.Lock()
+	ends, u := c.response != nil && c.response.next == toEnd, c.upload
+	c.mu.Unlock()
+	if !ends {
+		return io.EOF
+	}
+	err := endOf(c.Conn, u)
+	if !errors.Is(err, io.EOF) {
 		c.mu.Lock()
-		if !errors.Is(err, io.EOF) {
-			c.err = err
-		}
+		c.err = err
+		c.mu.Unlock()
 	}
-	return n, err
+	return err
 }
 
 // failed returns the error after which nothing more is read.
--- a/internal/stricthttp/scanner.go
+++ b/internal/stricthttp/scanner.go
@@ -54,12 +54,12 @@
 	left   int64  // bytes of the content, or of the chunk, to come
 	head   int    // bytes of heads and trailer so far
 
-	status        int
-	minor         byte // version of HTTP, '0' or '1'
-	lengths       int  // number of fields that tell a length
-	length        int64
-	codings       int // number of fields that name a transfer coding
-	unusableError error
+	status  int
+	minor   byte // version of HTTP, '0' or '1'
+	lengths int  // number of fields that tell a length
+	length  int64
+	codings int // number of fields that name a transfer coding
+	err     error
 }
 
 // newScanner returns a scanner for the response to a request.
@@ -71,11 +71,11 @@
 // scan checks further bytes of the response. It returns how many of them belong to it, all unless there is an error.
 // An error is final.
 func (s *scanner) scan(p []byte) (int, error) {
-	if s.unusableError != nil {
-		return 0, s.unusableError
+	if s.err != nil {
+		return 0, s.err
 	}
 	n, err := s.scanParts(p)
-	s.unusableError = err
+	s.err = err
 	return n, err
 }
 
