Keep the backoff of the fleet record's writer within its bound

Cause: the jitter took the delay up to 45 s, 1.5 times maxFleetRetryDelay, which is said to bound it. The read that follows starts the 30 s in which a fall waits, so the write could come after 75 s.

Change: the delay is drawn between its half and the whole.

--- a/node/fleet_record.go
+++ b/node/fleet_record.go
@@ -118,7 +118,7 @@
 	}
 	w.known = false // a lost answer or a conflict: the record may hold another number
 	w.delay = min(max(2*w.delay, minFleetRetryDelay), maxFleetRetryDelay)
-	w.retryAt = now.Add(w.delay/2 + rand.N(w.delay))
+	w.retryAt = now.Add(w.delay/2 + rand.N(w.delay/2))
 }
 
 // read reads the record. A process that has not run for quota.HintTime may have forgotten hosts that the process before
