Take a lost write for done only if the whole record is stored

Cause: a holder of the duties froze a window, got no answer and did not find the window in the record, since the store carried that write out late. It froze the window again with the counts that had come meanwhile, got no answer again, and by then found the record of the first write. The read-back compared incarnation, fence and the numbers of the windows, not their counts, so the second write passed for done and its counts were reported; the next holder reported those of the record.

Change: a write without an answer has taken effect only if the stored record agrees in every field (duty.Record.StoredAs). A hold is confirmed only by a record that names this host. A hand-over is repeated, for 3 s at most, until the store shows it; before, a record with the old holder passed for a hand-over.

--- a/duty/record.go
+++ b/duty/record.go
@@ -1,6 +1,7 @@
 package duty
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 
@@ -33,6 +34,19 @@
 	return r, nil
 }
 
+// StoredAs tells whether a value that the store shows is this record, in every field. Only then has a write of it
+// without an answer taken effect: a write of before may have been carried out late under the same condition. The
+// store keeps the content of a value, not its form.
+func (r *Record) StoredAs(value []byte) bool {
+	var found Record
+	if json.Unmarshal(value, &found) != nil {
+		return false
+	}
+	stored, errStored := json.Marshal(found)
+	written, errWritten := json.Marshal(r)
+	return errStored == nil && errWritten == nil && bytes.Equal(stored, written)
+}
+
 // Claim returns the record by which a process acquires the duties, or renews them, after it found the
 // record at a revision: with a fence above that revision, the fence of the record and the highest that
 // any host knows.
--- a/node/duties.go
+++ b/node/duties.go
@@ -327,18 +327,41 @@
 	return counts, true
 }
 
+const (
+	// handOverTime bounds the attempts to hand the duties over. Another host acquires them after the lease in any case.
+	handOverTime = 3 * time.Second
+	// handOverRetryDelay is the time between two attempts.
+	handOverRetryDelay = 100 * time.Millisecond
+)
+
 // handOver clears the holder in the record, so that another host can acquire the
-// duties without waiting for the lease.
+// duties without waiting for the lease. It tries until the store shows that this
+// process holds them no more, at most for handOverTime.
 func (r *dutyRunner) handOver(ctx context.Context) {
 	r.runMu.Lock() // waits for a tick in progress
 	defer r.runMu.Unlock()
-	if !r.holding {
-		return
-	}
-	record := r.record
-	record.Holder = ""
-	if r.writeRecord(ctx, record, r.revision) {
-		r.stopHolding(time.Now(), "the node is stopping")
+	ctx, cancel := context.WithTimeout(ctx, handOverTime)
+	defer cancel()
+	for r.holding {
+		record := r.record
+		record.Holder = ""
+		if r.writeRecord(ctx, record, r.revision) {
+			r.stopHolding(time.Now(), "the node is stopping")
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(handOverRetryDelay):
+		}
+		found, revision, err := r.readRecord(ctx)
+		switch {
+		case err != nil:
+		case found.Outdated(revision) || !r.isOwn(found):
+			r.stopHolding(time.Now(), "the record names this process no more")
+		default:
+			r.record, r.revision = found, revision // a late write was carried out
+		}
 	}
 }
 
--- a/node/duty_record.go
+++ b/node/duty_record.go
@@ -88,26 +88,14 @@
 // errEraOver means that the store came back from an older copy before it took the record.
 var errEraOver = errors.New("the store came back from an older copy")
 
-// readBack returns the stored record if it is the one that was written, and
+// readBack returns the stored record if it is the one that was written, in every field, and
 // store.ErrConflict otherwise.
 func (r *dutyRunner) readBack(ctx context.Context, written duty.Record) (store.Member, error) {
 	member, err := r.node.platform.Objects.Get(ctx, dutiesCollection, dutiesName)
-	if err != nil {
-		return member, err
-	}
-	var found duty.Record
-	if err := json.Unmarshal(member.Value, &found); err != nil {
-		return member, err
-	}
-	if found.Incarnation != written.Incarnation || found.Fence != written.Fence || len(found.Windows) != len(written.Windows) {
-		return member, store.ErrConflict
+	if err == nil && !written.StoredAs(member.Value) {
+		err = store.ErrConflict
 	}
-	for w := range written.Windows {
-		if _, ok := found.Windows[w]; !ok {
-			return member, store.ErrConflict
-		}
-	}
-	return member, nil
+	return member, err
 }
 
 // confirmHolding reads the record and returns whether it still names this
@@ -120,7 +108,7 @@
 	if found.Outdated(revision) {
 		return r.renew(ctx, now, revision)
 	}
-	if found.Incarnation != r.record.Incarnation || found.Fence != r.record.Fence {
+	if !r.isOwn(found) {
 		r.observeHolder(found.Holder, found.Fence)
 		r.stopHolding(now, "the record names another holder")
 		return false
@@ -131,6 +119,11 @@
 	return true
 }
 
+// isOwn tells whether a stored record names this process as the holder, with the fence that it acquired last.
+func (r *dutyRunner) isOwn(found duty.Record) bool {
+	return found.Holder == r.node.settings.Host && found.Incarnation == r.record.Incarnation && found.Fence == r.record.Fence
+}
+
 // setConfirmed notes that the record was read as requested.
 func (r *dutyRunner) setConfirmed() {
 	r.mu.Lock()
