Compare all that was written when orders, claims and changes are read back

An author took an open order under its id for the one that it had written, a claim was taken under its attempt, a change of the configuration under its id, and a release of an order counted as done once the order was closed by anyone. Ids make a mix-up unlikely, but what was sent, told to the operator or run was then not what the store holds.

Change: an order is sent only if the whole record is the one written, and opened anew above it otherwise; a ticket is issued only for the claim as it is stored; a change names what was proposed (content, optional, so that earlier builds read it and their roots are read), and another proposal under its id is refused; a release that another operator or the author was ahead of tells the operator so.

Measured: TestOrderIsSentOnlyAsItIsStored (6 of 7 cases), TestReleaseTellsWhoClosedTheOrder (2 of 3), TestTicketIsForTheClaimThatIsStored (5 of 6), TestAcceptedChangeIsTheOneProposed (6 of 7) and TestChangeOfAnEarlierBuildIsRecognised failed before and pass now; the tests of authority (all states explored), claim, configuration and operator pass.

--- a/authority/agent.go
+++ b/authority/agent.go
@@ -182,7 +182,7 @@
 		invariant.Check(e.Found.Version > previous.Version, "order_conflict_version",
 			"conflict at version %d, read %d", previous.Version, e.Found.Version)
 		a.openUnknown = false // at a higher version the update has taken effect or never will
-		if open.ID == a.own.ID {
+		if e.Found.Record == a.put {
 			return a.send()
 		}
 	}
--- a/authority/operate.go
+++ b/authority/operate.go
@@ -88,12 +88,13 @@
 			break
 		}
 	}
-	return x.releaseError(ctx, unit, open, err)
+	return x.releaseError(ctx, unit, released, err)
 }
 
-// releaseError returns the error of Release after its update ended with err. A
-// conflict is no error if the order turns out to be closed.
-func (x *Executor) releaseError(ctx context.Context, unit string, open Order, err error) error {
+// releaseError returns the error of Release after its update, which writes the
+// record released, ended with err. A conflict is no error if the store holds that
+// record.
+func (x *Executor) releaseError(ctx context.Context, unit string, released Record, err error) error {
 	switch callResultOf(err) {
 	case CallConfirmed:
 		return nil
@@ -103,8 +104,14 @@
 		return result.Wrap(err, result.StoreUnavailable, "releasing the order to %s", unit)
 	}
 	found, readErr := readRecord(ctx, x.objects, unit)
-	if readErr == nil && found.Record.Open.ID != open.ID {
-		return nil // closed by this release or by the order's author
+	switch {
+	case readErr != nil:
+	case found.Record == released:
+		return nil
+	case found.Record.Open.ID != released.LastID && found.Record.LastID == released.LastID:
+		return result.New(result.NoOpenOrder, "order %s to %s was closed meanwhile, as %s", released.LastID, unit, found.Record.closedAs())
+	case found.Record.Open.ID != released.LastID:
+		return result.New(result.NoOpenOrder, "order %s to %s was closed meanwhile", released.LastID, unit)
 	}
 	return result.Wrap(err, result.StoreConflict, "releasing the order to %s", unit)
 }
--- a/authority/record.go
+++ b/authority/record.go
@@ -105,6 +105,14 @@
 	return r
 }
 
+// closedAs describes how the last order was closed.
+func (r Record) closedAs() string {
+	if r.ReleasedBy != "" {
+		return string(r.LastOutcome) + " by " + r.ReleasedBy
+	}
+	return string(r.LastOutcome)
+}
+
 // encode returns the record as stored.
 func (r Record) encode() ([]byte, error) {
 	value, err := json.Marshal(r)
--- a/claim/record.go
+++ b/claim/record.go
@@ -1,6 +1,7 @@
 package claim
 
 import (
+	"bytes"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
@@ -64,6 +65,14 @@
 	return r, trace.Wrap(err)
 }
 
+// sameAs tells whether the record agrees with another one in every field. The time of a record that was read has
+// another form in memory, so that the stored forms are compared.
+func (r record) sameAs(other record) bool {
+	one, errOne := r.encode()
+	two, errTwo := other.encode()
+	return errOne == nil && errTwo == nil && bytes.Equal(one, two)
+}
+
 // withFinalState returns the record with the final state set by its holder.
 func (r record) withFinalState(s State, now time.Time) record {
 	r.State = s
--- a/claim/store_registry.go
+++ b/claim/store_registry.go
@@ -237,7 +237,7 @@
 	if err != nil {
 		return Outcome{}, false, trace.Wrap(err)
 	}
-	if found.Attempt == b.claimed.Attempt && found.State == Claimed {
+	if found.sameAs(b.claimed) {
 		return s.issueTicket(b, object.Version), true, nil
 	}
 	if found.Digest != b.digest {
--- a/configuration/accept.go
+++ b/configuration/accept.go
@@ -68,8 +68,12 @@
 		return 0, trace.Wrap(err)
 	}
 	p.Cached = current
+	content, err := p.content()
+	if err != nil {
+		return 0, trace.Wrap(err)
+	}
 	if accepted := current.Root.findChange(p.ID); accepted != nil {
-		return accepted.Revision, nil
+		return accepted.Revision, checkSame(accepted, p, content)
 	}
 	if current.Root.Revision > p.Base+recentChanges {
 		return 0, baseTooOld(current.Root, p.Base)
@@ -77,7 +81,7 @@
 	if current.Root.Revision != p.Base {
 		return 0, baseConflict(current.Root, p.Base)
 	}
-	next, err := apply(ctx, s, current, *p, now)
+	next, err := apply(ctx, s, current, *p, content, now)
 	if err != nil {
 		return 0, trace.Wrap(err)
 	}
@@ -111,9 +115,29 @@
 		root.Revision, newest.Author, newest.Summary, base)
 }
 
+// content identifies what the proposal changes, and who proposes it. The base is no part of it.
+func (p *Proposal) content() (Digest, error) {
+	value, err := json.Marshal(struct {
+		Author, Summary string
+		Fleet           *contract.Fleet
+		Contracts       []*contract.Contract
+		Remove          []string
+	}{p.Author, p.Summary, p.Fleet, p.Contracts, p.Remove})
+	return DigestOf(value), trace.Wrap(err)
+}
+
+// checkSame returns an error unless an accepted change with the id of a proposal is that proposal.
+func checkSame(accepted *Change, p *Proposal, content Digest) error {
+	same := accepted.Author == p.Author && accepted.Summary == p.Summary
+	if same && (accepted.Content == "" || accepted.Content == content) {
+		return nil
+	}
+	return result.New(result.RevisionConflict, "revision %d by %s (%s) was accepted under the same id as this change", accepted.Revision, accepted.Author, accepted.Summary)
+}
+
 // apply validates the configuration that results from a proposal, stores the parts that the
 // proposal changes, and returns the root of the next configuration.
-func apply(ctx context.Context, s store.Store, current *Bundle, p Proposal, now time.Time) (*Root, error) {
+func apply(ctx context.Context, s store.Store, current *Bundle, p Proposal, content Digest, now time.Time) (*Root, error) {
 	fleet, contracts, err := merge(current, p)
 	if err != nil {
 		return nil, err
@@ -135,7 +159,7 @@
 	if err := putBuckets(ctx, s, &next, contracts, changedBuckets(p)); err != nil {
 		return nil, err
 	}
-	next.addRecent(Change{p.ID, next.Revision, p.Author, p.Summary, now.UnixMilli()})
+	next.addRecent(Change{ID: p.ID, Revision: next.Revision, Author: p.Author, Summary: p.Summary, UnixMS: now.UnixMilli(), Content: content})
 	return &next, nil
 }
 
--- a/configuration/root.go
+++ b/configuration/root.go
@@ -50,6 +50,8 @@
 	Author   string            `json:"author"`
 	Summary  string            `json:"summary"`
 	UnixMS   int64             `json:"unix_ms"`
+	// Content identifies what was proposed. It is empty in changes that earlier builds wrote.
+	Content Digest `json:"content,omitempty"`
 }
 
 // Bucket refers to the part that holds the contracts of one bucket.
