Keep admitted requests on a configuration when a newer one is heard of

Cause: a host that has just started and heard no peer yet admits requests. The first digest that names a newer configuration then took its table back until that was fetched, 2 to 10 ms. A request that was to be sent again in that time, after a target's 500 or refusal, had its key checked against no table; the nil pointer ended the process.

Change: the newest table that a host has stays visible; that peers have a newer one only keeps it from admitting requests (View.Outdated). Keys of admitted requests are checked against the newest table, so that withdrawn keys still end further tries. Where the store does not count eras, a host that has admitted requests stays ready.

--- a/forward/handler.go
+++ b/forward/handler.go
@@ -26,7 +26,11 @@
 
 // View is the state of the node that a request is handled with.
 type View struct {
+	// Table is the newest configuration that the node has; nil until it has one and a list of targets.
 	Table *route.Table
+	// Outdated is set while the node must not admit requests by the Table, as other hosts have a newer
+	// configuration. Requests that were admitted go on.
+	Outdated bool
 	// Revision is the revision of the list of targets.
 	Revision uint64
 	// Hosts is the number of hosts that may be running, including this one and those that
@@ -37,8 +41,7 @@
 // Handler forwards requests. Its fields must not change once it is in use.
 type Handler struct {
 	Protocol Protocol
-	// View returns the current state. Its Table is nil until the node has a configuration and a
-	// list of targets.
+	// View returns the current state.
 	View func() View
 	Pool *upstream.Pool
 	// Versions records and finds the software versions that began streams.
@@ -177,7 +180,7 @@
 	info, err := r.h.Protocol.ParseRequest(r.in.Header)
 	r.info, r.sharedParts, r.lastEventID = info, sharedPartIDs(info.PromptParts), info.LastEventID
 	table := r.view.Table
-	if table == nil {
+	if table == nil || r.view.Outdated {
 		r.refuse(result.NodeNotReady, notReadyRetryAfter)
 		return false
 	}
@@ -310,10 +313,14 @@
 	return r.organisation == nil || r.currentOrganisation() != nil
 }
 
-// currentOrganisation returns the organisation of the request as the current configuration has it, nil if that no
-// longer gives it the key.
+// currentOrganisation returns the organisation of the request as the newest configuration of the node has it, nil if
+// that no longer gives it the key.
 func (r *request) currentOrganisation() *route.Organisation {
-	if current := r.h.View().Table.OrganisationByKey(r.info.Key); current != nil && current.Name == r.organisation.Name {
+	table := r.h.View().Table
+	if table == nil {
+		table = r.view.Table // by which the request was admitted
+	}
+	if current := table.OrganisationByKey(r.info.Key); current != nil && current.Name == r.organisation.Name {
 		return current
 	}
 	return nil
--- a/node/catch_up.go
+++ b/node/catch_up.go
@@ -11,10 +11,13 @@
 	maxCatchUpTime = 2 * time.Second
 )
 
-// caughtUp reports whether this host may serve with its configuration. A store that came back from an
-// older copy shows a host that has just started keys that its peers know to be withdrawn.
+// caughtUp reports whether this host may admit requests by its configuration. A store that came back from an
+// older copy shows a host that has just started keys that its peers know to be withdrawn. Where the store does
+// not count eras, and so cannot have come back from one, a host that has admitted requests goes on. Elsewhere it
+// may have to wait again; requests that it has admitted do not depend on it.
 func (n *Node) caughtUp(version uint64) bool {
-	if n.hasCaughtUp.Load() {
+	firstEra := n.era.current() == 0
+	if n.hasCaughtUp.Load() || firstEra && n.hasAdmitted.Load() {
 		return true
 	}
 	up := time.Since(n.started)
@@ -27,8 +30,9 @@
 		return true
 	case heard:
 		return false
-	default:
-		mayBeOlder := n.era.current() > 0 && n.mesh.KnownHostCount() > 0
-		return !mayBeOlder || up >= firstDigestWait
+	case firstEra, n.mesh.KnownHostCount() == 0, up >= firstDigestWait:
+		n.hasAdmitted.Store(true)
+		return true
 	}
+	return false
 }
--- a/node/export_test.go
+++ b/node/export_test.go
@@ -37,3 +37,6 @@
 	_, ok := n.streams.records.Get(affinity.KeyOf(request))
 	return ok
 }
+
+// HandleDigest handles a digest of a peer.
+func (n *Node) HandleDigest(d *wire.HostDigest) { n.handleDigest(d) }
--- a/node/node.go
+++ b/node/node.go
@@ -109,6 +109,8 @@
 	oddEntries oddEntries
 	// hasCaughtUp is set once the configuration was found to be as new as that of peers.
 	hasCaughtUp atomic.Bool
+	// hasAdmitted is set once requests could be admitted, also without having heard of any peer.
+	hasAdmitted atomic.Bool
 	registry    *prometheus.Registry
 }
 
@@ -164,15 +166,16 @@
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
 // currentView returns the state that requests are handled with: the number of
-// hosts, the revision of the targets and, once targets are known, the routes.
+// hosts, the revision of the targets and, once targets are known, the routes,
+// which from then on are never missing.
 func (n *Node) currentView() forward.View {
 	v := forward.View{Hosts: 1 + n.mesh.KnownHostCount()}
 	n.rosterMu.Lock()
 	synced := n.roster.HasSynced()
 	v.Revision = n.roster.Revision()
 	n.rosterMu.Unlock()
-	if table := n.table.Load(); synced && table != nil && n.caughtUp(table.Version()) {
-		v.Table = table
+	if table := n.table.Load(); synced && table != nil {
+		v.Table, v.Outdated = table, !n.caughtUp(table.Version())
 	}
 	return v
 }
@@ -229,8 +232,11 @@
 	if n.leaving.Load() {
 		return errors.New("the node is stopping")
 	}
-	if n.currentView().Table == nil {
+	switch v := n.currentView(); {
+	case v.Table == nil:
 		return errors.New("no configuration or list of targets yet")
+	case v.Outdated:
+		return errors.New("a peer has a newer configuration")
 	}
 	return nil
 }
