Keep a panic within one request from ending the process

Change: invariant.Contain reports a panic as a violation (no_panic), with its stack, and ends what was being served; in tests it goes on as before. It is deferred where a request, a search, a move, a check of a target, a tunnel, a call of a link, a shared call and a call at the gateway begin. The caller gets 500, which promises nothing, or an incomplete response; attempts are cancelled, their tickets, placements and admissions returned, and locks of the planner are released by defer.

--- a/controller/grants.go
+++ b/controller/grants.go
@@ -9,6 +9,7 @@
 
 	"zinniapin/event"
 	"zinniapin/grant"
+	"zinniapin/invariant"
 	"zinniapin/link"
 	"zinniapin/machine"
 	"zinniapin/membership"
@@ -194,7 +195,12 @@
 	parts := k.splitByGrantor(request)
 	answers := make(chan *wire.GrantReply, len(parts))
 	for _, p := range parts {
-		go func() { answers <- k.requestGrants(ctx, p) }()
+		go func() {
+			answer := &wire.GrantReply{}
+			defer func() { answers <- answer }()
+			defer invariant.Contain("request for grants", nil)
+			answer = k.requestGrants(ctx, p)
+		}()
 	}
 	for range parts {
 		reply.Grants = append(reply.Grants, (<-answers).Grants...)
--- a/forward/crash_guard.go
+++ b/forward/crash_guard.go
@@ -11,6 +11,7 @@
 
 	"zinniapin/dispatch"
 	"zinniapin/event"
+	"zinniapin/invariant"
 	"zinniapin/poison"
 	"zinniapin/roster"
 	"zinniapin/target"
@@ -121,6 +122,7 @@
 
 // checkTarget tries to connect to a target whose answers broke off.
 func (g *CrashGuard) checkTarget(t roster.Target, process poison.Process) {
+	defer invariant.Contain("check of a target", nil)
 	for i := range crashChecks {
 		if i > 0 {
 			time.Sleep(crashCheckPause)
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -186,10 +186,11 @@
 		return
 	}
 	now := time.Now()
-	h.PlannerMu.Lock()
-	left := info.Leaving && h.Planner.MarkLeaving(now, t)
-	paused := info.RetryAfter > 0 && h.Planner.Pause(now, t, info.RetryAfter)
-	h.PlannerMu.Unlock()
+	var left, paused bool
+	h.withPlanner(func(p *dispatch.Planner) {
+		left = info.Leaving && p.MarkLeaving(now, t)
+		paused = info.RetryAfter > 0 && p.Pause(now, t, info.RetryAfter)
+	})
 	if left {
 		event.TargetLeaves.Log(h.Log).Str("target", string(t.ID)).Str("address", t.Address).Int64("born", t.StartedMillis).Send()
 	}
@@ -200,9 +201,8 @@
 
 // heedLimit takes in the limit that a target names in a response, or that it names none.
 func (h *Handler) heedLimit(t roster.Target, info ResponseInfo) {
-	h.PlannerMu.Lock()
-	changed := h.Planner.SetLimit(time.Now(), t, info.Limit, info.Limited)
-	h.PlannerMu.Unlock()
+	changed := false
+	h.withPlanner(func(p *dispatch.Planner) { changed = p.SetLimit(time.Now(), t, info.Limit, info.Limited) })
 	if changed {
 		event.TargetLimited.Log(h.Log).Str("target", string(t.ID)).Str("address", t.Address).Bool("limited", info.Limited).Float64("per_second", info.Limit).Send()
 	}
--- a/forward/generate.go
+++ b/forward/generate.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"zinniapin/dispatch"
+	"zinniapin/invariant"
 	"zinniapin/roster"
 	"zinniapin/target"
 	"zinniapin/upstream"
@@ -219,20 +220,25 @@
 	r.endSearch(summary)
 }
 
+// mayCall tells whether a target wants calls at present.
+func (h *Handler) mayCall(id target.ID) bool {
+	h.PlannerMu.Lock()
+	defer h.PlannerMu.Unlock()
+	return h.Planner.MayCall(time.Now(), id)
+}
+
 // releaseTimeout bounds the call that releases an unused KV cache.
 const releaseTimeout = time.Second
 
 // releaseCache asks a prefill target in the background to free a KV cache that no decode target
 // will fetch.
 func (r *request) releaseCache(t roster.Target, handle string) {
-	r.h.PlannerMu.Lock()
-	mayCall := r.h.Planner.MayCall(time.Now(), t.ID)
-	r.h.PlannerMu.Unlock()
-	if !mayCall {
+	if !r.h.mayCall(t.ID) {
 		return // the target frees the cache itself when its handle expires
 	}
 	method, path := r.h.Protocol.ReleaseRequest(handle)
 	go func() {
+		defer invariant.Contain("release of a KV cache", nil)
 		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 		defer cancel()
 		response, err := r.h.Pool.Do(ctx, t.Address, &upstream.Request{Method: method, Target: path, Host: t.Address, Header: http.Header{}})
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -15,6 +16,7 @@
 
 	"zinniapin/dispatch"
 	"zinniapin/ingress"
+	"zinniapin/invariant"
 	"zinniapin/poison"
 	"zinniapin/result"
 	"zinniapin/retrybudget"
@@ -116,6 +118,7 @@
 	wholePart    poison.Part   // as by requestPart; 0 until it is needed
 	deadline     time.Time     // when the final response is due
 
+	tickets         []dispatch.Ticket  // of the attempts in progress; PlannerMu guards them
 	sent            arrivals           // at targets
 	connectFailures int                // targets that could not be connected to
 	excluded        map[target.ID]bool // targets that failed and get no further attempt
@@ -155,17 +158,11 @@
 
 // Serve implements ingress.Handler.
 func (h *Handler) Serve(ctx context.Context, in *ingress.Request, out *ingress.Writer) {
-	r := &request{h: h, in: in, out: out, view: h.View(), excluded: make(map[target.ID]bool)}
+	r := &request{h: h, in: in, out: out, excluded: make(map[target.ID]bool)}
+	defer invariant.Contain("request", r.abandon)
+	r.view = h.View()
 	if r.admit() {
-		ctx, release := h.withStop(ctx)
-		ctx, cancel := context.WithDeadline(ctx, r.deadline)
-		if r.job.PromptTokens > 0 && r.service.Engine != nil {
-			r.forwardToEngine(ctx)
-		} else {
-			r.forwardToService(ctx)
-		}
-		cancel()
-		release()
+		r.forward(ctx)
 		r.refundUnits()
 		if r.summary.denied == nil {
 			r.count()
@@ -174,6 +171,34 @@
 	r.logAndCount()
 }
 
+// forward forwards an admitted request and answers it.
+func (r *request) forward(ctx context.Context) {
+	ctx, release := r.h.withStop(ctx)
+	defer release()
+	ctx, cancel := context.WithDeadline(ctx, r.deadline)
+	defer cancel()
+	if r.job.PromptTokens > 0 && r.service.Engine != nil {
+		r.forwardToEngine(ctx)
+	} else {
+		r.forwardToService(ctx)
+	}
+}
+
+// abandon ends a request whose handling has panicked, after its attempts were cancelled. Its state may be
+// inconsistent, so that the caller is told nothing of whether it ran.
+func (r *request) abandon() {
+	defer invariant.Contain("abandoned request", nil)
+	r.endTickets()
+	r.summary.code = result.Internal
+	r.summary.status = r.summary.code.Definition().Status
+	if r.out.Started() {
+		r.out.Abort()
+	} else {
+		r.out.Refuse(r.summary.status, r.h.Protocol.RefusalHeaders(r.info.ID, 0))
+	}
+	r.logAndCount()
+}
+
 // admit decodes the request and finds its route, organisation and service. If it returns false, it
 // has refused the request.
 func (r *request) admit() bool {
@@ -232,9 +257,7 @@
 		Priority: route.Priority(r.route, r.organisation), MaxEventGap: time.Duration(r.route.GapMillis) * time.Millisecond,
 	}
 	r.job.OutputTokens, r.job.CarefulOutputTokens = outputLength(r.info)
-	r.h.PlannerMu.Lock()
-	r.job.Weight = r.h.Planner.PromptWeight(r.route.Name, r.info.PromptTokens)
-	r.h.PlannerMu.Unlock()
+	r.h.withPlanner(func(p *dispatch.Planner) { r.job.Weight = p.PromptWeight(r.route.Name, r.info.PromptTokens) })
 	if !r.h.limited(r.organisation) {
 		r.count()
 	}
@@ -351,22 +374,40 @@
 	r.summary.targets = append(r.summary.targets, string(t.ID))
 	r.h.PlannerMu.Lock()
 	defer r.h.PlannerMu.Unlock()
-	return r.h.Planner.Begin(time.Now(), t.ID, r.job, uncachedTokens)
+	ticket := r.h.Planner.Begin(time.Now(), t.ID, r.job, uncachedTokens)
+	r.tickets = append(r.tickets, ticket)
+	return ticket
 }
 
 // promptProcessed tells the planner that the target has processed the prompt.
 func (r *request) promptProcessed(t dispatch.Ticket) {
-	r.h.PlannerMu.Lock()
-	r.h.Planner.PrefillDone(time.Now(), t)
-	r.h.PlannerMu.Unlock()
+	r.h.withPlanner(func(p *dispatch.Planner) { p.PrefillDone(time.Now(), t) })
 }
 
 // endAttempt tells the planner that an attempt has ended and with which outcome and latency.
 func (r *request) endAttempt(t dispatch.Ticket, id target.ID, o dispatch.Outcome, latency time.Duration) {
-	r.h.PlannerMu.Lock()
-	r.h.Planner.End(t)
-	r.h.Planner.Observe(time.Now(), id, o, latency)
-	r.h.PlannerMu.Unlock()
+	r.h.withPlanner(func(p *dispatch.Planner) {
+		p.End(t)
+		r.tickets = slices.DeleteFunc(r.tickets, func(other dispatch.Ticket) bool { return other == t })
+		p.Observe(time.Now(), id, o, latency)
+	})
+}
+
+// endTickets ends the attempts that are registered with the planner.
+func (r *request) endTickets() {
+	r.h.withPlanner(func(p *dispatch.Planner) {
+		for _, t := range r.tickets {
+			p.End(t)
+		}
+		r.tickets = nil
+	})
+}
+
+// withPlanner calls f with the planner.
+func (h *Handler) withPlanner(f func(*dispatch.Planner)) {
+	h.PlannerMu.Lock()
+	defer h.PlannerMu.Unlock()
+	f(h.Planner)
 }
 
 // countStart reports the start of the request to OnRequestStarted, once for each request.
--- a/forward/move_watch.go
+++ b/forward/move_watch.go
@@ -10,6 +10,7 @@
 
 	"zinniapin/dispatch"
 	"zinniapin/event"
+	"zinniapin/invariant"
 	"zinniapin/roster"
 	"zinniapin/route"
 	"zinniapin/target"
@@ -131,7 +132,10 @@
 		}
 		h.moves.mu.Unlock()
 		for _, all := range bySource {
-			h.moveStreams(all)
+			func() {
+				defer invariant.Contain("moves of streams", nil)
+				h.moveStreams(all)
+			}()
 		}
 	}
 }
@@ -139,10 +143,12 @@
 // moveStreams carries out what is to be done now with the streams at one target.
 func (h *Handler) moveStreams(all []*movable) {
 	now := time.Now()
-	h.PlannerMu.Lock()
-	left, leaves := h.Planner.TimeLeft(now, all[0].source)
-	perToken := h.Planner.TokenTime(now, all[0].source)
-	h.PlannerMu.Unlock()
+	var left, perToken time.Duration
+	var leaves bool
+	h.withPlanner(func(p *dispatch.Planner) {
+		left, leaves = p.TimeLeft(now, all[0].source)
+		perToken = p.TokenTime(now, all[0].source)
+	})
 	if !leaves {
 		return
 	}
@@ -193,10 +199,12 @@
 		return
 	}
 	m.job.TimeLeft = time.Until(m.deadline)
-	h.PlannerMu.Lock()
-	mayCall := h.Planner.MayCall(time.Now(), m.source.ID)
-	to, found := h.Planner.MoveTarget(time.Now(), m.job, m.source, m.to.ID, m.excluded)
-	h.PlannerMu.Unlock()
+	var mayCall, found bool
+	var to roster.Target
+	h.withPlanner(func(p *dispatch.Planner) {
+		mayCall = p.MayCall(time.Now(), m.source.ID)
+		to, found = p.MoveTarget(time.Now(), m.job, m.source, m.to.ID, m.excluded)
+	})
 	if last && !m.logged && (!found || !mayCall) {
 		m.logged = true
 		if found {
@@ -217,7 +225,12 @@
 		m.last = make(chan struct{})
 	}
 	go func() {
-		result, reason := h.callMove(m, to, last)
+		var result MoveResult
+		reason := "the call has failed at this host"
+		func() {
+			defer invariant.Contain("move of a stream", nil)
+			result, reason = h.callMove(m, to, last)
+		}()
 		if last {
 			m.endLastCall(to, result, reason)
 		} else {
@@ -394,10 +407,8 @@
 func (h *Handler) freeHandle(t roster.Target, handle string) {
 	method, path := h.Protocol.ReleaseRequest(handle)
 	go func() {
-		h.PlannerMu.Lock()
-		mayCall := h.Planner.MayCall(time.Now(), t.ID)
-		h.PlannerMu.Unlock()
-		if !mayCall {
+		defer invariant.Contain("release of a KV cache", nil)
+		if !h.mayCall(t.ID) {
 			return
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
--- a/forward/output.go
+++ b/forward/output.go
@@ -55,9 +55,9 @@
 	if events <= 0 || r.service.Engine == nil || r.service.Engine.EventTokens <= 0 {
 		return
 	}
-	r.h.PlannerMu.Lock()
-	r.h.Planner.OutputReceived(o.readAt, s.ticket, &o.meter, events*r.service.Engine.EventTokens)
-	r.h.PlannerMu.Unlock()
+	r.h.withPlanner(func(p *dispatch.Planner) {
+		p.OutputReceived(o.readAt, s.ticket, &o.meter, events*r.service.Engine.EventTokens)
+	})
 }
 
 // outputWritten notes that the events that were read last have been written to the caller.
@@ -69,7 +69,5 @@
 
 // endOutput tells the planner that no more events will be read.
 func (r *request) endOutput(s *stream) {
-	r.h.PlannerMu.Lock()
-	r.h.Planner.OutputEnded(s.ticket, &s.output.meter)
-	r.h.PlannerMu.Unlock()
+	r.h.withPlanner(func(p *dispatch.Planner) { p.OutputEnded(s.ticket, &s.output.meter) })
 }
--- a/forward/refusal.go
+++ b/forward/refusal.go
@@ -44,9 +44,8 @@
 	case r.summary.denied != nil:
 		r.refuse(r.summary.denied.Code, r.summary.denied.RetryAfter)
 	default:
-		r.h.PlannerMu.Lock()
-		paused := r.h.Planner.ReturnAfter(time.Now(), r.job)
-		r.h.PlannerMu.Unlock()
+		var paused time.Duration
+		r.h.withPlanner(func(p *dispatch.Planner) { paused = p.ReturnAfter(time.Now(), r.job) })
 		r.refuse(result.TargetsRefused, max(paused, refusedRetryAfter))
 	}
 }
--- a/forward/silence.go
+++ b/forward/silence.go
@@ -8,6 +8,7 @@
 
 	"zinniapin/dispatch"
 	"zinniapin/event"
+	"zinniapin/invariant"
 	"zinniapin/roster"
 )
 
@@ -72,9 +73,9 @@
 			}
 			logged = true
 			outer := r.searching
+			defer func() { r.searching = outer }()
 			r.searching = true
 			search(ctx, w)
-			r.searching = outer
 		}
 		w.timer = time.AfterFunc(limit, w.expire)
 	}
@@ -95,7 +96,7 @@
 // expire runs a search if the target has been silent for the limit.
 func (w *silenceWatch) expire() {
 	w.mu.Lock()
-	if w.stopped || w.found || w.searched != nil {
+	if w.stopped || w.found || w.searched != nil || w.parent.Err() != nil {
 		w.mu.Unlock()
 		return
 	}
@@ -117,7 +118,10 @@
 	w.cancel, w.searched, w.superseded = cancel, searched, false
 	w.mu.Unlock()
 
-	w.search(ctx)
+	func() {
+		defer invariant.Contain("search for another target", nil)
+		w.search(ctx)
+	}()
 
 	w.mu.Lock()
 	w.searched = nil
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -179,8 +179,8 @@
 		return r.handleErrorStatus(s)
 	}
 	t := s.attempt.target
+	defer func() { s.move.close() }() // it is set with the first event
 	err := r.relayEvents(ctx, s)
-	defer s.move.close()
 	switch {
 	case errors.Is(err, errMoved), errors.Is(err, errMoveKept):
 		return r.continueMoved(ctx, s, err)
--- a/forward/version.go
+++ b/forward/version.go
@@ -42,9 +42,7 @@
 		return false
 	}
 	r.job.Version, r.job.VersionFixed = origin.Version, true
-	r.h.PlannerMu.Lock()
-	r.h.Planner.MarkProcessed(time.Now(), origin.Target, r.info.PromptParts)
-	r.h.PlannerMu.Unlock()
+	r.h.withPlanner(func(p *dispatch.Planner) { p.MarkProcessed(time.Now(), origin.Target, r.info.PromptParts) })
 	return true
 }
 
--- a/gateway/chat.go
+++ b/gateway/chat.go
@@ -136,9 +136,11 @@
 	}
 	gen.emit = response.emit
 	gen.onFirstToken = func() { g.firstToken(ticket, gen.query.Pool) }
-	err = gen.run(ctx)
+	err = func() error {
+		defer func() { g.release(ticket, gen.query.Pool, gen.assembly.received-resumedAt) }()
+		return gen.run(ctx)
+	}()
 	tokens := gen.assembly.received - resumedAt
-	g.release(ticket, gen.query.Pool, tokens)
 	g.loads.countOutput(gen.query.Pool, gen.query.Model, tokens)
 	g.recordUsage(gen, tokens, response.resumed)
 	if err != nil {
--- a/gateway/crash_guard.go
+++ b/gateway/crash_guard.go
@@ -11,6 +11,7 @@
 
 	"zinniapin/control"
 	"zinniapin/event"
+	"zinniapin/invariant"
 	"zinniapin/poison"
 	"zinniapin/target"
 )
@@ -136,12 +137,17 @@
 
 // checkTarget tries to connect to a target whose answers broke off, and again after a pause.
 func (c *crashGuard) checkTarget(t target.Target, checked chan struct{}) {
-	refused := c.tryTarget(t)
-	close(checked)
+	defer invariant.Contain("check of a target", nil)
+	refused := false
+	func() {
+		defer close(checked)
+		refused = c.tryTarget(t)
+	}()
 	if refused {
 		return
 	}
 	time.AfterFunc(crashCheckPause, func() {
+		defer invariant.Contain("check of a target", nil)
 		if c.tryTarget(t) {
 			return
 		}
--- a/gateway/routes.go
+++ b/gateway/routes.go
@@ -10,6 +10,7 @@
 
 	"zinniapin/event"
 	"zinniapin/intake"
+	"zinniapin/invariant"
 	"zinniapin/result"
 )
 
@@ -72,7 +73,8 @@
 // serve wraps a handler with the common steps of all calls: assigning an id, removing the
 // key from the headers, counting requests in progress and sending errors.
 func (g *Gateway) serve(kind string, h handlerFunc) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	return http.HandlerFunc(func(plain http.ResponseWriter, r *http.Request) {
+		w := &startedWriter{ResponseWriter: plain}
 		running := g.inFlight.Add(1)
 		defer g.inFlight.Add(-1)
 		c := &call{id: requestID(), kind: kind, arrived: time.Now()}
@@ -92,12 +94,51 @@
 			err = g.checkAccepting(running)
 		}
 		if err == nil {
-			err = h(w, r, c)
+			err = serveContained(h, w, r, c)
 		}
 		g.finishCall(w, r, c, err)
+		if errors.Is(err, errPanicked) && w.started {
+			panic(http.ErrAbortHandler) // net/http closes the connection, so that the response shows as incomplete
+		}
 	})
 }
 
+// errPanicked means that the handling of a call has panicked.
+var errPanicked = errors.New("gateway: the handling of the call has failed")
+
+// serveContained serves a call. A panic ends the call with an error that does not tell whether it ran.
+func serveContained(h handlerFunc, w *startedWriter, r *http.Request, c *call) (err error) {
+	defer invariant.Contain("call", func() {
+		failure := result.Wrap(errPanicked, result.Internal, "request %s", c.id)
+		failure.Execution = result.Unknown
+		if err = failure; w.started {
+			err = &streamedError{failure}
+		}
+	})
+	return h(w, r, c)
+}
+
+// startedWriter notes whether a response has been started.
+type startedWriter struct {
+	http.ResponseWriter
+	started bool
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w *startedWriter) WriteHeader(status int) {
+	w.started = true
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements http.ResponseWriter.
+func (w *startedWriter) Write(p []byte) (int, error) {
+	w.started = true
+	return w.ResponseWriter.Write(p)
+}
+
+// Unwrap returns the wrapped writer for http.ResponseController.
+func (w *startedWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
 // checkAccepting returns why a new request is refused, or nil.
 func (g *Gateway) checkAccepting(running int64) error {
 	if running > maxInFlight {
--- a/gateway/servicerun.go
+++ b/gateway/servicerun.go
@@ -79,8 +79,7 @@
 	}
 	s.attempts++
 	s.gateway.logRouted(s.call, s.organisation(), "", &place.choice)
-	response, err := s.gateway.options.Services.Call(ctx, place.choice.Target, s.request)
-	place.done(time.Now(), err != nil)
+	response, err := s.callTarget(ctx, place)
 	s.query.Exclude = append(s.query.Exclude, place.choice.Target.ID)
 	s.execution.record(err, false)
 	s.recordAttempt(place.choice.Target.ID, err)
@@ -88,6 +87,12 @@
 	return response, err
 }
 
+// callTarget calls the service at a target and ends the placement there.
+func (s *serviceCall) callTarget(ctx context.Context, place *placement) (response ServiceResponse, err error) {
+	defer func() { place.done(time.Now(), err != nil) }()
+	return s.gateway.options.Services.Call(ctx, place.choice.Target, s.request)
+}
+
 // recordAttempt counts the outcome of an attempt and logs its failure.
 func (s *serviceCall) recordAttempt(id target.ID, err error) {
 	outcome := "whole"
--- a/gateway/silence.go
+++ b/gateway/silence.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"zinniapin/invariant"
 	"zinniapin/settings"
 	"zinniapin/target"
 )
@@ -119,6 +120,7 @@
 
 // expired is called when no chunk was received in time.
 func (w *silenceWatch) expired() {
+	defer invariant.Contain("search for another engine", func() { w.cancel(errStalled) })
 	w.mu.Lock()
 	if w.stopped {
 		w.mu.Unlock()
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"zinniapin/intake"
+	"zinniapin/invariant"
 )
 
 // Handler handles requests. Serve must start or abort a response.
@@ -174,6 +175,7 @@
 
 // serve handles the requests of the connection one after the other.
 func (c *conn) serve() {
+	defer invariant.Contain("connection of a caller", nil)
 	c.held.Retain()
 	defer c.held.Drop()
 	defer func() {
--- a/link/yamuxlink/link.go
+++ b/link/yamuxlink/link.go
@@ -9,6 +9,7 @@
 	"github.com/gravitational/trace"
 	"github.com/hashicorp/yamux"
 
+	"zinniapin/invariant"
 	"zinniapin/link"
 	"zinniapin/machine"
 	"zinniapin/wire"
@@ -132,18 +133,24 @@
 		s.callSlots <- struct{}{}
 		counted := &countedStream{stream, s.hold}
 		calls.Go(func() {
-			serve := s.serveCall(ctx, counted)
-			<-s.callSlots
-			if serve != nil { // streams outlive their calls and take no slot
+			defer func() { _ = counted.Close() }()
+			if serve := s.serveInSlot(ctx, counted); serve != nil { // streams outlive their calls and take no slot
+				defer invariant.Contain("stream of a link", nil)
 				s.hold.addTunnels(1)
+				defer s.hold.addTunnels(-1)
 				serve(counted)
-				s.hold.addTunnels(-1)
 			}
-			_ = counted.Close()
 		})
 	}
 }
 
+// serveInSlot is serveCall, and frees the slot of the call.
+func (s *session) serveInSlot(ctx context.Context, stream net.Conn) (serve func(net.Conn)) {
+	defer func() { <-s.callSlots }()
+	defer invariant.Contain("call over a link", nil)
+	return s.serveCall(ctx, stream)
+}
+
 // serveCall reads the request of one call from a stream, serves it and writes the
 // reply, or a Failure if the reply cannot be sent. It returns what goes on with the stream, or nil.
 func (s *session) serveCall(ctx context.Context, stream net.Conn) func(net.Conn) {
--- a/node/gossip.go
+++ b/node/gossip.go
@@ -13,6 +13,7 @@
 
 	"zinniapin/dispatch"
 	"zinniapin/event"
+	"zinniapin/invariant"
 	"zinniapin/link"
 	"zinniapin/metering"
 	"zinniapin/peers"
@@ -342,6 +343,7 @@
 	g.mu.Unlock()
 	if mayRequest && g.snapshotPending.CompareAndSwap(false, true) {
 		go func() {
+			defer invariant.Contain("snapshot of a peer", nil)
 			defer g.snapshotPending.Store(false)
 			n.requestSnapshot(d)
 		}()
--- a/node/node.go
+++ b/node/node.go
@@ -200,8 +200,8 @@
 func (n *Node) countRequest(organisation string) {
 	now := n.clock.Now()
 	n.ledgerMu.Lock()
+	defer n.ledgerMu.Unlock()
 	n.ledger.Count(now, organisation)
-	n.ledgerMu.Unlock()
 }
 
 // forgetMisdirected removes a target at whose address another target answers.
--- a/node/shared_call.go
+++ b/node/shared_call.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
+
+	"zinniapin/invariant"
 )
 
 // sharedCall joins callers that need the same answer, which has to be newer than their wish for it: those
@@ -51,7 +54,14 @@
 		if answer == nil {
 			return
 		}
-		answer.err = s.call()
+		answer.err = errCallFailed
+		func() {
+			defer invariant.Contain("shared call", nil)
+			answer.err = s.call()
+		}()
 		close(answer.done)
 	}
 }
+
+// errCallFailed means that a shared call has panicked.
+var errCallFailed = errors.New("the shared call has failed within this host")
--- a/node/stream_versions.go
+++ b/node/stream_versions.go
@@ -10,6 +10,7 @@
 	"zinniapin/affinity"
 	"zinniapin/event"
 	"zinniapin/forward"
+	"zinniapin/invariant"
 	"zinniapin/roster"
 	"zinniapin/wire"
 )
@@ -208,7 +209,12 @@
 		return at, evidenceNone
 	}
 	answers := make(chan recordAnswer, 1)
-	go func() { answers <- s.askRecord(ctx, o.stream) }()
+	go func() {
+		var answer recordAnswer
+		defer func() { answers <- answer }()
+		defer invariant.Contain("question for a record", nil)
+		answer = s.askRecord(ctx, o.stream)
+	}()
 	version, finding, err := s.confirmHistory(ctx, o.service, o.age)
 	confirmed := err == nil && finding == affinity.Sole
 	if answer, ok := receive(answers, confirmed); ok {
--- a/tunnel/server.go
+++ b/tunnel/server.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"zinniapin/invariant"
 	"zinniapin/socket"
 	"zinniapin/wire"
 )
@@ -87,11 +88,15 @@
 	}
 	var copies sync.WaitGroup
 	copies.Go(func() {
+		defer invariant.Contain("tunnel to a target", func() { socket.Reset(c.conn) })
 		_, _ = io.Copy(timedWriter{c, cmp.Or(s.StuckTimeout, stuckTimeout)}, readerOnly{c.stream})
 		socket.Reset(c.conn)                           // the other host has ended or given up the tunnel
 		_ = c.stream.SetWriteDeadline(time.Unix(1, 0)) // it may have stopped reading before
 	})
-	copies.Go(c.copyAnswers)
+	copies.Go(func() {
+		defer invariant.Contain("tunnel from a target", func() { socket.Reset(c.conn) })
+		c.copyAnswers()
+	})
 	copies.Wait()
 	s.mu.Lock()
 	delete(s.open, c)
