--- a/gateway/routes.go
+++ b/gateway/routes.go
@@ -96,8 +96,9 @@
 		if err == nil {
 			err = serveContained(h, w, r, c)
 		}
+		cut := errors.Is(err, errPanicked) && w.started
 		g.finishCall(w, r, c, err)
-		if errors.Is(err, errPanicked) && w.started {
+		if cut {
 			panic(http.ErrAbortHandler) // net/http closes the connection, so that the response shows as incomplete
 		}
 	})
--- a/route/table.go
+++ b/route/table.go
@@ -112,25 +112,32 @@
 	if len(r.Backends) == 1 {
 		return t.services[r.Backends[0].Service]
 	}
-	total := 0
+	var total uint64
 	for _, b := range r.Backends {
-		total += max(b.Weight, 0)
+		total += b.share()
 	}
 	if total == 0 {
 		return t.services[r.Backends[0].Service]
 	}
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(requestID)) // never fails
-	point := int(h.Sum32() % uint32(total))
+	point := uint64(h.Sum32()) % total
 	for _, b := range r.Backends {
-		if point < max(b.Weight, 0) {
+		if point < b.share() {
 			return t.services[b.Service]
 		}
-		point -= max(b.Weight, 0)
+		point -= b.share()
 	}
 	return nil
 }
 
+// maxShare bounds the weight of a backend to that of the hashes by which requests are divided, so that sums of weights
+// do not overflow.
+const maxShare = 1 << 31
+
+// share returns the weight of a backend, from 0 to maxShare.
+func (b *Backend) share() uint64 { return uint64(min(max(b.Weight, 0), maxShare)) }
+
 // Priority returns the priority of a request: that of the organisation if it has one, or else that
 // of the route.
 func Priority(r *Route, o *Organisation) int {
