Pass on nothing but events in streams

What callers saw: a stream had begun and broke off; the next target answered 200 with the text of an error, a page or a whole head, which came between the caller's events, or the stream ended as if it were complete (ORDER, MIXED).

Cause: a block of lines counted as an event if an empty line followed. Only ids that are numbers were compared where a stream goes on at another target, so that a block without an id passed, and so did an empty body without a type.

Change: each block must have lines of events (data, event, id, retry) and comments only. Events before another block are passed on, then the stream counts as broken off. The first event of a continuation must be the next one. Nothing is passed on before the first event, and comments before it are left out where a caller has events already. A response with another type than that of event streams is none, and an empty continuation counts only if it names that type.

--- /dev/null
+++ b/forward/later_tries_test.go
@@ -0,0 +1,216 @@
+package forward_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+
+	"zinniapin/internal/standin/faulty"
+	"zinniapin/internal/standin/prepared"
+)
+
+// ways are the ways to a target.
+var ways = map[string]bool{"own links": false, "another host": true}
+
+// failedTries returns the answers of so many tries before one that matters.
+func failedTries(n int) []answer {
+	const last = "Connection: close\r\n" // the host does not use the connection again
+	all := []answer{
+		{name: "fails", text: framed("500 Internal Server Error", last, "trouble")["length"]},
+		{name: "breaks off", text: strings.TrimSuffix(framed("200 OK", last, "trouble")["length"], "ble")},
+		{name: "refuses", text: framed("503 Service Unavailable", last+"X-Not-Executed: 1\r\n", "")["length"]},
+	}
+	return all[:n]
+}
+
+// checkPlain fails the test if a caller got something else than the whole answer of a sound target, a failure of a target
+// as that target sent it, or a failure of the host.
+func checkPlain(t *testing.T, a callResult) {
+	t.Helper()
+	whole := a.err == nil && a.status == http.StatusOK && a.body == sequenceBody
+	failed := a.err == nil && a.status >= 500 && a.status < 600 && (a.header.Get("X-Response-Signature") == "" || a.status == 500 && a.body == "trouble")
+	if !whole && !failed {
+		t.Errorf("status %d, header %v, body %q, error %v", a.status, a.header, a.body, a.err)
+	}
+}
+
+// Guards against a target that stops inside the head or the body of its answer, or sends a malformed one, whose part passes
+// for the whole answer (MIXED), whichever try it is.
+func TestNoTryPassesOnAPartOfAPlainAnswer(t *testing.T) {
+	faults := append(append(cutHeads(sequenceBody), cutBodies("", sequenceBody)...), malformed(sequenceBody)...)
+	for way, through := range ways {
+		for before := range sequenceTries {
+			played := faults
+			if before > 0 {
+				played = some(faults, before)
+			}
+			t.Run(fmt.Sprintf("%s, after %d tries", way, before), func(t *testing.T) {
+				for _, fault := range played {
+					t.Run(fault.name, func(t *testing.T) {
+						t.Parallel()
+						a, asked := callSequence(t, false, through, "p", append(failedTries(before), fault)...)
+						checkPlain(t, a)
+						if asked <= before {
+							t.Errorf("%d targets were asked: status %d, header %v, body %q, error %v", asked, a.status, a.header, a.body, a.err)
+						}
+					})
+				}
+			})
+		}
+	}
+}
+
+// Guards against a part of an answer that passes for the whole when a target answers a long upload at once, and ends the
+// connection while the upload is being written (MIXED), whichever try it is.
+func TestNoTryPassesOnAnAnswerThatEndsDuringTheUpload(t *testing.T) {
+	upload := strings.Repeat("p", faulty.UploadBytes)
+	for way, through := range ways {
+		t.Run(way, func(t *testing.T) {
+			for before := range 3 {
+				for name, end := range faulty.Ends {
+					for framing, text := range framed("200 OK", "", sequenceBody) {
+						if framing == "length" {
+							continue // the length tells whether the answer is whole
+						}
+						for _, cut := range []int{0, 1, 7} {
+							fault := answer{text: text[:len(text)-cut], early: true, end: end}
+							t.Run(fmt.Sprintf("%s, %s, %d bytes less, after %d tries", name, framing, cut, before), func(t *testing.T) {
+								a, _ := callSequence(t, false, through, upload, append(failedTries(before), fault)...)
+								checkPlain(t, a)
+							})
+						}
+					}
+				}
+			}
+		})
+	}
+}
+
+// breaks returns ways in which a stream breaks off after its first event.
+func breaks() []answer {
+	one, half := prepared.Event(1, ""), "id: 2\ndata: to"
+	const fields = "Content-Type: text/event-stream\r\nConnection: close\r\n"
+	chunked, closed := framed("200 OK", fields, one+half)["chunks"], framed("200 OK", fields, one+half)["close"]
+	return []answer{
+		{name: "chunks, inside an event", text: strings.TrimSuffix(chunked, "\r\n0\r\n\r\n")},
+		{name: "chunks, inside an event, with the last chunk", text: chunked},
+		{name: "chunks, after an event", text: strings.TrimSuffix(framed("200 OK", fields, one)["chunks"], "0\r\n\r\n")},
+		{name: "close, inside an event", text: closed},
+		{name: "close, reset", text: closed, end: reset},
+	}
+}
+
+// notAStream returns answers that are no continuation of a stream.
+func notAStream() []answer {
+	var all []answer
+	texts := []string{
+		"", "trouble", "trouble\n", "trouble\n\n", "Internal Server Error\n\nat line 1\n\n", "\n\ntrouble\n\n", "\r\n\r\ntrouble\r\n\r\n",
+		"<html><body>\n\n<h1>502 Bad Gateway</h1>\n\n</body></html>\n\n", `{"error":"trouble"}` + "\n\n",
+		"HTTP/1.1 500 Internal Server Error\r\nContent-Type: text/plain\r\n\r\ntrouble\n\n",
+		"error: trouble\n\n", "Date: today\nServer: s\n\n", "id: 2\ndata: token 2\nServer: s\n\n", "id: 2\ndata: token 2\ntrouble\n\n",
+		": trouble\n\n", "data: trouble\n\n", "event: error\ndata: trouble\n\n", "id: x\ndata: trouble\n\n", "id\ndata: trouble\n\n", "id: 9\ndata: trouble\n\n",
+		prepared.Event(2, "") + "trouble\n\n", prepared.Event(2, "") + "trouble", prepared.Event(2, "") + `{"error":"trouble"}` + "\n\n" + prepared.Event(3, ""),
+		prepared.Event(2, "") + "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n" + prepared.Event(3, ""),
+	}
+	for _, status := range []string{"200 OK", "204 No Content", "206 Partial Content", "302 Found", "400 Bad Request", "404 Not Found", "429 Too Many Requests", "500 Internal Server Error", "503 Service Unavailable", "599 Trouble"} {
+		for i, text := range texts {
+			switch {
+			case strings.HasPrefix(status, "204"):
+				text = ""
+				if i > 0 {
+					continue
+				}
+			case !strings.HasPrefix(status, "200") && i != 3 && i != 9 && i != len(texts)-1:
+				continue
+			}
+			for framing, whole := range framed(status, "", text) {
+				if strings.HasPrefix(status, "204") && framing != "close" {
+					continue // it has no length and no chunks
+				}
+				all = append(all, answer{name: fmt.Sprintf("%s, %s, %d: %.20q", status, framing, i, text), text: whole})
+			}
+		}
+	}
+	for _, kind := range []string{"text/html", "text/plain; charset=utf-8", "application/json"} {
+		for framing, whole := range framed("200 OK", "Content-Type: "+kind+"\r\n", prepared.Event(2, "")+prepared.Event(3, "")+prepared.Event(4, "")) {
+			all = append(all, answer{name: kind + ", " + framing, text: whole})
+		}
+	}
+	return all
+}
+
+// checkStream fails the test if a caller got something else than whole events of the stream, in order, or a stream that
+// passes for complete and is not. A request of which no event came may end with a failure.
+func checkStream(t *testing.T, a callResult) {
+	t.Helper()
+	if a.status != http.StatusOK {
+		if a.err != nil || a.status < 500 || a.status > 599 {
+			t.Errorf("status %d, body %q, error %v", a.status, a.body, a.err)
+		}
+		return
+	}
+	beginning, all := wholeEvents(a.body)
+	if !beginning || a.err == nil && !all {
+		t.Errorf("body %q, error %v", a.body, a.err)
+	}
+}
+
+// Guards against the text, or the head, of a target's error between the events of a caller's stream, and against a stream
+// that ends as if it were complete, when one target has broken off and the next one answers with an error, stops inside its
+// head or sends a malformed answer (ORDER, MIXED), whichever try it is.
+func TestNoTryPutsAnythingButEventsIntoAStream(t *testing.T) {
+	faults := append(append(cutHeads(prepared.Event(2, "")), malformed(prepared.Event(2, ""))...), notAStream()...)
+	for way, through := range ways {
+		for i, begun := range breaks() {
+			for before := range 2 {
+				played := faults
+				if i+before > 0 {
+					played = some(faults, 2*i+before)
+				}
+				t.Run(fmt.Sprintf("%s, %s, %d more tries", way, begun.name, before), func(t *testing.T) {
+					for _, fault := range played {
+						t.Run(fault.name, func(t *testing.T) {
+							t.Parallel()
+							a, asked := callSequence(t, true, through, "p", append(append([]answer{begun}, failedTries(before)...), fault)...)
+							checkStream(t, a)
+							if asked < 2+before {
+								t.Errorf("%d targets were asked: status %d, header %v, body %q, error %v", asked, a.status, a.header, a.body, a.err)
+							}
+						})
+					}
+				})
+			}
+		}
+	}
+}
+
+// The same for a stream that has not begun, and for one whose own target sends what is no event.
+func TestNoStreamBeginsWithAnythingButEvents(t *testing.T) {
+	var faults []answer
+	for _, fault := range append(append(cutHeads(prepared.Event(1, "")), malformed(prepared.Event(1, ""))...), notAStream()...) {
+		fault.text = strings.NewReplacer("id: 2\ndata: token 2", "id: 1\ndata: token 1", "id: 3\ndata: token 3", "id: 2\ndata: token 2", "id: 4\ndata: token 4", "id: 3\ndata: token 3").Replace(fault.text)
+		faults = append(faults, fault)
+	}
+	for way, through := range ways {
+		for before := range 3 {
+			played := faults
+			if before > 0 {
+				played = some(faults, before)
+			}
+			t.Run(fmt.Sprintf("%s, after %d tries", way, before), func(t *testing.T) {
+				for _, fault := range played {
+					own := strings.Contains(fault.text, ": trouble") && !strings.Contains(fault.text, "error: ") || strings.HasSuffix(fault.name, `: ""`)
+					if own {
+						continue // an event or a comment of the target, or a stream without events
+					}
+					t.Run(fault.name, func(t *testing.T) {
+						t.Parallel()
+						a, _ := callSequence(t, true, through, "p", append(failedTries(before), fault)...)
+						checkStream(t, a)
+					})
+				}
+			})
+		}
+	}
+}
--- a/forward/move.go
+++ b/forward/move.go
@@ -171,7 +171,7 @@
 // cannot be connected to, and attemptBroken if it may run it.
 func (r *request) openContinuation(ctx context.Context, from *stream, t roster.Target, handle string) (*stream, attemptResult) {
 	attempt := streamAttempt{target: t, decision: from.attempt.decision}
-	s := &stream{attempt: attempt, ticket: r.beginAttempt(t, 0), splitter: eventSplitter{lastID: r.lastEventID}, continued: true, lastEventAt: from.lastEventAt}
+	s := &stream{attempt: attempt, ticket: r.beginAttempt(t, 0), splitter: r.newEventSplitter(), continued: true, lastEventAt: from.lastEventAt}
 	r.summary.version = t.Version
 	info := AttemptInfo{Priority: r.job.Priority, LastEventID: r.lastEventID, PrefillSource: r.h.Protocol.CacheSource(from.attempt.target.Address, handle)}
 	ctx = r.makeInterruptible(ctx, s)
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"mime"
 	"net/http"
 	"strconv"
 	"time"
@@ -65,7 +66,7 @@
 	if !r.takeUnits(ctx) { // they may have become too old while the prompt was processed elsewhere
 		return nil, attemptDenied
 	}
-	s := &stream{attempt: attempt, ticket: r.beginAttempt(attempt.target, attempt.uncachedTokens), splitter: eventSplitter{lastID: r.lastEventID}}
+	s := &stream{attempt: attempt, ticket: r.beginAttempt(attempt.target, attempt.uncachedTokens), splitter: r.newEventSplitter()}
 	r.summary.version = attempt.target.Version
 	info := AttemptInfo{Priority: r.job.Priority, PrefillSource: attempt.prefillSource, LastEventID: r.lastEventID}
 	if attempt.prefillSource == "" {
@@ -94,6 +95,9 @@
 		return true
 	}
 	s.response, s.buffer = response, make([]byte, streamBufferBytes)
+	if !isEventStream(response.Header) {
+		s.end = errNotStream
+	}
 	for len(s.events) == 0 && s.end == nil {
 		s.readOnce()
 	}
@@ -252,10 +256,10 @@
 // Errors of streams.
 var (
 	errCallerWrite   = errors.New("writing to the caller failed")
-	errEventGap      = errors.New("the first event of the resumed stream does not follow the last event sent to the caller")
 	errEventTooLarge = errors.New("an event of the stream exceeds 128 KiB")
 	errInsideEvent   = errors.New("the stream ended inside an event")
-	errEmptyStream   = errors.New("the stream ended with its connection before its first event")
+	errEmptyStream   = errors.New("the stream ended before its first event")
+	errNotStream     = errors.New("the response is no stream of events")
 )
 
 // streamBufferBytes is the size of the read buffer of a stream.
@@ -268,7 +272,10 @@
 	if len(s.events) > 0 {
 		s.output.readAt = time.Now()
 	}
-	if len(s.splitter.pending) > maxEventBytes {
+	switch {
+	case s.splitter.err != nil:
+		s.end = s.splitter.err
+	case s.splitter.held() > maxEventBytes:
 		s.end = errEventTooLarge
 	}
 }
@@ -287,9 +294,6 @@
 		if !s.continued {
 			r.promptProcessed(s.ticket)
 		}
-		if !isNextEvent(r.lastEventID, firstID(s.events)) {
-			return errEventGap
-		}
 		return nil
 	}
 	if errors.Is(s.end, io.EOF) {
@@ -300,17 +304,28 @@
 
 // checkEnd judges the end of a body. The framing alone does not prove a stream complete: a failed
 // target may end its body inside an event, and an orderly close looks like the end of a body without length
-// and chunks. empty tells that the body had no event.
+// and chunks. empty tells that the body had no event. A stream that has broken off was complete before only if its
+// continuation says that it is a stream, too.
 func (s *stream) checkEnd(empty bool) error {
 	if s.splitter.insideEvent() {
 		return errInsideEvent
 	}
-	if empty && s.response.Framing == upstream.FramedByClose {
+	if empty && (s.response.Framing == upstream.FramedByClose || s.splitter.joined && s.response.Header.Get("Content-Type") == "") {
 		return errEmptyStream
 	}
 	return nil
 }
 
+// isEventStream tells whether a response may be a stream of events by its type, which may be missing.
+func isEventStream(h http.Header) bool {
+	kind := h.Get("Content-Type")
+	if kind == "" {
+		return true
+	}
+	media, _, err := mime.ParseMediaType(kind)
+	return err == nil && media == "text/event-stream"
+}
+
 // relayEvents sends complete events to the caller until the target ends its stream properly. The
 // bytes of an incomplete event are discarded if the stream goes on elsewhere.
 func (r *request) relayEvents(ctx context.Context, s *stream) error {
@@ -356,26 +371,12 @@
 	if err := s.checkEnd(r.attemptWrites == 0); err != nil {
 		return err
 	}
-	if len(s.splitter.pending) > 0 || !r.out.Started() {
-		return r.writeEvents(s.response, s.splitter.pending)
+	if rest := s.splitter.rest(); len(rest) > 0 || !r.out.Started() {
+		return r.writeEvents(s.response, rest)
 	}
 	return nil
 }
 
-// isNextEvent tells whether the event with id first may follow the event with id last. Only
-// numbers can be compared; other ids and missing ones are accepted.
-func isNextEvent(last, first string) bool {
-	if last == "" || first == "" {
-		return true
-	}
-	before, err := strconv.Atoi(last)
-	if err != nil {
-		return true
-	}
-	next, err := strconv.Atoi(first)
-	return err != nil || next == before+1
-}
-
 // writeEvents writes events to the caller. The first call starts the response with the status and
 // the headers of the target that sent these events.
 func (r *request) writeEvents(response *upstream.Response, p []byte) error {
