Pass the newest list of targets on last; show what holds at the gateway on later tries

Cause: two calls of publishTargets read the list under one lock and passed it on under others, so that the older of two lists could be passed on last: requests went by it until the next change (DRAIN).

Change: a lock around reading and passing on. Tests of the gateway: its services and engines over own links and through another host, heads and bodies cut at each place, malformed answers, early answers to uploads, and what an engine in trouble sends after another one broke off, as first to fourth try.

--- a/forward/later_tries_test.go
+++ b/forward/later_tries_test.go
@@ -174,6 +174,9 @@
 							t.Parallel()
 							a, asked := callSequence(t, true, through, "p", append(append([]answer{begun}, failedTries(before)...), fault)...)
 							checkStream(t, a)
+							if asked > 2+before && (a.err != nil || a.body != expectedStream(sequenceEvents)) {
+								t.Errorf("a sound target was asked: body %q, error %v", a.body, a.err)
+							}
 							if asked < 2+before {
 								t.Errorf("%d targets were asked: status %d, header %v, body %q, error %v", asked, a.status, a.header, a.body, a.err)
 							}
--- a/node/node.go
+++ b/node/node.go
@@ -75,6 +75,8 @@
 	rawConfiguration atomic.Pointer[route.Configuration]
 	compressed       atomic.Pointer[compressedConfiguration]
 
+	// publishMu is held while the list of targets is passed on, so that the newest one is passed on last.
+	publishMu       sync.Mutex
 	rosterMu        sync.Mutex
 	roster          *roster.Roster
 	targetsListedAt time.Time // when the first list of targets was applied
@@ -214,6 +216,8 @@
 
 // publishTargets passes the list of targets to the planner.
 func (n *Node) publishTargets() {
+	n.publishMu.Lock()
+	defer n.publishMu.Unlock()
 	n.rosterMu.Lock()
 	all := n.roster.Targets()
 	revision := n.roster.Revision()
