Log violated invariants of a node, and judge them in the soak of real processes

Cause: zinnia-node set no logger for invariants, so that a violation showed in a metric alone; and a panic that is contained no longer ends the process, which is what the soak saw of it.

Change: the node logs violations, the stack of a panic included. The soak reads them from the nodes' logs, and each one is a fault.

--- a/cmd/zinnia-node/main.go
+++ b/cmd/zinnia-node/main.go
@@ -10,6 +10,7 @@
 	"syscall"
 
 	"zinniapin/daemon"
+	"zinniapin/invariant"
 	"zinniapin/node"
 	"zinniapin/platform"
 	"zinniapin/settings"
@@ -45,6 +46,7 @@
 	output := node.NewOutput(os.Stdout)
 	defer output.Close()
 	log := daemon.NewLogger(output, s.Log.Level, "node", s.Host)
+	invariant.SetLogger(&log)
 	graceful, _, stop := daemon.Signals(context.Background())
 	defer stop()
 	n := node.New(s, node.Platform{
--- a/internal/nodesoak/process.go
+++ b/internal/nodesoak/process.go
@@ -1,6 +1,7 @@
 package nodesoak
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -13,6 +14,7 @@
 	"syscall"
 	"time"
 
+	"zinniapin/event"
 	"zinniapin/internal/verdict"
 	"zinniapin/settings"
 	"zinniapin/zone"
@@ -53,12 +55,22 @@
 	p.disturbed = append(p.disturbed, verdict.Disruption{Host: p.name, Kind: kind, Span: point()})
 }
 
-// addTo adds to a run what was done to the node, and how its process ended by itself.
+// addTo adds to a run what was done to the node, how its process ended by itself, and which invariants it logged as
+// violated.
 func (p *process) addTo(r *verdict.Run) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	r.Disruptions = append(r.Disruptions, p.disturbed...)
 	r.OwnEnds = append(r.OwnEnds, p.ownEnds...)
+	lines, err := os.ReadFile(p.log.Name())
+	if err != nil {
+		r.Violations = append(r.Violations, verdict.Violation{Host: p.name, Text: "the log cannot be read: " + err.Error(), At: time.Now()})
+	}
+	for line := range bytes.Lines(lines) {
+		if bytes.Contains(line, []byte(`"name":"`+event.InvariantViolated.Name+`"`)) {
+			r.Violations = append(r.Violations, verdict.Violation{Host: p.name, Text: string(line), At: time.Now()})
+		}
+	}
 }
 
 // recordSignal records what a signal does to the node. The caller holds mu.
--- a/internal/verdict/ends.go
+++ b/internal/verdict/ends.go
@@ -202,8 +202,12 @@
 	}
 }
 
-// ownEnds checks how often processes ended that nobody had asked to. Such an end excuses nothing.
+// ownEnds checks how often processes ended that nobody had asked to, and that they found no invariant violated. Such an end
+// excuses nothing.
 func (j *judge) ownEnds() {
+	for _, v := range j.Violations {
+		j.find(Fault, v.At, "host %s found an invariant violated: %s", v.Host, v.Text)
+	}
 	ends := make(map[string]int)
 	for _, e := range j.OwnEnds {
 		if ends[e.Host]++; ends[e.Host] == j.bounds.MaxOwnEnds+1 {
--- a/internal/verdict/record.go
+++ b/internal/verdict/record.go
@@ -19,6 +19,7 @@
 	Duties         []DutyCall
 	Disruptions    []Disruption
 	OwnEnds        []End
+	Violations     []Violation
 	Cuts           []Cut
 	// Fault is when the last fault began and Back when all hosts had started again after it; zero
 	// if recovery is not judged.
@@ -158,6 +159,12 @@
 	At   time.Time
 }
 
+// Violation is an invariant that a host found violated, a panic that it contained included.
+type Violation struct {
+	Host, Text string
+	At         time.Time
+}
+
 // parts returns the parts of a prompt that other requests may share: all but the last.
 func (p Prompt) parts() []string {
 	all := strings.Split(p.Parts, ",")
--- a/internal/verdict/verdict_test.go
+++ b/internal/verdict/verdict_test.go
@@ -677,6 +677,11 @@
 			w.OwnEnds = append(w.OwnEnds, End{pick(i < pick(broken, 3, 2), "h1", "h2"), at(i)})
 		}
 	}},
+	{"invariant that a process found violated", Fault, func(w *world, broken bool) {
+		if broken {
+			w.Violations = []Violation{{"h1", "no_panic", at(0)}}
+		}
+	}},
 	{"recovery", Recover, func(w *world, broken bool) {
 		w.Fault, w.Back = at(1000), at(2000)
 		for i := range 8 {
