--- a/forward/later_tries_test.go
+++ b/forward/later_tries_test.go
@@ -14,12 +14,11 @@
 var ways = map[string]bool{"own links": false, "another host": true}
 
 // failedTries returns the answers of so many tries before one that matters.
-func failedTries(n int) []answer {
-	const last = "Connection: close\r\n" // the host does not use the connection again
-	all := []answer{
-		{name: "fails", text: framed("500 Internal Server Error", last, "trouble")["length"]},
-		{name: "breaks off", text: strings.TrimSuffix(framed("200 OK", last, "trouble")["length"], "ble")},
-		{name: "refuses", text: framed("503 Service Unavailable", last+"X-Not-Executed: 1\r\n", "")["length"]},
+func failedTries(n int) []faulty.Answer {
+	all := []faulty.Answer{
+		{Name: "fails", Text: framed("500 Internal Server Error", lastRequest, "trouble")[faulty.ByLength]},
+		{Name: "breaks off", Text: strings.TrimSuffix(framed("200 OK", lastRequest, "trouble")[faulty.ByLength], "ble")},
+		{Name: "refuses", Text: framed("503 Service Unavailable", lastRequest+"X-Not-Executed: 1\r\n", "")[faulty.ByLength]},
 	}
 	return all[:n]
 }
@@ -38,16 +37,16 @@
 // Guards against a target that stops inside the head or the body of its answer, or sends a malformed one, whose part passes
 // for the whole answer (MIXED), whichever try it is.
 func TestNoTryPassesOnAPartOfAPlainAnswer(t *testing.T) {
-	faults := append(append(cutHeads(sequenceBody), cutBodies("", sequenceBody)...), malformed(sequenceBody)...)
+	faults := append(append(faulty.CutHeads(sequenceFields, sequenceBody), faulty.CutBodies(sequenceFields, sequenceBody)...), faulty.Malformed(sequenceFields, sequenceBody)...)
 	for way, through := range ways {
 		for before := range sequenceTries {
 			played := faults
 			if before > 0 {
-				played = some(faults, before)
+				played = faulty.Some(faults, before)
 			}
 			t.Run(fmt.Sprintf("%s, after %d tries", way, before), func(t *testing.T) {
 				for _, fault := range played {
-					t.Run(fault.name, func(t *testing.T) {
+					t.Run(fault.Name, func(t *testing.T) {
 						t.Parallel()
 						a, asked := callSequence(t, false, through, "p", append(failedTries(before), fault)...)
 						checkPlain(t, a)
@@ -70,11 +69,11 @@
 			for before := range 3 {
 				for name, end := range faulty.Ends {
 					for framing, text := range framed("200 OK", "", sequenceBody) {
-						if framing == "length" {
+						if framing == faulty.ByLength {
 							continue // the length tells whether the answer is whole
 						}
 						for _, cut := range []int{0, 1, 7} {
-							fault := answer{text: text[:len(text)-cut], early: true, end: end}
+							fault := faulty.Answer{Text: text[:len(text)-cut], Early: true, End: end}
 							t.Run(fmt.Sprintf("%s, %s, %d bytes less, after %d tries", name, framing, cut, before), func(t *testing.T) {
 								a, _ := callSequence(t, false, through, upload, append(failedTries(before), fault)...)
 								checkPlain(t, a)
@@ -88,22 +87,22 @@
 }
 
 // breaks returns ways in which a stream breaks off after its first event.
-func breaks() []answer {
+func breaks() []faulty.Answer {
 	one, half := prepared.Event(1, ""), "id: 2\ndata: to"
 	const fields = "Content-Type: text/event-stream\r\nConnection: close\r\n"
-	chunked, closed := framed("200 OK", fields, one+half)["chunks"], framed("200 OK", fields, one+half)["close"]
-	return []answer{
-		{name: "chunks, inside an event", text: strings.TrimSuffix(chunked, "\r\n0\r\n\r\n")},
-		{name: "chunks, inside an event, with the last chunk", text: chunked},
-		{name: "chunks, after an event", text: strings.TrimSuffix(framed("200 OK", fields, one)["chunks"], "0\r\n\r\n")},
-		{name: "close, inside an event", text: closed},
-		{name: "close, reset", text: closed, end: reset},
+	chunked, closed := framed("200 OK", fields, one+half)[faulty.ByChunks], framed("200 OK", fields, one+half)[faulty.ByClose]
+	return []faulty.Answer{
+		{Name: "chunks, inside an event", Text: strings.TrimSuffix(chunked, "\r\n0\r\n\r\n")},
+		{Name: "chunks, inside an event, with the last chunk", Text: chunked},
+		{Name: "chunks, after an event", Text: strings.TrimSuffix(framed("200 OK", fields, one)[faulty.ByChunks], "0\r\n\r\n")},
+		{Name: "close, inside an event", Text: closed},
+		{Name: "close, reset", Text: closed, End: faulty.Reset},
 	}
 }
 
 // notAStream returns answers that are no continuation of a stream.
-func notAStream() []answer {
-	var all []answer
+func notAStream() []faulty.Answer {
+	var all []faulty.Answer
 	texts := []string{
 		"", "trouble", "trouble\n", "trouble\n\n", "Internal Server Error\n\nat line 1\n\n", "\n\ntrouble\n\n", "\r\n\r\ntrouble\r\n\r\n",
 		"<html><body>\n\n<h1>502 Bad Gateway</h1>\n\n</body></html>\n\n", `{"error":"trouble"}` + "\n\n",
@@ -125,16 +124,16 @@
 				continue
 			}
 			for framing, whole := range framed(status, "", text) {
-				if strings.HasPrefix(status, "204") && framing != "close" {
+				if strings.HasPrefix(status, "204") && framing != faulty.ByClose {
 					continue // it has no length and no chunks
 				}
-				all = append(all, answer{name: fmt.Sprintf("%s, %s, %d: %.20q", status, framing, i, text), text: whole})
+				all = append(all, faulty.Answer{Name: fmt.Sprintf("%s, %s, %d: %.20q", status, framing, i, text), Text: whole})
 			}
 		}
 	}
 	for _, kind := range []string{"text/html", "text/plain; charset=utf-8", "application/json"} {
 		for framing, whole := range framed("200 OK", "Content-Type: "+kind+"\r\n", prepared.Event(2, "")+prepared.Event(3, "")+prepared.Event(4, "")) {
-			all = append(all, answer{name: kind + ", " + framing, text: whole})
+			all = append(all, faulty.Answer{Name: kind + ", " + framing, Text: whole})
 		}
 	}
 	return all
@@ -160,19 +159,19 @@
 // that ends as if it were complete, when one target has broken off and the next one answers with an error, stops inside its
 // head or sends a malformed answer (ORDER, MIXED), whichever try it is.
 func TestNoTryPutsAnythingButEventsIntoAStream(t *testing.T) {
-	faults := append(append(cutHeads(prepared.Event(2, "")), malformed(prepared.Event(2, ""))...), notAStream()...)
+	faults := append(append(faulty.CutHeads(sequenceFields, prepared.Event(2, "")), faulty.Malformed(sequenceFields, prepared.Event(2, ""))...), notAStream()...)
 	for way, through := range ways {
 		for i, begun := range breaks() {
 			for before := range 2 {
 				played := faults
 				if i+before > 0 {
-					played = some(faults, 2*i+before)
+					played = faulty.Some(faults, 2*i+before)
 				}
-				t.Run(fmt.Sprintf("%s, %s, %d more tries", way, begun.name, before), func(t *testing.T) {
+				t.Run(fmt.Sprintf("%s, %s, %d more tries", way, begun.Name, before), func(t *testing.T) {
 					for _, fault := range played {
-						t.Run(fault.name, func(t *testing.T) {
+						t.Run(fault.Name, func(t *testing.T) {
 							t.Parallel()
-							a, asked := callSequence(t, true, through, "p", append(append([]answer{begun}, failedTries(before)...), fault)...)
+							a, asked := callSequence(t, true, through, "p", append(append([]faulty.Answer{begun}, failedTries(before)...), fault)...)
 							checkStream(t, a)
 							if asked > 2+before && (a.err != nil || a.body != expectedStream(sequenceEvents)) {
 								t.Errorf("a sound target was asked: body %q, error %v", a.body, a.err)
@@ -190,24 +189,24 @@
 
 // The same for a stream that has not begun, and for one whose own target sends what is no event.
 func TestNoStreamBeginsWithAnythingButEvents(t *testing.T) {
-	var faults []answer
-	for _, fault := range append(append(cutHeads(prepared.Event(1, "")), malformed(prepared.Event(1, ""))...), notAStream()...) {
-		fault.text = strings.NewReplacer("id: 2\ndata: token 2", "id: 1\ndata: token 1", "id: 3\ndata: token 3", "id: 2\ndata: token 2", "id: 4\ndata: token 4", "id: 3\ndata: token 3").Replace(fault.text)
+	var faults []faulty.Answer
+	for _, fault := range append(append(faulty.CutHeads(sequenceFields, prepared.Event(1, "")), faulty.Malformed(sequenceFields, prepared.Event(1, ""))...), notAStream()...) {
+		fault.Text = strings.NewReplacer("id: 2\ndata: token 2", "id: 1\ndata: token 1", "id: 3\ndata: token 3", "id: 2\ndata: token 2", "id: 4\ndata: token 4", "id: 3\ndata: token 3").Replace(fault.Text)
 		faults = append(faults, fault)
 	}
 	for way, through := range ways {
 		for before := range 3 {
 			played := faults
 			if before > 0 {
-				played = some(faults, before)
+				played = faulty.Some(faults, before)
 			}
 			t.Run(fmt.Sprintf("%s, after %d tries", way, before), func(t *testing.T) {
 				for _, fault := range played {
-					own := strings.Contains(fault.text, ": trouble") && !strings.Contains(fault.text, "error: ") || strings.HasSuffix(fault.name, `: ""`)
+					own := strings.Contains(fault.Text, ": trouble") && !strings.Contains(fault.Text, "error: ") || strings.HasSuffix(fault.Name, `: ""`)
 					if own {
 						continue // an event or a comment of the target, or a stream without events
 					}
-					t.Run(fault.name, func(t *testing.T) {
+					t.Run(fault.Name, func(t *testing.T) {
 						t.Parallel()
 						a, _ := callSequence(t, true, through, "p", append(failedTries(before), fault)...)
 						checkStream(t, a)
