--- a/forward/generate.go
+++ b/forward/generate.go
@@ -140,13 +140,6 @@
 	}
 }
 
-// hasDecodeTarget tells whether a target could produce the output once the prompt is processed.
-func (r *request) hasDecodeTarget() bool {
-	r.h.PlannerMu.Lock()
-	defer r.h.PlannerMu.Unlock()
-	return r.h.Planner.HasDecode(time.Now(), r.job, r.excluded)
-}
-
 // maxExtraPrefills is the number of further targets that are tried when a prefill fails.
 const maxExtraPrefills = 2
 
@@ -220,13 +213,6 @@
 	r.endSearch(summary)
 }
 
-// mayCall tells whether a target wants calls at present.
-func (h *Handler) mayCall(id target.ID) bool {
-	h.PlannerMu.Lock()
-	defer h.PlannerMu.Unlock()
-	return h.Planner.MayCall(time.Now(), id)
-}
-
 // releaseTimeout bounds the call that releases an unused KV cache.
 const releaseTimeout = time.Second
 
