Play framings in a fixed order; show that long answers that break off are incomplete

Cause: the cases of later tries came from a map, so that those that are drawn as every seventh differed from run to run; answers that are too long to be held back were not among them.

--- a/forward/later_tries_test.go
+++ b/forward/later_tries_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -86,6 +87,32 @@
 	}
 }
 
+// Guards against an answer too long to be held back that breaks off after a part of it was passed on, and passes for whole.
+func TestNoTryEndsALongAnswerThatBreaksOff(t *testing.T) {
+	body := strings.Repeat(sequenceBody, 60_000) // more than is read before any of it is passed on
+	for way, through := range ways {
+		for before := range 2 {
+			for _, framing := range faulty.Framings {
+				for _, less := range []int{1, 10, 100_000, 200_000} {
+					for name, end := range map[string]func(*net.TCPConn){"cut": nil, "reset": faulty.Reset} {
+						if framing == faulty.ByClose && end == nil {
+							continue // an orderly end of the connection is its end
+						}
+						t.Run(fmt.Sprintf("%s, after %d tries, %s, %s, %d bytes less", way, before, framing, name, less), func(t *testing.T) {
+							t.Parallel()
+							text := framed("200 OK", "", body)[framing]
+							a, _ := callSequence(t, false, through, "p", append(failedTries(before), faulty.Answer{Text: text[:len(text)-less], End: end})...)
+							if a.err == nil && a.body != sequenceBody {
+								t.Errorf("status %d, %d bytes, no error", a.status, len(a.body))
+							}
+						})
+					}
+				}
+			}
+		}
+	}
+}
+
 // breaks returns ways in which a stream breaks off after its first event.
 func breaks() []faulty.Answer {
 	one, half := prepared.Event(1, ""), "id: 2\ndata: to"
@@ -123,17 +150,18 @@
 			case !strings.HasPrefix(status, "200") && i != 3 && i != 9 && i != len(texts)-1:
 				continue
 			}
-			for framing, whole := range framed(status, "", text) {
+			for _, framing := range faulty.Framings {
 				if strings.HasPrefix(status, "204") && framing != faulty.ByClose {
 					continue // it has no length and no chunks
 				}
-				all = append(all, faulty.Answer{Name: fmt.Sprintf("%s, %s, %d: %.20q", status, framing, i, text), Text: whole})
+				all = append(all, faulty.Answer{Name: fmt.Sprintf("%s, %s, %d: %.20q", status, framing, i, text), Text: framed(status, "", text)[framing]})
 			}
 		}
 	}
 	for _, kind := range []string{"text/html", "text/plain; charset=utf-8", "application/json"} {
-		for framing, whole := range framed("200 OK", "Content-Type: "+kind+"\r\n", prepared.Event(2, "")+prepared.Event(3, "")+prepared.Event(4, "")) {
-			all = append(all, faulty.Answer{Name: kind + ", " + framing, Text: whole})
+		events := prepared.Event(2, "") + prepared.Event(3, "") + prepared.Event(4, "")
+		for _, framing := range faulty.Framings {
+			all = append(all, faulty.Answer{Name: kind + ", " + framing, Text: framed("200 OK", "Content-Type: "+kind+"\r\n", events)[framing]})
 		}
 	}
 	return all
--- a/gateway/later_tries_test.go
+++ b/gateway/later_tries_test.go
@@ -160,8 +160,8 @@
 		`{"attempt":"` + attemptMark + `","offset":7,"tokens":1,"text":"trouble","done":true}` + "\n"}
 	for _, status := range []string{"200 OK", "206 Partial Content", "302 Found", "404 Not Found", "429 Too Many Requests", "500 Internal Server Error", "503 Service Unavailable", "599 Trouble"} {
 		for i, text := range texts {
-			for framing, whole := range faulty.Framed(status, "", text) {
-				all = append(all, faulty.Answer{Name: fmt.Sprintf("%s, %s, %d: %.20q", status, framing, i, text), Text: whole})
+			for _, framing := range faulty.Framings {
+				all = append(all, faulty.Answer{Name: fmt.Sprintf("%s, %s, %d: %.20q", status, framing, i, text), Text: faulty.Framed(status, "", text)[framing]})
 			}
 		}
 	}
--- a/internal/standin/faulty/sequence.go
+++ b/internal/standin/faulty/sequence.go
@@ -80,6 +80,9 @@
 	ByClose  = "close"
 )
 
+// Framings are all framings, in a fixed order.
+var Framings = []string{ByLength, ByChunks, ByClose}
+
 // Framed returns a response with some fields and a body in each framing.
 func Framed(status, fields, body string) map[string]string {
 	begin := "HTTP/1.1 " + status + "\r\n" + fields
@@ -93,7 +96,8 @@
 // CutHeads returns responses that end at each place of their head, by a close and at every fourth place by a reset.
 func CutHeads(fields, body string) []Answer {
 	var all []Answer
-	for framing, text := range Framed("200 OK", fields, body) {
+	for _, framing := range Framings {
+		text := Framed("200 OK", fields, body)[framing]
 		for at := range headBytes(text) {
 			all = append(all, Answer{Name: fmt.Sprintf("%s, head cut at %d", framing, at), Text: text[:at]})
 			if at%4 == 0 {
@@ -108,7 +112,8 @@
 // reset.
 func CutBodies(fields, body string) []Answer {
 	var all []Answer
-	for framing, text := range Framed("200 OK", fields, body) {
+	for _, framing := range Framings {
+		text := Framed("200 OK", fields, body)[framing]
 		for at := headBytes(text); at < len(text); at++ {
 			place := at - headBytes(text)
 			if framing != ByClose {
