--- a/forward/stop_test.go
+++ b/forward/stop_test.go
@@ -79,7 +79,7 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			target := engine("t-1", "")
-			target.Delay = c.delay
+			target.Change(func(s *prepared.TargetSwitches) { s.Delay = c.delay })
 			h := newTestHandler(t, "desk", target)
 			now := time.Now()
 			h.handler.Stop(now.Add(c.closing), now.Add(c.end))
