--- a/forward/later_tries_test.go
+++ b/forward/later_tries_test.go
@@ -35,7 +35,7 @@
 	}
 }
 
-// Guards against a target that stops inside the head or the body of its answer, or sends a malformed one, whose part passes
+// Guards against a target that stops inside the head or the body of its answer, or sends a malformed one, whose part is taken
 // for the whole answer (MIXED), whichever try it is.
 func TestNoTryPassesOnAPartOfAPlainAnswer(t *testing.T) {
 	faults := append(append(faulty.CutHeads(sequenceFields, sequenceBody), faulty.CutBodies(sequenceFields, sequenceBody)...), faulty.Malformed(sequenceFields, sequenceBody)...)
@@ -61,7 +61,7 @@
 	}
 }
 
-// Guards against a part of an answer that passes for the whole when a target answers a long upload at once, and ends the
+// Guards against a part of an answer that is taken for the whole when a target answers a long upload at once, and ends the
 // connection while the upload is being written (MIXED), whichever try it is.
 func TestNoTryPassesOnAnAnswerThatEndsDuringTheUpload(t *testing.T) {
 	upload := strings.Repeat("p", faulty.UploadBytes)
@@ -87,7 +87,7 @@
 	}
 }
 
-// Guards against an answer too long to be held back that breaks off after a part of it was passed on, and passes for whole.
+// Guards against an answer too long to be held back that breaks off after a part of it was passed on, and is taken for whole.
 func TestNoTryEndsALongAnswerThatBreaksOff(t *testing.T) {
 	body := strings.Repeat(sequenceBody, 60_000) // more than is read before any of it is passed on
 	for way, through := range ways {
@@ -168,7 +168,7 @@
 }
 
 // checkStream fails the test if a caller got something else than whole events of the stream, in order, or a stream that
-// passes for complete and is not. A request of which no event came may end with a failure.
+// shows as complete and is not. A request of which no event came may end with a failure.
 func checkStream(t *testing.T, a callResult) {
 	t.Helper()
 	if a.status != http.StatusOK {
--- a/gateway/later_tries_test.go
+++ b/gateway/later_tries_test.go
@@ -89,7 +89,7 @@
 	}
 }
 
-// Guards against a service that stops inside the head or the body of its answer, or sends a malformed one, whose part passes
+// Guards against a service that stops inside the head or the body of its answer, or sends a malformed one, whose part is taken
 // for the whole answer (MIXED), whichever try it is.
 func TestNoTryPassesOnAPartOfAServicesAnswer(t *testing.T) {
 	sound := faulty.Framed("200 OK", "Connection: close\r\n", serviceBody)[faulty.ByLength]
@@ -118,7 +118,7 @@
 	}
 }
 
-// Guards against a part of a service's answer that passes for the whole when it answers a long upload at once, and ends the
+// Guards against a part of a service's answer that is taken for the whole when it answers a long upload at once, and ends the
 // connection while the upload is being written (MIXED), whichever try it is.
 func TestNoTryPassesOnAServicesAnswerThatEndsDuringTheUpload(t *testing.T) {
 	upload := strings.Repeat("p", maxBodyBytes-1)
